--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Commands for developers; README.md says what each is for.
+GO ?= go
+BIN := bin
+
+.PHONY: test format vet lint build unit demo bench bench-fleet clean
+
+test: format vet lint build unit
+
+format:
+	@out=$$(gofmt -l .); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+unit:
+	$(GO) test -race -timeout 20m ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/bramley-lab/main.go
@@ -0,0 +1,4 @@
+// Command bramley-lab runs the stand-ins that tests and benchmarks use.
+package main
+
+func main() {}
--- /dev/null
+++ b/result/table_test.go
@@ -0,0 +1,58 @@
+package result
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+const docFile = "../docs/RESULT-CODES.md"
+
+// TestDocTableMatchesCode holds docs/RESULT-CODES.md against the table. Run
+// with UPDATE_DOCS=1 to write the file anew.
+func TestDocTableMatchesCode(t *testing.T) {
+	want := docPage()
+	if os.Getenv("UPDATE_DOCS") != "" {
+		if err := os.WriteFile(docFile, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(docFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("%s differs from result.Table; write it with UPDATE_DOCS=1 go test ./result", docFile)
+	}
+}
+
+func TestCodesAreUniqueAndInOrder(t *testing.T) {
+	last := Code(0)
+	for _, row := range Table {
+		if row.Code <= last {
+			t.Errorf("code %d stands after %d", row.Code, last)
+		}
+		last = row.Code
+	}
+}
+
+func TestOfFindsWrappedCode(t *testing.T) {
+	err := fmt.Errorf("outer: %w", Errorf(Conflict, "revision %d", 7))
+	if got := Of(err); got != Conflict {
+		t.Errorf("Of = %v, want %v", got, Conflict)
+	}
+}
+
+func docPage() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\n")
+	b.WriteString("Every answer and every error carries one of these numbers. A number is never given a second meaning.\n")
+	b.WriteString("\"Run\" says whether a target ran the request; \"again\" says whether sending the same request again makes sense.\n")
+	b.WriteString("The hundreds digit is the class, and the exit status of the command line.\n\n")
+	b.WriteString("| code | name | HTTP | run | again | meaning |\n|---|---|---|---|---|---|\n")
+	for _, r := range Table {
+		fmt.Fprintf(&b, "| %d | %s | %d | %s | %s | %s |\n", r.Code, r.Name, r.HTTP, r.Ran, r.Retry, r.Text)
+	}
+	return b.String()
+}
