--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,45 @@
+// Package settings holds a daemon's own settings: what a process must know
+// before it can reach the platform. Everything else comes with the bundle.
+package settings
+
+// Settings is the JSON settings file of bramleyd.
+type Settings struct {
+	Name       string   `json:"name"` // of this VM, as in the platform's list
+	Deployment string   `json:"deployment"`
+	Zone       string   `json:"zone"`
+	Listen     Listen   `json:"listen"`
+	Platform   Platform `json:"platform"`
+	// OperatorKeys are the public keys whose signatures count. Two keys of one
+	// person are valid at once during a rotation.
+	OperatorKeys []OperatorKey `json:"operator_keys"`
+	// FleetKeys are shared by the VMs of the deployment, newest first, in
+	// base64. Each proves membership; the first is offered.
+	FleetKeys  []string `json:"fleet_keys"`
+	Log        Log      `json:"log"`
+	LameDuckMS int      `json:"lame_duck_ms"` // serving time after SIGTERM, longer than the balancer's lag
+}
+
+// Listen holds the IP addresses and ports that a daemon serves.
+type Listen struct {
+	Callers string `json:"callers"`
+	Ops     string `json:"ops"`
+	Peers   string `json:"peers"`
+}
+
+// Platform says where the platform's object API is.
+type Platform struct {
+	Address string `json:"address"` // IP and port
+}
+
+// OperatorKey is a person's Ed25519 public key.
+type OperatorKey struct {
+	ID     string `json:"id"`
+	Person string `json:"person"`
+	Public string `json:"public"` // base64
+}
+
+// Log governs the daemon's log.
+type Log struct {
+	Level string `json:"level"` // trace, debug, info, warn or error
+	JSON  bool   `json:"json"`
+}
