Bundle: grace after enough coverage, and the plain policy for comparisons

Cause: a caller that accepts less than full coverage has to say how much longer it waits for the rest, and measurements need a baseline in the same program. Change: coverage.grace_ms and search.policy. Types only; nothing measured yet.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -79,12 +79,26 @@
 	Hedge     Hedge      `json:"hedge"`
 	Retry     Retry      `json:"retry"`
 	MaxItems  int        `json:"max_items"` // largest limit a caller may ask for
+	Policy    Policy     `json:"policy,omitempty"`
 }
 
+// Policy names a set of decisions. The empty value means PolicyAdaptive.
+type Policy string
+
+// The policies. PolicyPlain is the baseline of comparisons: one attempt for
+// each shard to a random replica, without hedge, retry or admission.
+const (
+	PolicyAdaptive Policy = "adaptive"
+	PolicyPlain    Policy = "plain"
+)
+
 // Coverage is the share of shards, from 0 to 1, that a caller needs.
 type Coverage struct {
 	Default float64 `json:"default"`
 	Min     float64 `json:"min"` // the least a caller may ask for
+	// GraceMS is how long a query goes on waiting for the missing shards once
+	// the needed coverage is reached.
+	GraceMS int `json:"grace_ms"`
 }
 
 // TimeLimit bounds how long callers may wait, in milliseconds.
