--- /dev/null
+++ b/internal/lab/labhttp/labhttp.go
@@ -0,0 +1,50 @@
+// Package labhttp holds what the stand-ins share of HTTP: JSON answers, control
+// endpoints and listeners.
+package labhttp
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// maxBody bounds the body of a control request.
+const maxBody = 4 << 20
+
+// Write answers with value as JSON.
+func Write(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		Fail(w, http.StatusInternalServerError, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+// Fail answers with err as text.
+func Fail(w http.ResponseWriter, status int, err error) {
+	http.Error(w, err.Error(), status)
+}
+
+// Read decodes the body of r, without unknown fields, into a T.
+func Read[T any](w http.ResponseWriter, r *http.Request) (T, error) {
+	var value T
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&value)
+	return value, err
+}
+
+// Setter returns a handler that passes the decoded body to set.
+func Setter[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		value, err := Read[T](w, r)
+		if err != nil {
+			Fail(w, http.StatusBadRequest, err)
+			return
+		}
+		set(value)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
