--- /dev/null
+++ b/gateway/search.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"goji.io/pat"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+	"github.com/bramleybarrow/bramleybarrow/query"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// search serves a search or a browse page.
+func (g *Gateway) search(req *request) *Answer {
+	q, body, err := req.parseSearch()
+	if err != nil {
+		return failed(err)
+	}
+	out := g.opt.Engine.Search(req.http.Context(), q)
+	a := answerOf(out.Code)
+	a.Detail = out.Detail
+	a.Ran = out.Ran.String()
+	a.Snapshot = out.Snapshot.Name
+	a.Items = out.Items
+	a.More = out.More
+	a.Attempts = out.Sent
+	a.RetryAfterMS = millis(out.RetryAfter)
+	if out.Coverage.Shards > 0 {
+		a.Coverage = coverageOf(&out.Coverage, body.Explain)
+	}
+	a.Cursor = nextCursor(q, out)
+	return a
+}
+
+func nextCursor(q *query.Request, out *query.Answer) string {
+	if q.Search.Kind != bundle.KindBrowse || !out.More || len(out.Items) == 0 {
+		return ""
+	}
+	last := out.Items[len(out.Items)-1]
+	return cursor{Search: q.Search.Name, Snapshot: out.Snapshot.Name, After: last.Key}.encode()
+}
+
+// find returns the search that the path names, if it is of the path's kind.
+func (req *request) find() (*bundle.Search, error) {
+	name := pat.Param(req.http, "search")
+	s, ok := req.force.Bundle.Find(name)
+	if !ok || !strings.HasPrefix(req.http.URL.Path, "/v1/"+string(s.Kind)+"/") {
+		return nil, result.Errorf(result.UnknownSearch, "search %q", name)
+	}
+	return s, nil
+}
+
+func (req *request) parseSearch() (*query.Request, *SearchBody, error) {
+	s, err := req.find()
+	if err != nil {
+		return nil, nil, err
+	}
+	var body SearchBody
+	if err := decode(req.body, &body); err != nil {
+		return nil, nil, err
+	}
+	q := &query.Request{
+		ID:      req.id,
+		Search:  s,
+		Arrived: req.arrived,
+		Query:   body.Query,
+	}
+	if err := setBounds(q, &body); err != nil {
+		return nil, nil, err
+	}
+	return q, &body, setCursor(q, body.Cursor)
+}
+
+// decode reads a body strictly.
+func decode(data []byte, into any) error {
+	findings := strictjson.Decode(data, into)
+	if len(findings) == 0 {
+		return nil
+	}
+	return result.Errorf(result.BadRequest, "%s", findings[0])
+}
+
+// setBounds takes what the caller asked for within what the bundle allows.
+func setBounds(q *query.Request, body *SearchBody) error {
+	s := q.Search
+	limit, err := timeLimit(s, body.TimeLimitMS)
+	if err != nil {
+		return err
+	}
+	q.Limit = limit
+	q.Need = body.Coverage
+	if q.Need == 0 {
+		q.Need = s.Coverage.Default
+	}
+	if q.Need < s.Coverage.Min || q.Need > 1 {
+		return result.Errorf(result.BadCoverage, "coverage: found %g, allowed is %g to 1", q.Need, s.Coverage.Min)
+	}
+	q.Items = body.Limit
+	if q.Items == 0 {
+		q.Items = s.MaxItems
+	}
+	if q.Items < 1 || q.Items > s.MaxItems {
+		return result.Errorf(result.BadRequest, "limit: found %d, allowed is 1 to %d", body.Limit, s.MaxItems)
+	}
+	return nil
+}
+
+// timeLimit returns how long the caller waits; ms is 0 if it did not say.
+func timeLimit(s *bundle.Search, ms int) (time.Duration, error) {
+	if ms == 0 {
+		ms = s.TimeLimit.DefaultMS
+	}
+	if ms < s.TimeLimit.MinMS || ms > s.TimeLimit.MaxMS {
+		return 0, result.Errorf(result.BadTimeLimit, "time limit: found %d ms, allowed is %d to %d ms",
+			ms, s.TimeLimit.MinMS, s.TimeLimit.MaxMS)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func setCursor(q *query.Request, s string) error {
+	if s == "" {
+		return nil
+	}
+	if q.Search.Kind != bundle.KindBrowse {
+		return result.Errorf(result.BadRequest, "cursor: only browse pages take one")
+	}
+	c, err := decodeCursor(s, q.Search.Name)
+	if err != nil {
+		return err
+	}
+	q.Snapshot = c.Snapshot
+	q.After = c.After
+	return nil
+}
--- /dev/null
+++ b/gateway/submit.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/query"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// submit serves a non-idempotent request.
+func (g *Gateway) submit(req *request) *Answer {
+	s, key, limit, err := req.parseSubmit()
+	if err != nil {
+		return failed(err)
+	}
+	deadline := req.arrived.Add(limit)
+	done, refused := g.opt.Engine.Admit(req.http.Context(), s.Service, deadline)
+	if refused != nil {
+		a := answerOf(refused.Code)
+		a.RetryAfterMS = millis(refused.RetryAfter)
+		return a
+	}
+	defer done()
+	return g.runOnce(req, s, key, deadline)
+}
+
+// runOnce claims the key and runs the request. A caller that goes away does not
+// end it: what was handed to a target is followed to its outcome.
+func (g *Gateway) runOnce(req *request, s *bundle.Search, key once.Key, deadline time.Time) *Answer {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(req.http.Context()), deadline)
+	defer cancel()
+	sum := sha256.Sum256(req.body)
+	claim := once.Request{
+		Deployment: g.opt.Deployment,
+		Search:     s.Name,
+		Key:        key,
+		Digest:     hex.EncodeToString(sum[:]),
+	}
+	out := g.opt.Claims.Run(ctx, claim, func(ctx context.Context) once.Outcome {
+		got := g.opt.Engine.Submit(ctx, &query.Submission{
+			ID:       req.id,
+			Search:   s,
+			Key:      key.String(),
+			Payload:  req.body,
+			Deadline: deadline,
+		})
+		return once.Outcome{Code: got.Code, Result: got.Result, Detail: got.Detail, RetryAfter: got.RetryAfter}
+	})
+	a := answerOf(out.Code)
+	a.Detail = out.Detail
+	a.Result = out.Result
+	a.RetryAfterMS = millis(out.RetryAfter)
+	return a
+}
+
+func (req *request) parseSubmit() (*bundle.Search, once.Key, time.Duration, error) {
+	s, err := req.find()
+	if err != nil {
+		return nil, once.Key{}, 0, err
+	}
+	key, err := once.ParseKey(req.http.Header.Get(HeaderKey))
+	if err != nil {
+		return nil, once.Key{}, 0, err
+	}
+	ms := 0
+	if h := req.http.Header.Get(HeaderTimeLimit); h != "" {
+		if ms, err = strconv.Atoi(h); err != nil {
+			return nil, once.Key{}, 0, result.Errorf(result.BadRequest, "%s: found %.40q, allowed is a whole number", HeaderTimeLimit, h)
+		}
+	}
+	limit, err := timeLimit(s, ms)
+	if err != nil {
+		return nil, once.Key{}, 0, err
+	}
+	if !json.Valid(req.body) {
+		return nil, once.Key{}, 0, result.Errorf(result.BadRequest, "body: not valid JSON; send one JSON document")
+	}
+	return s, key, limit, nil
+}
--- /dev/null
+++ b/policy/admission.go
@@ -0,0 +1,192 @@
+package policy
+
+import "time"
+
+// Admission decides which queries a VM takes for a service, so that targets are
+// kept busy but never buried. It limits the queries in flight, lets others wait
+// in order, and refuses at once those that could not be served in time.
+//
+// The limit follows what the targets show: it falls when queries meet shedding
+// targets or come near their time limit, and rises slowly while it is used and
+// all is well. Invariants: running <= limit rounded up; a query that is told to
+// wait hears Admit or Refuse at the latest when its deadline passes.
+type Admission struct {
+	limit    float64
+	ceiling  float64
+	running  int
+	queue    []*ticket
+	nextID   TicketID
+	interval time.Duration // smoothed time between two ends while busy
+	service  time.Duration // smoothed duration of a query
+	lastEnd  time.Time
+	cutAt    time.Time // of the last cut of the limit
+}
+
+// TicketID numbers the queries of one Admission.
+type TicketID uint64
+
+type ticket struct {
+	id       TicketID
+	deadline time.Time
+}
+
+// Decision is what becomes of a query.
+type Decision int
+
+// The decisions.
+const (
+	Admit  Decision = iota // run it now
+	Wait                   // a later call names its ticket
+	Refuse                 // final: it cannot be served in time
+)
+
+// Verdict is a decision about one query.
+type Verdict struct {
+	Ticket     TicketID
+	Decision   Decision
+	RetryAfter time.Duration // for Refuse: when to come back
+}
+
+// Parameters of the limit.
+const (
+	minLimit       = 1.0
+	limitCut       = 0.8                    // factor after a sign of overload
+	limitGain      = 1.0                    // added per limit's worth of good queries
+	cutPause       = 100 * time.Millisecond // least time between two cuts
+	smoothing      = 0.1                    // weight of a new sample
+	maxRetryAfter  = 5 * time.Second
+	minRetryAfter  = 50 * time.Millisecond
+	queuePerLimit  = 20 // waiting queries per unit of the limit, at most
+	defaultService = 20 * time.Millisecond
+)
+
+// NewAdmission returns an admission that begins with the given limit and never
+// exceeds ceiling.
+func NewAdmission(limit, ceiling float64) *Admission {
+	ceiling = max(ceiling, minLimit)
+	return &Admission{
+		limit:   min(max(limit, minLimit), ceiling),
+		ceiling: ceiling,
+		service: defaultService,
+	}
+}
+
+// SetCeiling changes the upper bound of the limit after a change of targets.
+func (a *Admission) SetCeiling(ceiling float64) {
+	a.ceiling = max(ceiling, minLimit)
+	a.limit = min(a.limit, a.ceiling)
+}
+
+// Arrive takes a query that must be answered by deadline.
+func (a *Admission) Arrive(now, deadline time.Time) Verdict {
+	a.nextID++
+	id := a.nextID
+	if a.free() && len(a.queue) == 0 {
+		a.running++
+		return Verdict{Ticket: id, Decision: Admit}
+	}
+	wait := a.expectedWait(len(a.queue) + 1)
+	if now.Add(wait+a.service).After(deadline) || float64(len(a.queue)) >= a.limit*queuePerLimit {
+		return Verdict{Ticket: id, Decision: Refuse, RetryAfter: a.retryAfter(wait)}
+	}
+	a.queue = append(a.queue, &ticket{id: id, deadline: deadline})
+	return Verdict{Ticket: id, Decision: Wait}
+}
+
+func (a *Admission) free() bool { return float64(a.running) < a.limit }
+
+// expectedWait is the time until the n-th waiting query runs.
+func (a *Admission) expectedWait(n int) time.Duration {
+	per := a.interval
+	if per == 0 {
+		per = time.Duration(float64(a.service) / max(a.limit, minLimit))
+	}
+	return time.Duration(n) * per
+}
+
+func (a *Admission) retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// End is what an admitted query met.
+type QueryEnd struct {
+	Took       time.Duration
+	Overloaded bool // a target shed, or the time limit was nearly used up
+}
+
+// Done takes the end of an admitted query and returns verdicts on waiting ones.
+func (a *Admission) Done(now time.Time, end QueryEnd) []Verdict {
+	a.running--
+	a.measure(now, end)
+	a.adapt(now, end)
+	return a.Sweep(now)
+}
+
+func (a *Admission) measure(now time.Time, end QueryEnd) {
+	a.service = smooth(a.service, end.Took)
+	busy := len(a.queue) > 0
+	if busy && !a.lastEnd.IsZero() {
+		a.interval = smooth(a.interval, now.Sub(a.lastEnd))
+	}
+	if !busy {
+		a.interval = 0
+	}
+	a.lastEnd = now
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(smoothing*float64(sample-old))
+}
+
+func (a *Admission) adapt(now time.Time, end QueryEnd) {
+	if end.Overloaded {
+		if now.Sub(a.cutAt) >= cutPause {
+			a.limit = max(a.limit*limitCut, minLimit)
+			a.cutAt = now
+		}
+		return
+	}
+	if float64(a.running+1) >= a.limit {
+		a.limit = min(a.limit+limitGain/a.limit, a.ceiling)
+	}
+}
+
+// Sweep admits waiting queries while there is room and refuses those that can
+// no longer be served in time, first come first served.
+func (a *Admission) Sweep(now time.Time) []Verdict {
+	var out []Verdict
+	for len(a.queue) > 0 {
+		head := a.queue[0]
+		late := now.Add(a.service).After(head.deadline)
+		if !late && !a.free() {
+			break
+		}
+		a.queue = a.queue[1:]
+		if late {
+			out = append(out, Verdict{
+				Ticket:     head.id,
+				Decision:   Refuse,
+				RetryAfter: a.retryAfter(a.expectedWait(len(a.queue) + 1)),
+			})
+			continue
+		}
+		a.running++
+		out = append(out, Verdict{Ticket: head.id, Decision: Admit})
+	}
+	return out
+}
+
+// Leave takes that a waiting query's caller went away. It reports whether the
+// ticket was still waiting; if not, it was admitted and needs Done.
+func (a *Admission) Leave(id TicketID) bool {
+	for i, t := range a.queue {
+		if t.id == id {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/policy/coverage.go
@@ -0,0 +1,140 @@
+package policy
+
+import "github.com/bramleybarrow/bramleybarrow/target"
+
+// Reason is why a shard has no answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoReplica    Reason = "no_replica"    // no live replica holds it
+	ReasonBusy         Reason = "busy"          // all replicas busy or shedding
+	ReasonTimeout      Reason = "timeout"       // no answer in time
+	ReasonUnreachable  Reason = "unreachable"   // the target could not be reached
+	ReasonBroken       Reason = "broken"        // the connection broke
+	ReasonSnapshotGone Reason = "snapshot_gone" // the leaf holds the snapshot no more
+	ReasonShed         Reason = "shed"          // refused by the target
+	ReasonMismatch     Reason = "mismatch"      // the answer belonged to another request
+	ReasonUnanswered   Reason = "unanswered"    // still running when the query ended
+)
+
+// End is how a query came to its decision.
+type End int
+
+// The ends of a query.
+const (
+	EndAnswered   End = iota // every shard answered
+	EndEnough                // the needed coverage was reached and the grace passed
+	EndGivenUp               // no attempt is left that could reach the needed coverage
+	EndDeadline              // the time was over
+	EndNoSnapshot            // nothing could be read at all
+	EndAbandoned             // the caller went away
+)
+
+// Outcome is what a query came to.
+type Outcome struct {
+	End      End
+	Snapshot Snapshot
+	Coverage Coverage
+	Answers  []*target.LeafAnswer // at most one of each shard, in order of shards
+
+	Sent     int // attempts, hedges and retries included
+	Refused  int // attempts that a target refused to start
+	Hedges   int
+	Retries  int
+	Restarts int // passes begun again on another snapshot
+}
+
+// NotRun reports whether it is certain that no target started any part.
+func (o *Outcome) NotRun() bool { return o.Sent == o.Refused }
+
+// ShardGap is a shard of which records are missing.
+type ShardGap struct {
+	Shard        int    `json:"shard"`
+	Reason       Reason `json:"reason"`
+	Missing      int64  `json:"missing"`       // records known to be missing
+	MissingKnown bool   `json:"missing_known"` // false: how many is not known
+}
+
+// ReasonIncomplete marks a shard whose leaf said that it left records out.
+const ReasonIncomplete Reason = "incomplete"
+
+// Coverage is a true account of what an answer rests on, counted by the
+// partition map of the answer's own snapshot.
+type Coverage struct {
+	Shards   int   // of the snapshot's partition map
+	Answered int   // shards that answered in full
+	Records  int64 // read
+
+	// Missing counts records known to be missing. UnknownShards counts shards
+	// of which it is not known how many are missing.
+	Missing       int64
+	UnknownShards int
+
+	Gaps []ShardGap
+
+	partial float64 // sum of the shares read of shards that answered in part
+}
+
+// Ratio is the share of shards read, from 0 to 1. A shard that answered in part
+// counts by the share of its records that were read, and as nothing if that is
+// not known.
+func (c Coverage) Ratio() float64 {
+	if c.Shards == 0 {
+		return 0
+	}
+	return (float64(c.Answered) + c.partial) / float64(c.Shards)
+}
+
+// Whole reports whether no record is missing.
+func (c Coverage) Whole() bool { return c.Shards > 0 && c.Answered == c.Shards }
+
+// CoverageOf counts what a query's answers cover so far.
+func CoverageOf(q *Query) Coverage {
+	c := Coverage{Shards: len(q.shards)}
+	for shard := range q.shards {
+		s := &q.shards[shard]
+		switch {
+		case s.answer == nil:
+			c.addLost(q, shard)
+		case s.answer.Complete:
+			c.Answered++
+			c.Records += s.answer.Records
+		default:
+			c.addIncomplete(shard, s.answer)
+		}
+	}
+	return c
+}
+
+func (c *Coverage) addLost(q *Query, shard int) {
+	reason := q.shards[shard].reason
+	if reason == "" || q.shards[shard].flying > 0 {
+		reason = ReasonUnanswered
+	}
+	n, known := q.table.Records(q.snapshot.Name, shard)
+	c.addGap(ShardGap{Shard: shard, Reason: reason, Missing: n, MissingKnown: known})
+}
+
+// addIncomplete takes a leaf's own statement that it left records out. Its
+// statement is no better than what it adds up to: a count of missing records
+// that is not positive, or exceeds what the shard holds, says nothing.
+func (c *Coverage) addIncomplete(shard int, a *target.LeafAnswer) {
+	gap := ShardGap{Shard: shard, Reason: ReasonIncomplete}
+	if a.Missing > 0 && a.Missing <= a.Records {
+		gap.Missing = a.Missing
+		gap.MissingKnown = true
+		c.Records += a.Records - a.Missing
+		c.partial += float64(a.Records-a.Missing) / float64(a.Records)
+	}
+	c.addGap(gap)
+}
+
+func (c *Coverage) addGap(gap ShardGap) {
+	c.Gaps = append(c.Gaps, gap)
+	if gap.MissingKnown {
+		c.Missing += gap.Missing
+	} else {
+		c.UnknownShards++
+	}
+}
--- /dev/null
+++ b/policy/query.go
@@ -0,0 +1,547 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// Spec is what a query asks for and what bounds it.
+type Spec struct {
+	Deadline    time.Time     // by which the answer must be decided
+	Need        float64       // coverage the caller needs, 0 to 1
+	Grace       time.Duration // waited for the rest once Need is reached
+	Pinned      string        // snapshot that a cursor names; empty: free choice
+	HedgeAt     float64       // quantile of latencies after which to hedge; 0: never
+	HedgeMin    time.Duration // lower bound of the hedge's delay
+	MaxAttempts int           // per shard, hedges included
+	Plain       bool          // one attempt each, to a random replica
+}
+
+// AttemptID numbers the attempts of one query, from 1.
+type AttemptID int
+
+// Action is something for the caller of a Query to carry out.
+type Action interface{ isAction() }
+
+// Send asks for an attempt on a replica.
+type Send struct {
+	Attempt  AttemptID
+	Replica  ReplicaID
+	Shard    int
+	Snapshot string
+	Hedge    bool
+	Timeout  time.Duration
+}
+
+// Cancel asks to give up an attempt whose answer is no longer of use. Its
+// answer, should one come, is ignored.
+type Cancel struct{ Attempt AttemptID }
+
+// Finish says that the query is decided. It is the last action.
+type Finish struct{ Outcome Outcome }
+
+func (Send) isAction()   {}
+func (Cancel) isAction() {}
+func (Finish) isAction() {}
+
+// Query decides the course of one query. Feed it Start once, then Answered,
+// Failed and Tick; carry out the actions that each returns.
+//
+// Invariants: every attempt carries the one snapshot of the query's present
+// pass, and only answers of that pass count; a shard is answered at most once;
+// attempts per shard <= Spec.MaxAttempts; hedges and retries are within the
+// table's budgets; exactly one Finish is returned, at the latest by the first
+// Tick at or after Spec.Deadline.
+type Query struct {
+	spec  Spec
+	table *Table
+
+	snapshot Snapshot
+	shards   []shardState
+	attempts map[AttemptID]*attempt
+	next     AttemptID
+	restarts int
+	enoughAt time.Time // when the needed coverage was reached
+	done     bool
+
+	sent, hedges, retries int
+	refused               int // attempts that a target refused to start
+}
+
+type shardState struct {
+	answer  *target.LeafAnswer
+	tried   []ReplicaID
+	flying  int // attempts in flight
+	sent    int
+	hedged  bool
+	reason  Reason    // of the last failure
+	pending time.Time // when to look for a replica again; zero: not waiting
+}
+
+type attempt struct {
+	id      AttemptID
+	shard   int
+	replica ReplicaID
+	sentAt  time.Time
+	expires time.Time
+	hedge   bool
+}
+
+// maxRestarts bounds how often a query begins again on another snapshot.
+const maxRestarts = 2
+
+// NewQuery returns a query over the targets in table.
+func NewQuery(spec Spec, table *Table) *Query {
+	return &Query{spec: spec, table: table, attempts: make(map[AttemptID]*attempt)}
+}
+
+// Start chooses the snapshot and sends the first attempts.
+func (q *Query) Start(now time.Time) []Action {
+	snap, ok := q.choose(now)
+	if !ok {
+		return q.finish(now, EndNoSnapshot)
+	}
+	return q.begin(now, snap)
+}
+
+func (q *Query) choose(now time.Time) (Snapshot, bool) {
+	if q.spec.Pinned != "" {
+		return q.table.FindSnapshot(q.spec.Pinned)
+	}
+	return q.table.ChooseSnapshot(now)
+}
+
+// begin starts a pass over all shards of one snapshot.
+func (q *Query) begin(now time.Time, snap Snapshot) []Action {
+	q.snapshot = snap
+	q.shards = make([]shardState, snap.Shards)
+	q.enoughAt = time.Time{}
+	q.table.Hedges.First(snap.Shards)
+	q.table.Retries.First(snap.Shards)
+	var acts []Action
+	for shard := range q.shards {
+		acts = append(acts, q.send(now, shard, false)...)
+	}
+	return q.conclude(now, acts)
+}
+
+// send starts an attempt on a shard, or notes why none can be started.
+func (q *Query) send(now time.Time, shard int, hedge bool) []Action {
+	s := &q.shards[shard]
+	id, ok := q.pick(now, shard, hedge)
+	if !ok {
+		if !hedge {
+			q.wait(now, shard)
+		}
+		return nil
+	}
+	s.pending = time.Time{}
+	s.tried = append(s.tried, id)
+	s.sent++
+	s.flying++
+	q.next++
+	q.sent++
+	a := &attempt{id: q.next, shard: shard, replica: id, sentAt: now, hedge: hedge}
+	a.expires = now.Add(q.attemptTimeout(now))
+	q.attempts[a.id] = a
+	q.table.Begin(id)
+	return []Action{Send{
+		Attempt:  a.id,
+		Replica:  id,
+		Shard:    shard,
+		Snapshot: q.snapshot.Name,
+		Hedge:    hedge,
+		Timeout:  a.expires.Sub(now),
+	}}
+}
+
+func (q *Query) pick(now time.Time, shard int, hedge bool) (ReplicaID, bool) {
+	if q.spec.Plain {
+		return q.table.PickRandom(q.snapshot.Name, shard)
+	}
+	s := &q.shards[shard]
+	id, ok := q.table.Pick(now, q.snapshot.Name, shard, s.tried, hedge)
+	if !ok && !hedge && s.flying == 0 {
+		// Every replica was tried: one that has recovered may be tried again.
+		id, ok = q.table.Pick(now, q.snapshot.Name, shard, nil, false)
+	}
+	return id, ok
+}
+
+// wait lets a shard whose replicas are all busy or resting be looked at again,
+// if one of them takes attempts before the deadline.
+func (q *Query) wait(now time.Time, shard int) {
+	s := &q.shards[shard]
+	if s.reason == "" {
+		s.reason = ReasonNoReplica
+	}
+	at, ok := q.table.ReadyAgain(now, q.snapshot.Name, shard)
+	if q.spec.Plain || !ok || !at.Before(q.spec.Deadline) {
+		s.pending = time.Time{}
+		return
+	}
+	s.reason = ReasonBusy
+	s.pending = at
+}
+
+// The timeout of one attempt, so that a connection that went silent costs a
+// part of the time limit only.
+const (
+	attemptTimeoutQuantile = 0.99
+	attemptTimeoutFactor   = 4
+	attemptTimeoutMin      = 50 * time.Millisecond
+)
+
+func (q *Query) attemptTimeout(now time.Time) time.Duration {
+	left := q.spec.Deadline.Sub(now)
+	if q.spec.Plain {
+		return left
+	}
+	slow, ok := q.table.Latency.Quantile(now, attemptTimeoutQuantile)
+	if !ok {
+		return left
+	}
+	return min(left, max(slow*attemptTimeoutFactor, attemptTimeoutMin))
+}
+
+// Answered takes the answer of an attempt. The caller has checked its echo.
+func (q *Query) Answered(now time.Time, id AttemptID, answer *target.LeafAnswer) []Action {
+	a := q.end(now, id, AttemptEnd{Answered: true})
+	if a == nil || q.done {
+		return nil
+	}
+	s := &q.shards[a.shard]
+	if s.answer != nil || answer.Snapshot != q.snapshot.Name {
+		return nil
+	}
+	s.answer = answer
+	s.pending = time.Time{}
+	acts := q.cancelShard(now, a.shard)
+	return q.conclude(now, acts)
+}
+
+// Failure is why an attempt gave no answer.
+type Failure struct {
+	Reason     Reason
+	Refused    bool          // the target did not start it
+	RetryAfter time.Duration // stated with a refusal
+}
+
+// Failed takes that an attempt ended without an answer.
+func (q *Query) Failed(now time.Time, id AttemptID, f Failure) []Action {
+	a := q.end(now, id, AttemptEnd{Refused: f.Refused, RetryAfter: f.RetryAfter})
+	if a == nil || q.done {
+		return nil
+	}
+	return q.conclude(now, q.afterFailure(now, a, f.Reason))
+}
+
+func (q *Query) afterFailure(now time.Time, a *attempt, reason Reason) []Action {
+	s := &q.shards[a.shard]
+	if s.answer != nil {
+		return nil
+	}
+	s.reason = reason
+	if s.flying > 0 {
+		return nil // the other attempt may still answer
+	}
+	if !q.mayRetry(a.shard) {
+		return nil
+	}
+	q.retries++
+	return q.send(now, a.shard, false)
+}
+
+func (q *Query) mayRetry(shard int) bool {
+	if q.spec.Plain || q.shards[shard].sent >= q.spec.MaxAttempts {
+		return false
+	}
+	return q.table.Retries.Take()
+}
+
+// end removes an attempt from the flying ones; nil if it is not among them.
+func (q *Query) end(now time.Time, id AttemptID, e AttemptEnd) *attempt {
+	a := q.attempts[id]
+	if a == nil {
+		return nil
+	}
+	delete(q.attempts, id)
+	if e.Refused {
+		q.refused++
+	}
+	e.Took = now.Sub(a.sentAt)
+	q.table.End(a.replica, e, now)
+	q.shards[a.shard].flying--
+	return a
+}
+
+// cancelShard gives up the attempts still in flight on a shard.
+func (q *Query) cancelShard(now time.Time, shard int) []Action {
+	if q.shards[shard].flying == 0 {
+		return nil
+	}
+	return q.cancelWhere(now, func(a *attempt) bool { return a.shard == shard })
+}
+
+func (q *Query) cancelWhere(now time.Time, match func(*attempt) bool) []Action {
+	var acts []Action
+	for _, id := range sortedKeys(q.attempts) {
+		if match(q.attempts[id]) {
+			q.end(now, id, AttemptEnd{Cancelled: true})
+			acts = append(acts, Cancel{Attempt: id})
+		}
+	}
+	return acts
+}
+
+// Tick takes that time has passed. Call it at the time that Wake returned.
+func (q *Query) Tick(now time.Time) []Action {
+	if q.done {
+		return nil
+	}
+	if !now.Before(q.spec.Deadline) {
+		return q.finish(now, EndDeadline)
+	}
+	acts := q.expire(now)
+	acts = append(acts, q.lookAgain(now)...)
+	acts = append(acts, q.hedge(now)...)
+	return q.conclude(now, acts)
+}
+
+// expire gives up attempts that have had no answer within their timeout.
+func (q *Query) expire(now time.Time) []Action {
+	var acts []Action
+	for _, id := range sortedKeys(q.attempts) {
+		a := q.attempts[id]
+		if now.Before(a.expires) {
+			continue
+		}
+		q.end(now, id, AttemptEnd{})
+		acts = append(acts, Cancel{Attempt: id})
+		acts = append(acts, q.afterFailure(now, a, ReasonTimeout)...)
+	}
+	return acts
+}
+
+// lookAgain tries shards whose replicas were all busy or resting.
+func (q *Query) lookAgain(now time.Time) []Action {
+	var acts []Action
+	for shard := range q.shards {
+		s := &q.shards[shard]
+		if s.pending.IsZero() || now.Before(s.pending) {
+			continue
+		}
+		acts = append(acts, q.send(now, shard, false)...)
+	}
+	return acts
+}
+
+// hedge sends second attempts beside slow first ones. It does so only once half
+// of the shards have answered: when all are slow, the targets are overloaded and
+// a second attempt would make that worse.
+func (q *Query) hedge(now time.Time) []Action {
+	due, ok := q.hedgeDelay(now)
+	if !ok || 2*q.unanswered() > len(q.shards) {
+		return nil
+	}
+	var acts []Action
+	for _, id := range sortedKeys(q.attempts) {
+		a := q.attempts[id]
+		s := &q.shards[a.shard]
+		if s.hedged || now.Sub(a.sentAt) < due || s.sent >= q.spec.MaxAttempts {
+			continue
+		}
+		acts = append(acts, q.tryHedge(now, a.shard)...)
+	}
+	return acts
+}
+
+func (q *Query) tryHedge(now time.Time, shard int) []Action {
+	if _, ok := q.table.Pick(now, q.snapshot.Name, shard, q.shards[shard].tried, true); !ok {
+		return nil
+	}
+	if !q.table.Hedges.Take() {
+		return nil
+	}
+	q.shards[shard].hedged = true
+	q.hedges++
+	return q.send(now, shard, true)
+}
+
+func (q *Query) hedgeDelay(now time.Time) (time.Duration, bool) {
+	if q.spec.Plain || q.spec.HedgeAt <= 0 {
+		return 0, false
+	}
+	d, ok := q.table.Latency.Quantile(now, q.spec.HedgeAt)
+	if !ok {
+		return 0, false
+	}
+	return max(d, q.spec.HedgeMin), true
+}
+
+func (q *Query) unanswered() int {
+	n := 0
+	for i := range q.shards {
+		if q.shards[i].answer == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// hedgePoll is how soon a hedge that found no idle replica is tried again.
+const hedgePoll = 2 * time.Millisecond
+
+// Wake returns when Tick has to be called next if nothing else happens.
+func (q *Query) Wake(now time.Time) time.Time {
+	wake := q.spec.Deadline
+	if !q.enoughAt.IsZero() {
+		wake = earlier(wake, q.enoughAt.Add(q.spec.Grace))
+	}
+	due, hedging := q.hedgeDelay(now)
+	for _, a := range q.attempts {
+		wake = earlier(wake, a.expires)
+		if hedging && !q.shards[a.shard].hedged {
+			wake = earlier(wake, later(a.sentAt.Add(due), now.Add(hedgePoll)))
+		}
+	}
+	for i := range q.shards {
+		if at := q.shards[i].pending; !at.IsZero() {
+			wake = earlier(wake, at)
+		}
+	}
+	return wake
+}
+
+// conclude appends a Finish, or the start of another pass, where that is due.
+func (q *Query) conclude(now time.Time, acts []Action) []Action {
+	open, lost, moved := q.survey()
+	switch {
+	case open == 0 && lost == 0:
+		return append(acts, q.finish(now, EndAnswered)...)
+	case moved && q.mayRestart(now):
+		return append(acts, q.restart(now)...)
+	case open == 0:
+		return append(acts, q.finish(now, EndGivenUp)...)
+	case q.best(lost) < q.spec.Need:
+		return append(acts, q.finish(now, EndGivenUp)...)
+	}
+	if q.enough(now) {
+		return append(acts, q.finish(now, EndEnough)...)
+	}
+	return acts
+}
+
+// survey counts shards that may still answer and shards that cannot any more,
+// and tells whether one of the latter was lost because its snapshot is gone.
+func (q *Query) survey() (open, lost int, moved bool) {
+	for i := range q.shards {
+		s := &q.shards[i]
+		switch {
+		case s.answer != nil:
+		case s.flying > 0 || !s.pending.IsZero():
+			open++
+		default:
+			lost++
+			if s.reason == ReasonSnapshotGone || s.reason == ReasonNoReplica {
+				moved = true
+			}
+		}
+	}
+	return open, lost, moved
+}
+
+// best is the coverage that can still be reached with lost shards missing.
+func (q *Query) best(lost int) float64 {
+	return float64(len(q.shards)-lost) / float64(len(q.shards))
+}
+
+// enough reports whether the needed coverage, short of all shards, is reached
+// and the grace has passed.
+func (q *Query) enough(now time.Time) bool {
+	if CoverageOf(q).Ratio() < q.spec.Need {
+		return false
+	}
+	if q.enoughAt.IsZero() {
+		q.enoughAt = now
+	}
+	return !now.Before(q.enoughAt.Add(q.spec.Grace))
+}
+
+// mayRestart reports whether the query may begin again, and has the time for
+// the slower half of a pass.
+func (q *Query) mayRestart(now time.Time) bool {
+	if q.spec.Pinned != "" || q.spec.Plain || q.restarts >= maxRestarts {
+		return false
+	}
+	median, _ := q.table.Latency.Quantile(now, 0.5)
+	return now.Add(median).Before(q.spec.Deadline)
+}
+
+// restart begins the whole query again on another snapshot. A query never mixes
+// two: when replicas of its snapshot vanish beneath it, the answers it has are
+// dropped. It finishes instead if no other snapshot can be read better.
+func (q *Query) restart(now time.Time) []Action {
+	snap, ok := q.table.ChooseSnapshot(now)
+	if !ok || snap.Name == q.snapshot.Name {
+		return q.stay(now)
+	}
+	q.restarts++
+	acts := q.cancelWhere(now, func(*attempt) bool { return true })
+	return append(acts, q.begin(now, snap)...)
+}
+
+// stay goes on with the present snapshot without the shards that are lost.
+func (q *Query) stay(now time.Time) []Action {
+	open, lost, _ := q.survey()
+	if open == 0 || q.best(lost) < q.spec.Need {
+		return q.finish(now, EndGivenUp)
+	}
+	if q.enough(now) {
+		return q.finish(now, EndEnough)
+	}
+	return nil
+}
+
+func (q *Query) finish(now time.Time, how End) []Action {
+	acts := q.cancelWhere(now, func(*attempt) bool { return true })
+	q.done = true
+	return append(acts, Finish{Outcome: Outcome{
+		End:      how,
+		Snapshot: q.snapshot,
+		Coverage: CoverageOf(q),
+		Answers:  q.answers(),
+		Sent:     q.sent,
+		Refused:  q.refused,
+		Hedges:   q.hedges,
+		Retries:  q.retries,
+		Restarts: q.restarts,
+	}})
+}
+
+// Abandon ends a query whose caller went away.
+func (q *Query) Abandon(now time.Time) []Action {
+	if q.done {
+		return nil
+	}
+	return q.finish(now, EndAbandoned)
+}
+
+func (q *Query) answers() []*target.LeafAnswer {
+	var list []*target.LeafAnswer
+	for i := range q.shards {
+		if a := q.shards[i].answer; a != nil {
+			list = append(list, a)
+		}
+	}
+	return slices.Clip(list)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/policy/table.go
@@ -0,0 +1,351 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// ReplicaID names a leaf of a target. It is comparable.
+type ReplicaID struct {
+	Target string
+	Leaf   int
+}
+
+// replica is what this VM knows of one leaf.
+type replica struct {
+	id       ReplicaID
+	target   *targetState
+	slots    int
+	sameZone bool
+
+	outstanding int           // this VM's calls in flight
+	latency     time.Duration // smoothed, of this VM's own calls; 0 before the first
+	failures    int           // in a row, of this VM's own calls
+	backoff     time.Time     // takes no attempt before
+
+	reported   float64 // load at the last status
+	reportedAt time.Time
+	ownAtLoad  int // outstanding when the status was read
+
+	holdings map[holdingKey]struct{}
+}
+
+type holdingKey struct {
+	snapshot string
+	shard    int
+}
+
+// targetState is what this VM knows of one target.
+type targetState struct {
+	name        string
+	incarnation string
+	state       target.State
+	seen        bool // a status was read at all
+	lost        bool // too many status reads failed in a row
+	failedReads int
+	drained     string // incarnation that is known to be leaving
+	servingFrom time.Time
+	replicas    []*replica
+}
+
+// draining reports whether the present incarnation is leaving. A drain sticks
+// to its incarnation, so a late status that still says "serving" cannot bring
+// the target back; only a new incarnation clears it.
+func (t *targetState) draining() bool {
+	return t.state == target.StateDraining || (t.drained != "" && t.drained == t.incarnation)
+}
+
+func (t *targetState) usable() bool {
+	return t.seen && !t.lost && !t.draining() && t.state == target.StateServing
+}
+
+// snapshotState is the partition map of one snapshot and its known sizes.
+type snapshotState struct {
+	name    string
+	seq     int64
+	shards  int
+	records map[int]int64 // by shard, as far as a replica has told
+	holders map[int][]*replica
+}
+
+// Table is what one VM knows of the targets of one service, and the choices
+// made from it.
+type Table struct {
+	zone      string
+	rng       *rand.Rand
+	suspect   int
+	warmup    time.Duration
+	targets   map[string]*targetState
+	snapshots map[string]*snapshotState
+
+	Latency *Latency // of attempts that answered
+	Hedges  *Budget
+	Retries *Budget
+}
+
+// NewTable returns the table of a service as seen from a VM in zone.
+func NewTable(zone string, rng *rand.Rand) *Table {
+	return &Table{
+		zone:      zone,
+		rng:       rng,
+		targets:   make(map[string]*targetState),
+		snapshots: make(map[string]*snapshotState),
+		Latency:   NewLatency(),
+		Hedges:    NewBudget(0),
+		Retries:   NewBudget(0),
+	}
+}
+
+// Apply takes the service's description from the bundle in force. Targets that
+// stay keep what is known of them.
+func (t *Table) Apply(svc *bundle.Service) {
+	t.suspect = max(svc.Drain.SuspectAfter, 1)
+	t.warmup = time.Duration(svc.Drain.WarmupMS) * time.Millisecond
+	named := make(map[string]bool, len(svc.Targets))
+	for i := range svc.Targets {
+		spec := &svc.Targets[i]
+		named[spec.Name] = true
+		if known := t.targets[spec.Name]; known == nil || len(known.replicas) != spec.Leaves {
+			t.targets[spec.Name] = t.newTarget(spec)
+		}
+		for _, r := range t.targets[spec.Name].replicas {
+			r.slots = max(spec.Slots, 1)
+			r.sameZone = spec.Zone == t.zone
+		}
+	}
+	for name := range t.targets {
+		if !named[name] {
+			delete(t.targets, name)
+		}
+	}
+	t.index()
+}
+
+func (t *Table) newTarget(spec *bundle.Target) *targetState {
+	ts := &targetState{name: spec.Name}
+	for leaf := range spec.Leaves {
+		ts.replicas = append(ts.replicas, &replica{
+			id:     ReplicaID{Target: spec.Name, Leaf: leaf},
+			target: ts,
+		})
+	}
+	return ts
+}
+
+// Status takes a target's own account of itself.
+func (t *Table) Status(name string, st target.Status, now time.Time) {
+	ts := t.targets[name]
+	if ts == nil {
+		return
+	}
+	if ts.incarnation != st.Incarnation {
+		ts.begin(st.Incarnation)
+	}
+	if st.State == target.StateServing && !ts.usable() {
+		ts.servingFrom = now
+	}
+	ts.seen = true
+	ts.lost = false
+	ts.failedReads = 0
+	ts.state = st.State
+	changed := false
+	for i := range st.Leaves {
+		leaf := &st.Leaves[i]
+		if leaf.Leaf < 0 || leaf.Leaf >= len(ts.replicas) {
+			continue
+		}
+		r := ts.replicas[leaf.Leaf]
+		r.reported = leaf.Load
+		r.reportedAt = now
+		r.ownAtLoad = r.outstanding
+		if r.hold(leaf.Holdings) {
+			changed = true
+		}
+		t.learnMaps(leaf.Holdings)
+	}
+	if changed {
+		t.index()
+	}
+}
+
+// begin forgets what was known of an earlier incarnation.
+func (ts *targetState) begin(incarnation string) {
+	ts.incarnation = incarnation
+	for _, r := range ts.replicas {
+		r.failures = 0
+		r.backoff = time.Time{}
+		r.latency = 0
+	}
+}
+
+// hold replaces the leaf's holdings and reports whether they changed.
+func (r *replica) hold(list []target.Holding) bool {
+	next := make(map[holdingKey]struct{}, len(list))
+	changed := len(list) != len(r.holdings)
+	for _, h := range list {
+		key := holdingKey{h.Snapshot, h.Shard}
+		next[key] = struct{}{}
+		if _, ok := r.holdings[key]; !ok {
+			changed = true
+		}
+	}
+	r.holdings = next
+	return changed
+}
+
+// learnMaps takes the partition maps and sizes that a leaf states. The number
+// of shards of a known snapshot never shrinks: if two leaves disagree, the
+// larger map counts, which can only understate coverage.
+func (t *Table) learnMaps(list []target.Holding) {
+	for _, h := range list {
+		if h.Shards <= 0 || h.Shard < 0 || h.Shard >= h.Shards {
+			continue
+		}
+		s := t.snapshots[h.Snapshot]
+		if s == nil {
+			s = &snapshotState{name: h.Snapshot, records: make(map[int]int64)}
+			t.snapshots[h.Snapshot] = s
+		}
+		s.seq = max(s.seq, h.Seq)
+		s.shards = max(s.shards, h.Shards)
+		s.records[h.Shard] = max(s.records[h.Shard], h.Records)
+	}
+}
+
+// index rebuilds the lists of holders and drops snapshots that nobody holds.
+func (t *Table) index() {
+	for _, s := range t.snapshots {
+		s.holders = make(map[int][]*replica, s.shards)
+	}
+	for _, name := range sortedKeys(t.targets) {
+		for _, r := range t.targets[name].replicas {
+			for key := range r.holdings {
+				if s := t.snapshots[key.snapshot]; s != nil {
+					s.holders[key.shard] = append(s.holders[key.shard], r)
+				}
+			}
+		}
+	}
+	for name, s := range t.snapshots {
+		if len(s.holders) == 0 {
+			delete(t.snapshots, name)
+		}
+	}
+}
+
+// StatusFailed takes that a target's status could not be read.
+func (t *Table) StatusFailed(name string) {
+	ts := t.targets[name]
+	if ts == nil {
+		return
+	}
+	ts.failedReads++
+	if ts.failedReads >= t.suspect {
+		ts.lost = true
+	}
+}
+
+// Seen takes the state that a target put into an answer's headers. It reports
+// whether this is the first word of a drain.
+func (t *Table) Seen(name, incarnation string, state target.State) bool {
+	ts := t.targets[name]
+	if ts == nil || incarnation == "" || state != target.StateDraining {
+		return false
+	}
+	return t.Drain(name, incarnation)
+}
+
+// Drain takes, from any source, that an incarnation of a target is leaving. It
+// reports whether that is news.
+func (t *Table) Drain(name, incarnation string) bool {
+	ts := t.targets[name]
+	if ts == nil || ts.drained == incarnation {
+		return false
+	}
+	ts.drained = incarnation
+	return true
+}
+
+// Begin counts an attempt handed to a replica.
+func (t *Table) Begin(id ReplicaID) {
+	if r := t.replica(id); r != nil {
+		r.outstanding++
+	}
+}
+
+// Limits of the reaction to failures of a replica.
+const (
+	latencyWeight  = 0.2 // of a new sample in a replica's smoothed latency
+	baseBackoff    = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	failuresToRest = 2 // failures in a row before a replica rests
+)
+
+// End counts the end of an attempt on a replica.
+func (t *Table) End(id ReplicaID, end AttemptEnd, now time.Time) {
+	if end.Answered {
+		t.Latency.Add(now, end.Took)
+	}
+	r := t.replica(id)
+	if r == nil {
+		return
+	}
+	r.outstanding = max(r.outstanding-1, 0)
+	switch {
+	case end.Answered:
+		r.failures = 0
+		r.smooth(end.Took)
+	case end.Cancelled:
+		// A loser of a hedge was at least this slow.
+		r.smooth(max(end.Took, r.latency))
+	case end.Refused:
+		r.backoff = later(r.backoff, now.Add(max(end.RetryAfter, baseBackoff)))
+	default:
+		r.fail(now)
+	}
+}
+
+func (r *replica) smooth(d time.Duration) {
+	if r.latency == 0 {
+		r.latency = d
+		return
+	}
+	r.latency += time.Duration(latencyWeight * float64(d-r.latency))
+}
+
+// fail makes a replica rest after failures in a row, longer each time.
+func (r *replica) fail(now time.Time) {
+	r.failures++
+	if r.failures < failuresToRest {
+		return
+	}
+	rest := baseBackoff << min(r.failures-failuresToRest, 6)
+	r.backoff = later(r.backoff, now.Add(min(rest, maxBackoff)))
+}
+
+func (t *Table) replica(id ReplicaID) *replica {
+	ts := t.targets[id.Target]
+	if ts == nil || id.Leaf < 0 || id.Leaf >= len(ts.replicas) {
+		return nil
+	}
+	return ts.replicas[id.Leaf]
+}
+
+// AttemptEnd is how an attempt ended. With none of the flags set, it failed.
+type AttemptEnd struct {
+	Answered   bool
+	Cancelled  bool          // by this VM, while still running
+	Refused    bool          // by the target, which did not start it
+	RetryAfter time.Duration // stated with a refusal
+	Took       time.Duration
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/query/admit.go
@@ -0,0 +1,92 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// admit waits for room to run a query. It returns nil if the query is admitted,
+// and its final answer if it is refused.
+func (e *Engine) admit(ctx context.Context, svc *service, req *Request) *Answer {
+	if req.plain() {
+		return nil
+	}
+	return e.admitUntil(ctx, svc, req.deadline())
+}
+
+func (e *Engine) admitUntil(ctx context.Context, svc *service, deadline time.Time) *Answer {
+	svc.mu.Lock()
+	v := svc.admit.Arrive(e.now(), deadline)
+	var decided chan policy.Verdict
+	if v.Decision == policy.Wait {
+		decided = make(chan policy.Verdict, 1)
+		svc.waiting[v.Ticket] = decided
+	}
+	svc.mu.Unlock()
+	if decided != nil {
+		v = e.await(ctx, svc, v.Ticket, decided, deadline)
+	}
+	if v.Decision == policy.Admit {
+		return nil
+	}
+	return &Answer{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: v.RetryAfter}
+}
+
+// await returns the verdict on a waiting query. The policy decides by the
+// query's deadline as long as it is called; the timer calls it.
+func (e *Engine) await(ctx context.Context, svc *service, id policy.TicketID, decided chan policy.Verdict, deadline time.Time) policy.Verdict {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case v := <-decided:
+		return v
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	if svc.admit.Leave(id) {
+		delete(svc.waiting, id)
+		return policy.Verdict{Ticket: id, Decision: policy.Refuse, RetryAfter: retryPause}
+	}
+	return <-decided // sent under the lock, before the ticket left the queue
+}
+
+// release takes the end of a query and wakes those that were waiting for it.
+func (e *Engine) release(svc *service, req *Request, began time.Time, out *policy.Outcome) {
+	if req.plain() {
+		return
+	}
+	took := e.now().Sub(began)
+	e.releaseSlot(svc, policy.QueryEnd{Took: took, Overloaded: overloaded(req, out, took)})
+}
+
+func (e *Engine) releaseSlot(svc *service, end policy.QueryEnd) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	for _, v := range svc.admit.Done(e.now(), end) {
+		if decided := svc.waiting[v.Ticket]; decided != nil {
+			decided <- v
+			delete(svc.waiting, v.Ticket)
+		}
+	}
+}
+
+// nearLimit is the share of the time limit beyond which a query that was
+// otherwise served counts as a sign of overload.
+const nearLimit = 0.8
+
+func overloaded(req *Request, out *policy.Outcome, took time.Duration) bool {
+	if out.Refused > 0 || took.Seconds() > nearLimit*req.Limit.Seconds() {
+		return true
+	}
+	for _, gap := range out.Coverage.Gaps {
+		if gap.Reason == policy.ReasonBusy || gap.Reason == policy.ReasonShed {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/query/reason.go
@@ -0,0 +1,37 @@
+package query
+
+import (
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// reasonOf names a failed call in the terms of the coverage account.
+func reasonOf(e *target.CallError) policy.Reason {
+	switch e.Kind {
+	case target.ErrorUnknownTarget:
+		return policy.ReasonNoReplica
+	case target.ErrorUnreachable:
+		return policy.ReasonUnreachable
+	case target.ErrorBusy:
+		return policy.ReasonBusy
+	case target.ErrorRefused:
+		return refusalReason(e.Reason)
+	case target.ErrorDeadline, target.ErrorCancelled:
+		return policy.ReasonTimeout
+	case target.ErrorMismatched:
+		return policy.ReasonMismatch
+	default:
+		return policy.ReasonBroken
+	}
+}
+
+func refusalReason(r target.Reason) policy.Reason {
+	switch r {
+	case target.ReasonNoSnapshot:
+		return policy.ReasonSnapshotGone
+	case target.ReasonDeadline:
+		return policy.ReasonTimeout
+	default:
+		return policy.ReasonShed
+	}
+}
--- /dev/null
+++ b/query/submit.go
@@ -0,0 +1,121 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// Submission is a non-idempotent request. Its right to run has been claimed.
+type Submission struct {
+	ID       string
+	Search   *bundle.Search
+	Key      string
+	Payload  json.RawMessage
+	Deadline time.Time
+}
+
+// Submitted is what became of a Submission. Code is Accepted, or a code whose
+// Ran is "not run", or OutcomeUnknown.
+type Submitted struct {
+	Code       result.Code
+	Result     json.RawMessage
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Admit takes or refuses a non-idempotent request for a service, before its
+// key is claimed. If refused is nil, done must be called once at its end.
+func (e *Engine) Admit(ctx context.Context, service string, deadline time.Time) (done func(), refused *Answer) {
+	svc := e.service(service)
+	if svc == nil {
+		return nil, &Answer{Code: result.NoReplica, Ran: result.RanNo, RetryAfter: retryPause}
+	}
+	if refused := e.admitUntil(ctx, svc, deadline); refused != nil {
+		return nil, refused
+	}
+	began := e.now()
+	return func() {
+		e.releaseSlot(svc, policy.QueryEnd{Took: e.now().Sub(began)})
+	}, nil
+}
+
+// Submit hands a claimed request to one target. It offers it to another one
+// only after a target's own word that it did not start it.
+func (e *Engine) Submit(ctx context.Context, req *Submission) Submitted {
+	svc := e.service(req.Search.Service)
+	if svc == nil {
+		return Submitted{Code: result.NoReplica, RetryAfter: retryPause}
+	}
+	svc.mu.Lock()
+	sub, ok := policy.NewSubmission(svc.table, xxhash.Sum64String(req.Key), req.Search.Retry.MaxAttempts, e.now())
+	svc.mu.Unlock()
+	if !ok {
+		return Submitted{Code: result.NoReplica, RetryAfter: retryPause}
+	}
+	return e.submit(ctx, svc, req, sub)
+}
+
+func (e *Engine) submit(ctx context.Context, svc *service, req *Submission, sub *policy.Submission) Submitted {
+	for {
+		svc.mu.Lock()
+		send, ok := sub.Next(e.now())
+		svc.mu.Unlock()
+		if !ok {
+			return notStarted(sub)
+		}
+		answer, err := e.handOver(ctx, req, send)
+		svc.mu.Lock()
+		sub.Ended(e.now(), endOf(err))
+		svc.mu.Unlock()
+		if err == nil {
+			return Submitted{Code: result.Accepted, Result: answer.Result}
+		}
+		if !endOf(err).Refused {
+			return Submitted{Code: result.OutcomeUnknown, Detail: err.Error()}
+		}
+		e.opt.Log.Debug("a target did not start a request", "request", req.ID, "error", err)
+	}
+}
+
+func (e *Engine) handOver(ctx context.Context, req *Submission, send policy.Send) (target.SubmitAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	return e.opt.Leaves.Submit(ctx, send.Replica.Target, send.Replica.Leaf, target.SubmitRequest{
+		Echo: target.Echo{
+			Request:  req.ID,
+			Attempt:  int(send.Attempt),
+			Shard:    send.Shard,
+			Snapshot: send.Snapshot,
+		},
+		Key:        req.Key,
+		Payload:    req.Payload,
+		DeadlineMS: time.Until(req.Deadline).Milliseconds(),
+	})
+}
+
+func endOf(err error) policy.AttemptEnd {
+	if err == nil {
+		return policy.AttemptEnd{Answered: true}
+	}
+	var call *target.CallError
+	if errors.As(err, &call) && call.NotStarted {
+		return policy.AttemptEnd{Refused: true, RetryAfter: call.RetryAfter}
+	}
+	return policy.AttemptEnd{}
+}
+
+func notStarted(sub *policy.Submission) Submitted {
+	if sub.Tried() == 0 {
+		return Submitted{Code: result.NoReplica, RetryAfter: retryPause}
+	}
+	return Submitted{Code: result.NotStarted, RetryAfter: retryPause}
+}
--- a/result/table.go
+++ b/result/table.go
@@ -85,8 +85,8 @@
 	{NotStarted, "NotStarted", 503, RanNo, RetryLater, "Every target that was asked answered that it did not start the request."},
 	{CannotMeetLimit, "CannotMeetLimit", 503, RanNo, RetryLater, "The expected wait is longer than the caller's time limit; nothing was handed to a target."},
 
-	{CoverageTooLow, "CoverageTooLow", 503, RanYes, RetryLater, "Fewer shards answered than the caller needs; the coverage reached is stated."},
-	{TimedOut, "TimedOut", 504, RanYes, RetryLater, "The caller's time limit passed before enough shards answered."},
+	{CoverageTooLow, "CoverageTooLow", 503, RanUnknown, RetryLater, "Fewer shards answered than the caller needs; the coverage reached is stated."},
+	{TimedOut, "TimedOut", 504, RanUnknown, RetryLater, "The caller's time limit passed before enough shards answered."},
 
 	{OutcomeUnknown, "OutcomeUnknown", 500, RanUnknown, RetrySameKey, "The request was handed to a target and its outcome is not known; it will not be run again."},
 	{InProgress, "InProgress", 409, RanUnknown, RetrySameKey, "Another sending of this key is being run; ask again with the same key."},
