Claims for non-idempotent requests, carried by group commit

A request with a key may be re-sent to any VM, also hours later, and must run at most once. Claims are entered in segment objects (window of the key's time x bucket of its hash) by conditional updates; one update carries many claims and outcomes, so requests are not bound to the platform's write rate. Claim and outcome are two writes: there is no state between claim and hand-over. A kept result was first HTML-escaped by encoding/json (TestSecondSending... red: \u003c1\u003e in place of <1>); the encoder now leaves it as it is. Checked: go test -race ./once (one test).

--- /dev/null
+++ b/once/counters.go
@@ -0,0 +1,26 @@
+package once
+
+import "github.com/VictoriaMetrics/metrics"
+
+// counters are the package's metrics.
+type counters struct {
+	reads     *metrics.Counter
+	writes    *metrics.Counter // conditional updates sent
+	written   *metrics.Counter // claims, outcomes and releases in them
+	conflicts *metrics.Counter
+	failures  *metrics.Counter // store calls without an answer
+	abandoned *metrics.Counter // claims given up that may have landed
+	cleared   *metrics.Counter // segments removed
+}
+
+func newCounters(set *metrics.Set) counters {
+	return counters{
+		reads:     set.GetOrCreateCounter("bramley_once_reads_total"),
+		writes:    set.GetOrCreateCounter("bramley_once_writes_total"),
+		written:   set.GetOrCreateCounter("bramley_once_operations_total"),
+		conflicts: set.GetOrCreateCounter("bramley_once_conflicts_total"),
+		failures:  set.GetOrCreateCounter("bramley_once_failures_total"),
+		abandoned: set.GetOrCreateCounter("bramley_once_abandoned_total"),
+		cleared:   set.GetOrCreateCounter("bramley_once_cleared_total"),
+	}
+}
--- /dev/null
+++ b/once/lane.go
@@ -0,0 +1,239 @@
+package once
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/juju/errors"
+)
+
+// lane is the committer's view of one segment. One goroutine at a time works
+// on it.
+type lane struct {
+	name string
+
+	// Guarded by committer.mu.
+	queue   []*pending
+	running bool
+	used    time.Time
+
+	// The lane's goroutine alone uses these. The state was read or written
+	// earlier and may be old; a conditional update finds out.
+	known   bool
+	version uint64
+	state   segment
+}
+
+func (c *committer) runLane(l *lane) {
+	for {
+		batch := c.take(l, true)
+		if len(batch) == 0 {
+			return
+		}
+		if !c.commit(l, batch) {
+			return
+		}
+	}
+}
+
+// commit carries the batch out, together with what comes in meanwhile. It
+// returns false if the committer stops.
+func (c *committer) commit(l *lane, batch []*pending) bool {
+	fresh := false // the state was read after all of the batch had come in
+	paced := false
+	for try := 0; ; try++ {
+		if more := c.take(l, false); len(more) > 0 {
+			batch = append(batch, more...)
+			fresh = false
+		}
+		batch = c.dropAbandoned(l, batch)
+		if len(batch) == 0 {
+			return true
+		}
+		if !l.known {
+			if err := c.load(l); err != nil {
+				if !c.backoff(try) {
+					return false
+				}
+				continue
+			}
+			fresh = true
+		}
+		next, replies, changed := l.state.apply(opsOf(batch))
+		if !fresh && needsFresh(batch, replies) {
+			l.known = false
+			continue
+		}
+		if !changed && !needsFence(l, batch) {
+			c.deliverAll(l, batch, replies)
+			return true
+		}
+		if !paced {
+			paced = true
+			waited, ok := c.waitTurn()
+			if !ok {
+				return false
+			}
+			if waited {
+				continue // take along what gathered meanwhile
+			}
+		}
+		err := c.write(l, next, batch)
+		if err == nil {
+			c.deliverAll(l, batch, replies)
+			return true
+		}
+		if errors.Is(err, platform.ErrTooLarge) {
+			c.log.Error("a claims object is too large", "object", l.name)
+			c.deliverAll(l, batch, refuseAll(replies))
+			return true
+		}
+		paced = false
+		if !c.backoff(try) {
+			return false
+		}
+	}
+}
+
+// dropAbandoned removes claims whose caller no longer waits. One that took
+// part in a write may have landed, or land later, and is released.
+func (c *committer) dropAbandoned(l *lane, batch []*pending) []*pending {
+	kept := batch[:0]
+	for _, p := range batch {
+		if p.state.Load() != stateAbandoned {
+			kept = append(kept, p)
+			continue
+		}
+		if p.tried {
+			c.release(l, p)
+		}
+		c.retire(1)
+	}
+	return kept
+}
+
+func (c *committer) deliverAll(l *lane, batch []*pending, replies []reply) {
+	for i, p := range batch {
+		c.deliver(l, p, replies[i])
+	}
+}
+
+// waitTurn holds this VM to its share of the platform's writes.
+func (c *committer) waitTurn() (waited, ok bool) {
+	r := c.pace.Reserve()
+	delay := r.Delay()
+	if delay == 0 {
+		return false, true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true, true
+	case <-c.tomb.Dying():
+		return true, false
+	}
+}
+
+func (c *committer) load(l *lane) error {
+	ctx, cancel := context.WithTimeout(c.life, c.opts.CallTimeout)
+	defer cancel()
+	c.count.reads.Inc()
+	object, err := c.opts.Store.Get(ctx, Kind, l.name)
+	c.noteCall(err)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.known, l.version, l.state = true, 0, segment{}
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	state, err := decodeSegment(object.Value)
+	if err != nil {
+		c.log.Error("claims refused", "object", l.name, "error", err)
+		return errors.Trace(err)
+	}
+	l.known, l.version, l.state = true, object.Version, state
+	return nil
+}
+
+func (c *committer) write(l *lane, next segment, batch []*pending) error {
+	value, err := next.encode()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, p := range batch {
+		p.tried = true
+		p.expect = l.version
+	}
+	ctx, cancel := context.WithTimeout(c.life, c.opts.CallTimeout)
+	defer cancel()
+	c.count.writes.Inc()
+	c.count.written.Add(len(batch))
+	version, err := c.opts.Store.Put(ctx, Kind, l.name, l.version, value)
+	c.noteCall(err)
+	if err == nil {
+		l.version, l.state = version, next
+		return nil
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		c.count.conflicts.Inc()
+	}
+	if !errors.Is(err, platform.ErrBusy) {
+		// The write may have taken effect, now or later. The operations' own ids
+		// in the segment tell after a new read which of them landed.
+		l.known = false
+	}
+	return errors.Trace(err)
+}
+
+// needsFresh tells replies that a newer state could change. An outcome is
+// final; all else is not.
+func needsFresh(batch []*pending, replies []reply) bool {
+	for i, rep := range replies {
+		switch rep.verdict {
+		case verdictHeld:
+			if rep.held.Outcome == nil {
+				return true
+			}
+		case verdictFull, verdictGone:
+			return true
+		case verdictDone:
+			if batch[i].op.kind == opRelease {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// needsFence tells whether a write must move the segment's version on although
+// its content stays. An abandoned claim that is absent may still land: the
+// platform may carry out a write long after its sender gave up. It would show
+// as a key that is in progress for ever. A write that expects the version that
+// such a one expects leaves it nothing to land on.
+func needsFence(l *lane, batch []*pending) bool {
+	for _, p := range batch {
+		if p.op.kind == opRelease && p.tried && p.expect == l.version {
+			return true
+		}
+	}
+	return false
+}
+
+func opsOf(batch []*pending) []op {
+	ops := make([]op, len(batch))
+	for i, p := range batch {
+		ops[i] = p.op
+	}
+	return ops
+}
+
+// refuseAll turns replies into those of a write that cannot be made.
+func refuseAll(replies []reply) []reply {
+	for i := range replies {
+		replies[i].verdict = verdictFull
+	}
+	return replies
+}
--- /dev/null
+++ b/once/options.go
@@ -0,0 +1,103 @@
+package once
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/hashicorp/go-hclog"
+)
+
+// The defaults of Options.
+const (
+	defaultKeep        = 24 * time.Hour
+	defaultMargin      = 5 * time.Minute
+	defaultClaimWait   = 2 * time.Second
+	defaultOutcomeWait = 500 * time.Millisecond
+	defaultCallTimeout = time.Second
+	defaultRunLimit    = 30 * time.Second
+	defaultWrites      = 40
+	defaultMaxPending  = 10000
+	defaultMaxResult   = 16 << 10
+	defaultCleanEvery  = time.Minute
+)
+
+// Options configures a Runner. Only Store, VM and Incarnation are needed.
+type Options struct {
+	Store       platform.Store
+	VM          string // of this process, as in the platform's list
+	Incarnation string // new at each start of this process
+	Clock       func() time.Time
+	Log         hclog.Logger
+	Metrics     *metrics.Set
+
+	// Keep is how long after a key was made it may be sent. All VMs must have
+	// the same.
+	Keep time.Duration
+	// Margin is more than the clocks of any two VMs differ. Claims are cleared
+	// Keep + Margin after their key was made.
+	Margin time.Duration
+
+	ClaimWait   time.Duration // longest wait for a claim
+	OutcomeWait time.Duration // longest wait for the outcome to be kept before the caller is answered
+	CallTimeout time.Duration // of one store call
+	RunLimit    time.Duration // of a request whose context has no deadline
+
+	Writes     float64 // conditional updates per second that this VM may send
+	MaxPending int     // operations waiting for a write; above it requests are refused
+	MaxResult  int     // bytes of a result that is kept
+
+	// Deployment, if set, is the one whose old claims this VM helps to clear
+	// every CleanEvery.
+	Deployment string
+	CleanEvery time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	setDefault(&o.Keep, defaultKeep)
+	setDefault(&o.Margin, defaultMargin)
+	setDefault(&o.ClaimWait, defaultClaimWait)
+	setDefault(&o.OutcomeWait, defaultOutcomeWait)
+	setDefault(&o.CallTimeout, defaultCallTimeout)
+	setDefault(&o.RunLimit, defaultRunLimit)
+	setDefault(&o.Writes, defaultWrites)
+	setDefault(&o.MaxPending, defaultMaxPending)
+	setDefault(&o.MaxResult, defaultMaxResult)
+	setDefault(&o.CleanEvery, defaultCleanEvery)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Request is one non-idempotent request.
+type Request struct {
+	Deployment string
+	Search     string
+	Key        Key
+	Digest     string // of the payload; a key stands for one payload only
+}
+
+// Outcome is what a caller is told.
+type Outcome struct {
+	Code       result.Code
+	Result     json.RawMessage // the target's, if Code is Accepted
+	Detail     string
+	RetryAfter time.Duration // 0 if coming back makes no sense
+	Kept       bool          // told from the kept outcome of an earlier sending
+}
--- /dev/null
+++ b/once/runner.go
@@ -0,0 +1,189 @@
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/juju/errors"
+)
+
+const (
+	retryInProgress = 200 * time.Millisecond
+	retryDown       = time.Second
+	opIDBytes       = 8
+
+	detailNotKept = "the result was too large to be kept; the request was run once"
+)
+
+// Runner claims keys and runs the requests whose claim it won. It is safe for
+// concurrent use.
+type Runner struct {
+	opts   Options
+	holder string
+	commit *committer
+	clean  *cleaner
+}
+
+// NewRunner starts a Runner. Close ends it.
+func NewRunner(opts Options) *Runner {
+	opts = opts.withDefaults()
+	r := &Runner{
+		opts:   opts,
+		holder: opts.VM + "/" + opts.Incarnation,
+		commit: newCommitter(opts),
+	}
+	r.clean = startCleaner(opts)
+	return r
+}
+
+// Close waits until the outcomes of all requests are kept or ctx ends, and
+// stops the background work. Call it after the last Run has returned. It
+// returns an error if outcomes could not be kept; their requests will be told
+// as unknown.
+func (r *Runner) Close(ctx context.Context) error {
+	r.clean.stop()
+	return errors.Trace(r.commit.close(ctx))
+}
+
+// Run claims the request's key and, if this call won it, calls run, which may
+// hand the request to one target. The outcome is kept for later sendings of
+// the key. An outcome of run whose code says "not run" gives the key free
+// again. run is called at most once.
+func (r *Runner) Run(ctx context.Context, req Request, run func(ctx context.Context) Outcome) Outcome {
+	if out, ok := r.checkAge(req.Key); !ok {
+		return out
+	}
+	claim := r.newClaim(ctx, req)
+	name := segmentName(req.Deployment, claim.id, req.Key.Made())
+	rep, err := r.claim(ctx, name, claim)
+	if err != nil {
+		return claimFailed(err)
+	}
+	switch rep.verdict {
+	case verdictHeld:
+		return r.answerHeld(req, rep.held)
+	case verdictFull:
+		return Outcome{Code: result.Overloaded, Detail: "the window of the key's time is full; make a new key", RetryAfter: window}
+	}
+	// The process may have been paused between the check above and the claim,
+	// for longer than Keep + Margin: the first claim of this key, its run and
+	// the clearing may all lie in between, and the claim just won would be a
+	// second one. It shows as a run of a key that is long done. Clearing begins
+	// only after the key's age is Keep + Margin, so a claim won after it finds
+	// the key too old here. A pause after this check is harmless: this claim
+	// came before the clearing and is then the only one.
+	if out, ok := r.checkAge(req.Key); !ok {
+		return out
+	}
+	if ctx.Err() != nil {
+		r.finish(name, claim, opRelease, nil)
+		return Outcome{Code: result.CannotMeetLimit, Detail: "the time limit passed while the key was claimed", RetryAfter: retryInProgress}
+	}
+	out := run(ctx)
+	r.keep(ctx, name, claim, out)
+	return out
+}
+
+func (r *Runner) newClaim(ctx context.Context, req Request) op {
+	until := r.opts.Clock().Add(r.opts.RunLimit)
+	if deadline, ok := ctx.Deadline(); ok {
+		until = r.opts.Clock().Add(time.Until(deadline))
+	}
+	return op{
+		kind: opClaim,
+		id:   claimID(req.Search, req.Key),
+		entry: entry{
+			Digest:  req.Digest,
+			Op:      newOpID(),
+			Holder:  r.holder,
+			UntilMS: until.UnixMilli(),
+		},
+	}
+}
+
+func (r *Runner) claim(ctx context.Context, name string, claim op) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.ClaimWait)
+	defer cancel()
+	return r.commit.do(ctx, name, claim)
+}
+
+// keep stores the outcome and waits for it a little, so that a second sending
+// is told the same. The answer does not depend on it: if the write stays out,
+// a second sending is told "in progress" or "unknown" and never runs.
+func (r *Runner) keep(ctx context.Context, name string, claim op, out Outcome) {
+	var done <-chan reply
+	if out.Code.Info().Ran == result.RanNo {
+		done = r.finish(name, claim, opRelease, nil)
+	} else {
+		done = r.finish(name, claim, opSettle, r.keptOf(out))
+	}
+	timer := time.NewTimer(r.opts.OutcomeWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) keptOf(out Outcome) *kept {
+	k := &kept{Code: out.Code, Result: out.Result, Detail: out.Detail}
+	if len(k.Detail) > maxDetail {
+		k.Detail = k.Detail[:maxDetail]
+	}
+	if len(k.Result) > r.opts.MaxResult {
+		k.Result = nil
+		k.Detail = detailNotKept
+	}
+	return k
+}
+
+func (r *Runner) finish(name string, claim op, kind opKind, k *kept) <-chan reply {
+	claim.kind = kind
+	claim.entry.Outcome = k
+	return r.commit.background(name, claim)
+}
+
+func (r *Runner) checkAge(key Key) (Outcome, bool) {
+	age := r.opts.Clock().Sub(key.Made())
+	if age > r.opts.Keep {
+		return Outcome{Code: result.KeyExpired, Detail: fmt.Sprintf("the key is %v old, allowed are %v", age.Round(time.Second), r.opts.Keep)}, false
+	}
+	if age < -r.opts.Margin {
+		return Outcome{Code: result.BadRequest, Detail: fmt.Sprintf("the key's time is %v in the future, allowed are %v", (-age).Round(time.Second), r.opts.Margin)}, false
+	}
+	return Outcome{}, true
+}
+
+func (r *Runner) answerHeld(req Request, held entry) Outcome {
+	if held.Digest != req.Digest {
+		return Outcome{Code: result.KeyReused}
+	}
+	if held.Outcome != nil {
+		return Outcome{Code: held.Outcome.Code, Result: held.Outcome.Result, Detail: held.Outcome.Detail, Kept: true}
+	}
+	if r.opts.Clock().UnixMilli() <= held.UntilMS {
+		return Outcome{Code: result.InProgress, RetryAfter: retryInProgress}
+	}
+	return Outcome{Code: result.OutcomeUnknown, Detail: "the VM that claimed the key has not reported an outcome"}
+}
+
+// claimFailed says "not run". It is true although the claim may have landed:
+// only the call of Run that made the claim hands the request over, and it ends
+// here.
+func claimFailed(err error) Outcome {
+	if errors.Is(err, errBusy) {
+		return Outcome{Code: result.Overloaded, Detail: "too many requests wait for their claim", RetryAfter: retryDown}
+	}
+	return Outcome{Code: result.ClaimsDown, Detail: err.Error(), RetryAfter: retryDown}
+}
+
+func newOpID() string {
+	var b [opIDBytes]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/once/runner_test.go
@@ -0,0 +1,72 @@
+package once
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	. "github.com/onsi/gomega"
+)
+
+// vm starts a Runner that ends with the test.
+func vm(t *testing.T, store platform.Store, name string, change ...func(*Options)) *Runner {
+	opts := Options{Store: store, VM: name, Incarnation: "1", CallTimeout: 5 * time.Second, ClaimWait: 10 * time.Second, OutcomeWait: 10 * time.Second, Writes: 10000}
+	for _, f := range change {
+		f(&opts)
+	}
+	r := NewRunner(opts)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = r.Close(ctx)
+	})
+	return r
+}
+
+var serial atomic.Int64
+
+func request(digest string) Request {
+	key, err := ParseKey(fmt.Sprintf("%d-key%08d", time.Now().Unix(), serial.Add(1)))
+	if err != nil {
+		panic(err)
+	}
+	return Request{Deployment: "vatnsleit", Search: "withdrawal-report", Key: key, Digest: digest}
+}
+
+// work counts how often it ran and ends with out.
+type work struct {
+	ran atomic.Int64
+	out Outcome
+}
+
+func accepted() *work {
+	return &work{out: Outcome{Code: result.Accepted, Result: []byte(`{"filed":"<1>"}`)}}
+}
+
+func (w *work) run(context.Context) Outcome {
+	w.ran.Add(1)
+	return w.out
+}
+
+func TestSecondSendingIsToldTheSame(t *testing.T) {
+	g := NewWithT(t)
+	store := newFaultStore(1)
+	a, b := vm(t, store, "a"), vm(t, store, "b")
+	w := accepted()
+	req := request("d1")
+
+	g.Expect(a.Run(t.Context(), req, w.run)).To(Equal(w.out))
+	again := b.Run(t.Context(), req, w.run)
+	g.Expect(again.Kept).To(BeTrue())
+	g.Expect(again.Code).To(Equal(result.Accepted))
+	g.Expect(string(again.Result)).To(Equal(`{"filed":"<1>"}`))
+	g.Expect(w.ran.Load()).To(BeEquivalentTo(1))
+
+	req.Digest = "d2"
+	g.Expect(b.Run(t.Context(), req, w.run).Code).To(Equal(result.KeyReused))
+	g.Expect(w.ran.Load()).To(BeEquivalentTo(1))
+}
--- /dev/null
+++ b/once/segment.go
@@ -0,0 +1,186 @@
+package once
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/juju/errors"
+)
+
+// Bounds of a segment, in bytes of its estimated JSON. The room between the
+// two is left for the outcomes of claims that are already in.
+const (
+	maxForClaims  = platform.MaxValue / 2
+	maxForResults = platform.MaxValue * 3 / 4
+	entryOverhead = 160 // field names, quotes and numbers of an entry
+	maxDetail     = 256
+	escaped       = 6 // bytes that JSON needs for one byte of text, at most
+)
+
+// segment is the value of one claims object. It is immutable: apply returns a
+// new one.
+type segment struct {
+	Entries map[string]entry `json:"entries"` // by search and key
+	size    int
+}
+
+// entry is one claimed key. Without an outcome the request may have been
+// handed to a target: there is no state between the claim and the hand-over.
+type entry struct {
+	Digest  string `json:"digest"`
+	Op      string `json:"op"`       // id of the operation that won the claim
+	Holder  string `json:"holder"`   // VM and incarnation
+	UntilMS int64  `json:"until_ms"` // Unix milliseconds at which the holder should be done
+	Outcome *kept  `json:"outcome,omitempty"`
+}
+
+// kept is an outcome that a second sending of the same key is told.
+type kept struct {
+	Code   result.Code     `json:"code"`
+	Result json.RawMessage `json:"result,omitempty"`
+	Detail string          `json:"detail,omitempty"`
+}
+
+func (k *kept) size() int {
+	if k == nil {
+		return 0
+	}
+	return len(k.Result) + escaped*len(k.Detail)
+}
+
+func (e entry) size(id string) int {
+	return entryOverhead + len(id) + len(e.Digest) + len(e.Op) + len(e.Holder) + e.Outcome.size()
+}
+
+// opKind is what an operation wants of a segment.
+type opKind int
+
+const (
+	opClaim   opKind = iota // enter the key unless it is there
+	opSettle                // add the outcome to one's own claim
+	opRelease               // remove one's own claim: nothing was handed over
+)
+
+// op is one operation on one key. Applying it twice is the same as once.
+type op struct {
+	kind  opKind
+	id    string // search and key
+	entry entry  // entry.Op identifies the claim in all three kinds
+}
+
+// verdict is what became of an op.
+type verdict int
+
+const (
+	verdictDone verdict = iota // the segment says what the op wanted
+	verdictHeld                // claim: another operation's entry is there
+	verdictFull                // claim: the segment has no room
+	verdictGone                // settle: the claim is no longer there
+)
+
+// reply is a verdict with the entry that is in the way, if one is.
+type reply struct {
+	verdict verdict
+	held    entry
+}
+
+// apply runs the batch in order and returns the segment after it, a reply per
+// op, and whether anything changed.
+func (s segment) apply(batch []op) (segment, []reply, bool) {
+	next := segment{Entries: maps.Clone(s.Entries), size: s.size}
+	if next.Entries == nil {
+		next.Entries = make(map[string]entry)
+	}
+	replies := make([]reply, len(batch))
+	changed := false
+	for i, o := range batch {
+		var did bool
+		replies[i], did = next.applyOne(o)
+		changed = changed || did
+	}
+	return next, replies, changed
+}
+
+func (s *segment) applyOne(o op) (reply, bool) {
+	have, present := s.Entries[o.id]
+	mine := present && have.Op == o.entry.Op
+	switch o.kind {
+	case opClaim:
+		return s.claim(o, have, present, mine)
+	case opSettle:
+		return s.settle(o, have, mine)
+	default:
+		return s.release(o, have, mine)
+	}
+}
+
+func (s *segment) claim(o op, have entry, present, mine bool) (reply, bool) {
+	if mine {
+		// An earlier write of this claim took effect and its answer was lost.
+		return reply{verdict: verdictDone}, false
+	}
+	if present {
+		return reply{verdict: verdictHeld, held: have}, false
+	}
+	if s.size+o.entry.size(o.id) > maxForClaims {
+		return reply{verdict: verdictFull}, false
+	}
+	s.put(o.id, o.entry)
+	return reply{verdict: verdictDone}, true
+}
+
+func (s *segment) settle(o op, have entry, mine bool) (reply, bool) {
+	if !mine {
+		return reply{verdict: verdictGone}, false
+	}
+	if have.Outcome != nil {
+		return reply{verdict: verdictDone}, false
+	}
+	have.Outcome = o.entry.Outcome
+	if s.size+have.Outcome.size() > maxForResults {
+		have.Outcome = &kept{Code: have.Outcome.Code, Detail: detailNotKept}
+	}
+	s.put(o.id, have)
+	return reply{verdict: verdictDone}, true
+}
+
+func (s *segment) release(o op, have entry, mine bool) (reply, bool) {
+	// A claim with an outcome was handed over and stays.
+	if !mine || have.Outcome != nil {
+		return reply{verdict: verdictDone}, false
+	}
+	s.size -= have.size(o.id)
+	delete(s.Entries, o.id)
+	return reply{verdict: verdictDone}, true
+}
+
+func (s *segment) put(id string, e entry) {
+	if old, ok := s.Entries[id]; ok {
+		s.size -= old.size(id)
+	}
+	s.Entries[id] = e
+	s.size += e.size(id)
+}
+
+// encode keeps results as the target wrote them, '<' and '&' included.
+func (s segment) encode() ([]byte, error) {
+	var value bytes.Buffer
+	encoder := json.NewEncoder(&value)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(s)
+	return value.Bytes(), errors.Trace(err)
+}
+
+func decodeSegment(value []byte) (segment, error) {
+	var s segment
+	if err := json.Unmarshal(value, &s); err != nil {
+		return segment{}, errors.Annotate(err, "a claims object is not readable")
+	}
+	for id, e := range s.Entries {
+		s.size += e.size(id)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/once/store_test.go
@@ -0,0 +1,158 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// faultStore is a platform in memory whose faults follow a seed. Versions start
+// again at 1 after a removal, which is the worst that the interface allows.
+type faultStore struct {
+	mu      sync.Mutex // guards all fields
+	objects map[string]platform.Object
+	rng     *rand.Rand
+	puts    int
+	gets    int
+	lists   int
+
+	loseAnswer float64                            // share of writes that land and fail
+	loseWrite  float64                            // share of writes that fail and do not land
+	late       float64                            // share of writes that fail and land later
+	down       bool                               // every call fails, nothing lands
+	latency    time.Duration                      // of each call
+	beforePut  func(name string) error            // called without mu
+	afterPut   func(name string, err error) error // called without mu
+	lateWG     sync.WaitGroup
+	vms        []platform.VM
+}
+
+var errLost = errors.New("connection reset")
+
+func newFaultStore(seed uint64) *faultStore {
+	return &faultStore{objects: map[string]platform.Object{}, rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (s *faultStore) wait(ctx context.Context) error {
+	s.mu.Lock()
+	down, latency := s.down, s.latency
+	s.mu.Unlock()
+	if down {
+		return errLost
+	}
+	if latency > 0 {
+		time.Sleep(latency)
+	}
+	return ctx.Err()
+}
+
+func (s *faultStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := s.wait(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	o, ok := s.objects[name]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *faultStore) Put(ctx context.Context, kind, name string, expect uint64, value []byte) (uint64, error) {
+	if s.beforePut != nil {
+		if err := s.beforePut(name); err != nil {
+			return 0, err
+		}
+	}
+	if err := s.wait(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	fate := s.rng.Float64()
+	delay := time.Duration(s.rng.IntN(20)) * time.Millisecond
+	s.mu.Unlock()
+	switch {
+	case fate < s.loseWrite:
+		return 0, errLost
+	case fate < s.loseWrite+s.loseAnswer:
+		_, _ = s.put(kind, name, expect, value)
+		return 0, errLost
+	case fate < s.loseWrite+s.loseAnswer+s.late:
+		s.lateWG.Go(func() {
+			time.Sleep(delay)
+			_, _ = s.put(kind, name, expect, value)
+		})
+		return 0, errLost
+	}
+	version, err := s.put(kind, name, expect, value)
+	if s.afterPut != nil {
+		if err := s.afterPut(name, err); err != nil {
+			return 0, err
+		}
+	}
+	return version, err
+}
+
+func (s *faultStore) put(kind, name string, expect uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	if len(value) > platform.MaxValue {
+		return 0, platform.ErrTooLarge
+	}
+	if s.objects[name].Version != expect {
+		return 0, platform.ErrConflict
+	}
+	s.objects[name] = platform.Object{Kind: kind, Name: name, Version: expect + 1, Value: value}
+	return expect + 1, nil
+}
+
+func (s *faultStore) List(ctx context.Context, kind, after string, limit int) (platform.Page, error) {
+	if err := s.wait(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	var page platform.Page
+	for name, o := range s.objects {
+		if strings.Compare(name, after) > 0 {
+			page.Objects = append(page.Objects, o)
+		}
+	}
+	sort.Slice(page.Objects, func(i, j int) bool { return page.Objects[i].Name < page.Objects[j].Name })
+	if len(page.Objects) > limit {
+		page.Objects, page.More = page.Objects[:limit], true
+	}
+	return page, nil
+}
+
+func (s *faultStore) Delete(ctx context.Context, kind, name string, expect uint64) error {
+	if err := s.wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[name].Version != expect {
+		return platform.ErrConflict
+	}
+	delete(s.objects, name)
+	return nil
+}
+
+func (s *faultStore) Watch(ctx context.Context, kind string, since uint64) (platform.Change, error) {
+	<-ctx.Done()
+	return platform.Change{}, ctx.Err()
+}
+
+func (s *faultStore) VMs(ctx context.Context) ([]platform.VM, error) {
+	return s.vms, s.wait(ctx)
+}
