Target client and monitor: first usable version

Queries need calls to leaves over connections that the client itself owns: net/http's pool replays requests, dials in bursts and hides which connection delivered an answer. http.Transport.NewClientConn (Go 1.26) gives single connections without replay; a keeper per target opens them up to the share, paced and warmed up with a read of the status. Failure tests are still to come.

--- /dev/null
+++ b/target/call.go
@@ -0,0 +1,192 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// call is one exchange with a target.
+type call struct {
+	target   string
+	method   string
+	path     string
+	request  any          // nil for none
+	answer   any          // decoded into
+	deadline *int64       // field of request that takes the time left, in ms
+	check    func() error // holds the answer against the request
+}
+
+func statusCall(target string, status *Status) *call {
+	return &call{
+		target: target,
+		method: http.MethodGet,
+		path:   PathStatus,
+		answer: status,
+		check:  func() error { return checkStatus(target, status) },
+	}
+}
+
+// exchange runs a call on a connection from the target's pool.
+func (c *Client) exchange(ctx context.Context, k *call) error {
+	err := c.exchangePooled(ctx, k)
+	if err == nil {
+		return nil
+	}
+	err.Target = k.target
+	c.metrics.callFailed(err.Kind)
+	return err
+}
+
+func (c *Client) exchangePooled(ctx context.Context, k *call) *CallError {
+	p := c.pool(k.target)
+	if p == nil {
+		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
+	}
+	cn, err := p.acquire(ctx)
+	if err != nil {
+		return err
+	}
+	err = c.exchangeOn(ctx, cn, k)
+	if err != nil && err.Kind == ErrorMismatched {
+		c.metrics.mismatched.Inc()
+		c.opts.Log.Warn("distrusting a connection", "target", k.target, "error", err.cause)
+		p.distrust(cn)
+	}
+	p.release(cn)
+	return err
+}
+
+// exchangeOn runs a call on one connection, which the caller holds.
+func (c *Client) exchangeOn(ctx context.Context, cn *conn, k *call) *CallError {
+	body, err := k.encode(ctx)
+	if err != nil {
+		return err
+	}
+	c.metrics.calls.Inc()
+	resp, rtErr := cn.http.RoundTrip(k.httpRequest(ctx, body))
+	if rtErr != nil {
+		return failure(ctx, rtErr, body.seal())
+	}
+	defer resp.Body.Close()
+	data, readErr := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxAnswer+1))
+	if readErr != nil {
+		return failure(ctx, readErr, false)
+	}
+	incarnation := c.noteState(k.target, resp.Header)
+	err = c.judge(k, resp.StatusCode, data)
+	if err != nil {
+		err.Incarnation = incarnation
+	}
+	return err
+}
+
+// encode writes the time left into the request and returns its body.
+func (k *call) encode(ctx context.Context) (*requestBody, *CallError) {
+	if err := ctx.Err(); err != nil {
+		return nil, failure(ctx, err, true)
+	}
+	if k.request == nil {
+		return newRequestBody(nil), nil
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		*k.deadline = time.Until(deadline).Milliseconds()
+		if *k.deadline <= 0 {
+			return nil, &CallError{Kind: ErrorDeadline, NotStarted: true, cause: context.DeadlineExceeded}
+		}
+	}
+	data, err := json.Marshal(k.request)
+	if err != nil {
+		return nil, &CallError{Kind: ErrorMalformed, NotStarted: true, cause: errors.Annotate(err, "request")}
+	}
+	return newRequestBody(data), nil
+}
+
+// httpRequest returns a request that net/http has no way to replay: it has no
+// GetBody and no idempotency header.
+func (k *call) httpRequest(ctx context.Context, body *requestBody) *http.Request {
+	req := &http.Request{
+		Method:     k.method,
+		URL:        &url.URL{Scheme: "http", Host: k.target, Path: k.path},
+		Host:       k.target,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     make(http.Header),
+		Body:       http.NoBody,
+	}
+	if size := body.data.Len(); size > 0 {
+		req.Body = body
+		req.ContentLength = int64(size)
+	}
+	return req.WithContext(ctx)
+}
+
+// failure returns the error of a call that ended without an answer.
+func failure(ctx context.Context, cause error, notStarted bool) *CallError {
+	kind := ErrorBroken
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		kind = ErrorCancelled
+	case ctx.Err() != nil:
+		kind = ErrorDeadline
+	}
+	return &CallError{Kind: kind, NotStarted: notStarted, cause: errors.Trace(cause)}
+}
+
+func (c *Client) noteState(target string, header http.Header) string {
+	incarnation := header.Get(HeaderIncarnation)
+	state := header.Get(HeaderState)
+	if c.opts.Sink != nil && incarnation != "" && state != "" {
+		c.opts.Sink.TargetState(target, incarnation, State(state), time.Now())
+	}
+	return incarnation
+}
+
+// judge decodes an answer and decides whether it can be used.
+func (c *Client) judge(k *call, status int, data []byte) *CallError {
+	if int64(len(data)) > c.opts.MaxAnswer {
+		return &CallError{Kind: ErrorMalformed, cause: errors.Errorf("answer exceeds %d bytes", c.opts.MaxAnswer)}
+	}
+	switch status {
+	case http.StatusOK:
+		return judgeAnswer(k, data)
+	case http.StatusServiceUnavailable:
+		return judgeRefusal(data)
+	default:
+		return &CallError{Kind: ErrorStatus, cause: errors.Errorf("HTTP status %d", status)}
+	}
+}
+
+func judgeAnswer(k *call, data []byte) *CallError {
+	if err := json.Unmarshal(data, k.answer); err != nil {
+		return &CallError{Kind: ErrorMalformed, cause: errors.Trace(err)}
+	}
+	err := k.check()
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errMismatched):
+		return &CallError{Kind: ErrorMismatched, cause: err}
+	default:
+		return &CallError{Kind: ErrorMalformed, cause: err}
+	}
+}
+
+func judgeRefusal(data []byte) *CallError {
+	var refusal Refusal
+	if err := json.Unmarshal(data, &refusal); err != nil {
+		return &CallError{Kind: ErrorMalformed, cause: errors.Annotate(err, "refusal")}
+	}
+	return &CallError{
+		Kind:       ErrorRefused,
+		Reason:     refusal.Reason,
+		NotStarted: refusal.NotStarted,
+		RetryAfter: time.Duration(refusal.RetryAfterMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,144 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+)
+
+// Sink is told what is learned of targets. Its methods may be called at the
+// same time and must not block.
+type Sink interface {
+	// TargetStatus is called after each successful read of a status.
+	TargetStatus(target string, status Status, at time.Time)
+	// TargetFailed is called after each read of a status that failed.
+	TargetFailed(target string, err error, at time.Time)
+	// TargetState is called with what the headers of an answer state.
+	TargetState(target, incarnation string, state State, at time.Time)
+}
+
+// Client calls the leaves of targets. It keeps connections to each target, up
+// to this VM's share, and opens them ahead of the calls. It is safe for
+// concurrent use.
+type Client struct {
+	opts      Options
+	transport *http.Transport
+	metrics   *instruments
+	dials     chan struct{} // holds a token for each connection being opened
+	tomb      tomb.Tomb     // runs the keeper of each pool
+
+	mu     sync.RWMutex // guards what follows; may be held when a pool's mu is taken
+	pools  map[string]*pool
+	closed bool
+}
+
+// NewClient returns a client without endpoints. Close ends it.
+func NewClient(opts Options) *Client {
+	opts = opts.withDefaults()
+	c := &Client{
+		opts:      opts,
+		transport: newTransport(&opts),
+		metrics:   newInstruments(opts.Metrics),
+		dials:     make(chan struct{}, opts.MaxDials),
+		pools:     make(map[string]*pool),
+	}
+	c.tomb.Go(func() error {
+		<-c.tomb.Dying()
+		return nil
+	})
+	return c
+}
+
+// Apply puts the endpoints in force. Connections to endpoints that are gone, or
+// whose address changed, take no new calls and close once they are idle.
+func (c *Client) Apply(endpoints []Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	old := c.pools
+	c.pools = make(map[string]*pool, len(endpoints))
+	for _, e := range endpoints {
+		p := old[e.Name]
+		if p == nil || p.address != e.Address {
+			p = newPool(c, e)
+			c.tomb.Go(p.keep)
+		}
+		p.update(e)
+		c.pools[e.Name] = p
+	}
+	for name, p := range old {
+		if c.pools[name] != p {
+			p.retire()
+		}
+	}
+}
+
+// Close ends all calls and connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.pools = nil
+	c.mu.Unlock()
+	c.tomb.Kill(nil)
+	_ = c.tomb.Wait() // keepers return no error
+}
+
+func (c *Client) pool(target string) *pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.pools[target]
+}
+
+// Search asks one leaf for its shard. The request's DeadlineMS is set to the
+// time left until ctx ends. The error is a *CallError.
+func (c *Client) Search(ctx context.Context, target string, leaf int, req LeafRequest) (LeafAnswer, error) {
+	var answer LeafAnswer
+	err := c.exchange(ctx, &call{
+		target:   target,
+		method:   http.MethodPost,
+		path:     leafPath(leaf, "search"),
+		request:  &req,
+		answer:   &answer,
+		deadline: &req.DeadlineMS,
+		check:    func() error { return checkAnswer(&req, &answer) },
+	})
+	if err != nil {
+		return LeafAnswer{}, err
+	}
+	return answer, nil
+}
+
+// Submit hands a non-idempotent request to one leaf, once. The error is a
+// *CallError; unless it says NotStarted, the request may have been run.
+func (c *Client) Submit(ctx context.Context, target string, leaf int, req SubmitRequest) (SubmitAnswer, error) {
+	var answer SubmitAnswer
+	err := c.exchange(ctx, &call{
+		target:   target,
+		method:   http.MethodPost,
+		path:     leafPath(leaf, "submit"),
+		request:  &req,
+		answer:   &answer,
+		deadline: &req.DeadlineMS,
+		check:    func() error { return checkSubmitAnswer(&req, &answer) },
+	})
+	if err != nil {
+		return SubmitAnswer{}, err
+	}
+	return answer, nil
+}
+
+// Status reads what the target says of itself. The error is a *CallError.
+func (c *Client) Status(ctx context.Context, target string) (Status, error) {
+	var status Status
+	c.metrics.statusReads.Inc()
+	err := c.exchange(ctx, statusCall(target, &status))
+	if err != nil {
+		return Status{}, err
+	}
+	return status, nil
+}
--- /dev/null
+++ b/target/conn.go
@@ -0,0 +1,121 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// conn is one connection to a target. Its plain fields are guarded by the mu
+// of its pool.
+type conn struct {
+	http *http.ClientConn
+	wire *wireConn
+
+	calls      int       // that hold this connection
+	retiring   bool      // takes no new call and closes once idle
+	unanswered time.Time // start of the first call since the last byte received
+}
+
+// suspect reports that a call has waited for longer than after while nothing
+// at all was received. A connection that something between the two ends has
+// lost track of looks like that: writes succeed, and no FIN or RST ever comes.
+// So does a connection whose only call is slow; being passed over until the
+// next byte does not harm it.
+func (c *conn) suspect(now time.Time, after time.Duration) bool {
+	if !c.unanswered.After(c.wire.lastRead()) {
+		return false
+	}
+	return now.Sub(c.unanswered) > after
+}
+
+// wireConn is a net.Conn that knows when it last received something.
+type wireConn struct {
+	net.Conn
+	read   atomic.Int64 // time of the last read, in ns since the epoch
+	ended  atomic.Bool  // a read failed before this end closed it
+	closed atomic.Bool  // by this end
+}
+
+func newWireConn(inner net.Conn) *wireConn {
+	w := &wireConn{Conn: inner}
+	w.read.Store(time.Now().UnixNano())
+	return w
+}
+
+func (w *wireConn) lastRead() time.Time { return time.Unix(0, w.read.Load()) }
+
+// Read implements net.Conn.
+func (w *wireConn) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if n > 0 {
+		w.read.Store(time.Now().UnixNano())
+	}
+	if err != nil && !w.closed.Load() {
+		w.ended.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (w *wireConn) Close() error {
+	w.closed.Store(true)
+	return w.Conn.Close()
+}
+
+// wireKey is the context key under which dialWire leaves its connection.
+type wireKey struct{}
+
+// dialWire opens a TCP connection for http.Transport.NewClientConn and leaves
+// it in the context, because an http.ClientConn does not show its net.Conn.
+func dialWire(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	inner, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	w := newWireConn(inner)
+	if slot, ok := ctx.Value(wireKey{}).(**wireConn); ok {
+		*slot = w
+	}
+	return w, nil
+}
+
+const maxAnswerHeader = 16 << 10
+
+// newTransport returns the transport that opens the connections of a Client.
+// Its own pool, with its replays and unbounded dials, stays unused.
+func newTransport(o *Options) *http.Transport {
+	protocols := new(http.Protocols)
+	if o.Protocol == HTTP1 {
+		protocols.SetHTTP1(true)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	return &http.Transport{
+		DialContext:            dialWire,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  o.PingAfter,
+			PingTimeout:      o.PingTimeout,
+			WriteByteTimeout: o.PingAfter + o.PingTimeout,
+		},
+	}
+}
+
+// foundSilent reports whether the connection was given up because nothing
+// came, rather than ended by either side.
+func (c *conn) foundSilent(after time.Duration) bool {
+	lost := c.http.Err() != nil
+	return lost && !c.wire.ended.Load() && time.Since(c.wire.lastRead()) > after
+}
+
+// shut closes the connection at once. Calls still on it fail.
+func (c *conn) shut() {
+	_ = c.http.Close()
+	_ = c.wire.Close()
+}
--- /dev/null
+++ b/target/keeper.go
@@ -0,0 +1,173 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// idleKeeper is how long a keeper sleeps when nothing is to be done.
+const idleKeeper = time.Minute
+
+// keep opens the connections of the pool up to the share, one at a time and
+// paced, replaces those that were lost and closes those that retire. It is the
+// only place that opens or closes connections, so that the share holds at all
+// times. It ends with the client, or once a retired pool is empty.
+func (p *pool) keep() error {
+	ctx := p.client.tomb.Context(context.Background())
+	for {
+		p.sweep()
+		due, done := p.plan(time.Now())
+		if done {
+			return nil
+		}
+		if due <= 0 {
+			p.open(ctx)
+			due = 0
+		}
+		timer := time.NewTimer(due)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			p.closeAll()
+			return nil
+		case <-p.kick:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// plan returns the time until the next connection is to be opened, and whether
+// the keeper's work is done for good.
+func (p *pool) plan(now time.Time) (due time.Duration, done bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.retired {
+		return idleKeeper, len(p.conns) == 0
+	}
+	if len(p.conns) >= p.endpoint.Connections {
+		return idleKeeper, false
+	}
+	return p.pace.next.Sub(now), false
+}
+
+// sweep closes what must be closed and hands free connections to waiters.
+func (p *pool) sweep() {
+	p.mu.Lock()
+	p.retireSurplus()
+	var kept, gone []*conn
+	for _, cn := range p.conns {
+		lost := cn.http.Err() != nil
+		if lost || (cn.retiring && cn.calls == 0) {
+			gone = append(gone, cn)
+		} else {
+			kept = append(kept, cn)
+		}
+	}
+	p.mu.Unlock()
+	// The share counts a connection until it is closed.
+	for _, cn := range gone {
+		p.close(cn)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = kept
+	if len(gone) > 0 {
+		p.pace.closed(time.Now())
+	}
+	p.serveWaiters()
+}
+
+// retireSurplus retires connections beyond the share. p.mu must be held.
+func (p *pool) retireSurplus() {
+	share := p.endpoint.Connections
+	if p.retired {
+		share = 0
+	}
+	for i, cn := range p.conns {
+		if i >= share {
+			cn.retiring = true
+		}
+	}
+}
+
+func (p *pool) close(cn *conn) {
+	if cn.foundSilent(p.client.opts.PingTimeout) {
+		p.client.metrics.silent.Inc()
+		p.client.opts.Log.Warn("silent connection closed", "target", p.name)
+	}
+	cn.shut()
+	p.client.metrics.closed.Inc()
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = nil
+	p.retired = true
+	p.failWaiters()
+	p.mu.Unlock()
+	for _, cn := range conns {
+		p.close(cn)
+	}
+}
+
+// open opens one connection and puts it into the pool.
+func (p *pool) open(ctx context.Context) {
+	select {
+	case p.client.dials <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	cn, err := p.dial(ctx)
+	<-p.client.dials
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastErr = err
+	if err != nil {
+		p.client.metrics.dialErrors.Inc()
+		p.pace.failed(time.Now())
+		if len(p.conns) == 0 {
+			p.failWaiters()
+		}
+		return
+	}
+	p.pace.opened(time.Now())
+	p.conns = append(p.conns, cn)
+	p.serveWaiters()
+}
+
+// dial opens a connection and warms it up with a read of the status, so that
+// no query meets what the target spends on a new connection, and a port that
+// accepts but never answers does not count as a connection.
+func (p *pool) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.client.opts.DialTimeout)
+	defer cancel()
+	cn := &conn{}
+	dialCtx := context.WithValue(ctx, wireKey{}, &cn.wire)
+	cc, err := p.client.transport.NewClientConn(dialCtx, "http", p.address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connecting to %s", p.address)
+	}
+	cn.http = cc
+	p.client.metrics.opened.Inc()
+	var status Status
+	if callErr := p.client.exchangeOn(ctx, cn, statusCall(p.name, &status)); callErr != nil {
+		cn.shut()
+		p.client.metrics.closed.Inc()
+		return nil, errors.Annotatef(callErr, "warming up a connection to %s", p.address)
+	}
+	cc.SetStateHook(p.stateChanged)
+	return cn, nil
+}
+
+// stateChanged wakes the keeper when a connection is lost or has room for a
+// waiting call. It must not take p.mu, which callers of its ClientConn hold.
+func (p *pool) stateChanged(cc *http.ClientConn) {
+	if cc.Err() != nil || p.waiting.Load() > 0 {
+		p.wake()
+	}
+}
--- /dev/null
+++ b/target/monitor.go
@@ -0,0 +1,207 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// StatusReader reads the status of a target; Client is one.
+type StatusReader interface {
+	Status(ctx context.Context, target string) (Status, error)
+}
+
+// MonitorOptions govern a Monitor. Reader and Sink are required.
+type MonitorOptions struct {
+	Log     hclog.Logger
+	Reader  StatusReader
+	Sink    Sink
+	Workers int // status reads at once; 16
+}
+
+const defaultMonitorWorkers = 16
+
+// Bounds of a read that an Endpoint leaves unset.
+const (
+	defaultHealthInterval = time.Second
+	defaultHealthTimeout  = 500 * time.Millisecond
+)
+
+// Monitor reads the status of each endpoint at its interval and tells the Sink.
+// A pool of workers does the reads; one target is never read twice at once.
+type Monitor struct {
+	opts MonitorOptions
+	tomb tomb.Tomb
+	work chan *watched
+	kick chan struct{} // wakes the scheduler
+
+	mu      sync.Mutex // guards what follows and the fields of each watched
+	targets map[string]*watched
+}
+
+// watched is an endpoint whose status is read.
+type watched struct {
+	endpoint Endpoint
+	due      time.Time
+	reading  bool
+	gone     bool // no longer in force; what is read of it is dropped
+}
+
+// NewMonitor returns a monitor without endpoints.
+func NewMonitor(opts MonitorOptions) *Monitor {
+	if opts.Log == nil {
+		opts.Log = hclog.NewNullLogger()
+	}
+	setDefault(&opts.Workers, defaultMonitorWorkers)
+	return &Monitor{
+		opts:    opts,
+		work:    make(chan *watched),
+		kick:    make(chan struct{}, 1),
+		targets: make(map[string]*watched),
+	}
+}
+
+// Start begins to read. It is called once.
+func (m *Monitor) Start() {
+	m.tomb.Go(m.schedule)
+	for range m.opts.Workers {
+		m.tomb.Go(m.readAll)
+	}
+}
+
+// Stop ends the reads and waits for them.
+func (m *Monitor) Stop() error {
+	m.tomb.Kill(nil)
+	return errors.Trace(m.tomb.Wait())
+}
+
+// Apply puts the endpoints in force. New ones are read at once, spread over a
+// part of their interval.
+func (m *Monitor) Apply(endpoints []Endpoint) {
+	m.mu.Lock()
+	old := m.targets
+	m.targets = make(map[string]*watched, len(endpoints))
+	now := time.Now()
+	for _, e := range endpoints {
+		w := old[e.Name]
+		if w == nil || w.endpoint.Address != e.Address {
+			w = &watched{due: now.Add(jitter(firstReadSpread))}
+		}
+		w.endpoint = withHealthDefaults(e)
+		m.targets[e.Name] = w
+	}
+	for name, w := range old {
+		w.gone = m.targets[name] != w
+	}
+	m.mu.Unlock()
+	m.wake()
+}
+
+// firstReadSpread keeps the first reads of all targets from starting at once.
+const firstReadSpread = 20 * time.Millisecond
+
+func withHealthDefaults(e Endpoint) Endpoint {
+	setDefault(&e.HealthInterval, defaultHealthInterval)
+	setDefault(&e.HealthTimeout, defaultHealthTimeout)
+	return e
+}
+
+func (m *Monitor) wake() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// schedule hands each target that is due to a worker.
+func (m *Monitor) schedule() error {
+	for {
+		w, wait := m.next(time.Now())
+		if w != nil {
+			select {
+			case m.work <- w:
+				continue
+			case <-m.tomb.Dying():
+				return nil
+			}
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-m.kick:
+		case <-m.tomb.Dying():
+			timer.Stop()
+			return nil
+		}
+		timer.Stop()
+	}
+}
+
+// next marks the target that has been due for longest as being read and returns
+// it, or returns the time until one is due.
+func (m *Monitor) next(now time.Time) (*watched, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var first *watched
+	for _, w := range m.targets {
+		if !w.reading && (first == nil || w.due.Before(first.due)) {
+			first = w
+		}
+	}
+	if first == nil {
+		return nil, idleKeeper
+	}
+	if wait := first.due.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	first.reading = true
+	return first, 0
+}
+
+// readAll is a worker.
+func (m *Monitor) readAll() error {
+	for {
+		select {
+		case w := <-m.work:
+			m.read(w)
+		case <-m.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// read reads one status, within the endpoint's timeout, and tells the sink.
+func (m *Monitor) read(w *watched) {
+	m.mu.Lock()
+	e := w.endpoint
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(m.tomb.Context(context.Background()), e.HealthTimeout)
+	status, err := m.opts.Reader.Status(ctx, e.Name)
+	cancel()
+	if !m.finished(w) {
+		return
+	}
+	now := time.Now()
+	if err != nil {
+		m.opts.Log.Debug("status read failed", "target", e.Name, "error", err)
+		m.opts.Sink.TargetFailed(e.Name, err, now)
+		return
+	}
+	m.opts.Sink.TargetStatus(e.Name, status, now)
+}
+
+// finished sets the time of the next read and reports whether the result of
+// this one still counts.
+func (m *Monitor) finished(w *watched) bool {
+	m.mu.Lock()
+	w.reading = false
+	w.due = time.Now().Add(jitter(w.endpoint.HealthInterval))
+	counts := !w.gone
+	m.mu.Unlock()
+	m.wake()
+	return counts && m.tomb.Alive()
+}
--- /dev/null
+++ b/target/options.go
@@ -0,0 +1,98 @@
+package target
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Endpoint is a target as one VM uses it.
+type Endpoint struct {
+	Name           string
+	Zone           string
+	Address        string        // IP and port
+	Connections    int           // this VM's share; a hard cap, 0 means that all calls fail
+	ConnectCost    time.Duration // what a new connection costs the target
+	HealthInterval time.Duration // between reads of the status
+	HealthTimeout  time.Duration // after which a read has failed
+}
+
+// Protocol is the version of HTTP that a Client speaks.
+type Protocol int
+
+// The protocols. docs/design/target-transport.md says why HTTP2 is the default.
+const (
+	HTTP2 Protocol = iota // without TLS, with prior knowledge
+	HTTP1
+)
+
+// Options govern a Client. The zero value of each field stands for its default.
+type Options struct {
+	Log      hclog.Logger
+	Sink     Sink         // told of the state that each answer states; may be nil
+	Metrics  *metrics.Set // the default set if nil
+	Protocol Protocol
+
+	MaxAnswer  int64         // bytes of an answer's body; 4 MiB
+	MaxStreams int           // calls at once on one HTTP/2 connection; 100
+	MaxWaiting int           // calls that wait for a connection to one target; 64
+	MaxWait    time.Duration // for a connection; 250 ms
+	MaxDials   int           // connections being opened at once, over all targets; 8
+
+	DialTimeout  time.Duration // to open a connection and warm it up; 1 s
+	PaceFactor   float64       // pause between new connections to a target, in ConnectCosts; 2
+	MinPace      time.Duration // lower bound of that pause; 5 ms
+	MaxBackoff   time.Duration // pause after repeated failures to connect; 1 s
+	SuspectAfter time.Duration // without a byte after which other connections are preferred; 50 ms
+
+	// PingAfter and PingTimeout find silent HTTP/2 connections: a ping goes out
+	// when nothing was received for PingAfter (500 ms), and the connection is
+	// closed when nothing answers it within PingTimeout (500 ms).
+	PingAfter   time.Duration
+	PingTimeout time.Duration
+}
+
+const (
+	defaultMaxAnswer    = 4 << 20
+	defaultMaxStreams   = 100
+	defaultMaxWaiting   = 64
+	defaultMaxWait      = 250 * time.Millisecond
+	defaultMaxDials     = 8
+	defaultDialTimeout  = time.Second
+	defaultPaceFactor   = 2
+	defaultMinPace      = 5 * time.Millisecond
+	defaultMaxBackoff   = time.Second
+	defaultSuspectAfter = 50 * time.Millisecond
+	defaultPingAfter    = 500 * time.Millisecond
+	defaultPingTimeout  = 500 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.GetDefaultSet()
+	}
+	setDefault(&o.MaxAnswer, defaultMaxAnswer)
+	setDefault(&o.MaxStreams, defaultMaxStreams)
+	setDefault(&o.MaxWaiting, defaultMaxWaiting)
+	setDefault(&o.MaxWait, defaultMaxWait)
+	setDefault(&o.MaxDials, defaultMaxDials)
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.PaceFactor, defaultPaceFactor)
+	setDefault(&o.MinPace, defaultMinPace)
+	setDefault(&o.MaxBackoff, defaultMaxBackoff)
+	setDefault(&o.SuspectAfter, defaultSuspectAfter)
+	setDefault(&o.PingAfter, defaultPingAfter)
+	setDefault(&o.PingTimeout, defaultPingTimeout)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/target/pool.go
@@ -0,0 +1,233 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// pool holds the connections to one target. Its keeper goroutine opens and
+// closes them; calls only borrow them.
+type pool struct {
+	client  *Client
+	name    string
+	address string
+	kick    chan struct{} // wakes the keeper
+	waiting atomic.Int32  // len(waiters), readable without mu
+
+	mu       sync.Mutex // guards what follows and the plain fields of each conn
+	endpoint Endpoint
+	conns    []*conn // open, the retiring ones included
+	waiters  []chan *conn
+	retired  bool // the endpoint is no longer in force
+	pace     pacer
+	lastErr  error // of the last attempt to open a connection
+}
+
+func newPool(c *Client, e Endpoint) *pool {
+	return &pool{
+		client:  c,
+		name:    e.Name,
+		address: e.Address,
+		kick:    make(chan struct{}, 1),
+	}
+}
+
+// update puts new settings of the same target in force.
+func (p *pool) update(e Endpoint) {
+	p.mu.Lock()
+	p.endpoint = e
+	p.pace.setLimits(e.ConnectCost, &p.client.opts)
+	p.mu.Unlock()
+	p.wake()
+}
+
+// retire lets the connections close once they are idle, then ends the keeper.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.failWaiters()
+	p.mu.Unlock()
+	p.wake()
+}
+
+func (p *pool) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// acquire borrows a connection for one call. It waits for one while one can be
+// expected, and fails at once otherwise; nothing was sent if it fails.
+func (p *pool) acquire(ctx context.Context) (*conn, *CallError) {
+	p.mu.Lock()
+	now := time.Now()
+	if cn := p.pick(now); cn != nil {
+		p.hold(cn, now)
+		p.mu.Unlock()
+		return cn, nil
+	}
+	if err := p.hopeless(now); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
+	turn := make(chan *conn, 1)
+	p.setWaiters(append(p.waiters, turn))
+	p.mu.Unlock()
+	return p.await(ctx, turn)
+}
+
+// hopeless returns an error if waiting for a connection makes no sense. p.mu
+// must be held.
+func (p *pool) hopeless(now time.Time) *CallError {
+	switch {
+	case p.retired:
+		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
+	case p.endpoint.Connections <= 0:
+		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("this VM has no share of connections")}
+	case len(p.conns) == 0 && p.lastErr != nil:
+		return p.unreachable(now)
+	case len(p.waiters) >= p.client.opts.MaxWaiting:
+		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("too many calls wait for a connection")}
+	}
+	return nil
+}
+
+// unreachable returns the error of a target to which no connection could be
+// opened. p.mu must be held.
+func (p *pool) unreachable(now time.Time) *CallError {
+	after := p.pace.next.Sub(now)
+	return &CallError{Kind: ErrorUnreachable, NotStarted: true, RetryAfter: max(after, 0), cause: p.lastErr}
+}
+
+// await waits for the turn of a call.
+func (p *pool) await(ctx context.Context, turn chan *conn) (*conn, *CallError) {
+	limit := time.NewTimer(p.client.opts.MaxWait)
+	defer limit.Stop()
+	select {
+	case cn := <-turn:
+		return p.arrived(cn)
+	case <-ctx.Done():
+	case <-limit.C:
+	case <-p.client.tomb.Dying():
+	}
+	if p.leaveQueue(turn) {
+		if ctx.Err() != nil {
+			return nil, failure(ctx, ctx.Err(), true)
+		}
+		return nil, &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("no connection became free")}
+	}
+	return p.arrived(<-turn)
+}
+
+func (p *pool) arrived(cn *conn) (*conn, *CallError) {
+	if cn != nil {
+		return cn, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return nil, p.unreachable(time.Now())
+}
+
+// leaveQueue reports whether turn was still waiting; if not, it has been served.
+func (p *pool) leaveQueue(turn chan *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, w := range p.waiters {
+		if w == turn {
+			p.setWaiters(append(p.waiters[:i:i], p.waiters[i+1:]...))
+			return true
+		}
+	}
+	return false
+}
+
+// setWaiters must be called with p.mu held.
+func (p *pool) setWaiters(waiters []chan *conn) {
+	p.waiters = waiters
+	p.waiting.Store(int32(len(waiters)))
+}
+
+// hold must be called with p.mu held.
+func (p *pool) hold(cn *conn, now time.Time) {
+	cn.calls++
+	if !cn.unanswered.After(cn.wire.lastRead()) {
+		cn.unanswered = now
+	}
+}
+
+// pick returns the connection with the fewest calls, those that are not
+// suspect first, or nil if none has room. p.mu must be held.
+func (p *pool) pick(now time.Time) *conn {
+	var best *conn
+	var bestSuspect bool
+	for _, cn := range p.conns {
+		if !p.hasRoom(cn) {
+			continue
+		}
+		suspect := cn.suspect(now, p.client.opts.SuspectAfter)
+		if best == nil || (bestSuspect && !suspect) || (bestSuspect == suspect && cn.calls < best.calls) {
+			best, bestSuspect = cn, suspect
+		}
+	}
+	return best
+}
+
+// hasRoom must be called with p.mu held.
+func (p *pool) hasRoom(cn *conn) bool {
+	if cn.retiring || cn.http.Err() != nil {
+		return false
+	}
+	if p.client.opts.Protocol == HTTP1 {
+		return cn.calls == 0
+	}
+	return cn.calls < p.client.opts.MaxStreams && cn.http.Available() > 0
+}
+
+// release gives a connection back.
+func (p *pool) release(cn *conn) {
+	p.mu.Lock()
+	cn.calls--
+	idle := cn.retiring && cn.calls == 0
+	p.serveWaiters()
+	p.mu.Unlock()
+	if idle {
+		p.wake()
+	}
+}
+
+// distrust keeps new calls off a connection and closes it once it is idle. The
+// calls still on it are checked like any other.
+func (p *pool) distrust(cn *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cn.retiring = true
+}
+
+// serveWaiters hands connections with room to waiting calls, in their order.
+// p.mu must be held.
+func (p *pool) serveWaiters() {
+	for len(p.waiters) > 0 {
+		now := time.Now()
+		cn := p.pick(now)
+		if cn == nil {
+			return
+		}
+		p.hold(cn, now)
+		p.waiters[0] <- cn
+		p.setWaiters(p.waiters[1:])
+	}
+}
+
+// failWaiters tells all waiting calls that no connection can be had. p.mu must
+// be held.
+func (p *pool) failWaiters() {
+	for _, turn := range p.waiters {
+		turn <- nil
+	}
+	p.setWaiters(nil)
+}
