Stand-in target with leaves, slots, connection limits and faults

Tests of the query path need targets whose true answer is known. A submit, once started, runs to its end whether its caller waits or not. New connections cost the one acceptor time, so that a burst delays itself. go test -race -count=3 ./internal/...: ok

--- a/internal/lab/labhttp/labhttp.go
+++ b/internal/lab/labhttp/labhttp.go
@@ -48,3 +48,11 @@
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
+
+// Address returns addr, or a free port on the loopback if addr is empty.
+func Address(addr string) string {
+	if addr == "" {
+		return "127.0.0.1:0"
+	}
+	return addr
+}
--- /dev/null
+++ b/internal/lab/targetsim/control.go
@@ -0,0 +1,50 @@
+package targetsim
+
+import (
+	"net/http"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/labhttp"
+)
+
+// DrainControl is the body of PUT /control/draining.
+type DrainControl struct {
+	Draining bool `json:"draining"`
+}
+
+// controlHandler serves the control endpoint:
+//
+//	PUT /control/faults     Faults
+//	PUT /control/timing     Timing
+//	PUT /control/snapshots  []Holder
+//	PUT /control/draining   DrainControl
+//	GET /control/ran        Ran
+//	GET /control/counters   Counters
+func (t *Target) controlHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Put("/control/faults"), labhttp.Setter(t.SetFaults))
+	mux.HandleFunc(pat.Put("/control/timing"), labhttp.Setter(t.SetTiming))
+	mux.HandleFunc(pat.Put("/control/snapshots"), func(w http.ResponseWriter, r *http.Request) {
+		holders, err := labhttp.Read[[]Holder](w, r)
+		if err == nil {
+			err = t.SetSnapshots(holders)
+		}
+		if err != nil {
+			labhttp.Fail(w, http.StatusBadRequest, err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc(pat.Put("/control/draining"), labhttp.Setter(func(c DrainControl) {
+		t.SetDraining(c.Draining)
+	}))
+	mux.HandleFunc(pat.Get("/control/ran"), func(w http.ResponseWriter, _ *http.Request) {
+		labhttp.Write(w, http.StatusOK, t.Ran())
+	})
+	mux.HandleFunc(pat.Get("/control/counters"), func(w http.ResponseWriter, _ *http.Request) {
+		labhttp.Write(w, http.StatusOK, t.Counters())
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/lab/targetsim/handler.go
@@ -0,0 +1,231 @@
+package targetsim
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/labhttp"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// retryAfterMS is when a refused caller is told to come back.
+const retryAfterMS = 50
+
+func (t *Target) handler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(target.PathStatus), func(w http.ResponseWriter, _ *http.Request) {
+		t.answer(w, http.StatusOK, t.Status())
+	})
+	mux.HandleFunc(pat.Post("/leaves/:leaf/search"), t.serveSearch)
+	mux.HandleFunc(pat.Post("/leaves/:leaf/submit"), t.serveSubmit)
+	return mux
+}
+
+func (t *Target) serveSearch(w http.ResponseWriter, r *http.Request) {
+	number, l := t.leafOf(r)
+	req, err := labhttp.Read[target.LeafRequest](w, r)
+	if l == nil || err != nil {
+		http.Error(w, "no such leaf, or malformed request", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := withDeadline(r.Context(), req.DeadlineMS)
+	defer cancel()
+	part, held := t.holding(number, req.Echo)
+	if !held {
+		t.refuse(w, target.ReasonNoSnapshot, true)
+		return
+	}
+	if !t.enter(ctx, w, l) {
+		return
+	}
+	t.ledger.search(Run{Echo: req.Echo, Leaf: number})
+	timing, cold := t.pace()
+	finished := sleep(ctx, l.serviceTime(timing, cold))
+	l.release()
+	if !finished {
+		t.ledger.cancel()
+		t.refuse(w, target.ReasonDeadline, false)
+		return
+	}
+	t.answerSearch(ctx, w, number, search(part, req))
+}
+
+// search reads the shard for one request.
+func search(part shard, req target.LeafRequest) target.LeafAnswer {
+	items := part.matches(req.Kind, req.Query, req.After)
+	more := req.Limit > 0 && len(items) > req.Limit
+	if more {
+		items = items[:req.Limit]
+	}
+	return target.LeafAnswer{
+		Echo: req.Echo, Items: items, More: more, Records: int64(len(part.keys)), Complete: true,
+	}
+}
+
+// answerSearch answers, with whatever fault is due.
+func (t *Target) answerSearch(ctx context.Context, w http.ResponseWriter, number int, ans target.LeafAnswer) {
+	t.mu.Lock()
+	fault := t.faults.takeAnswerFault()
+	leaveOut(&ans, fault.incomplete)
+	own := ans
+	if fault.crossed {
+		ans = t.otherAnswer(number, own)
+	}
+	t.last[number] = &own
+	t.mu.Unlock()
+	sleep(ctx, fault.late)
+	t.answer(w, http.StatusOK, ans)
+	if fault.duplicate {
+		body, _ := json.Marshal(ans)
+		w.Write(body)
+	}
+}
+
+// otherAnswer returns an answer that belongs to another request. The caller
+// must hold mu.
+func (t *Target) otherAnswer(number int, own target.LeafAnswer) target.LeafAnswer {
+	if last := t.last[number]; last != nil && last.Echo != own.Echo {
+		return *last
+	}
+	other := own
+	other.Request += "-other"
+	return other
+}
+
+func (t *Target) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	number, l := t.leafOf(r)
+	req, err := labhttp.Read[target.SubmitRequest](w, r)
+	if l == nil || err != nil || req.Key == "" {
+		http.Error(w, "no such leaf, malformed request or no key", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := withDeadline(r.Context(), req.DeadlineMS)
+	defer cancel()
+	if !t.enter(ctx, w, l) {
+		return
+	}
+	// Once started, a submit runs to its end, whether anybody waits or not.
+	t.ledger.submit(Run{Echo: req.Echo, Leaf: number, Key: req.Key, Payload: req.Payload})
+	timing, cold := t.pace()
+	time.Sleep(l.serviceTime(timing, cold))
+	l.release()
+	if cut, held := t.submitFault(); cut {
+		panic(http.ErrAbortHandler)
+	} else if held != nil {
+		select {
+		case <-held:
+		case <-t.tomb.Dying():
+		}
+	}
+	result, _ := json.Marshal(map[string]string{"filed": req.Key})
+	t.answer(w, http.StatusOK, target.SubmitAnswer{Echo: req.Echo, Key: req.Key, Result: result})
+}
+
+// submitFault returns whether to cut the connection, or what to wait for.
+func (t *Target) submitFault() (bool, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return take(&t.faults.CutSubmits), t.held
+}
+
+// enter takes a slot, or refuses.
+func (t *Target) enter(ctx context.Context, w http.ResponseWriter, l *leaf) bool {
+	t.mu.Lock()
+	state := t.stateNow(time.Now())
+	refuseCold := state == target.StateStarting && t.timing.ColdFactor == 0
+	shedShare := t.faults.ShedShare
+	t.mu.Unlock()
+	switch {
+	case state == target.StateDraining:
+		t.refuse(w, target.ReasonDraining, true)
+		return false
+	case refuseCold:
+		t.refuse(w, target.ReasonCold, true)
+		return false
+	case l.chance(shedShare):
+		t.refuse(w, target.ReasonShed, true)
+		return false
+	}
+	switch l.acquire(ctx) {
+	case queueFull:
+		t.refuse(w, target.ReasonShed, true)
+		return false
+	case gaveUp:
+		t.refuse(w, target.ReasonDeadline, true)
+		return false
+	}
+	return true
+}
+
+// pace returns how long requests run just now, and whether the target is cold.
+func (t *Target) pace() (Timing, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timing, t.stateNow(time.Now()) == target.StateStarting
+}
+
+// holding returns the shard that echo names if that leaf holds it.
+func (t *Target) holding(number int, echo target.Echo) (shard, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.holders {
+		if h.Snapshot != echo.Snapshot || number >= len(h.LeafShards) {
+			continue
+		}
+		for _, s := range h.LeafShards[number] {
+			if s == echo.Shard {
+				return h.build()[s], true
+			}
+		}
+	}
+	return shard{}, false
+}
+
+func (t *Target) leafOf(r *http.Request) (int, *leaf) {
+	n, err := strconv.Atoi(pat.Param(r, "leaf"))
+	if err != nil || n < 0 || n >= len(t.leaves) {
+		return 0, nil
+	}
+	return n, t.leaves[n]
+}
+
+func (t *Target) refuse(w http.ResponseWriter, reason target.Reason, notStarted bool) {
+	t.ledger.refuse(reason)
+	t.answer(w, http.StatusServiceUnavailable, target.Refusal{
+		Reason: reason, NotStarted: notStarted, RetryAfterMS: retryAfterMS,
+	})
+}
+
+func (t *Target) answer(w http.ResponseWriter, status int, value any) {
+	t.mu.Lock()
+	state := t.stateNow(time.Now())
+	t.mu.Unlock()
+	w.Header().Set(target.HeaderIncarnation, t.incarnation)
+	w.Header().Set(target.HeaderState, string(state))
+	labhttp.Write(w, status, value)
+}
+
+func withDeadline(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+}
+
+// sleep returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/targetsim/listener.go
@@ -0,0 +1,80 @@
+package targetsim
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Connections counts the connections of a target.
+type Connections struct {
+	Current int `json:"current"`
+	Peak    int `json:"peak"`
+	Total   int `json:"total"`   // accepted since the start
+	Refused int `json:"refused"` // closed at once, over the limit
+}
+
+// limitListener closes connections above a limit. Each new one costs the
+// single acceptor some time, so that a burst of them delays all of the burst.
+type limitListener struct {
+	net.Listener
+	limit int
+	cost  time.Duration
+
+	mu    sync.Mutex // guards count
+	count Connections
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if !l.take() {
+			conn.Close()
+			continue
+		}
+		time.Sleep(l.cost)
+		return &countedConn{Conn: conn, listener: l}, nil
+	}
+}
+
+func (l *limitListener) counts() Connections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count
+}
+
+func (l *limitListener) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count.Current >= l.limit {
+		l.count.Refused++
+		return false
+	}
+	l.count.Total++
+	l.count.Current++
+	l.count.Peak = max(l.count.Peak, l.count.Current)
+	return true
+}
+
+func (l *limitListener) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count.Current--
+}
+
+// countedConn leaves the count when it is closed.
+type countedConn struct {
+	net.Conn
+	listener *limitListener
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.listener.drop)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/lab/targetsim/target_test.go
@@ -0,0 +1,191 @@
+package targetsim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+const limit = 20 * time.Second
+
+var testIndex = Index{Service: "desk", Snapshot: "s1", Seq: 1, Shards: 3, Records: 100}
+
+func start(t *testing.T, change func(*Options)) *Target {
+	opts := Options{
+		Name: "t1", Service: "desk", Leaves: 2, Slots: 1, Queue: 1, Connections: 4,
+		Timing:    Timing{BaseMS: 1},
+		Snapshots: []Holder{{Index: testIndex, LeafShards: [][]int{{0, 1}, {2}}}},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	tg, err := Start(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { tg.Close() })
+	return tg
+}
+
+type reply struct {
+	status  int
+	header  http.Header
+	ans     target.LeafAnswer
+	refusal target.Refusal
+	extra   bool // something follows the first JSON value
+}
+
+func request(shard int) target.LeafRequest {
+	return target.LeafRequest{
+		Echo: target.Echo{Request: fmt.Sprintf("q%d", shard), Attempt: 1, Shard: shard, Snapshot: "s1"},
+		Kind: target.KindSearch, Query: "well", DeadlineMS: 20000,
+	}
+}
+
+func search1(ctx context.Context, client *http.Client, tg *Target, leaf int, req any, verb string) (reply, error) {
+	body, _ := json.Marshal(req)
+	url := fmt.Sprintf("http://%s/leaves/%d/%s", tg.Address(), leaf, verb)
+	hreq, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	resp, err := client.Do(hreq)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	out := reply{status: resp.StatusCode, header: resp.Header}
+	dec := json.NewDecoder(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		err = dec.Decode(&out.ans)
+	} else {
+		err = dec.Decode(&out.refusal)
+	}
+	out.extra = dec.More()
+	return out, err
+}
+
+func newClient(t *testing.T, http2 bool) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	tr := &http.Transport{Protocols: protocols}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+func TestShardsTogetherHoldTheTruth(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		tg := start(t, nil)
+		client := newClient(t, http2)
+		var items []target.Item
+		var records int64
+		for shard, leaf := range []int{0, 0, 1} {
+			r, err := search1(t.Context(), client, tg, leaf, request(shard), "search")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(r.ans.Echo).To(gomega.Equal(request(shard).Echo))
+			g.Expect(r.header.Get(target.HeaderIncarnation)).To(gomega.Equal(tg.Incarnation()))
+			items = append(items, r.ans.Items...)
+			records += r.ans.Records
+		}
+		order(target.KindSearch, items)
+		want, _, total := testIndex.Truth(target.KindSearch, "well", "", 0)
+		g.Expect(items).To(gomega.Equal(want))
+		g.Expect(records).To(gomega.Equal(total))
+		g.Expect(total).To(gomega.Equal(int64(testIndex.Records)))
+		g.Expect(tg.Ran().Searches).To(gomega.HaveLen(3))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Options)
+		set    func(*Target)
+		req    func(*target.LeafRequest)
+		want   target.Reason
+	}{
+		{"draining", nil, func(tg *Target) { tg.SetDraining(true) }, nil, target.ReasonDraining},
+		{"cold", func(o *Options) { o.ColdMS = 60000 }, nil, nil, target.ReasonCold},
+		{"shed", nil, func(tg *Target) { tg.SetFaults(Faults{ShedShare: 1}) }, nil, target.ReasonShed},
+		{"other snapshot", nil, nil, func(r *target.LeafRequest) { r.Snapshot = "s0" }, target.ReasonNoSnapshot},
+		{"lost shard", nil, func(tg *Target) { tg.SetSnapshots(nil) }, nil, target.ReasonNoSnapshot},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			tg := start(t, tt.change)
+			if tt.set != nil {
+				tt.set(tg)
+			}
+			req := request(0)
+			if tt.req != nil {
+				tt.req(&req)
+			}
+			r, err := search1(t.Context(), newClient(t, false), tg, 0, req, "search")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(r.refusal.Reason).To(gomega.Equal(tt.want))
+			g.Expect(r.refusal.NotStarted).To(gomega.BeTrue())
+			g.Expect(tg.Ran().Searches).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestSlotQueueShedAndCancel(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tg := start(t, func(o *Options) { o.Timing.BaseMS = 60000 })
+	client := newClient(t, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	for range 2 { // one takes the slot, the other waits
+		go search1(ctx, client, tg, 0, request(0), "search")
+	}
+	g.Eventually(tg.leaves[0].load, limit).Should(gomega.Equal(2))
+	r, err := search1(t.Context(), client, tg, 0, request(0), "search")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.refusal.Reason).To(gomega.Equal(target.ReasonShed))
+	cancel()
+	g.Eventually(tg.leaves[0].load, limit).Should(gomega.BeZero())
+	g.Expect(tg.Counters().PeakRunning).To(gomega.Equal(1))
+}
+
+func TestConnectionLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tg := start(t, func(o *Options) { o.Connections = 1 })
+	_, err := search1(t.Context(), newClient(t, false), tg, 0, request(0), "search")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = search1(t.Context(), newClient(t, false), tg, 0, request(0), "search")
+	g.Expect(err).To(gomega.HaveOccurred())
+	c := tg.Counters().Connections
+	g.Expect(c.Peak).To(gomega.Equal(1))
+	g.Expect(c.Refused).To(gomega.BeNumerically(">=", 1))
+}
+
+func TestAnswerFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tg := start(t, nil)
+	client := newClient(t, false)
+	tg.SetFaults(Faults{CrossedAnswers: 1, DuplicateAnswers: 1, IncompleteRecords: 5})
+	r, err := search1(t.Context(), client, tg, 0, request(0), "search")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.ans.Echo).NotTo(gomega.Equal(request(0).Echo))
+	g.Expect(r.extra).To(gomega.BeTrue())
+	g.Expect(r.ans.Complete).To(gomega.BeFalse())
+	g.Expect(r.ans.Missing).To(gomega.Equal(int64(5)))
+}
+
+func TestSubmitRunsAlthoughTheConnectionIsCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tg := start(t, nil)
+	tg.SetFaults(Faults{CutSubmits: 1})
+	req := target.SubmitRequest{Key: "k1", Payload: json.RawMessage(`{}`), DeadlineMS: 20000}
+	_, err := search1(t.Context(), newClient(t, false), tg, 0, req, "submit")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(tg.Ran().Submits).To(gomega.HaveLen(1))
+}
