--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -1,4 +1,155 @@
-// Command bramley-lab runs the stand-ins that tests and benchmarks use.
+// Command bramley-lab runs the stand-ins that tests and benchmarks use, each as
+// a process of its own. Each prints one line of JSON, a Ready, once it serves.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/labhttp"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:     "bramley-lab",
+		Usage:    "stand-ins for tests and benchmarks",
+		Commands: []*cli.Command{platformCommand(), targetCommand(), proxyCommand()},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bramley-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func listenFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "listen", Usage: "IP and port to serve on; empty for a free one on the loopback"},
+		&cli.StringFlag{Name: "control", Usage: "IP and port of the control endpoint; empty for a free one"},
+	}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "the platform's object API, in memory",
+		Flags: append(listenFlags(),
+			&cli.DurationFlag{Name: "watch-wait", Value: 10 * time.Second, Usage: "how long a watch waits for a change"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			store := platformsim.NewStore()
+			store.SetWatchWait(cmd.Duration("watch-wait"))
+			return runPlatform(ctx, store, cmd.String("listen"), cmd.String("control"))
+		},
+	}
+}
+
+func runPlatform(ctx context.Context, store *platformsim.Store, listen, control string) error {
+	api, err := net.Listen("tcp", labhttp.Address(listen))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctl, err := net.Listen("tcp", labhttp.Address(control))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	apiServer := &http.Server{Handler: store.Handler()}
+	ctlServer := &http.Server{Handler: store.Control()}
+	failed := make(chan error, 2)
+	go func() { failed <- apiServer.Serve(api) }()
+	go func() { failed <- ctlServer.Serve(ctl) }()
+	if err := ready("platform", api.Addr().String(), ctl.Addr().String()); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	apiServer.Close()
+	ctlServer.Close()
+	return nil
+}
+
+func targetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "one target with its leaves; SIGTERM makes it drain and then end",
+		Flags: append(listenFlags(),
+			&cli.StringFlag{Name: "options", Required: true, Usage: "JSON file of targetsim.Options"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			opts, err := readOptions(cmd.String("options"))
+			if err != nil {
+				return err
+			}
+			if cmd.IsSet("listen") {
+				opts.Listen = cmd.String("listen")
+			}
+			if cmd.IsSet("control") {
+				opts.Control = cmd.String("control")
+			}
+			target, err := targetsim.Start(opts)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if err := ready("target", target.Address(), target.ControlAddress()); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return target.Leave()
+		},
+	}
+}
+
+func readOptions(path string) (targetsim.Options, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return targetsim.Options{}, errors.Trace(err)
+	}
+	defer file.Close()
+	dec := json.NewDecoder(file)
+	dec.DisallowUnknownFields()
+	var opts targetsim.Options
+	err = dec.Decode(&opts)
+	return opts, errors.Annotate(err, path)
+}
+
+func proxyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "proxy",
+		Usage: "a TCP proxy with faults",
+		Flags: append(listenFlags(),
+			&cli.StringFlag{Name: "target", Required: true, Usage: "IP and port to forward to"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			proxy, err := faultproxy.Start(faultproxy.Options{
+				Listen: cmd.String("listen"), Control: cmd.String("control"), Target: cmd.String("target"),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if err := ready("proxy", proxy.Address(), proxy.ControlAddress()); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return proxy.Close()
+		},
+	}
+}
+
+// ready prints where a stand-in serves.
+func ready(role, listen, control string) error {
+	return errors.Trace(json.NewEncoder(os.Stdout).Encode(labhttp.Ready{Role: role, Listen: listen, Control: control}))
+}
--- a/internal/lab/labhttp/labhttp.go
+++ b/internal/lab/labhttp/labhttp.go
@@ -56,3 +56,10 @@
 	}
 	return addr
 }
+
+// Ready is the line that a stand-in prints once it serves.
+type Ready struct {
+	Role    string `json:"role"`
+	Listen  string `json:"listen"`
+	Control string `json:"control"`
+}
--- a/internal/lab/targetsim/options.go
+++ b/internal/lab/targetsim/options.go
@@ -23,6 +23,7 @@
 	Queue         int     `json:"queue"` // requests that wait for a slot; beyond, the leaf sheds
 	Connections   int     `json:"connections"`
 	ConnectCostMS float64 `json:"connect_cost_ms"` // of the target's one acceptor, per connection
+	IdleMS        int     `json:"idle_ms"`         // until an unused connection is closed; 0 means never
 
 	Seed      uint64   `json:"seed"`
 	Timing    Timing   `json:"timing"`
--- a/internal/lab/targetsim/target.go
+++ b/internal/lab/targetsim/target.go
@@ -112,6 +112,7 @@
 	srv := &http.Server{
 		Handler:     h,
 		Protocols:   protocols,
+		IdleTimeout: time.Duration(t.opts.IdleMS) * time.Millisecond,
 		HTTP2:       &http.HTTP2Config{MaxConcurrentStreams: 1000},
 		BaseContext: func(net.Listener) context.Context { return t.tomb.Context(context.Background()) },
 	}
