--- /dev/null
+++ b/cmd/bramleyd/main.go
@@ -0,0 +1,66 @@
+// Command bramleyd is the daemon that stands between callers and targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/node"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:  "bramleyd",
+		Usage: "serve searches over sharded targets",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run the daemon", ArgsUsage: "SETTINGS", Action: run},
+			{Name: "check", Usage: "only check a settings file", ArgsUsage: "SETTINGS", Action: check},
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bramleyd:", err)
+		os.Exit(int(result.Of(err).Class()))
+	}
+}
+
+func load(cmd *cli.Command) (*settings.Settings, error) {
+	if cmd.Args().Len() != 1 {
+		return nil, result.Errorf(result.BadSettings, "found %d arguments, allowed is one: the settings file", cmd.Args().Len())
+	}
+	return settings.Load(cmd.Args().First())
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := load(cmd); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	set, err := load(cmd)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name:       "bramleyd",
+		Level:      hclog.LevelFromString(set.Log.Level),
+		JSONFormat: set.Log.JSON,
+	})
+	n, err := node.New(set, log.With("vm", set.Name))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,307 @@
+package node
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/ops"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/query"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// Node is one daemon.
+type Node struct {
+	set         *settings.Settings
+	log         hclog.Logger
+	incarnation string
+	started     time.Time
+	metrics     *metrics.Set
+	tomb        tomb.Tomb
+	leaving     atomic.Bool
+
+	store   platform.Store
+	keeper  *rollout.Keeper
+	client  *target.Client
+	monitor *target.Monitor
+	engine  *query.Engine
+	claims  *once.Runner
+	gateway *gateway.Gateway
+
+	callers *listener
+	ops     *listener
+}
+
+// listener is an HTTP server with its socket.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+}
+
+func listen(address string, server *http.Server) (*listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", address)
+	}
+	return &listener{server: server, socket: socket}, nil
+}
+
+// New prepares a daemon with checked settings. Nothing runs before Run.
+func New(set *settings.Settings, log hclog.Logger) (*Node, error) {
+	n := &Node{
+		set:         set,
+		log:         log,
+		incarnation: uuid.NewString(),
+		started:     time.Now(),
+		metrics:     metrics.NewSet(),
+	}
+	keys, err := keyring(set.OperatorKeys)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	n.store = platform.NewClient(platform.Options{Address: set.Platform.Address})
+	n.keeper = rollout.NewKeeper(rollout.Options{
+		Deployment: set.Deployment,
+		Keys:       keys,
+		Store:      n.store,
+		Log:        log.Named("rollout"),
+		Watch:      true,
+	})
+	n.buildTargets()
+	n.claims = once.NewRunner(once.Options{
+		Store:       n.store,
+		VM:          set.Name,
+		Incarnation: n.incarnation,
+		Log:         log.Named("once"),
+		Metrics:     n.metrics,
+		Deployment:  set.Deployment,
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Config:     n.keeper,
+		Engine:     n.engine,
+		Claims:     n.claims,
+		Deployment: set.Deployment,
+		Log:        log.Named("gateway"),
+		Metrics:    n.metrics,
+	})
+	return n, nil
+}
+
+// buildTargets makes the client, the engine and the monitor, which refer to
+// each other: the engine calls through the client and is told by both.
+func (n *Node) buildTargets() {
+	relay := &sinkRelay{}
+	n.client = target.NewClient(target.Options{
+		Log:     n.log.Named("target"),
+		Sink:    relay,
+		Metrics: n.metrics,
+	})
+	n.engine = query.NewEngine(query.Options{
+		Leaves: n.client,
+		Zone:   n.set.Zone,
+		Seed:   uint64(n.started.UnixNano()),
+		Log:    n.log.Named("query"),
+	})
+	relay.engine = n.engine
+	n.monitor = target.NewMonitor(target.MonitorOptions{
+		Log:    n.log.Named("monitor"),
+		Reader: n.client,
+		Sink:   n.engine,
+	})
+}
+
+// sinkRelay lets the client be made before the engine that it reports to. No
+// call is made before both exist.
+type sinkRelay struct{ engine *query.Engine }
+
+func (s *sinkRelay) TargetStatus(name string, st target.Status, at time.Time) {
+	s.engine.TargetStatus(name, st, at)
+}
+
+func (s *sinkRelay) TargetFailed(name string, err error, at time.Time) {
+	s.engine.TargetFailed(name, err, at)
+}
+
+func (s *sinkRelay) TargetState(name, incarnation string, state target.State, at time.Time) {
+	s.engine.TargetState(name, incarnation, state, at)
+}
+
+func keyring(keys []settings.OperatorKey) (*bundle.Keyring, error) {
+	list := make([]bundle.PublicKey, 0, len(keys))
+	for _, k := range keys {
+		raw, err := base64.StdEncoding.DecodeString(k.Public)
+		if err != nil {
+			return nil, errors.Annotatef(err, "operator key %q", k.ID)
+		}
+		list = append(list, bundle.PublicKey{
+			ID:      k.ID,
+			Person:  k.Person,
+			Public:  ed25519.PublicKey(raw),
+			Retired: k.Retired,
+		})
+	}
+	return bundle.NewKeyring(list...)
+}
+
+// Run serves until ctx ends, then leaves in order: readiness fails, callers are
+// asked to go elsewhere for the lame-duck time while requests are still served,
+// and only then the listeners close and what is in flight is waited for.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.open(); err != nil {
+		return errors.Trace(err)
+	}
+	n.keeper.Start()
+	n.monitor.Start()
+	n.tomb.Go(n.follow)
+	n.tomb.Go(n.serve(n.ops))
+	n.tomb.Go(n.serve(n.callers))
+	n.log.Info("serving", "callers", n.callers.socket.Addr(), "ops", n.ops.socket.Addr(), "incarnation", n.incarnation)
+	select {
+	case <-ctx.Done():
+	case <-n.tomb.Dying():
+	}
+	n.leave()
+	return errors.Trace(n.close())
+}
+
+func (n *Node) open() error {
+	var err error
+	if n.callers, err = listen(n.set.Listen.Callers, n.gateway.Server()); err != nil {
+		return errors.Trace(err)
+	}
+	n.ops, err = listen(n.set.Listen.Ops, ops.Server(ops.Options{
+		Status:  n.Status,
+		Metrics: []*metrics.Set{n.metrics},
+	}))
+	return errors.Trace(err)
+}
+
+func (n *Node) serve(l *listener) func() error {
+	return func() error {
+		err := l.server.Serve(l.socket)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Trace(err)
+	}
+}
+
+// follow puts each revision that comes into force to work.
+func (n *Node) follow() error {
+	for {
+		changed := n.keeper.Changed()
+		if force := n.keeper.Current(); force != nil {
+			n.apply(force)
+		}
+		select {
+		case <-changed:
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (n *Node) apply(force *rollout.InForce) {
+	endpoints := endpoints(force.Bundle)
+	n.engine.Apply(force.Bundle)
+	n.client.Apply(endpoints)
+	n.monitor.Apply(endpoints)
+	n.log.Info("revision in force", "revision", force.Revision, "digest", force.Digest)
+}
+
+// endpoints gives this VM its share of each target's connections.
+func endpoints(b *bundle.Bundle) []target.Endpoint {
+	var list []target.Endpoint
+	for i := range b.Services {
+		svc := &b.Services[i]
+		for j := range svc.Targets {
+			t := &svc.Targets[j]
+			list = append(list, target.Endpoint{
+				Name:           t.Name,
+				Zone:           t.Zone,
+				Address:        t.Address,
+				Connections:    t.Connections / max(b.Fleet.MaxVMs, 1),
+				ConnectCost:    time.Duration(t.ConnectCostMS * float64(time.Millisecond)),
+				HealthInterval: time.Duration(svc.Drain.HealthIntervalMS) * time.Millisecond,
+				HealthTimeout:  time.Duration(svc.Drain.HealthTimeoutMS) * time.Millisecond,
+			})
+		}
+	}
+	return list
+}
+
+// leave keeps serving for the lame-duck time. The platform's list of VMs lags,
+// so callers are still sent here for a while; a listener that closed at once
+// would cut off requests that are already on their way.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.gateway.Leave()
+	n.log.Info("leaving", "lame_duck_ms", n.set.LameDuckMS)
+	time.Sleep(time.Duration(n.set.LameDuckMS) * time.Millisecond)
+}
+
+// closeTimeout bounds the wait for what is in flight. No request may take
+// longer than a minute.
+const closeTimeout = 70 * time.Second
+
+func (n *Node) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := n.callers.server.Shutdown(ctx)
+	n.tomb.Kill(nil)
+	err = firstError(err, n.claims.Close(ctx))
+	err = firstError(err, n.monitor.Stop())
+	err = firstError(err, n.keeper.Stop(ctx))
+	n.engine.Close()
+	n.client.Close()
+	err = firstError(err, n.ops.server.Shutdown(ctx))
+	return firstError(err, n.tomb.Wait())
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// platformSilence is how long the platform may go unread before this VM says
+// that it cannot reach it.
+const platformSilence = 5 * time.Second
+
+// Status returns what the operators' page shows.
+func (n *Node) Status() ops.Status {
+	st := ops.Status{
+		VM:              n.set.Name,
+		Zone:            n.set.Zone,
+		Deployment:      n.set.Deployment,
+		Incarnation:     n.incarnation,
+		Started:         n.started,
+		Leaving:         n.leaving.Load(),
+		PlatformContact: n.keeper.PlatformContact(),
+	}
+	st.PlatformReachable = time.Since(st.PlatformContact) < platformSilence
+	if force := n.keeper.Current(); force != nil {
+		st.Revision = force.Revision
+		st.Digest = force.Digest
+		st.Since = force.Since
+		st.Ready = !st.Leaving
+	}
+	return st
+}
--- /dev/null
+++ b/ops/server.go
@@ -0,0 +1,49 @@
+package ops
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"goji.io"
+	"goji.io/pat"
+)
+
+const opsTimeout = 10 * time.Second
+
+// Options configure the operators' page. Status is required.
+type Options struct {
+	Status  func() Status
+	Metrics []*metrics.Set
+}
+
+// Server returns the HTTP server of the operators' page.
+func Server(opt Options) *http.Server {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(PathHealth), func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc(pat.Get(PathReady), func(w http.ResponseWriter, _ *http.Request) {
+		if st := opt.Status(); !st.Ready {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc(pat.Get(PathMetrics), func(w http.ResponseWriter, _ *http.Request) {
+		for _, set := range opt.Metrics {
+			set.WritePrometheus(w)
+		}
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc(pat.Get(PathStatus), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// The connection is gone if this fails; nobody is left to be told.
+		_ = json.NewEncoder(w).Encode(opt.Status())
+	})
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: opsTimeout,
+		ReadTimeout:       opsTimeout,
+		WriteTimeout:      opsTimeout,
+	}
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// MinFleetKey is the least length of a fleet key, in bytes.
+const MinFleetKey = 32
+
+// MaxLameDuckMS bounds lame_duck_ms.
+const MaxLameDuckMS = 300_000
+
+const ed25519KeyLen = 32
+
+// Load reads and checks a settings file. The error names each field that is
+// amiss, what was found and what is allowed.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrap(result.BadSettings, err, "the file cannot be read")
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{}
+	findings := strictjson.Decode(data, s)
+	if len(findings) == 0 {
+		findings = s.check()
+	}
+	if len(findings) == 0 {
+		return s, nil
+	}
+	lines := make([]string, len(findings))
+	for i, f := range findings {
+		lines[i] = f.String()
+	}
+	return nil, result.Errorf(result.BadSettings, "%s", strings.Join(lines, "; "))
+}
+
+func (s *Settings) check() []strictjson.Finding {
+	var c checker
+	c.filled("$.name", s.Name)
+	c.filled("$.deployment", s.Deployment)
+	c.filled("$.zone", s.Zone)
+	c.address("$.listen.callers", s.Listen.Callers)
+	c.address("$.listen.ops", s.Listen.Ops)
+	c.address("$.listen.peers", s.Listen.Peers)
+	c.address("$.platform.address", s.Platform.Address)
+	for i, k := range s.OperatorKeys {
+		path := fmt.Sprintf("$.operator_keys[%d]", i)
+		c.filled(path+".id", k.ID)
+		c.filled(path+".person", k.Person)
+		c.base64(path+".public", k.Public, ed25519KeyLen, ed25519KeyLen)
+	}
+	if len(s.OperatorKeys) == 0 {
+		c.add("$.operator_keys", "none", "at least one key")
+	}
+	for i, k := range s.FleetKeys {
+		c.base64(fmt.Sprintf("$.fleet_keys[%d]", i), k, MinFleetKey, MinFleetKey*2)
+	}
+	if n := len(s.FleetKeys); n < 1 || n > 2 {
+		c.add("$.fleet_keys", fmt.Sprintf("%d keys", n), "1 key, or 2 during a rotation")
+	}
+	if hclog.LevelFromString(s.Log.Level) == hclog.NoLevel {
+		c.add("$.log.level", s.Log.Level, "trace, debug, info, warn or error")
+	}
+	if s.LameDuckMS < 0 || s.LameDuckMS > MaxLameDuckMS {
+		c.add("$.lame_duck_ms", fmt.Sprint(s.LameDuckMS), fmt.Sprintf("0 to %d", MaxLameDuckMS))
+	}
+	return c.findings
+}
+
+type checker struct{ findings []strictjson.Finding }
+
+func (c *checker) add(path, found, allowed string) {
+	c.findings = append(c.findings, strictjson.Finding{Path: path, Found: found, Allowed: allowed})
+}
+
+func (c *checker) filled(path, found string) {
+	if found == "" {
+		c.add(path, `""`, "a name")
+	}
+}
+
+func (c *checker) address(path, found string) {
+	if _, err := netip.ParseAddrPort(found); err != nil {
+		c.add(path, fmt.Sprintf("%q", found), "an IP address and port, such as 10.0.0.7:8001")
+	}
+}
+
+// base64 checks a key. The key itself is not repeated in the finding.
+func (c *checker) base64(path, found string, low, high int) {
+	raw, err := base64.StdEncoding.DecodeString(found)
+	if err != nil {
+		c.add(path, "no base64", "base64 of a key")
+		return
+	}
+	if len(raw) < low || len(raw) > high {
+		c.add(path, fmt.Sprintf("%d bytes", len(raw)), fmt.Sprintf("%d to %d bytes", low, high))
+	}
+}
