--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,211 @@
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+)
+
+// Finding is one fault of a bundle.
+type Finding = strictjson.Finding
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+const nameRule = "1 to 63 lower-case letters, digits, '.', '_' or '-', starting with a letter or digit"
+
+// The ranges that a bundle's numbers must lie in.
+const (
+	maxVMs         = 5000
+	maxShards      = 10000
+	maxTargets     = 10000
+	maxLeaves      = 1000
+	maxSlots       = 1000
+	maxConnections = 100000
+	maxCostMS      = 60000
+	maxTimeMS      = 600000 // ten minutes
+	maxSuspect     = 100
+	maxAttempts    = 10
+	maxItems       = 10000
+)
+
+// Parse reads and checks a bundle and returns all findings at once.
+func Parse(data []byte) (*Bundle, []Finding) {
+	b := &Bundle{}
+	if findings := strictjson.Decode(data, b); len(findings) > 0 {
+		return b, findings
+	}
+	return b, b.Check()
+}
+
+// Check returns all findings: ranges, cross-references and sums.
+func (b *Bundle) Check() []Finding {
+	c := &checker{bundle: b}
+	c.equal("$.format", b.Format, Format)
+	c.name("$.deployment", b.Deployment)
+	c.name("$.name", b.Name)
+	c.name("$.author", b.Author)
+	c.between("$.fleet.max_vms", b.Fleet.MaxVMs, 1, maxVMs)
+	c.zones()
+	c.services()
+	c.searches()
+	return c.findings
+}
+
+type checker struct {
+	bundle   *Bundle
+	findings []Finding
+}
+
+func (c *checker) add(path, found, allowed string) {
+	c.findings = append(c.findings, Finding{Path: path, Found: found, Allowed: allowed})
+}
+
+func (c *checker) equal(path string, found, allowed int) {
+	if found != allowed {
+		c.add(path, strconv.Itoa(found), strconv.Itoa(allowed))
+	}
+}
+
+func (c *checker) between(path string, found, low, high int) {
+	if found < low || found > high {
+		c.add(path, strconv.Itoa(found), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) share(path string, found, low, high float64) {
+	if !(found >= low && found <= high) {
+		c.add(path, strconv.FormatFloat(found, 'g', -1, 64), fmt.Sprintf("%g to %g", low, high))
+	}
+}
+
+func (c *checker) name(path, found string) {
+	if !namePattern.MatchString(found) {
+		c.add(path, strconv.Quote(found), nameRule)
+	}
+}
+
+func (c *checker) once(seen map[string]string, path, value string) {
+	if first, twice := seen[value]; twice {
+		c.add(path, fmt.Sprintf("%q, which stands at %s already", value, first), "each name once")
+		return
+	}
+	seen[value] = path
+}
+
+func (c *checker) filled(path string, found, most int) {
+	if found < 1 || found > most {
+		c.add(path, fmt.Sprintf("%d items", found), fmt.Sprintf("1 to %d items", most))
+	}
+}
+
+func (c *checker) zones() {
+	c.filled("$.zones", len(c.bundle.Zones), maxTargets)
+	seen := map[string]string{}
+	for i, z := range c.bundle.Zones {
+		path := fmt.Sprintf("$.zones[%d]", i)
+		c.name(path+".name", z.Name)
+		c.name(path+".region", z.Region)
+		c.once(seen, path+".name", z.Name)
+	}
+}
+
+func (c *checker) services() {
+	c.filled("$.services", len(c.bundle.Services), maxTargets)
+	names, targets, addresses := map[string]string{}, map[string]string{}, map[string]string{}
+	for i, s := range c.bundle.Services {
+		path := fmt.Sprintf("$.services[%d]", i)
+		c.name(path+".name", s.Name)
+		c.once(names, path+".name", s.Name)
+		c.between(path+".shards", s.Shards, 1, maxShards)
+		c.drain(path+".drain", s.Drain)
+		c.filled(path+".targets", len(s.Targets), maxTargets)
+		leaves := 0
+		for j, t := range s.Targets {
+			at := fmt.Sprintf("%s.targets[%d]", path, j)
+			c.target(at, t)
+			c.once(targets, at+".name", t.Name)
+			c.once(addresses, at+".address", t.Address)
+			leaves += t.Leaves
+		}
+		// Each leaf holds at least one shard, so fewer shards than leaves only
+		// make replicas; no leaf at all serves nothing.
+		if leaves == 0 {
+			c.add(path+".targets", "0 leaves in all", "at least 1 leaf")
+		}
+	}
+}
+
+func (c *checker) drain(path string, d Drain) {
+	c.between(path+".health_interval_ms", d.HealthIntervalMS, 10, maxTimeMS)
+	c.between(path+".health_timeout_ms", d.HealthTimeoutMS, 1, maxTimeMS)
+	c.between(path+".suspect_after", d.SuspectAfter, 1, maxSuspect)
+	c.between(path+".warmup_ms", d.WarmupMS, 0, maxTimeMS)
+}
+
+func (c *checker) target(path string, t Target) {
+	c.name(path+".name", t.Name)
+	if !c.hasZone(t.Zone) {
+		c.add(path+".zone", strconv.Quote(t.Zone), "the name of one of $.zones")
+	}
+	if addr, err := netip.ParseAddrPort(t.Address); err != nil || addr.Port() == 0 {
+		c.add(path+".address", strconv.Quote(t.Address), "an IP address and port")
+	}
+	c.between(path+".leaves", t.Leaves, 1, maxLeaves)
+	c.between(path+".slots", t.Slots, 1, maxSlots)
+	c.between(path+".connections", t.Connections, 1, maxConnections)
+	c.share(path+".connect_cost_ms", t.ConnectCostMS, 0, maxCostMS)
+}
+
+func (c *checker) hasZone(name string) bool {
+	for _, z := range c.bundle.Zones {
+		if z.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) searches() {
+	c.filled("$.searches", len(c.bundle.Searches), maxTargets)
+	seen := map[string]string{}
+	for i, s := range c.bundle.Searches {
+		path := fmt.Sprintf("$.searches[%d]", i)
+		c.name(path+".name", s.Name)
+		c.once(seen, path+".name", s.Name)
+		c.search(path, s)
+	}
+}
+
+func (c *checker) search(path string, s Search) {
+	switch s.Kind {
+	case KindSearch, KindBrowse, KindSubmit:
+	default:
+		c.add(path+".kind", strconv.Quote(string(s.Kind)), "search, browse or submit")
+	}
+	switch s.Policy {
+	case "", PolicyAdaptive, PolicyPlain:
+	default:
+		c.add(path+".policy", strconv.Quote(string(s.Policy)), "adaptive, plain or left out")
+	}
+	if _, ok := c.bundle.Service(s.Service); !ok {
+		c.add(path+".service", strconv.Quote(s.Service), "the name of one of $.services")
+	}
+	c.share(path+".coverage.min", s.Coverage.Min, 0, 1)
+	c.share(path+".coverage.default", s.Coverage.Default, s.Coverage.Min, 1)
+	c.between(path+".coverage.grace_ms", s.Coverage.GraceMS, 0, maxTimeMS)
+	c.between(path+".time_limit.min_ms", s.TimeLimit.MinMS, 1, maxTimeMS)
+	c.between(path+".time_limit.max_ms", s.TimeLimit.MaxMS, s.TimeLimit.MinMS, maxTimeMS)
+	c.between(path+".time_limit.default_ms", s.TimeLimit.DefaultMS, s.TimeLimit.MinMS, s.TimeLimit.MaxMS)
+	c.share(path+".hedge.quantile", s.Hedge.Quantile, 0, 1)
+	c.between(path+".hedge.min_delay_ms", s.Hedge.MinDelayMS, 0, maxTimeMS)
+	c.share(path+".hedge.budget", s.Hedge.Budget, 0, 1)
+	c.between(path+".retry.max_attempts", s.Retry.MaxAttempts, 1, maxAttempts)
+	c.share(path+".retry.budget", s.Retry.Budget, 0, 1)
+	c.between(path+".max_items", s.MaxItems, 1, maxItems)
+	if s.Kind == KindSubmit && s.Hedge.Budget != 0 {
+		c.add(path+".hedge.budget", strconv.FormatFloat(s.Hedge.Budget, 'g', -1, 64), "0 for a submit, which runs at most once")
+	}
+}
--- /dev/null
+++ b/bundle/key.go
@@ -0,0 +1,83 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"sort"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// PublicKey is a person's Ed25519 public key. A retired key still proves who
+// wrote a bundle or made an old change, but signs nothing into force. One
+// person may have several keys, of which two are active during a rotation.
+type PublicKey struct {
+	ID      string `json:"id"`
+	Person  string `json:"person"`
+	Public  string `json:"public"` // base64
+	Retired bool   `json:"retired,omitempty"`
+}
+
+// PrivateKey signs for one person.
+type PrivateKey struct {
+	ID     string `json:"id"`
+	Person string `json:"person"`
+	Seed   []byte `json:"seed"` // of ed25519.SeedSize bytes
+}
+
+// NewPrivateKey makes a key from the system's random source.
+func NewPrivateKey(id, person string) (*PrivateKey, error) {
+	seed := make([]byte, ed25519.SeedSize)
+	if _, err := rand.Read(seed); err != nil {
+		return nil, err
+	}
+	return &PrivateKey{ID: id, Person: person, Seed: seed}, nil
+}
+
+// Public returns the public half, as it stands in settings files.
+func (k *PrivateKey) Public() PublicKey {
+	pub := ed25519.NewKeyFromSeed(k.Seed).Public().(ed25519.PublicKey)
+	return PublicKey{ID: k.ID, Person: k.Person, Public: base64.StdEncoding.EncodeToString(pub)}
+}
+
+// Keyring holds the public keys that count. It never changes.
+type Keyring struct {
+	keys map[string]ringKey
+}
+
+type ringKey struct {
+	PublicKey
+	bytes ed25519.PublicKey
+}
+
+// NewKeyring checks the keys. Its errors have code BadSettings.
+func NewKeyring(keys ...PublicKey) (*Keyring, error) {
+	ring := &Keyring{keys: make(map[string]ringKey, len(keys))}
+	for i, k := range keys {
+		raw, err := base64.StdEncoding.DecodeString(k.Public)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, result.Errorf(result.BadSettings,
+				"operator_keys[%d].public: found %q, allowed is a base64 Ed25519 public key", i, k.Public)
+		}
+		if !namePattern.MatchString(k.ID) || !namePattern.MatchString(k.Person) {
+			return nil, result.Errorf(result.BadSettings,
+				"operator_keys[%d]: found id %q and person %q, allowed is %s", i, k.ID, k.Person, nameRule)
+		}
+		if _, twice := ring.keys[k.ID]; twice {
+			return nil, result.Errorf(result.BadSettings, "operator_keys[%d].id: found %q twice, allowed is once", i, k.ID)
+		}
+		ring.keys[k.ID] = ringKey{PublicKey: k, bytes: raw}
+	}
+	return ring, nil
+}
+
+// Keys returns the keys in the order of their ids.
+func (r *Keyring) Keys() []PublicKey {
+	list := make([]PublicKey, 0, len(r.keys))
+	for _, k := range r.keys {
+		list = append(list, k.PublicKey)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/bundle/sign.go
@@ -0,0 +1,218 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Purpose says what a signature is for. It is part of what is signed, so that
+// a signature made for one purpose is worth nothing for another.
+type Purpose string
+
+// The purposes of signatures.
+const (
+	PurposeBundle  Purpose = "bundle"   // the author wrote this bundle
+	PurposeSignOff Purpose = "sign-off" // another person vouches for it
+	PurposeEntry   Purpose = "entry"    // an operator made this change
+	PurposeRefusal Purpose = "refusal"  // an operator's change was refused
+)
+
+// signContext starts every signed text, so that no key signs for us what was
+// meant for another system.
+const signContext = "bramleybarrow 1 "
+
+// Signed is a payload with its signature. The payload travels as base64, so
+// that no store or codec in between can reformat the signed bytes.
+type Signed struct {
+	Purpose   Purpose `json:"purpose"`
+	Key       string  `json:"key"` // id of the signing key
+	Payload   []byte  `json:"payload"`
+	Signature []byte  `json:"signature"`
+}
+
+// Sign signs payload for one purpose.
+func Sign(purpose Purpose, payload []byte, key *PrivateKey) Signed {
+	private := ed25519.NewKeyFromSeed(key.Seed)
+	return Signed{
+		Purpose:   purpose,
+		Key:       key.ID,
+		Payload:   payload,
+		Signature: ed25519.Sign(private, signedText(purpose, payload)),
+	}
+}
+
+func signedText(purpose Purpose, payload []byte) []byte {
+	text := []byte(signContext + string(purpose) + "\n")
+	return append(text, payload...)
+}
+
+// ParseSigned reads the JSON form. It does not verify.
+func ParseSigned(raw []byte) (Signed, error) {
+	var s Signed
+	if len(raw) > platform.MaxValue {
+		return s, result.Errorf(result.BundleTooLarge, "found %d bytes, allowed are %d", len(raw), platform.MaxValue)
+	}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return s, result.Wrap(result.NotSigned, err, "not a signed object")
+	}
+	return s, nil
+}
+
+// Bytes returns the JSON form.
+func (s Signed) Bytes() []byte {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // strings and bytes always encode
+	}
+	return raw
+}
+
+// Hash identifies the signed object whatever JSON form it travels in.
+func (s Signed) Hash() string {
+	sum := sha256.New()
+	sum.Write(signedText(s.Purpose, s.Payload))
+	sum.Write(s.Signature)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// Verify returns the key that signed s for the purpose. Its errors have code
+// NotSigned, or UnknownKey for a key that the ring lacks or that is retired.
+func (r *Keyring) Verify(s Signed, purpose Purpose) (PublicKey, error) {
+	key, err := r.VerifyOld(s, purpose)
+	if err != nil {
+		return key, err
+	}
+	if key.Retired {
+		return key, result.Errorf(result.UnknownKey, "%s by key %q, which is retired; sign with an active key", purpose, s.Key)
+	}
+	return key, nil
+}
+
+// VerifyOld is Verify that also takes retired keys, for what lies in the past.
+func (r *Keyring) VerifyOld(s Signed, purpose Purpose) (PublicKey, error) {
+	if s.Purpose != purpose {
+		return PublicKey{}, result.Errorf(result.NotSigned, "found a signature for %q, allowed is %q", s.Purpose, purpose)
+	}
+	key, ok := r.keys[s.Key]
+	if !ok {
+		return PublicKey{}, result.Errorf(result.UnknownKey, "%s by key %q, which the settings do not list", purpose, s.Key)
+	}
+	if !ed25519.Verify(key.bytes, signedText(s.Purpose, s.Payload), s.Signature) {
+		return PublicKey{}, result.Errorf(result.NotSigned, "the signature of key %q does not match the %s", s.Key, purpose)
+	}
+	return key.PublicKey, nil
+}
+
+// Digest returns the name under which a bundle's bytes are known.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// SignOff is what a person other than the author signs.
+type SignOff struct {
+	Deployment string    `json:"deployment"`
+	Digest     string    `json:"digest"`
+	Person     string    `json:"person"`
+	After      uint64    `json:"after"` // the revision in force when it was signed; a later recall voids it
+	At         time.Time `json:"at"`
+	Reason     string    `json:"reason"`
+}
+
+// Sign returns the signed sign-off.
+func (o SignOff) Sign(key *PrivateKey) Signed {
+	payload, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // strings, numbers and times always encode
+	}
+	return Sign(PurposeSignOff, payload, key)
+}
+
+// OpenSignOff verifies a sign-off and returns its content.
+func (r *Keyring) OpenSignOff(s Signed) (SignOff, error) {
+	var o SignOff
+	key, err := r.Verify(s, PurposeSignOff)
+	if err != nil {
+		return o, err
+	}
+	if err := json.Unmarshal(s.Payload, &o); err != nil {
+		return o, result.Wrap(result.NotSigned, err, "sign-off")
+	}
+	if o.Person != key.Person {
+		return o, result.Errorf(result.NotSigned, "key %q is %s's, the sign-off names %q", s.Key, key.Person, o.Person)
+	}
+	return o, nil
+}
+
+// Package signs a bundle's bytes as their author, for the platform and for
+// peers. It refuses what exceeds the platform's largest value before anything
+// is written, and an author that is not the key's owner.
+func Package(data []byte, key *PrivateKey) (Signed, error) {
+	s := Sign(PurposeBundle, data, key)
+	if n := len(s.Bytes()); n > platform.MaxValue {
+		return s, result.Errorf(result.BundleTooLarge,
+			"the signed bundle has %d bytes, allowed are %d; split the deployment or shorten names", n, platform.MaxValue)
+	}
+	b, findings := Parse(data)
+	if len(findings) > 0 {
+		return s, BadBundle(findings)
+	}
+	if b.Author != key.Person {
+		return s, result.Errorf(result.BadBundle, "$.author: found %q, allowed is %q, the owner of key %q", b.Author, key.Person, key.ID)
+	}
+	return s, nil
+}
+
+// Open verifies a packaged bundle: the digest, the author's signature and all
+// checks. It does not look at sign-offs.
+func (r *Keyring) Open(raw []byte, digest string) (*Bundle, error) {
+	s, err := ParseSigned(raw)
+	if err != nil {
+		return nil, err
+	}
+	if found := Digest(s.Payload); found != digest {
+		return nil, result.Errorf(result.NotSigned, "the bundle's bytes have digest %s, not %s", found, digest)
+	}
+	key, err := r.VerifyOld(s, PurposeBundle)
+	if err != nil {
+		return nil, err
+	}
+	b, findings := Parse(s.Payload)
+	if len(findings) > 0 {
+		return nil, BadBundle(findings)
+	}
+	if b.Author != key.Person {
+		return nil, result.Errorf(result.NotSigned, "the bundle names author %q and is signed by %s", b.Author, key.Person)
+	}
+	return b, nil
+}
+
+// CheckSignOff tells whether the sign-off vouches for the bundle.
+func (b *Bundle) CheckSignOff(o SignOff, digest string) error {
+	if o.Digest != digest || o.Deployment != b.Deployment {
+		return result.Errorf(result.NotSigned, "the sign-off is for bundle %s of %s", o.Digest, o.Deployment)
+	}
+	if o.Person == b.Author {
+		return result.Errorf(result.SelfSigned, "%s is the author", o.Person)
+	}
+	return nil
+}
+
+// BadBundle turns findings into an error of code BadBundle.
+func BadBundle(findings []strictjson.Finding) error {
+	text := ""
+	for i, f := range findings {
+		if i > 0 {
+			text += "; "
+		}
+		text += f.String()
+	}
+	return result.Errorf(result.BadBundle, "%s", text)
+}
--- /dev/null
+++ b/rollout/advance.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Ask is an operator's request for a change.
+type Ask struct {
+	Reason string
+	// Op is empty for a new operation, or the id printed by an earlier run
+	// whose outcome is unknown.
+	Op OpID
+	// Expect, if not 0, is the revision that the operator believes in force;
+	// another one is a conflict.
+	Expect uint64
+	DryRun bool // decide and check, but write nothing
+}
+
+// MaxReason bounds a reason, in bytes.
+const MaxReason = 1000
+
+// build makes the next entry from the head as read.
+type build func(ctx context.Context, head *Head, change Change) (Entry, error)
+
+// advance makes one change. Its order of writes is what the audit chain rests
+// on: first the entry that the head holds is kept under its own name, then the
+// head is replaced on the condition that it is still the one read. An operator
+// who stops in between leaves either nothing, a kept entry that is still the
+// head's, or a whole change; the next operator goes on from any of these.
+func (c *Client) advance(ctx context.Context, ask Ask, next build) (Entry, error) {
+	if c.opts.Key == nil {
+		return Entry{}, result.Errorf(result.BadSettings, "a change needs your private key; pass --key or make one with keygen")
+	}
+	if n := len(ask.Reason); n == 0 || n > MaxReason {
+		return Entry{}, result.Errorf(result.BadRequest, "reason: found %d bytes, allowed are 1 to %d", n, MaxReason)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	s, err := c.readState(ctx)
+	if err != nil {
+		return Entry{}, err
+	}
+	if ask.Op != "" {
+		if done, entry, err := c.askAgain(ctx, ask.Op, s); done {
+			return entry, err
+		}
+	} else if ask.Op, err = NewOpID(s.revision() + 1); err != nil {
+		return Entry{}, err
+	}
+	if ask.Expect != 0 && ask.Expect != s.revision() {
+		return Entry{}, conflict(s.head, s.head)
+	}
+	entry, err := next(ctx, s.head, Change{
+		Op: ask.Op, Person: c.opts.Key.Person, Reason: ask.Reason, At: c.opts.Now().UTC(),
+	})
+	if err != nil || ask.DryRun {
+		return entry, err
+	}
+	if err := c.keepEntry(ctx, s.head); err != nil {
+		return entry, err
+	}
+	if err := c.checkNotSetBack(ctx, s); err != nil {
+		return entry, err
+	}
+	landed, err := c.writeHead(ctx, s, entry)
+	if err != nil {
+		return entry, err
+	}
+	c.keepSoon(ctx, landed)
+	return landed.Entry, nil
+}
+
+// askAgain resolves an operation whose outcome was unknown. If it has not
+// landed and its turn has not passed, the operation goes on as if new: both
+// its writes expect the same version, so only one can take effect.
+func (c *Client) askAgain(ctx context.Context, op OpID, s state) (done bool, e Entry, err error) {
+	revision, err := op.Revision()
+	if err != nil {
+		return true, e, err
+	}
+	outcome, landed, err := c.resolve(ctx, op, revision, s.head)
+	switch {
+	case err != nil:
+		return true, e, err
+	case outcome == OutcomeAccepted:
+		return true, landed.Entry, nil
+	case outcome == OutcomeRefused:
+		return true, e, conflict(landed, s.head)
+	case s.revision()+1 != revision:
+		return true, e, result.Errorf(result.BrokenAudit, "operation %s is for revision %d and the head is at %d only; the store was set back", op, revision, s.revision())
+	}
+	return false, e, nil
+}
+
+// resolve applies Resolve, reading the kept entry if that is needed.
+func (c *Client) resolve(ctx context.Context, op OpID, revision uint64, head *Head) (Outcome, *Head, error) {
+	outcome := Resolve(op, revision, head, nil)
+	if outcome != OutcomeNeedKept {
+		return outcome, head, nil
+	}
+	kept, err := c.readKept(ctx, revision)
+	if err != nil {
+		return outcome, nil, err
+	}
+	if kept == nil {
+		return outcome, nil, result.Errorf(result.BrokenAudit, "the head is at revision %d and revision %d is not kept", head.Entry.Revision, revision)
+	}
+	return Resolve(op, revision, head, kept), kept, nil
+}
+
+// conflict tells what came first. now is the head, if it is known to be later.
+func conflict(winner, now *Head) error {
+	w := &winner.Entry
+	text := "revision %d came first: %s of %s by %s at %s, because %q"
+	args := []any{w.Revision, w.Action, w.subject(), w.Person, w.At.Format("2006-01-02 15:04:05 MST"), w.Reason}
+	if now != nil && now.Entry.Revision > w.Revision {
+		text += "; the head is at revision %d by now"
+		args = append(args, now.Entry.Revision)
+	}
+	return result.Errorf(result.Conflict, text+"; look at it with audit and decide anew", args...)
+}
+
+// subject is the digest that the change was about.
+func (e *Entry) subject() string {
+	if e.Action == ActionRecall {
+		return e.Recalled
+	}
+	return e.Digest
+}
+
+// keepEntry keeps the head's entry under its own name.
+func (c *Client) keepEntry(ctx context.Context, h *Head) error {
+	if h == nil {
+		return nil
+	}
+	name := AuditName(c.opts.Deployment, h.Entry.Revision)
+	return c.keep(ctx, KindAudit, name, h.Signed.Bytes(), func(existing []byte) bool {
+		return sameSigned(existing, h.Hash)
+	})
+}
+
+func sameSigned(raw []byte, hash string) bool {
+	s, err := bundle.ParseSigned(raw)
+	return err == nil && s.Hash() == hash
+}
+
+// checkNotSetBack refuses to build on a head that the chain is already past.
+// It happens when the store was restored from an earlier copy: VMs would
+// ignore the new revision, since they have a higher one in force.
+func (c *Client) checkNotSetBack(ctx context.Context, s state) error {
+	kept, err := c.readKept(ctx, s.revision()+1)
+	if err != nil || kept == nil {
+		return err
+	}
+	// The head may have moved on since it was read; then the write will find out.
+	now, err := c.readState(ctx)
+	if err != nil || now.version != s.version {
+		return err
+	}
+	return result.Errorf(result.BrokenAudit, "the head is at revision %d, but revision %d is kept already; the store was set back", s.revision(), kept.Entry.Revision)
+}
+
+// writeHead replaces the head and returns what landed. A write whose answer was
+// lost, and a conflict, which may speak of an own earlier try, are resolved by
+// the operation id in what stands there.
+func (c *Client) writeHead(ctx context.Context, base state, e Entry) (*Head, error) {
+	signed := signEntry(e, c.opts.Key)
+	maybeSent := false
+	for try := 0; ; try++ {
+		err := c.put(ctx, KindHead, c.opts.Deployment, base.version, signed.Bytes())
+		switch {
+		case err == nil:
+			return &Head{Entry: e, Signed: signed, Hash: signed.Hash()}, nil
+		case errors.Is(err, platform.ErrTooLarge):
+			return nil, result.Wrap(result.BundleTooLarge, err, "nothing was written")
+		case errors.Is(err, platform.ErrBusy):
+		default:
+			maybeSent = true
+			landed, err := c.settle(ctx, e)
+			if landed != nil || err != nil {
+				return landed, err
+			}
+		}
+		if ctx.Err() != nil {
+			return nil, c.givenUp(maybeSent, e.Op, err)
+		}
+		c.opts.Pause(ctx, try)
+	}
+}
+
+// givenUp is the error of an operation that ran out of patience.
+func (c *Client) givenUp(maybeSent bool, op OpID, err error) error {
+	if maybeSent {
+		return result.Errorf(result.WriteUnknown, "run the same command again with --op %s to learn the outcome", op)
+	}
+	return result.Wrap(result.PlatformDown, err, "nothing was changed")
+}
+
+// settle reads what became of the entry: the head that it landed as, a
+// conflict, or neither while that is open, which it also is while the platform
+// can't be read. What landed may differ from e in its time of signing, when an
+// earlier run with the same operation id wrote it.
+func (c *Client) settle(ctx context.Context, e Entry) (*Head, error) {
+	now, err := c.readState(ctx)
+	if err != nil {
+		return nil, nil
+	}
+	outcome, landed, err := c.resolve(ctx, e.Op, e.Revision, now.head)
+	switch {
+	case result.Of(err) == result.BrokenAudit:
+		return nil, err
+	case err != nil || outcome == OutcomeOpen:
+		return nil, nil
+	case outcome == OutcomeAccepted:
+		return landed, nil
+	}
+	return nil, conflict(landed, now.head)
+}
+
+// keepSoon keeps an accepted entry at once. If it fails, whoever advances the
+// head next does it.
+func (c *Client) keepSoon(ctx context.Context, h *Head) {
+	_ = c.put(ctx, KindAudit, AuditName(c.opts.Deployment, h.Entry.Revision), 0, h.Signed.Bytes())
+}
--- /dev/null
+++ b/rollout/audit.go
@@ -0,0 +1,86 @@
+package rollout
+
+import (
+	"context"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Audit is the chain of accepted changes, oldest first, verified.
+type Audit struct {
+	Entries []Entry
+	// Head is the revision of the head object; the last entry is its own.
+	Head uint64
+}
+
+// Audit reads the whole chain and verifies that it is unbroken: every revision
+// from 1 to the head's, each entry signed and naming the hash of the one
+// before, the last one equal to the head. Its error has code BrokenAudit if
+// it is not.
+func (c *Client) Audit(ctx context.Context) (Audit, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	// The head is read first: entries that are kept meanwhile lie beyond it.
+	s, err := c.readState(ctx)
+	if err != nil {
+		return Audit{}, err
+	}
+	objects, err := c.list(ctx, KindAudit, c.opts.Deployment+".")
+	if err != nil {
+		return Audit{}, err
+	}
+	kept := make([]*Head, 0, len(objects)+1)
+	for _, obj := range objects {
+		h, err := openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true)
+		if err != nil {
+			return Audit{}, result.Wrap(result.BrokenAudit, err, "entry "+obj.Name)
+		}
+		if obj.Name != AuditName(c.opts.Deployment, h.Entry.Revision) {
+			return Audit{}, result.Errorf(result.BrokenAudit, "entry %s holds revision %d", obj.Name, h.Entry.Revision)
+		}
+		kept = append(kept, h)
+	}
+	chain, err := VerifyChain(s.head, kept)
+	if err != nil {
+		return Audit{}, err
+	}
+	a := Audit{Head: s.revision(), Entries: make([]Entry, 0, len(chain))}
+	for _, h := range chain {
+		a.Entries = append(a.Entries, h.Entry)
+	}
+	return a, nil
+}
+
+// VerifyChain checks the kept entries, in order, against the head that was
+// read before them, and returns the chain up to the head. Entries past the head
+// were accepted since; they have to continue the chain too.
+func VerifyChain(head *Head, kept []*Head) ([]*Head, error) {
+	if head == nil {
+		// Accepted since the head was read, or the head was lost.
+		if len(kept) > 1 {
+			return nil, result.Errorf(result.BrokenAudit, "%d entries are kept and there is no head", len(kept))
+		}
+		return nil, nil
+	}
+	all := kept
+	if uint64(len(kept)) == head.Entry.Revision-1 {
+		all = append(append([]*Head{}, kept...), head)
+	}
+	if uint64(len(all)) < head.Entry.Revision {
+		return nil, result.Errorf(result.BrokenAudit, "the head is at revision %d and %d entries are kept", head.Entry.Revision, len(kept))
+	}
+	prev := ""
+	for i, h := range all {
+		if h.Entry.Revision != uint64(i+1) {
+			return nil, result.Errorf(result.BrokenAudit, "revision %d is missing, %d follows", i+1, h.Entry.Revision)
+		}
+		if h.Entry.Prev != prev {
+			return nil, result.Errorf(result.BrokenAudit, "revision %d does not follow from revision %d as kept", i+1, i)
+		}
+		prev = h.Hash
+	}
+	if all[head.Entry.Revision-1].Hash != head.Hash {
+		return nil, result.Errorf(result.BrokenAudit, "revision %d as kept is not the head's", head.Entry.Revision)
+	}
+	return all[:head.Entry.Revision], nil
+}
--- /dev/null
+++ b/rollout/bundles.go
@@ -0,0 +1,232 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Push writes a bundle to the platform and returns its digest. Pushing the
+// same bytes again is harmless.
+func (c *Client) Push(ctx context.Context, data []byte) (string, error) {
+	if c.opts.Key == nil {
+		return "", result.Errorf(result.BadSettings, "a push needs the author's private key; pass --key or make one with keygen")
+	}
+	signed, err := bundle.Package(data, c.opts.Key)
+	if err != nil {
+		return "", err
+	}
+	b, _ := bundle.Parse(data)
+	if b.Deployment != c.opts.Deployment {
+		return "", result.Errorf(result.BadBundle, "$.deployment: found %q, allowed is %q", b.Deployment, c.opts.Deployment)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	digest := bundle.Digest(data)
+	err = c.keep(ctx, KindBundle, digest, signed.Bytes(), func(existing []byte) bool {
+		_, err := c.opts.Keys.Open(existing, digest)
+		return err == nil
+	})
+	return digest, err
+}
+
+// Load reads a bundle from the platform and verifies it.
+func (c *Client) Load(ctx context.Context, digest string) (*bundle.Bundle, error) {
+	raw, err := c.loadRaw(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	return c.opts.Keys.Open(raw, digest)
+}
+
+// LoadBytes returns the bytes of a verified bundle as its author wrote them.
+func (c *Client) LoadBytes(ctx context.Context, digest string) ([]byte, error) {
+	raw, err := c.loadRaw(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.opts.Keys.Open(raw, digest); err != nil {
+		return nil, err
+	}
+	signed, err := bundle.ParseSigned(raw)
+	return signed.Payload, err
+}
+
+func (c *Client) loadRaw(ctx context.Context, digest string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	obj, err := c.get(ctx, KindBundle, digest)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, result.Errorf(result.NotFound, "no bundle %s; list them with bundle list, or push it", digest)
+	}
+	return obj.Value, err
+}
+
+// Listed is one bundle on the platform.
+type Listed struct {
+	Digest     string `json:"digest"`
+	Deployment string `json:"deployment"`
+	Name       string `json:"name"`
+	Author     string `json:"author"`
+	Bytes      int    `json:"bytes"`
+	Fault      string `json:"fault,omitempty"` // why it cannot come into force
+}
+
+// List returns the bundles on the platform.
+func (c *Client) List(ctx context.Context) ([]Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	objects, err := c.list(ctx, KindBundle, "")
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Listed, 0, len(objects))
+	for _, obj := range objects {
+		row := Listed{Digest: obj.Name, Bytes: len(obj.Value)}
+		b, err := c.opts.Keys.Open(obj.Value, obj.Name)
+		if err != nil {
+			row.Fault = err.Error()
+		} else {
+			row.Deployment, row.Name, row.Author = b.Deployment, b.Name, b.Author
+		}
+		list = append(list, row)
+	}
+	return list, nil
+}
+
+// SignOff signs a bundle off, as somebody other than its author. The sign-off
+// counts until the bundle is recalled.
+func (c *Client) SignOff(ctx context.Context, digest, reason string) (bundle.SignOff, error) {
+	if c.opts.Key == nil {
+		return bundle.SignOff{}, result.Errorf(result.BadSettings, "a sign-off needs your private key; pass --key or make one with keygen")
+	}
+	b, err := c.Load(ctx, digest)
+	if err != nil {
+		return bundle.SignOff{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	s, err := c.readState(ctx)
+	if err != nil {
+		return bundle.SignOff{}, err
+	}
+	off := bundle.SignOff{
+		Deployment: c.opts.Deployment, Digest: digest, Person: c.opts.Key.Person,
+		After: s.revision(), At: c.opts.Now().UTC(), Reason: reason,
+	}
+	if err := b.CheckSignOff(off, digest); err != nil {
+		return off, err
+	}
+	signed := off.Sign(c.opts.Key)
+	if _, err := c.opts.Keys.OpenSignOff(signed); err != nil {
+		return off, err
+	}
+	name := fmt.Sprintf("%s.%s.%020d", digest, c.opts.Key.ID, off.After)
+	err = c.keep(ctx, KindSignOff, name, signed.Bytes(), func(existing []byte) bool {
+		old, err := bundle.ParseSigned(existing)
+		if err != nil {
+			return false
+		}
+		_, err = c.opts.Keys.OpenSignOff(old)
+		return err == nil
+	})
+	return off, err
+}
+
+// approved reads the bundle and the newest sign-off that counts for it.
+func (c *Client) approved(ctx context.Context, digest string) (Approved, error) {
+	b, err := c.Load(ctx, digest)
+	if err != nil {
+		return Approved{}, err
+	}
+	if b.Deployment != c.opts.Deployment {
+		return Approved{}, result.Errorf(result.BadBundle, "$.deployment: found %q, allowed is %q", b.Deployment, c.opts.Deployment)
+	}
+	objects, err := c.list(ctx, KindSignOff, digest+".")
+	if err != nil {
+		return Approved{}, err
+	}
+	best := Approved{Digest: digest, Name: b.Name}
+	found := false
+	refused := error(result.Errorf(result.NotSigned, "bundle %s has no sign-off; another person than %s signs it with sign", digest, b.Author))
+	for _, obj := range objects {
+		signed, err := bundle.ParseSigned(obj.Value)
+		if err != nil {
+			refused = err
+			continue
+		}
+		off, err := c.opts.Keys.OpenSignOff(signed)
+		if err == nil {
+			err = b.CheckSignOff(off, digest)
+		}
+		if err != nil {
+			refused = err
+			continue
+		}
+		if !found || off.After >= best.After {
+			best.SignOff, best.After, found = signed, off.After, true
+		}
+	}
+	if !found {
+		return best, refused
+	}
+	return best, nil
+}
+
+// Rollout puts a bundle that was signed off into force.
+func (c *Client) Rollout(ctx context.Context, digest string, ask Ask) (Entry, error) {
+	entry, err := c.advance(ctx, ask, func(ctx context.Context, head *Head, change Change) (Entry, error) {
+		b, err := c.approved(ctx, digest)
+		if err != nil {
+			return Entry{}, err
+		}
+		return NextRollout(c.opts.Deployment, head, change, b)
+	})
+	return c.finish(ctx, entry, err, Refusal{Action: ActionRollout, Digest: digest}, ask)
+}
+
+// Recall takes a bundle back as a whole. If it is in force, the latest bundle
+// that was in force before and was not recalled takes its place.
+func (c *Client) Recall(ctx context.Context, digest string, ask Ask) (Entry, error) {
+	entry, err := c.advance(ctx, ask, func(ctx context.Context, head *Head, change Change) (Entry, error) {
+		if head == nil || digest != head.Entry.Digest {
+			return NextRecall(head, change, digest, nil)
+		}
+		fallback, err := c.fallback(ctx, head, digest)
+		if err != nil {
+			return Entry{}, err
+		}
+		return NextRecall(head, change, digest, fallback)
+	})
+	return c.finish(ctx, entry, err, Refusal{Action: ActionRecall, Digest: digest}, ask)
+}
+
+// fallback finds the bundle that takes the place of a recalled one: the latest
+// that VMs would take. One signed off by a key retired since is passed over.
+func (c *Client) fallback(ctx context.Context, head *Head, digest string) (*Approved, error) {
+	for _, past := range Fallbacks(head, digest) {
+		kept, err := c.readKept(ctx, past.Revision)
+		if err != nil {
+			return nil, err
+		}
+		if kept == nil {
+			return nil, result.Errorf(result.BrokenAudit, "revision %d is not kept", past.Revision)
+		}
+		off, err := c.opts.Keys.OpenSignOff(kept.Entry.SignOff)
+		if err != nil {
+			continue
+		}
+		if _, err := c.Load(ctx, past.Digest); err != nil {
+			if result.Of(err) == result.PlatformDown {
+				return nil, err
+			}
+			continue
+		}
+		return &Approved{Digest: past.Digest, Name: kept.Entry.Name, SignOff: kept.Entry.SignOff, After: off.After}, nil
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/rollout/client.go
@@ -0,0 +1,228 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// ClientOptions configures a Client. Zero values take the defaults.
+type ClientOptions struct {
+	Deployment string
+	Keys       *bundle.Keyring
+	Store      platform.Store
+	Key        *bundle.PrivateKey // needed for changes only
+	// Patience bounds how long one operation asks the platform again after
+	// failures; default 15 s.
+	Patience    time.Duration
+	CallTimeout time.Duration // of one call, default 3 s
+	// Pause waits between two tries; the default sleeps with jitter. Tests
+	// replace it.
+	Pause func(ctx context.Context, try int)
+	// Now is the operator's clock, default time.Now.
+	Now func() time.Time
+}
+
+// The defaults of ClientOptions.
+const (
+	DefaultPatience    = 15 * time.Second
+	DefaultCallTimeout = 3 * time.Second
+)
+
+// The bounds of the pause between two tries.
+const (
+	retryPauseMin = 20 * time.Millisecond
+	retryPauseMax = time.Second
+)
+
+// Client is the operators' side: it pushes and signs bundles, rolls them out
+// and recalls them, and reads the audit chain. Its errors carry result codes.
+type Client struct {
+	opts ClientOptions
+}
+
+// NewClient returns a client.
+func NewClient(opts ClientOptions) *Client {
+	setDefault(&opts.Patience, DefaultPatience)
+	setDefault(&opts.CallTimeout, DefaultCallTimeout)
+	if opts.Pause == nil {
+		opts.Pause = pauseWithJitter
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Client{opts: opts}
+}
+
+func pauseWithJitter(ctx context.Context, try int) {
+	pause := min(retryPauseMin<<min(try, 10), retryPauseMax)
+	timer := time.NewTimer(time.Duration(float64(pause) * (0.5 + rand.Float64())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// get reads one object, asking again until ctx ends. A missing object is an
+// answer: it returns platform.ErrNotFound.
+func (c *Client) get(ctx context.Context, kind, name string) (platform.Object, error) {
+	for try := 0; ; try++ {
+		call, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+		obj, err := c.opts.Store.Get(call, kind, name)
+		cancel()
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return obj, err
+		}
+		if ctx.Err() != nil {
+			return obj, result.Wrap(result.PlatformDown, err, "reading "+kind+"/"+name)
+		}
+		c.opts.Pause(ctx, try)
+	}
+}
+
+// list reads the objects of a kind whose names start with prefix.
+func (c *Client) list(ctx context.Context, kind, prefix string) ([]platform.Object, error) {
+	return c.listFrom(ctx, kind, prefix, prefix)
+}
+
+// listFrom reads the objects whose names follow after and start with prefix.
+func (c *Client) listFrom(ctx context.Context, kind, prefix, after string) ([]platform.Object, error) {
+	const pageSize = 100
+	var all []platform.Object
+	for {
+		page, err := c.page(ctx, kind, after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		for _, obj := range page.Objects {
+			if !hasPrefix(obj.Name, prefix) {
+				return all, nil
+			}
+			all = append(all, obj)
+			after = obj.Name
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return all, nil
+		}
+	}
+}
+
+func hasPrefix(s, prefix string) bool {
+	return len(s) >= len(prefix) && s[:len(prefix)] == prefix
+}
+
+func (c *Client) page(ctx context.Context, kind, after string, limit int) (platform.Page, error) {
+	for try := 0; ; try++ {
+		call, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+		page, err := c.opts.Store.List(call, kind, after, limit)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		if ctx.Err() != nil {
+			return page, result.Wrap(result.PlatformDown, err, "listing "+kind)
+		}
+		c.opts.Pause(ctx, try)
+	}
+}
+
+// keep creates an object that is written once. If it exists, same decides
+// whether it is the one meant. Writing twice is harmless, so a lost answer is
+// resolved by asking again.
+func (c *Client) keep(ctx context.Context, kind, name string, value []byte, same func(existing []byte) bool) error {
+	if len(value) > platform.MaxValue {
+		return result.Errorf(result.BundleTooLarge, "%s/%s has %d bytes, allowed are %d; nothing was written", kind, name, len(value), platform.MaxValue)
+	}
+	for try := 0; ; try++ {
+		err := c.put(ctx, kind, name, 0, value)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrTooLarge) {
+			return result.Wrap(result.BundleTooLarge, err, "nothing was written")
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			obj, err := c.get(ctx, kind, name)
+			if err == nil && same(obj.Value) {
+				return nil
+			}
+			if err == nil {
+				return result.Errorf(result.BrokenAudit, "%s/%s exists with another content", kind, name)
+			}
+			if !errors.Is(err, platform.ErrNotFound) {
+				return err
+			}
+		}
+		if ctx.Err() != nil {
+			return result.Wrap(result.PlatformDown, err, "keeping "+kind+"/"+name)
+		}
+		c.opts.Pause(ctx, try)
+	}
+}
+
+func (c *Client) put(ctx context.Context, kind, name string, expect uint64, value []byte) error {
+	call, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	_, err := c.opts.Store.Put(call, kind, name, expect, value)
+	return err
+}
+
+// state is the head as read, with its version at the store.
+type state struct {
+	head    *Head // nil before the first rollout
+	raw     []byte
+	version uint64
+}
+
+func (s state) revision() uint64 {
+	if s.head == nil {
+		return 0
+	}
+	return s.head.Entry.Revision
+}
+
+// readState reads the head. Its signature may be by a key retired since: the
+// operator is about to replace it.
+func (c *Client) readState(ctx context.Context) (state, error) {
+	obj, err := c.get(ctx, KindHead, c.opts.Deployment)
+	if errors.Is(err, platform.ErrNotFound) {
+		return state{}, nil
+	}
+	if err != nil {
+		return state{}, err
+	}
+	head, err := openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true)
+	if err != nil {
+		return state{}, err
+	}
+	return state{head: head, raw: obj.Value, version: obj.Version}, nil
+}
+
+// readKept reads the entry kept under a revision, or nil if there is none.
+func (c *Client) readKept(ctx context.Context, revision uint64) (*Head, error) {
+	obj, err := c.get(ctx, KindAudit, AuditName(c.opts.Deployment, revision))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true)
+}
+
+// Head returns the entry in force, or nil before the first rollout.
+func (c *Client) Head(ctx context.Context) (*Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	s, err := c.readState(ctx)
+	if err != nil || s.head == nil {
+		return nil, err
+	}
+	return &s.head.Entry, nil
+}
--- /dev/null
+++ b/rollout/keeper.go
@@ -0,0 +1,300 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// InForce is the bundle in force on a VM. It never changes; a query keeps the
+// pointer for its whole life and so lives under one revision.
+type InForce struct {
+	Revision uint64
+	Digest   string
+	Bundle   *bundle.Bundle
+	Since    time.Time // when it came into force on this VM
+
+	head *Head
+	raw  []byte // the packaged bundle, for peers
+}
+
+// Options configures a Keeper. Zero values take the defaults.
+type Options struct {
+	Deployment string
+	Keys       *bundle.Keyring
+	Store      platform.Store
+	Log        hclog.Logger
+	// Watch makes the VM watch the platform and re-read the head every
+	// RereadEvery; without it the VM re-reads every IdleEvery and is told by
+	// peers.
+	Watch       bool
+	RereadEvery time.Duration // default 1 s
+	IdleEvery   time.Duration // default 30 s
+	ReadTimeout time.Duration // of one read, default 5 s
+	WatchFor    time.Duration // of one watch, default 30 s
+}
+
+// The defaults of Options.
+const (
+	DefaultRereadEvery = time.Second
+	DefaultIdleEvery   = 30 * time.Second
+	DefaultReadTimeout = 5 * time.Second
+	DefaultWatchFor    = 30 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	setDefault(&o.RereadEvery, DefaultRereadEvery)
+	setDefault(&o.IdleEvery, DefaultIdleEvery)
+	setDefault(&o.ReadTimeout, DefaultReadTimeout)
+	setDefault(&o.WatchFor, DefaultWatchFor)
+	return o
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Keeper keeps the revision in force on one VM.
+type Keeper struct {
+	opts Options
+	tomb tomb.Tomb
+
+	current  atomic.Pointer[InForce]
+	contact  atomic.Int64 // unix nanoseconds of the last read that the platform answered
+	watching atomic.Bool
+	mode     chan struct{} // wakes the loops when watching changes
+	hint     chan struct{} // wakes the reader when a watch tells of a change
+	reads    chan struct{} // bounds the reads under way
+
+	// mu guards the fields below and orders changes of current. It is never
+	// held during I/O.
+	mu      sync.Mutex
+	changed chan struct{}
+	refused refusal
+}
+
+// refusal is the last head that was not taken, so that a bad head is logged
+// once and not at each read.
+type refusal struct {
+	hash string
+	err  error
+}
+
+// NewKeeper returns a keeper that has nothing in force yet.
+func NewKeeper(opts Options) *Keeper {
+	k := &Keeper{
+		opts:    opts.withDefaults(),
+		mode:    make(chan struct{}, 1),
+		hint:    make(chan struct{}, 1),
+		reads:   make(chan struct{}, maxReads),
+		changed: make(chan struct{}),
+	}
+	k.watching.Store(opts.Watch)
+	return k
+}
+
+// Start begins to follow the platform.
+func (k *Keeper) Start() {
+	k.tomb.Go(func() error {
+		k.tomb.Go(k.readLoop)
+		k.tomb.Go(k.watchLoop)
+		return nil
+	})
+}
+
+// Stop ends the keeper and waits for its goroutines, at most until ctx ends.
+func (k *Keeper) Stop(ctx context.Context) error {
+	k.tomb.Kill(nil)
+	select {
+	case <-k.tomb.Dead():
+		return k.tomb.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Current returns what is in force, or nil before the first.
+func (k *Keeper) Current() *InForce { return k.current.Load() }
+
+// Revision returns the revision in force, or 0 before the first.
+func (k *Keeper) Revision() uint64 {
+	if cur := k.Current(); cur != nil {
+		return cur.Revision
+	}
+	return 0
+}
+
+// Changed returns a channel that is closed when something else comes into force.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// PlatformContact returns when the platform last answered a read of the head.
+func (k *Keeper) PlatformContact() time.Time {
+	ns := k.contact.Load()
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
+}
+
+// Head returns the signed head in force, for peers, or nil before the first.
+func (k *Keeper) Head() []byte {
+	if cur := k.Current(); cur != nil {
+		return cur.head.Signed.Bytes()
+	}
+	return nil
+}
+
+// RawBundle returns the packaged bundle of that digest if it is in force here.
+// Its receiver verifies it by itself.
+func (k *Keeper) RawBundle(digest string) ([]byte, bool) {
+	cur := k.Current()
+	if cur == nil || cur.Digest != digest {
+		return nil, false
+	}
+	return cur.raw, true
+}
+
+// Refusal returns why the last head that was offered is not in force, or nil.
+func (k *Keeper) Refusal() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.refused.err
+}
+
+// SetWatching chooses between watching the platform and relying on peers.
+func (k *Keeper) SetWatching(on bool) {
+	if k.watching.Swap(on) != on {
+		wake(k.mode)
+	}
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Fetch returns the packaged bundle of a digest.
+type Fetch func(ctx context.Context, digest string) ([]byte, error)
+
+// OfferHead takes a head that a peer handed over if it is higher than the one
+// in force, and fetches its bundle. It verifies as for the platform's, so a
+// peer can neither forge nor set back. A lower one is refused with StaleExchange.
+func (k *Keeper) OfferHead(ctx context.Context, raw []byte, fetch func(ctx context.Context, digest string) ([]byte, error)) error {
+	return k.offer(ctx, raw, fetch)
+}
+
+func (k *Keeper) offer(ctx context.Context, raw []byte, fetch Fetch) error {
+	h, err := openHead(raw, k.opts.Deployment, k.opts.Keys, false)
+	if err != nil {
+		k.refuse(bundle.Digest(raw), err)
+		return err
+	}
+	cur := k.Current()
+	switch Replaces(cur.headOrNil(), h) {
+	case VerdictSame:
+		return nil
+	case VerdictStale:
+		return result.Errorf(result.StaleExchange, "revision %d was offered, %d is in force", h.Entry.Revision, cur.Revision)
+	case VerdictFork:
+		err := result.Errorf(result.BrokenAudit, "revision %d was offered with another content than the one in force", h.Entry.Revision)
+		k.refuse(h.Hash, err)
+		return err
+	}
+	next, err := k.load(ctx, h, fetch)
+	if err != nil {
+		k.refuse(h.Hash, err)
+		return err
+	}
+	k.install(next)
+	return nil
+}
+
+func (f *InForce) headOrNil() *Head {
+	if f == nil {
+		return nil
+	}
+	return f.head
+}
+
+// load gets and verifies what h puts into force.
+func (k *Keeper) load(ctx context.Context, h *Head, fetch Fetch) (*InForce, error) {
+	digest := h.Entry.Digest
+	raw, held := k.RawBundle(digest)
+	if !held {
+		var err error
+		if raw, err = fetch(ctx, digest); err != nil {
+			return nil, err
+		}
+	}
+	b, err := verify(k.opts.Keys, h, raw)
+	if err != nil {
+		return nil, err
+	}
+	return &InForce{Revision: h.Entry.Revision, Digest: digest, Bundle: b, head: h, raw: raw}, nil
+}
+
+// verify checks everything that a bundle needs to come into force: its bytes,
+// its author, its checks, its deployment and a sign-off by another person that
+// no recall has voided.
+func verify(keys *bundle.Keyring, h *Head, raw []byte) (*bundle.Bundle, error) {
+	b, err := keys.Open(raw, h.Entry.Digest)
+	if err != nil {
+		return nil, err
+	}
+	if b.Deployment != h.Entry.Deployment {
+		return nil, result.Errorf(result.BadBundle, "$.deployment: found %q, allowed is %q", b.Deployment, h.Entry.Deployment)
+	}
+	off, err := keys.OpenSignOff(h.Entry.SignOff)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.CheckSignOff(off, h.Entry.Digest); err != nil {
+		return nil, err
+	}
+	return b, CheckRecalls(&h.Entry, off.After)
+}
+
+// install puts next into force unless something at least as high came first:
+// two offers may load their bundles at the same time and finish in any order.
+func (k *Keeper) install(next *InForce) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if Replaces(k.current.Load().headOrNil(), next.head) != VerdictTake {
+		return
+	}
+	next.Since = time.Now()
+	k.current.Store(next)
+	k.refused = refusal{}
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.opts.Log.Info("bundle in force", "revision", next.Revision, "digest", next.Digest, "name", next.Bundle.Name)
+}
+
+func (k *Keeper) refuse(hash string, err error) {
+	k.mu.Lock()
+	known := k.refused.hash == hash && k.refused.err.Error() == err.Error()
+	k.refused = refusal{hash: hash, err: err}
+	k.mu.Unlock()
+	if !known {
+		k.opts.Log.Error("head refused, the bundle in force stays", "revision", k.Revision(), "error", err)
+	}
+}
--- /dev/null
+++ b/rollout/refusal.go
@@ -0,0 +1,80 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Refusal is an attempt at a change that did not take effect. Refusals are no
+// part of the chain; they are kept beside it as far as the platform allows.
+type Refusal struct {
+	Deployment string      `json:"deployment"`
+	Op         OpID        `json:"op,omitempty"`
+	Action     Action      `json:"action"`
+	Digest     string      `json:"digest"`
+	Reason     string      `json:"reason"`
+	Person     string      `json:"person"`
+	At         time.Time   `json:"at"`
+	Code       result.Code `json:"code"`
+	Detail     string      `json:"detail"`
+}
+
+// refusalPatience bounds what a refused operator waits for the record.
+const refusalPatience = 2 * time.Second
+
+// finish records a refused attempt. An attempt with an unknown outcome, a dry
+// run and a platform that is down leave no refusal: nothing is known, was
+// tried or can be written.
+func (c *Client) finish(ctx context.Context, e Entry, err error, r Refusal, ask Ask) (Entry, error) {
+	if err == nil {
+		return e, nil
+	}
+	code := result.Of(err)
+	if ask.DryRun || c.opts.Key == nil || code == result.WriteUnknown || code == result.PlatformDown {
+		return e, err
+	}
+	r.Deployment, r.Person, r.Reason = c.opts.Deployment, c.opts.Key.Person, ask.Reason
+	r.Op, r.At = e.Op, c.opts.Now().UTC()
+	r.Code, r.Detail = code, err.Error()
+	payload, encodeErr := json.Marshal(r)
+	if encodeErr != nil {
+		return e, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, refusalPatience)
+	defer cancel()
+	signed := bundle.Sign(bundle.PurposeRefusal, payload, c.opts.Key)
+	name := fmt.Sprintf("%s.%020d.%s", r.Deployment, r.At.UnixNano(), signed.Hash()[:16])
+	// The answer to the operator does not depend on the record.
+	_ = c.keep(ctx, KindRefusal, name, signed.Bytes(), func([]byte) bool { return true })
+	return e, err
+}
+
+// Refusals returns the refused attempts of the deployment, oldest first.
+func (c *Client) Refusals(ctx context.Context) ([]Refusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
+	defer cancel()
+	objects, err := c.list(ctx, KindRefusal, c.opts.Deployment+".")
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Refusal, 0, len(objects))
+	for _, obj := range objects {
+		signed, err := bundle.ParseSigned(obj.Value)
+		if err != nil {
+			continue
+		}
+		if _, err := c.opts.Keys.VerifyOld(signed, bundle.PurposeRefusal); err != nil {
+			continue // not written by one of us
+		}
+		var r Refusal
+		if json.Unmarshal(signed.Payload, &r) == nil {
+			list = append(list, r)
+		}
+	}
+	return list, nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,8 @@
 	ID     string `json:"id"`
 	Person string `json:"person"`
 	Public string `json:"public"` // base64
+	// Retired keys still prove who wrote a bundle, but sign nothing into force.
+	Retired bool `json:"retired,omitempty"`
 }
 
 // Log governs the daemon's log.
