--- a/node/node.go
+++ b/node/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/base64"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -71,11 +69,11 @@
 		started:     time.Now(),
 		metrics:     metrics.NewSet(),
 	}
-	keys, err := keyring(set.OperatorKeys)
+	keys, err := bundle.NewKeyring(set.OperatorKeys...)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.store = platform.NewClient(platform.Options{Address: set.Platform.Address})
+	n.store = platform.NewClient(set.Platform.Address, platform.ClientOptions{})
 	n.keeper = rollout.NewKeeper(rollout.Options{
 		Deployment: set.Deployment,
 		Keys:       keys,
@@ -142,23 +140,6 @@
 	s.engine.TargetState(name, incarnation, state, at)
 }
 
-func keyring(keys []settings.OperatorKey) (*bundle.Keyring, error) {
-	list := make([]bundle.PublicKey, 0, len(keys))
-	for _, k := range keys {
-		raw, err := base64.StdEncoding.DecodeString(k.Public)
-		if err != nil {
-			return nil, errors.Annotatef(err, "operator key %q", k.ID)
-		}
-		list = append(list, bundle.PublicKey{
-			ID:      k.ID,
-			Person:  k.Person,
-			Public:  ed25519.PublicKey(raw),
-			Retired: k.Retired,
-		})
-	}
-	return bundle.NewKeyring(list...)
-}
-
 // Run serves until ctx ends, then leaves in order: readiness fails, callers are
 // asked to go elsewhere for the lame-duck time while requests are still served,
 // and only then the listeners close and what is in flight is waited for.
--- a/settings/load.go
+++ b/settings/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -19,8 +20,6 @@
 // MaxLameDuckMS bounds lame_duck_ms.
 const MaxLameDuckMS = 300_000
 
-const ed25519KeyLen = 32
-
 // Load reads and checks a settings file. The error names each field that is
 // amiss, what was found and what is allowed.
 func Load(path string) (*Settings, error) {
@@ -57,11 +56,8 @@
 	c.address("$.listen.ops", s.Listen.Ops)
 	c.address("$.listen.peers", s.Listen.Peers)
 	c.address("$.platform.address", s.Platform.Address)
-	for i, k := range s.OperatorKeys {
-		path := fmt.Sprintf("$.operator_keys[%d]", i)
-		c.filled(path+".id", k.ID)
-		c.filled(path+".person", k.Person)
-		c.base64(path+".public", k.Public, ed25519KeyLen, ed25519KeyLen)
+	if _, err := bundle.NewKeyring(s.OperatorKeys...); err != nil {
+		c.add("$.operator_keys", err.Error(), "distinct ids, each with a person and a base64 Ed25519 public key")
 	}
 	if len(s.OperatorKeys) == 0 {
 		c.add("$.operator_keys", "none", "at least one key")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,8 @@
 // before it can reach the platform. Everything else comes with the bundle.
 package settings
 
+import "github.com/bramleybarrow/bramleybarrow/bundle"
+
 // Settings is the JSON settings file of bramleyd.
 type Settings struct {
 	Name       string   `json:"name"` // of this VM, as in the platform's list
@@ -11,7 +13,7 @@
 	Platform   Platform `json:"platform"`
 	// OperatorKeys are the public keys whose signatures count. Two keys of one
 	// person are valid at once during a rotation.
-	OperatorKeys []OperatorKey `json:"operator_keys"`
+	OperatorKeys []bundle.PublicKey `json:"operator_keys"`
 	// FleetKeys are shared by the VMs of the deployment, newest first, in
 	// base64. Each proves membership; the first is offered.
 	FleetKeys  []string `json:"fleet_keys"`
@@ -31,15 +33,6 @@
 	Address string `json:"address"` // IP and port
 }
 
-// OperatorKey is a person's Ed25519 public key.
-type OperatorKey struct {
-	ID     string `json:"id"`
-	Person string `json:"person"`
-	Public string `json:"public"` // base64
-	// Retired keys still prove who wrote a bundle, but sign nothing into force.
-	Retired bool `json:"retired,omitempty"`
-}
-
 // Log governs the daemon's log.
 type Log struct {
 	Level string `json:"level"` // trace, debug, info, warn or error
