--- a/policy/query.go
+++ b/policy/query.go
@@ -231,10 +231,14 @@
 
 // Failed takes that an attempt ended without an answer.
 func (q *Query) Failed(now time.Time, id AttemptID, f Failure) []Action {
-	a := q.end(now, id, AttemptEnd{Refused: f.Refused, RetryAfter: f.RetryAfter})
+	gone := f.Reason == ReasonSnapshotGone
+	a := q.end(now, id, AttemptEnd{Refused: f.Refused, Gone: gone, RetryAfter: f.RetryAfter})
 	if a == nil || q.done {
 		return nil
 	}
+	if gone {
+		q.table.Lacks(a.replica, q.snapshot.Name, a.shard)
+	}
 	return q.conclude(now, q.afterFailure(now, a, f.Reason))
 }
 
--- /dev/null
+++ b/policy/query_test.go
@@ -0,0 +1,342 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// at returns a time n milliseconds after the tests' epoch.
+func at(n int) time.Time { return epoch.Add(time.Duration(n) * time.Millisecond) }
+
+// fleet is a table with one leaf per target, target t-S-R holding replica R of
+// shard S.
+type fleet struct {
+	shards, replicas int
+	table            *Table
+}
+
+func newFleet(shards, replicas int, seed uint64) *fleet {
+	f := &fleet{shards: shards, replicas: replicas, table: NewTable("a", rand.New(rand.NewPCG(seed, 1)))}
+	svc := &bundle.Service{Name: "s", Shards: shards, Drain: bundle.Drain{SuspectAfter: 2}}
+	f.each(func(name string, _ int) {
+		svc.Targets = append(svc.Targets, bundle.Target{Name: name, Zone: "a", Leaves: 1, Slots: 2})
+	})
+	f.table.Apply(svc)
+	f.table.Hedges.SetShare(0.05)
+	f.table.Retries.SetShare(0.1)
+	f.hold(0, "v1", 1, shards)
+	return f
+}
+
+func (f *fleet) each(do func(name string, shard int)) {
+	for s := range f.shards {
+		for r := range f.replicas {
+			do(targetName(s, r), s)
+		}
+	}
+}
+
+func targetName(shard, replica int) string { return fmt.Sprintf("t-%d-%d", shard, replica) }
+
+// hold makes every target report its shard of the named snapshots.
+func (f *fleet) hold(ms int, name string, seq int64, shards int) {
+	f.each(func(tname string, shard int) {
+		f.table.Status(tname, statusOf("i1", target.StateServing, target.Holding{
+			Snapshot: name, Seq: seq, Shards: shards, Shard: shard, Records: 100,
+		}), at(ms))
+	})
+}
+
+func statusOf(incarnation string, state target.State, list ...target.Holding) target.Status {
+	return target.Status{
+		Incarnation: incarnation,
+		State:       state,
+		Leaves:      []target.LeafStatus{{Leaf: 0, Holdings: list}},
+	}
+}
+
+func spec() Spec {
+	return Spec{Deadline: at(200), Need: 1, HedgeAt: 0.95, MaxAttempts: 3}
+}
+
+func sends(acts []Action) []Send {
+	var out []Send
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func outcome(acts []Action) *Outcome {
+	for _, a := range acts {
+		if f, ok := a.(Finish); ok {
+			return &f.Outcome
+		}
+	}
+	return nil
+}
+
+func answer(s Send) *target.LeafAnswer {
+	return &target.LeafAnswer{
+		Echo:     target.Echo{Attempt: int(s.Attempt), Shard: s.Shard, Snapshot: s.Snapshot},
+		Records:  100,
+		Complete: true,
+	}
+}
+
+// TestQueryInvariants drives queries through random orders of answers,
+// failures, refusals, index switches, drains and time.
+func TestQueryInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &driver{
+			t:      t,
+			f:      newFleet(rapid.IntRange(1, 6).Draw(t, "shards"), rapid.IntRange(1, 3).Draw(t, "replicas"), rapid.Uint64().Draw(t, "seed")),
+			flying: map[AttemptID]Send{},
+			sent:   map[int]int{},
+		}
+		d.q = NewQuery(spec(), d.f.table)
+		d.take(d.q.Start(at(0)))
+		for i := 0; i < 400 && d.out == nil; i++ {
+			d.step()
+		}
+		if d.out == nil {
+			t.Fatal("the query never finished")
+		}
+		d.checkOutcome()
+	})
+}
+
+type driver struct {
+	t      *rapid.T
+	f      *fleet
+	q      *Query
+	ms     int
+	flying map[AttemptID]Send
+	sent   map[int]int // attempts by shard in the present pass
+	pass   string      // snapshot of the present pass
+	out    *Outcome
+}
+
+func (d *driver) step() {
+	kinds := []string{"tick", "answer", "fail", "refuse", "switch", "drain", "lost"}
+	switch rapid.SampledFrom(kinds).Draw(d.t, "event") {
+	case "tick":
+		d.ms += rapid.IntRange(0, 30).Draw(d.t, "ms")
+		d.take(d.q.Tick(at(d.ms)))
+		if d.ms >= 200 && d.out == nil {
+			d.t.Fatal("a tick at the deadline did not finish the query")
+		}
+	case "answer":
+		d.pick(func(s Send) { d.take(d.q.Answered(at(d.ms), s.Attempt, answer(s))) })
+	case "fail":
+		d.pick(func(s Send) { d.take(d.q.Failed(at(d.ms), s.Attempt, Failure{Reason: ReasonBroken})) })
+	case "refuse":
+		d.pick(func(s Send) {
+			d.take(d.q.Failed(at(d.ms), s.Attempt, Failure{Reason: ReasonShed, Refused: true}))
+		})
+	case "switch":
+		d.f.hold(d.ms, "v2", 2, d.f.shards)
+	case "drain":
+		d.f.table.Drain(d.anyTarget(), "i1")
+	case "lost":
+		d.f.table.StatusFailed(d.anyTarget())
+	}
+}
+
+func (d *driver) anyTarget() string {
+	shard := rapid.IntRange(0, d.f.shards-1).Draw(d.t, "shard")
+	return targetName(shard, rapid.IntRange(0, d.f.replicas-1).Draw(d.t, "replica"))
+}
+
+func (d *driver) pick(do func(Send)) {
+	if len(d.flying) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(sortedKeys(d.flying)).Draw(d.t, "attempt")
+	s := d.flying[id]
+	delete(d.flying, id)
+	do(s)
+}
+
+func (d *driver) take(acts []Action) {
+	for _, act := range acts {
+		if d.out != nil {
+			d.t.Fatal("an action follows Finish")
+		}
+		switch a := act.(type) {
+		case Send:
+			d.checkSend(a)
+		case Cancel:
+			delete(d.flying, a.Attempt)
+		case Finish:
+			d.out = &a.Outcome
+		}
+	}
+}
+
+func (d *driver) checkSend(s Send) {
+	if s.Snapshot != d.pass {
+		for _, old := range d.flying {
+			if old.Snapshot != s.Snapshot {
+				d.t.Fatalf("attempt on %s while one on %s is in flight", s.Snapshot, old.Snapshot)
+			}
+		}
+		d.pass = s.Snapshot
+		d.sent = map[int]int{}
+	}
+	d.sent[s.Shard]++
+	if d.sent[s.Shard] > 3 {
+		d.t.Fatalf("%d attempts on shard %d", d.sent[s.Shard], s.Shard)
+	}
+	if d.f.table.targets[s.Replica.Target].draining() {
+		d.t.Fatal("an attempt went to a target that is leaving")
+	}
+	d.flying[s.Attempt] = s
+}
+
+func (d *driver) checkOutcome() {
+	c := d.out.Coverage
+	if len(d.flying) != 0 {
+		d.t.Fatal("attempts are in flight after Finish")
+	}
+	if c.Answered != len(d.out.Answers) || c.Answered+len(c.Gaps) != c.Shards {
+		d.t.Fatalf("coverage %+v does not add up to %d answers", c, len(d.out.Answers))
+	}
+	for _, a := range d.out.Answers {
+		if a.Snapshot != d.out.Snapshot.Name {
+			d.t.Fatalf("an answer of %s in an outcome of %s", a.Snapshot, d.out.Snapshot.Name)
+		}
+	}
+	for name, ts := range d.f.table.targets {
+		if ts.replicas[0].outstanding != 0 {
+			d.t.Fatalf("%s is left with %d calls outstanding", name, ts.replicas[0].outstanding)
+		}
+	}
+}
+
+// A caller sees a page that stops short although an older index is whole: the
+// index is being switched, and the new version has reached few replicas.
+func TestSnapshotChoicePrefersWholeOverNew(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, 2, 1)
+	both := func(shard int) []target.Holding {
+		return []target.Holding{
+			{Snapshot: "v1", Seq: 1, Shards: 4, Shard: shard, Records: 100},
+			{Snapshot: "v2", Seq: 2, Shards: 4, Shard: shard, Records: 100},
+		}
+	}
+	for shard := range 3 {
+		f.table.Status(targetName(shard, 0), statusOf("i1", target.StateServing, both(shard)...), at(1))
+	}
+	snap, _ := f.table.ChooseSnapshot(at(2))
+	g.Expect(snap.Name).To(Equal("v1"), "v2 lacks a shard")
+	f.table.Status(targetName(3, 0), statusOf("i1", target.StateServing, both(3)...), at(3))
+	snap, _ = f.table.ChooseSnapshot(at(4))
+	g.Expect(snap.Name).To(Equal("v2"), "v2 is whole and holds half of the replicas")
+}
+
+// A caller gets records of two index versions in one answer: a leaf drops the
+// old version beneath the query, and the retry reads the new one. The whole
+// query has to begin again instead.
+func TestSnapshotGoneRestartsTheWholeQuery(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, 1, 1)
+	q := NewQuery(spec(), f.table)
+	first := sends(q.Start(at(0)))
+	g.Expect(first).To(HaveLen(3))
+	q.Answered(at(1), first[0].Attempt, answer(first[0]))
+	f.hold(2, "v2", 2, 3)
+	again := sends(q.Failed(at(3), first[1].Attempt, Failure{Reason: ReasonSnapshotGone, Refused: true}))
+	g.Expect(again).To(HaveLen(3))
+	var last []Action
+	for _, s := range again {
+		g.Expect(s.Snapshot).To(Equal("v2"))
+		last = q.Answered(at(5), s.Attempt, answer(s))
+	}
+	out := outcome(last)
+	g.Expect(out.Coverage.Whole()).To(BeTrue())
+	g.Expect(out.Snapshot.Name).To(Equal("v2"))
+	g.Expect(out.Restarts).To(Equal(1))
+}
+
+// A caller that needs everything waits until its time limit although a shard
+// is lost for good. It has to hear so at once.
+func TestGivenUpQueryEndsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 1, 1)
+	q := NewQuery(spec(), f.table)
+	s := sends(q.Start(at(0)))
+	f.table.StatusFailed(targetName(0, 0))
+	f.table.StatusFailed(targetName(0, 0))
+	out := outcome(q.Failed(at(1), s[0].Attempt, Failure{Reason: ReasonBroken}))
+	g.Expect(out).NotTo(BeNil())
+	g.Expect(out.End).To(Equal(EndGivenUp))
+	g.Expect(out.Coverage.Missing).To(Equal(int64(200)), "neither shard was read")
+}
+
+// A leaf says that it left records out; the caller is told the answer is whole.
+func TestIncompleteLeafCountsAsMissing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 1, 1)
+	q := NewQuery(spec(), f.table)
+	s := sends(q.Start(at(0)))
+	a := answer(s[0])
+	a.Complete = false
+	a.Missing = 25
+	q.Answered(at(1), s[0].Attempt, a)
+	out := outcome(q.Answered(at(2), s[1].Attempt, answer(s[1])))
+	g.Expect(out.Coverage.Whole()).To(BeFalse())
+	g.Expect(out.Coverage.Missing).To(Equal(int64(25)))
+	g.Expect(out.Coverage.Ratio()).To(BeNumerically("~", 0.875, 1e-9))
+}
+
+// A drained target gets new work again: a late status of the same incarnation
+// still says that it serves. Only a new incarnation may clear the drain.
+func TestDrainSticksToIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 1, 1)
+	name := targetName(0, 0)
+	hold := target.Holding{Snapshot: "v1", Seq: 1, Shards: 1, Records: 1}
+	g.Expect(f.table.Drain(name, "i1")).To(BeTrue())
+	f.table.Status(name, statusOf("i1", target.StateServing, hold), at(1))
+	_, ok := f.table.Pick(at(2), "v1", 0, nil, false)
+	g.Expect(ok).To(BeFalse())
+	f.table.Status(name, statusOf("i2", target.StateServing, hold), at(3))
+	_, ok = f.table.Pick(at(4), "v1", 0, nil, false)
+	g.Expect(ok).To(BeTrue())
+}
+
+// Targets that are all slow get still more load from hedges. The budget is a
+// share of first attempts, whatever happens.
+func TestHedgesStayWithinBudget(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(10, 3, 1)
+	for i := range 100 {
+		f.table.Latency.Add(at(i%50), time.Millisecond)
+	}
+	first, hedges := 0, 0
+	for range 300 {
+		q := NewQuery(spec(), f.table)
+		s := sends(q.Start(at(0)))
+		first += len(s)
+		for i := range 8 {
+			q.Answered(at(1), s[i].Attempt, answer(s[i]))
+		}
+		hedges += len(sends(q.Tick(at(40))))
+		q.Abandon(at(41))
+	}
+	g.Expect(hedges).To(BeNumerically(">", 0))
+	g.Expect(hedges).To(BeNumerically("<=", 0.05*float64(first)+budgetBurst))
+}
--- a/policy/table.go
+++ b/policy/table.go
@@ -276,6 +276,20 @@
 	}
 }
 
+// Lacks takes a leaf's word that it does not hold a shard of a snapshot, which
+// comes earlier than its next status.
+func (t *Table) Lacks(id ReplicaID, snapshot string, shard int) {
+	r := t.replica(id)
+	key := holdingKey{snapshot, shard}
+	if r == nil {
+		return
+	}
+	if _, ok := r.holdings[key]; ok {
+		delete(r.holdings, key)
+		t.index()
+	}
+}
+
 // Limits of the reaction to failures of a replica.
 const (
 	latencyWeight  = 0.2 // of a new sample in a replica's smoothed latency
@@ -301,6 +315,8 @@
 	case end.Cancelled:
 		// A loser of a hedge was at least this slow.
 		r.smooth(max(end.Took, r.latency))
+	case end.Gone:
+		r.failures = 0
 	case end.Refused:
 		r.backoff = later(r.backoff, now.Add(max(end.RetryAfter, baseBackoff)))
 	default:
@@ -339,6 +355,7 @@
 	Answered   bool
 	Cancelled  bool          // by this VM, while still running
 	Refused    bool          // by the target, which did not start it
+	Gone       bool          // refused only because the leaf lacks the snapshot
 	RetryAfter time.Duration // stated with a refusal
 	Took       time.Duration
 }
