--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -188,9 +188,7 @@
 	if set.Log.Level == "" {
 		set.Log.Level = "info"
 	}
-	for _, k := range f.ring.Keys() {
-		set.OperatorKeys = append(set.OperatorKeys, settings.OperatorKey{ID: k.ID, Person: k.Person, Public: k.Public})
-	}
+	set.OperatorKeys = append(set.OperatorKeys, f.ring.Keys()...)
 	if o.Change != nil {
 		o.Change(set)
 	}
