Bench of the query path in the shapes of both deployments

bramley-lab bench starts real processes, drives the same Poisson arrivals at the adaptive and the plain policy in turn, and prints a table. Latency counts from the intended send time; complete answers are held against what the stand-ins hold.

--- /dev/null
+++ b/cmd/bramley-lab/bench.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/bench"
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measure the query path in the shapes of both deployments",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Usage: "path of bramleyd; beside this program if empty"},
+			&cli.StringSliceFlag{Name: "shape", Usage: "only this deployment; may be repeated"},
+			&cli.StringSliceFlag{Name: "scenario", Usage: "only this scenario; may be repeated"},
+			&cli.DurationFlag{Name: "window", Value: 5 * time.Second, Usage: "of one measurement"},
+			&cli.IntFlag{Name: "rounds", Value: 4, Usage: "windows for each scenario and policy"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of arrivals and queries"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			self, err := os.Executable()
+			if err != nil {
+				return errors.Trace(err)
+			}
+			daemon := cmd.String("daemon")
+			if daemon == "" {
+				daemon = filepath.Join(filepath.Dir(self), "bramleyd")
+			}
+			return bench.Run(ctx, bench.Options{
+				Daemon: daemon, Lab: self,
+				Shapes: cmd.StringSlice("shape"), Scenarios: cmd.StringSlice("scenario"),
+				Window: cmd.Duration("window"), Rounds: cmd.Int("rounds"), Seed: cmd.Uint64("seed"),
+				Out: os.Stdout, Progress: os.Stderr,
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/bench/run.go
@@ -0,0 +1,164 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+)
+
+// Options of a run.
+type Options struct {
+	Daemon    string   // path of bramleyd
+	Lab       string   // path of bramley-lab
+	Shapes    []string // names; all if empty
+	Scenarios []string // names; all if empty
+	Window    time.Duration
+	Rounds    int
+	Seed      uint64
+	Out       io.Writer
+	Progress  io.Writer
+}
+
+// settle is the pause after a window, for what it started to end.
+const settle = 1500 * time.Millisecond
+
+// Row is one line of the table.
+type Row struct {
+	Scenario string
+	Policy   string
+	Sample   *Sample
+	usage    usage
+}
+
+// Run measures each shape and prints its table.
+func Run(ctx context.Context, o Options) error {
+	fmt.Fprintf(o.Out, "%d processors, %s; windows of %v, %d rounds for each policy in turn, seed %d, service time %d ms\n",
+		runtime.NumCPU(), runtime.Version(), o.Window, o.Rounds, o.Seed, baseMS)
+	for _, shape := range Shapes {
+		if !wanted(o.Shapes, shape.Name) {
+			continue
+		}
+		rows, err := measure(ctx, o, shape)
+		if err != nil {
+			return errors.Annotate(err, shape.Name)
+		}
+		printTable(o.Out, shape, rows)
+	}
+	return nil
+}
+
+func wanted(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return len(names) == 0
+}
+
+func measure(ctx context.Context, o Options, shape Shape) ([]*Row, error) {
+	dir, err := os.MkdirTemp("", "bramley-bench-")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer os.RemoveAll(dir)
+	d, err := startDeployment(ctx, shape, fleet.Options{Daemon: o.Daemon, Lab: o.Lab, Dir: dir, Deployment: shape.Name})
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	l := newLoader(d.callers(), time.Duration(shape.TimeLimitMS)*time.Millisecond, d.truths)
+	defer l.client.CloseIdleConnections()
+	for _, policy := range []string{adaptive, plain} { // warm up, not counted
+		l.run(ctx, d.streams(Scenarios[0]), policy, o.Window, o.Seed)
+	}
+	var rows []*Row
+	for _, s := range Scenarios {
+		if !wanted(o.Scenarios, s.Name) {
+			continue
+		}
+		fmt.Fprintf(o.Progress, "%s: %s\n", shape.Name, s.Name)
+		pair, err := compare(ctx, o, d, l, s)
+		if err != nil {
+			return nil, errors.Annotatef(err, "%s, logs:\n%s", s.Name, d.fleet.Logs(3))
+		}
+		rows = append(rows, pair...)
+	}
+	return rows, nil
+}
+
+// compare runs the policies in turn, each with the same arrivals; who is first
+// changes with each round.
+func compare(ctx context.Context, o Options, d *deployment, l *loader, s Scenario) ([]*Row, error) {
+	rows := []*Row{
+		{Scenario: s.Name, Policy: adaptive, Sample: newSample()},
+		{Scenario: s.Name, Policy: plain, Sample: newSample()},
+	}
+	for round := range o.Rounds {
+		for k := range rows {
+			row := rows[(round+k)%len(rows)]
+			sample, spent, err := window(ctx, o, d, l, s, row.Policy, round)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			row.Sample.add(sample)
+			row.usage = row.usage.plus(spent)
+		}
+	}
+	return rows, nil
+}
+
+// window measures one policy for one window.
+func window(ctx context.Context, o Options, d *deployment, l *loader, s Scenario, policy string, round int) (*Sample, usage, error) {
+	if s.Begin != nil {
+		if err := s.Begin(d); err != nil {
+			return nil, usage{}, errors.Trace(err)
+		}
+	}
+	before, err := d.usage()
+	if err != nil {
+		return nil, usage{}, err
+	}
+	acted := make(chan error, 1)
+	go func() {
+		if s.During == nil {
+			acted <- nil
+			return
+		}
+		acted <- s.During(ctx, d, o.Window, round)
+	}()
+	sample := l.run(ctx, d.streams(s), policy, o.Window, o.Seed+uint64(round))
+	if err := <-acted; err != nil {
+		return nil, usage{}, errors.Trace(err)
+	}
+	pause(ctx, settle/3)
+	after, err := d.usage()
+	if err != nil {
+		return nil, usage{}, err
+	}
+	if s.End != nil {
+		if err := s.End(d); err != nil {
+			return nil, usage{}, errors.Trace(err)
+		}
+	}
+	if err := d.waitWhole(ctx); err != nil {
+		return nil, usage{}, errors.Trace(err)
+	}
+	pause(ctx, settle)
+	return sample, after.minus(before), nil
+}
+
+func (d *deployment) streams(s Scenario) []stream {
+	var out []stream
+	for _, g := range d.groups {
+		out = append(out, stream{service: g.Service, rate: g.capacity(s.serviceMS()) * s.Load})
+	}
+	return out
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -89,6 +89,9 @@
 	return b.String()
 }
 
+// Platform returns the platform once it was started.
+func (f *Fleet) Platform() *Platform { return f.platform }
+
 // Key returns the private key of Author or Signer.
 func (f *Fleet) Key(person string) *bundle.PrivateKey { return f.keys[person] }
 
