Decisions: constant work per event, incremental lists of holders

Cause: a query of 320 shards spent 12.7 ms in its decisions: each event looked at every shard (survey, coverage, wake) and each attempt walked the latency histogram; a changed status rebuilt the lists of all holders. Ruled out: the lock, since the benchmark runs alone.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -130,12 +130,13 @@
 	if s == nil {
 		return ReplicaID{}, false
 	}
-	var usable []*replica
+	usable := t.scratch[:0]
 	for _, r := range s.holders[shard] {
 		if t.accepts(r, now, idle) && !slices.Contains(tried, r.id) {
 			usable = append(usable, r)
 		}
 	}
+	t.scratch = usable
 	if len(usable) == 0 {
 		return ReplicaID{}, false
 	}
--- a/policy/coverage.go
+++ b/policy/coverage.go
@@ -80,10 +80,28 @@
 // counts by the share of its records that were read, and as nothing if that is
 // not known.
 func (c Coverage) Ratio() float64 {
-	if c.Shards == 0 {
+	return ratio(c.Answered, c.partial, c.Shards)
+}
+
+func ratio(full int, partial float64, shards int) float64 {
+	if shards == 0 {
 		return 0
 	}
-	return (float64(c.Answered) + c.partial) / float64(c.Shards)
+	return (float64(full) + partial) / float64(shards)
+}
+
+// readShare tells what an answer adds to the coverage: one full shard, or the
+// share that was read of a shard that answered in part. A leaf's statement that
+// it left records out is no better than what it adds up to: a count of missing
+// records that is not positive, or exceeds what the shard holds, says nothing.
+func readShare(a *target.LeafAnswer) (full int, share float64) {
+	if a.Complete {
+		return 1, 0
+	}
+	if a.Missing <= 0 || a.Missing > a.Records {
+		return 0, 0
+	}
+	return 0, float64(a.Records-a.Missing) / float64(a.Records)
 }
 
 // Whole reports whether no record is missing.
@@ -116,16 +134,13 @@
 	c.addGap(ShardGap{Shard: shard, Reason: reason, Missing: n, MissingKnown: known})
 }
 
-// addIncomplete takes a leaf's own statement that it left records out. Its
-// statement is no better than what it adds up to: a count of missing records
-// that is not positive, or exceeds what the shard holds, says nothing.
 func (c *Coverage) addIncomplete(shard int, a *target.LeafAnswer) {
 	gap := ShardGap{Shard: shard, Reason: ReasonIncomplete}
-	if a.Missing > 0 && a.Missing <= a.Records {
+	if _, share := readShare(a); share > 0 || a.Missing == a.Records && a.Records > 0 {
 		gap.Missing = a.Missing
 		gap.MissingKnown = true
 		c.Records += a.Records - a.Missing
-		c.partial += float64(a.Records-a.Missing) / float64(a.Records)
+		c.partial += share
 	}
 	c.addGap(gap)
 }
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -21,6 +21,7 @@
 	rotated time.Time
 	merged  *hdrhistogram.Histogram // of all windows; nil after a change
 	cached  time.Time
+	known   map[float64]time.Duration // quantiles of merged already looked up
 }
 
 // NewLatency returns an empty record.
@@ -46,8 +47,12 @@
 	if l.merged.TotalCount() < latencyMinCount {
 		return 0, false
 	}
-	us := l.merged.ValueAtQuantile(q * 100)
-	return time.Duration(us) * time.Microsecond, true
+	if d, ok := l.known[q]; ok {
+		return d, true
+	}
+	d := time.Duration(l.merged.ValueAtQuantile(q*100)) * time.Microsecond
+	l.known[q] = d
+	return d, true
 }
 
 // mergeEvery bounds how often the windows are added up: a merge costs far more
@@ -60,6 +65,7 @@
 	}
 	l.merged = l.hist.Merge()
 	l.cached = now
+	l.known = make(map[float64]time.Duration)
 }
 
 func (l *Latency) rotate(now time.Time) {
--- a/policy/query.go
+++ b/policy/query.go
@@ -66,6 +66,13 @@
 	enoughAt time.Time // when the needed coverage was reached
 	done     bool
 
+	// Kept up to date with each change of a shard, since a query of hundreds of
+	// shards cannot afford to look at all of them at each event.
+	phases  [phaseCount]int // shards in each phase
+	full    int             // shards that answered in full
+	partial float64         // shares read of shards that answered in part
+	wake    time.Time       // no later than anything that Tick has to do
+
 	sent, hedges, retries int
 	refused               int // attempts that a target refused to start
 }
@@ -76,6 +83,7 @@
 	flying  int // attempts in flight
 	sent    int
 	hedged  bool
+	phase   phase
 	reason  Reason    // of the last failure
 	pending time.Time // when to look for a replica again; zero: not waiting
 }
@@ -86,7 +94,38 @@
 	replica ReplicaID
 	sentAt  time.Time
 	expires time.Time
-	hedge   bool
+}
+
+// phase is how far a shard has come.
+type phase int
+
+const (
+	phaseOpen     phase = iota // may still answer
+	phaseAnswered              // has answered
+	phaseLost                  // cannot answer any more
+	phaseMoved                 // lost because no replica holds its snapshot now
+	phaseCount
+)
+
+func (s *shardState) findPhase() phase {
+	switch {
+	case s.answer != nil:
+		return phaseAnswered
+	case s.flying > 0 || !s.pending.IsZero():
+		return phaseOpen
+	case s.reason == ReasonSnapshotGone || s.reason == ReasonNoReplica:
+		return phaseMoved
+	default:
+		return phaseLost
+	}
+}
+
+// settle recounts a shard after a change.
+func (q *Query) settle(shard int) {
+	s := &q.shards[shard]
+	q.phases[s.phase]--
+	s.phase = s.findPhase()
+	q.phases[s.phase]++
 }
 
 // maxRestarts bounds how often a query begins again on another snapshot.
@@ -118,6 +157,10 @@
 	q.snapshot = snap
 	q.shards = make([]shardState, snap.Shards)
 	q.enoughAt = time.Time{}
+	q.phases = [phaseCount]int{phaseOpen: snap.Shards}
+	q.full = 0
+	q.partial = 0
+	q.wake = q.spec.Deadline
 	q.table.Hedges.First(snap.Shards)
 	q.table.Retries.First(snap.Shards)
 	var acts []Action
@@ -134,6 +177,7 @@
 	if !ok {
 		if !hedge {
 			q.wait(now, shard)
+			q.settle(shard)
 		}
 		return nil
 	}
@@ -143,9 +187,11 @@
 	s.flying++
 	q.next++
 	q.sent++
-	a := &attempt{id: q.next, shard: shard, replica: id, sentAt: now, hedge: hedge}
+	a := &attempt{id: q.next, shard: shard, replica: id, sentAt: now}
 	a.expires = now.Add(q.attemptTimeout(now))
 	q.attempts[a.id] = a
+	q.settle(shard)
+	q.wakeFor(now, a)
 	q.table.Begin(id)
 	return []Action{Send{
 		Attempt:  a.id,
@@ -184,6 +230,7 @@
 	}
 	s.reason = ReasonBusy
 	s.pending = at
+	q.wake = earlier(q.wake, at)
 }
 
 // The timeout of one attempt, so that a connection that went silent costs a
@@ -218,6 +265,10 @@
 	}
 	s.answer = answer
 	s.pending = time.Time{}
+	q.settle(a.shard)
+	full, share := readShare(answer)
+	q.full += full
+	q.partial += share
 	acts := q.cancelShard(now, a.shard)
 	return q.conclude(now, acts)
 }
@@ -248,6 +299,7 @@
 		return nil
 	}
 	s.reason = reason
+	q.settle(a.shard)
 	if s.flying > 0 {
 		return nil // the other attempt may still answer
 	}
@@ -278,6 +330,7 @@
 	e.Took = now.Sub(a.sentAt)
 	q.table.End(a.replica, e, now)
 	q.shards[a.shard].flying--
+	q.settle(a.shard)
 	return a
 }
 
@@ -311,6 +364,7 @@
 	acts := q.expire(now)
 	acts = append(acts, q.lookAgain(now)...)
 	acts = append(acts, q.hedge(now)...)
+	q.wake = q.nextWake(now)
 	return q.conclude(now, acts)
 }
 
@@ -385,47 +439,52 @@
 	return max(d, q.spec.HedgeMin), true
 }
 
-func (q *Query) unanswered() int {
-	n := 0
-	for i := range q.shards {
-		if q.shards[i].answer == nil {
-			n++
-		}
-	}
-	return n
-}
+func (q *Query) unanswered() int { return len(q.shards) - q.phases[phaseAnswered] }
 
-// hedgePoll is how soon a hedge that found no idle replica is tried again.
-const hedgePoll = 2 * time.Millisecond
+// hedgePoll is how soon a hedge that was due but not sent, for want of an idle
+// replica or of budget, is tried again.
+const hedgePoll = 5 * time.Millisecond
 
-// Wake returns when Tick has to be called next if nothing else happens.
-func (q *Query) Wake(now time.Time) time.Time {
-	wake := q.spec.Deadline
-	if !q.enoughAt.IsZero() {
-		wake = earlier(wake, q.enoughAt.Add(q.spec.Grace))
+// Wake returns when Tick has to be called next if nothing else happens. It may
+// be earlier than needed.
+func (q *Query) Wake() time.Time {
+	if q.enoughAt.IsZero() {
+		return q.wake
 	}
+	return earlier(q.wake, q.enoughAt.Add(q.spec.Grace))
+}
+
+// wakeFor moves the wake forward to what an attempt may need.
+func (q *Query) wakeFor(now time.Time, a *attempt) {
+	q.wake = earlier(q.wake, a.expires)
 	due, hedging := q.hedgeDelay(now)
+	if hedging && !q.shards[a.shard].hedged {
+		q.wake = earlier(q.wake, later(a.sentAt.Add(due), now.Add(hedgePoll)))
+	}
+}
+
+// nextWake looks at everything that Tick may have to do.
+func (q *Query) nextWake(now time.Time) time.Time {
+	q.wake = q.spec.Deadline
 	for _, a := range q.attempts {
-		wake = earlier(wake, a.expires)
-		if hedging && !q.shards[a.shard].hedged {
-			wake = earlier(wake, later(a.sentAt.Add(due), now.Add(hedgePoll)))
-		}
+		q.wakeFor(now, a)
 	}
 	for i := range q.shards {
 		if at := q.shards[i].pending; !at.IsZero() {
-			wake = earlier(wake, at)
+			q.wake = earlier(q.wake, at)
 		}
 	}
-	return wake
+	return q.wake
 }
 
 // conclude appends a Finish, or the start of another pass, where that is due.
 func (q *Query) conclude(now time.Time, acts []Action) []Action {
-	open, lost, moved := q.survey()
+	open := q.phases[phaseOpen]
+	lost := q.phases[phaseLost] + q.phases[phaseMoved]
 	switch {
 	case open == 0 && lost == 0:
 		return append(acts, q.finish(now, EndAnswered)...)
-	case moved && q.mayRestart(now):
+	case q.phases[phaseMoved] > 0 && q.mayRestart(now):
 		return append(acts, q.restart(now)...)
 	case open == 0:
 		return append(acts, q.finish(now, EndGivenUp)...)
@@ -438,25 +497,6 @@
 	return acts
 }
 
-// survey counts shards that may still answer and shards that cannot any more,
-// and tells whether one of the latter was lost because its snapshot is gone.
-func (q *Query) survey() (open, lost int, moved bool) {
-	for i := range q.shards {
-		s := &q.shards[i]
-		switch {
-		case s.answer != nil:
-		case s.flying > 0 || !s.pending.IsZero():
-			open++
-		default:
-			lost++
-			if s.reason == ReasonSnapshotGone || s.reason == ReasonNoReplica {
-				moved = true
-			}
-		}
-	}
-	return open, lost, moved
-}
-
 // best is the coverage that can still be reached with lost shards missing.
 func (q *Query) best(lost int) float64 {
 	return float64(len(q.shards)-lost) / float64(len(q.shards))
@@ -465,7 +505,7 @@
 // enough reports whether the needed coverage, short of all shards, is reached
 // and the grace has passed.
 func (q *Query) enough(now time.Time) bool {
-	if CoverageOf(q).Ratio() < q.spec.Need {
+	if ratio(q.full, q.partial, len(q.shards)) < q.spec.Need {
 		return false
 	}
 	if q.enoughAt.IsZero() {
@@ -499,8 +539,8 @@
 
 // stay goes on with the present snapshot without the shards that are lost.
 func (q *Query) stay(now time.Time) []Action {
-	open, lost, _ := q.survey()
-	if open == 0 || q.best(lost) < q.spec.Need {
+	lost := q.phases[phaseLost] + q.phases[phaseMoved]
+	if q.phases[phaseOpen] == 0 || q.best(lost) < q.spec.Need {
 		return q.finish(now, EndGivenUp)
 	}
 	if q.enough(now) {
--- a/policy/table.go
+++ b/policy/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
@@ -80,6 +81,7 @@
 	warmup    time.Duration
 	targets   map[string]*targetState
 	snapshots map[string]*snapshotState
+	scratch   []*replica // reused by Pick
 
 	Latency *Latency // of attempts that answered
 	Hedges  *Budget
@@ -108,7 +110,12 @@
 	for i := range svc.Targets {
 		spec := &svc.Targets[i]
 		named[spec.Name] = true
-		if known := t.targets[spec.Name]; known == nil || len(known.replicas) != spec.Leaves {
+		known := t.targets[spec.Name]
+		if known != nil && len(known.replicas) != spec.Leaves {
+			t.forget(known)
+			known = nil
+		}
+		if known == nil {
 			t.targets[spec.Name] = t.newTarget(spec)
 		}
 		for _, r := range t.targets[spec.Name].replicas {
@@ -116,12 +123,19 @@
 			r.sameZone = spec.Zone == t.zone
 		}
 	}
-	for name := range t.targets {
+	for name, ts := range t.targets {
 		if !named[name] {
+			t.forget(ts)
 			delete(t.targets, name)
 		}
 	}
-	t.index()
+}
+
+// forget takes a target's replicas out of the lists of holders.
+func (t *Table) forget(ts *targetState) {
+	for _, r := range ts.replicas {
+		t.hold(r, nil)
+	}
 }
 
 func (t *Table) newTarget(spec *bundle.Target) *targetState {
@@ -151,7 +165,6 @@
 	ts.lost = false
 	ts.failedReads = 0
 	ts.state = st.State
-	changed := false
 	for i := range st.Leaves {
 		leaf := &st.Leaves[i]
 		if leaf.Leaf < 0 || leaf.Leaf >= len(ts.replicas) {
@@ -161,13 +174,8 @@
 		r.reported = leaf.Load
 		r.reportedAt = now
 		r.ownAtLoad = r.outstanding
-		if r.hold(leaf.Holdings) {
-			changed = true
-		}
 		t.learnMaps(leaf.Holdings)
-	}
-	if changed {
-		t.index()
+		t.hold(r, leaf.Holdings)
 	}
 }
 
@@ -181,19 +189,46 @@
 	}
 }
 
-// hold replaces the leaf's holdings and reports whether they changed.
-func (r *replica) hold(list []target.Holding) bool {
+// hold replaces a leaf's holdings and keeps the lists of holders true. Only what
+// changed is touched: a status comes from every target at each interval, and
+// almost all of them repeat the last one.
+func (t *Table) hold(r *replica, list []target.Holding) {
 	next := make(map[holdingKey]struct{}, len(list))
-	changed := len(list) != len(r.holdings)
 	for _, h := range list {
 		key := holdingKey{h.Snapshot, h.Shard}
+		s := t.snapshots[h.Snapshot]
+		if s == nil || h.Shard < 0 || h.Shard >= s.shards {
+			continue
+		}
 		next[key] = struct{}{}
-		if _, ok := r.holdings[key]; !ok {
-			changed = true
+		if _, had := r.holdings[key]; !had {
+			s.holders[h.Shard] = append(s.holders[h.Shard], r)
+		}
+	}
+	for key := range r.holdings {
+		if _, has := next[key]; !has {
+			t.unlist(r, key)
 		}
 	}
 	r.holdings = next
-	return changed
+}
+
+// unlist takes a replica out of a list of holders, and drops the snapshot if
+// nobody holds any of it.
+func (t *Table) unlist(r *replica, key holdingKey) {
+	s := t.snapshots[key.snapshot]
+	if s == nil {
+		return
+	}
+	rest := slices.DeleteFunc(s.holders[key.shard], func(o *replica) bool { return o == r })
+	if len(rest) > 0 {
+		s.holders[key.shard] = rest
+		return
+	}
+	delete(s.holders, key.shard)
+	if len(s.holders) == 0 {
+		delete(t.snapshots, s.name)
+	}
 }
 
 // learnMaps takes the partition maps and sizes that a leaf states. The number
@@ -206,7 +241,11 @@
 		}
 		s := t.snapshots[h.Snapshot]
 		if s == nil {
-			s = &snapshotState{name: h.Snapshot, records: make(map[int]int64)}
+			s = &snapshotState{
+				name:    h.Snapshot,
+				records: make(map[int]int64),
+				holders: make(map[int][]*replica),
+			}
 			t.snapshots[h.Snapshot] = s
 		}
 		s.seq = max(s.seq, h.Seq)
@@ -215,27 +254,6 @@
 	}
 }
 
-// index rebuilds the lists of holders and drops snapshots that nobody holds.
-func (t *Table) index() {
-	for _, s := range t.snapshots {
-		s.holders = make(map[int][]*replica, s.shards)
-	}
-	for _, name := range sortedKeys(t.targets) {
-		for _, r := range t.targets[name].replicas {
-			for key := range r.holdings {
-				if s := t.snapshots[key.snapshot]; s != nil {
-					s.holders[key.shard] = append(s.holders[key.shard], r)
-				}
-			}
-		}
-	}
-	for name, s := range t.snapshots {
-		if len(s.holders) == 0 {
-			delete(t.snapshots, name)
-		}
-	}
-}
-
 // StatusFailed takes that a target's status could not be read.
 func (t *Table) StatusFailed(name string) {
 	ts := t.targets[name]
@@ -286,7 +304,7 @@
 	}
 	if _, ok := r.holdings[key]; ok {
 		delete(r.holdings, key)
-		t.index()
+		t.unlist(r, key)
 	}
 }
 
--- a/query/run.go
+++ b/query/run.go
@@ -94,7 +94,7 @@
 	now := r.engine.now()
 	r.query = policy.NewQuery(r.req.spec(), r.svc.table)
 	acts := r.query.Start(now)
-	return r.query.Wake(now), acts
+	return r.query.Wake(), acts
 }
 
 // take feeds an event, and those that have come meanwhile, under one lock.
@@ -108,7 +108,7 @@
 		case ev = <-r.events:
 			acts = append(acts, r.feed(now, ev)...)
 		default:
-			return r.query.Wake(now), acts
+			return r.query.Wake(), acts
 		}
 	}
 }
@@ -126,7 +126,7 @@
 	defer r.svc.mu.Unlock()
 	now := r.engine.now()
 	acts := r.query.Tick(now)
-	return r.query.Wake(now), acts
+	return r.query.Wake(), acts
 }
 
 // abandon ends a query whose caller went away.
