Inner protocol and the exchange of revisions and drains, first form

VMs had no way to tell one another what they know. Package wire carries JSON-RPC 2.0 over TCP with a hello that proves a shared key by HMAC before anything else is served; package peer keeps connections to a few VMs, passes on what is new and compares digests with one of them per interval.

The library's codec was ruled out for reading: it believes the length that the other end states. Ruled out for liveness: heartbeats passed on, which grow with the fleet; only changes are told.

--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+const testLimit = 20 * time.Second
+
+var testKey = bytes.Repeat([]byte("k"), 32)
+
+// fakeHeads holds a revision whose head and bundle are its eight bytes.
+type fakeHeads struct {
+	mu       sync.Mutex
+	revision uint64
+}
+
+func rawHead(revision uint64) []byte { return binary.BigEndian.AppendUint64(nil, revision) }
+
+func (h *fakeHeads) Revision() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.revision
+}
+
+func (h *fakeHeads) Head() []byte { return rawHead(h.Revision()) }
+
+func (h *fakeHeads) RawBundle(digest string) ([]byte, bool) {
+	held := string(h.Head())
+	return []byte(held), held == digest
+}
+
+func (h *fakeHeads) OfferHead(ctx context.Context, raw []byte, fetch func(context.Context, string) ([]byte, error)) error {
+	got, err := fetch(ctx, string(raw))
+	if err != nil || !bytes.Equal(got, raw) {
+		return fmt.Errorf("bundle %q: %w", got, err)
+	}
+	h.set(binary.BigEndian.Uint64(raw))
+	return nil
+}
+
+func (h *fakeHeads) set(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revision = max(h.revision, revision)
+}
+
+// fakeList is the platform's list of VMs, or an outage.
+type fakeList struct {
+	platform.Store
+	mu   sync.Mutex
+	vms  []platform.VM
+	down bool
+}
+
+func (f *fakeList) VMs(context.Context) ([]platform.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, fmt.Errorf("platform down")
+	}
+	return append([]platform.VM(nil), f.vms...), nil
+}
+
+func (f *fakeList) add(vm platform.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = append(f.vms, vm)
+}
+
+type testVM struct {
+	*Exchange
+	heads *fakeHeads
+}
+
+type testFleet struct {
+	g    *WithT
+	t    *testing.T
+	list *fakeList
+	vms  []*testVM
+}
+
+func newFleet(t *testing.T, n int) *testFleet {
+	f := &testFleet{g: NewWithT(t), t: t, list: &fakeList{}}
+	for i := range n {
+		f.start(fmt.Sprintf("vm-%03d", i), nil)
+	}
+	return f
+}
+
+// start adds a VM to the fleet and to the platform's list.
+func (f *testFleet) start(name string, change func(*Options)) *testVM {
+	heads := &fakeHeads{}
+	o := Options{
+		VM:           platform.VM{Name: name, Zone: "z"},
+		Incarnation:  fmt.Sprint(name, "-", time.Now().UnixNano()),
+		Deployment:   "test",
+		FleetKeys:    [][]byte{testKey},
+		Listen:       "127.0.0.1:0",
+		Store:        f.list,
+		Heads:        heads,
+		Interval:     50 * time.Millisecond,
+		ListInterval: 50 * time.Millisecond,
+		SuspectAfter: 500 * time.Millisecond,
+		PingInterval: 200 * time.Millisecond,
+	}
+	if change != nil {
+		change(&o)
+	}
+	x, err := New(o)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(x.Start()).To(Succeed())
+	vm := &testVM{x, heads}
+	f.vms = append(f.vms, vm)
+	f.list.add(platform.VM{Name: name, Zone: "z", Address: x.Address()})
+	f.t.Cleanup(func() { vm.stop() })
+	return vm
+}
+
+func (vm *testVM) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	_ = vm.Stop(ctx)
+}
+
+// everywhere waits until check holds on all VMs.
+func (f *testFleet) everywhere(check func(*testVM) bool, vms ...*testVM) {
+	f.t.Helper()
+	if len(vms) == 0 {
+		vms = f.vms
+	}
+	f.g.Eventually(func() (lag []string) {
+		for _, vm := range vms {
+			if !check(vm) {
+				lag = append(lag, vm.opts.VM.Name)
+			}
+		}
+		return lag
+	}).WithTimeout(testLimit).Should(BeEmpty())
+}
+
+func (f *testFleet) connected() {
+	f.t.Helper()
+	n := len(f.vms)
+	f.everywhere(func(vm *testVM) bool { return vm.Peers() > 0 && len(vm.Live()) == n })
+}
+
+func hasRevision(r uint64) func(*testVM) bool {
+	return func(vm *testVM) bool { return vm.heads.Revision() == r }
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,286 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// link is a connection to another VM with what is still to be told over it.
+// Exchange.mu guards its fields.
+type link struct {
+	conn     *wire.Conn
+	name     string
+	since    time.Time
+	pending  map[facts.Key]struct{}
+	revision bool   // the own revision is to be told
+	theirs   uint64 // highest revision that the peer said it has
+	goodbye  bool   // the peer closes it on purpose
+	wake     chan struct{}
+}
+
+const (
+	// gather is how long a sender waits for more to tell in the same message.
+	gather = 10 * time.Millisecond
+	// maxFacts bounds the facts in one message.
+	maxFacts = 256
+)
+
+func (x *Exchange) wireOptions() wire.Options {
+	return wire.Options{
+		Self: wire.Identity{
+			Deployment:  x.opts.Deployment,
+			VM:          x.opts.VM.Name,
+			Incarnation: x.opts.Incarnation,
+		},
+		Keys:         x.opts.FleetKeys,
+		Handler:      x.handle,
+		Log:          x.opts.Log,
+		PingInterval: x.opts.PingInterval,
+	}
+}
+
+// accepted takes a connection of another VM. If there are too many, the oldest
+// of the others' is closed: the VM that opened it knows more VMs by then. This
+// spreads the load of those that all VMs know first.
+func (x *Exchange) accepted(conn *wire.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.tomb.Alive() {
+		conn.Close()
+		return
+	}
+	x.addLink(conn)
+	var oldest *link
+	inbound := 0
+	for l := range x.links {
+		if l.conn.Dialed() {
+			continue
+		}
+		inbound++
+		if oldest == nil || l.since.Before(oldest.since) {
+			oldest = l
+		}
+	}
+	if inbound > x.opts.MaxInbound {
+		x.dropLink(oldest)
+	}
+}
+
+// addLink must hold mu, with the tomb alive.
+func (x *Exchange) addLink(conn *wire.Conn) *link {
+	l := &link{
+		conn:     conn,
+		name:     conn.Peer().VM,
+		since:    time.Now(),
+		pending:  map[facts.Key]struct{}{},
+		revision: true,
+		wake:     make(chan struct{}, 1),
+	}
+	x.links[l] = struct{}{}
+	conn.Serve()
+	x.tomb.Go(func() error { return x.runLink(l) })
+	l.signal()
+	return l
+}
+
+// dropLink closes a link on purpose. It must hold mu.
+func (x *Exchange) dropLink(l *link) {
+	delete(x.links, l)
+	l.goodbye = true
+	x.tomb.Go(func() error {
+		_ = l.conn.Notify(methodGoodbye, nil)
+		l.conn.Close()
+		return nil
+	})
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// spread tells a fact to all links but the one that it came from. It must hold
+// mu.
+func (x *Exchange) spread(f facts.Fact, from *link) {
+	for l := range x.links {
+		if l != from {
+			l.pending[f.Key()] = struct{}{}
+			l.signal()
+		}
+	}
+}
+
+// runLink sends what is to be told until the connection ends.
+func (x *Exchange) runLink(l *link) error {
+	defer l.conn.Close()
+	for {
+		select {
+		case <-x.tomb.Dying():
+			return nil
+		case <-l.conn.Done():
+			x.linkLost(l)
+			return nil
+		case <-l.wake:
+		}
+		time.Sleep(gather)
+		for {
+			news, more := x.takeNews(l)
+			if news == nil {
+				break
+			}
+			if err := l.conn.Notify(methodTell, news); err != nil {
+				l.conn.Close()
+				break
+			}
+			if !more {
+				break
+			}
+		}
+	}
+}
+
+// takeNews returns the next message for a link, or nil, and whether there is
+// more.
+func (x *Exchange) takeNews(l *link) (*tellMessage, bool) {
+	revision := x.opts.Heads.Revision()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	news := &tellMessage{}
+	if l.revision && revision > l.theirs {
+		news.Revision = revision
+	}
+	l.revision = false
+	var keys []facts.Key
+	for key := range l.pending {
+		if len(keys) == maxFacts {
+			break
+		}
+		keys = append(keys, key)
+		delete(l.pending, key)
+	}
+	news.Facts = x.table.Facts(keys)
+	if news.Revision == 0 && len(news.Facts) == 0 {
+		return nil, false
+	}
+	return news, len(l.pending) > 0
+}
+
+// linkLost finds out why a connection ended: unless the peer said goodbye, it is
+// dialled once more, and suspected if that fails.
+func (x *Exchange) linkLost(l *link) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.links, l)
+	if l.goodbye || !x.tomb.Alive() {
+		return
+	}
+	if m, known := x.table.Member(l.name); known && m.State <= facts.Leaving && m.Incarnation == l.conn.Peer().Incarnation {
+		x.dial(l.name, m.Address)
+	}
+}
+
+// dial opens a connection in the background. A failure makes the VM of that
+// name suspect; a seed has no name. It must hold mu.
+func (x *Exchange) dial(name, address string) {
+	if x.dialing[address] || address == x.opts.VM.Address || !x.tomb.Alive() {
+		return
+	}
+	x.dialing[address] = true
+	x.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), dialTimeout)
+		conn, err := wire.Dial(ctx, address, x.wireOptions(), &x.count)
+		cancel()
+		x.dialed(name, address, conn, err)
+		return nil
+	})
+}
+
+const dialTimeout = 2 * time.Second
+
+func (x *Exchange) dialed(name, address string, conn *wire.Conn, err error) {
+	x.mu.Lock()
+	delete(x.dialing, address)
+	if err != nil {
+		x.opts.Log.Debug("peer not reached", "vm", name, "address", address, "error", err)
+		if name != "" && x.tomb.Alive() {
+			x.suspect(name, time.Now())
+		}
+		x.mu.Unlock()
+		return
+	}
+	peer := conn.Peer().VM
+	if name != "" && name != peer {
+		x.suspect(name, time.Now()) // its address belongs to another VM now
+	}
+	if !x.tomb.Alive() || peer == x.opts.VM.Name || x.linked(peer) || x.outbound() > x.opts.Fanout {
+		x.mu.Unlock()
+		_ = conn.Notify(methodGoodbye, nil)
+		conn.Close()
+		return
+	}
+	l := x.addLink(conn)
+	x.mu.Unlock()
+	x.sync(l)
+}
+
+// linked must hold mu.
+func (x *Exchange) linked(name string) bool {
+	for l := range x.links {
+		if l.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// outbound counts the links that this VM opened. It must hold mu.
+func (x *Exchange) outbound() int {
+	n := 0
+	for l := range x.links {
+		if l.conn.Dialed() {
+			n++
+		}
+	}
+	return n
+}
+
+func (x *Exchange) linkOf(conn *wire.Conn) *link {
+	for l := range x.links {
+		if l.conn == conn {
+			return l
+		}
+	}
+	return nil
+}
+
+// flush waits until everything told so far has been written, or ctx ends.
+func (x *Exchange) flush(ctx context.Context) {
+	for ctx.Err() == nil && x.hasNews() {
+		time.Sleep(gather)
+	}
+	time.Sleep(gather)
+}
+
+func (x *Exchange) hasNews() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for l := range x.links {
+		if len(l.pending) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func decode(params json.RawMessage, into any) error {
+	if len(params) == 0 {
+		return nil
+	}
+	return json.Unmarshal(params, into)
+}
--- /dev/null
+++ b/peer/live.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+const (
+	// watchAllUpTo is the size of fleet up to which every VM watches the
+	// platform. A watch counts as a call, and the platform's rates don't grow
+	// with the fleet.
+	watchAllUpTo = 16
+	// watchersPerZone is how many VMs of each availability zone watch in a
+	// larger fleet, so that the loss of a zone or region leaves some.
+	watchersPerZone = 2
+)
+
+// liveVMs corrects the platform's list by what is known of the VMs.
+func liveVMs(listed []platform.VM, members []facts.Member) []platform.VM {
+	known := make(map[string]facts.Member, len(members))
+	for _, m := range members {
+		known[m.Name] = m
+	}
+	var live []platform.VM
+	for _, vm := range listed {
+		if _, corrected := known[vm.Name]; !corrected && !vm.Leaving {
+			live = append(live, vm)
+		}
+	}
+	leaving := leavingNames(listed)
+	for _, m := range members {
+		if (m.State == facts.Alive || m.State == facts.Suspect) && !leaving[m.Name] {
+			live = append(live, memberVM(m))
+		}
+	}
+	slices.SortFunc(live, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return live
+}
+
+func leavingNames(listed []platform.VM) map[string]bool {
+	names := map[string]bool{}
+	for _, vm := range listed {
+		if vm.Leaving {
+			names[vm.Name] = true
+		}
+	}
+	return names
+}
+
+func memberVM(m facts.Member) platform.VM {
+	return platform.VM{Name: m.Name, Address: m.Address, Ops: m.Ops, Zone: m.Zone}
+}
+
+// watches tells whether the named VM is one of those that watch the platform.
+// VMs whose views differ for a while make it a few more or fewer.
+func watches(live []platform.VM, name string) bool {
+	if len(live) <= watchAllUpTo {
+		return true
+	}
+	at := slices.IndexFunc(live, func(vm platform.VM) bool { return vm.Name == name })
+	if at < 0 {
+		return false
+	}
+	own := watchRank(name)
+	ahead := 0
+	for _, vm := range live {
+		if vm.Zone == live[at].Zone && watchRank(vm.Name) > own {
+			ahead++
+		}
+	}
+	return ahead < watchersPerZone
+}
+
+func watchRank(name string) uint64 {
+	return xxhash.Sum64String("watch\x00" + name)
+}
--- /dev/null
+++ b/peer/messages.go
@@ -0,0 +1,240 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// The methods of the exchange. All but tell and goodbye have an answer.
+const (
+	methodTell    = "exchange.tell"    // tellMessage: what is new
+	methodSync    = "exchange.sync"    // syncRequest -> syncAnswer: digests
+	methodDiff    = "exchange.diff"    // diffRequest -> diffAnswer: where they differ
+	methodHead    = "exchange.head"    // -> headAnswer
+	methodBundle  = "exchange.bundle"  // bundleRequest -> bundleAnswer
+	methodGoodbye = "exchange.goodbye" // this connection is closed on purpose
+)
+
+type tellMessage struct {
+	Revision uint64       `json:"r,omitempty"`
+	Facts    []facts.Fact `json:"f,omitempty"`
+}
+
+type syncRequest struct {
+	Revision uint64 `json:"r"`
+	Root     uint64 `json:"d"`
+}
+
+// syncAnswer has the digests of the buckets only if the roots differ.
+type syncAnswer struct {
+	Revision uint64 `json:"r"`
+	Digest   []byte `json:"b,omitempty"`
+}
+
+type diffRequest struct {
+	Buckets []int         `json:"b"`
+	Entries []facts.Entry `json:"e"`
+}
+
+type diffAnswer struct {
+	Facts []facts.Fact `json:"f,omitempty"`
+	Want  []facts.Key  `json:"w,omitempty"`
+}
+
+type headAnswer struct {
+	Head []byte `json:"h"`
+}
+
+type bundleRequest struct {
+	Digest string `json:"d"`
+}
+
+type bundleAnswer struct {
+	Gzip []byte `json:"z"`
+}
+
+// callTimeout bounds each call of the exchange but the transfer of a bundle.
+const callTimeout = 2 * time.Second
+
+// handle serves the peers' messages.
+func (x *Exchange) handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case methodTell:
+		return serve(params, func(m *tellMessage) (any, error) { return nil, x.heard(conn, m) })
+	case methodSync:
+		return serve(params, func(m *syncRequest) (any, error) { return x.answerSync(conn, m), nil })
+	case methodDiff:
+		return serve(params, func(m *diffRequest) (any, error) { return x.answerDiff(m), nil })
+	case methodHead:
+		return headAnswer{Head: x.opts.Heads.Head()}, nil
+	case methodBundle:
+		return serve(params, func(m *bundleRequest) (any, error) { return x.answerBundle(m) })
+	case methodGoodbye:
+		x.heardGoodbye(conn)
+		return nil, nil
+	default:
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+}
+
+func serve[M any](params json.RawMessage, f func(*M) (any, error)) (any, error) {
+	var m M
+	if err := decode(params, &m); err != nil {
+		return nil, result.Wrap(result.BadMessage, err, "")
+	}
+	return f(&m)
+}
+
+func (x *Exchange) heard(conn *wire.Conn, m *tellMessage) error {
+	if len(m.Facts) > maxFacts {
+		return result.Errorf(result.BadMessage, "%d facts, at most %d", len(m.Facts), maxFacts)
+	}
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l := x.linkOf(conn)
+	for _, f := range m.Facts {
+		x.learn(f, l, now)
+	}
+	x.heardRevision(l, m.Revision)
+	return nil
+}
+
+// heardRevision notes a peer's revision and wakes the loop that gets newer ones.
+// It must hold mu.
+func (x *Exchange) heardRevision(l *link, revision uint64) {
+	if l == nil || revision <= l.theirs {
+		return
+	}
+	l.theirs = revision
+	select {
+	case x.pull <- struct{}{}:
+	default:
+	}
+}
+
+func (x *Exchange) heardGoodbye(conn *wire.Conn) {
+	x.mu.Lock()
+	if l := x.linkOf(conn); l != nil {
+		l.goodbye = true
+		delete(x.links, l)
+	}
+	x.mu.Unlock()
+	conn.Close()
+}
+
+func (x *Exchange) answerSync(conn *wire.Conn, m *syncRequest) syncAnswer {
+	answer := syncAnswer{Revision: x.opts.Heads.Revision()}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if m.Root != x.table.Root() {
+		answer.Digest = x.table.Digest()
+	}
+	x.heardRevision(x.linkOf(conn), m.Revision)
+	return answer
+}
+
+func (x *Exchange) answerDiff(m *diffRequest) diffAnswer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	give, want := x.table.Compare(m.Buckets, m.Entries)
+	return diffAnswer{Facts: give, Want: want}
+}
+
+// sync compares digests with a peer and exchanges what differs. A peer that
+// doesn't answer in time loses the connection, which may have gone silent.
+func (x *Exchange) sync(l *link) {
+	if err := x.trySync(l); err != nil {
+		x.opts.Log.Debug("exchange failed", "peer", l.name, "error", err)
+		if result.Of(err) != result.PeerBusy {
+			l.conn.Close()
+		}
+	}
+}
+
+func (x *Exchange) trySync(l *link) error {
+	ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), callTimeout)
+	defer cancel()
+	request := syncRequest{Revision: x.opts.Heads.Revision()}
+	x.mu.Lock()
+	request.Root = x.table.Root()
+	x.mu.Unlock()
+	var answer syncAnswer
+	if err := l.conn.Call(ctx, methodSync, request, &answer); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.heardRevision(l, answer.Revision)
+	diff := diffRequest{Buckets: x.table.Differing(answer.Digest)}
+	diff.Entries = x.table.Entries(diff.Buckets)
+	x.mu.Unlock()
+	if len(diff.Buckets) == 0 {
+		return nil
+	}
+	var differing diffAnswer
+	if err := l.conn.Call(ctx, methodDiff, diff, &differing); err != nil {
+		return err
+	}
+	x.takeDiff(l, &differing)
+	return nil
+}
+
+func (x *Exchange) takeDiff(l *link, differing *diffAnswer) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, f := range differing.Facts {
+		x.learn(f, l, now)
+	}
+	for _, key := range differing.Want {
+		l.pending[key] = struct{}{}
+	}
+	l.signal()
+}
+
+func (x *Exchange) answerBundle(m *bundleRequest) (any, error) {
+	raw, ok := x.opts.Heads.RawBundle(m.Digest)
+	if !ok {
+		return nil, result.Errorf(result.BundleNotHeld, "%s", m.Digest)
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return bundleAnswer{Gzip: buf.Bytes()}, nil
+}
+
+// maxBundle bounds a bundle with its sign-offs after decompression.
+const maxBundle = 2 * platform.MaxValue
+
+func (x *Exchange) fetchBundle(ctx context.Context, l *link, digest string) ([]byte, error) {
+	var answer bundleAnswer
+	if err := l.conn.Call(ctx, methodBundle, bundleRequest{Digest: digest}, &answer); err != nil {
+		return nil, err
+	}
+	r, err := gzip.NewReader(bytes.NewReader(answer.Gzip))
+	if err != nil {
+		return nil, result.Wrap(result.BadMessage, err, "bundle")
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxBundle+1))
+	if err != nil {
+		return nil, result.Wrap(result.BadMessage, err, "bundle")
+	}
+	if len(raw) > maxBundle {
+		return nil, result.Errorf(result.MessageTooBig, "bundle of more than %d bytes", maxBundle)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/peer/tick.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// pauseTicks is how many intervals late a tick is when the process must have
+// been frozen. All its connections then look silent though the others live.
+const pauseTicks = 5
+
+// tick does what is due: judges suspects, keeps the number of connections, and
+// compares digests with one peer.
+func (x *Exchange) tick(now time.Time) {
+	x.mu.Lock()
+	if now.Sub(x.lastTick) > pauseTicks*x.opts.Interval {
+		x.resume()
+	}
+	x.lastTick = now
+	x.table.Expire(now.Unix())
+	x.judgeSuspects(now)
+	x.keepLinks(now)
+	l := x.randomLink()
+	x.mu.Unlock()
+	if l != nil {
+		x.tomb.Go(func() error { x.sync(l); return nil })
+	}
+}
+
+// resume drops all connections without suspecting anybody: after a freeze the
+// silence was this VM's own. It must hold mu.
+func (x *Exchange) resume() {
+	x.opts.Log.Warn("process was paused; peers are dialled anew")
+	for l := range x.links {
+		x.dropLink(l)
+	}
+}
+
+// keepLinks opens connections up to the fanout, replaces one now and then so
+// that the VMs mix, and looks for VMs that were lost. It must hold mu.
+func (x *Exchange) keepLinks(now time.Time) {
+	live := x.liveLocked()
+	candidates := x.unlinked(live)
+	missing := x.opts.Fanout - x.outbound() - len(x.dialing)
+	for _, vm := range pick(candidates, missing) {
+		x.dial(vm.Name, vm.Address)
+	}
+	if now.Sub(x.rotated) > x.opts.Rotate {
+		x.rotated = now
+		x.rotate(candidates)
+	}
+	if vm, ok := lookForLost(x.listed, x.table.Members(), rand.Float64()); ok {
+		x.dial(vm.Name, vm.Address)
+	}
+	if len(x.links) == 0 && len(x.opts.Seeds) > 0 {
+		x.dial("", x.opts.Seeds[rand.N(len(x.opts.Seeds))])
+	}
+}
+
+func (x *Exchange) unlinked(live []platform.VM) []platform.VM {
+	taken := map[string]bool{x.opts.VM.Name: true}
+	for l := range x.links {
+		taken[l.name] = true
+	}
+	var list []platform.VM
+	for _, vm := range live {
+		if !taken[vm.Name] && vm.Address != "" {
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
+// rotate closes the oldest own connection if there is another VM to turn to;
+// the next tick dials it. It must hold mu.
+func (x *Exchange) rotate(candidates []platform.VM) {
+	if len(candidates) == 0 {
+		return
+	}
+	var oldest *link
+	for l := range x.links {
+		if l.conn.Dialed() && (oldest == nil || l.since.Before(oldest.since)) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		x.dropLink(oldest)
+	}
+}
+
+func (x *Exchange) randomLink() *link {
+	n := len(x.links)
+	if n == 0 {
+		return nil
+	}
+	at := rand.N(n)
+	for l := range x.links {
+		if at == 0 {
+			return l
+		}
+		at--
+	}
+	return nil
+}
+
+// pick returns up to n VMs chosen at random.
+func pick(vms []platform.VM, n int) []platform.VM {
+	if n <= 0 {
+		return nil
+	}
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	return vms[:min(n, len(vms))]
+}
+
+// lostDialsPerSecond is how often, by the whole fleet, a VM is dialled that is
+// listed by the platform but counts as lost.
+const lostDialsPerSecond = 2
+
+// lookForLost chooses a VM that counts as lost though the platform lists it.
+// After a split each half counts the other as lost; somebody has to try, but not
+// all VMs at once: chance, from 0 to 1, decides, so that the whole fleet makes
+// about two dials a second to each such VM, whatever its size.
+func lookForLost(listed []platform.VM, members []facts.Member, chance float64) (platform.VM, bool) {
+	lost := map[string]bool{}
+	for _, m := range members {
+		if m.State == facts.Lost {
+			lost[m.Name] = true
+		}
+	}
+	var list []platform.VM
+	for _, vm := range listed {
+		if lost[vm.Name] && !vm.Leaving {
+			list = append(list, vm)
+		}
+	}
+	alive := max(len(listed)-len(list), 1)
+	if len(list) == 0 || chance*float64(alive) > lostDialsPerSecond*float64(len(list)) {
+		return platform.VM{}, false
+	}
+	return list[rand.N(len(list))], true
+}
--- /dev/null
+++ b/wire/conn.go
@@ -0,0 +1,303 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/jsonrpc2"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Conn is one authenticated connection. It is safe for concurrent use.
+type Conn struct {
+	tomb   tomb.Tomb
+	rpc    *jsonrpc2.Conn
+	opts   *Options
+	dialed bool
+	remote string
+	limit  atomic.Int64  // bytes of one message
+	calls  chan struct{} // one token per running handler
+	served sync.WaitGroup
+	last   atomic.Int64 // when something was last sent, in Unix nanoseconds
+
+	mu     sync.Mutex // guards the fields below
+	ended  bool       // Wait was called: no further handler may begin
+	hello  *Hello
+	answer *HelloAnswer
+	key    []byte
+	peer   Identity
+	proven bool
+	ready  chan struct{} // closed when proven
+
+	serveOnce sync.Once
+	serving   chan struct{} // closed by Serve
+}
+
+func newConn(raw net.Conn, o *Options, count *Counters, dialed bool) *Conn {
+	c := &Conn{
+		opts:   o,
+		dialed: dialed,
+		remote: raw.RemoteAddr().String(),
+		calls:  make(chan struct{}, o.MaxCalls),
+		ready:  make(chan struct{}),
+
+		serving: make(chan struct{}),
+	}
+	c.limit.Store(maxHelloMessage)
+	timed := &timedConn{Conn: raw, silent: o.SilentAfter, count: count}
+	stream := jsonrpc2.NewBufferedStream(timed, boundedCodec{limit: &c.limit})
+	gate := gatedStream{stream, make(chan struct{})}
+	logger := jsonrpc2.SetLogger(rpcLogger{o.Log})
+	c.rpc = jsonrpc2.NewConn(context.Background(), gate, c, logger)
+	close(gate.open)
+	return c
+}
+
+// gatedStream reads nothing until open is closed: jsonrpc2.NewConn starts to
+// read, and thereby to call Handle, before it has returned the connection.
+type gatedStream struct {
+	jsonrpc2.ObjectStream
+	open chan struct{}
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (s gatedStream) ReadObject(v any) error {
+	<-s.open
+	return s.ObjectStream.ReadObject(v)
+}
+
+// Peer returns who is at the other end.
+func (c *Conn) Peer() Identity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peer
+}
+
+// Remote returns the other end's IP and port.
+func (c *Conn) Remote() string { return c.remote }
+
+// Dialed tells whether this end opened the connection.
+func (c *Conn) Dialed() bool { return c.dialed }
+
+// Done is closed when the connection is.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Serve lets handlers run. Until it is called they are held back, so that the
+// owner can enter the connection into its tables before the first message.
+func (c *Conn) Serve() {
+	c.serveOnce.Do(func() { close(c.serving) })
+}
+
+// Close closes the connection; calls that wait on it fail.
+func (c *Conn) Close() {
+	c.rpc.Close()
+	c.tomb.Kill(nil)
+}
+
+// Wait returns after Close, when no handler of the connection runs any more.
+func (c *Conn) Wait() {
+	<-c.Done()
+	c.mu.Lock()
+	c.ended = true
+	proven := c.proven
+	c.mu.Unlock()
+	c.served.Wait()
+	if proven {
+		_ = c.tomb.Wait()
+	}
+}
+
+// Call calls a method of the peer and stores its result. Its errors carry the
+// peer's code, or PeerSilent if ctx ended first, or ExchangeFailed if the
+// connection broke.
+func (c *Conn) Call(ctx context.Context, method string, params, into any) error {
+	c.last.Store(time.Now().UnixNano())
+	return callError(method, c.rpc.Call(ctx, method, params, into))
+}
+
+// Notify sends a message that has no answer.
+func (c *Conn) Notify(method string, params any) error {
+	c.last.Store(time.Now().UnixNano())
+	return callError(method, c.rpc.Notify(context.Background(), method, params))
+}
+
+// Handle implements jsonrpc2.Handler. It must not block: the connection reads
+// nothing more until it returns.
+func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	switch {
+	case req.Method == MethodHello && !c.dialed && !c.isProven():
+		c.reply(ctx, req, c.handleHello, true)
+	case req.Method == MethodProve && !c.dialed && !c.isProven():
+		if c.reply(ctx, req, c.handleProve, true) {
+			c.finishHello()
+		}
+	case !c.dialed && !c.isProven():
+		c.refuse(ctx, req, result.Errorf(result.BadHello, "method %q before the hello", req.Method))
+		c.rpc.Close()
+	case req.Method == MethodPing:
+		c.reply(ctx, req, func(json.RawMessage) (any, error) { return struct{}{}, nil }, false)
+	default:
+		c.serve(ctx, req)
+	}
+}
+
+func (c *Conn) isProven() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proven
+}
+
+// serve runs the handler apart from the reading loop, within the bound on work
+// taken from this peer.
+func (c *Conn) serve(ctx context.Context, req *jsonrpc2.Request) {
+	select {
+	case c.calls <- struct{}{}:
+	default:
+		c.refuse(ctx, req, result.Errorf(result.PeerBusy, "%d calls run already", cap(c.calls)))
+		return
+	}
+	if !c.begin() {
+		return
+	}
+	go func() {
+		defer c.served.Done()
+		defer func() { <-c.calls }()
+		select {
+		case <-c.serving:
+		case <-c.Done():
+			return
+		}
+		c.reply(ctx, req, func(params json.RawMessage) (any, error) {
+			if c.opts.Handler == nil {
+				return nil, result.Errorf(result.UnknownMethod, "%q", req.Method)
+			}
+			return c.opts.Handler(ctx, c, req.Method, params)
+		}, false)
+	}()
+}
+
+// begin counts a handler in, unless Wait has been called.
+func (c *Conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.served.Add(1)
+	}
+	return !c.ended
+}
+
+type serveFunc func(params json.RawMessage) (any, error)
+
+// reply runs f, sends its outcome and tells whether f succeeded. An error
+// closes the connection if fatal.
+func (c *Conn) reply(ctx context.Context, req *jsonrpc2.Request, f serveFunc, fatal bool) bool {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	answer, err := f(params)
+	if err != nil {
+		c.refuse(ctx, req, err)
+		if fatal {
+			c.rpc.Close()
+		}
+		return false
+	}
+	if !req.Notif {
+		_ = c.rpc.Reply(ctx, req.ID, answer) // a broken connection shows at its reader
+	}
+	return true
+}
+
+func (c *Conn) refuse(ctx context.Context, req *jsonrpc2.Request, err error) {
+	if req.Notif {
+		c.opts.Log.Debug("notification refused", "method", req.Method, "peer", c.remote, "error", err)
+		return
+	}
+	rpcErr := &jsonrpc2.Error{Code: int64(result.Of(err)), Message: err.Error()}
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		rpcErr.Message = coded.Detail
+		rpcErr.SetError(errorData{RetryAfterMS: coded.RetryAfter.Milliseconds()})
+	}
+	_ = c.rpc.ReplyWithError(ctx, req.ID, rpcErr)
+}
+
+// errorData travels with an error's code and detail.
+type errorData struct {
+	RetryAfterMS int64 `json:"retry_after_ms"`
+}
+
+func callError(method string, err error) error {
+	var rpcErr *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &rpcErr):
+		var data errorData
+		if rpcErr.Data != nil {
+			_ = json.Unmarshal(*rpcErr.Data, &data) // zero if the peer sent none
+		}
+		coded := result.Errorf(result.Code(rpcErr.Code), "%s", rpcErr.Message)
+		return coded.After(time.Duration(data.RetryAfterMS) * time.Millisecond)
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return result.Wrap(result.PeerSilent, err, method)
+	default:
+		return result.Wrap(result.ExchangeFailed, err, method)
+	}
+}
+
+// authenticated opens the connection for all methods.
+func (c *Conn) authenticated(peer Identity) {
+	c.mu.Lock()
+	c.peer = peer
+	c.proven = true
+	c.hello, c.answer, c.key = nil, nil, nil
+	c.mu.Unlock()
+	c.limit.Store(int64(c.opts.MaxMessage))
+	c.tomb.Go(c.ping)
+	close(c.ready)
+}
+
+// ping keeps an idle connection from counting as silent at either end. The end
+// that dialled pings; a peer that doesn't answer lets its read run into the
+// deadline of timedConn, which closes the connection.
+func (c *Conn) ping() error {
+	ticker := time.NewTicker(c.opts.PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return nil
+		case <-ticker.C:
+		}
+		idle := time.Since(time.Unix(0, c.last.Load()))
+		if !c.dialed || idle < c.opts.PingInterval/2 {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), c.opts.SilentAfter)
+		err := c.Call(ctx, MethodPing, nil, nil)
+		cancel()
+		if err != nil {
+			c.rpc.Close()
+			return nil
+		}
+	}
+}
+
+// rpcLogger passes the library's remarks to the daemon's log.
+type rpcLogger struct{ log hclog.Logger }
+
+// Printf implements jsonrpc2.Logger.
+func (l rpcLogger) Printf(format string, args ...any) {
+	l.log.Trace("jsonrpc2", "remark", fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,94 @@
+// Package wire is the inner protocol between the VMs of one deployment:
+// JSON-RPC 2.0 over TCP, length-prefixed, by IP number.
+//
+// A connection begins with two calls by the end that dialled. MethodHello
+// carries the versions, the deployment, the VM's incarnation and the ids of the
+// keys it holds; it is answered with a nonce. MethodProve carries the proof of
+// a shared key and is answered with the other end's proof. Until both are done
+// messages are small, the time is bounded, and no other method is served.
+// Afterwards either end may call the other.
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Version is the newest version of the protocol that this code speaks.
+const Version = 1
+
+// The methods that the package itself serves.
+const (
+	MethodHello = "hello"
+	MethodProve = "prove"
+	MethodPing  = "ping"
+)
+
+// Identity names one life of one VM.
+type Identity struct {
+	Deployment  string `json:"deployment"`
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Handler serves one call or notification of an authenticated peer. Its result
+// is sent as JSON. An error that carries a result.Code reaches the peer with
+// that code. Handlers of one connection run at the same time.
+type Handler func(ctx context.Context, conn *Conn, method string, params json.RawMessage) (any, error)
+
+// Options governs connections. Zero values are replaced by the defaults.
+type Options struct {
+	Self Identity
+	// Keys are shared by the fleet, the newest first; each has at least
+	// MinKeyBytes. Two ends agree on the first key of the dialling end that
+	// both hold, so that two keys are valid at once during a rotation.
+	Keys    [][]byte
+	Handler Handler
+	Log     hclog.Logger
+
+	HelloTimeout time.Duration // for the whole hello; default 2 s
+	MaxHellos    int           // connections in hello at once; default 32
+	MaxConns     int           // accepted and authenticated at once; default 256
+	MaxMessage   int           // bytes of one message; default 2 MiB
+	MaxCalls     int           // served for one connection at once; default 16
+	PingInterval time.Duration // default 2 s
+	SilentAfter  time.Duration // without a byte from the peer; default 3 ping intervals
+}
+
+// MinKeyBytes is the least length of a key.
+const MinKeyBytes = 32
+
+const (
+	maxHelloMessage = 4 << 10
+
+	defaultHelloTimeout = 2 * time.Second
+	defaultMaxHellos    = 32
+	defaultMaxConns     = 256
+	defaultMaxMessage   = 2 << 20
+	defaultMaxCalls     = 16
+	defaultPingInterval = 2 * time.Second
+	pingsUntilSilent    = 3
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HelloTimeout, defaultHelloTimeout)
+	setDefault(&o.MaxHellos, defaultMaxHellos)
+	setDefault(&o.MaxConns, defaultMaxConns)
+	setDefault(&o.MaxMessage, defaultMaxMessage)
+	setDefault(&o.MaxCalls, defaultMaxCalls)
+	setDefault(&o.PingInterval, defaultPingInterval)
+	setDefault(&o.SilentAfter, pingsUntilSilent*o.PingInterval)
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
