Command line for operators, examples of both deployments, bundle tests

Cause: operators steer only through bundles and need to check, sign, roll out, recall and look back from one program. Checked: go test -race ./bundle (19 faults, signatures, size bound). The command line itself has no test yet.

--- /dev/null
+++ b/bundle/bundle_test.go
@@ -0,0 +1,182 @@
+package bundle
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+func example(t *testing.T, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../examples/" + name + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func testKey(t *testing.T, id, person string) *PrivateKey {
+	t.Helper()
+	key, err := NewPrivateKey(id, person)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func testRing(t *testing.T, keys ...PublicKey) *Keyring {
+	t.Helper()
+	ring, err := NewKeyring(keys...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func TestExamplesPassAllChecks(t *testing.T) {
+	for _, name := range []string{"vatnsleit", "pletenica"} {
+		g := NewWithT(t)
+		b, findings := Parse(example(t, name))
+		g.Expect(findings).To(BeEmpty(), name)
+		g.Expect(b.Warnings()).To(BeEmpty(), name)
+		g.Expect(b.Services).To(HaveLen(4))
+	}
+}
+
+// A bundle with a fault would steer every VM, so a misspelt field, a value out
+// of range or a name that nothing has must be told before it is pushed, and all
+// of them in one go: an operator who mends one a time pushes ten times.
+func TestEachFaultHasItsFinding(t *testing.T) {
+	cases := []struct{ name, old, new, path, allowed string }{
+		{"unknown field", `"format": 1,`, `"format": 1, "colour": 2,`, "$.colour", "one of format"},
+		{"other case", `"author"`, `"Author"`, "$.Author", "one of format"},
+		{"missing field", `"author": "sigrun",`, ``, "$.author", "required"},
+		{"field twice", `"format": 1,`, `"format": 1, "format": 1,`, "$.format", "once"},
+		{"not a number", `"max_vms": 8`, `"max_vms": "8"`, "$.fleet.max_vms", "a number"},
+		{"fraction", `"max_vms": 8`, `"max_vms": 8.5`, "$.fleet.max_vms", "a whole number"},
+		{"too large for its type", `"max_vms": 8`, `"max_vms": 99999999999999999999`, "$.fleet.max_vms", "a whole number"},
+		{"out of range", `"max_vms": 8`, `"max_vms": 0`, "$.fleet.max_vms", "1 to 5000"},
+		{"null", `"max_vms": 8`, `"max_vms": null`, "$.fleet.max_vms", "a number"},
+		{"unknown zone", `"inspector-01", "zone": "reykjanes"`, `"inspector-01", "zone": "oslo"`, "$.services[0].targets[0].zone", "one of $.zones"},
+		{"unknown service", `"service": "waterworks-link"`, `"service": "nowhere"`, "$.searches[3].service", "one of $.services"},
+		{"name twice", `"inspector-02"`, `"inspector-01"`, "$.services[0].targets[1].name", "once"},
+		{"address twice", `10.20.1.12:7400`, `10.20.1.11:7400`, "$.services[0].targets[1].address", "once"},
+		{"host name", `10.20.1.12:7400`, `db:7400`, "$.services[0].targets[1].address", "an IP address and port"},
+		{"default below min", `"default": 1,`, `"default": 0.1,`, "$.searches[0].coverage.default", "0.9 to 1"},
+		{"hedged submit", "\"budget\": 0\n", "\"budget\": 0.5\n", "$.searches[4].hedge.budget", "0 for a submit"},
+		{"trailing data", "\n}\n", "\n} {}", "$", "one JSON document"},
+		{"cut off", "\n}\n", "", "$", "one JSON document"},
+		{"too deep", `"format": 1,`, `"format": ` + strings.Repeat("[", 50) + strings.Repeat("]", 50) + `,`, "$", "one JSON document"},
+	}
+	data := string(example(t, "vatnsleit"))
+	for _, c := range cases {
+		g := NewWithT(t)
+		g.Expect(data).To(ContainSubstring(c.old), c.name)
+		_, findings := Parse([]byte(strings.Replace(data, c.old, c.new, 1)))
+		var paths []string
+		for _, f := range findings {
+			paths = append(paths, f.Path)
+			if f.Path == c.path {
+				g.Expect(f.Allowed).To(ContainSubstring(c.allowed), c.name)
+			}
+		}
+		g.Expect(paths).To(ContainElement(c.path), c.name)
+	}
+}
+
+func TestAllFindingsComeAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	text := string(example(t, "pletenica"))
+	text = strings.Replace(text, `"max_vms": 8`, `"max_vms": 0`, 1)
+	text = strings.Replace(text, `"kind": "browse"`, `"kind": "peruse"`, 1)
+	text = strings.Replace(text, `"leaves": 2`, `"leaves": 0`, 1)
+	_, findings := Parse([]byte(text))
+	g.Expect(findings).To(HaveLen(3))
+}
+
+func TestFewerConnectionsThanVMsIsAWarning(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := Parse(example(t, "vatnsleit"))
+	b.Fleet.MaxVMs = 26
+	g.Expect(b.Check()).To(BeEmpty())
+	g.Expect(b.Warnings()).To(HaveLen(50), "one for each target with 25 connections")
+}
+
+func TestPackageSurvivesAStoreThatReformatsJSON(t *testing.T) {
+	g := NewWithT(t)
+	key := testKey(t, "sigrun-1", "sigrun")
+	data := example(t, "vatnsleit")
+	signed, err := Package(data, key)
+	g.Expect(err).NotTo(HaveOccurred())
+	var anything any
+	g.Expect(json.Unmarshal(signed.Bytes(), &anything)).To(Succeed())
+	reformatted, err := json.MarshalIndent(anything, "", "\t")
+	g.Expect(err).NotTo(HaveOccurred())
+	b, err := testRing(t, key.Public()).Open(reformatted, Digest(data))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.Deployment).To(Equal("vatnsleit"))
+}
+
+// An operator pushes a generated bundle that is too large for the platform. The
+// refusal must come before the first write, so that nothing half-written stays;
+// the bound is on the bytes as they travel, not as the operator sees them.
+func TestTooLargeIsRefusedBeforeAnythingIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	key := testKey(t, "sigrun-1", "sigrun")
+	most := make([]byte, MaxBytes)
+	g.Expect(len(Sign(PurposeBundle, most, key).Bytes())).To(BeNumerically("<=", platform.MaxValue))
+	_, err := Package(append(most, ' '), key)
+	g.Expect(result.Of(err)).To(Equal(result.BundleTooLarge))
+}
+
+// Somebody changes a bundle after its sign-off, signs with a key that no VM
+// knows, with a retired one, or in another's name. Whatever reaches a VM by any
+// path must fail its check, with the code that says why.
+func TestWhatIsNotRightlySignedIsRefused(t *testing.T) {
+	alice, old, eve := testKey(t, "alice-2", "alice"), testKey(t, "alice-1", "alice"), testKey(t, "eve-1", "eve")
+	retired := old.Public()
+	retired.Retired = true
+	ring := testRing(t, alice.Public(), retired)
+	off := SignOff{Deployment: "d", Digest: "x", Person: "alice"}
+	good := off.Sign(alice)
+	changed := good
+	changed.Payload = []byte(strings.Replace(string(good.Payload), `"x"`, `"y"`, 1))
+	swapped := good
+	swapped.Purpose = PurposeEntry
+	asEve := off
+	asEve.Person = "eve"
+	cases := []struct {
+		name   string
+		signed Signed
+		code   result.Code
+	}{
+		{"good", good, result.Complete},
+		{"changed after signing", changed, result.NotSigned},
+		{"unknown key", off.Sign(eve), result.UnknownKey},
+		{"retired key", off.Sign(old), result.UnknownKey},
+		{"in another's name", asEve.Sign(alice), result.NotSigned},
+		{"for another purpose", swapped, result.NotSigned},
+		{"empty", Signed{}, result.NotSigned},
+	}
+	for _, c := range cases {
+		_, err := ring.OpenSignOff(c.signed)
+		NewWithT(t).Expect(result.Of(err)).To(Equal(c.code), c.name)
+	}
+	_, err := ring.Verify(swapped, PurposeEntry)
+	NewWithT(t).Expect(result.Of(err)).To(Equal(result.NotSigned), "a sign-off is no entry")
+}
+
+func TestAnAuthorCannotSignOff(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := Parse(example(t, "vatnsleit"))
+	err := b.CheckSignOff(SignOff{Deployment: "vatnsleit", Digest: "x", Person: "sigrun"}, "x")
+	g.Expect(result.Of(err)).To(Equal(result.SelfSigned))
+	_, err = Package(example(t, "vatnsleit"), testKey(t, "jon-1", "jon"))
+	g.Expect(result.Of(err)).To(Equal(result.BadBundle), "nobody pushes in another's name")
+}
--- a/bundle/key.go
+++ b/bundle/key.go
@@ -81,3 +81,14 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
+
+// Check tells what is wrong with a key that was read from a file.
+func (k *PrivateKey) Check() error {
+	if !namePattern.MatchString(k.ID) || !namePattern.MatchString(k.Person) {
+		return result.Errorf(result.BadSettings, "private key: found id %q and person %q, allowed is %s", k.ID, k.Person, nameRule)
+	}
+	if len(k.Seed) != ed25519.SeedSize {
+		return result.Errorf(result.BadSettings, "private key %s: found a seed of %d bytes, allowed are %d", k.ID, len(k.Seed), ed25519.SeedSize)
+	}
+	return nil
+}
--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -151,15 +151,21 @@
 	return o, nil
 }
 
+// envelopeBytes is room for the purpose, key and signature around a payload.
+const envelopeBytes = 1 << 10
+
+// MaxBytes is the largest bundle, in bytes as written: signed and in base64 it
+// still fits into one value of the platform.
+const MaxBytes = (platform.MaxValue - envelopeBytes) / 4 * 3
+
 // Package signs a bundle's bytes as their author, for the platform and for
 // peers. It refuses what exceeds the platform's largest value before anything
 // is written, and an author that is not the key's owner.
 func Package(data []byte, key *PrivateKey) (Signed, error) {
-	s := Sign(PurposeBundle, data, key)
-	if n := len(s.Bytes()); n > platform.MaxValue {
-		return s, result.Errorf(result.BundleTooLarge,
-			"the signed bundle has %d bytes, allowed are %d; split the deployment or shorten names", n, platform.MaxValue)
+	if len(data) > MaxBytes {
+		return Signed{}, result.Errorf(result.BundleTooLarge, "found %d bytes, allowed are %d", len(data), MaxBytes)
 	}
+	s := Sign(PurposeBundle, data, key)
 	b, findings := Parse(data)
 	if len(findings) > 0 {
 		return s, BadBundle(findings)
--- /dev/null
+++ b/operator/app.go
@@ -0,0 +1,128 @@
+// Package operator is the operators' command line as a library: the commands
+// of bramleyctl, their settings and their output.
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// The names of the flags that every command knows.
+const (
+	flagConfig     = "config"
+	flagPlatform   = "platform"
+	flagDeployment = "deployment"
+	flagKey        = "key"
+	flagOutput     = "output"
+	flagPatience   = "patience"
+)
+
+// Run runs one command line and returns the exit status: 0 for success, else
+// the class of the result code, which is its hundreds digit.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	app := newApp(stdout, stderr)
+	err := app.command().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	if !app.printed {
+		app.printError(err)
+	}
+	return int(result.Of(err).Class())
+}
+
+// app is one run of the command line.
+type app struct {
+	out    io.Writer
+	err    io.Writer
+	format string // formatText or formatJSON
+	// printed means that the output tells of the failure already.
+	printed bool
+}
+
+func newApp(stdout, stderr io.Writer) *app {
+	return &app{out: stdout, err: stderr, format: formatText}
+}
+
+func (a *app) command() *cli.Command {
+	root := &cli.Command{
+		Name:                  "bramleyctl",
+		Usage:                 "steer a bramleybarrow deployment by its bundles",
+		EnableShellCompletion: true,
+		Suggest:               true,
+		Writer:                a.out,
+		ErrWriter:             a.err,
+		Flags:                 commonFlags(),
+		Before:                a.before,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			a.keygenCommand(),
+			a.keysCommand(),
+			a.bundleCommand(),
+			a.signCommand(),
+			a.rolloutCommand(),
+			a.recallCommand(),
+			a.statusCommand(),
+			a.auditCommand(),
+			a.explainCommand(),
+		},
+	}
+	forEach(root, func(c *cli.Command) {
+		c.OnUsageError = usageError
+		if c.Action == nil {
+			c.Action = needsCommand
+		}
+	})
+	return root
+}
+
+func forEach(c *cli.Command, do func(*cli.Command)) {
+	do(c)
+	for _, sub := range c.Commands {
+		forEach(sub, do)
+	}
+}
+
+func commonFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "settings `FILE`", Sources: cli.EnvVars("BRAMLEY_CONFIG")},
+		&cli.StringFlag{Name: flagPlatform, Usage: "platform's IP `ADDRESS` and port", Sources: cli.EnvVars("BRAMLEY_PLATFORM")},
+		&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the deployment", Sources: cli.EnvVars("BRAMLEY_DEPLOYMENT")},
+		&cli.StringFlag{Name: flagKey, Usage: "`FILE` with your private key", Sources: cli.EnvVars("BRAMLEY_KEY")},
+		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: formatText, Usage: "`FORMAT` of the output: text or json"},
+		&cli.DurationFlag{Name: flagPatience, Usage: "how long to ask the platform again after failures", Sources: cli.EnvVars("BRAMLEY_PATIENCE")},
+	}
+}
+
+func (a *app) before(ctx context.Context, c *cli.Command) (context.Context, error) {
+	format := c.String(flagOutput)
+	if format != formatText && format != formatJSON {
+		return ctx, result.Errorf(result.BadRequest, "--output: found %q, allowed is text or json", format)
+	}
+	a.format = format
+	return ctx, nil
+}
+
+func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
+	return result.Wrap(result.BadRequest, err, fmt.Sprintf("see %s --help", c.FullName()))
+}
+
+func needsCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return result.Errorf(result.BadRequest, "found the command %q; see %s --help for those there are", c.Args().First(), c.FullName())
+	}
+	return cli.ShowSubcommandHelp(c)
+}
+
+// oneArg returns the only argument of a command.
+func oneArg(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", result.Errorf(result.BadRequest, "found %d arguments, allowed is one: %s", c.Args().Len(), what)
+	}
+	return c.Args().First(), nil
+}
--- /dev/null
+++ b/operator/audit.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+// AuditAnswer is what audit prints.
+type AuditAnswer struct {
+	Unbroken bool       `json:"unbroken"` // false is reported as error 610 instead
+	Head     uint64     `json:"head"`
+	Rows     []AuditRow `json:"rows"`
+}
+
+// AuditRow is one accepted change, or one refused attempt.
+type AuditRow struct {
+	Accepted bool           `json:"accepted"`
+	Revision uint64         `json:"revision,omitempty"`
+	At       time.Time      `json:"at"`
+	Person   string         `json:"person"`
+	Action   rollout.Action `json:"action"`
+	Digest   string         `json:"digest"` // that was rolled out or recalled
+	InForce  string         `json:"in_force,omitempty"`
+	Before   string         `json:"before,omitempty"`
+	Reason   string         `json:"reason"`
+	Op       rollout.OpID   `json:"op,omitempty"`
+	Code     result.Code    `json:"code,omitempty"`
+	Detail   string         `json:"detail,omitempty"`
+}
+
+func (a *app) auditCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "audit",
+		Usage: "read the audit trail and verify that it is unbroken",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "person", Usage: "only changes by `NAME`"},
+			&cli.StringFlag{Name: "action", Usage: "only this `ACTION`: rollout or recall"},
+			&cli.StringFlag{Name: "digest", Usage: "only changes about a `DIGEST`, or its beginning"},
+			&cli.TimestampFlag{Name: "since", Usage: "only changes from `TIME` on", Config: timestamps},
+			&cli.TimestampFlag{Name: "until", Usage: "only changes before `TIME`", Config: timestamps},
+			&cli.IntFlag{Name: "last", Usage: "only the last `N` rows"},
+			&cli.BoolFlag{Name: "refused", Usage: "with refused attempts"},
+		},
+		Action: a.audit,
+	}
+}
+
+var timestamps = cli.TimestampConfig{Layouts: []string{time.RFC3339, "2006-01-02 15:04:05", time.DateOnly}}
+
+func (a *app) audit(ctx context.Context, c *cli.Command) error {
+	s, err := a.open(c)
+	if err != nil {
+		return err
+	}
+	chain, err := s.client.Audit(ctx)
+	if err != nil {
+		return err
+	}
+	rows := acceptedRows(chain.Entries)
+	if c.Bool("refused") {
+		refused, err := s.client.Refusals(ctx)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, refusedRows(refused)...)
+		sort.SliceStable(rows, func(i, j int) bool { return rows[i].At.Before(rows[j].At) })
+	}
+	rows = filterRows(rows, filterOf(c))
+	answer := AuditAnswer{Unbroken: true, Head: chain.Head, Rows: rows}
+	return a.print(answer, auditTable(answer))
+}
+
+func acceptedRows(entries []rollout.Entry) []AuditRow {
+	rows := make([]AuditRow, 0, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		rows = append(rows, AuditRow{
+			Accepted: true, Revision: e.Revision, At: e.At, Person: e.Person, Action: e.Action,
+			Digest: e.Subject(), InForce: e.Digest, Before: e.Before, Reason: e.Reason, Op: e.Op,
+		})
+	}
+	return rows
+}
+
+func refusedRows(refusals []rollout.Refusal) []AuditRow {
+	rows := make([]AuditRow, 0, len(refusals))
+	for _, r := range refusals {
+		rows = append(rows, AuditRow{
+			At: r.At, Person: r.Person, Action: r.Action, Digest: r.Digest,
+			Reason: r.Reason, Op: r.Op, Code: r.Code, Detail: r.Detail,
+		})
+	}
+	return rows
+}
+
+type auditFilter struct {
+	person, action, digest string
+	since, until           time.Time
+	last                   int
+}
+
+func filterOf(c *cli.Command) auditFilter {
+	return auditFilter{
+		person: c.String("person"), action: c.String("action"), digest: c.String("digest"),
+		since: c.Timestamp("since"), until: c.Timestamp("until"), last: c.Int("last"),
+	}
+}
+
+func (f auditFilter) takes(r AuditRow) bool {
+	return (f.person == "" || r.Person == f.person) &&
+		(f.action == "" || string(r.Action) == f.action) &&
+		(strings.HasPrefix(r.Digest, f.digest) || r.InForce != "" && strings.HasPrefix(r.InForce, f.digest)) &&
+		(f.since.IsZero() || !r.At.Before(f.since)) &&
+		(f.until.IsZero() || r.At.Before(f.until))
+}
+
+func filterRows(rows []AuditRow, f auditFilter) []AuditRow {
+	kept := []AuditRow{}
+	for _, r := range rows {
+		if f.takes(r) {
+			kept = append(kept, r)
+		}
+	}
+	if f.last > 0 && len(kept) > f.last {
+		kept = kept[len(kept)-f.last:]
+	}
+	return kept
+}
+
+func auditTable(answer AuditAnswer) table {
+	t := table{head: []string{"REVISION", "AT", "PERSON", "ACTION", "DIGEST", "IN FORCE", "REASON"}}
+	for _, r := range answer.Rows {
+		if !r.Accepted {
+			t.add("refused", clock(r.At), r.Person, string(r.Action), shortDigest(r.Digest), "", r.Reason+" ("+r.Code.String()+")")
+			continue
+		}
+		t.add(strconv.FormatUint(r.Revision, 10), clock(r.At), r.Person, string(r.Action),
+			shortDigest(r.Digest), shortDigest(r.InForce), r.Reason)
+	}
+	t.add("unbroken up to revision " + strconv.FormatUint(answer.Head, 10))
+	return t
+}
--- /dev/null
+++ b/operator/bundles.go
@@ -0,0 +1,231 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+func (a *app) bundleCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bundle",
+		Usage: "check, compare, push and read bundles",
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check a file without the platform", ArgsUsage: "FILE", Action: a.bundleCheck},
+			{Name: "diff", Usage: "compare two bundles: files, digests or head", ArgsUsage: "FROM TO", Action: a.bundleDiff},
+			{Name: "push", Usage: "write a file to the platform as its author", ArgsUsage: "FILE", Action: a.bundlePush},
+			{Name: "list", Usage: "list the bundles on the platform", Action: a.bundleList},
+			{Name: "show", Usage: "print a bundle as its author wrote it", ArgsUsage: "DIGEST|head", Action: a.bundleShow},
+		},
+	}
+}
+
+// CheckAnswer is what bundle check prints.
+type CheckAnswer struct {
+	Digest   string           `json:"digest"`
+	Bytes    int              `json:"bytes"`
+	Findings []bundle.Finding `json:"findings"`
+	Warnings []bundle.Finding `json:"warnings"`
+}
+
+func (a *app) bundleCheck(_ context.Context, c *cli.Command) error {
+	path, err := oneArg(c, "a file")
+	if err != nil {
+		return err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return result.Wrap(result.BadRequest, err, "FILE")
+	}
+	b, findings := bundle.Parse(data)
+	answer := CheckAnswer{
+		Digest: bundle.Digest(data), Bytes: len(data),
+		Findings: append([]bundle.Finding{}, findings...), Warnings: []bundle.Finding{},
+	}
+	if len(findings) == 0 {
+		answer.Warnings = append(answer.Warnings, b.Warnings()...)
+	}
+	t := table{rows: [][]string{
+		{"digest", answer.Digest},
+		{"bytes", fmt.Sprintf("%d of %d allowed", len(data), bundle.MaxBytes)},
+		{"findings", strconv.Itoa(len(findings))},
+	}}
+	for _, f := range findings {
+		t.add("finding", f.String())
+	}
+	for _, f := range answer.Warnings {
+		t.add("warning", f.String())
+	}
+	if err := a.print(answer, t); err != nil {
+		return err
+	}
+	if len(findings) > 0 {
+		a.printed = true
+		return result.Errorf(result.BadBundle, "%d findings", len(findings))
+	}
+	if len(data) > bundle.MaxBytes {
+		return result.Errorf(result.BundleTooLarge, "found %d bytes, allowed are %d", len(data), bundle.MaxBytes)
+	}
+	return nil
+}
+
+func (a *app) bundlePush(ctx context.Context, c *cli.Command) error {
+	path, err := oneArg(c, "a file")
+	if err != nil {
+		return err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return result.Wrap(result.BadRequest, err, "FILE")
+	}
+	s, err := a.open(c)
+	if err != nil {
+		return err
+	}
+	digest, err := s.client.Push(ctx, data)
+	if err != nil {
+		return err
+	}
+	return a.print(map[string]string{"digest": digest}, table{rows: [][]string{{digest}}})
+}
+
+func (a *app) bundleList(ctx context.Context, c *cli.Command) error {
+	s, err := a.open(c)
+	if err != nil {
+		return err
+	}
+	list, err := s.client.List(ctx)
+	if err != nil {
+		return err
+	}
+	t := table{head: []string{"DIGEST", "DEPLOYMENT", "NAME", "AUTHOR", "BYTES", "FAULT"}}
+	for _, b := range list {
+		t.add(shortDigest(b.Digest), b.Deployment, b.Name, b.Author, strconv.Itoa(b.Bytes), b.Fault)
+	}
+	return a.print(list, t)
+}
+
+func (a *app) bundleShow(ctx context.Context, c *cli.Command) error {
+	arg, err := oneArg(c, "a digest or head")
+	if err != nil {
+		return err
+	}
+	s, err := a.open(c)
+	if err != nil {
+		return err
+	}
+	digest, err := s.digest(ctx, arg)
+	if err != nil {
+		return err
+	}
+	data, err := s.client.LoadBytes(ctx, digest)
+	if err != nil {
+		return err
+	}
+	_, err = a.out.Write(data)
+	return err
+}
+
+func (a *app) bundleDiff(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return result.Errorf(result.BadRequest, "found %d arguments, allowed are two: FROM TO", c.Args().Len())
+	}
+	from, err := a.anyBundle(ctx, c, c.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	to, err := a.anyBundle(ctx, c, c.Args().Get(1))
+	if err != nil {
+		return err
+	}
+	changes, err := Diff(from, to)
+	if err != nil {
+		return err
+	}
+	var t table
+	for _, ch := range changes {
+		t.add(ch.Path, ch.From, "->", ch.To)
+	}
+	if len(changes) == 0 {
+		t.add("no difference")
+	}
+	return a.print(changes, t)
+}
+
+// anyBundle reads a file, or else a bundle on the platform.
+func (a *app) anyBundle(ctx context.Context, c *cli.Command, arg string) ([]byte, error) {
+	data, err := os.ReadFile(arg)
+	if err == nil {
+		if !json.Valid(data) {
+			return nil, result.Errorf(result.BadBundle, "%s is not JSON", arg)
+		}
+		return data, nil
+	}
+	s, err := a.open(c)
+	if err != nil {
+		return nil, err
+	}
+	digest, err := s.digest(ctx, arg)
+	if err != nil {
+		return nil, err
+	}
+	return s.client.LoadBytes(ctx, digest)
+}
+
+// argHead stands for the bundle in force.
+const argHead = "head"
+
+// minPrefix is the least number of digits that stands for a digest.
+const minPrefix = 6
+
+// digest turns head, or the beginning of a digest, into the whole digest.
+func (s *session) digest(ctx context.Context, arg string) (string, error) {
+	const whole = 64
+	if len(arg) == whole {
+		return arg, nil
+	}
+	if arg == argHead {
+		entry, err := s.client.Head(ctx)
+		if err != nil {
+			return "", err
+		}
+		if entry == nil {
+			return "", result.Errorf(result.NotFound, "nothing is in force yet")
+		}
+		return entry.Digest, nil
+	}
+	if len(arg) < minPrefix {
+		return "", result.Errorf(result.BadRequest, "found %q, allowed is a digest or at least its first %d digits", arg, minPrefix)
+	}
+	page, err := s.store.List(ctx, rollout.KindBundle, arg, 2)
+	if err != nil {
+		return "", result.Wrap(result.PlatformDown, err, "listing bundles")
+	}
+	return uniquePrefix(page.Objects, arg)
+}
+
+func uniquePrefix(objects []platform.Object, prefix string) (string, error) {
+	var found []string
+	for _, obj := range objects {
+		if len(obj.Name) >= len(prefix) && obj.Name[:len(prefix)] == prefix {
+			found = append(found, obj.Name)
+		}
+	}
+	switch len(found) {
+	case 1:
+		return found[0], nil
+	case 0:
+		return "", result.Errorf(result.NotFound, "no bundle's digest starts with %q", prefix)
+	default:
+		return "", result.Errorf(result.BadRequest, "more than one bundle's digest starts with %q; give more of it", prefix)
+	}
+}
--- /dev/null
+++ b/operator/changes.go
@@ -0,0 +1,171 @@
+package operator
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+func reasonFlag() cli.Flag {
+	return &cli.StringFlag{Name: "reason", Required: true, Usage: "`TEXT` that the audit trail keeps"}
+}
+
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		reasonFlag(),
+		&cli.StringFlag{Name: "op", Usage: "operation `ID` of an earlier run whose outcome is unknown"},
+		&cli.Uint64Flag{Name: "expect", Usage: "refuse unless this `REVISION` is in force"},
+		&cli.BoolFlag{Name: "dry-run", Usage: "check and print the change, write nothing"},
+		&cli.DurationFlag{Name: "wait", Usage: "wait this long until every VM has it in force"},
+	}
+}
+
+func (a *app) signCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "sign",
+		Usage:     "sign a bundle off, as somebody other than its author",
+		ArgsUsage: "DIGEST",
+		Flags:     []cli.Flag{reasonFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, digest, err := a.openDigest(ctx, c)
+			if err != nil {
+				return err
+			}
+			off, err := s.client.SignOff(ctx, digest, c.String("reason"))
+			if err != nil {
+				return err
+			}
+			return a.print(off, table{rows: [][]string{
+				{"signed off", off.Digest}, {"by", off.Person}, {"counts from revision", strconv.FormatUint(off.After, 10)},
+			}})
+		},
+	}
+}
+
+func (a *app) openDigest(ctx context.Context, c *cli.Command) (*session, string, error) {
+	arg, err := oneArg(c, "a digest")
+	if err != nil {
+		return nil, "", err
+	}
+	s, err := a.open(c)
+	if err != nil {
+		return nil, "", err
+	}
+	digest, err := s.digest(ctx, arg)
+	return s, digest, err
+}
+
+func (a *app) rolloutCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "rollout",
+		Usage:     "put a bundle into force on every VM",
+		ArgsUsage: "DIGEST",
+		Flags:     changeFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return a.change(ctx, c, (*rollout.Client).Rollout)
+		},
+	}
+}
+
+func (a *app) recallCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "recall",
+		Usage:     "take a bundle back as a whole",
+		ArgsUsage: "DIGEST|head",
+		Flags:     changeFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return a.change(ctx, c, (*rollout.Client).Recall)
+		},
+	}
+}
+
+// ChangeAnswer is what rollout and recall print.
+type ChangeAnswer struct {
+	DryRun   bool           `json:"dry_run,omitempty"`
+	Outcome  string         `json:"outcome"`
+	Op       rollout.OpID   `json:"op"`
+	Revision uint64         `json:"revision"`
+	Action   rollout.Action `json:"action"`
+	InForce  string         `json:"in_force"` // digest
+	Name     string         `json:"name"`
+	Before   string         `json:"before"`
+	Recalled string         `json:"recalled,omitempty"`
+}
+
+type changeFunc func(*rollout.Client, context.Context, string, rollout.Ask) (rollout.Entry, error)
+
+func (a *app) change(ctx context.Context, c *cli.Command, do changeFunc) error {
+	s, digest, err := a.openDigest(ctx, c)
+	if err != nil {
+		return err
+	}
+	ask := rollout.Ask{
+		Reason: c.String("reason"), Op: rollout.OpID(c.String("op")),
+		Expect: c.Uint64("expect"), DryRun: c.Bool("dry-run"),
+	}
+	entry, err := do(s.client, ctx, digest, ask)
+	if err != nil {
+		return err
+	}
+	answer := ChangeAnswer{
+		DryRun: ask.DryRun, Outcome: "accepted", Op: entry.Op, Revision: entry.Revision, Action: entry.Action,
+		InForce: entry.Digest, Name: entry.Name, Before: entry.Before, Recalled: entry.Recalled,
+	}
+	if ask.DryRun {
+		answer.Outcome = "would be written"
+	}
+	if err := a.print(answer, changeTable(answer)); err != nil {
+		return err
+	}
+	if wait := c.Duration("wait"); wait > 0 && !ask.DryRun {
+		return a.waitForFleet(ctx, s, entry.Revision, wait)
+	}
+	return nil
+}
+
+func changeTable(answer ChangeAnswer) table {
+	t := table{rows: [][]string{
+		{string(answer.Action), answer.Outcome},
+		{"revision", strconv.FormatUint(answer.Revision, 10)},
+		{"in force", answer.InForce + " " + answer.Name},
+		{"operation", string(answer.Op)},
+	}}
+	if answer.Recalled != "" {
+		t.add("recalled", answer.Recalled)
+	}
+	return t
+}
+
+// pollEvery is the pause between two looks at the VMs.
+const pollEvery = 200 * time.Millisecond
+
+// waitForFleet watches the VMs' own pages until each has the revision.
+func (a *app) waitForFleet(ctx context.Context, s *session, revision uint64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	last := ""
+	for {
+		rows, err := readFleet(ctx, s.store)
+		progress := fleetProgress(rows, revision)
+		switch {
+		case err != nil:
+			progress.text = "the list of VMs can't be read: " + err.Error()
+		case progress.done:
+			a.note(&last, progress.text)
+			return nil
+		}
+		if ctx.Err() == nil {
+			a.note(&last, progress.text)
+		}
+		select {
+		case <-ctx.Done():
+			return result.Errorf(result.Lagging, "after %s: %s", wait, last)
+		case <-time.After(pollEvery):
+		}
+	}
+}
--- /dev/null
+++ b/operator/diff.go
@@ -0,0 +1,81 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// Difference is one value that differs between two bundles.
+type Difference struct {
+	Path string `json:"path"`
+	From string `json:"from"` // empty: not there
+	To   string `json:"to"`   // empty: not there
+}
+
+// Diff compares two JSON documents. Items of arrays are matched by their name,
+// so that an inserted target shows as one difference.
+func Diff(from, to []byte) ([]Difference, error) {
+	before, err := flatten(from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := flatten(to)
+	if err != nil {
+		return nil, err
+	}
+	changes := []Difference{}
+	for path, value := range before {
+		if after[path] != value {
+			changes = append(changes, Difference{Path: path, From: value, To: after[path]})
+		}
+	}
+	for path, value := range after {
+		if _, both := before[path]; !both {
+			changes = append(changes, Difference{Path: path, To: value})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Path < changes[j].Path })
+	return changes, nil
+}
+
+// flatten maps the path of each scalar to its JSON text.
+func flatten(data []byte) (map[string]string, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	var tree any
+	if err := dec.Decode(&tree); err != nil {
+		return nil, result.Wrap(result.BadBundle, err, "not JSON")
+	}
+	flat := map[string]string{}
+	flattenInto(flat, "$", tree)
+	return flat, nil
+}
+
+func flattenInto(flat map[string]string, path string, node any) {
+	switch n := node.(type) {
+	case map[string]any:
+		for name, value := range n {
+			flattenInto(flat, path+"."+name, value)
+		}
+	case []any:
+		for i, item := range n {
+			flattenInto(flat, fmt.Sprintf("%s[%s]", path, itemKey(i, item)), item)
+		}
+	default:
+		text, _ := json.Marshal(n) // scalars always encode
+		flat[path] = string(text)
+	}
+}
+
+func itemKey(i int, item any) string {
+	if object, ok := item.(map[string]any); ok {
+		if name, ok := object["name"].(string); ok {
+			return name
+		}
+	}
+	return fmt.Sprint(i)
+}
--- /dev/null
+++ b/operator/fleet.go
@@ -0,0 +1,179 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/ops"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+// The bounds on reading VMs' status pages.
+const (
+	maxStatusReads = 32
+	maxStatusBytes = 64 << 10
+)
+
+// VMRow is what is known of one VM.
+type VMRow struct {
+	VM            string      `json:"vm"`
+	ListedLeaving bool        `json:"listed_leaving"` // by the platform's list
+	Error         string      `json:"error,omitempty"`
+	Status        *ops.Status `json:"status,omitempty"`
+}
+
+// readFleet reads the list of VMs and every VM's status page.
+func readFleet(ctx context.Context, store platform.Store) ([]VMRow, error) {
+	vms, err := store.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]VMRow, len(vms))
+	slots := make(chan struct{}, maxStatusReads)
+	var wait sync.WaitGroup
+	for i, vm := range vms {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			rows[i] = VMRow{VM: vm.Name, ListedLeaving: vm.Leaving}
+			status, err := readStatus(ctx, vm.Ops)
+			if err != nil {
+				rows[i].Error = err.Error()
+				return
+			}
+			rows[i].Status = status
+		}()
+	}
+	wait.Wait()
+	sort.Slice(rows, func(i, j int) bool { return rows[i].VM < rows[j].VM })
+	return rows, nil
+}
+
+func readStatus(ctx context.Context, address string) (*ops.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultStatusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ops.PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	// A fresh connection each time: an old one may have gone silent.
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status page: %s", resp.Status)
+	}
+	var status ops.Status
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status)
+	return &status, err
+}
+
+// progress is how far a revision has come.
+type progress struct {
+	done bool
+	text string
+}
+
+// fleetProgress counts the VMs that have the revision and names those that lag.
+// A VM that is leaving gets no work and is not waited for.
+func fleetProgress(rows []VMRow, revision uint64) progress {
+	have, all := 0, 0
+	var lag []string
+	for _, row := range rows {
+		switch {
+		case row.ListedLeaving || row.Status != nil && row.Status.Leaving:
+			continue
+		case row.Status == nil:
+			lag = append(lag, row.VM+" (no answer)")
+		case row.Status.Revision < revision:
+			lag = append(lag, fmt.Sprintf("%s (at %d)", row.VM, row.Status.Revision))
+		default:
+			have++
+		}
+		all++
+	}
+	p := progress{done: all > 0 && have == all, text: fmt.Sprintf("%d of %d VMs have revision %d in force", have, all, revision)}
+	if len(lag) > 0 {
+		p.text += "; waiting for " + strings.Join(lag, ", ")
+	}
+	return p
+}
+
+// note prints progress when it changed.
+func (a *app) note(last *string, text string) {
+	if *last != text {
+		fmt.Fprintln(a.err, text)
+		*last = text
+	}
+}
+
+// StatusAnswer is what status prints.
+type StatusAnswer struct {
+	Head      *rollout.Entry `json:"head"` // nil: nothing rolled out, or HeadError
+	HeadError string         `json:"head_error,omitempty"`
+	VMs       []VMRow        `json:"vms"`
+}
+
+func (a *app) statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the head and what each VM has in force",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := a.open(c)
+			if err != nil {
+				return err
+			}
+			var answer StatusAnswer
+			answer.Head, err = s.client.Head(ctx)
+			if err != nil {
+				answer.HeadError = err.Error()
+			}
+			if answer.VMs, err = readFleet(ctx, s.store); err != nil {
+				return result.Wrap(result.PlatformDown, err, "the list of VMs")
+			}
+			return a.print(answer, statusTable(answer))
+		},
+	}
+}
+
+func statusTable(answer StatusAnswer) table {
+	t := table{head: []string{"VM", "REVISION", "DIGEST", "SINCE", "READY", "LEAVING", "PLATFORM", "PEERS"}}
+	switch h := answer.Head; {
+	case answer.HeadError != "":
+		t.add("(head)", "unknown", answer.HeadError)
+	case h == nil:
+		t.add("(head)", "0", "nothing rolled out yet")
+	default:
+		t.add("(head)", strconv.FormatUint(h.Revision, 10), shortDigest(h.Digest), clock(h.At), "", "", "", "")
+	}
+	for _, row := range answer.VMs {
+		if row.Status == nil {
+			t.add(row.VM, "no answer", row.Error)
+			continue
+		}
+		st := row.Status
+		contact := "reachable"
+		if !st.PlatformReachable {
+			contact = "lost, last " + clock(st.PlatformContact)
+		}
+		t.add(row.VM, strconv.FormatUint(st.Revision, 10), shortDigest(st.Digest), clock(st.Since),
+			strconv.FormatBool(st.Ready), strconv.FormatBool(st.Leaving || row.ListedLeaving), contact, strconv.Itoa(st.Peers))
+	}
+	return t
+}
--- /dev/null
+++ b/operator/output.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// The formats of the output.
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+// table is the text form of an answer.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// print writes value as JSON, or t as text.
+func (a *app) print(value any, t table) error {
+	if a.format == formatJSON {
+		return a.printJSON(value)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	if len(t.head) > 0 {
+		printRow(w, t.head)
+	}
+	for _, row := range t.rows {
+		printRow(w, row)
+	}
+	return w.Flush()
+}
+
+func printRow(w *tabwriter.Writer, cells []string) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, cell)
+	}
+	fmt.Fprintln(w)
+}
+
+func (a *app) printJSON(value any) error {
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(value)
+}
+
+// errorJSON is a failed command's output with -o json.
+type errorJSON struct {
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	Detail string      `json:"detail"`
+	Next   string      `json:"next,omitempty"`
+}
+
+func (a *app) printError(err error) {
+	code := result.Of(err)
+	if a.format == formatJSON {
+		_ = a.printJSON(errorJSON{Code: code, Name: code.String(), Detail: err.Error(), Next: nextSteps[code]})
+		return
+	}
+	fmt.Fprintf(a.err, "bramleyctl: %v\n", err)
+	if next := nextSteps[code]; next != "" {
+		fmt.Fprintf(a.err, "next: %s\n", next)
+	}
+}
+
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return t.UTC().Format("2006-01-02 15:04:05Z")
+}
+
+// shortDigest is enough of a digest for people; commands take it too.
+func shortDigest(digest string) string {
+	const shown = 12
+	return digest[:min(len(digest), shown)]
+}
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -117,7 +117,7 @@
 func conflict(winner, now *Head) error {
 	w := &winner.Entry
 	text := "revision %d came first: %s of %s by %s at %s, because %q"
-	args := []any{w.Revision, w.Action, w.subject(), w.Person, w.At.Format("2006-01-02 15:04:05 MST"), w.Reason}
+	args := []any{w.Revision, w.Action, w.Subject(), w.Person, w.At.Format("2006-01-02 15:04:05 MST"), w.Reason}
 	if now != nil && now.Entry.Revision > w.Revision {
 		text += "; the head is at revision %d by now"
 		args = append(args, now.Entry.Revision)
@@ -125,8 +125,8 @@
 	return result.Errorf(result.Conflict, text+"; look at it with audit and decide anew", args...)
 }
 
-// subject is the digest that the change was about.
-func (e *Entry) subject() string {
+// Subject returns the digest that the change was about: rolled out or recalled.
+func (e *Entry) Subject() string {
 	if e.Action == ActionRecall {
 		return e.Recalled
 	}
