The exchange between VMs joins the daemon: heads, drains, watchers

Cause: each VM stood alone; a drain learned by one was not known to the others. Change: node starts the exchange, hands it drains from answers and statuses, applies drains of others to the tables, and lets it say which VMs watch. Settings take seeds. go test -race ./integration passes with it; timing not measured yet.

--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/bramleybarrow/bramleybarrow/gateway"
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/ops"
+	"github.com/bramleybarrow/bramleybarrow/peer"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/query"
 	"github.com/bramleybarrow/bramleybarrow/rollout"
@@ -40,6 +42,7 @@
 	monitor *target.Monitor
 	engine  *query.Engine
 	claims  *once.Runner
+	peers   *peer.Exchange
 	gateway *gateway.Gateway
 
 	callers *listener
@@ -81,6 +84,9 @@
 		Log:        log.Named("rollout"),
 		Watch:      true,
 	})
+	if err := n.buildPeers(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	n.buildTargets()
 	n.claims = once.NewRunner(once.Options{
 		Store:       n.store,
@@ -101,6 +107,27 @@
 	return n, nil
 }
 
+func (n *Node) buildPeers() error {
+	var err error
+	n.peers, err = peer.New(peer.Options{
+		VM: platform.VM{
+			Name:    n.set.Name,
+			Address: n.set.Listen.Peers,
+			Ops:     n.set.Listen.Ops,
+			Zone:    n.set.Zone,
+		},
+		Incarnation: n.incarnation,
+		Deployment:  n.set.Deployment,
+		FleetKeys:   n.set.FleetKeyBytes(),
+		Listen:      n.set.Listen.Peers,
+		Seeds:       n.set.Seeds,
+		Store:       n.store,
+		Heads:       n.keeper,
+		Log:         n.log.Named("peer"),
+	})
+	return errors.Trace(err)
+}
+
 // buildTargets makes the client, the engine and the monitor, which refer to
 // each other: the engine calls through the client and is told by both.
 func (n *Node) buildTargets() {
@@ -115,6 +142,9 @@
 		Zone:   n.set.Zone,
 		Seed:   uint64(n.started.UnixNano()),
 		Log:    n.log.Named("query"),
+		OnDrain: func(target, incarnation string) {
+			n.peers.LearnDrain(peer.Drain{Target: target, Incarnation: incarnation})
+		},
 	})
 	relay.engine = n.engine
 	n.monitor = target.NewMonitor(target.MonitorOptions{
@@ -147,9 +177,14 @@
 	if err := n.open(); err != nil {
 		return errors.Trace(err)
 	}
+	if err := n.peers.Start(); err != nil {
+		return errors.Trace(err)
+	}
 	n.keeper.Start()
 	n.monitor.Start()
 	n.tomb.Go(n.follow)
+	n.tomb.Go(n.followDrains)
+	n.tomb.Go(n.followWatching)
 	n.tomb.Go(n.serve(n.ops))
 	n.tomb.Go(n.serve(n.callers))
 	n.log.Info("serving", "callers", n.callers.socket.Addr(), "ops", n.ops.socket.Addr(), "incarnation", n.incarnation)
@@ -168,7 +203,7 @@
 	}
 	n.ops, err = listen(n.set.Listen.Ops, ops.Server(ops.Options{
 		Status:  n.Status,
-		Metrics: []*metrics.Set{n.metrics},
+		Metrics: []func(io.Writer){n.metrics.WritePrometheus, n.peers.WriteMetrics},
 	}))
 	return errors.Trace(err)
 }
@@ -203,9 +238,46 @@
 	n.engine.Apply(force.Bundle)
 	n.client.Apply(endpoints)
 	n.monitor.Apply(endpoints)
+	n.applyDrains()
 	n.log.Info("revision in force", "revision", force.Revision, "digest", force.Digest)
 }
 
+// followDrains takes drains that other VMs learned.
+func (n *Node) followDrains() error {
+	for {
+		changed := n.peers.DrainsChanged()
+		n.applyDrains()
+		select {
+		case <-changed:
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (n *Node) applyDrains() {
+	for _, d := range n.peers.Drains() {
+		n.engine.Drain(d.Target, d.Incarnation)
+	}
+}
+
+// watchingInterval is how often this VM asks itself whether it is one of those
+// that watch the platform.
+const watchingInterval = time.Second
+
+func (n *Node) followWatching() error {
+	ticker := time.NewTicker(watchingInterval)
+	defer ticker.Stop()
+	for {
+		n.keeper.SetWatching(n.peers.Watching())
+		select {
+		case <-ticker.C:
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
 // endpoints gives this VM its share of each target's connections.
 func endpoints(b *bundle.Bundle) []target.Endpoint {
 	var list []target.Endpoint
@@ -233,6 +305,7 @@
 func (n *Node) leave() {
 	n.leaving.Store(true)
 	n.gateway.Leave()
+	n.peers.AnnounceLeaving()
 	n.log.Info("leaving", "lame_duck_ms", n.set.LameDuckMS)
 	time.Sleep(time.Duration(n.set.LameDuckMS) * time.Millisecond)
 }
@@ -249,6 +322,7 @@
 	err = firstError(err, n.claims.Close(ctx))
 	err = firstError(err, n.monitor.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
+	err = firstError(err, n.peers.Stop(ctx))
 	n.engine.Close()
 	n.client.Close()
 	err = firstError(err, n.ops.server.Shutdown(ctx))
@@ -276,6 +350,7 @@
 		Started:         n.started,
 		Leaving:         n.leaving.Load(),
 		PlatformContact: n.keeper.PlatformContact(),
+		Peers:           n.peers.Peers(),
 	}
 	st.PlatformReachable = time.Since(st.PlatformContact) < platformSilence
 	if force := n.keeper.Current(); force != nil {
--- a/ops/server.go
+++ b/ops/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,7 +16,7 @@
 // Options configure the operators' page. Status is required.
 type Options struct {
 	Status  func() Status
-	Metrics []*metrics.Set
+	Metrics []func(io.Writer) // in Prometheus text format
 }
 
 // Server returns the HTTP server of the operators' page.
@@ -30,8 +31,8 @@
 		}
 	})
 	mux.HandleFunc(pat.Get(PathMetrics), func(w http.ResponseWriter, _ *http.Request) {
-		for _, set := range opt.Metrics {
-			set.WritePrometheus(w)
+		for _, write := range opt.Metrics {
+			write(w)
 		}
 		metrics.WriteProcessMetrics(w)
 	})
--- a/settings/load.go
+++ b/settings/load.go
@@ -56,6 +56,9 @@
 	c.address("$.listen.ops", s.Listen.Ops)
 	c.address("$.listen.peers", s.Listen.Peers)
 	c.address("$.platform.address", s.Platform.Address)
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("$.seeds[%d]", i), seed)
+	}
 	if _, err := bundle.NewKeyring(s.OperatorKeys...); err != nil {
 		c.add("$.operator_keys", err.Error(), "distinct ids, each with a person and a base64 Ed25519 public key")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,7 +2,11 @@
 // before it can reach the platform. Everything else comes with the bundle.
 package settings
 
-import "github.com/bramleybarrow/bramleybarrow/bundle"
+import (
+	"encoding/base64"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+)
 
 // Settings is the JSON settings file of bramleyd.
 type Settings struct {
@@ -16,7 +20,11 @@
 	OperatorKeys []bundle.PublicKey `json:"operator_keys"`
 	// FleetKeys are shared by the VMs of the deployment, newest first, in
 	// base64. Each proves membership; the first is offered.
-	FleetKeys  []string `json:"fleet_keys"`
+	FleetKeys []string `json:"fleet_keys"`
+	// Seeds are addresses of other VMs' peer listeners, asked when neither the
+	// platform nor a peer names any. They let a fleet start while the platform
+	// is down.
+	Seeds      []string `json:"seeds,omitempty"`
 	Log        Log      `json:"log"`
 	LameDuckMS int      `json:"lame_duck_ms"` // serving time after SIGTERM, longer than the balancer's lag
 }
@@ -38,3 +46,14 @@
 	Level string `json:"level"` // trace, debug, info, warn or error
 	JSON  bool   `json:"json"`
 }
+
+// FleetKeyBytes returns the fleet keys decoded. Settings have been checked.
+func (s *Settings) FleetKeyBytes() [][]byte {
+	keys := make([][]byte, 0, len(s.FleetKeys))
+	for _, k := range s.FleetKeys {
+		if raw, err := base64.StdEncoding.DecodeString(k); err == nil {
+			keys = append(keys, raw)
+		}
+	}
+	return keys
+}
