Claims: property and linearizability tests

Racing VMs over 12 seeds, with lost writes, lost answers, writes that land late and paused senders. Claims are checked as registers by porcupine; Run is checked against a record of what ran.

--- /dev/null
+++ b/once/race_test.go
@@ -0,0 +1,217 @@
+package once
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+const (
+	raceSeeds = 12
+	raceVMs   = 4
+	raceKeys  = 3
+	raceTurns = 6
+)
+
+// racing starts VMs on a store that loses writes, loses answers, carries some
+// writes out late, and pauses senders.
+func racing(t *testing.T, seed uint64) ([]*Runner, *faultStore) {
+	store := newFaultStore(seed)
+	store.loseAnswer, store.loseWrite, store.late = 0.15, 0.1, 0.1
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 2))
+	store.beforePut = func(string) error {
+		mu.Lock()
+		pause := time.Duration(rng.IntN(8)) * time.Millisecond
+		mu.Unlock()
+		time.Sleep(pause)
+		return nil
+	}
+	runners := make([]*Runner, raceVMs)
+	for i := range runners {
+		runners[i] = vm(t, store, fmt.Sprint("vm", i))
+	}
+	return runners, store
+}
+
+// claimIn and claimOut are the register's operations for porcupine.
+type claimIn struct {
+	key     int
+	op      string
+	release bool
+}
+
+type claimOut struct {
+	known  bool
+	winner string // who holds the key after a claim
+}
+
+// claimModel is one register per key: free, or held by an operation.
+var claimModel = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make([][]porcupine.Operation, raceKeys)
+		for _, o := range history {
+			key := o.Input.(claimIn).key
+			parts[key] = append(parts[key], o)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		holder, in, out := state.(string), input.(claimIn), output.(claimOut)
+		after := holder
+		switch {
+		case in.release && holder == in.op:
+			after = ""
+		case !in.release && holder == "":
+			after = in.op
+		}
+		switch {
+		case !out.known:
+			return []any{holder, after}
+		case in.release:
+			return []any{after}
+		case after == out.winner:
+			return []any{after}
+		}
+		return nil
+	},
+}).ToModel()
+
+// TestClaimsAreLinearizable: two VMs run one withdrawal report. Both claim its
+// key at once, are paused before or after their conditional update, and lose
+// its answer. Were a claim not a single register, both would believe in it.
+func TestClaimsAreLinearizable(t *testing.T) {
+	for seed := uint64(1); seed <= raceSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runners, store := racing(t, seed)
+			h := &history{start: time.Now()}
+			base := request("d")
+			var wg sync.WaitGroup
+			for i, r := range runners {
+				wg.Go(func() { h.drive(r, base, i, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
+			}
+			wg.Wait()
+			store.lateWG.Wait()
+			verdict := porcupine.CheckOperationsTimeout(claimModel, h.ops, time.Minute)
+			NewWithT(t).Expect(verdict).To(Equal(porcupine.Ok))
+		})
+	}
+}
+
+type history struct {
+	start time.Time
+	mu    sync.Mutex // guards ops
+	ops   []porcupine.Operation
+}
+
+const never = int64(1) << 62
+
+func (h *history) now() int64 { return int64(time.Since(h.start)) }
+
+func (h *history) add(client int, in claimIn, out claimOut, call, end int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: end})
+}
+
+func (h *history) drive(r *Runner, base Request, client int, rng *rand.Rand) {
+	for range raceTurns {
+		key := rng.IntN(raceKeys)
+		req := base
+		req.Search = fmt.Sprint("search", key)
+		claim := r.newClaim(context.Background(), req)
+		in := claimIn{key: key, op: claim.entry.Op}
+		name := segmentName(req.Deployment, "one segment for all", req.Key.Made())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+rng.IntN(60))*time.Millisecond)
+		call := h.now()
+		rep, err := r.claim(ctx, name, claim)
+		cancel()
+		end := h.now()
+		switch {
+		case err != nil:
+			// It may land until it is released in the background.
+			h.add(client, in, claimOut{}, call, never)
+			in.release = true
+			h.add(client, in, claimOut{}, end, never)
+		case rep.verdict == verdictHeld:
+			h.add(client, in, claimOut{known: true, winner: rep.held.Op}, call, end)
+		default:
+			h.add(client, in, claimOut{known: true, winner: in.op}, call, end)
+			call = h.now()
+			<-r.finish(name, claim, opRelease, nil)
+			in.release = true
+			h.add(client, in, claimOut{known: true}, call, h.now())
+		}
+	}
+}
+
+// sending is one call of Run and what it was told.
+type sending struct {
+	key  int
+	name string
+	out  Outcome
+}
+
+// TestRunAtMostOnce: a bookmark sync fires twice. Its sender doubts and sends
+// the key to all VMs at once and again, while the platform loses writes and
+// answers. What was told "not run" was not run, and all who are told the
+// outcome are told the same.
+func TestRunAtMostOnce(t *testing.T) {
+	for seed := uint64(1); seed <= raceSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			runners, store := racing(t, seed)
+			reqs := make([]Request, raceKeys)
+			for i := range reqs {
+				reqs[i] = request("d")
+			}
+			var mu sync.Mutex // guards ran and told
+			ran := make(map[int][]string)
+			var told []sending
+			var wg sync.WaitGroup
+			for i, r := range runners {
+				rng := rand.New(rand.NewPCG(seed, uint64(20+i)))
+				wg.Go(func() {
+					for turn := range raceTurns {
+						s := sending{key: rng.IntN(raceKeys), name: fmt.Sprintf(`"%d/%d"`, i, turn)}
+						ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+rng.IntN(60))*time.Millisecond)
+						s.out = r.Run(ctx, reqs[s.key], func(context.Context) Outcome {
+							mu.Lock()
+							defer mu.Unlock()
+							ran[s.key] = append(ran[s.key], s.name)
+							return Outcome{Code: result.Accepted, Result: []byte(s.name)}
+						})
+						cancel()
+						mu.Lock()
+						told = append(told, s)
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			store.lateWG.Wait()
+			for key := range ran {
+				g.Expect(ran[key]).To(HaveLen(1), "key %d ran twice", key)
+			}
+			for _, s := range told {
+				if s.out.Code == result.Accepted {
+					g.Expect(ran[s.key]).To(Equal([]string{string(s.out.Result)}))
+				}
+				if s.out.Code.Info().Ran == result.RanNo {
+					g.Expect(ran[s.key]).NotTo(ContainElement(s.name))
+				}
+			}
+		})
+	}
+}
--- a/once/runner_test.go
+++ b/once/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -10,8 +11,19 @@
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 )
 
+// TestMain fixes the seed of the property tests and looks for goroutines that
+// outlive their Runner.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
 // vm starts a Runner that ends with the test.
 func vm(t *testing.T, store platform.Store, name string, change ...func(*Options)) *Runner {
 	opts := Options{Store: store, VM: name, Incarnation: "1", CallTimeout: 5 * time.Second, ClaimWait: 10 * time.Second, OutcomeWait: 10 * time.Second, Writes: 10000}
