--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,8 @@
 unit:
 	$(GO) test -race -timeout 20m ./...
 
+demo: build
+	$(BIN)/bramley-lab demo --daemon $(BIN)/bramleyd
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/bramley-lab/demo.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// Sizes of the demonstration.
+const (
+	demoTargets  = 4
+	demoLeaves   = 2
+	demoShards   = 4
+	demoReplicas = 2
+	demoRecords  = 400
+	demoVMs      = 2
+	demoTime     = time.Minute // bounds the whole
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "start a small deployment as processes, ask it and print its answers",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Value: "bin/bramleyd", Usage: "path of the bramleyd program"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, demoTime)
+			defer cancel()
+			return runDemo(ctx, cmd.String("daemon"))
+		},
+	}
+}
+
+func runDemo(ctx context.Context, daemon string) error {
+	dir, err := os.MkdirTemp("", "bramley-demo")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer os.RemoveAll(dir)
+	lab, err := os.Executable()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f, err := fleet.New(fleet.Options{Daemon: daemon, Lab: lab, Dir: dir, Deployment: "demo"})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer f.Close()
+	daemons, err := startDemo(ctx, f)
+	if err != nil {
+		return errors.Annotate(err, f.Logs(5))
+	}
+	return errors.Trace(askDemo(ctx, daemons))
+}
+
+// startDemo starts the platform, the targets and the daemons, rolls out a
+// bundle and waits until every daemon is ready.
+func startDemo(ctx context.Context, f *fleet.Fleet) ([]*fleet.Daemon, error) {
+	p, err := f.StartPlatform(time.Second)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	targets, err := startDemoTargets(f)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var daemons []*fleet.Daemon
+	var vms []platform.VM
+	for i := range demoVMs {
+		d, err := f.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprintf("vm-%d", i+1), Zone: "reykjanes"})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		daemons = append(daemons, d)
+		vms = append(vms, d.VM())
+	}
+	if err := p.SetVMs(vms, 0); err != nil {
+		return nil, errors.Trace(err)
+	}
+	entry, err := f.RollOut(ctx, demoBundle(targets))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	fmt.Printf("bundle %.12s rolled out as revision %d\n", entry.Digest, entry.Revision)
+	return daemons, waitReady(ctx, daemons)
+}
+
+func startDemoTargets(f *fleet.Fleet) ([]*fleet.Target, error) {
+	index := targetsim.Index{Service: "inspector-desk", Snapshot: "2026-12-01", Seq: 1, Shards: demoShards, Records: demoRecords}
+	var targets []*fleet.Target
+	for i, holder := range targetsim.Place(index, demoTargets, demoLeaves, demoReplicas) {
+		t, err := f.StartTarget(targetsim.Options{
+			Name: fmt.Sprintf("inspector-desk-%d", i+1), Service: index.Service,
+			Leaves: demoLeaves, Slots: 2, Seed: uint64(i), Timing: targetsim.Timing{BaseMS: 2},
+			Snapshots: []targetsim.Holder{holder},
+		})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		targets = append(targets, t)
+	}
+	return targets, nil
+}
+
+func demoBundle(targets []*fleet.Target) *bundle.Bundle {
+	svc := bundle.Service{
+		Name: "inspector-desk", Shards: demoShards,
+		Drain: bundle.Drain{HealthIntervalMS: 200, HealthTimeoutMS: 500, SuspectAfter: 3},
+	}
+	for _, t := range targets {
+		svc.Targets = append(svc.Targets, bundle.Target{
+			Name: t.Name, Zone: "reykjanes", Address: t.Address,
+			Leaves: demoLeaves, Slots: 2, Connections: 25, ConnectCostMS: 6,
+		})
+	}
+	search := func(name string, kind bundle.SearchKind) bundle.Search {
+		return bundle.Search{
+			Name: name, Kind: kind, Service: svc.Name, MaxItems: 100,
+			Coverage:  bundle.Coverage{Default: 1, Min: 0.5},
+			TimeLimit: bundle.TimeLimit{DefaultMS: 1000, MinMS: 10, MaxMS: 10000},
+			Retry:     bundle.Retry{MaxAttempts: 3, Budget: 0.1},
+		}
+	}
+	return &bundle.Bundle{
+		Name:     "demo",
+		Zones:    []bundle.Zone{{Name: "reykjanes", Region: "iceland"}},
+		Fleet:    bundle.Fleet{MaxVMs: demoVMs + 1},
+		Services: []bundle.Service{svc},
+		Searches: []bundle.Search{
+			search("licences", bundle.KindSearch),
+			search("register", bundle.KindBrowse),
+			search("withdrawal-report", bundle.KindSubmit),
+		},
+	}
+}
+
+// waitReady waits until every daemon reads all shards.
+func waitReady(ctx context.Context, daemons []*fleet.Daemon) error {
+	for _, d := range daemons {
+		for {
+			a, _, err := d.Search(ctx, "licences", gateway.SearchBody{Query: "ready"})
+			if err == nil && a.Coverage != nil && a.Coverage.Ratio == 1 {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Annotatef(ctx.Err(), "%s did not become ready", d.Name)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// askDemo sends each kind of request and prints what came back. The same
+// non-idempotent request goes to both daemons; it runs once.
+func askDemo(ctx context.Context, daemons []*fleet.Daemon) error {
+	key := fmt.Sprintf("%d-demo-report", time.Now().Unix())
+	for _, d := range daemons {
+		a, _, err := d.Search(ctx, "licences", gateway.SearchBody{Query: "well", Limit: 3})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		printAnswer(d, "search licences", &a)
+		if a, _, err = d.Browse(ctx, "register", gateway.SearchBody{Limit: 3}); err != nil {
+			return errors.Trace(err)
+		}
+		printAnswer(d, "browse register", &a)
+		if a, _, err = d.Submit(ctx, "withdrawal-report", key, map[string]int{"m3": 12}); err != nil {
+			return errors.Trace(err)
+		}
+		printAnswer(d, "submit withdrawal-report", &a)
+	}
+	return nil
+}
+
+func printAnswer(d *fleet.Daemon, what string, a *gateway.Answer) {
+	fmt.Printf("\n%s: %s -> %d %s in %.1f ms\n", d.Name, what, a.Code, a.Name, a.TookMS)
+	if c := a.Coverage; c != nil {
+		fmt.Printf("  snapshot %s, revision %d, %d of %d shards, %d records read, %d missing\n",
+			a.Snapshot, a.Revision, c.ShardsAnswered, c.Shards, c.Records, c.Missing)
+	}
+	for _, item := range a.Items {
+		fmt.Printf("  %-14s score %.3f\n", item.Key, item.Score)
+	}
+	if a.Result != nil {
+		fmt.Printf("  result %s\n", a.Result)
+	}
+}
