Shares of a target's connections: fixed places, not the lagging list

The sum of all VMs' connections has to stay within a target's limit also while the list of VMs lags and VMs are replaced. Weighed: floor(limit / max_vms) for all, owners by rendezvous hashing over the live list, and owners by rendezvous hashing over fixed places.

With a limit of at least max_vms every place owns and all go direct, which is the static share of a small fleet.

Not built: the claim of a place in the store, needed beyond direct fleets.

--- /dev/null
+++ b/peer/share/share.go
@@ -0,0 +1,111 @@
+// Package share cuts the connections that a target accepts among the VMs of a
+// deployment. It is pure.
+//
+// The fleet has a fixed number of places, bundle.Fleet.MaxVMs. A Plan says how
+// many places own connections to a target and how many connections each owner
+// may hold; Owners*Each never exceeds the target's limit. If the limit lets
+// every place own some, all VMs go direct and nobody needs to know who else
+// lives: that is the static share of a small fleet. In a larger one the owners
+// of a target are chosen by rendezvous hashing over the places, and the other
+// VMs reach it through them.
+//
+// The places are fixed numbers and not the list of VMs, because that list lags:
+// two VMs with different lists can both believe to be the last owner.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// wantedOwners is the number of owners of a target that can't serve every VM:
+// enough to lose some, and few enough that each sees much of the target's load.
+const wantedOwners = 8
+
+// Plan is how one target's connections are cut.
+type Plan struct {
+	Places int // of the fleet
+	Owners int // places that own connections to the target
+	Each   int // connections that one owner may hold
+}
+
+// Cut plans for a target that accepts that many connections from the whole
+// fleet, which has that many places.
+func Cut(connections, places int) Plan {
+	places = max(places, 1)
+	connections = max(connections, 0)
+	owners := places
+	if connections < places {
+		owners = min(wantedOwners, connections)
+	}
+	if owners == 0 {
+		return Plan{Places: places}
+	}
+	return Plan{Places: places, Owners: owners, Each: connections / owners}
+}
+
+// Direct tells whether every VM has connections of its own.
+func (p Plan) Direct() bool { return p.Owners == p.Places }
+
+// Connections returns how many connections to the target the VM at a place may
+// hold; 0 means that it reaches the target through an owner. Places are counted
+// from 0.
+func (p Plan) Connections(target string, place int) int {
+	if place < 0 || place >= p.Places {
+		return 0
+	}
+	if p.Direct() || slices.Contains(p.OwnerPlaces(target), place) {
+		return p.Each
+	}
+	return 0
+}
+
+// OwnerPlaces returns the places that own the target, the first choice first.
+func (p Plan) OwnerPlaces(target string) []int {
+	places := make([]int, p.Places)
+	for i := range places {
+		places[i] = i
+	}
+	return top(target, places, strconv.Itoa, p.Owners)
+}
+
+// top returns the n candidates with the highest rendezvous weight for a target.
+func top[C any](target string, candidates []C, name func(C) string, n int) []C {
+	weight := func(c C) uint64 { return xxhash.Sum64String(target + "\x00" + name(c)) }
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b C) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked[:min(n, len(ranked))]
+}
+
+// ByList returns the owners of a target among the VMs of a list. It was weighed
+// against fixed places: VMs whose lists differ can be more than n.
+func ByList(target string, vms []string, n int) []string {
+	return top(target, vms, func(s string) string { return s }, n)
+}
+
+// Process is one life of a VM, with its start in Unix nanoseconds.
+type Process struct {
+	VM      string
+	Started int64
+}
+
+// Admitted tells whether the VM is among the longest-running ones that the
+// fleet has places for. Where the platform starts more VMs than the bundle
+// allows, the youngest hold no connections until others are gone, so that the
+// targets' limits hold.
+func Admitted(live []Process, vm string, places int) bool {
+	at := slices.IndexFunc(live, func(p Process) bool { return p.VM == vm })
+	if at < 0 {
+		return false
+	}
+	older := 0
+	for _, p := range live {
+		if p.Started < live[at].Started || (p.Started == live[at].Started && p.VM < vm) {
+			older++
+		}
+	}
+	return older < places
+}
--- /dev/null
+++ b/peer/share/share_test.go
@@ -0,0 +1,125 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestSumStaysWithinLimit: whatever the limit and the fleet's size, and whoever
+// holds the places, all VMs together never hold more than the target accepts.
+func TestSumStaysWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 200).Draw(t, "limit")
+		places := rapid.IntRange(1, 60).Draw(t, "places")
+		target := rapid.String().Draw(t, "target")
+		plan := Cut(limit, places)
+		sum := 0
+		for place := -1; place <= places; place++ {
+			sum += plan.Connections(target, place)
+		}
+		if sum > limit {
+			t.Fatalf("%d connections of %d", sum, limit)
+		}
+		if limit > 0 && sum == 0 {
+			t.Fatal("nobody reaches the target")
+		}
+		if plan.Direct() && limit >= places && plan.Connections(target, places-1) == 0 {
+			t.Fatal("a place without connections though all go direct")
+		}
+	})
+}
+
+func TestOwnersAreSpreadEvenly(t *testing.T) {
+	g := NewWithT(t)
+	const places, targets = 100, 1000
+	owned := make([]int, places)
+	for i := range targets {
+		for _, place := range Cut(25, places).OwnerPlaces(fmt.Sprint("target-", i)) {
+			owned[place]++
+		}
+	}
+	slices.Sort(owned)
+	mean := targets * wantedOwners / places
+	g.Expect(owned[0]).To(BeNumerically(">", mean/2))
+	g.Expect(owned[places-1]).To(BeNumerically("<", mean*2))
+}
+
+// rollingPeak replaces every VM of a fleet one after another by a VM of a new
+// name. Each VM sees the list as it was some replacements ago, at most lag. It
+// returns the most connections that one target ever saw when each VM chooses
+// the owners from the list that it sees.
+func rollingPeak(fleet, targets, lag int, plan Plan) int {
+	names := make([]string, fleet)
+	for i := range names {
+		names[i] = fmt.Sprint("old-", i)
+	}
+	history := [][]string{slices.Clone(names)}
+	peak := 0
+	for step := range fleet {
+		names[step] = fmt.Sprint("new-", step)
+		history = append(history, slices.Clone(names))
+		for target := range targets {
+			peak = max(peak, plan.Each*believers(fmt.Sprint("target-", target), names, history, lag, plan.Owners))
+		}
+	}
+	return peak
+}
+
+// believers counts the VMs that believe to own a target.
+func believers(target string, names []string, history [][]string, lag, owners int) int {
+	count := 0
+	for behind := range lag + 1 {
+		seen := ByList(target, history[max(len(history)-1-behind, 0)], owners)
+		for place, name := range names {
+			if place%(lag+1) == behind && slices.Contains(seen, name) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestReplacementWithLaggingList: users see searches fail because a target turns
+// VMs away. All VMs are replaced one after another while each VM's list lags by
+// up to ten replacements. VMs that choose owners from their own lists are too
+// many for a while; fixed places are not, whatever the lists say.
+func TestReplacementWithLaggingList(t *testing.T) {
+	g := NewWithT(t)
+	const fleet, targets, limit, lag = 100, 10, 25, 10
+	plan := Cut(limit, fleet)
+	byList := rollingPeak(fleet, targets, lag, plan)
+	byPlace := 0
+	for place := range fleet {
+		byPlace += plan.Connections("target-0", place)
+	}
+	t.Logf("limit %d, peak by places %d, peak by list %d", limit, byPlace, byList)
+	g.Expect(byPlace).To(BeNumerically("<=", limit))
+	g.Expect(byList).To(BeNumerically(">", limit), "the list would do, and places aren't needed")
+}
+
+// TestMoreVMsThanPlaces: the platform starts more VMs than the bundle allows.
+// Exactly as many as there are places hold connections, and those are the ones
+// that held them before.
+func TestMoreVMsThanPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "vms")
+		places := rapid.IntRange(1, 30).Draw(t, "places")
+		var live []Process
+		for i := range n {
+			live = append(live, Process{fmt.Sprint("vm-", i), rapid.Int64Range(0, 5).Draw(t, "started")})
+		}
+		admitted := 0
+		for _, p := range live {
+			if Admitted(live, p.VM, places) {
+				admitted++
+			}
+		}
+		if admitted != min(n, places) {
+			t.Fatalf("%d of %d VMs admitted to %d places", admitted, n, places)
+		}
+	})
+}
