Inner protocol: tests of keys, bounds, foreign bytes and silent connections

Which proof lets a VM in was open. Weighed: TLS 1.3 with certificates at both ends, and a proof of a shared key by HMAC, both with the standard library.

The proof is chosen; what it does not give is secrecy and a guard against somebody on the path between two VMs.

--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,293 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+const testLimit = 20 * time.Second
+
+var (
+	oldKey = bytes.Repeat([]byte("o"), MinKeyBytes)
+	newKey = bytes.Repeat([]byte("n"), MinKeyBytes)
+	badKey = bytes.Repeat([]byte("b"), MinKeyBytes)
+)
+
+// echo answers "echo" with its params, blocks on "block" and fails on "fail".
+func echo(ctx context.Context, _ *Conn, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case "echo":
+		return params, nil
+	case "block":
+		<-ctx.Done()
+		return nil, nil
+	case "fail":
+		return nil, result.Errorf(result.PeerBusy, "why").After(time.Second)
+	default:
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+}
+
+func options(vm string, keys ...[]byte) Options {
+	return Options{
+		Self:    Identity{Deployment: "d", VM: vm, Incarnation: vm + "-1"},
+		Keys:    keys,
+		Handler: echo,
+	}
+}
+
+func serve(t *testing.T, o Options) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", o, &Counters{}, func(c *Conn) { c.Serve() })
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		s.Stop()
+		goleak.VerifyNone(t)
+	})
+	return s
+}
+
+func dial(s *Server, o Options) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	return Dial(ctx, s.Addr().String(), o, &Counters{})
+}
+
+func call(c *Conn, method string, params any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	return c.Call(ctx, method, params, nil)
+}
+
+// TestWhoGetsIn covers keys, deployments and versions. Two keys are valid at
+// once, in whichever order the ends got the new one.
+func TestWhoGetsIn(t *testing.T) {
+	foreign := options("b", oldKey)
+	foreign.Self.Deployment = "other"
+	nameless := options("", oldKey)
+	for name, tc := range map[string]struct {
+		server, client Options
+		want           result.Code
+	}{
+		"same key":                {options("a", oldKey), options("b", oldKey), result.Complete},
+		"server has the new one":  {options("a", newKey, oldKey), options("b", oldKey), result.Complete},
+		"client has the new one":  {options("a", oldKey), options("b", newKey, oldKey), result.Complete},
+		"no key in common":        {options("a", oldKey), options("b", badKey), result.WrongKey},
+		"retired key":             {options("a", newKey), options("b", oldKey), result.WrongKey},
+		"other deployment":        {options("a", oldKey), foreign, result.WrongFleet},
+		"hello without a VM name": {options("a", oldKey), nameless, result.BadHello},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, tc.server)
+			c, err := dial(s, tc.client)
+			g.Expect(result.Of(err)).To(Equal(tc.want))
+			if err == nil {
+				g.Expect(c.Peer()).To(Equal(tc.server.Self))
+				g.Expect(call(c, "echo", 1)).To(Succeed())
+				c.Close()
+				c.Wait()
+			}
+		})
+	}
+}
+
+// TestStolenKeyID: a process that knows a key's id, but not the key, says hello.
+// It gets a nonce and then nothing: its proof is refused and no method is served.
+func TestStolenKeyID(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, options("a", oldKey))
+	raw, err := net.Dial("tcp", s.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	o := options("b", badKey).withDefaults()
+	c := newConn(raw, &o, &Counters{}, true)
+	defer c.Wait()
+	defer c.Close()
+	hello := Hello{Versions: []int{Version}, From: o.Self, Nonce: newNonce(), KeyIDs: []string{keyID(oldKey)}}
+	var answer HelloAnswer
+	g.Expect(c.Call(context.Background(), MethodHello, hello, &answer)).To(Succeed())
+	proof := Proof{Proof: prove(badKey, roleDialer, &hello, &answer)}
+	g.Expect(result.Of(call(c, MethodProve, proof))).To(Equal(result.WrongKey))
+	g.Eventually(c.Done()).WithTimeout(testLimit).Should(BeClosed())
+}
+
+func message(body string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(body))), body...)
+}
+
+// TestForeignBytes: something that doesn't speak the protocol, or lies about
+// sizes, connects. It is cut off, and VMs still get in and are served.
+func TestForeignBytes(t *testing.T) {
+	for name, sent := range map[string][]byte{
+		"http":           []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"huge length":    binary.AppendUvarint(nil, 1<<40),
+		"over the bound": message(string(bytes.Repeat([]byte(" "), maxHelloMessage+1))),
+		"not JSON":       message("{{{{"),
+		"no hello":       message(`{"jsonrpc":"2.0","id":1,"method":"echo"}`),
+		"ping":           message(`{"jsonrpc":"2.0","id":1,"method":"ping"}`),
+		"null hello":     message(`{"jsonrpc":"2.0","id":1,"method":"hello","params":null}`),
+		"proof first":    message(`{"jsonrpc":"2.0","id":1,"method":"prove","params":{"proof":""}}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, options("a", oldKey))
+			raw, err := net.Dial("tcp", s.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer raw.Close()
+			_, err = raw.Write(sent)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(raw.SetReadDeadline(time.Now().Add(testLimit))).To(Succeed())
+			_, err = io.Copy(io.Discard, bufio.NewReader(raw))
+			g.Expect(isTimeout(err)).To(BeFalse(), "the connection was not cut off")
+			c, err := dial(s, options("b", oldKey))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(call(c, "echo", 1)).To(Succeed())
+			c.Close()
+			c.Wait()
+		})
+	}
+}
+
+func isTimeout(err error) bool {
+	netErr, ok := err.(net.Error)
+	return ok && netErr.Timeout()
+}
+
+// TestSilentHellos: a process opens many connections and says nothing. VMs
+// can't join if those fill the room for hellos; the oldest make way.
+func TestSilentHellos(t *testing.T) {
+	g := NewWithT(t)
+	o := options("a", oldKey)
+	o.MaxHellos = 4
+	o.HelloTimeout = testLimit
+	s := serve(t, o)
+	for range 20 {
+		raw, err := net.Dial("tcp", s.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer raw.Close()
+	}
+	c, err := dial(s, options("b", oldKey))
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Close()
+	c.Wait()
+}
+
+// TestSilentConnection: the path to a peer loses its state; no FIN and no RST
+// comes, and writes still succeed. Calls would wait for ever; the ping's
+// deadline closes the connection at both ends, and a new one works.
+func TestSilentConnection(t *testing.T) {
+	g := NewWithT(t)
+	o := options("a", oldKey)
+	o.PingInterval = 50 * time.Millisecond
+	s := serve(t, o)
+	hole := newHole(t, s.Addr().String())
+	client := options("b", oldKey)
+	client.PingInterval = o.PingInterval
+	c, err := Dial(context.Background(), hole.addr(), client, &Counters{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(call(c, "echo", 1)).To(Succeed())
+	hole.swallow()
+	g.Eventually(c.Done()).WithTimeout(testLimit).Should(BeClosed())
+	g.Eventually(func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.conns)
+	}).WithTimeout(testLimit).Should(BeZero())
+	c.Close()
+	c.Wait()
+	again, err := dial(s, client)
+	g.Expect(err).NotTo(HaveOccurred())
+	again.Close()
+	again.Wait()
+}
+
+// TestBoundsOfCalls: unknown methods, errors and too much work at once each get
+// their code, and the connection goes on.
+func TestBoundsOfCalls(t *testing.T) {
+	g := NewWithT(t)
+	o := options("a", oldKey)
+	o.MaxCalls = 1
+	s := serve(t, o)
+	c, err := dial(s, options("b", oldKey))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Wait()
+	defer c.Close()
+	g.Expect(result.Of(call(c, "nonsense", nil))).To(Equal(result.UnknownMethod))
+	err = call(c, "fail", nil)
+	g.Expect(err).To(HaveField("RetryAfter", time.Second))
+	ctx, cancel := context.WithCancel(context.Background())
+	blocked := make(chan error, 1)
+	go func() { blocked <- c.Call(ctx, "block", nil, nil) }()
+	g.Eventually(func() result.Code { return result.Of(call(c, "echo", 1)) }).
+		WithTimeout(testLimit).Should(Equal(result.PeerBusy))
+	g.Expect(call(c, MethodPing, nil)).To(Succeed())
+	cancel()
+	g.Expect(result.Of(<-blocked)).To(Equal(result.PeerSilent))
+}
+
+// hole forwards one connection until it is told to swallow all bytes.
+type hole struct {
+	ln    net.Listener
+	quiet chan struct{}
+}
+
+func newHole(t *testing.T, to string) *hole {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	h := &hole{ln: ln, quiet: make(chan struct{})}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		in, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		finished := make(chan struct{}, 2)
+		for _, pair := range [][2]net.Conn{{in, out}, {out, in}} {
+			go func() {
+				h.copy(pair[0], pair[1])
+				finished <- struct{}{}
+			}()
+		}
+		<-finished
+		<-finished
+		in.Close()
+		out.Close()
+	}()
+	t.Cleanup(func() { ln.Close(); <-done })
+	return h
+}
+
+func (h *hole) addr() string { return h.ln.Addr().String() }
+func (h *hole) swallow()     { close(h.quiet) }
+
+func (h *hole) copy(to, from net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case <-h.quiet:
+		default:
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
