Facts: property tests of merging, digests and bounds

Two VMs that heard the same in any order have to end with equal tables, or digests would differ for ever and cost bytes at rest. Checked by rapid: convergence within five comparisons, no statement undone by an older one, incremental digest equals that of a fresh table, bound on drains per target.

--- /dev/null
+++ b/peer/facts/table_test.go
@@ -0,0 +1,137 @@
+package facts
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const now = int64(1_000_000)
+
+func drawFact(t *rapid.T) Fact {
+	if rapid.Bool().Draw(t, "drain") {
+		return Fact{Drain: &Drain{
+			Target:      fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target")),
+			Incarnation: fmt.Sprint("i", rapid.IntRange(0, 6).Draw(t, "incarnation")),
+			Since:       rapid.Int64Range(0, 3).Draw(t, "since"),
+		}}
+	}
+	return Fact{Member: &Member{
+		Name:        fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(t, "vm")),
+		Incarnation: fmt.Sprint("i", rapid.IntRange(0, 1).Draw(t, "incarnation")),
+		Started:     rapid.Int64Range(0, 2).Draw(t, "started"),
+		Counter:     rapid.Uint64Range(0, 3).Draw(t, "counter"),
+		State:       State(rapid.IntRange(0, 3).Draw(t, "state")),
+		At:          now + rapid.Int64Range(-1000, 10).Draw(t, "at"),
+	}}
+}
+
+// exchange does one comparison of digests, a asking b.
+func exchange(a, b *Table) {
+	buckets := a.Differing(b.Digest())
+	give, want := b.Compare(buckets, a.Entries(buckets))
+	for _, f := range give {
+		a.Merge(f, now)
+	}
+	for _, f := range a.Facts(want) {
+		b.Merge(f, now)
+	}
+}
+
+// TestTablesConverge: whatever two VMs heard, in whatever order and how often,
+// a few comparisons make their tables equal, and no statement is undone by an
+// older one on the way.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewTable(), NewTable()
+		for range rapid.IntRange(0, 40).Draw(t, "facts") {
+			f := drawFact(t)
+			for _, table := range []*Table{a, b} {
+				for range rapid.IntRange(0, 2).Draw(t, "times") {
+					mergeWatched(t, table, f)
+				}
+			}
+		}
+		for range 5 {
+			exchange(a, b)
+		}
+		if a.Root() != b.Root() || len(a.Differing(b.Digest())) != 0 {
+			t.Fatalf("tables differ:\n%v %v\n%v %v", a.members, a.drains, b.members, b.drains)
+		}
+		if fmt.Sprint(a.members, a.drains) != fmt.Sprint(b.members, b.drains) {
+			t.Fatal("equal digests of different tables")
+		}
+	})
+}
+
+func mergeWatched(t *rapid.T, table *Table, f Fact) {
+	var before Member
+	if f.Member != nil {
+		before, _ = table.Member(f.Member.Name)
+	}
+	table.Merge(f, now)
+	if f.Member != nil {
+		if after, _ := table.Member(f.Member.Name); before.Outranks(after) {
+			t.Fatalf("%v set back to %v", before, after)
+		}
+	}
+	if f.Drain != nil && len(table.drains[f.Drain.Target]) > drainsPerTarget {
+		t.Fatal("more drains of a target than the bound")
+	}
+}
+
+// TestDigestFollowsContent: a digest kept up to date piece by piece equals the
+// digest of a table that was filled at once.
+func TestDigestFollowsContent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		for range rapid.IntRange(0, 40).Draw(t, "facts") {
+			table.Merge(drawFact(t), now)
+		}
+		table.Expire(now + rapid.Int64Range(0, 1000).Draw(t, "later"))
+		fresh := NewTable()
+		for _, m := range table.Members() {
+			fresh.Merge(Fact{Member: &m}, m.At)
+		}
+		for _, d := range table.Drains() {
+			fresh.Merge(Fact{Drain: &d}, now)
+		}
+		if fresh.Root() != table.Root() {
+			t.Fatal("digest doesn't follow the content")
+		}
+	})
+}
+
+// TestFastClockDoesNotHideDrains: one VM's clock is a year ahead, and the drains
+// that it learns carry that time. A target that other VMs see draining later is
+// still kept, though only the newest drains of a target are.
+func TestFastClockDoesNotHideDrains(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	for i := range drainsPerTarget {
+		table.AddDrain("t", fmt.Sprint("fast-", i), now+365*86400)
+	}
+	_, fresh := table.AddDrain("t", "later", now)
+	g.Expect(fresh).To(BeTrue())
+	g.Expect(table.Drains()).To(ContainElement(HaveField("Incarnation", "later")))
+	_, fresh = table.AddDrain("t", "later", now)
+	g.Expect(fresh).To(BeFalse())
+}
+
+func TestMalformedFactsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	for _, f := range []Fact{
+		{},
+		{Drain: &Drain{}},
+		{Member: &Member{}},
+		{Drain: &Drain{Target: "t"}, Member: &Member{Name: "v"}},
+	} {
+		g.Expect(table.Merge(f, now)).To(BeFalse())
+	}
+	g.Expect(table.Differing([]byte("short"))).To(BeEmpty())
+	_, want := table.Compare([]int{-1, Buckets, 0}, []Entry{{"nonsense", 1}})
+	g.Expect(table.Facts(want)).To(BeEmpty())
+}
