--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -47,18 +47,19 @@
 	}
 	if ask.Op != "" {
 		if done, entry, err := c.askAgain(ctx, ask.Op, s); done {
+			entry.Op = ask.Op
 			return entry, err
 		}
 	} else if ask.Op, err = NewOpID(s.revision() + 1); err != nil {
 		return Entry{}, err
 	}
 	if ask.Expect != 0 && ask.Expect != s.revision() {
-		return Entry{}, conflict(s.head, s.head)
+		return Entry{Op: ask.Op}, notExpected(ask.Expect, s)
 	}
 	entry, err := next(ctx, s.head, Change{
 		Op: ask.Op, Person: c.opts.Key.Person, Reason: ask.Reason, At: c.opts.Now().UTC(),
 	})
-	if err != nil || ask.DryRun {
+	if entry.Op = ask.Op; err != nil || ask.DryRun {
 		return entry, err
 	}
 	if err := c.keepEntry(ctx, s.head); err != nil {
@@ -125,6 +126,14 @@
 	return result.Errorf(result.Conflict, text+"; look at it with audit and decide anew", args...)
 }
 
+// notExpected tells an operator that another revision is in force than thought.
+func notExpected(expect uint64, s state) error {
+	if s.head == nil {
+		return result.Errorf(result.Conflict, "revision %d was expected and nothing is in force", expect)
+	}
+	return conflict(s.head, s.head)
+}
+
 // Subject returns the digest that the change was about: rolled out or recalled.
 func (e *Entry) Subject() string {
 	if e.Action == ActionRecall {
--- /dev/null
+++ b/rollout/next_test.go
@@ -0,0 +1,113 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// TestHeadsKeepTheirPromises drives random rollouts, recalls and sign-offs and
+// holds each entry against a model that remembers everything: a recalled bundle
+// never comes back without a newer sign-off, although a head remembers only the
+// last MaxRecalls; a recall falls back to the latest bundle not recalled.
+func TestHeadsKeepTheirPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		digests := rapid.IntRange(2, 60).Draw(t, "digests")
+		var head *Head
+		recalled := map[string]uint64{} // the model: revision of the last recall
+		signed := map[string]uint64{}   // revision at the last sign-off
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			d := fmt.Sprint("d", rapid.IntRange(1, digests).Draw(t, "digest"))
+			if rapid.Bool().Draw(t, "sign") && head != nil {
+				signed[d] = head.Entry.Revision
+			}
+			next, err := step(head, d, signed, rapid.Bool().Draw(t, "recall"))
+			if err != nil {
+				continue
+			}
+			checkEntry(t, head, next, recalled, signed)
+			if next.Action == ActionRecall {
+				recalled[d] = next.Revision
+			}
+			head = &Head{Entry: next, Hash: fmt.Sprint(next.Revision)}
+		}
+	})
+}
+
+func step(head *Head, d string, signed map[string]uint64, recall bool) (Entry, error) {
+	if !recall {
+		return NextRollout("vatnsleit", head, Change{}, Approved{Digest: d, After: signed[d]})
+	}
+	var fallback *Approved
+	if head != nil && head.Entry.Digest == d {
+		if past := Fallbacks(head, d); len(past) > 0 {
+			fallback = &Approved{Digest: past[0].Digest, After: signed[past[0].Digest]}
+		}
+	}
+	return NextRecall(head, Change{}, d, fallback)
+}
+
+func checkEntry(t *rapid.T, head *Head, e Entry, recalled, signed map[string]uint64) {
+	g := NewWithT(t)
+	before := uint64(0)
+	if head != nil {
+		before = head.Entry.Revision
+		g.Expect(e.Before).To(Equal(head.Entry.Digest))
+		g.Expect(e.Prev).To(Equal(head.Hash))
+	}
+	g.Expect(e.Revision).To(Equal(before + 1))
+	g.Expect(signed[e.Digest]).To(BeNumerically(">=", recalled[e.Digest]), "%s was recalled", e.Digest)
+	g.Expect(e.Digest).NotTo(Equal(e.Recalled))
+	g.Expect(len(e.History)).To(BeNumerically("<=", MaxHistory))
+	g.Expect(len(e.Recalls)).To(BeNumerically("<=", MaxRecalls))
+	seen := map[string]bool{e.Digest: true, e.Recalled: true}
+	for _, p := range e.History {
+		g.Expect(seen[p.Digest]).To(BeFalse(), "%s stands twice, is in force or was recalled", p.Digest)
+		g.Expect(recalled[p.Digest]).To(BeNumerically("<", p.Revision))
+		seen[p.Digest] = true
+	}
+}
+
+// More bundles are recalled than a head lists one by one. Somebody rolls out the
+// first of them again on its old sign-off. A user would see a faulty bundle come
+// back, because the head forgot the recall.
+func TestAForgottenRecallStillCounts(t *testing.T) {
+	g := NewWithT(t)
+	first, err := NextRollout("vatnsleit", nil, Change{}, Approved{Digest: "good"})
+	g.Expect(err).NotTo(HaveOccurred())
+	head := &Head{Entry: first}
+	for i := range MaxRecalls + 1 {
+		e, err := NextRecall(head, Change{}, fmt.Sprint("bad", i), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		head = &Head{Entry: e}
+	}
+	_, err = NextRollout("vatnsleit", head, Change{}, Approved{Digest: "bad0", After: 1})
+	g.Expect(result.Of(err)).To(Equal(result.Recalled))
+	_, err = NextRollout("vatnsleit", head, Change{}, Approved{Digest: "bad0", After: head.Entry.Revision})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestRecallWithoutAnEarlierBundle(t *testing.T) {
+	g := NewWithT(t)
+	_, err := NextRecall(nil, Change{}, "d1", nil)
+	g.Expect(result.Of(err)).To(Equal(result.NothingBefore))
+	first, err := NextRollout("vatnsleit", nil, Change{}, Approved{Digest: "d1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = NextRecall(&Head{Entry: first}, Change{}, "d1", nil)
+	g.Expect(result.Of(err)).To(Equal(result.NothingBefore))
+}
+
+func TestOperationIDs(t *testing.T) {
+	g := NewWithT(t)
+	op, err := NewOpID(7)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(op.Revision()).To(Equal(uint64(7)))
+	for _, bad := range []OpID{"", "7", "0-0123456789abcdef", "x-0123456789abcdef", "7-01"} {
+		_, err := bad.Revision()
+		g.Expect(result.Of(err)).To(Equal(result.BadRequest), "%q", bad)
+	}
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -58,7 +58,7 @@
 func (o *office) client(person string, store platform.Store) *Client {
 	return NewClient(ClientOptions{
 		Deployment: "vatnsleit", Keys: o.keys, Store: store, Key: o.priv[person],
-		Patience: longEnough, Pause: func(context.Context, int) {},
+		Patience: longEnough, Pause: func(context.Context, int) { time.Sleep(time.Millisecond) },
 	})
 }
 
