--- a/target/api.go
+++ b/target/api.go
@@ -102,8 +102,10 @@
 )
 
 // Refusal is the body of a status 503. NotStarted is true if the target
-// guarantees that it did not start the request.
+// guarantees that it did not start the request. A refusal whose Echo is given
+// and differs from its request's belongs to some other request.
 type Refusal struct {
+	Echo         *Echo  `json:"echo,omitempty"`
 	Reason       Reason `json:"reason"`
 	NotStarted   bool   `json:"not_started"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
--- a/target/call.go
+++ b/target/call.go
@@ -17,7 +17,9 @@
 	method   string
 	path     string
 	request  any          // nil for none
+	echo     Echo         // of request
 	answer   any          // decoded into
+	probe    bool         // tests the connection that was idle for longest
 	deadline *int64       // field of request that takes the time left, in ms
 	check    func() error // holds the answer against the request
 }
@@ -28,6 +30,7 @@
 		method: http.MethodGet,
 		path:   PathStatus,
 		answer: status,
+		probe:  true,
 		check:  func() error { return checkStatus(target, status) },
 	}
 }
@@ -48,17 +51,35 @@
 	if p == nil {
 		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
 	}
-	cn, err := p.acquire(ctx)
+	for range unwrittenTries - 1 {
+		err := c.exchangeOnce(ctx, p, k)
+		if err == nil || err.Kind != ErrorBroken || !err.NotStarted {
+			return err
+		}
+	}
+	return c.exchangeOnce(ctx, p, k)
+}
+
+// unwrittenTries bounds how often a call is begun. A connection can end between
+// its choice and the write; while nothing of the request was handed out, any
+// request may be sent on another connection.
+const unwrittenTries = 3
+
+func (c *Client) exchangeOnce(ctx context.Context, p *pool, k *call) *CallError {
+	cn, err := p.acquire(ctx, k.probe)
 	if err != nil {
 		return err
 	}
+	defer p.release(cn)
+	start := time.Now()
 	err = c.exchangeOn(ctx, cn, k)
-	if err != nil && err.Kind == ErrorMismatched {
-		c.metrics.mismatched.Inc()
-		c.opts.Log.Warn("distrusting a connection", "target", k.target, "error", err.cause)
-		p.distrust(cn)
+	switch {
+	case err == nil:
+	case err.Kind == ErrorMismatched:
+		p.distrust(cn, err)
+	case err.Kind == ErrorDeadline && k.probe:
+		p.probed(cn, start)
 	}
-	p.release(cn)
 	return err
 }
 
@@ -157,7 +178,7 @@
 	case http.StatusOK:
 		return judgeAnswer(k, data)
 	case http.StatusServiceUnavailable:
-		return judgeRefusal(data)
+		return judgeRefusal(k, data)
 	default:
 		return &CallError{Kind: ErrorStatus, cause: errors.Errorf("HTTP status %d", status)}
 	}
@@ -178,11 +199,16 @@
 	}
 }
 
-func judgeRefusal(data []byte) *CallError {
+func judgeRefusal(k *call, data []byte) *CallError {
 	var refusal Refusal
 	if err := json.Unmarshal(data, &refusal); err != nil {
 		return &CallError{Kind: ErrorMalformed, cause: errors.Annotate(err, "refusal")}
 	}
+	if refusal.Echo != nil {
+		if err := checkEcho(k.echo, *refusal.Echo); err != nil {
+			return &CallError{Kind: ErrorMismatched, cause: err}
+		}
+	}
 	return &CallError{
 		Kind:       ErrorRefused,
 		Reason:     refusal.Reason,
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,109 +18,6 @@
 
 const patience = 20 * time.Second
 
-// standIn is a target in this process.
-type standIn struct {
-	name    string
-	server  *http.Server
-	address string
-
-	mu      sync.Mutex // guards what follows
-	search  func(w http.ResponseWriter, r *http.Request, req LeafRequest)
-	submits int // requests run
-	accepts int
-	open    int
-	maxOpen int
-}
-
-func newStandIn(t testing.TB, name string) *standIn {
-	s := &standIn{name: name, search: answerSearch}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /leaves/{leaf}/search", s.serveSearch)
-	mux.HandleFunc("POST /leaves/{leaf}/submit", s.serveSubmit)
-	mux.HandleFunc("GET "+PathStatus, s.serveStatus)
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s.server = &http.Server{Handler: mux, Protocols: protocols, ConnState: s.count}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.address = listener.Addr().String()
-	done := make(chan struct{})
-	go func() { defer close(done); _ = s.server.Serve(listener) }()
-	t.Cleanup(func() { s.server.Close(); <-done })
-	return s
-}
-
-func (s *standIn) count(_ net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.accepts++
-		s.open++
-		s.maxOpen = max(s.maxOpen, s.open)
-	case http.StateClosed:
-		s.open--
-	}
-}
-
-func (s *standIn) counts() (accepts, open, maxOpen, submits int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.accepts, s.open, s.maxOpen, s.submits
-}
-
-func (s *standIn) onSearch(f func(http.ResponseWriter, *http.Request, LeafRequest)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.search = f
-}
-
-func writeAnswer(w http.ResponseWriter, answer any) {
-	w.Header().Set(HeaderIncarnation, "one")
-	w.Header().Set(HeaderState, string(StateServing))
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-func answerSearch(w http.ResponseWriter, _ *http.Request, req LeafRequest) {
-	writeAnswer(w, LeafAnswer{Echo: req.Echo, Records: 10, Complete: true, Items: []Item{{Key: req.Request}}})
-}
-
-func (s *standIn) serveSearch(w http.ResponseWriter, r *http.Request) {
-	var req LeafRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	f := s.search
-	s.mu.Unlock()
-	f(w, r, req)
-}
-
-func (s *standIn) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	var req SubmitRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.submits++
-	s.mu.Unlock()
-	writeAnswer(w, SubmitAnswer{Echo: req.Echo, Key: req.Key})
-}
-
-func (s *standIn) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	writeAnswer(w, Status{Target: s.name, Incarnation: "one", State: StateServing})
-}
-
-func (s *standIn) endpoint(connections int) Endpoint {
-	return Endpoint{Name: s.name, Address: s.address, Connections: connections, ConnectCost: time.Millisecond,
-		HealthInterval: 20 * time.Millisecond, HealthTimeout: 200 * time.Millisecond}
-}
-
 func newTestClient(t testing.TB, o Options, endpoints ...Endpoint) *Client {
 	o.Metrics = metrics.NewSet()
 	c := NewClient(o)
@@ -147,7 +42,7 @@
 	for name, protocol := range protocols {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := newStandIn(t, "a")
+			s := newStandIn(t, "a", 0)
 			c := newTestClient(t, Options{Protocol: protocol}, s.endpoint(2))
 			answer, err := c.Search(soon(t), "a", 0, request(1))
 			g.Expect(err).NotTo(HaveOccurred())
@@ -166,7 +61,7 @@
 	for name, protocol := range protocols {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := newStandIn(t, "a")
+			s := newStandIn(t, "a", 0)
 			hold := make(chan struct{})
 			s.onSearch(func(w http.ResponseWriter, r *http.Request, req LeafRequest) {
 				<-hold
@@ -218,7 +113,7 @@
 
 func TestMonitorTellsStatusAndFailure(t *testing.T) {
 	g := NewWithT(t)
-	s := newStandIn(t, "a")
+	s := newStandIn(t, "a", 0)
 	sink := &sinkRecord{}
 	down := Endpoint{Name: "down", Address: "127.0.0.1:1", Connections: 1, HealthInterval: 20 * time.Millisecond}
 	endpoints := []Endpoint{s.endpoint(1), down}
--- a/target/conn.go
+++ b/target/conn.go
@@ -16,6 +16,8 @@
 
 	calls      int       // that hold this connection
 	retiring   bool      // takes no new call and closes once idle
+	probing    bool      // a probe is under way
+	silent     bool      // closes at once
 	unanswered time.Time // start of the first call since the last byte received
 }
 
@@ -23,20 +25,21 @@
 // at all was received. A connection that something between the two ends has
 // lost track of looks like that: writes succeed, and no FIN or RST ever comes.
 // So does a connection whose only call is slow; being passed over until the
-// next byte does not harm it.
+// next byte does not harm it, and a probe tells the two apart.
 func (c *conn) suspect(now time.Time, after time.Duration) bool {
-	if !c.unanswered.After(c.wire.lastRead()) {
-		return false
-	}
-	return now.Sub(c.unanswered) > after
+	return c.awaitsByte() && now.Sub(c.unanswered) > after
+}
+
+// awaitsByte reports that nothing was received since a call began. It stays
+// true when that call is given up, because that says nothing about the wire.
+func (c *conn) awaitsByte() bool {
+	return c.unanswered.After(c.wire.lastRead())
 }
 
 // wireConn is a net.Conn that knows when it last received something.
 type wireConn struct {
 	net.Conn
-	read   atomic.Int64 // time of the last read, in ns since the epoch
-	ended  atomic.Bool  // a read failed before this end closed it
-	closed atomic.Bool  // by this end
+	read atomic.Int64 // time of the last read, in ns since the epoch
 }
 
 func newWireConn(inner net.Conn) *wireConn {
@@ -53,18 +56,9 @@
 	if n > 0 {
 		w.read.Store(time.Now().UnixNano())
 	}
-	if err != nil && !w.closed.Load() {
-		w.ended.Store(true)
-	}
 	return n, err
 }
 
-// Close implements net.Conn.
-func (w *wireConn) Close() error {
-	w.closed.Store(true)
-	return w.Conn.Close()
-}
-
 // wireKey is the context key under which dialWire leaves its connection.
 type wireKey struct{}
 
@@ -101,19 +95,12 @@
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  o.PingAfter,
-			PingTimeout:      o.PingTimeout,
-			WriteByteTimeout: o.PingAfter + o.PingTimeout,
+			PingTimeout:      o.ProbeTimeout,
+			WriteByteTimeout: o.SuspectAfter + o.ProbeTimeout,
 		},
 	}
 }
 
-// foundSilent reports whether the connection was given up because nothing
-// came, rather than ended by either side.
-func (c *conn) foundSilent(after time.Duration) bool {
-	lost := c.http.Err() != nil
-	return lost && !c.wire.ended.Load() && time.Since(c.wire.lastRead()) > after
-}
-
 // shut closes the connection at once. Calls still on it fail.
 func (c *conn) shut() {
 	_ = c.http.Close()
--- a/target/keeper.go
+++ b/target/keeper.go
@@ -19,6 +19,7 @@
 	ctx := p.client.tomb.Context(context.Background())
 	for {
 		p.sweep()
+		p.probeSuspects(time.Now())
 		due, done := p.plan(time.Now())
 		if done {
 			return nil
@@ -40,18 +41,22 @@
 	}
 }
 
-// plan returns the time until the next connection is to be opened, and whether
-// the keeper's work is done for good.
+// plan returns the time until the keeper has to act, where 0 and less mean that
+// a connection is to be opened, and whether its work is done for good.
 func (p *pool) plan(now time.Time) (due time.Duration, done bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	due = idleKeeper
+	if p.watching {
+		due = p.client.opts.SuspectAfter
+	}
 	if p.retired {
-		return idleKeeper, len(p.conns) == 0
+		return due, len(p.conns) == 0
 	}
-	if len(p.conns) >= p.endpoint.Connections {
-		return idleKeeper, false
+	if len(p.conns) < p.endpoint.Connections {
+		due = min(due, p.pace.next.Sub(now))
 	}
-	return p.pace.next.Sub(now), false
+	return due, false
 }
 
 // sweep closes what must be closed and hands free connections to waiters.
@@ -61,7 +66,7 @@
 	var kept, gone []*conn
 	for _, cn := range p.conns {
 		lost := cn.http.Err() != nil
-		if lost || (cn.retiring && cn.calls == 0) {
+		if lost || cn.silent || (cn.retiring && cn.calls == 0) {
 			gone = append(gone, cn)
 		} else {
 			kept = append(kept, cn)
@@ -95,10 +100,6 @@
 }
 
 func (p *pool) close(cn *conn) {
-	if cn.foundSilent(p.client.opts.PingTimeout) {
-		p.client.metrics.silent.Inc()
-		p.client.opts.Log.Warn("silent connection closed", "target", p.name)
-	}
 	cn.shut()
 	p.client.metrics.closed.Inc()
 }
--- a/target/options.go
+++ b/target/options.go
@@ -40,17 +40,22 @@
 	MaxWait    time.Duration // for a connection; 250 ms
 	MaxDials   int           // connections being opened at once, over all targets; 8
 
-	DialTimeout  time.Duration // to open a connection and warm it up; 1 s
-	PaceFactor   float64       // pause between new connections to a target, in ConnectCosts; 2
-	MinPace      time.Duration // lower bound of that pause; 5 ms
-	MaxBackoff   time.Duration // pause after repeated failures to connect; 1 s
-	SuspectAfter time.Duration // without a byte after which other connections are preferred; 50 ms
+	DialTimeout time.Duration // to open a connection and warm it up; 1 s
+	PaceFactor  float64       // pause between new connections to a target, in ConnectCosts; 2
+	MinPace     time.Duration // lower bound of that pause; 5 ms
+	MaxBackoff  time.Duration // pause after repeated failures to connect; 1 s
 
-	// PingAfter and PingTimeout find silent HTTP/2 connections: a ping goes out
-	// when nothing was received for PingAfter (500 ms), and the connection is
-	// closed when nothing answers it within PingTimeout (500 ms).
-	PingAfter   time.Duration
-	PingTimeout time.Duration
+	// A connection on which a call has waited for SuspectAfter (100 ms) while
+	// nothing at all was received is passed over and probed with a read of the
+	// status. If nothing comes within ProbeTimeout (500 ms) either, it counts as
+	// silent and is closed.
+	SuspectAfter time.Duration
+	ProbeTimeout time.Duration
+
+	// PingAfter is the time without a frame after which HTTP/2 pings go out on
+	// idle connections. 0 means none: the reads of a Monitor go to the
+	// connection that was idle for longest, and so test them at no extra cost.
+	PingAfter time.Duration
 }
 
 const (
@@ -63,9 +68,8 @@
 	defaultPaceFactor   = 2
 	defaultMinPace      = 5 * time.Millisecond
 	defaultMaxBackoff   = time.Second
-	defaultSuspectAfter = 50 * time.Millisecond
-	defaultPingAfter    = 500 * time.Millisecond
-	defaultPingTimeout  = 500 * time.Millisecond
+	defaultSuspectAfter = 100 * time.Millisecond
+	defaultProbeTimeout = 500 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -85,8 +89,7 @@
 	setDefault(&o.MinPace, defaultMinPace)
 	setDefault(&o.MaxBackoff, defaultMaxBackoff)
 	setDefault(&o.SuspectAfter, defaultSuspectAfter)
-	setDefault(&o.PingAfter, defaultPingAfter)
-	setDefault(&o.PingTimeout, defaultPingTimeout)
+	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
 	return o
 }
 
--- a/target/pool.go
+++ b/target/pool.go
@@ -23,6 +23,7 @@
 	conns    []*conn // open, the retiring ones included
 	waiters  []chan *conn
 	retired  bool // the endpoint is no longer in force
+	watching bool // the keeper looks at the connections every SuspectAfter
 	pace     pacer
 	lastErr  error // of the last attempt to open a connection
 }
@@ -63,10 +64,15 @@
 
 // acquire borrows a connection for one call. It waits for one while one can be
 // expected, and fails at once otherwise; nothing was sent if it fails.
-func (p *pool) acquire(ctx context.Context) (*conn, *CallError) {
+// A probe gets the connection that was idle for longest.
+func (p *pool) acquire(ctx context.Context, probe bool) (*conn, *CallError) {
 	p.mu.Lock()
 	now := time.Now()
-	if cn := p.pick(now); cn != nil {
+	choose := p.pick
+	if probe {
+		choose = p.pickIdlest
+	}
+	if cn := choose(now); cn != nil {
 		p.hold(cn, now)
 		p.mu.Unlock()
 		return cn, nil
@@ -155,9 +161,13 @@
 // hold must be called with p.mu held.
 func (p *pool) hold(cn *conn, now time.Time) {
 	cn.calls++
-	if !cn.unanswered.After(cn.wire.lastRead()) {
+	if !cn.awaitsByte() {
 		cn.unanswered = now
 	}
+	if !p.watching {
+		p.watching = true
+		p.wake()
+	}
 }
 
 // pick returns the connection with the fewest calls, those that are not
@@ -177,9 +187,28 @@
 	return best
 }
 
+// pickIdlest returns the connection that has received nothing for longest, or
+// nil if none has room. A suspect one has a probe of its own and would hide the
+// target's state from the reader. p.mu must be held.
+func (p *pool) pickIdlest(now time.Time) *conn {
+	var idlest *conn
+	for _, cn := range p.conns {
+		if !p.hasRoom(cn) || cn.suspect(now, p.client.opts.SuspectAfter) {
+			continue
+		}
+		if idlest == nil || cn.wire.lastRead().Before(idlest.wire.lastRead()) {
+			idlest = cn
+		}
+	}
+	if idlest == nil {
+		return p.pick(now)
+	}
+	return idlest
+}
+
 // hasRoom must be called with p.mu held.
 func (p *pool) hasRoom(cn *conn) bool {
-	if cn.retiring || cn.http.Err() != nil {
+	if cn.retiring || cn.silent || cn.http.Err() != nil {
 		return false
 	}
 	if p.client.opts.Protocol == HTTP1 {
@@ -200,9 +229,12 @@
 	}
 }
 
-// distrust keeps new calls off a connection and closes it once it is idle. The
-// calls still on it are checked like any other.
-func (p *pool) distrust(cn *conn) {
+// distrust keeps new calls off a connection that delivered another request's
+// answer, and closes it once it is idle. The calls still on it are checked like
+// any other.
+func (p *pool) distrust(cn *conn, err error) {
+	p.client.metrics.mismatched.Inc()
+	p.client.opts.Log.Warn("distrusting a connection", "target", p.name, "error", err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cn.retiring = true
--- /dev/null
+++ b/target/probe.go
@@ -0,0 +1,63 @@
+package target
+
+import (
+	"context"
+	"time"
+)
+
+// probeSuspects starts a probe on each suspect connection, and ends the
+// keeper's watch when no call waits for a byte. A connection of HTTP/1.1 has no
+// room for a probe beside its call; it is closed when that call is given up.
+func (p *pool) probeSuspects(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watching = false
+	for _, cn := range p.conns {
+		if cn.calls > 0 || cn.awaitsByte() {
+			p.watching = true
+		}
+		if cn.probing || !cn.suspect(now, p.client.opts.SuspectAfter) || p.client.opts.Protocol == HTTP1 {
+			continue
+		}
+		cn.probing = true
+		cn.calls++
+		p.client.tomb.Go(func() error {
+			p.probe(cn)
+			return nil
+		})
+	}
+}
+
+// probe reads the status over one connection.
+func (p *pool) probe(cn *conn) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(p.client.tomb.Context(context.Background()), p.client.opts.ProbeTimeout)
+	defer cancel()
+	var status Status
+	err := p.client.exchangeOn(ctx, cn, statusCall(p.name, &status))
+	if err != nil && err.Kind == ErrorDeadline {
+		p.probed(cn, start)
+	}
+	p.mu.Lock()
+	cn.probing = false
+	p.mu.Unlock()
+	p.release(cn)
+}
+
+// probed notes that a read of the status, begun at start, timed out. If nothing
+// at all was received since, the connection has gone silent: it is closed, also
+// under the calls that still wait on it, because none of them would ever end.
+func (p *pool) probed(cn *conn, start time.Time) {
+	if cn.wire.lastRead().After(start) {
+		return
+	}
+	p.mu.Lock()
+	first := !cn.silent
+	cn.silent = true
+	p.mu.Unlock()
+	if first {
+		p.client.metrics.silent.Inc()
+		p.client.opts.Log.Warn("silent connection found", "target", p.name)
+	}
+	p.wake()
+}
