--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,12 @@
 // before it can reach the platform. Everything else comes with the bundle.
 package settings
 
+import (
+	"encoding/base64"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+)
+
 // Settings is the JSON settings file of bramleyd.
 type Settings struct {
 	Name       string   `json:"name"` // of this VM, as in the platform's list
@@ -11,10 +17,14 @@
 	Platform   Platform `json:"platform"`
 	// OperatorKeys are the public keys whose signatures count. Two keys of one
 	// person are valid at once during a rotation.
-	OperatorKeys []OperatorKey `json:"operator_keys"`
+	OperatorKeys []bundle.PublicKey `json:"operator_keys"`
 	// FleetKeys are shared by the VMs of the deployment, newest first, in
 	// base64. Each proves membership; the first is offered.
-	FleetKeys  []string `json:"fleet_keys"`
+	FleetKeys []string `json:"fleet_keys"`
+	// Seeds are addresses of other VMs' peer listeners, asked when neither the
+	// platform nor a peer names any. They let a fleet start while the platform
+	// is down.
+	Seeds      []string `json:"seeds,omitempty"`
 	Log        Log      `json:"log"`
 	LameDuckMS int      `json:"lame_duck_ms"` // serving time after SIGTERM, longer than the balancer's lag
 }
@@ -31,15 +41,19 @@
 	Address string `json:"address"` // IP and port
 }
 
-// OperatorKey is a person's Ed25519 public key.
-type OperatorKey struct {
-	ID     string `json:"id"`
-	Person string `json:"person"`
-	Public string `json:"public"` // base64
-}
-
 // Log governs the daemon's log.
 type Log struct {
 	Level string `json:"level"` // trace, debug, info, warn or error
 	JSON  bool   `json:"json"`
 }
+
+// FleetKeyBytes returns the fleet keys decoded. Settings have been checked.
+func (s *Settings) FleetKeyBytes() [][]byte {
+	keys := make([][]byte, 0, len(s.FleetKeys))
+	for _, k := range s.FleetKeys {
+		if raw, err := base64.StdEncoding.DecodeString(k); err == nil {
+			keys = append(keys, raw)
+		}
+	}
+	return keys
+}
