--- /dev/null
+++ b/once/key_test.go
@@ -0,0 +1,115 @@
+package once
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+func TestParseKey(t *testing.T) {
+	for _, tc := range []struct {
+		text, want string
+	}{
+		{"1700000000-abcdefgh", "1700000000-abcdefgh"},
+		{"0017-abc_-9XY", "17-abc_-9XY"}, // one key has one spelling
+		{"1700000000-" + strings.Repeat("a", 64), "1700000000-" + strings.Repeat("a", 64)},
+		{"", ""},
+		{"1700000000-abcdefg", ""},
+		{"1700000000-" + strings.Repeat("a", 65), ""},
+		{"-5-abcdefgh", ""},
+		{"17000000000-abcdefgh", ""},
+		{"1700000000-abc/efgh", ""},
+		{"1700000000-abcdefgh\n", ""},
+		{"abcdefgh", ""},
+	} {
+		g := NewWithT(t)
+		key, err := ParseKey(tc.text)
+		if tc.want == "" {
+			g.Expect(result.Of(err)).To(Equal(result.KeyRequired), "%q", tc.text)
+			continue
+		}
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(key.String()).To(Equal(tc.want))
+	}
+}
+
+// A renewal is sent again with a key of yesterday, or with one from a clock
+// that is ahead. Both are refused before anything is claimed: the first may
+// have run and been cleared, the second would outlive its clearing.
+func TestKeysOutOfTimeAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	store := newFaultStore(1)
+	a, w := vm(t, store, "a"), accepted()
+	req := request("d")
+	for made, want := range map[time.Duration]result.Code{
+		-a.opts.Keep - time.Minute:  result.KeyExpired,
+		a.opts.Margin + time.Minute: result.BadRequest,
+	} {
+		key, err := ParseKey(fmt.Sprintf("%d-abcdefgh", time.Now().Add(made).Unix()))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Key = key
+		g.Expect(a.Run(t.Context(), req, w.run).Code).To(Equal(want))
+	}
+	g.Expect(w.ran.Load()).To(BeZero())
+	g.Expect(store.puts + store.gets).To(BeZero())
+}
+
+// The cleaner takes old segments of its own deployment only, a few at a time.
+func TestCleanerTakesOldSegmentsInSteps(t *testing.T) {
+	g := NewWithT(t)
+	var c clock
+	store := newFaultStore(1)
+	a := vm(t, store, "a", c.set)
+	for i := range 2*cleanPage + 1 {
+		for _, deployment := range []string{"vatnsleit", "pletenica"} {
+			name := segmentName(deployment, "id", time.Now().Add(-time.Duration(i)*window))
+			_, err := store.Put(t.Context(), Kind, name, 0, []byte("{}"))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	old := store.names("vatnsleit.")
+	others := store.names("pletenica.")
+	young := "vatnsleit.9999999999.0"
+	_, err := store.Put(t.Context(), Kind, young, 0, []byte("{}"))
+	g.Expect(err).NotTo(HaveOccurred())
+
+	clean := startedCleaner(a)
+	g.Expect(clean.round()).To(Succeed())
+	g.Expect(store.names("vatnsleit.")).To(HaveLen(len(old) + 1))
+	c.advance(a.opts.Keep + a.opts.Margin + window)
+	removed, more, err := clean.step(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(removed).To(Equal(cleanPage))
+	g.Expect(more).To(BeTrue())
+	g.Expect(clean.round()).To(Succeed())
+	g.Expect(store.names("vatnsleit.")).To(Equal([]string{young}))
+	g.Expect(store.names("pletenica.")).To(Equal(others))
+}
+
+func TestFewVMsClear(t *testing.T) {
+	g := NewWithT(t)
+	var vms []platform.VM
+	for i := range 50 {
+		vms = append(vms, platform.VM{Name: fmt.Sprint("vm", i)})
+	}
+	vms = append(vms, vms[0])
+	turns := map[string]bool{}
+	for hour := range 24 {
+		count := 0
+		for _, v := range vms[:50] {
+			if chosen(vms, v.Name, time.Unix(int64(hour)*3600, 0)) {
+				count++
+				turns[v.Name] = true
+			}
+		}
+		g.Expect(count).To(Equal(cleaners))
+	}
+	g.Expect(len(turns)).To(BeNumerically(">", 10), "the work changes hands")
+	g.Expect(chosen(nil, "alone", time.Now())).To(BeTrue())
+}
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/platform"
@@ -25,10 +26,13 @@
 	loseAnswer float64                            // share of writes that land and fail
 	loseWrite  float64                            // share of writes that fail and do not land
 	late       float64                            // share of writes that fail and land later
-	down       bool                               // every call fails, nothing lands
+	cut        atomic.Bool                        // every call fails, nothing lands
+	healed     atomic.Bool                        // for the hooks
+	cutPuts    atomic.Bool                        // writes fail and do not land
 	latency    time.Duration                      // of each call
 	beforePut  func(name string) error            // called without mu
 	afterPut   func(name string, err error) error // called without mu
+	hold       func(land func() error) bool       // takes a write to land it later
 	lateWG     sync.WaitGroup
 	vms        []platform.VM
 }
@@ -40,14 +44,11 @@
 }
 
 func (s *faultStore) wait(ctx context.Context) error {
-	s.mu.Lock()
-	down, latency := s.down, s.latency
-	s.mu.Unlock()
-	if down {
+	if s.cut.Load() {
 		return errLost
 	}
-	if latency > 0 {
-		time.Sleep(latency)
+	if s.latency > 0 {
+		time.Sleep(s.latency)
 	}
 	return ctx.Err()
 }
@@ -75,6 +76,12 @@
 	if err := s.wait(ctx); err != nil {
 		return 0, err
 	}
+	if s.cutPuts.Load() {
+		return 0, errLost
+	}
+	if s.hold != nil && s.hold(func() error { _, err := s.put(kind, name, expect, value); return err }) {
+		return 0, errLost
+	}
 	s.mu.Lock()
 	fate := s.rng.Float64()
 	delay := time.Duration(s.rng.IntN(20)) * time.Millisecond
@@ -156,3 +163,35 @@
 func (s *faultStore) VMs(ctx context.Context) ([]platform.VM, error) {
 	return s.vms, s.wait(ctx)
 }
+
+// What tests wait for.
+func (c *committer) pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
+func (c *committer) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failures >= downAfter
+}
+
+func (c *committer) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+func (s *faultStore) names(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
