Failure tests of queries with real processes, and a checker of answers

Change: truth_test.go holds each answer against what the stand-ins hold; tests bring about index switches, repartition, lost shards, incomplete leaves, frozen, cold and shedding targets, refusal at admission, and random fault sequences over five fixed seeds.

--- /dev/null
+++ b/integration/query_test.go
@@ -0,0 +1,319 @@
+package integration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+const leastCoverage = 0.01
+
+// hold makes every target hold the given indexes, each placed in the same way.
+func (c *cluster) hold(i int, list ...targetsim.Index) {
+	c.t.Helper()
+	s := c.shape
+	var holders []targetsim.Holder
+	for _, x := range list {
+		holders = append(holders, targetsim.Place(x, s.Targets, s.Leaves, s.Replicas)[i])
+	}
+	c.ok(c.Targets[i].SetSnapshots(holders))
+}
+
+func (c *cluster) nextIndex(name string, seq int64, shards int) targetsim.Index {
+	x := c.Index
+	x.Snapshot, x.Seq, x.Shards = name, seq, shards
+	return x
+}
+
+// A reader gets a page with records of two index versions, or one that counts
+// its coverage against the wrong number of shards: targets switch to a new
+// index, and repartition it, while queries run. The cause would be an attempt,
+// hedge or retry that reads another snapshot than the rest of its query.
+func TestIndexSwitchNeverMixesSnapshots(t *testing.T) {
+	c := start(t, shape{})
+	next := c.nextIndex("s2", 2, 6)
+	last := c.nextIndex("s3", 3, 3)
+	l := c.startLoad(leastCoverage, 0, truthOf(c.Index, next, last).check)
+	for i := range c.Targets { // side by side first
+		c.hold(i, c.Index, next)
+	}
+	for i := range c.Targets {
+		c.hold(i, next)
+	}
+	for i := range c.Targets { // then without any overlap
+		c.hold(i, last)
+		before := l.answered(result.Complete, result.Partial)
+		c.Eventually(func() int { return l.answered(result.Complete, result.Partial) }, limit).Should(gomega.BeNumerically(">", before+20))
+	}
+	c.Eventually(func() string {
+		a, _, _ := c.Daemons[0].Search(c.ctx, findSearch, searchBody("x"))
+		return a.Snapshot
+	}, limit, "50ms").Should(gomega.Equal("s3"))
+	c.Expect(l.stop()).To(gomega.BeEmpty())
+	c.Expect(l.answered(result.Complete)).To(gomega.BeNumerically(">", 0))
+}
+
+// A reader turns a page and finds records twice or not at all: the index was
+// switched between the two pages. The cursor pins the snapshot; when it is gone
+// the reader is told so.
+func TestBrowseCursorPinsTheSnapshot(t *testing.T) {
+	c := start(t, shape{})
+	d := c.Daemons[0]
+	first := must[gateway.Answer](c)(answerOnly(d.Browse(c.ctx, browseSearch, gateway.SearchBody{Limit: 10})))
+	next := c.nextIndex("s2", 2, 5)
+	for i := range c.Targets {
+		c.hold(i, c.Index, next)
+	}
+	c.Eventually(func() string {
+		a, _, _ := d.Search(c.ctx, findSearch, searchBody("x"))
+		return a.Snapshot
+	}, limit, "50ms").Should(gomega.Equal("s2"))
+	page := must[gateway.Answer](c)(answerOnly(d.Browse(c.ctx, browseSearch, gateway.SearchBody{Limit: 10, Cursor: first.Cursor})))
+	c.Expect(page.Snapshot).To(gomega.Equal("s1"))
+	want, _, _ := c.Index.Truth(target.KindBrowse, "", first.Items[9].Key, 10)
+	c.Expect(page.Items).To(gomega.Equal(want))
+	for i := range c.Targets {
+		c.hold(i, next)
+	}
+	c.Eventually(func() int {
+		a, _, _ := d.Browse(c.ctx, browseSearch, gateway.SearchBody{Limit: 10, Cursor: first.Cursor})
+		return a.Code
+	}, limit, "50ms").Should(gomega.Equal(int(result.CursorGone)))
+}
+
+func answerOnly(a gateway.Answer, _ int, err error) (gateway.Answer, error) { return a, err }
+
+// A renewal check tells a farm that its permit has lapsed: all replicas of a
+// shard are lost and the answer does not say that records are missing.
+func TestLostShardIsStated(t *testing.T) {
+	c := start(t, shape{Targets: 2, Leaves: 1, Shards: 4, Replicas: 1})
+	c.Targets[0].Kill()
+	d := c.Daemons[0]
+	body := gateway.SearchBody{Query: "well", Explain: true, Coverage: leastCoverage}
+	var a gateway.Answer
+	c.Eventually(func() int {
+		a = must[gateway.Answer](c)(answerOnly(d.Search(c.ctx, findSearch, body)))
+		c.ok(truthOf(c.Index).check(a, body))
+		return a.Code
+	}, limit, "20ms").Should(gomega.Equal(int(result.Partial)))
+	c.Expect(a.Coverage.ShardsAnswered).To(gomega.Equal(2))
+	c.Expect(a.Coverage.UnknownShards).To(gomega.Equal(0), "how much the lost shards held is known from before")
+	body.Coverage = 1
+	a = must[gateway.Answer](c)(answerOnly(d.Search(c.ctx, findSearch, body)))
+	c.Expect(a.Code).To(gomega.Equal(int(result.CoverageTooLow)))
+	c.Expect(a.RetryAfterMS).To(gomega.BeNumerically(">", 0))
+}
+
+// A page misses records although it claims to be whole: a leaf could read only
+// a part of its shard and said so itself.
+func TestLeafsOwnIncompleteIsStated(t *testing.T) {
+	c := start(t, shape{})
+	const missing = 3
+	for _, target := range c.Targets {
+		c.ok(target.SetFaults(targetsim.Faults{IncompleteRecords: missing}))
+	}
+	body := gateway.SearchBody{Explain: true, Coverage: leastCoverage}
+	a := must[gateway.Answer](c)(answerOnly(c.Daemons[0].Search(c.ctx, findSearch, body)))
+	c.ok(truthOf(c.Index).check(a, body))
+	c.Expect(a.Code).To(gomega.Equal(int(result.Partial)))
+	c.Expect(a.Coverage.Missing).To(gomega.Equal(int64(missing * c.shape.Shards)))
+}
+
+// A caller waits for its whole time limit although the query was lost at once:
+// no replica of a shard is left. Its final answer must not be held back.
+func TestGivenUpQueryIsAnsweredAtOnce(t *testing.T) {
+	c := start(t, shape{Targets: 2, Leaves: 1, Shards: 2, Replicas: 1})
+	c.Targets[0].Kill()
+	const limitMS = 30000
+	a := must[gateway.Answer](c)(answerOnly(c.Daemons[0].Search(c.ctx, findSearch, gateway.SearchBody{TimeLimitMS: limitMS})))
+	c.Expect(a.Code).To(gomega.BeNumerically(">=", 300))
+	c.Expect(a.TookMS).To(gomega.BeNumerically("<", limitMS/2))
+}
+
+// Searches stop being whole for as long as one target is frozen: the process
+// is paused, its connections stay open and say nothing. Other replicas hold
+// every shard, so a hedge or a retry has to answer.
+func TestFrozenTargetCostsNoAnswer(t *testing.T) {
+	c := start(t, shape{Targets: 4, Replicas: 2})
+	l := c.startLoad(1, 5000, truthOf(c.Index).check)
+	c.Eventually(func() int { return l.answered(result.Complete) }, limit).Should(gomega.BeNumerically(">", 100))
+	c.ok(c.Targets[1].Pause())
+	before := l.answered(result.Complete)
+	c.Eventually(func() int { return l.answered(result.Complete) }, limit).Should(gomega.BeNumerically(">", before+500))
+	c.ok(c.Targets[1].Resume())
+	c.Expect(l.stop()).To(gomega.BeEmpty())
+	c.Expect(l.answered(result.TimedOut, result.CoverageTooLow)).To(gomega.BeZero())
+}
+
+// A caller is told that its request was not run, and a target ran it: every
+// target sheds all of its requests, and the refusals are checked against the
+// targets' own records.
+func TestShedIsNotRun(t *testing.T) {
+	c := start(t, shape{Shards: 1, Replicas: 3})
+	for _, target := range c.Targets {
+		c.ok(target.SetFaults(targetsim.Faults{ShedShare: 1}))
+	}
+	for range 20 {
+		a := must[gateway.Answer](c)(answerOnly(c.Daemons[0].Search(c.ctx, findSearch, gateway.SearchBody{TimeLimitMS: 200})))
+		c.Expect(a.Ran).To(gomega.Equal(result.RanNo.String()), a.Name)
+		c.Expect(c.searched()).NotTo(gomega.HaveKey(a.Request))
+	}
+}
+
+// searched returns how many attempts of each request were started, by the
+// targets' own records.
+func (c *cluster) searched() map[string]int {
+	runs := map[string]int{}
+	for _, t := range c.Targets {
+		for _, r := range must[targetsim.Ran](c)(t.Ran()).Searches {
+			runs[r.Request]++
+		}
+	}
+	return runs
+}
+
+// More callers than the targets' slots can serve: some are refused at
+// admission. What is refused must not have run, and it must say when to come
+// back; what is admitted must be whole.
+func TestRefusedAtAdmissionIsNotRun(t *testing.T) {
+	c := start(t, shape{
+		Daemons: 1,
+		Target:  func(_ int, o *targetsim.Options) { o.Timing.BaseMS = 40 },
+	})
+	refused := make(chan gateway.Answer, 400)
+	done := make(chan error, 100)
+	for i := range cap(done) {
+		go func() {
+			var err error
+			for j := range 4 {
+				body := gateway.SearchBody{Query: fmt.Sprint(i, j), TimeLimitMS: 300, Explain: true}
+				a, _, e := c.Daemons[0].Search(c.ctx, findSearch, body)
+				if e == nil {
+					e = truthOf(c.Index).check(a, body)
+				}
+				if e != nil {
+					err = e
+				}
+				if a.Code == int(result.Overloaded) {
+					refused <- a
+				}
+			}
+			done <- err
+		}()
+	}
+	for range cap(done) {
+		c.ok(<-done)
+	}
+	close(refused)
+	ran := c.searched()
+	n := 0
+	for a := range refused {
+		n++
+		c.Expect(ran).NotTo(gomega.HaveKey(a.Request))
+		c.Expect(a.RetryAfterMS).To(gomega.BeNumerically(">", 0))
+	}
+	c.Expect(n).To(gomega.BeNumerically(">", 0), "the load was too small to be refused")
+}
+
+// A cold target slows every query down or fails it right after its start: it
+// says that it is starting. It must get no work until it says that it serves.
+func TestColdTargetGetsNoWork(t *testing.T) {
+	c := start(t, shape{
+		Targets: 3, Replicas: 2,
+		Target: func(i int, o *targetsim.Options) {
+			if i == 2 {
+				o.ColdMS = 600000
+			}
+		},
+	})
+	for range 50 {
+		a := must[gateway.Answer](c)(answerOnly(c.Daemons[0].Search(c.ctx, findSearch, searchBody("x"))))
+		c.Expect(a.Code).To(gomega.Equal(int(result.Complete)))
+	}
+	counters := must[targetsim.Counters](c)(c.Targets[2].Counters())
+	c.Expect(counters.Searches).To(gomega.BeZero())
+	c.Expect(counters.Refused[target.ReasonCold]).To(gomega.BeZero())
+}
+
+// Faults come together and twice: targets freeze, die, shed, switch their
+// index and leave records out while connections are cut and fall silent. Every
+// answer that claims something must be true, whatever the order.
+func TestAnswersStayTrueUnderRandomFaults(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 5, 8} {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			c := start(t, shape{Targets: 4, Replicas: 2, ProxyTargets: true, Bundle: func(b *bundle.Bundle) {
+				b.Services[0].Drain.HealthTimeoutMS = 200
+			}})
+			f := &faults{c: c, rng: rand.New(rand.NewPCG(seed, 0)), paused: map[int]bool{}, indexes: []targetsim.Index{c.Index, c.nextIndex("s2", 2, 6), c.nextIndex("s3", 3, 3)}}
+			l := c.startLoad(leastCoverage, 500, truthOf(f.indexes...).check)
+			for range 25 {
+				f.next()
+				time.Sleep(50 * time.Millisecond) // paces the faults; nothing is expected of it
+			}
+			f.heal()
+			c.Eventually(func() float64 {
+				a, _, err := c.Daemons[0].Search(c.ctx, findSearch, searchBody("x"))
+				if err != nil || a.Coverage == nil {
+					return 0
+				}
+				return a.Coverage.Ratio
+			}, limit, "50ms").Should(gomega.Equal(1.0))
+			c.Expect(l.stop()).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// faults does one thing after another to the targets of a cluster.
+type faults struct {
+	c       *cluster
+	rng     *rand.Rand
+	indexes []targetsim.Index
+	paused  map[int]bool
+}
+
+func (f *faults) next() {
+	i := f.rng.IntN(len(f.c.Targets))
+	t, p := f.c.Targets[i], f.c.TargetProxies[i]
+	if f.paused[i] {
+		f.resume(i)
+		return
+	}
+	switch f.rng.IntN(6) {
+	case 0:
+		f.c.ok(t.Pause())
+		f.paused[i] = true
+	case 1:
+		f.c.ok(p.Cut())
+	case 2:
+		f.c.ok(p.Silence())
+	case 3:
+		f.c.ok(t.SetFaults(targetsim.Faults{ShedShare: f.rng.Float64()}))
+	case 4:
+		f.c.ok(t.SetFaults(targetsim.Faults{IncompleteRecords: 2, CrossedAnswers: 5, DuplicateAnswers: 5, LateAnswers: 5, LateMS: 100}))
+	case 5:
+		f.c.hold(i, f.indexes[f.rng.IntN(len(f.indexes))], f.indexes[0])
+	}
+}
+
+func (f *faults) resume(i int) {
+	f.c.ok(f.c.Targets[i].Resume())
+	delete(f.paused, i)
+}
+
+// heal ends all faults and lets every target hold the last index.
+func (f *faults) heal() {
+	for i, t := range f.c.Targets {
+		f.c.ok(t.Resume())
+		f.c.ok(t.SetFaults(targetsim.Faults{}))
+		f.c.hold(i, f.indexes[len(f.indexes)-1])
+	}
+}
--- /dev/null
+++ b/integration/truth_test.go
@@ -0,0 +1,95 @@
+package integration
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// truth knows the snapshots that stand-ins may hold in a test, by name.
+type truth map[string]targetsim.Index
+
+func truthOf(list ...targetsim.Index) truth {
+	t := truth{}
+	for _, x := range list {
+		t[x.Snapshot] = x
+	}
+	return t
+}
+
+// check holds an answer to a search for body, with Explain set, against what
+// the stand-ins hold: one snapshot only, coverage counted by its own partition
+// map, and every record accounted for as given, read or missing.
+func (t truth) check(a gateway.Answer, body gateway.SearchBody) error {
+	if a.Code != int(result.Complete) && a.Code != int(result.Partial) {
+		if len(a.Items) > 0 {
+			return fmt.Errorf("%d %s comes with items", a.Code, a.Name)
+		}
+		return nil
+	}
+	x, ok := t[a.Snapshot]
+	if !ok {
+		return fmt.Errorf("unknown snapshot %q", a.Snapshot)
+	}
+	if err := t.checkCoverage(a, x); err != nil {
+		return err
+	}
+	return t.checkItems(a, x, body)
+}
+
+func (t truth) checkCoverage(a gateway.Answer, x targetsim.Index) error {
+	c := a.Coverage
+	if c.Shards != x.Shards || c.ShardsAnswered+len(c.Gaps) != x.Shards {
+		return fmt.Errorf("coverage %+v does not fit %d shards", *c, x.Shards)
+	}
+	if (a.Code == int(result.Complete)) != (c.ShardsAnswered == x.Shards) {
+		return fmt.Errorf("%s with %d of %d shards", a.Name, c.ShardsAnswered, x.Shards)
+	}
+	_, _, all := x.Truth(target.KindBrowse, "", "", 0)
+	if c.UnknownShards == 0 && c.Records+c.Missing != all {
+		return fmt.Errorf("%d read and %d missing of %d records", c.Records, c.Missing, all)
+	}
+	if c.Records+c.Missing > all {
+		return fmt.Errorf("%d read and %d missing are more than the %d records", c.Records, c.Missing, all)
+	}
+	return nil
+}
+
+// checkItems expects all matches of the shards that answered in full, none of
+// the shards that did not answer, and some of those that were incomplete.
+func (t truth) checkItems(a gateway.Answer, x targetsim.Index, body gateway.SearchBody) error {
+	lost := map[int]bool{}
+	partial := map[int]bool{}
+	for _, gap := range a.Coverage.Gaps {
+		lost[gap.Shard] = gap.Reason != policy.ReasonIncomplete
+		partial[gap.Shard] = gap.Reason == policy.ReasonIncomplete
+	}
+	given := map[string]bool{}
+	for _, item := range a.Items {
+		given[item.Key] = true
+	}
+	all, _, _ := x.Truth(target.KindSearch, body.Query, "", 0)
+	var want, got []target.Item
+	for _, item := range all {
+		shard := x.ShardOf(item.Key)
+		if !lost[shard] && (!partial[shard] || given[item.Key]) {
+			want = append(want, item)
+		}
+	}
+	got = a.Items
+	if body.Limit > 0 && len(want) > body.Limit {
+		want = want[:body.Limit]
+	}
+	equal := func(a, b target.Item) bool {
+		return a.Key == b.Key && a.Score == b.Score && string(a.Fields) == string(b.Fields)
+	}
+	if !slices.EqualFunc(got, want, equal) {
+		return fmt.Errorf("snapshot %s: %d items, want %d, with gaps %+v", x.Snapshot, len(got), len(want), a.Coverage.Gaps)
+	}
+	return nil
+}
