--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,9 @@
 demo: build
 	$(BIN)/bramley-lab demo --daemon $(BIN)/bramleyd
 
+# The figures and their conclusions stand in docs/MEASUREMENTS.md.
+bench: build
+	$(BIN)/bramley-lab bench $(BENCH)
+
 clean:
 	rm -rf $(BIN)
