--- a/internal/lab/platformsim/faults.go
+++ b/internal/lab/platformsim/faults.go
@@ -26,7 +26,11 @@
 	// lost. LoseWrites makes the next ones fail alike without taking effect.
 	LoseAnswers int `json:"lose_answers"`
 	LoseWrites  int `json:"lose_writes"`
-	// LoseKind limits the two to objects of one kind; empty means all.
+	// LateWrites makes the next writes fail like LoseWrites, and yet take effect
+	// LateMS later if their condition still holds then.
+	LateWrites int `json:"late_writes"`
+	LateMS     int `json:"late_ms"`
+	// LoseKind limits these to objects of one kind; empty means all.
 	LoseKind string `json:"lose_kind"`
 	// Calls a second above these are refused; 0 means no limit. A watch is a
 	// read.
@@ -64,6 +68,7 @@
 const (
 	fateAnswer fate = iota
 	fateLoseAnswer
+	fateLate
 )
 
 // faultState is guarded by Store.mu.
@@ -156,6 +161,10 @@
 		f.LoseWrites--
 		return fateAnswer, errAnswerLost
 	}
+	if f.LateWrites > 0 {
+		f.LateWrites--
+		return fateLate, nil
+	}
 	if f.LoseAnswers > 0 {
 		f.LoseAnswers--
 		return fateLoseAnswer, nil
--- a/internal/lab/platformsim/store.go
+++ b/internal/lab/platformsim/store.go
@@ -121,10 +121,7 @@
 	if err != nil {
 		return 0, err
 	}
-	version, err := s.change(kind, name, expect, &entry{value: bytes.Clone(value)})
-	if fate == fateLoseAnswer {
-		return 0, errAnswerLost
-	}
+	version, err := s.carryOut(fate, kind, name, expect, &entry{value: bytes.Clone(value)})
 	return version, errors.Annotatef(err, "put %s/%s", kind, name)
 }
 
@@ -134,10 +131,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.change(kind, name, expect, &entry{deleted: true})
-	if fate == fateLoseAnswer {
-		return errAnswerLost
-	}
+	_, err = s.carryOut(fate, kind, name, expect, &entry{deleted: true})
 	return errors.Annotatef(err, "delete %s/%s", kind, name)
 }
 
@@ -190,6 +184,23 @@
 	return change, objs.changed, s.faults.WatchesSilent
 }
 
+// carryOut makes a change as its fate will have it.
+func (s *Store) carryOut(f fate, kind, name string, expect uint64, to *entry) (uint64, error) {
+	switch f {
+	case fateLate:
+		s.mu.Lock()
+		delay := time.Duration(s.faults.LateMS) * time.Millisecond
+		s.mu.Unlock()
+		time.AfterFunc(delay, func() { s.change(kind, name, expect, to) })
+		return 0, errAnswerLost
+	case fateLoseAnswer:
+		s.change(kind, name, expect, to)
+		return 0, errAnswerLost
+	default:
+		return s.change(kind, name, expect, to)
+	}
+}
+
 // change replaces an entry if its version is expect.
 func (s *Store) change(kind, name string, expect uint64, to *entry) (uint64, error) {
 	s.mu.Lock()
--- a/internal/lab/platformsim/store_test.go
+++ b/internal/lab/platformsim/store_test.go
@@ -48,6 +48,15 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+func TestLateWriteLandsAfterItFailed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewStore()
+	s.SetFaults(Faults{LateWrites: 1, LateMS: 50})
+	_, err := s.Put(t.Context(), "k", "a", 0, []byte(`1`))
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(func() error { _, err := s.Get(t.Context(), "k", "a"); return err }, "20s").Should(gomega.Succeed())
+}
+
 func TestLimitsAndOutage(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewStore()
