Exchange: failure tests of split, outage, death, freeze and replacement

Stop waited for a silent peer as long as its caller allowed; it now gives the last messages half a second. The revision is noticed by the keeper's channel in place of a poll. DialContext lets tests cut VMs off from one another.

go test -race -count=3 ./peer passes.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 type Heads interface {
 	// Revision returns the revision in force, 0 before the first.
 	Revision() uint64
+	// Changed returns a channel that is closed when the revision next rises.
+	Changed() <-chan struct{}
 	// Head returns the signed head in force, or nil.
 	Head() []byte
 	// RawBundle returns a bundle with its sign-offs, by its digest.
@@ -58,6 +61,8 @@
 	Store platform.Store // for the list of VMs
 	Heads Heads
 	Log   hclog.Logger
+	// DialContext opens TCP connections; default net.Dialer's.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	Interval     time.Duration // between comparisons of digests; default 1 s
 	Fanout       int           // connections that this VM opens; default 4
@@ -80,9 +85,6 @@
 	// listSlowdown is how much more seldom a VM that doesn't watch reads the
 	// platform's list.
 	listSlowdown = 12
-	// headPoll is the interval at which a new revision of this VM's own is
-	// noticed; a look is one atomic read.
-	headPoll = 50 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -113,6 +115,7 @@
 	server  *wire.Server
 	metrics *metrics.Set
 	begun   time.Time
+	started int64         // begun by the wall clock, in Unix nanoseconds
 	pull    chan struct{} // wakes the loop that gets newer heads
 
 	mu            sync.Mutex // guards everything below
@@ -146,6 +149,7 @@
 		accused:       map[string]time.Time{},
 		drainsChanged: make(chan struct{}),
 	}
+	x.started = x.begun.UnixNano()
 	x.metrics = x.newMetrics()
 	return x, nil
 }
@@ -164,7 +168,7 @@
 	x.self = facts.Member{
 		Name:        x.opts.VM.Name,
 		Incarnation: x.opts.Incarnation,
-		Started:     x.begun.UnixNano(),
+		Started:     x.started,
 		Address:     x.opts.VM.Address,
 		Ops:         x.opts.VM.Ops,
 		Zone:        x.opts.VM.Zone,
@@ -196,7 +200,7 @@
 // Stop says that this VM leaves, ends the exchange and waits for its parts.
 func (x *Exchange) Stop(ctx context.Context) error {
 	x.AnnounceLeaving()
-	x.flush(ctx)
+	x.flush()
 	x.mu.Lock()
 	x.tomb.Kill(nil) // under mu: who sees the tomb alive may still start a goroutine
 	for l := range x.links {
--- /dev/null
+++ b/peer/failure_test.go
@@ -0,0 +1,229 @@
+package peer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// fleetWithLost returns a list of n VMs of which some count as lost.
+func fleetWithLost(n, lost int) (listed []platform.VM, members []facts.Member) {
+	for i := range n {
+		m := facts.Member{Name: fmt.Sprint("vm-", i)}
+		if i < lost {
+			m.State = facts.Lost
+		}
+		members = append(members, m)
+		listed = append(listed, memberVM(m))
+	}
+	return listed, members
+}
+
+func names(vms []platform.VM) (list []string) {
+	for _, vm := range vms {
+		list = append(list, vm.Name)
+	}
+	return list
+}
+
+// halves splits a fleet in two by address.
+func (f *testFleet) halves() (left, right []*testVM, group map[string]int) {
+	group = map[string]int{}
+	for i, vm := range f.vms {
+		if i%2 == 0 {
+			left = append(left, vm)
+			continue
+		}
+		right = append(right, vm)
+		group[vm.Address()] = 1
+	}
+	return left, right, group
+}
+
+// TestSplitAndJoin: two regions lose each other. An operator rolls out a bundle
+// and a target drains on one side; users of the other side are still served by
+// the old bundle. When the regions join, the other side has to take both without
+// anybody's help, though each VM there counts the first side's VMs as lost.
+func TestSplitAndJoin(t *testing.T) {
+	f := newFleet(t, 8)
+	f.connected()
+	f.vms[0].heads.set(1)
+	f.everywhere(hasRevision(1))
+	left, right, group := f.halves()
+	f.net.split(group)
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == len(left) })
+	left[0].heads.set(2)
+	left[0].LearnDrain(Drain{"t", "1"})
+	right[0].LearnDrain(Drain{"t", "2"})
+	f.everywhere(hasRevision(2), left...)
+	for _, vm := range right {
+		f.g.Expect(vm.heads.Revision()).To(Equal(uint64(1)))
+	}
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool {
+		return vm.heads.Revision() == 2 && len(vm.Drains()) == 2 && len(vm.Live()) == len(f.vms)
+	})
+}
+
+// TestStartWithPlatformDown: power returns to a zone while the platform is still
+// down, so no VM can read the list of VMs. One VM holds a bundle. With a seed the
+// others find it and each other, and take the bundle over.
+func TestStartWithPlatformDown(t *testing.T) {
+	f := newFleet(t, 0)
+	f.list.down = true
+	seed := f.start("seed", nil)
+	seed.heads.set(5)
+	for i := range 5 {
+		f.start(fmt.Sprint("vm-", i), func(o *Options) { o.Seeds = []string{seed.Address()} })
+	}
+	f.connected()
+	f.everywhere(hasRevision(5))
+}
+
+// TestKilledVM: a VM dies without a word while the platform's list goes on
+// naming it. The others must count it out within seconds, or queries go there.
+func TestKilledVM(t *testing.T) {
+	f := newFleet(t, 6)
+	f.connected()
+	dead := f.vms[5]
+	dead.crash()
+	f.everywhere(func(vm *testVM) bool { return !slices.Contains(names(vm.Live()), "vm-005") }, f.vms[:5]...)
+}
+
+// crash ends a VM without a goodbye.
+func (vm *testVM) crash() {
+	vm.mu.Lock()
+	vm.tomb.Kill(nil)
+	vm.mu.Unlock()
+	vm.server.Stop()
+}
+
+// TestLeavingVM: a VM that stops says so while it still serves; the others must
+// not count it as live any more, also if the platform's list lags, and must not
+// take it for lost.
+func TestLeavingVM(t *testing.T) {
+	f := newFleet(t, 5)
+	f.connected()
+	f.vms[0].AnnounceLeaving()
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 4 })
+	f.g.Expect(names(f.vms[0].Live())).NotTo(ContainElement("vm-000"))
+}
+
+// TestCutOffVMComesBack: one VM can't be reached for a while and is counted as
+// lost; a rollout happens. When it comes back it says that it lives, by a higher
+// counter, and takes the new revision; what it still believes harms nobody.
+func TestCutOffVMComesBack(t *testing.T) {
+	f := newFleet(t, 6)
+	f.connected()
+	f.vms[0].heads.set(3)
+	f.everywhere(hasRevision(3))
+	rest := f.vms[:5]
+	f.net.split(map[string]int{f.vms[5].Address(): 1})
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 5 }, rest...)
+	f.vms[0].heads.set(4)
+	f.everywhere(hasRevision(4), rest...)
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 4 && len(vm.Live()) == 6 })
+}
+
+// TestReplacedWhileFrozen: a VM is frozen, the platform replaces it by a new one
+// of the same name, and then the old process runs on. It must not take the name
+// back: it finds the later process and says no more.
+func TestReplacedWhileFrozen(t *testing.T) {
+	f := newFleet(t, 5)
+	f.connected()
+	old := f.vms[4]
+	old.mu.Lock()
+	old.begun = old.begun.Add(-2 * youth)
+	old.mu.Unlock()
+	successor := f.start("vm-004", nil)
+	f.everywhere(func(vm *testVM) bool {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		m, _ := vm.table.Member("vm-004")
+		return m.Incarnation == successor.opts.Incarnation
+	})
+	f.g.Eventually(func() bool {
+		old.mu.Lock()
+		defer old.mu.Unlock()
+		return old.replaced
+	}).WithTimeout(testLimit).Should(BeTrue())
+}
+
+// TestClockBehindPredecessor: a VM is replaced by one of the same name whose
+// clock is behind. Its first word is older than its predecessor's last, so the
+// others would ignore it for good; it notices and states a later start.
+func TestClockBehindPredecessor(t *testing.T) {
+	f := newFleet(t, 4)
+	f.connected()
+	old := f.vms[3]
+	old.crash()
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 3 }, f.vms[:3]...)
+	successor := f.startWith("vm-003", nil, func(x *Exchange) { x.started = 1 })
+	f.everywhere(func(vm *testVM) bool {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		m, _ := vm.table.Member("vm-003")
+		return m.Incarnation == successor.opts.Incarnation
+	}, f.vms[0], f.vms[1], f.vms[2], successor)
+}
+
+// TestAllVMsReplaced: every VM is replaced one after another while the
+// platform's list goes on naming the old ones. Drains and the revision must
+// survive though no VM that learned them first is left.
+func TestAllVMsReplaced(t *testing.T) {
+	const n = 5
+	f := newFleet(t, n)
+	f.connected()
+	f.vms[0].heads.set(9)
+	f.vms[1].LearnDrain(Drain{"t", "1"})
+	f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 9 && len(vm.Drains()) == 1 })
+	for i := range n {
+		vm := f.start(fmt.Sprint("new-", i), nil)
+		f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 9 && len(vm.Drains()) == 1 }, vm)
+		f.vms[i].stop()
+	}
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == n }, f.vms[n:]...)
+}
+
+func TestFewWatchInALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	var vms []platform.VM
+	for i := range 950 {
+		vms = append(vms, platform.VM{Name: fmt.Sprint("vm-", i), Zone: fmt.Sprint("z", i%5)})
+	}
+	count := func(live []platform.VM) (n int) {
+		for _, vm := range live {
+			if watches(live, vm.Name) {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(count(vms)).To(Equal(5 * watchersPerZone))
+	g.Expect(count(vms[:watchAllUpTo])).To(Equal(watchAllUpTo))
+	g.Expect(watches(vms, "stranger")).To(BeFalse())
+}
+
+// TestOthersAreLookedForGently: after a split each half looks for the other, but
+// a VM that is really dead and still listed must not be dialled by 949 others at
+// once.
+func TestOthersAreLookedForGently(t *testing.T) {
+	g := NewWithT(t)
+	listed, members := fleetWithLost(950, 1)
+	dials := 0
+	for i := range 950 {
+		if _, ok := lookForLost(listed, members, float64(i)/950); ok {
+			dials++
+		}
+	}
+	g.Expect(dials).To(BeNumerically("~", lostDialsPerSecond, 1))
+	listed, members = fleetWithLost(6, 3)
+	_, ok := lookForLost(listed, members, 0.99)
+	g.Expect(ok).To(BeTrue())
+}
--- a/peer/heads.go
+++ b/peer/heads.go
@@ -14,14 +14,13 @@
 // noticeHead tells the peers when this VM's own revision has risen, by whatever
 // way it learned of it.
 func (x *Exchange) noticeHead() error {
-	ticker := time.NewTicker(headPoll)
-	defer ticker.Stop()
 	for {
+		changed := x.opts.Heads.Changed()
 		x.tellRevision()
 		select {
 		case <-x.tomb.Dying():
 			return nil
-		case <-ticker.C:
+		case <-changed:
 		}
 	}
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -39,6 +39,7 @@
 		Keys:         x.opts.FleetKeys,
 		Handler:      x.handle,
 		Log:          x.opts.Log,
+		DialContext:  x.opts.DialContext,
 		PingInterval: x.opts.PingInterval,
 	}
 }
@@ -259,12 +260,17 @@
 	return nil
 }
 
-// flush waits until everything told so far has been written, or ctx ends.
-func (x *Exchange) flush(ctx context.Context) {
-	for ctx.Err() == nil && x.hasNews() {
+// flushLimit bounds the last messages of a VM that stops: a peer that has gone
+// silent must not hold it up.
+const flushLimit = 500 * time.Millisecond
+
+// flush waits until everything told so far has been written, for a short time.
+func (x *Exchange) flush() {
+	end := time.Now().Add(flushLimit)
+	for x.tomb.Alive() && time.Now().Before(end) && x.hasNews() {
 		time.Sleep(gather)
 	}
-	time.Sleep(gather)
+	time.Sleep(2 * gather)
 }
 
 func (x *Exchange) hasNews() bool {
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/hmac"
 	"encoding/json"
-	"net"
 
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -15,8 +14,7 @@
 	o = o.withDefaults()
 	ctx, cancel := context.WithTimeout(ctx, o.HelloTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := o.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, result.Wrap(result.ExchangeFailed, err, "dial")
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -48,6 +49,8 @@
 	Keys    [][]byte
 	Handler Handler
 	Log     hclog.Logger
+	// DialContext opens TCP connections; default net.Dialer's.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	HelloTimeout time.Duration // for the whole hello; default 2 s
 	MaxHellos    int           // connections in hello at once; default 32
@@ -84,6 +87,9 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
+	if o.DialContext == nil {
+		o.DialContext = new(net.Dialer).DialContext
+	}
 	return o
 }
 
