Rollouts with real processes: races, kills, outages, frozen VMs, forged heads

Cause: the promises about rollouts were shown in one process only. Change: seven tests with bramleyd, the stand-in platform, fault proxies and bramleyctl as processes, over fixed seeds.

--- /dev/null
+++ b/integration/ctl_test.go
@@ -0,0 +1,152 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/operator"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+)
+
+// buildCtl builds the operators' command line once.
+var buildCtl = sync.OnceValues(func() (string, error) {
+	return gexec.Build("github.com/bramleybarrow/bramleybarrow/cmd/bramleyctl")
+})
+
+// ctl runs bramleyctl as a process for one person.
+type ctl struct {
+	c       *cluster
+	program string
+	config  string
+	env     []string
+}
+
+// ctl returns the command line of a person, with settings in a file.
+func (c *cluster) ctl(person string) *ctl {
+	c.t.Helper()
+	dir := c.t.TempDir()
+	set := operator.Settings{Platform: c.Platform.Address, Deployment: deployment, Key: "key.json"}
+	for _, k := range c.Keyring().Keys() {
+		set.OperatorKeys = append(set.OperatorKeys, operator.OperatorKey(k))
+	}
+	c.writeJSON(filepath.Join(dir, "key.json"), c.Key(person))
+	config := filepath.Join(dir, "ctl.json")
+	c.writeJSON(config, set)
+	return &ctl{c: c, program: must[string](c)(buildCtl()), config: config}
+}
+
+func (c *cluster) writeJSON(path string, value any) {
+	c.t.Helper()
+	c.ok(os.WriteFile(path, must[[]byte](c)(json.Marshal(value)), 0o600))
+}
+
+// command prepares a run with JSON output.
+func (x *ctl) command(ctx context.Context, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(ctx, x.program, append([]string{"-c", x.config, "-o", "json"}, args...)...)
+	cmd.Env = append(os.Environ(), x.env...)
+	return cmd
+}
+
+// failure is what a failed command prints.
+type failure struct {
+	Code   result.Code `json:"code"`
+	Detail string      `json:"detail"`
+	Next   string      `json:"next"`
+}
+
+// run runs a command and decodes its answer. The exit status of a failure has
+// to be the class of its code.
+func (x *ctl) run(into any, args ...string) failure {
+	var out, notes bytes.Buffer
+	cmd := x.command(x.c.ctx, args...)
+	cmd.Stdout, cmd.Stderr = &out, &notes
+	err := cmd.Run()
+	if err == nil {
+		if e := json.Unmarshal(out.Bytes(), into); e != nil {
+			return failure{Code: result.Internal, Detail: e.Error() + ": " + out.String()}
+		}
+		return failure{}
+	}
+	// A change that was accepted prints its answer before it waits for VMs.
+	dec := json.NewDecoder(&out)
+	var f failure
+	for dec.More() {
+		if e := dec.Decode(&f); e != nil {
+			return failure{Code: result.Internal, Detail: e.Error() + ": " + notes.String()}
+		}
+	}
+	if cmd.ProcessState.ExitCode() != int(f.Code.Class()) {
+		return failure{Code: result.Internal, Detail: "exit status " + strconv.Itoa(cmd.ProcessState.ExitCode()) + " for " + f.Detail}
+	}
+	return f
+}
+
+// must runs a command that has to succeed.
+func (x *ctl) must(into any, args ...string) {
+	x.c.t.Helper()
+	if f := x.run(into, args...); f.Code != 0 {
+		x.c.t.Fatalf("%v: %+v", args, f)
+	}
+}
+
+// version pushes the cluster's bundle under another name, signs it off and
+// returns its digest.
+func (c *cluster) version(name string) string {
+	c.t.Helper()
+	b := *c.Bundle
+	b.Format, b.Deployment, b.Author, b.Name = bundle.Format, deployment, fleet.Author, name
+	path := filepath.Join(c.t.TempDir(), "bundle.json")
+	c.writeJSON(path, b)
+	var pushed struct{ Digest string }
+	c.ctl(fleet.Author).must(&pushed, "bundle", "push", path)
+	var signed bundle.SignOff
+	c.ctl(fleet.Signer).must(&signed, "sign", pushed.Digest, "--reason", "test")
+	return pushed.Digest
+}
+
+// watchRevisions polls every daemon until stop is called, which reports those
+// that went back to a lower revision.
+func (c *cluster) watchRevisions() (stop func() []string) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	var wait sync.WaitGroup
+	var mu sync.Mutex // guards back
+	var back []string
+	for _, d := range c.Daemons {
+		wait.Go(func() {
+			var highest uint64
+			for ctx.Err() == nil {
+				status, err := d.Status(ctx)
+				if err == nil && status.Revision < highest {
+					mu.Lock()
+					back = append(back, d.Name)
+					mu.Unlock()
+				}
+				if err == nil {
+					highest = max(highest, status.Revision)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() []string {
+		cancel()
+		wait.Wait()
+		return back
+	}
+}
+
+func withSeeds(peers ...string) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Seeds = peers }
+}
--- /dev/null
+++ b/integration/rollout_test.go
@@ -0,0 +1,275 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/operator"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+func (c *cluster) inForceEverywhere(revision uint64) {
+	c.t.Helper()
+	for _, d := range c.Daemons {
+		c.waitInForce(d, revision)
+	}
+}
+
+// Three operators roll out and recall at once, while the platform loses the
+// answers to some of their writes and whole writes. A user would see a VM go
+// back to an older bundle, a gap in the audit trail, or an operator told that
+// his change was refused while it is in force.
+func TestOperatorsRaceOverALossyPlatform(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { raceProcesses(t, seed) })
+	}
+}
+
+func raceProcesses(t *testing.T, seed uint64) {
+	c := start(t, shape{Daemons: 3})
+	digests := []string{c.version("one"), c.version("two"), c.version("three")}
+	stop := c.watchRevisions()
+	const operators, changes = 3, 4
+	told := make(chan operator.ChangeAnswer, operators*changes)
+	var racing sync.WaitGroup
+	for i := range operators {
+		person := c.ctl(fleet.Signer)
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		racing.Go(func() {
+			for range changes {
+				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+				faults := platformsim.Faults{LoseAnswers: rng.IntN(3), LoseWrites: rng.IntN(2)}
+				if err := c.Platform.SetFaults(faults); err != nil {
+					t.Error(err)
+				}
+				raceOnce(t, person, rng, digests, told)
+			}
+		})
+	}
+	racing.Wait()
+	close(told)
+	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+
+	var audit operator.AuditAnswer
+	c.ctl(fleet.Signer).must(&audit, "audit")
+	byOp := map[rollout.OpID]uint64{}
+	for _, row := range audit.Rows {
+		byOp[row.Op] = row.Revision
+	}
+	accepted := 1 // the one that started the cluster
+	for answer := range told {
+		accepted++
+		c.Expect(byOp[answer.Op]).To(Equal(answer.Revision), "told accepted")
+	}
+	c.Expect(audit.Rows).To(HaveLen(accepted), "every entry was told accepted to somebody")
+	c.inForceEverywhere(audit.Head)
+	for _, d := range c.Daemons {
+		c.Expect(must[string](c)(digestOf(c.ctx, d))).To(Equal(audit.Rows[len(audit.Rows)-1].InForce))
+	}
+	c.Expect(stop()).To(BeEmpty(), "VMs that went back")
+}
+
+func digestOf(ctx context.Context, d *fleet.Daemon) (string, error) {
+	status, err := d.Status(ctx)
+	return status.Digest, err
+}
+
+func raceOnce(t *testing.T, person *ctl, rng *rand.Rand, digests []string, told chan<- operator.ChangeAnswer) {
+	args := []string{"rollout", digests[rng.IntN(len(digests))], "--reason", "race"}
+	if rng.IntN(3) == 0 {
+		args = []string{"recall", "head", "--reason", "race"}
+	}
+	var answer operator.ChangeAnswer
+	switch f := person.run(&answer, args...); f.Code {
+	case 0:
+		told <- answer
+	case result.Conflict, result.Recalled, result.NothingBefore:
+	default:
+		t.Errorf("%v: %+v", args, f)
+	}
+}
+
+// An operator's program is killed in the middle of a change on a slow platform,
+// at a moment that moves from write to write. A user would see a rollout that
+// half happened. The next operator must be able to go on at once, and the trail
+// must be whole.
+func TestAKilledOperatorLeavesNothingByHalves(t *testing.T) {
+	c := start(t, shape{Daemons: 2})
+	digests := []string{c.version("one"), c.version("two")}
+	person := c.ctl(fleet.Signer)
+	const slowMS = 20
+	c.ok(c.Platform.SetFaults(platformsim.Faults{SlowMS: slowMS}))
+	for i := range 12 {
+		ctx, cancel := context.WithCancel(c.ctx)
+		cmd := person.command(ctx, "rollout", digests[i%2], "--reason", "killed")
+		c.ok(cmd.Start())
+		time.Sleep(time.Duration(i+1) * slowMS * time.Millisecond)
+		cancel()
+		_ = cmd.Wait()
+		var answer operator.ChangeAnswer
+		person.must(&answer, "rollout", digests[(i+1)%2], "--reason", "next")
+		var audit operator.AuditAnswer
+		person.must(&audit, "audit")
+		c.Expect(audit.Head).To(Equal(answer.Revision))
+	}
+	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+	var audit operator.AuditAnswer
+	person.must(&audit, "audit")
+	c.inForceEverywhere(audit.Head)
+}
+
+// At the moment of acceptance the platform is slow, its watches are silent, or
+// its open connections have gone silent. A user would see VMs go on with the
+// faulty bundle that was just recalled, without an end.
+func TestInForceEverywhereUnderPlatformFaults(t *testing.T) {
+	c := start(t, shape{Daemons: 3, ProxyPlatform: true})
+	digests := []string{c.version("one"), c.version("two"), c.version("three")}
+	faults := []func() error{
+		func() error { return c.Platform.SetFaults(platformsim.Faults{WatchesSilent: true}) },
+		func() error { return c.Platform.SetFaults(platformsim.Faults{SlowMS: 500}) },
+		func() error {
+			var all []error
+			for _, p := range c.PlatformProxies {
+				all = append(all, p.Silence())
+			}
+			return errors.Join(append(all, c.Platform.SetFaults(platformsim.Faults{}))...)
+		},
+	}
+	for i, fault := range faults {
+		c.ok(fault())
+		var answer operator.ChangeAnswer
+		c.ctl(fleet.Signer).must(&answer, "rollout", digests[i], "--reason", "under a fault", "--wait", "30s")
+		c.inForceEverywhere(answer.Revision)
+	}
+}
+
+// One VM is cut off from the platform when a bundle is recalled, and hears of
+// it from the others. Then all are cut off, and a rollout cannot be known: they
+// go on with what they have, and say that they lost the platform.
+func TestVMsCutOffFromThePlatform(t *testing.T) {
+	c := start(t, shape{Daemons: 3, ProxyPlatform: true})
+	first, second := c.version("one"), c.version("two")
+	person := c.ctl(fleet.Signer)
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{Frozen: true}))
+	var answer operator.ChangeAnswer
+	person.must(&answer, "rollout", first, "--reason", "one VM is cut off", "--wait", "30s")
+
+	for _, p := range c.PlatformProxies {
+		c.ok(p.SetFaults(faultproxy.Faults{Frozen: true}))
+	}
+	f := person.run(&answer, "rollout", second, "--reason", "all are cut off", "--wait", "1s")
+	c.Expect(f.Code).To(Equal(result.Lagging))
+	for _, d := range c.Daemons {
+		c.Expect(f.Detail).To(ContainSubstring(d.Name), "those that lag are named")
+		c.Eventually(func() bool {
+			status, err := d.Status(c.ctx)
+			return err == nil && !status.PlatformReachable
+		}, limit, "100ms").Should(BeTrue(), "says that the platform is lost")
+		a, _, err := d.Search(c.ctx, findSearch, searchBody("well"))
+		c.ok(err)
+		c.Expect(a.Code).To(Equal(int(result.Complete)), "goes on serving")
+	}
+	for _, p := range c.PlatformProxies {
+		c.ok(p.SetFaults(faultproxy.Faults{}))
+	}
+	var audit operator.AuditAnswer
+	person.must(&audit, "audit")
+	c.inForceEverywhere(audit.Head)
+}
+
+// The platform is down: nothing can be accepted, and the operator is told that
+// nothing was changed. A VM that is replaced meanwhile learns the bundle from
+// its peers and gets ready; without that, an outage would eat the fleet.
+func TestAVMIsReplacedDuringAnOutage(t *testing.T) {
+	c := start(t, shape{Daemons: 2})
+	digest := c.version("one")
+	person := c.ctl(fleet.Signer)
+	c.ok(c.Platform.SetFaults(platformsim.Faults{Outage: true}))
+	person.env = []string{"BRAMLEY_PATIENCE=500ms"}
+	var answer operator.ChangeAnswer
+	f := person.run(&answer, "rollout", digest, "--reason", "during an outage")
+	c.Expect(f.Code).To(Equal(result.PlatformDown))
+	c.Expect(f.Next).NotTo(BeEmpty())
+
+	c.Daemons[1].Kill()
+	fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: "vm-9", Zone: zone, Change: withSeeds(c.Daemons[0].Peers)})
+	c.ok(err)
+	c.waitInForce(fresh, 1)
+	c.Expect(must[string](c)(digestOf(c.ctx, fresh))).To(Equal(must[string](c)(digestOf(c.ctx, c.Daemons[0]))))
+}
+
+// A VM is frozen while two rollouts and a recall pass it by, then goes on where
+// it was, with old reads and watches still under way. It must end up at the
+// recall's revision and never put one of those in between over a later one.
+func TestAFrozenVMCatchesUp(t *testing.T) {
+	c := start(t, shape{Daemons: 3})
+	first, second := c.version("one"), c.version("two")
+	stop := c.watchRevisions()
+	person := c.ctl(fleet.Signer)
+	c.ok(c.Daemons[0].Pause())
+	var answer operator.ChangeAnswer
+	person.must(&answer, "rollout", first, "--reason", "while one is frozen")
+	person.must(&answer, "rollout", second, "--reason", "while one is frozen")
+	person.must(&answer, "recall", "head", "--reason", "while one is frozen")
+	c.Expect(answer.InForce).To(Equal(first))
+	f := person.run(&answer, "rollout", first, "--reason", "names the frozen one", "--wait", "1s")
+	c.Expect(f.Code).To(Equal(result.Lagging))
+	c.Expect(f.Detail).To(ContainSubstring("vm-0 (no answer)"))
+	c.ok(c.Daemons[0].Resume())
+	c.inForceEverywhere(5)
+	c.Expect(must[string](c)(digestOf(c.ctx, c.Daemons[0]))).To(Equal(first))
+	c.Expect(stop()).To(BeEmpty(), "VMs that went back")
+}
+
+// Somebody with access to the platform, but no operator's key, writes a head of
+// his own, changes a bundle, or stores what is no head at all. A user would see
+// the fleet serve an unsigned bundle or stop. The old one must stay in force.
+func TestWhatIsNotSignedNeverComesIntoForce(t *testing.T) {
+	c := start(t, shape{Daemons: 2})
+	digest := c.version("one")
+	off := bundle.SignOff{Deployment: deployment, Digest: digest, Person: fleet.Signer, After: 1}
+	signed := rollout.Entry{
+		Deployment: deployment, Revision: 2, Action: rollout.ActionRollout, Digest: digest,
+		Person: fleet.Signer, SignOff: off.Sign(c.Key(fleet.Signer)),
+	}
+	stranger := must[*bundle.PrivateKey](c)(bundle.NewPrivateKey("signer-1", fleet.Signer))
+	forged := bundle.Sign(bundle.PurposeEntry, must[[]byte](c)(json.Marshal(signed)), stranger)
+	signed.SignOff = bundle.Signed{}
+	unsigned := bundle.Sign(bundle.PurposeEntry, must[[]byte](c)(json.Marshal(signed)), c.Key(fleet.Signer))
+	store := platform.NewClient(c.Platform.Address, platform.ClientOptions{})
+	before := must[platform.Object](c)(store.Get(c.ctx, rollout.KindHead, deployment))
+	version := before.Version
+	for name, raw := range map[string][]byte{
+		"forged": forged.Bytes(), "without a sign-off": unsigned.Bytes(), "no head": []byte(`{"a":1}`),
+	} {
+		version = must[uint64](c)(store.Put(c.ctx, rollout.KindHead, deployment, version, raw))
+		contact := time.Now()
+		for _, d := range c.Daemons {
+			c.Eventually(func() bool {
+				status, err := d.Status(c.ctx)
+				return err == nil && status.PlatformContact.After(contact.Add(time.Second))
+			}, limit, "50ms").Should(BeTrue(), "has read it: "+name)
+			status, err := d.Status(c.ctx)
+			c.ok(err)
+			c.Expect(status.Revision).To(Equal(uint64(1)), name)
+			c.Expect(d.Ready(c.ctx)).To(BeTrue(), name)
+		}
+	}
+	must[uint64](c)(store.Put(c.ctx, rollout.KindHead, deployment, version, before.Value))
+	var answer operator.ChangeAnswer
+	c.ctl(fleet.Signer).must(&answer, "rollout", digest, "--reason", "rightly signed", "--wait", "30s")
+}
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -144,27 +144,27 @@
 // pollEvery is the pause between two looks at the VMs.
 const pollEvery = 200 * time.Millisecond
 
-// waitForFleet watches the VMs' own pages until each has the revision.
+// waitForFleet watches the VMs' own pages until each has the revision. A look
+// that has begun is finished, so that the error names the VMs that lag and not
+// those that a deadline cut off.
 func (a *app) waitForFleet(ctx context.Context, s *session, revision uint64, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	deadline := time.Now().Add(wait)
 	last := ""
 	for {
 		rows, err := readFleet(ctx, s.store)
 		progress := fleetProgress(rows, revision)
-		switch {
-		case err != nil:
+		if err != nil {
 			progress.text = "the list of VMs can't be read: " + err.Error()
-		case progress.done:
-			a.note(&last, progress.text)
+		}
+		a.note(&last, progress.text)
+		if progress.done {
 			return nil
 		}
-		if ctx.Err() == nil {
-			a.note(&last, progress.text)
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return result.Errorf(result.Lagging, "after %s: %s", wait, last)
 		}
 		select {
 		case <-ctx.Done():
-			return result.Errorf(result.Lagging, "after %s: %s", wait, last)
 		case <-time.After(pollEvery):
 		}
 	}
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -23,6 +24,7 @@
 const (
 	maxStatusReads = 32
 	maxStatusBytes = 64 << 10
+	statusTimeout  = time.Second
 )
 
 // VMRow is what is known of one VM.
@@ -63,7 +65,7 @@
 }
 
 func readStatus(ctx context.Context, address string) (*ops.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, defaultStatusTimeout)
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ops.PathStatus, nil)
 	if err != nil {
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -117,6 +116,3 @@
 	})
 	return &session{settings: s, keys: keys, store: store, client: client}, nil
 }
-
-// defaultStatusTimeout bounds the read of one VM's status page.
-const defaultStatusTimeout = 2 * time.Second
