Command line: tests in process against the stand-in platform

Cause: the commands, their exit statuses and their settings had no test. Change: a bundle's whole life by the commands, a missing audit entry, VMs that do not answer, order of settings, wrong command lines, differences by name. Every failing command has to print its code, exit by its class and say what to do next.

--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,234 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/ops"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// desk is the command line of three people against a stand-in platform.
+type desk struct {
+	t      *testing.T
+	dir    string
+	store  *platformsim.Store
+	config string
+}
+
+// newDesk makes keys by keygen and writes the settings that list them.
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	d := &desk{t: t, dir: t.TempDir(), store: platformsim.NewStore()}
+	server := httptest.NewServer(d.store.Handler())
+	t.Cleanup(server.Close)
+	set := Settings{Platform: strings.TrimPrefix(server.URL, "http://"), Deployment: "vatnsleit", Key: "asta.json"}
+	for _, person := range []string{"sigrun", "jon", "asta"} {
+		var key OperatorKey
+		d.must(&key, "keygen", "--id", person+"-1", "--person", person, "--out", d.path(person+".json"))
+		set.OperatorKeys = append(set.OperatorKeys, key)
+	}
+	data, err := json.Marshal(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.config = d.path("ctl.json")
+	if err := os.WriteFile(d.config, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func (d *desk) path(name string) string { return filepath.Join(d.dir, name) }
+
+// run returns the exit status and both outputs.
+func (d *desk) run(args ...string) (int, string, string) {
+	var out, notes bytes.Buffer
+	all := []string{"bramleyctl"}
+	if d.config != "" {
+		all = append(all, "-c", d.config)
+	}
+	status := Run(context.Background(), append(all, args...), &out, &notes)
+	return status, out.String(), notes.String()
+}
+
+// must runs a command that has to succeed and decodes its JSON.
+func (d *desk) must(into any, args ...string) {
+	d.t.Helper()
+	status, out, notes := d.run(append([]string{"-o", "json"}, args...)...)
+	if status != 0 {
+		d.t.Fatalf("%v: status %d\n%s%s", args, status, out, notes)
+	}
+	if err := json.Unmarshal([]byte(out), into); err != nil {
+		d.t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+}
+
+// fails runs a command that has to fail with the code.
+func (d *desk) fails(code result.Code, args ...string) errorJSON {
+	d.t.Helper()
+	g := NewWithT(d.t)
+	status, out, notes := d.run(append([]string{"-o", "json"}, args...)...)
+	g.Expect(status).To(Equal(int(code.Class())), "%v: %s%s", args, out, notes)
+	var e errorJSON
+	g.Expect(json.Unmarshal([]byte(out), &e)).To(Succeed(), out)
+	g.Expect(e.Code).To(Equal(code), e.Detail)
+	g.Expect(e.Next).NotTo(BeEmpty(), "says what to do next")
+	return e
+}
+
+const exampleFile = "../examples/vatnsleit.json"
+
+// pushed pushes the example as its author and returns its digest.
+func (d *desk) pushed() string {
+	d.t.Helper()
+	var answer struct{ Digest string }
+	d.must(&answer, "bundle", "push", exampleFile, "--key", d.path("sigrun.json"))
+	return answer.Digest
+}
+
+func TestABundlesWholeLife(t *testing.T) {
+	g := NewWithT(t)
+	d := newDesk(t)
+	d.fails(result.NotFound, "bundle", "show", "head")
+	digest := d.pushed()
+	short := digest[:10]
+	d.fails(result.NotSigned, "rollout", short, "--reason", "first")
+	d.fails(result.SelfSigned, "sign", short, "--reason", "mine", "--key", d.path("sigrun.json"))
+	var off struct{ Person string }
+	d.must(&off, "sign", short, "--reason", "checked", "--key", d.path("jon.json"))
+	g.Expect(off.Person).To(Equal("jon"))
+
+	var change ChangeAnswer
+	d.must(&change, "rollout", short, "--reason", "first", "--dry-run")
+	g.Expect(change.DryRun).To(BeTrue())
+	d.fails(result.NotFound, "bundle", "show", "head")
+	d.must(&change, "rollout", short, "--reason", "first")
+	g.Expect(change.Revision).To(Equal(uint64(1)))
+	var again ChangeAnswer
+	d.must(&again, "rollout", short, "--reason", "first", "--op", string(change.Op))
+	g.Expect(again.Revision).To(Equal(uint64(1)), "the same operation is made once")
+	d.fails(result.NothingBefore, "recall", "head", "--reason", "faulty")
+	d.fails(result.Conflict, "rollout", short, "--reason", "late", "--expect", "9")
+
+	_, shown, _ := d.run("bundle", "show", "head")
+	file, err := os.ReadFile(exampleFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(shown).To(Equal(string(file)))
+	var differences []Difference
+	d.must(&differences, "bundle", "diff", exampleFile, "head")
+	g.Expect(differences).To(BeEmpty())
+	var list []struct{ Digest, Author string }
+	d.must(&list, "bundle", "list")
+	g.Expect(list).To(HaveLen(1))
+
+	var audit AuditAnswer
+	d.must(&audit, "audit", "--refused")
+	g.Expect(audit.Rows).To(HaveLen(4), "one accepted; not signed, nothing before, conflict")
+	d.must(&audit, "audit", "--person", "asta", "--action", "rollout", "--last", "1")
+	g.Expect(audit.Rows).To(HaveLen(1))
+	g.Expect(audit.Rows[0].Reason).To(Equal("first"))
+	d.must(&audit, "audit", "--person", "jon")
+	g.Expect(audit.Rows).To(BeEmpty())
+	_, text, _ := d.run("audit")
+	g.Expect(text).To(ContainSubstring("unbroken up to revision 1"))
+}
+
+// Somebody with access to the platform deletes an entry of the trail. A user
+// would see nothing amiss unless audit says that a change is missing.
+func TestAuditTellsOfAMissingEntry(t *testing.T) {
+	g := NewWithT(t)
+	d := newDesk(t)
+	digest := d.pushed()
+	d.must(&struct{}{}, "sign", digest, "--reason", "checked", "--key", d.path("jon.json"))
+	for range 3 {
+		d.must(&ChangeAnswer{}, "rollout", digest, "--reason", "again")
+	}
+	name := "vatnsleit.00000000000000000002"
+	obj, err := d.store.Get(context.Background(), "bramley-audit", name)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(d.store.Delete(context.Background(), "bramley-audit", name, obj.Version)).To(Succeed())
+	d.fails(result.BrokenAudit, "audit")
+}
+
+func TestStatusNamesVMsThatDoNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	d := newDesk(t)
+	page := httptest.NewServer(ops.Server(ops.Options{Status: func() ops.Status {
+		return ops.Status{VM: "vm-1", Revision: 4, Digest: "abc", Ready: true, PlatformReachable: true}
+	}}).Handler)
+	t.Cleanup(page.Close)
+	d.store.SetVMs([]platform.VM{
+		{Name: "vm-1", Ops: strings.TrimPrefix(page.URL, "http://")},
+		{Name: "vm-2", Ops: "127.0.0.1:1"},
+	}, 0)
+	var answer StatusAnswer
+	d.must(&answer, "status")
+	g.Expect(answer.VMs).To(HaveLen(2))
+	g.Expect(answer.VMs[0].Status.Revision).To(Equal(uint64(4)))
+	g.Expect(answer.VMs[1].Error).NotTo(BeEmpty())
+	g.Expect(fleetProgress(answer.VMs, 4)).To(Equal(progress{
+		text: "1 of 2 VMs have revision 4 in force; waiting for vm-2 (no answer)",
+	}))
+	g.Expect(fleetProgress(answer.VMs[:1], 5).text).To(ContainSubstring("vm-1 (at 4)"))
+	_, text, _ := d.run("status")
+	g.Expect(text).To(ContainSubstring("vm-2"))
+}
+
+func TestSettingsInTheUsualOrder(t *testing.T) {
+	d := newDesk(t)
+	d.pushed()
+	d.store.SetFaults(platformsim.Faults{Outage: true})
+	t.Setenv("BRAMLEY_PATIENCE", "50ms")
+	d.fails(result.PlatformDown, "bundle", "list")
+	t.Setenv("BRAMLEY_KEY", d.path("none.json"))
+	d.fails(result.BadSettings, "bundle", "list")
+	d.fails(result.PlatformDown, "bundle", "list", "--key", d.path("jon.json"))
+}
+
+func TestWrongCommandLines(t *testing.T) {
+	d := newDesk(t)
+	bad := d.path("bad.json")
+	if err := os.WriteFile(bad, []byte(`{"platfrom": "x"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		code result.Code
+		args []string
+	}{
+		{result.BadRequest, []string{"frobnicate"}},
+		{result.BadRequest, []string{"rollout", "0123456789"}},
+		{result.BadRequest, []string{"bundle", "show"}},
+		{result.BadRequest, []string{"bundle", "show", "abc"}},
+		{result.BadRequest, []string{"explain", "9999"}},
+		{result.BadRequest, []string{"rollout", strings.Repeat("0", 64), "--reason", "x", "--op", "nonsense"}},
+		{result.NotFound, []string{"rollout", strings.Repeat("0", 64), "--reason", "x"}},
+		{result.BadSettings, []string{"-c", bad, "status"}},
+		{result.BadSettings, []string{"--key", bad, "status"}},
+		{result.BadRequest, []string{"keygen", "--id", "a", "--person", "a", "--out", bad}},
+	} {
+		d.fails(c.code, c.args...)
+	}
+}
+
+func TestDiffMatchesItemsByName(t *testing.T) {
+	g := NewWithT(t)
+	file, err := os.ReadFile(exampleFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	text := strings.Replace(string(file), `"name": "inspector-01", "zone": "reykjanes", "address": "10.20.1.11:7400", "leaves": 2`,
+		`"name": "inspector-00", "zone": "selfoss", "address": "10.20.1.99:7400", "leaves": 2, "slots": 2, "connections": 25, "connect_cost_ms": 6}, {"name": "inspector-01", "zone": "reykjanes", "address": "10.20.1.11:7400", "leaves": 3`, 1)
+	changes, err := Diff(file, []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes).To(HaveLen(8), "seven fields of one new target, and one changed")
+	g.Expect(changes).To(ContainElement(Difference{Path: "$.services[inspector-desk].targets[inspector-01].leaves", From: "2", To: "3"}))
+}
