--- /dev/null
+++ b/internal/lab/bench/table.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// printTable prints the results, two for each scenario, as Markdown.
+func printTable(w io.Writer, shape Shape, results []*Result) {
+	fmt.Fprintf(w, "\n### %s: %d daemons, time limit %d ms\n\n", shape.Name, shape.Daemons, shape.TimeLimitMS)
+	for _, s := range shape.Services {
+		fmt.Fprintf(w, "- %s: %d targets with %d leaves of %d slots, %d connections, %g ms for each new one; %d shards with %d replicas\n",
+			s.Name, s.Targets, s.Leaves, s.Slots, s.Connections, s.ConnectCostMS, s.Shards, s.Replicas)
+	}
+	fmt.Fprint(w, "\n| service | scenario | policy | sent | p50 ms | p99 ms | p99.9 ms | p99 to plain | whole % | mean coverage | leaf calls to minimum | refused % | whole in time/s | connections opened | most, % of limit | over limit |\n")
+	fmt.Fprint(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for i := range shape.Services {
+		for k := 0; k+1 < len(results); k += 2 {
+			own, base := results[k], results[k+1]
+			own.Rows[i].print(w, own, base.Rows[i])
+			base.Rows[i].print(w, base, nil)
+		}
+	}
+	printNotes(w, results)
+}
+
+// print prints the row of r, with its ratio to the baseline unless that is nil.
+func (row *Row) print(w io.Writer, r *Result, base *Row) {
+	s := row.Sample
+	ratio := ""
+	if base != nil {
+		ratio = fmt.Sprintf("%.2f", s.milliseconds(99)/base.Sample.milliseconds(99))
+	}
+	answered := max(s.Sent-s.Refused-s.Dropped, 1)
+	sent := float64(max(s.Sent, 1))
+	const percent = 100
+	fmt.Fprintf(w, "| %s | %s | %s | %d | %.1f | %.1f | %.1f | %s | %.2f | %.4f | %.3f | %.2f | %.0f | %d | %.0f | %d |\n",
+		row.Service.Name, r.Scenario, r.Policy, s.Sent,
+		s.milliseconds(50), s.milliseconds(99), s.milliseconds(99.9), ratio,
+		percent*float64(s.Whole)/sent, s.Coverage/float64(answered),
+		float64(row.usage.searches)/float64(max(s.Needed, 1)), percent*float64(s.Refused)/sent,
+		float64(s.Served)/s.Seconds, row.usage.connections,
+		percent*float64(row.usage.peak)/float64(row.Service.Connections), row.usage.overLimit)
+}
+
+func (s *Sample) milliseconds(quantile float64) float64 {
+	return float64(s.Latency.ValueAtQuantile(quantile)) / float64(time.Millisecond/time.Microsecond)
+}
+
+// printNotes tells what the table has no column for.
+func printNotes(w io.Writer, results []*Result) {
+	fmt.Fprintln(w, "\nPercentiles are of requests not refused; whole and refused are of all sent. The most connections at a target are of the whole run so far. Result codes:")
+	fmt.Fprintln(w)
+	for _, r := range results {
+		searches := 0
+		for _, row := range r.Rows {
+			searches += row.usage.searches
+		}
+		fmt.Fprintf(w, "- %s, %s: daemons %.0f µs of processor time for each leaf call", r.Scenario, r.Policy,
+			float64(r.DaemonCPU.Microseconds())/float64(max(searches, 1)))
+		for _, row := range r.Rows {
+			s := row.Sample
+			fmt.Fprintf(w, "; %s %v, wrong %d, no answer %d, not sent %d", row.Service.Name, s.Codes, s.Wrong, s.Failed, s.Dropped)
+		}
+		fmt.Fprintln(w)
+	}
+}
