--- a/internal/lab/targetsim/faults.go
+++ b/internal/lab/targetsim/faults.go
@@ -22,9 +22,9 @@
 	CutSubmits  int  `json:"cut_submits"`  // the next submits run, then their connection is cut
 	HoldSubmits bool `json:"hold_submits"` // submits run and their answers wait until this is unset
 
-	LoadLagMS int      `json:"load_lag_ms"` // age of the load reported
-	LoadShown *float64 `json:"load_shown"`  // reported in place of the true load
-	StateLag  int      `json:"state_lag_ms"`
+	LoadLagMS  int      `json:"load_lag_ms"` // age of the load reported
+	LoadShown  *float64 `json:"load_shown"`  // reported in place of the true load
+	StateLagMS int      `json:"state_lag_ms"`
 }
 
 // answerFault is what befalls one answer to a search.
--- a/internal/lab/targetsim/target.go
+++ b/internal/lab/targetsim/target.go
@@ -204,7 +204,7 @@
 		t.shown.loads, t.shown.sampled = loads, now
 	}
 	status := target.Status{Target: t.opts.Name, Incarnation: t.incarnation, State: t.stateNow(now)}
-	if now.Sub(t.shown.changed) < time.Duration(t.faults.StateLag)*time.Millisecond {
+	if now.Sub(t.shown.changed) < time.Duration(t.faults.StateLagMS)*time.Millisecond {
 		status.State = t.shown.state
 	}
 	for i := range t.leaves {
