--- a/internal/lab/bench/scenario.go
+++ b/internal/lab/bench/scenario.go
@@ -102,12 +102,13 @@
 func restoreReplica(d *deployment) error { return d.restart(d.groups[0], 1, 0) }
 
 // rollingRestart asks a part of the targets, one after another, to leave, and
-// starts each again, cold, when it has ended.
+// starts each again, cold, when it has ended. It goes through the targets of
+// one availability zone, so that another replica of each shard stays.
 func rollingRestart(ctx context.Context, d *deployment, window time.Duration, round int) error {
 	g := d.groups[0]
 	deadline := time.Now().Add(window)
 	for n := range g.Targets / rollingShare {
-		i := (round*g.Targets/rollingShare + n) % g.Targets
+		i := (round + 1 + n*len(d.shape.Zones)) % g.Targets
 		if time.Now().Add(2 * drainMS * time.Millisecond).After(deadline) {
 			return nil
 		}
