--- a/internal/lab/bench/deployment.go
+++ b/internal/lab/bench/deployment.go
@@ -255,6 +255,17 @@
 	return sum, nil
 }
 
+// loadAverage returns the machine's load of the last minute. Other work on the
+// machine shows in every latency.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	return first
+}
+
 // cpuTime reads the processor time that a process has used.
 func cpuTime(pid int) (time.Duration, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -35,6 +35,7 @@
 	Policy    string
 	Rows      []*Row // by service
 	DaemonCPU time.Duration
+	LoadAvg   string // of the machine, over the last minute, after the last window
 }
 
 // Row is one line of the table.
@@ -162,6 +163,7 @@
 		return err
 	}
 	r.DaemonCPU += cpuAfter - cpu
+	r.LoadAvg = loadAverage()
 	if s.End != nil {
 		if err := s.End(d); err != nil {
 			return errors.Trace(err)
--- a/internal/lab/bench/table.go
+++ b/internal/lab/bench/table.go
@@ -57,8 +57,8 @@
 		for _, row := range r.Rows {
 			searches += row.usage.searches
 		}
-		fmt.Fprintf(w, "- %s, %s: daemons %.0f µs of processor time for each leaf call", r.Scenario, r.Policy,
-			float64(r.DaemonCPU.Microseconds())/float64(max(searches, 1)))
+		fmt.Fprintf(w, "- %s, %s: daemons %.0f µs of processor time for each leaf call, load average %s", r.Scenario, r.Policy,
+			float64(r.DaemonCPU.Microseconds())/float64(max(searches, 1)), r.LoadAvg)
 		for _, row := range r.Rows {
 			s := row.Sample
 			fmt.Fprintf(w, "; %s %v, wrong %d, no answer %d, not sent %d", row.Service.Name, s.Codes, s.Wrong, s.Failed, s.Dropped)
