Integration tests of VMs acting together, with real processes

All VMs replaced one after another under load with a lagging list; a drain that one member alone learns; a fleet that starts with the platform down, each VM knowing one other.

--- /dev/null
+++ b/integration/peer_test.go
@@ -0,0 +1,231 @@
+package integration
+
+import (
+	"encoding/base64"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/peer"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+)
+
+// balancer sends searches to the VMs that it lists, which lags behind.
+type balancer struct {
+	mu     sync.Mutex // guards the fields below
+	vms    []*fleet.Daemon
+	next   int
+	faults []string
+	good   int
+}
+
+func (b *balancer) list(vms ...*fleet.Daemon) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = vms
+}
+
+func (b *balancer) choose() *fleet.Daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.vms[b.next%len(b.vms)]
+}
+
+// drive sends searches from some callers until stop is called, which returns how
+// many were answered whole and what went wrong.
+func (c *cluster) drive(b *balancer) (stop func() (good int, faults []string)) {
+	const callers = 4
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					b.ask(c)
+				}
+			}
+		})
+	}
+	return func() (int, []string) {
+		close(done)
+		wg.Wait()
+		return b.good, b.faults
+	}
+}
+
+func (b *balancer) ask(c *cluster) {
+	d := b.choose()
+	a, status, err := d.Search(c.ctx, findSearch, searchBody("well"))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case err != nil:
+		b.faults = append(b.faults, fmt.Sprintf("%s: %v", d.Name, err))
+	case result.Code(a.Code) == result.Complete:
+		b.good++
+	default:
+		b.faults = append(b.faults, fmt.Sprintf("%s: status %d, code %d", d.Name, status, a.Code))
+	}
+}
+
+// All VMs are replaced one after another under load, each new one running beside
+// the old one for a while, and the platform's list of VMs lags. A user would see
+// searches fail because a target turns VMs away: the sum of all VMs' connections
+// must stay within each target's limit all the time, and no search be cut off.
+func TestAllVMsReplacedUnderLoad(t *testing.T) {
+	const daemons, connections, listLag = 4, 25, 3 * time.Second
+	c := start(t, shape{
+		Daemons:  daemons,
+		LameDuck: time.Second,
+		Bundle: func(b *bundle.Bundle) {
+			b.Fleet.MaxVMs = daemons + 1 // one more during a replacement
+			for i := range b.Services[0].Targets {
+				b.Services[0].Targets[i].Connections = connections
+			}
+		},
+	})
+	balancer := &balancer{}
+	balancer.list(c.Daemons...)
+	stop := c.drive(balancer)
+	for i := range daemons {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
+		c.ok(err)
+		c.waitInForce(fresh, 1)
+		c.waitWhole(fresh)
+		old := c.Daemons[0]
+		c.Daemons = append(c.Daemons[1:], fresh)
+		c.ok(old.Terminate())
+		balancer.list(c.Daemons...)
+		var vms []platform.VM
+		for _, d := range c.Daemons {
+			vms = append(vms, d.VM())
+		}
+		c.ok(c.Platform.SetVMs(vms, listLag))
+		c.Eventually(old.Done(), limit).Should(gomega.BeClosed())
+	}
+	good, faults := stop()
+	c.Expect(faults).To(gomega.BeEmpty())
+	c.Expect(good).To(gomega.BeNumerically(">", 0))
+	for _, target := range c.Targets {
+		seen := must[struct{ Peak, Refused int }](c)(connectionsOf(target))
+		t.Logf("%s: peak of %d connections, limit %d, %d refused", target.Name, seen.Peak, connections, seen.Refused)
+		c.Expect(seen.Peak).To(gomega.BeNumerically("<=", connections))
+		c.Expect(seen.Refused).To(gomega.BeZero())
+	}
+}
+
+func connectionsOf(target *fleet.Target) (seen struct{ Peak, Refused int }, err error) {
+	counters, err := target.Counters()
+	seen.Peak = counters.Connections.Peak
+	seen.Refused = counters.Connections.Refused
+	return seen, err
+}
+
+// member joins the daemons' exchange from this process.
+func (c *cluster) member() *peer.Exchange {
+	set := must[*settings.Settings](c)(settings.Load(c.Daemons[0].Settings))
+	key := must[[]byte](c)(base64.StdEncoding.DecodeString(set.FleetKeys[0]))
+	x := must[*peer.Exchange](c)(peer.New(peer.Options{
+		VM: platform.VM{Name: "member", Zone: zone}, Incarnation: "member-1",
+		Deployment: deployment, FleetKeys: [][]byte{key}, Listen: "127.0.0.1:0",
+		Store: platform.NewClient(c.Platform.Address, platform.ClientOptions{}),
+		Heads: rollout.NewKeeper(rollout.Options{Deployment: deployment, Keys: c.Keyring()}),
+	}))
+	c.ok(x.Start())
+	c.t.Cleanup(func() { _ = x.Stop(c.ctx) })
+	c.Eventually(x.Peers, limit, "50ms").Should(gomega.BeNumerically(">", 0))
+	return x
+}
+
+// One VM alone learns that a target leaves; the target itself says nothing to
+// anybody. A user of another VM would wait for a target that is going away. No
+// VM may give it new work a few seconds later, the answers stay whole, and only
+// a new incarnation of the target gets work again.
+func TestDrainLearnedByOneVMOnly(t *testing.T) {
+	c := start(t, shape{Daemons: 3, Targets: 3, Replicas: 3})
+	leaving := c.Targets[0]
+	counters, err := leaving.Counters()
+	c.ok(err)
+	c.member().LearnDrain(peer.Drain{Target: leaving.Name, Incarnation: counters.Incarnation})
+	started := func() int {
+		n, err := leaving.Counters()
+		c.ok(err)
+		return n.Searches
+	}
+	// An interval of searches by every VM without one more for the target.
+	c.Eventually(func() int {
+		before := started()
+		c.searchEverywhere()
+		return started() - before
+	}, limit, "100ms").Should(gomega.BeZero())
+	for range 5 {
+		before := started()
+		c.searchEverywhere()
+		c.Expect(started()).To(gomega.Equal(before), "work for a target that leaves")
+	}
+
+	leaving.Kill()
+	options := leaving.Options
+	options.Listen = leaving.Address
+	fresh, err := c.StartTarget(options)
+	c.ok(err)
+	c.Eventually(func() int {
+		c.searchEverywhere()
+		n, err := fresh.Counters()
+		c.ok(err)
+		return n.Searches
+	}, limit, "100ms").Should(gomega.BeNumerically(">", 0), "no work for the new incarnation")
+}
+
+// searchEverywhere sends some searches to every VM, each of which must be
+// answered whole.
+func (c *cluster) searchEverywhere() {
+	c.t.Helper()
+	for _, d := range c.Daemons {
+		for range 5 {
+			a, _, err := d.Search(c.ctx, findSearch, searchBody("well"))
+			c.ok(err)
+			c.Expect(result.Code(a.Code)).To(gomega.Equal(result.Complete), d.Name)
+		}
+	}
+}
+
+// A zone loses its power; when it returns, the platform is still down, and all
+// VMs but one start from nothing. A user would find no VM that serves. Each has
+// only one other VM's address, in a chain; all must get the bundle.
+func TestFleetStartsWithPlatformDown(t *testing.T) {
+	c := start(t, shape{Daemons: 1})
+	c.ok(c.Platform.SetFaults(platformsim.Faults{Outage: true}))
+	known := c.Daemons[0]
+	for i := range 4 {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{
+			Name: fmt.Sprint("fresh-", i), Zone: zone, Change: withSeeds(known.Peers),
+		})
+		c.ok(err)
+		c.Daemons = append(c.Daemons, fresh)
+		known = fresh
+	}
+	for _, d := range c.Daemons {
+		c.waitInForce(d, 1)
+	}
+	// Each knows more VMs than the one that it was given.
+	for _, d := range c.Daemons {
+		c.Eventually(func() (int, error) {
+			status, err := d.Status(c.ctx)
+			return status.Peers, err
+		}, limit, "100ms").Should(gomega.BeNumerically(">=", 2), d.Name)
+	}
+}
