Hop: calls to leaves through an owner, in batches, with a fair slot queue

A VM that may hold no connection to a target has to reach it through one that does. Caller has the client's Search and Submit and gathers the calls that go to one owner; Owner bounds what it takes from peers, queues per leaf, VMs in turn, refuses at once what can't be served in time, and passes on what the target said, with 'not started' only where that is certain.

A notification that finds no room was dropped by wire, and an answer would have been waited for until its deadline; connections whose handlers never wait now read nothing more in place of dropping (WaitForRoom).

Not wired into the daemon: owners need claimed places and health that is passed on, neither of which stands.

--- /dev/null
+++ b/peer/hop/caller.go
@@ -0,0 +1,258 @@
+package hop
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// gather is how long a first call waits for others to the same owner. A query
+// fans out in far less, and it is small against a leaf's time.
+const gather = 200 * time.Microsecond
+
+// Caller calls leaves through one owner. It is safe for concurrent use.
+type Caller struct {
+	conn *wire.Conn
+	wake chan struct{}
+
+	mu      sync.Mutex // guards what follows
+	lastID  uint64
+	calls   map[uint64]*pending // neither answered nor given up
+	unsent  []*pending
+	cancels []uint64
+	broken  bool
+}
+
+type pending struct {
+	call   Call
+	sent   bool
+	answer chan Answer // holds one
+}
+
+// Dial connects to an owner. The connection is for this package's calls only.
+func Dial(ctx context.Context, address string, o wire.Options, count *wire.Counters) (*Caller, error) {
+	c := &Caller{wake: make(chan struct{}, 1), calls: map[uint64]*pending{}}
+	o.Use = Use
+	o.Handler = c.handle
+	o.WaitForRoom = true // a dropped answer would be waited for until the deadline
+	conn, err := wire.Dial(ctx, address, o, count)
+	if err != nil {
+		return nil, err
+	}
+	c.conn = conn
+	conn.Serve()
+	go c.send()
+	return c, nil
+}
+
+// Close ends the connection; calls under way fail.
+func (c *Caller) Close() {
+	c.conn.Close()
+	c.conn.Wait()
+}
+
+// Done is closed when the connection has ended.
+func (c *Caller) Done() <-chan struct{} { return c.conn.Done() }
+
+// Search asks one leaf through the owner. The error is a *target.CallError.
+func (c *Caller) Search(ctx context.Context, name string, leaf int, req target.LeafRequest) (target.LeafAnswer, error) {
+	answer, err := c.do(ctx, Call{Target: name, Leaf: leaf, Search: &req})
+	switch {
+	case err != nil:
+		return target.LeafAnswer{}, err
+	case answer.Search == nil:
+		return target.LeafAnswer{}, &target.CallError{Kind: target.ErrorMalformed, Target: name}
+	case answer.Search.Echo != req.Echo:
+		c.conn.Close() // what else it delivers can't be trusted either
+		return target.LeafAnswer{}, &target.CallError{Kind: target.ErrorMismatched, Target: name}
+	}
+	return *answer.Search, nil
+}
+
+// Submit hands a non-idempotent request to one leaf through the owner, once. The
+// error is a *target.CallError; unless it says NotStarted, the request may have
+// been run.
+func (c *Caller) Submit(ctx context.Context, name string, leaf int, req target.SubmitRequest) (target.SubmitAnswer, error) {
+	answer, err := c.do(ctx, Call{Target: name, Leaf: leaf, Submit: &req})
+	switch {
+	case err != nil:
+		return target.SubmitAnswer{}, err
+	case answer.Submit == nil:
+		return target.SubmitAnswer{}, &target.CallError{Kind: target.ErrorMalformed, Target: name}
+	case answer.Submit.Echo != req.Echo || answer.Submit.Key != req.Key:
+		c.conn.Close()
+		return target.SubmitAnswer{}, &target.CallError{Kind: target.ErrorMismatched, Target: name}
+	}
+	return *answer.Submit, nil
+}
+
+func (c *Caller) do(ctx context.Context, call Call) (Answer, error) {
+	limit := defaultLimit
+	if end, ok := ctx.Deadline(); ok {
+		limit = time.Until(end)
+	}
+	if limit < time.Millisecond {
+		return Answer{}, &target.CallError{Kind: target.ErrorDeadline, Target: call.Target, NotStarted: true}
+	}
+	if call.Search != nil {
+		call.Search.DeadlineMS = limit.Milliseconds()
+	} else {
+		call.Submit.DeadlineMS = limit.Milliseconds()
+	}
+	p := &pending{call: call, answer: make(chan Answer, 1)}
+	if !c.enqueue(p) {
+		return Answer{}, &target.CallError{Kind: target.ErrorUnreachable, Target: call.Target, NotStarted: true}
+	}
+	select {
+	case answer := <-p.answer:
+		if answer.Failure != nil {
+			return Answer{}, answer.Failure.err(call.Target)
+		}
+		return answer, nil
+	case <-ctx.Done():
+		kind := target.ErrorCancelled
+		if ctx.Err() == context.DeadlineExceeded {
+			kind = target.ErrorDeadline
+		}
+		return Answer{}, &target.CallError{Kind: kind, Target: call.Target, NotStarted: !c.giveUp(p)}
+	}
+}
+
+// defaultLimit is the time for a call whose context has no deadline.
+const defaultLimit = time.Minute
+
+func (c *Caller) enqueue(p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return false
+	}
+	c.lastID++
+	p.call.ID = c.lastID
+	c.calls[p.call.ID] = p
+	c.unsent = append(c.unsent, p)
+	c.signal()
+	return true
+}
+
+func (c *Caller) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// giveUp tells the owner that nobody waits for a call, and returns whether the
+// call had been sent.
+func (c *Caller) giveUp(p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, p.call.ID)
+	if p.sent {
+		c.cancels = append(c.cancels, p.call.ID)
+		c.signal()
+	}
+	return p.sent
+}
+
+// send sends batches and cancellations until the connection ends.
+func (c *Caller) send() {
+	defer c.fail()
+	for {
+		select {
+		case <-c.conn.Done():
+			return
+		case <-c.wake:
+		}
+		time.Sleep(gather)
+		calls, cancels := c.takeUnsent()
+		if len(cancels) > 0 && c.conn.Notify(MethodCancel, Cancel{IDs: cancels}) != nil {
+			c.conn.Close()
+			return
+		}
+		for len(calls) > 0 {
+			n := min(len(calls), MaxCalls)
+			go c.begin(calls[:n:n])
+			calls = calls[n:]
+		}
+	}
+}
+
+// takeUnsent marks calls as sent before they are: whoever gives up in between
+// must not say that they were not started.
+func (c *Caller) takeUnsent() (calls []Call, cancels []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.unsent {
+		if _, wanted := c.calls[p.call.ID]; wanted {
+			p.sent = true
+			calls = append(calls, p.call)
+		}
+	}
+	cancels = c.cancels
+	c.unsent, c.cancels = nil, nil
+	return calls, cancels
+}
+
+// begin sends one batch. A refusal of the whole batch is the owner's word that
+// it started none of it.
+func (c *Caller) begin(calls []Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), beginTimeout)
+	defer cancel()
+	err := c.conn.Call(ctx, MethodCalls, Batch{Calls: calls}, nil)
+	switch result.Of(err) {
+	case result.Complete:
+	case result.PeerBusy:
+		for i := range calls {
+			c.deliver(Answer{ID: calls[i].ID, Failure: &Failure{Kind: target.ErrorBusy, NotStarted: true}})
+		}
+	default:
+		c.conn.Close() // it is silent or doesn't speak the protocol
+	}
+}
+
+// beginTimeout bounds the time until an owner has taken a batch; it doesn't wait
+// for anything before it answers.
+const beginTimeout = 2 * time.Second
+
+func (c *Caller) handle(_ context.Context, _ *wire.Conn, method string, params json.RawMessage) (any, error) {
+	if method != MethodAnswers {
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+	var answers Answers
+	if err := json.Unmarshal(params, &answers); err != nil {
+		return nil, result.Wrap(result.BadMessage, err, "")
+	}
+	for _, a := range answers.Answers {
+		c.deliver(a)
+	}
+	return nil, nil
+}
+
+// deliver hands an answer to its call; a late or repeated one finds none.
+func (c *Caller) deliver(a Answer) {
+	c.mu.Lock()
+	p := c.calls[a.ID]
+	delete(c.calls, a.ID)
+	c.mu.Unlock()
+	if p != nil {
+		p.answer <- a
+	}
+}
+
+// fail ends all calls when the connection has ended. Those that were sent may
+// have been started.
+func (c *Caller) fail() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = true
+	for id, p := range c.calls {
+		delete(c.calls, id)
+		p.answer <- Answer{ID: id, Failure: &Failure{Kind: target.ErrorBroken, NotStarted: !p.sent}}
+	}
+}
--- /dev/null
+++ b/peer/hop/hop_test.go
@@ -0,0 +1,291 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+const testLimit = 20 * time.Second
+
+// fakeLeaves answers at once, or holds calls of leaf 9 until their context ends.
+type fakeLeaves struct {
+	started, cancelled atomic.Int64
+	crossed            atomic.Bool
+}
+
+func (f *fakeLeaves) Search(ctx context.Context, name string, leaf int, req target.LeafRequest) (target.LeafAnswer, error) {
+	f.started.Add(1)
+	switch {
+	case leaf == 9:
+		<-ctx.Done()
+		f.cancelled.Add(1)
+		return target.LeafAnswer{}, &target.CallError{Kind: target.ErrorCancelled, Target: name}
+	case leaf == 8:
+		return target.LeafAnswer{}, &target.CallError{
+			Kind: target.ErrorRefused, Reason: target.ReasonCold, NotStarted: true, RetryAfter: time.Second, Incarnation: "i",
+		}
+	}
+	echo := req.Echo
+	if f.crossed.Load() {
+		echo.Attempt++
+	}
+	return target.LeafAnswer{Echo: echo, Records: req.DeadlineMS, Complete: true}, nil
+}
+
+func (f *fakeLeaves) Submit(_ context.Context, _ string, _ int, req target.SubmitRequest) (target.SubmitAnswer, error) {
+	return target.SubmitAnswer{Echo: req.Echo, Key: req.Key}, nil
+}
+
+type pair struct {
+	*WithT
+	leaves *fakeLeaves
+	owner  *Owner
+	server *wire.Server
+	caller *Caller
+	count  *wire.Counters
+}
+
+func newPair(t *testing.T, maxCalls int) *pair {
+	p := &pair{WithT: NewWithT(t), leaves: &fakeLeaves{}, count: &wire.Counters{}}
+	p.owner = NewOwner(OwnerOptions{
+		Leaves:   p.leaves,
+		Slots:    func(name string, leaf int) (int, bool) { return 2, name == "owned" },
+		MaxCalls: maxCalls,
+	})
+	o := wire.Options{
+		Self: wire.Identity{Deployment: "d", VM: "owner", Incarnation: "1"},
+		Keys: [][]byte{bytes.Repeat([]byte("k"), wire.MinKeyBytes)}, Handler: p.owner.Handle,
+	}
+	var err error
+	p.server, err = wire.Listen("127.0.0.1:0", o, &wire.Counters{}, func(c *wire.Conn) { c.Serve() })
+	p.Expect(err).NotTo(HaveOccurred())
+	o.Self.VM = "caller"
+	p.caller, err = Dial(context.Background(), p.server.Addr().String(), o, p.count)
+	p.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		p.caller.Close()
+		p.server.Stop()
+		goleak.VerifyNone(t)
+	})
+	return p
+}
+
+func request(shard int) target.LeafRequest {
+	return target.LeafRequest{Echo: target.Echo{Request: "r", Attempt: 1, Shard: shard, Snapshot: "s"}}
+}
+
+func (p *pair) search(ctx context.Context, name string, leaf int) error {
+	_, err := p.caller.Search(ctx, name, leaf, request(leaf))
+	return err
+}
+
+func callError(err error) *target.CallError {
+	var call *target.CallError
+	errors.As(err, &call)
+	return call
+}
+
+// TestFanOutInOneMessage: a query calls many leaves of one owner. Each call gets
+// its own answer, and the calls go out in far fewer messages than calls.
+func TestFanOutInOneMessage(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	const calls = 200
+	before := p.count.Writes.Load()
+	var wg sync.WaitGroup
+	faults := make(chan error, calls)
+	for shard := range calls {
+		wg.Go(func() {
+			a, err := p.caller.Search(ctx, "owned", 10+shard, request(shard))
+			if err != nil || a.Shard != shard || a.Records > testLimit.Milliseconds() || a.Records <= 0 {
+				faults <- fmt.Errorf("shard %d: %+v, %w", shard, a, err)
+			}
+		})
+	}
+	wg.Wait()
+	close(faults)
+	for err := range faults {
+		t.Error(err)
+	}
+	p.Expect(p.count.Writes.Load() - before).To(BeNumerically("<", calls/4))
+	_, err := p.caller.Submit(ctx, "owned", 1, target.SubmitRequest{Key: "k"})
+	p.Expect(err).NotTo(HaveOccurred())
+}
+
+// TestFailuresKeepTheirMeaning: what the target said, or that nothing was handed
+// to it, must reach the caller as it is; "not started" decides whether a caller
+// is told "not run".
+func TestFailuresKeepTheirMeaning(t *testing.T) {
+	p := newPair(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	p.Expect(callError(p.search(ctx, "owned", 8))).To(And(
+		HaveField("Kind", target.ErrorRefused), HaveField("Reason", target.ReasonCold), HaveField("NotStarted", true),
+		HaveField("RetryAfter", time.Second), HaveField("Incarnation", "i")))
+	p.Expect(callError(p.search(ctx, "stranger", 1))).To(And(
+		HaveField("Kind", target.ErrorUnknownTarget), HaveField("NotStarted", true)))
+	// One call is all that this owner takes from peers.
+	held := make(chan error, 1)
+	go func() { held <- p.search(ctx, "owned", 9) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 2))
+	p.Expect(callError(p.search(ctx, "owned", 1))).To(And(
+		HaveField("Kind", target.ErrorBusy), HaveField("NotStarted", true)))
+	cancel()
+	p.Expect(callError(<-held)).To(HaveField("NotStarted", false))
+}
+
+// TestGivenUpCallIsCancelled: a hedge wins and the loser is given up; the target
+// must be told through the owner, or its slot stays taken.
+func TestGivenUpCallIsCancelled(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	held := make(chan error, 1)
+	go func() { held <- p.search(ctx, "owned", 9) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	cancel()
+	p.Expect(callError(<-held)).To(HaveField("Kind", target.ErrorCancelled))
+	p.Eventually(p.leaves.cancelled.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+}
+
+// TestOwnerLostInMidQuery: the owner dies while it has a call. The caller must
+// hear of it at once and must not be told that nothing was started; a call made
+// afterwards was certainly not.
+func TestOwnerLostInMidQuery(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	held := make(chan error, 1)
+	go func() { held <- p.search(ctx, "owned", 9) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	p.server.Stop()
+	p.Expect(callError(<-held)).To(And(HaveField("Kind", target.ErrorBroken), HaveField("NotStarted", false)))
+	p.Eventually(func() *target.CallError { return callError(p.search(ctx, "owned", 1)) }).
+		WithTimeout(testLimit).Should(And(HaveField("Kind", target.ErrorUnreachable), HaveField("NotStarted", true)))
+}
+
+// TestCrossedAnswer: an owner delivers an answer of another attempt. It is
+// dropped, and the connection that delivered it is closed.
+func TestCrossedAnswer(t *testing.T) {
+	p := newPair(t, 0)
+	p.leaves.crossed.Store(true)
+	p.Expect(callError(p.search(context.Background(), "owned", 1))).To(HaveField("Kind", target.ErrorMismatched))
+	p.Eventually(p.caller.Done()).WithTimeout(testLimit).Should(BeClosed())
+}
+
+// TestSlotQueue drives the queue through random calls, ends and cancellations:
+// never more run than there are slots, no call is lost or run twice, a free slot
+// is never kept from a waiting call, and VMs take turns.
+func TestSlotQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q := newSlotQueue(slots)
+		now := time.Unix(0, 0)
+		var running, waiting []*waiter
+		move := func(w *waiter) {
+			for i := range waiting {
+				if waiting[i] == w {
+					waiting = append(waiting[:i:i], waiting[i+1:]...)
+					return
+				}
+			}
+			t.Fatal("a call that wasn't waiting")
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * time.Millisecond)
+			switch step := rapid.IntRange(0, 2).Draw(t, "step"); {
+			case step == 0:
+				w := &waiter{
+					peer:     fmt.Sprint("vm-", rapid.IntRange(0, 2).Draw(t, "vm")),
+					deadline: now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "limit")) * time.Millisecond),
+				}
+				run, ok, _ := q.offer(w, now)
+				switch {
+				case run:
+					running = append(running, w)
+				case ok:
+					waiting = append(waiting, w)
+				}
+			case step == 1 && len(running) > 0:
+				running = running[1:]
+				next, expired := q.finish(4*time.Millisecond, now)
+				for _, w := range expired {
+					move(w)
+				}
+				if next != nil {
+					checkTurn(t, waiting, next)
+					move(next)
+					running = append(running, next)
+				}
+			case step == 2 && len(waiting) > 0:
+				w := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "given up")]
+				if !q.remove(w) || q.remove(w) {
+					t.Fatal("a waiting call is taken out once")
+				}
+				move(w)
+			}
+			if len(running) > slots || q.running != len(running) || q.queued != len(waiting) {
+				t.Fatalf("%d running (%d counted), %d waiting (%d counted), %d slots", len(running), q.running, len(waiting), q.queued, slots)
+			}
+			if len(waiting) > 0 && len(running) < slots {
+				t.Fatal("a free slot while calls wait")
+			}
+		}
+	})
+}
+
+// checkTurn: of one VM's calls that are still in time the oldest runs first.
+func checkTurn(t *rapid.T, waiting []*waiter, next *waiter) {
+	for _, w := range waiting {
+		if w.peer == next.peer {
+			if w != next {
+				t.Fatal("a VM's calls run out of order")
+			}
+			return
+		}
+	}
+}
+
+// TestVMsTakeTurns: one VM sends many calls at once. Another VM's single call
+// must not wait for all of them.
+func TestVMsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	q := newSlotQueue(1)
+	now := time.Unix(0, 0)
+	far := now.Add(time.Hour)
+	for range 10 {
+		q.offer(&waiter{peer: "greedy", deadline: far}, now)
+	}
+	q.offer(&waiter{peer: "modest", deadline: far}, now)
+	q.finish(time.Millisecond, now)
+	second, _ := q.finish(time.Millisecond, now)
+	g.Expect(second.peer).To(Equal("modest"))
+}
+
+// TestShedAtOnce: a call that can't be served in time is refused when it comes,
+// with the time to come back, rather than when its time is over.
+func TestShedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	q := newSlotQueue(1)
+	q.mean = 100 * time.Millisecond
+	now := time.Unix(0, 0)
+	q.offer(&waiter{peer: "a", deadline: now.Add(time.Second)}, now)
+	_, ok, wait := q.offer(&waiter{peer: "a", deadline: now.Add(150 * time.Millisecond)}, now)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(wait).To(Equal(100 * time.Millisecond))
+	_, ok, _ = q.offer(&waiter{peer: "a", deadline: now.Add(250 * time.Millisecond)}, now)
+	g.Expect(ok).To(BeTrue())
+}
--- /dev/null
+++ b/peer/hop/owner.go
@@ -0,0 +1,272 @@
+package hop
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// OwnerOptions configure an Owner. All but MaxCalls are required.
+type OwnerOptions struct {
+	Leaves Leaves
+	// Slots returns the slots of a leaf if this VM owns connections to its
+	// target, and false for any other.
+	Slots func(target string, leaf int) (int, bool)
+	// MaxCalls bounds the calls taken from peers, waiting ones included. It is
+	// apart from the bound on callers' work, and a call taken from a peer never
+	// waits for another VM, so that VMs can't block one another in a circle.
+	MaxCalls int // default 4096
+}
+
+const defaultMaxCalls = 4096
+
+// Owner serves calls of other VMs to the targets that this VM owns connections
+// to. It is safe for concurrent use.
+type Owner struct {
+	opts OwnerOptions
+
+	mu     sync.Mutex // guards what follows; taken before a session's mu
+	queues map[leafKey]*slotQueue
+	calls  int
+	conns  map[*wire.Conn]*session
+}
+
+type leafKey struct {
+	target string
+	leaf   int
+}
+
+// session is what an owner does for one connection.
+type session struct {
+	owner  *Owner
+	conn   *wire.Conn
+	ctx    context.Context // ends with the connection
+	wake   chan struct{}
+	cancel map[uint64]func() // of calls under way; guarded by Owner.mu
+
+	mu   sync.Mutex // guards done
+	done []Answer   // to be sent
+}
+
+// NewOwner returns an owner without any connection.
+func NewOwner(o OwnerOptions) *Owner {
+	if o.MaxCalls <= 0 {
+		o.MaxCalls = defaultMaxCalls
+	}
+	return &Owner{opts: o, queues: map[leafKey]*slotQueue{}, conns: map[*wire.Conn]*session{}}
+}
+
+// Handle serves the methods of this package; it is a wire.Handler.
+func (o *Owner) Handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case MethodCalls:
+		var b Batch
+		if err := json.Unmarshal(params, &b); err != nil {
+			return nil, result.Wrap(result.BadMessage, err, "")
+		}
+		return nil, o.begin(conn, &b)
+	case MethodCancel:
+		var c Cancel
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, result.Wrap(result.BadMessage, err, "")
+		}
+		o.cancelCalls(conn, c.IDs)
+		return nil, nil
+	default:
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+}
+
+func (o *Owner) begin(conn *wire.Conn, b *Batch) error {
+	if len(b.Calls) > MaxCalls {
+		return result.Errorf(result.BadMessage, "%d calls, at most %d", len(b.Calls), MaxCalls)
+	}
+	s := o.session(conn)
+	now := time.Now()
+	for i := range b.Calls {
+		if f := o.take(s, &b.Calls[i], now); f != nil {
+			s.finish(Answer{ID: b.Calls[i].ID, Failure: f})
+		}
+	}
+	return nil
+}
+
+func (o *Owner) session(conn *wire.Conn) *session {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s, ok := o.conns[conn]; ok {
+		return s
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &session{owner: o, conn: conn, ctx: ctx, wake: make(chan struct{}, 1), cancel: map[uint64]func(){}}
+	o.conns[conn] = s
+	go s.send(cancel)
+	return s
+}
+
+// take queues or runs one call, or returns why it does neither. None of the
+// refusals has touched the target.
+func (o *Owner) take(s *session, call *Call, now time.Time) *Failure {
+	limit, ok := deadlineOf(call)
+	slots, owned := o.opts.Slots(call.Target, call.Leaf)
+	if !ok || !owned {
+		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, twice := s.cancel[call.ID]; twice || o.calls >= o.opts.MaxCalls {
+		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
+	}
+	key := leafKey{call.Target, call.Leaf}
+	q := o.queues[key]
+	if q == nil {
+		q = newSlotQueue(slots)
+		o.queues[key] = q
+	}
+	q.slots = max(slots, 1)
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	w := &waiter{peer: s.conn.Peer().VM, deadline: now.Add(limit)}
+	w.run = func() { go o.run(ctx, s, q, call) }
+	w.expire = func() {
+		o.forget(s, call.ID)
+		s.finish(Answer{ID: call.ID, Failure: &Failure{Kind: target.ErrorDeadline, NotStarted: true}})
+	}
+	run, fits, wait := q.offer(w, now)
+	if !fits {
+		cancel()
+		return &Failure{Kind: target.ErrorRefused, Reason: target.ReasonShed, NotStarted: true, RetryAfterMS: wait.Milliseconds()}
+	}
+	o.calls++
+	s.cancel[call.ID] = func() {
+		cancel()
+		if q.remove(w) {
+			o.forget(s, call.ID)
+		}
+	}
+	if run {
+		w.run()
+	}
+	return nil
+}
+
+func deadlineOf(call *Call) (time.Duration, bool) {
+	switch {
+	case call.Search != nil && call.Submit == nil:
+		return time.Duration(call.Search.DeadlineMS) * time.Millisecond, true
+	case call.Submit != nil && call.Search == nil:
+		return time.Duration(call.Submit.DeadlineMS) * time.Millisecond, true
+	default:
+		return 0, false
+	}
+}
+
+// forget must hold mu.
+func (o *Owner) forget(s *session, id uint64) {
+	if _, known := s.cancel[id]; known {
+		delete(s.cancel, id)
+		o.calls--
+	}
+}
+
+func (o *Owner) run(ctx context.Context, s *session, q *slotQueue, call *Call) {
+	begin := time.Now()
+	answer := o.ask(ctx, call)
+	now := time.Now()
+	o.mu.Lock()
+	if stop := s.cancel[call.ID]; stop != nil {
+		stop() // frees the call's timer
+	}
+	o.forget(s, call.ID)
+	next, expired := q.finish(now.Sub(begin), now)
+	for _, w := range expired {
+		w.expire()
+	}
+	if next != nil {
+		next.run()
+	}
+	o.mu.Unlock()
+	s.finish(answer)
+}
+
+func (o *Owner) ask(ctx context.Context, call *Call) Answer {
+	answer := Answer{ID: call.ID}
+	if call.Search != nil {
+		a, err := o.opts.Leaves.Search(ctx, call.Target, call.Leaf, *call.Search)
+		if err != nil {
+			answer.Failure = failureOf(err)
+			return answer
+		}
+		answer.Search = &a
+		return answer
+	}
+	a, err := o.opts.Leaves.Submit(ctx, call.Target, call.Leaf, *call.Submit)
+	if err != nil {
+		answer.Failure = failureOf(err)
+		return answer
+	}
+	answer.Submit = &a
+	return answer
+}
+
+func (o *Owner) cancelCalls(conn *wire.Conn, ids []uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.conns[conn]
+	if s == nil {
+		return
+	}
+	for _, id := range ids {
+		if stop := s.cancel[id]; stop != nil {
+			stop()
+		}
+	}
+}
+
+// finish hands an answer to the sender.
+func (s *session) finish(a Answer) {
+	s.mu.Lock()
+	s.done = append(s.done, a)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send sends what is done until the connection ends; what gets done while a
+// message is being written goes into the next.
+func (s *session) send(cancel func()) {
+	defer s.end(cancel)
+	for {
+		select {
+		case <-s.conn.Done():
+			return
+		case <-s.wake:
+		}
+		s.mu.Lock()
+		done := s.done
+		s.done = nil
+		s.mu.Unlock()
+		if len(done) > 0 && s.conn.Notify(MethodAnswers, Answers{Answers: done}) != nil {
+			s.conn.Close()
+			return
+		}
+	}
+}
+
+// end gives up all calls of a connection: nobody waits for them any more.
+func (s *session) end(cancel func()) {
+	cancel()
+	o := s.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, s.conn)
+	for _, stop := range s.cancel {
+		stop()
+	}
+}
--- a/wire/auth.go
+++ b/wire/auth.go
@@ -25,6 +25,7 @@
 type Hello struct {
 	Versions []int    `json:"versions"`
 	From     Identity `json:"from"`
+	Use      string   `json:"use,omitempty"`
 	Nonce    string   `json:"nonce"`
 	KeyIDs   []string `json:"key_ids"`
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -35,6 +35,7 @@
 	answer *HelloAnswer
 	key    []byte
 	peer   Identity
+	use    string
 	proven bool
 	ready  chan struct{} // closed when proven
 
@@ -82,6 +83,13 @@
 	return c.peer
 }
 
+// Use returns what the end that dialled wants the connection for.
+func (c *Conn) Use() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.use
+}
+
 // Remote returns the other end's IP and port.
 func (c *Conn) Remote() string { return c.remote }
 
@@ -159,13 +167,12 @@
 // serve runs the handler apart from the reading loop, within the bound on work
 // taken from this peer.
 func (c *Conn) serve(ctx context.Context, req *jsonrpc2.Request) {
-	select {
-	case c.calls <- struct{}{}:
-	default:
+	if !c.takeRoom() {
 		c.refuse(ctx, req, result.Errorf(result.PeerBusy, "%d calls run already", cap(c.calls)))
 		return
 	}
 	if !c.begin() {
+		<-c.calls
 		return
 	}
 	go func() {
@@ -185,6 +192,23 @@
 	}()
 }
 
+func (c *Conn) takeRoom() bool {
+	if c.opts.WaitForRoom {
+		select {
+		case c.calls <- struct{}{}:
+			return true
+		case <-c.Done():
+			return false
+		}
+	}
+	select {
+	case c.calls <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // begin counts a handler in, unless Wait has been called.
 func (c *Conn) begin() bool {
 	c.mu.Lock()
@@ -257,9 +281,10 @@
 }
 
 // authenticated opens the connection for all methods.
-func (c *Conn) authenticated(peer Identity) {
+func (c *Conn) authenticated(peer Identity, use string) {
 	c.mu.Lock()
 	c.peer = peer
+	c.use = use
 	c.proven = true
 	c.hello, c.answer, c.key = nil, nil, nil
 	c.mu.Unlock()
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -30,6 +30,7 @@
 	hello := &Hello{
 		Versions: []int{Version},
 		From:     c.opts.Self,
+		Use:      c.opts.Use,
 		Nonce:    newNonce(),
 		KeyIDs:   keyIDs(c.opts.Keys),
 	}
@@ -52,7 +53,7 @@
 	if !hmac.Equal(theirs.Proof, prove(key, roleAcceptor, hello, &answer)) {
 		return result.Errorf(result.WrongKey, "the accepting end's proof is wrong")
 	}
-	c.authenticated(answer.From)
+	c.authenticated(answer.From, c.opts.Use)
 	return nil
 }
 
@@ -97,5 +98,5 @@
 	c.mu.Lock()
 	hello := c.hello
 	c.mu.Unlock()
-	c.authenticated(hello.From)
+	c.authenticated(hello.From, hello.Use)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -43,6 +43,8 @@
 // Options governs connections. Zero values are replaced by the defaults.
 type Options struct {
 	Self Identity
+	// Use says what a dialled connection is for, in the words of its user.
+	Use string
 	// Keys are shared by the fleet, the newest first; each has at least
 	// MinKeyBytes. Two ends agree on the first key of the dialling end that
 	// both hold, so that two keys are valid at once during a rotation.
@@ -57,6 +59,10 @@
 	MaxConns     int           // accepted and authenticated at once; default 256
 	MaxMessage   int           // bytes of one message; default 2 MiB
 	MaxCalls     int           // served for one connection at once; default 16
+	// WaitForRoom makes a connection read nothing more while MaxCalls are
+	// served, in place of refusing with PeerBusy. Only for handlers that never
+	// wait: a handler that waited for the same peer would block both.
+	WaitForRoom  bool
 	PingInterval time.Duration // default 2 s
 	SilentAfter  time.Duration // without a byte from the peer; default 3 ping intervals
 }
