--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -61,6 +61,9 @@
 	Store platform.Store // for the list of VMs
 	Heads Heads
 	Log   hclog.Logger
+	// Calls serves connections that other VMs open for calls to leaves; may be
+	// nil.
+	Calls wire.Handler
 	// DialContext opens TCP connections; default net.Dialer's.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -271,6 +274,32 @@
 	x.sayOwn(x.self.Counter)
 }
 
+// SetPlace tells the others which of the fleet's places this VM holds, counted
+// from 0; a negative number means none.
+func (x *Exchange) SetPlace(place int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if place = max(place, -1) + 1; x.self.Place != place {
+		x.self.Place = place
+		x.sayOwn(x.self.Counter)
+	}
+}
+
+// Places returns the live VMs that hold places.
+func (x *Exchange) Places() map[int]platform.VM {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return placesOf(x.table.Members())
+}
+
+// Gone tells whether a process is known to have ended or to have been replaced.
+func (x *Exchange) Gone(vm, incarnation string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	m, known := x.table.Member(vm)
+	return known && (m.State == facts.Lost || m.Incarnation != incarnation)
+}
+
 // Live returns the VMs that are believed to live and stay, this one included
 // unless it is leaving, in the order of names: the platform's lagging list,
 // corrected by what was seen.
--- a/peer/facts/facts.go
+++ b/peer/facts/facts.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,7 @@
 	Address     string `json:"p"`
 	Ops         string `json:"o"`
 	Zone        string `json:"z"`
+	Place       int    `json:"l,omitempty"` // among the fleet's, counted from 1; 0 means none
 }
 
 // Fact is one of the two, as sent.
@@ -109,10 +111,14 @@
 	case m.At != other.At:
 		return m.At > other.At
 	default:
-		return m.Address+m.Ops+m.Zone > other.Address+other.Ops+other.Zone
+		return m.details() > other.details()
 	}
 }
 
+func (m Member) details() string {
+	return strings.Join([]string{m.Address, m.Ops, m.Zone, strconv.Itoa(m.Place)}, keySeparator)
+}
+
 func (d Drain) outranks(other Drain) bool {
 	if d.Since != other.Since {
 		return d.Since > other.Since
--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -91,6 +91,19 @@
 	return *answer.Submit, nil
 }
 
+// Status reads what a target says of itself through the owner, which may have
+// read it a short time ago. The error is a *target.CallError.
+func (c *Caller) Status(ctx context.Context, name string) (target.Status, error) {
+	answer, err := c.do(ctx, Call{Target: name, Status: &StatusRequest{}})
+	switch {
+	case err != nil:
+		return target.Status{}, err
+	case answer.Status == nil || answer.Status.Target != name:
+		return target.Status{}, &target.CallError{Kind: target.ErrorMalformed, Target: name}
+	}
+	return *answer.Status, nil
+}
+
 func (c *Caller) do(ctx context.Context, call Call) (Answer, error) {
 	limit := defaultLimit
 	if end, ok := ctx.Deadline(); ok {
@@ -99,11 +112,7 @@
 	if limit < time.Millisecond {
 		return Answer{}, &target.CallError{Kind: target.ErrorDeadline, Target: call.Target, NotStarted: true}
 	}
-	if call.Search != nil {
-		call.Search.DeadlineMS = limit.Milliseconds()
-	} else {
-		call.Submit.DeadlineMS = limit.Milliseconds()
-	}
+	*call.deadline() = limit.Milliseconds()
 	p := &pending{call: call, answer: make(chan Answer, 1)}
 	if !c.enqueue(p) {
 		return Answer{}, &target.CallError{Kind: target.ErrorUnreachable, Target: call.Target, NotStarted: true}
--- a/peer/hop/hop.go
+++ b/peer/hop/hop.go
@@ -34,16 +34,38 @@
 type Leaves interface {
 	Search(ctx context.Context, target string, leaf int, req target.LeafRequest) (target.LeafAnswer, error)
 	Submit(ctx context.Context, target string, leaf int, req target.SubmitRequest) (target.SubmitAnswer, error)
+	Status(ctx context.Context, target string) (target.Status, error)
 }
 
-// Call is one call to one leaf: a search or a non-idempotent request. ID is
-// unique on its connection.
+// Call is one call to one leaf, a search or a non-idempotent request, or a read
+// of the target's status. ID is unique on its connection.
 type Call struct {
 	ID     uint64                `json:"id"`
 	Target string                `json:"t"`
 	Leaf   int                   `json:"l"`
 	Search *target.LeafRequest   `json:"s,omitempty"`
 	Submit *target.SubmitRequest `json:"u,omitempty"`
+	Status *StatusRequest        `json:"a,omitempty"`
+}
+
+// deadline returns where the call keeps its time left, or nil if it isn't
+// exactly one of the three.
+func (c *Call) deadline() *int64 {
+	switch {
+	case c.Search != nil && c.Submit == nil && c.Status == nil:
+		return &c.Search.DeadlineMS
+	case c.Submit != nil && c.Search == nil && c.Status == nil:
+		return &c.Submit.DeadlineMS
+	case c.Status != nil && c.Search == nil && c.Submit == nil:
+		return &c.Status.DeadlineMS
+	default:
+		return nil
+	}
+}
+
+// StatusRequest asks for what a target says of itself.
+type StatusRequest struct {
+	DeadlineMS int64 `json:"d"` // time left, in milliseconds
 }
 
 // Batch is all calls that one VM has for one owner at a time.
@@ -56,11 +78,12 @@
 	IDs []uint64 `json:"i"`
 }
 
-// Answer is the outcome of one call: one of its three parts.
+// Answer is the outcome of one call: one of its four parts.
 type Answer struct {
 	ID      uint64               `json:"id"`
 	Search  *target.LeafAnswer   `json:"s,omitempty"`
 	Submit  *target.SubmitAnswer `json:"u,omitempty"`
+	Status  *target.Status       `json:"a,omitempty"`
 	Failure *Failure             `json:"f,omitempty"`
 }
 
--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -49,6 +49,11 @@
 	return target.SubmitAnswer{Echo: req.Echo, Key: req.Key}, nil
 }
 
+func (f *fakeLeaves) Status(_ context.Context, name string) (target.Status, error) {
+	f.started.Add(1)
+	return target.Status{Target: name, Incarnation: "i"}, nil
+}
+
 type pair struct {
 	*WithT
 	leaves *fakeLeaves
@@ -177,6 +182,28 @@
 		WithTimeout(testLimit).Should(And(HaveField("Kind", target.ErrorUnreachable), HaveField("NotStarted", true)))
 }
 
+// TestStatusIsReadOnceForAll: many VMs read a target's status through its owner.
+// The target would be read as often as there are VMs; the owner reads it once.
+func TestStatusIsReadOnceForAll(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	var wrong atomic.Int64
+	for range 50 {
+		wg.Go(func() {
+			if status, err := p.caller.Status(ctx, "owned"); err != nil || status.Incarnation != "i" {
+				wrong.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	p.Expect(wrong.Load()).To(BeZero())
+	p.Expect(p.leaves.started.Load()).To(BeNumerically("<", 25))
+	_, err := p.caller.Status(ctx, "stranger")
+	p.Expect(callError(err)).To(HaveField("NotStarted", true))
+}
+
 // TestCrossedAnswer: an owner delivers an answer of another attempt. It is
 // dropped, and the connection that delivered it is closed.
 func TestCrossedAnswer(t *testing.T) {
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -28,7 +28,8 @@
 // Owner serves calls of other VMs to the targets that this VM owns connections
 // to. It is safe for concurrent use.
 type Owner struct {
-	opts OwnerOptions
+	opts     OwnerOptions
+	statuses statusCache
 
 	mu     sync.Mutex // guards what follows; taken before a session's mu
 	queues map[leafKey]*slotQueue
@@ -112,11 +113,15 @@
 // take queues or runs one call, or returns why it does neither. None of the
 // refusals has touched the target.
 func (o *Owner) take(s *session, call *Call, now time.Time) *Failure {
-	limit, ok := deadlineOf(call)
+	left := call.deadline()
 	slots, owned := o.opts.Slots(call.Target, call.Leaf)
-	if !ok || !owned {
+	if left == nil || !owned {
 		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
 	}
+	limit := time.Duration(*left) * time.Millisecond
+	if call.Status != nil {
+		return o.takeStatus(s, call, limit)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, twice := s.cancel[call.ID]; twice || o.calls >= o.opts.MaxCalls {
@@ -154,15 +159,29 @@
 	return nil
 }
 
-func deadlineOf(call *Call) (time.Duration, bool) {
-	switch {
-	case call.Search != nil && call.Submit == nil:
-		return time.Duration(call.Search.DeadlineMS) * time.Millisecond, true
-	case call.Submit != nil && call.Search == nil:
-		return time.Duration(call.Submit.DeadlineMS) * time.Millisecond, true
-	default:
-		return 0, false
+// takeStatus reads a target's status apart from the leaves' slots.
+func (o *Owner) takeStatus(s *session, call *Call, limit time.Duration) *Failure {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls >= o.opts.MaxCalls {
+		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
+	o.calls++
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, limit)
+		defer cancel()
+		answer := Answer{ID: call.ID}
+		if status, err := o.statuses.read(ctx, o.opts.Leaves, call.Target); err != nil {
+			answer.Failure = failureOf(err)
+		} else {
+			answer.Status = &status
+		}
+		o.mu.Lock()
+		o.calls--
+		o.mu.Unlock()
+		s.finish(answer)
+	}()
+	return nil
 }
 
 // forget must hold mu.
--- a/peer/link.go
+++ b/peer/link.go
@@ -29,6 +29,13 @@
 	maxFacts = 256
 )
 
+// maxConns bounds the connections of other VMs, those for calls included: as
+// many as the largest fleet may have VMs, and some.
+const maxConns = 2048
+
+// WireOptions are those of this VM's connections, for others of its uses.
+func (x *Exchange) WireOptions() wire.Options { return x.wireOptions() }
+
 func (x *Exchange) wireOptions() wire.Options {
 	return wire.Options{
 		Self: wire.Identity{
@@ -40,6 +47,7 @@
 		Handler:      x.handle,
 		Log:          x.opts.Log,
 		DialContext:  x.opts.DialContext,
+		MaxConns:     maxConns,
 		PingInterval: x.opts.PingInterval,
 	}
 }
@@ -54,6 +62,10 @@
 		conn.Close()
 		return
 	}
+	if conn.Use() != "" {
+		conn.Serve()
+		return
+	}
 	x.addLink(conn)
 	var oldest *link
 	inbound := 0
--- a/peer/live.go
+++ b/peer/live.go
@@ -79,3 +79,22 @@
 func watchRank(name string) uint64 {
 	return xxhash.Sum64String("watch\x00" + name)
 }
+
+// placesOf returns the VMs that hold places. While a place changes hands two may
+// claim it; the one that started later has it.
+func placesOf(members []facts.Member) map[int]platform.VM {
+	holders := map[int]facts.Member{}
+	for _, m := range members {
+		if m.Place == 0 || m.State > facts.Suspect {
+			continue
+		}
+		if other, taken := holders[m.Place-1]; !taken || m.Started > other.Started {
+			holders[m.Place-1] = m
+		}
+	}
+	places := make(map[int]platform.VM, len(holders))
+	for place, m := range holders {
+		places[place] = memberVM(m)
+	}
+	return places
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -66,7 +66,10 @@
 const callTimeout = 2 * time.Second
 
 // handle serves the peers' messages.
-func (x *Exchange) handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+func (x *Exchange) handle(ctx context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+	if conn.Use() != "" && x.opts.Calls != nil {
+		return x.opts.Calls(ctx, conn, method, params)
+	}
 	switch method {
 	case methodTell:
 		return serve(params, func(m *tellMessage) (any, error) { return nil, x.heard(conn, m) })
--- a/peer/share/share.go
+++ b/peer/share/share.go
@@ -25,6 +25,11 @@
 // enough to lose some, and few enough that each sees much of the target's load.
 const wantedOwners = 8
 
+// frozenOwners is how many shares of each target are left free where places
+// change hands: a VM that is frozen, or cut off, keeps its connections open at
+// the target while its successor in the place opens others.
+const frozenOwners = 1
+
 // Plan is how one target's connections are cut.
 type Plan struct {
 	Places int // of the fleet
@@ -41,10 +46,14 @@
 	if connections < places {
 		owners = min(wantedOwners, connections)
 	}
-	if owners == 0 {
+	switch {
+	case owners == 0:
 		return Plan{Places: places}
+	case owners == places:
+		return Plan{Places: places, Owners: owners, Each: connections / owners}
+	default:
+		return Plan{Places: places, Owners: owners, Each: max(connections/(owners+frozenOwners), 1)}
 	}
-	return Plan{Places: places, Owners: owners, Each: connections / owners}
 }
 
 // Direct tells whether every VM has connections of its own.
