--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: test format vet lint build unit demo bench bench-fleet clean
+.PHONY: test format vet lint build unit demo bench bench-fleet bench-rollout clean
 
 test: format vet lint build unit
 
@@ -24,5 +24,8 @@
 demo: build
 	$(BIN)/bramley-lab demo --daemon $(BIN)/bramleyd
 
+bench-rollout: build
+	$(BIN)/bramley-lab bench-rollout --daemon $(BIN)/bramleyd
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -28,7 +28,7 @@
 	app := &cli.Command{
 		Name:     "bramley-lab",
 		Usage:    "stand-ins for tests and benchmarks",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), proxyCommand(), benchCommand(), demoCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), proxyCommand(), benchCommand(), demoCommand(), benchRolloutCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bramley-lab:", err)
--- /dev/null
+++ b/internal/lab/rolloutbench/bench.go
@@ -0,0 +1,251 @@
+// Package rolloutbench measures how long a rollout takes from its write to the
+// last VM, with daemons as processes, healthy and under faults of the platform,
+// and how many calls to the platform VMs and operators make.
+package rolloutbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+const (
+	deployment = "bench"
+	zone       = "zone-a"
+	service    = "desk"
+
+	statusEvery = 10 * time.Millisecond
+	restTime    = 10 * time.Second // over which calls at rest are counted
+	lagLimit    = 60 * time.Second // a rollout that takes longer fails the run
+	watchWait   = 10 * time.Second // of the platform
+)
+
+// Options say what to run.
+type Options struct {
+	Daemon   string // path of the bramleyd program
+	Lab      string // path of the bramley-lab program
+	Dir      string // for settings and logs
+	VMs      int
+	Rollouts int // in each scenario
+	Out      io.Writer
+}
+
+// bench is a running deployment with one operator.
+type bench struct {
+	opts    Options
+	fleet   *fleet.Fleet
+	plat    *fleet.Platform
+	proxies []*fleet.Proxy // between each daemon and the platform
+	daemons []*fleet.Daemon
+	store   *timedStore
+	client  *rollout.Client
+	digests [2]string
+
+	mu      sync.Mutex // guards all below
+	highest map[string]uint64
+	back    int // observations of a lower revision than seen before
+}
+
+// timedStore notes when the last write of a head was sent.
+type timedStore struct {
+	platform.Store
+	sent time.Time // of one operator, who makes one change at a time
+}
+
+// Put implements platform.Store.
+func (s *timedStore) Put(ctx context.Context, kind, name string, expect uint64, value []byte) (uint64, error) {
+	if kind == rollout.KindHead {
+		s.sent = time.Now()
+	}
+	return s.Store.Put(ctx, kind, name, expect, value)
+}
+
+// Run measures all scenarios and prints a table.
+func Run(ctx context.Context, opts Options) error {
+	f, err := fleet.New(fleet.Options{Daemon: opts.Daemon, Lab: opts.Lab, Dir: opts.Dir, Deployment: deployment})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer f.Close()
+	b := &bench{opts: opts, fleet: f, highest: map[string]uint64{}}
+	if err := b.start(ctx); err != nil {
+		return errors.Annotate(err, f.Logs(5))
+	}
+	if err := b.countAtRest(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(opts.Out, "%d VMs, %d rollouts in each scenario; milliseconds from the write of the head to in force on the last VM\n\n", opts.VMs, opts.Rollouts)
+	fmt.Fprintln(opts.Out, "| scenario | median | p99 | worst | calls per rollout | not in force within 2 s |")
+	fmt.Fprintln(opts.Out, "|---|---|---|---|---|---|")
+	for _, s := range scenarios {
+		if err := b.measure(ctx, s); err != nil {
+			return errors.Annotate(err, s.name)
+		}
+	}
+	fmt.Fprintf(opts.Out, "\nlower revisions seen: %d\n", b.back)
+	return errors.Trace(b.verify(ctx))
+}
+
+// verify reads the audit trail at the end.
+func (b *bench) verify(ctx context.Context) error {
+	audit, err := b.client.Audit(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(b.opts.Out, "audit trail: unbroken, %d entries\n", len(audit.Entries))
+	return nil
+}
+
+func (b *bench) start(ctx context.Context) error {
+	var err error
+	if b.plat, err = b.fleet.StartPlatform(watchWait); err != nil {
+		return errors.Trace(err)
+	}
+	if err := b.startDaemons(); err != nil {
+		return errors.Trace(err)
+	}
+	b.store = &timedStore{Store: platform.NewClient(b.plat.Address, platform.ClientOptions{})}
+	b.client = rollout.NewClient(rollout.ClientOptions{
+		Deployment: deployment, Keys: b.fleet.Keyring(), Key: b.fleet.Key(fleet.Signer), Store: b.store,
+	})
+	target, err := b.fleet.StartTarget(targetsim.Options{
+		Name: "target-0", Service: service, Leaves: 1, Slots: 2,
+		Snapshots: targetsim.Place(targetsim.Index{Service: service, Snapshot: "s1", Seq: 1, Shards: 1, Records: 10}, 1, 1, 1),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for i := range b.digests {
+		entry, err := b.fleet.RollOut(ctx, testBundle(fmt.Sprint("bench-", i), target.Address, b.opts.VMs))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		b.digests[i] = entry.Digest
+		if _, err := b.waitAll(ctx, entry.Revision); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (b *bench) startDaemons() error {
+	var vms []platform.VM
+	for i := range b.opts.VMs {
+		name := fmt.Sprintf("vm-%d", i+1)
+		proxy, err := b.fleet.StartProxy(name+"-platform", b.plat.Address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		d, err := b.fleet.StartDaemon(fleet.DaemonOptions{Name: name, Zone: zone, Platform: proxy.Address})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		b.proxies = append(b.proxies, proxy)
+		b.daemons = append(b.daemons, d)
+		vms = append(vms, d.VM())
+	}
+	return errors.Trace(b.plat.SetVMs(vms, 0))
+}
+
+func testBundle(name, address string, vms int) *bundle.Bundle {
+	return &bundle.Bundle{
+		Name:  name,
+		Zones: []bundle.Zone{{Name: zone, Region: "region"}},
+		Fleet: bundle.Fleet{MaxVMs: vms + 1},
+		Services: []bundle.Service{{
+			Name: service, Shards: 1,
+			Drain: bundle.Drain{HealthIntervalMS: 1000, HealthTimeoutMS: 500, SuspectAfter: 3},
+			Targets: []bundle.Target{{
+				Name: "target-0", Zone: zone, Address: address, Leaves: 1, Slots: 2, Connections: 25, ConnectCostMS: 1,
+			}},
+		}},
+		Searches: []bundle.Search{{
+			Name: "find", Kind: bundle.KindSearch, Service: service, MaxItems: 100,
+			Coverage:  bundle.Coverage{Default: 1},
+			TimeLimit: bundle.TimeLimit{DefaultMS: 1000, MinMS: 10, MaxMS: 10000},
+			Retry:     bundle.Retry{MaxAttempts: 2, Budget: 0.1},
+		}},
+	}
+}
+
+// waitAll waits until every VM has at least that revision in force and returns
+// when the last one put it into force, by its own account.
+func (b *bench) waitAll(ctx context.Context, revision uint64) (time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, lagLimit)
+	defer cancel()
+	since := make([]time.Time, len(b.daemons))
+	failed := make([]error, len(b.daemons))
+	var wait sync.WaitGroup
+	for i, d := range b.daemons {
+		wait.Go(func() { since[i], failed[i] = b.waitOne(ctx, d, revision) })
+	}
+	wait.Wait()
+	var last time.Time
+	for i := range b.daemons {
+		if failed[i] != nil {
+			return last, errors.Annotate(failed[i], b.daemons[i].Name)
+		}
+		if since[i].After(last) {
+			last = since[i]
+		}
+	}
+	return last, nil
+}
+
+func (b *bench) waitOne(ctx context.Context, d *fleet.Daemon, revision uint64) (time.Time, error) {
+	for {
+		status, err := d.Status(ctx)
+		if err == nil {
+			b.note(d.Name, status.Revision)
+			if status.Revision >= revision {
+				return status.Since, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return time.Time{}, errors.Annotatef(ctx.Err(), "revision %d", revision)
+		case <-time.After(statusEvery):
+		}
+	}
+}
+
+func (b *bench) note(vm string, revision uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if revision < b.highest[vm] {
+		b.back++
+	}
+	b.highest[vm] = max(b.highest[vm], revision)
+}
+
+// countAtRest prints the calls to the platform while nothing changes.
+func (b *bench) countAtRest(ctx context.Context) error {
+	before, err := b.plat.Counters()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-time.After(restTime):
+	}
+	after, err := b.plat.Counters()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	perVM := 1 / restTime.Seconds() / float64(b.opts.VMs)
+	fmt.Fprintf(b.opts.Out, "at rest, per VM and second: %.2f reads of objects, %.2f watches, %.2f reads of the list of VMs, %.2f writes\n",
+		float64(after.Get-before.Get+after.List-before.List)*perVM, float64(after.Watch-before.Watch)*perVM,
+		float64(after.VMs-before.VMs)*perVM, float64(after.Put-before.Put)*perVM)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/rolloutbench/scenario.go
@@ -0,0 +1,165 @@
+package rolloutbench
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+)
+
+// aim is the time within which a rollout should be in force everywhere.
+const aim = 2 * time.Second
+
+// scenario is one fault. Its functions may be nil.
+type scenario struct {
+	name   string
+	begin  func(b *bench) error
+	before func(b *bench) error // before each rollout
+	after  func(b *bench) error // as soon as each rollout was accepted
+	end    func(b *bench) error
+}
+
+func platformFaults(f platformsim.Faults) func(*bench) error {
+	return func(b *bench) error { return b.plat.SetFaults(f) }
+}
+
+// firstCutOff cuts the first n VMs off from the platform, or joins all again.
+func firstCutOff(n int) func(*bench) error {
+	return func(b *bench) error {
+		for i, p := range b.proxies {
+			if err := p.SetFaults(faultproxy.Faults{Frozen: i < n}); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		return nil
+	}
+}
+
+// outageAfter is how long the platform is down after each acceptance.
+const outageAfter = 3 * time.Second
+
+var healthy = platformFaults(platformsim.Faults{})
+
+var scenarios = []scenario{
+	{name: "healthy"},
+	{name: "watches silent", begin: platformFaults(platformsim.Faults{WatchesSilent: true}), end: healthy},
+	{name: "platform slow, 200 ms each call", begin: platformFaults(platformsim.Faults{SlowMS: 200}), end: healthy},
+	{name: "answer to the head's write lost", before: platformFaults(platformsim.Faults{LoseAnswers: 1, LoseKind: rollout.KindHead}), end: healthy},
+	{name: "all open connections silent", before: func(b *bench) error {
+		for _, p := range b.proxies {
+			if err := p.Silence(); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		return nil
+	}},
+	{name: "one VM cut off from the platform", begin: firstCutOff(1), end: firstCutOff(0)},
+	{name: "all VMs but one cut off", begin: func(b *bench) error { return firstCutOff(b.opts.VMs - 1)(b) }, end: firstCutOff(0)},
+	{name: fmt.Sprintf("platform down for %s after acceptance", outageAfter),
+		after: func(b *bench) error {
+			if err := b.plat.SetFaults(platformsim.Faults{Outage: true}); err != nil {
+				return errors.Trace(err)
+			}
+			time.AfterFunc(outageAfter, func() { _ = b.plat.SetFaults(platformsim.Faults{}) })
+			return nil
+		},
+		before: func(b *bench) error {
+			time.Sleep(outageAfter)
+			return nil
+		},
+		end: func(b *bench) error {
+			time.Sleep(outageAfter)
+			return b.plat.SetFaults(platformsim.Faults{})
+		}},
+}
+
+// settleTime lets watches that hang from one scenario end before the next, by
+// the timeout of the platform's client.
+const settleTime = platform.DefaultWatchTimeout + 2*time.Second
+
+// slowRollouts is the number of rollouts in scenarios that wait for outages.
+const slowRollouts = 20
+
+func (b *bench) measure(ctx context.Context, s scenario) error {
+	rollouts := b.opts.Rollouts
+	if s.after != nil {
+		rollouts = min(rollouts, slowRollouts)
+	}
+	if err := b.call(s.begin); err != nil {
+		return errors.Trace(err)
+	}
+	before, err := b.plat.Counters()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var times []time.Duration
+	for i := range rollouts {
+		took, err := b.rollOut(ctx, s, i)
+		if err != nil {
+			return errors.Annotatef(err, "rollout %d", i)
+		}
+		times = append(times, took)
+	}
+	after, err := b.plat.Counters()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b.print(s, times, float64(total(after)-total(before))/float64(rollouts))
+	if err := b.call(s.end); err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-time.After(settleTime):
+		return nil
+	}
+}
+
+func (b *bench) call(f func(*bench) error) error {
+	if f == nil {
+		return nil
+	}
+	return f(b)
+}
+
+func (b *bench) rollOut(ctx context.Context, s scenario, i int) (time.Duration, error) {
+	if err := b.call(s.before); err != nil {
+		return 0, errors.Trace(err)
+	}
+	entry, err := b.client.Rollout(ctx, b.digests[i%2], rollout.Ask{Reason: s.name})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	sent := b.store.sent
+	if err := b.call(s.after); err != nil {
+		return 0, errors.Trace(err)
+	}
+	last, err := b.waitAll(ctx, entry.Revision)
+	return last.Sub(sent), errors.Trace(err)
+}
+
+func total(c platformsim.Counters) int {
+	return c.Get + c.List + c.Put + c.Delete + c.Watch + c.VMs
+}
+
+func (b *bench) print(s scenario, times []time.Duration, calls float64) {
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	late := 0
+	for _, t := range times {
+		if t > aim {
+			late++
+		}
+	}
+	at := func(q float64) time.Duration { return times[min(int(q*float64(len(times))), len(times)-1)] }
+	ms := func(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d.Microseconds())/1000) }
+	fmt.Fprintf(b.opts.Out, "| %s | %s | %s | %s | %.0f | %d of %d |\n",
+		s.name, ms(at(0.5)), ms(at(0.99)), ms(times[len(times)-1]), calls, late, len(times))
+}
