--- a/operator/app.go
+++ b/operator/app.go
@@ -20,6 +20,7 @@
 	flagKey        = "key"
 	flagOutput     = "output"
 	flagPatience   = "patience"
+	flagVM         = "vm"
 )
 
 // Run runs one command line and returns the exit status: 0 for success, else
@@ -96,6 +97,7 @@
 		&cli.StringFlag{Name: flagKey, Usage: "`FILE` with your private key", Sources: cli.EnvVars("BRAMLEY_KEY")},
 		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: formatText, Usage: "`FORMAT` of the output: text or json"},
 		&cli.DurationFlag{Name: flagPatience, Usage: "how long to ask the platform again after failures", Sources: cli.EnvVars("BRAMLEY_PATIENCE")},
+		&cli.StringSliceFlag{Name: flagVM, Usage: "`ADDRESS` of a VM's operators' page, for when the platform can't list VMs", Sources: cli.EnvVars("BRAMLEY_VMS")},
 	}
 }
 
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -41,7 +41,7 @@
 				return err
 			}
 			return a.print(off, table{rows: [][]string{
-				{"signed off", off.Digest}, {"by", off.Person}, {"counts from revision", strconv.FormatUint(off.After, 10)},
+				{"signed off", off.Digest}, {"by", off.Person}, {"made at revision", strconv.FormatUint(off.After, 10)},
 			}})
 		},
 	}
@@ -151,7 +151,7 @@
 	deadline := time.Now().Add(wait)
 	last := ""
 	for {
-		rows, err := readFleet(ctx, s.store)
+		rows, err := s.readFleet(ctx)
 		progress := fleetProgress(rows, revision)
 		if err != nil {
 			progress.text = "the list of VMs can't be read: " + err.Error()
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -35,9 +35,22 @@
 	Status        *ops.Status `json:"status,omitempty"`
 }
 
+// listVMs returns the platform's list of VMs, or those of the settings while
+// the platform can't be read, which is when operators need their status most.
+func (s *session) listVMs(ctx context.Context) ([]platform.VM, error) {
+	vms, err := s.store.VMs(ctx)
+	if err == nil || len(s.settings.VMs) == 0 {
+		return vms, err
+	}
+	for _, address := range s.settings.VMs {
+		vms = append(vms, platform.VM{Name: address, Ops: address})
+	}
+	return vms, nil
+}
+
 // readFleet reads the list of VMs and every VM's status page.
-func readFleet(ctx context.Context, store platform.Store) ([]VMRow, error) {
-	vms, err := store.VMs(ctx)
+func (s *session) readFleet(ctx context.Context) ([]VMRow, error) {
+	vms, err := s.listVMs(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -146,8 +159,8 @@
 			if err != nil {
 				answer.HeadError = err.Error()
 			}
-			if answer.VMs, err = readFleet(ctx, s.store); err != nil {
-				return result.Wrap(result.PlatformDown, err, "the list of VMs")
+			if answer.VMs, err = s.readFleet(ctx); err != nil {
+				return result.Wrap(result.PlatformDown, err, "the list of VMs can't be read; name VMs with --vm")
 			}
 			return a.print(answer, statusTable(answer))
 		},
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -183,6 +183,13 @@
 	g.Expect(fleetProgress(answer.VMs[:1], 5).text).To(ContainSubstring("vm-1 (at 4)"))
 	_, text, _ := d.run("status")
 	g.Expect(text).To(ContainSubstring("vm-2"))
+
+	d.store.SetFaults(platformsim.Faults{Outage: true})
+	t.Setenv("BRAMLEY_PATIENCE", "50ms")
+	d.fails(result.PlatformDown, "status")
+	d.must(&answer, "status", "--vm", strings.TrimPrefix(page.URL, "http://"))
+	g.Expect(answer.HeadError).NotTo(BeEmpty())
+	g.Expect(answer.VMs[0].Status.Revision).To(Equal(uint64(4)), "also while the platform is down")
 }
 
 func TestSettingsInTheUsualOrder(t *testing.T) {
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -21,6 +21,9 @@
 	Deployment   string        `json:"deployment,omitempty"`
 	Key          string        `json:"key,omitempty"` // file, relative to the settings file
 	OperatorKeys []OperatorKey `json:"operator_keys,omitempty"`
+	// VMs are the addresses of operators' pages that are read when the platform
+	// cannot list its VMs.
+	VMs []string `json:"vms,omitempty"`
 }
 
 // OperatorKey is a public key as in the daemons' settings.
@@ -49,6 +52,9 @@
 	override(&s.Platform, c.String(flagPlatform))
 	override(&s.Deployment, c.String(flagDeployment))
 	override(&s.Key, c.String(flagKey))
+	if vms := c.StringSlice(flagVM); len(vms) > 0 {
+		s.VMs = vms
+	}
 	return s, nil
 }
 
