--- /dev/null
+++ b/bundle/docs_test.go
@@ -0,0 +1,38 @@
+package bundle
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestDocNamesEveryField holds docs/BUNDLES.md against the types.
+func TestDocNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../docs/BUNDLES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	eachField(reflect.TypeFor[Bundle](), func(name string) {
+		if !strings.Contains(string(page), "."+name+"`") && !strings.Contains(string(page), "`"+name+"`") {
+			t.Errorf("docs/BUNDLES.md does not name the field %s", name)
+		}
+	})
+}
+
+// eachField calls do with the name of each field that holds no struct.
+func eachField(typ reflect.Type, do func(name string)) {
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			eachField(inner, do)
+			continue
+		}
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		do(name)
+	}
+}
--- a/operator/app.go
+++ b/operator/app.go
@@ -70,6 +70,7 @@
 			a.recallCommand(),
 			a.statusCommand(),
 			a.auditCommand(),
+			a.restoreHeadCommand(),
 			a.explainCommand(),
 		},
 	}
--- a/operator/audit.go
+++ b/operator/audit.go
@@ -53,6 +53,26 @@
 	}
 }
 
+func (a *app) restoreHeadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "restore-head",
+		Usage: "write the latest kept entry to the head again, after the platform lost it or set it back",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := a.open(c)
+			if err != nil {
+				return err
+			}
+			e, err := s.client.RestoreHead(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(e, table{rows: [][]string{
+				{"head", "revision " + strconv.FormatUint(e.Revision, 10)}, {"in force", e.Digest + " " + e.Name},
+			}})
+		},
+	}
+}
+
 var timestamps = cli.TimestampConfig{Layouts: []string{time.RFC3339, "2006-01-02 15:04:05", time.DateOnly}}
 
 func (a *app) audit(ctx context.Context, c *cli.Command) error {
--- a/rollout/audit.go
+++ b/rollout/audit.go
@@ -25,21 +25,10 @@
 	if err != nil {
 		return Audit{}, err
 	}
-	objects, err := c.list(ctx, KindAudit, c.opts.Deployment+".")
+	kept, err := c.readChain(ctx)
 	if err != nil {
 		return Audit{}, err
 	}
-	kept := make([]*Head, 0, len(objects)+1)
-	for _, obj := range objects {
-		h, err := openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true)
-		if err != nil {
-			return Audit{}, result.Wrap(result.BrokenAudit, err, "entry "+obj.Name)
-		}
-		if obj.Name != AuditName(c.opts.Deployment, h.Entry.Revision) {
-			return Audit{}, result.Errorf(result.BrokenAudit, "entry %s holds revision %d", obj.Name, h.Entry.Revision)
-		}
-		kept = append(kept, h)
-	}
 	chain, err := VerifyChain(s.head, kept)
 	if err != nil {
 		return Audit{}, err
@@ -51,6 +40,26 @@
 	return a, nil
 }
 
+// readChain reads the kept entries in order, each verified by itself.
+func (c *Client) readChain(ctx context.Context) ([]*Head, error) {
+	objects, err := c.list(ctx, KindAudit, c.opts.Deployment+".")
+	if err != nil {
+		return nil, err
+	}
+	kept := make([]*Head, 0, len(objects))
+	for _, obj := range objects {
+		h, err := openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true)
+		if err != nil {
+			return nil, result.Wrap(result.BrokenAudit, err, "entry "+obj.Name)
+		}
+		if obj.Name != AuditName(c.opts.Deployment, h.Entry.Revision) {
+			return nil, result.Errorf(result.BrokenAudit, "entry %s holds revision %d", obj.Name, h.Entry.Revision)
+		}
+		kept = append(kept, h)
+	}
+	return kept, nil
+}
+
 // VerifyChain checks the kept entries, in order, against the head that was
 // read before them, and returns the chain up to the head. Entries past the head
 // were accepted since; they have to continue the chain too.
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -138,8 +138,19 @@
 	now := o.head()
 	_, err := o.store.Put(context.Background(), KindHead, "vatnsleit", now.Version, old.Value)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = o.client("asta", o.store).Rollout(context.Background(), second, Ask{Reason: "again"})
+	asta := o.client("asta", o.store)
+	_, err = asta.Rollout(context.Background(), second, Ask{Reason: "again"})
 	g.Expect(result.Of(err)).To(Equal(result.BrokenAudit))
+
+	for range 2 {
+		restored, err := asta.RestoreHead(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(restored.Revision).To(Equal(uint64(2)))
+		g.Expect(o.head().Value).To(Equal(now.Value))
+	}
+	e, err := asta.Rollout(context.Background(), second, Ask{Reason: "again"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Revision).To(Equal(uint64(3)))
 }
 
 // A head or bundle is handed to a VM that was changed after its sign-off, that
