Rollouts: metrics, longer patience, lost heads, frozen operators

A platform that takes 3 s to answer looked down to operators, whose client gave up after 2 s; an overwritten head could not be restored; audit passed over one kept entry without a head; keepers had no metrics.

--- a/integration/rollout_test.go
+++ b/integration/rollout_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,7 +32,8 @@
 }
 
 // Three operators roll out and recall at once, while the platform loses the
-// answers to some of their writes and whole writes. A user would see a VM go
+// answers to some of their writes and whole writes, and each operator's program is
+// frozen for a while at a random moment. A user would see a VM go
 // back to an older bundle, a gap in the audit trail, or an operator told that
 // his change was refused while it is in force.
 func TestOperatorsRaceOverALossyPlatform(t *testing.T) {
@@ -49,6 +52,7 @@
 	for i := range operators {
 		person := c.ctl(fleet.Signer)
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		person.started = func(p *os.Process) { freeze(p, rng) }
 		racing.Go(func() {
 			for range changes {
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
@@ -83,6 +87,16 @@
 	c.Expect(stop()).To(BeEmpty(), "VMs that went back")
 }
 
+// freeze stops a program at a random moment for a random time, as a virtual
+// machine that is moved.
+func freeze(p *os.Process, rng *rand.Rand) {
+	random := func() { time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond) }
+	random()
+	_ = p.Signal(syscall.SIGSTOP)
+	random()
+	_ = p.Signal(syscall.SIGCONT)
+}
+
 func digestOf(ctx context.Context, d *fleet.Daemon) (string, error) {
 	status, err := d.Status(ctx)
 	return status.Digest, err
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -115,7 +115,9 @@
 			return nil, err
 		}
 	}
-	store := platform.NewClient(s.Platform, platform.ClientOptions{})
+	// The rollout client bounds its calls by itself, and more generously than
+	// daemons do: a fresh process has no connection that went silent.
+	store := platform.NewClient(s.Platform, platform.ClientOptions{CallTimeout: rollout.DefaultCallTimeout})
 	client := rollout.NewClient(rollout.ClientOptions{
 		Deployment: s.Deployment, Keys: keys, Store: store, Key: private,
 		Patience: c.Duration(flagPatience),
--- a/rollout/client.go
+++ b/rollout/client.go
@@ -18,9 +18,9 @@
 	Store      platform.Store
 	Key        *bundle.PrivateKey // needed for changes only
 	// Patience bounds how long one operation asks the platform again after
-	// failures; default 15 s.
+	// failures; default 30 s.
 	Patience    time.Duration
-	CallTimeout time.Duration // of one call, default 3 s
+	CallTimeout time.Duration // of one call, default 5 s
 	// Pause waits between two tries; the default sleeps with jitter. Tests
 	// replace it.
 	Pause func(ctx context.Context, try int)
@@ -30,8 +30,8 @@
 
 // The defaults of ClientOptions.
 const (
-	DefaultPatience    = 15 * time.Second
-	DefaultCallTimeout = 3 * time.Second
+	DefaultPatience    = 30 * time.Second
+	DefaultCallTimeout = 5 * time.Second
 )
 
 // The bounds of the pause between two tries.
@@ -176,7 +176,6 @@
 // state is the head as read, with its version at the store.
 type state struct {
 	head    *Head // nil before the first rollout
-	raw     []byte
 	version uint64
 }
 
@@ -201,7 +200,7 @@
 	if err != nil {
 		return state{}, err
 	}
-	return state{head: head, raw: obj.Value, version: obj.Version}, nil
+	return state{head: head, version: obj.Version}, nil
 }
 
 // readKept reads the entry kept under a revision, or nil if there is none.
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -53,6 +53,7 @@
 	select {
 	case k.reads <- struct{}{}:
 	default:
+		k.metrics.readsLeft.Inc()
 		return
 	}
 	k.tomb.Go(func() error {
@@ -68,6 +69,9 @@
 	obj, err := k.opts.Store.Get(ctx, KindHead, k.opts.Deployment)
 	if err == nil || errors.Is(err, platform.ErrNotFound) {
 		k.contact.Store(time.Now().UnixNano())
+		k.metrics.reads.Inc()
+	} else {
+		k.metrics.readsFailed.Inc()
 	}
 	if err != nil {
 		k.opts.Log.Debug("head not read", "error", err)
@@ -125,6 +129,7 @@
 func (k *Keeper) watch(since uint64) (platform.Change, error) {
 	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), k.opts.WatchFor)
 	defer cancel()
+	k.metrics.watches.Inc()
 	return k.opts.Store.Watch(ctx, KindHead, since)
 }
 
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
@@ -32,6 +33,7 @@
 	Keys       *bundle.Keyring
 	Store      platform.Store
 	Log        hclog.Logger
+	Metrics    *metrics.Set // may be nil
 	// Watch makes the VM watch the platform and re-read the head every
 	// RereadEvery; without it the VM re-reads every IdleEvery and is told by
 	// peers.
@@ -69,8 +71,9 @@
 
 // Keeper keeps the revision in force on one VM.
 type Keeper struct {
-	opts Options
-	tomb tomb.Tomb
+	opts    Options
+	metrics *keeperMetrics
+	tomb    tomb.Tomb
 
 	current  atomic.Pointer[InForce]
 	contact  atomic.Int64 // unix nanoseconds of the last read that the platform answered
@@ -102,6 +105,7 @@
 		reads:   make(chan struct{}, maxReads),
 		changed: make(chan struct{}),
 	}
+	k.metrics = newKeeperMetrics(opts.Metrics, func() float64 { return float64(k.Revision()) })
 	k.watching.Store(opts.Watch)
 	return k
 }
@@ -284,12 +288,14 @@
 	next.Since = time.Now()
 	k.current.Store(next)
 	k.refused = refusal{}
+	k.metrics.changes.Inc()
 	close(k.changed)
 	k.changed = make(chan struct{})
 	k.opts.Log.Info("bundle in force", "revision", next.Revision, "digest", next.Digest, "name", next.Bundle.Name)
 }
 
 func (k *Keeper) refuse(hash string, err error) {
+	k.metrics.refused(result.Of(err))
 	k.mu.Lock()
 	known := k.refused.hash == hash && k.refused.err.Error() == err.Error()
 	k.refused = refusal{hash: hash, err: err}
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -142,6 +142,9 @@
 	_, err = asta.Rollout(context.Background(), second, Ask{Reason: "again"})
 	g.Expect(result.Of(err)).To(Equal(result.BrokenAudit))
 
+	version := o.head().Version
+	_, err = o.store.Put(context.Background(), KindHead, "vatnsleit", version, []byte("{}"))
+	g.Expect(err).NotTo(HaveOccurred(), "overwritten with what is no head")
 	for range 2 {
 		restored, err := asta.RestoreHead(context.Background())
 		g.Expect(err).NotTo(HaveOccurred())
--- a/rollout/restore.go
+++ b/rollout/restore.go
@@ -9,13 +9,13 @@
 )
 
 // RestoreHead writes the latest kept entry to the head again, after the head
-// object was lost or set back to an earlier copy. It makes no new revision and
+// object was lost, overwritten or set back to an earlier copy. It makes no new revision and
 // can put nothing into force that was not accepted before: the entry was the
 // head once, and is signed. It changes nothing if the head is the latest.
 func (c *Client) RestoreHead(ctx context.Context) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
 	defer cancel()
-	s, err := c.readState(ctx)
+	s, err := c.readAnyState(ctx)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -39,6 +39,22 @@
 	return last.Entry, c.replaceHead(ctx, s, last)
 }
 
+// readAnyState is readState that takes a head which is no signed entry for none.
+func (c *Client) readAnyState(ctx context.Context) (state, error) {
+	obj, err := c.get(ctx, KindHead, c.opts.Deployment)
+	if errors.Is(err, platform.ErrNotFound) {
+		return state{}, nil
+	}
+	if err != nil {
+		return state{}, err
+	}
+	s := state{version: obj.Version}
+	if head, err := openHead(obj.Value, c.opts.Deployment, c.opts.Keys, true); err == nil {
+		s.head = head
+	}
+	return s, nil
+}
+
 // replaceHead is safe to repeat: the write depends on the version read, and a
 // conflict with an own earlier try shows as the head that was meant.
 func (c *Client) replaceHead(ctx context.Context, s state, h *Head) error {
@@ -48,7 +64,7 @@
 			return nil
 		}
 		if errors.Is(err, platform.ErrConflict) {
-			now, err := c.readState(ctx)
+			now, err := c.readAnyState(ctx)
 			if err != nil {
 				return err
 			}
