Rollouts with real processes: a store that is set back; a race that hits the head

Cause: with the operation id ignored the race of real operators stayed green, since lost answers mostly hit other objects than the head; nothing with real daemons offered them a lower revision. Change: answers are lost on the head only; a test that writes an older head back.

--- a/integration/rollout_test.go
+++ b/integration/rollout_test.go
@@ -56,7 +56,7 @@
 		racing.Go(func() {
 			for range changes {
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-				faults := platformsim.Faults{LoseAnswers: rng.IntN(3), LoseWrites: rng.IntN(2)}
+				faults := platformsim.Faults{LoseAnswers: 1 + rng.IntN(2), LoseWrites: rng.IntN(2), LoseKind: rollout.KindHead}
 				if err := c.Platform.SetFaults(faults); err != nil {
 					t.Error(err)
 				}
@@ -271,19 +271,60 @@
 		"forged": forged.Bytes(), "without a sign-off": unsigned.Bytes(), "no head": []byte(`{"a":1}`),
 	} {
 		version = must[uint64](c)(store.Put(c.ctx, rollout.KindHead, deployment, version, raw))
-		contact := time.Now()
-		for _, d := range c.Daemons {
-			c.Eventually(func() bool {
-				status, err := d.Status(c.ctx)
-				return err == nil && status.PlatformContact.After(contact.Add(time.Second))
-			}, limit, "50ms").Should(BeTrue(), "has read it: "+name)
-			status, err := d.Status(c.ctx)
-			c.ok(err)
-			c.Expect(status.Revision).To(Equal(uint64(1)), name)
-			c.Expect(d.Ready(c.ctx)).To(BeTrue(), name)
-		}
+		c.headWasRead()
+		c.expectRevision(1, name)
 	}
 	must[uint64](c)(store.Put(c.ctx, rollout.KindHead, deployment, version, before.Value))
 	var answer operator.ChangeAnswer
 	c.ctl(fleet.Signer).must(&answer, "rollout", digest, "--reason", "rightly signed", "--wait", "30s")
 }
+
+// headWasRead waits until every daemon has read the head as it is now.
+func (c *cluster) headWasRead() {
+	c.t.Helper()
+	// Contact is noted when a read ends, and one that ends a second later has
+	// begun after this moment.
+	written := time.Now()
+	for _, d := range c.Daemons {
+		c.Eventually(func() bool {
+			status, err := d.Status(c.ctx)
+			return err == nil && status.PlatformContact.After(written.Add(time.Second))
+		}, limit, "50ms").Should(BeTrue(), d.Name)
+	}
+}
+
+func (c *cluster) expectRevision(revision uint64, why string) {
+	c.t.Helper()
+	for _, d := range c.Daemons {
+		status, err := d.Status(c.ctx)
+		c.ok(err)
+		c.Expect(status.Revision).To(Equal(revision), why)
+		c.Expect(d.Ready(c.ctx)).To(BeTrue(), why)
+	}
+}
+
+// The platform's store is restored from an older copy. A user would see all VMs
+// go back to the bundle before, or rollouts that are accepted and never come
+// into force. VMs must keep what they have, operators must be told, and
+// restore-head must bring the platform up to date.
+func TestTheStoreIsSetBack(t *testing.T) {
+	c := start(t, shape{Daemons: 2})
+	digest := c.version("one")
+	person := c.ctl(fleet.Signer)
+	store := platform.NewClient(c.Platform.Address, platform.ClientOptions{})
+	before := must[platform.Object](c)(store.Get(c.ctx, rollout.KindHead, deployment))
+	var answer operator.ChangeAnswer
+	person.must(&answer, "rollout", digest, "--reason", "before the copy", "--wait", "30s")
+	now := must[platform.Object](c)(store.Get(c.ctx, rollout.KindHead, deployment))
+	must[uint64](c)(store.Put(c.ctx, rollout.KindHead, deployment, now.Version, before.Value))
+	c.headWasRead()
+	c.expectRevision(2, "the store was set back")
+
+	f := person.run(&answer, "rollout", digest, "--reason", "on the old copy")
+	c.Expect(f.Code).To(Equal(result.BrokenAudit))
+	var entry rollout.Entry
+	person.must(&entry, "restore-head")
+	c.Expect(entry.Revision).To(Equal(uint64(2)))
+	person.must(&answer, "rollout", digest, "--reason", "go on", "--wait", "30s")
+	c.Expect(answer.Revision).To(Equal(uint64(3)))
+}
