--- a/internal/lab/rolloutbench/scenario.go
+++ b/internal/lab/rolloutbench/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	goerrors "errors"
 	"fmt"
 	"math"
 	"sort"
@@ -63,6 +64,14 @@
 	}},
 	{name: "one VM cut off from the platform", begin: firstCutOff(1), end: firstCutOff(0)},
 	{name: "all VMs but one cut off", begin: func(b *bench) error { return firstCutOff(b.opts.VMs - 1)(b) }, end: firstCutOff(0)},
+	{name: "watches silent, platform slow and one VM cut off",
+		begin: func(b *bench) error {
+			if err := firstCutOff(1)(b); err != nil {
+				return err
+			}
+			return b.plat.SetFaults(platformsim.Faults{WatchesSilent: true, SlowMS: 200})
+		},
+		end: func(b *bench) error { return errors.Trace(goerrors.Join(firstCutOff(0)(b), healthy(b))) }},
 	{name: fmt.Sprintf("platform down for %s after acceptance", outageAfter),
 		after: func(b *bench) error {
 			if err := b.plat.SetFaults(platformsim.Faults{Outage: true}); err != nil {
