Asking again for an unknown operation tells the truth also while the platform is down

Cause: an operator whose operation was unknown and who asked again during the outage was told "609 nothing was changed", while the first run's write could still land. Asking again about another bundle was told "accepted" though the operation had made another change. A recall of a digest that nobody pushed was accepted. Change: what is open stays WriteUnknown until something read of the operation settles it; another change under the same id is KeyReused; a recall needs a known bundle. Seen red: TestLostAnswerIsResolvedByTheOperationsID before the change (609 for 608). Checked: go test -race ./rollout ./operator.

--- a/operator/explain.go
+++ b/operator/explain.go
@@ -13,6 +13,7 @@
 // nextSteps says what an operator does about a code.
 var nextSteps = map[result.Code]string{
 	result.BadRequest:     "correct the command line; --help lists what a command takes",
+	result.KeyReused:      "read what that operation did with audit, and run your command without --op",
 	result.Conflict:       "read audit, decide whether your change is still wanted, and run the command again without --op",
 	result.BadBundle:      "correct each finding and run bundle check before you push",
 	result.BundleTooLarge: "shorten names or split the deployment; bundle check prints the size",
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/platform"
@@ -24,15 +25,18 @@
 // MaxReason bounds a reason, in bytes.
 const MaxReason = 1000
 
+// want is what an operation is about.
+type want struct {
+	action Action
+	digest string
+}
+
 // build makes the next entry from the head as read.
 type build func(ctx context.Context, head *Head, change Change) (Entry, error)
 
-// advance makes one change. Its order of writes is what the audit chain rests
-// on: first the entry that the head holds is kept under its own name, then the
-// head is replaced on the condition that it is still the one read. An operator
-// who stops in between leaves either nothing, a kept entry that is still the
-// head's, or a whole change; the next operator goes on from any of these.
-func (c *Client) advance(ctx context.Context, ask Ask, next build) (Entry, error) {
+// advance makes one change, or finds out what became of it if ask names an
+// operation of an earlier run.
+func (c *Client) advance(ctx context.Context, ask Ask, w want, next build) (Entry, error) {
 	if c.opts.Key == nil {
 		return Entry{}, result.Errorf(result.BadSettings, "a change needs your private key; pass --key or make one with keygen")
 	}
@@ -42,20 +46,28 @@
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Patience)
 	defer cancel()
 	s, err := c.readState(ctx)
+	if ask.Op != "" {
+		return c.askAgain(ctx, ask, w, s, err, next)
+	}
 	if err != nil {
 		return Entry{}, err
 	}
-	if ask.Op != "" {
-		if done, entry, err := c.askAgain(ctx, ask.Op, s); done {
-			entry.Op = ask.Op
-			return entry, err
-		}
-	} else if ask.Op, err = NewOpID(s.revision() + 1); err != nil {
+	if ask.Op, err = NewOpID(s.revision() + 1); err != nil {
 		return Entry{}, err
 	}
 	if ask.Expect != 0 && ask.Expect != s.revision() {
 		return Entry{Op: ask.Op}, notExpected(ask.Expect, s)
 	}
+	return c.carryOut(ctx, ask, w, s, next)
+}
+
+// carryOut makes the change on top of the head as read. Its order of writes is
+// what the audit chain rests on: first the entry that the head holds is kept
+// under its own name, then the head is replaced on the condition that it is
+// still the one read. An operator who stops in between leaves either nothing, a
+// kept entry that is still the head's, or a whole change; the next operator
+// goes on from any of these.
+func (c *Client) carryOut(ctx context.Context, ask Ask, w want, s state, next build) (Entry, error) {
 	entry, err := next(ctx, s.head, Change{
 		Op: ask.Op, Person: c.opts.Key.Person, Reason: ask.Reason, At: c.opts.Now().UTC(),
 	})
@@ -73,29 +85,58 @@
 		return entry, err
 	}
 	c.keepSoon(ctx, landed)
-	return landed.Entry, nil
+	return landed.Entry, w.check(landed)
 }
 
 // askAgain resolves an operation whose outcome was unknown. If it has not
 // landed and its turn has not passed, the operation goes on as if new: both
 // its writes expect the same version, so only one can take effect.
-func (c *Client) askAgain(ctx context.Context, op OpID, s state) (done bool, e Entry, err error) {
-	revision, err := op.Revision()
+func (c *Client) askAgain(ctx context.Context, ask Ask, w want, s state, readErr error, next build) (Entry, error) {
+	revision, err := ask.Op.Revision()
 	if err != nil {
-		return true, e, err
+		return Entry{}, err
+	}
+	if readErr != nil {
+		return Entry{Op: ask.Op}, stillUnknown(ask.Op, readErr)
 	}
-	outcome, landed, err := c.resolve(ctx, op, revision, s.head)
+	outcome, landed, err := c.resolve(ctx, ask.Op, revision, s.head)
 	switch {
 	case err != nil:
-		return true, e, err
+		return Entry{Op: ask.Op}, stillUnknown(ask.Op, err)
 	case outcome == OutcomeAccepted:
-		return true, landed.Entry, nil
+		return landed.Entry, w.check(landed)
 	case outcome == OutcomeRefused:
-		return true, e, conflict(landed, s.head)
+		return Entry{Op: ask.Op}, conflict(landed, s.head)
 	case s.revision()+1 != revision:
-		return true, e, result.Errorf(result.BrokenAudit, "operation %s is for revision %d and the head is at %d only; the store was set back", op, revision, s.revision())
+		return Entry{Op: ask.Op}, result.Errorf(result.BrokenAudit,
+			"operation %s is for revision %d and the head is at %d only; the store was set back", ask.Op, revision, s.revision())
+	}
+	e, err := c.carryOut(ctx, ask, w, s, next)
+	if err != nil {
+		err = stillUnknown(ask.Op, err)
+	}
+	return e, err
+}
+
+// stillUnknown keeps an operator from being told that nothing was changed while
+// the write of an earlier run may still land. Only what was read of the
+// operation itself settles it.
+func stillUnknown(op OpID, err error) error {
+	switch result.Of(err) {
+	case result.Conflict, result.KeyReused, result.BrokenAudit, result.WriteUnknown:
+		return err
+	}
+	return result.Wrap(result.WriteUnknown, err, fmt.Sprintf("run the same command again with --op %s to learn the outcome", op))
+}
+
+// check tells an operator who asked again for another change than the one that
+// the operation made.
+func (w want) check(landed *Head) error {
+	e := &landed.Entry
+	if e.Action == w.action && e.Subject() == w.digest {
+		return nil
 	}
-	return false, e, nil
+	return result.Errorf(result.KeyReused, "operation %s is revision %d: %s of %s; leave --op out for another change", e.Op, e.Revision, e.Action, e.Subject())
 }
 
 // resolve applies Resolve, reading the kept entry if that is needed.
--- a/rollout/bundles.go
+++ b/rollout/bundles.go
@@ -179,7 +179,7 @@
 
 // Rollout puts a bundle that was signed off into force.
 func (c *Client) Rollout(ctx context.Context, digest string, ask Ask) (Entry, error) {
-	entry, err := c.advance(ctx, ask, func(ctx context.Context, head *Head, change Change) (Entry, error) {
+	entry, err := c.advance(ctx, ask, want{ActionRollout, digest}, func(ctx context.Context, head *Head, change Change) (Entry, error) {
 		b, err := c.approved(ctx, digest)
 		if err != nil {
 			return Entry{}, err
@@ -192,8 +192,11 @@
 // Recall takes a bundle back as a whole. If it is in force, the latest bundle
 // that was in force before and was not recalled takes its place.
 func (c *Client) Recall(ctx context.Context, digest string, ask Ask) (Entry, error) {
-	entry, err := c.advance(ctx, ask, func(ctx context.Context, head *Head, change Change) (Entry, error) {
+	entry, err := c.advance(ctx, ask, want{ActionRecall, digest}, func(ctx context.Context, head *Head, change Change) (Entry, error) {
 		if head == nil || digest != head.Entry.Digest {
+			if _, err := c.loadRaw(ctx, digest); err != nil {
+				return Entry{}, err
+			}
 			return NextRecall(head, change, digest, nil)
 		}
 		fallback, err := c.fallback(ctx, head, digest)
--- a/rollout/race_test.go
+++ b/rollout/race_test.go
@@ -255,12 +255,18 @@
 		e, err := c.Rollout(ctx, digest, Ask{Reason: "begin"})
 		g.Expect(result.Of(err)).To(Equal(result.WriteUnknown))
 
+		// Asked while the platform is still down, and about another bundle.
+		c.opts.Store = &stopping{gone: true}
+		_, err = c.Rollout(ctx, digest, Ask{Reason: "begin", Op: e.Op})
+		g.Expect(result.Of(err)).To(Equal(result.WriteUnknown), "not: nothing was changed")
 		for range 2 {
 			again, err := o.client("asta", o.store).Rollout(ctx, digest, Ask{Reason: "begin", Op: e.Op})
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(again.Revision).To(Equal(uint64(1)))
 			g.Expect(again.Op).To(Equal(e.Op))
 		}
+		_, err = o.client("asta", o.store).Rollout(ctx, o.signedOff(2), Ask{Reason: "begin", Op: e.Op})
+		g.Expect(result.Of(err)).To(Equal(result.KeyReused))
 		audit, err := c.withStore(o.store).Audit(ctx)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(audit.Entries).To(HaveLen(1))
