--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -1,12 +1,15 @@
 package bundle
 
 import (
+	"bytes"
 	"encoding/json"
+	"flag"
 	"os"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
@@ -180,3 +183,32 @@
 	_, err = Package(example(t, "vatnsleit"), testKey(t, "jon-1", "jon"))
 	g.Expect(result.Of(err)).To(Equal(result.BadBundle), "nobody pushes in another's name")
 }
+
+func TestMain(m *testing.M) {
+	// The same random sequences in every run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestParseTakesNothingThatEncodingJSONRefuses mutates a good bundle at random:
+// Parse never panics, and what it lets pass means the same to encoding/json.
+func TestParseTakesNothingThatEncodingJSONRefuses(t *testing.T) {
+	data := example(t, "pletenica")
+	rapid.Check(t, func(t *rapid.T) {
+		mutated := bytes.Clone(data)
+		for range rapid.IntRange(1, 4).Draw(t, "mutations") {
+			at := rapid.IntRange(0, len(mutated)-1).Draw(t, "at")
+			mutated[at] = rapid.SampledFrom([]byte(`{}[]":,0123e-.x \`)).Draw(t, "byte")
+		}
+		b, findings := Parse(mutated)
+		if len(findings) > 0 {
+			return
+		}
+		var same Bundle
+		g := NewWithT(t)
+		g.Expect(json.Unmarshal(mutated, &same)).To(Succeed())
+		g.Expect(&same).To(Equal(b))
+	})
+}
