Silent connections keep their places; integration tests of the transport

Cause: with real processes, two rounds of silence left a target refusing every new connection (8 + 8 silent ones of two VMs that it still counts, 16 more wanted, limit 25) and the daemons answered NoReplica for good; and silent connections were found one status read after the other. Ruled out: the policy's rest times (the status reads themselves failed). Change: over HTTP/2 3 connections are kept and the rest of the share is a reserve; a silent one keeps its place for 2 minutes, but never the last; one found silent has all others probed at once.

--- /dev/null
+++ b/integration/target_test.go
@@ -0,0 +1,166 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// soonAgain is within how long answers must be whole again after a fault that
+// leaves the targets themselves unharmed. It is far above what is measured.
+const soonAgain = 10 * time.Second
+
+// becomesWhole waits until answers of the daemon are whole, n in a row.
+func (c *cluster) becomesWhole(d *fleet.Daemon, n int) {
+	c.t.Helper()
+	body := gateway.SearchBody{Query: "well", TimeLimitMS: 500}
+	row := 0
+	c.Eventually(func() int {
+		a, _, err := d.Search(c.ctx, findSearch, body)
+		c.ok(err)
+		row++
+		if a.Code != int(result.Complete) {
+			row = 0
+		}
+		return row
+	}, soonAgain, "10ms").Should(gomega.Equal(n), d.Name)
+	a, _, err := d.Search(c.ctx, findSearch, searchBody("well"))
+	c.ok(err)
+	c.expectTruth(a, c.Index, target.KindSearch, searchBody("well"))
+}
+
+func (c *cluster) healTargets() {
+	c.t.Helper()
+	for _, tg := range c.Targets {
+		c.ok(tg.SetFaults(targetsim.Faults{}))
+	}
+}
+
+// Every inspector's lookup comes back short, for good, though targets and VMs
+// are well. Something between them has forgotten the open connections: what is
+// sent on them is lost, without FIN or RST, while new connections work. Each
+// shard has one replica here, so that no hedge can hide a silent target.
+func TestSilentConnectionsToTargets(t *testing.T) {
+	c := start(t, shape{Targets: 2, Replicas: 1, ProxyTargets: true})
+	for range 2 {
+		for _, p := range c.TargetProxies {
+			c.ok(p.Silence())
+		}
+		for _, d := range c.Daemons {
+			c.becomesWhole(d, 10)
+		}
+	}
+}
+
+// An inspector reads another farm's permits, or half of his own. Leaves answer
+// crossed, twice over, or so late that the query has moved on, while many
+// callers ask for different things. Each must get its own answer, whole, or be
+// told that it is not.
+func TestCrossedLateAndDuplicateAnswers(t *testing.T) {
+	c := start(t, shape{Targets: 3, Replicas: 2, Shards: 6})
+	for i, faults := range []targetsim.Faults{
+		{CrossedAnswers: 60},
+		{DuplicateAnswers: 60},
+		{LateAnswers: 60, LateMS: 400},
+	} {
+		c.ok(c.Targets[i].SetFaults(faults))
+	}
+	queries := []string{"well", "bore", "permit", "", "a", "e"}
+	ask := func(caller int) error {
+		d := c.Daemons[caller%len(c.Daemons)]
+		body := gateway.SearchBody{Query: queries[caller%len(queries)], Limit: 3 + caller, TimeLimitMS: 2000}
+		a, _, err := d.Search(c.ctx, findSearch, body)
+		if err != nil {
+			return err
+		}
+		if a.Code == int(result.Complete) {
+			c.expectTruth(a, c.Index, target.KindSearch, body)
+			return nil
+		}
+		short := a.Coverage != nil && a.Coverage.Ratio < 1
+		if !short && a.Ran != result.RanNo.String() {
+			return fmt.Errorf("caller %d: code %d, %s, coverage %v", caller, a.Code, a.Ran, a.Coverage)
+		}
+		return nil
+	}
+	var callers sync.WaitGroup
+	failed := make(chan error, 100)
+	for caller := range 12 {
+		callers.Go(func() {
+			for range 20 {
+				if err := ask(caller); err != nil {
+					failed <- err
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(failed)
+	for err := range failed {
+		c.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	c.healTargets()
+	for _, d := range c.Daemons {
+		c.Expect(d.Log()).To(gomega.ContainSubstring("another request's answer"))
+		c.becomesWhole(d, 10)
+	}
+}
+
+// A target refuses its other clients: two VMs together hold more connections
+// than it takes. Callers that give up, cut connections and a VM that is killed
+// and replaced all make the VMs open new ones. The limit here is exactly twice
+// a VM's share, and the target counts whatever comes beyond it.
+func TestConnectionLimitOfTargets(t *testing.T) {
+	const perTarget = 6
+	c := start(t, shape{
+		Daemons: 2,
+		Target:  func(_ int, o *targetsim.Options) { o.Connections = perTarget },
+		Bundle: func(b *bundle.Bundle) {
+			b.Fleet.MaxVMs = 2
+			for i := range b.Services[0].Targets {
+				b.Services[0].Targets[i].Connections = perTarget
+			}
+		},
+	})
+	crossed := targetsim.Faults{CrossedAnswers: 200}
+	for _, tg := range c.Targets {
+		c.ok(tg.SetFaults(crossed))
+	}
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for n := range 50 {
+				ctx, cancel := context.WithTimeout(c.ctx, time.Duration(1+n%10)*time.Millisecond)
+				_, _, _ = c.Daemons[caller%2].Search(ctx, findSearch, searchBody("well")) // many give up
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	c.Daemons[1].Kill()
+	c.startDaemon(1)
+	c.Daemons = []*fleet.Daemon{c.Daemons[0], c.Daemons[2]}
+	c.listVMs()
+	c.healTargets()
+	for _, d := range c.Daemons {
+		c.becomesWhole(d, 3)
+	}
+	for _, tg := range c.Targets {
+		counts := must[targetsim.Counters](c)(tg.Counters()).Connections
+		c.Expect(counts.Refused).To(gomega.BeZero(), tg.Name)
+		c.Expect(counts.Peak).To(gomega.BeNumerically("<=", perTarget), tg.Name)
+		c.Expect(counts.Total).To(gomega.BeNumerically(">", perTarget), "connections were replaced")
+	}
+}
--- a/target/failure_test.go
+++ b/target/failure_test.go
@@ -175,6 +175,26 @@
 	})
 }
 
+// A target refuses this VM's new connections. It still counts the ones that
+// went silent, of whose end it never hears. One found silent has the others
+// asked too, and their places in the share stay taken while they are replaced.
+func TestSilentConnectionsKeepTheirPlaces(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandIn(t, "a", 0)
+	c := newTestClient(t, Options{SuspectAfter: patience, ProbeTimeout: 100 * time.Millisecond}, s.endpoint(5))
+	waitOpen(c, 3)
+	s.forLegs(goSilent)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Status(ctx, "a")
+	g.Expect(err).To(HaveField("Kind", ErrorDeadline))
+	g.Eventually(counter(c, "silent_connections_total"), patience).Should(BeEquivalentTo(3))
+	g.Eventually(counter(c, "connections_opened_total"), patience).Should(BeEquivalentTo(5))
+	_, err = c.Search(soon(t), "a", 0, request(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Consistently(func() int { _, _, maxOpen, _ := s.counts(); return maxOpen }, "200ms").Should(Equal(5))
+}
+
 // The reader of the status goes blind: its one connection went silent while
 // idle, and the target's drain is not noticed. A read that times out closes
 // the connection, so that the next one has a fresh connection.
--- a/target/keeper.go
+++ b/target/keeper.go
@@ -53,12 +53,31 @@
 	if p.retired {
 		return due, len(p.conns) == 0
 	}
-	if len(p.conns) < p.endpoint.Connections {
+	if len(p.conns) < p.wanted(now) {
 		due = min(due, p.pace.next.Sub(now))
 	}
 	return due, false
 }
 
+// wanted returns how many connections are to be open. Those that went silent
+// keep their places in the share for a while, but never the last one: a target
+// that has forgotten them, as most soon do, must not go without calls. p.mu
+// must be held.
+func (p *pool) wanted(now time.Time) int {
+	share := p.endpoint.Connections
+	if share <= 0 {
+		return 0
+	}
+	for len(p.lost) > 0 && now.Sub(p.lost[0]) > p.client.opts.SilentHold {
+		p.lost = p.lost[1:]
+	}
+	free := max(share-len(p.lost), 1)
+	if p.client.opts.Protocol == HTTP1 {
+		return free
+	}
+	return min(free, p.client.opts.MaxOpen)
+}
+
 // sweep closes what must be closed and hands free connections to waiters.
 func (p *pool) sweep() {
 	p.mu.Lock()
--- a/target/options.go
+++ b/target/options.go
@@ -34,7 +34,15 @@
 	Metrics  *metrics.Set // the default set if nil
 	Protocol Protocol
 
-	MaxAnswer  int64         // bytes of an answer's body; 4 MiB
+	MaxAnswer int64 // bytes of an answer's body; 4 MiB
+	// MaxOpen is how many connections are kept open to one target over HTTP/2
+	// (3), within the share. The rest of the share is a reserve: a target still
+	// counts a connection that has gone silent, because it never hears of its
+	// end, so its replacement must find a place beside it. The place of a silent
+	// connection counts as taken for SilentHold (2 min).
+	MaxOpen    int
+	SilentHold time.Duration
+
 	MaxStreams int           // calls at once on one HTTP/2 connection; 100
 	MaxWaiting int           // calls that wait for a connection to one target; 64
 	MaxWait    time.Duration // for a connection; 250 ms
@@ -60,6 +68,8 @@
 
 const (
 	defaultMaxAnswer    = 4 << 20
+	defaultMaxOpen      = 3
+	defaultSilentHold   = 2 * time.Minute
 	defaultMaxStreams   = 100
 	defaultMaxWaiting   = 64
 	defaultMaxWait      = 250 * time.Millisecond
@@ -80,6 +90,8 @@
 		o.Metrics = metrics.GetDefaultSet()
 	}
 	setDefault(&o.MaxAnswer, defaultMaxAnswer)
+	setDefault(&o.MaxOpen, defaultMaxOpen)
+	setDefault(&o.SilentHold, defaultSilentHold)
 	setDefault(&o.MaxStreams, defaultMaxStreams)
 	setDefault(&o.MaxWaiting, defaultMaxWaiting)
 	setDefault(&o.MaxWait, defaultMaxWait)
--- a/target/pool.go
+++ b/target/pool.go
@@ -20,7 +20,9 @@
 
 	mu       sync.Mutex // guards what follows and the plain fields of each conn
 	endpoint Endpoint
-	conns    []*conn // open, the retiring ones included
+	conns    []*conn     // open, the retiring ones included
+	lost     []time.Time // when connections were found silent, within SilentHold
+	alarm    time.Time   // when the last one was
 	waiters  []chan *conn
 	retired  bool // the endpoint is no longer in force
 	watching bool // the keeper looks at the connections every SuspectAfter
@@ -193,7 +195,7 @@
 func (p *pool) pickIdlest(now time.Time) *conn {
 	var idlest *conn
 	for _, cn := range p.conns {
-		if !p.hasRoom(cn) || cn.suspect(now, p.client.opts.SuspectAfter) {
+		if !p.hasRoom(cn) || cn.probing || cn.suspect(now, p.client.opts.SuspectAfter) {
 			continue
 		}
 		if idlest == nil || cn.wire.lastRead().Before(idlest.wire.lastRead()) {
@@ -232,12 +234,15 @@
 // distrust keeps new calls off a connection that delivered another request's
 // answer, and closes it once it is idle. The calls still on it are checked like
 // any other.
-func (p *pool) distrust(cn *conn, err error) {
+func (p *pool) distrust(cn *conn, err *CallError) {
 	p.client.metrics.mismatched.Inc()
-	p.client.opts.Log.Warn("distrusting a connection", "target", p.name, "error", err)
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	first := !cn.retiring
 	cn.retiring = true
+	p.mu.Unlock()
+	if first {
+		p.client.opts.Log.Warn("a connection delivered another request's answer and is closed", "target", p.name, "error", err.cause)
+	}
 }
 
 // serveWaiters hands connections with room to waiting calls, in their order.
--- a/target/probe.go
+++ b/target/probe.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// probeSuspects starts a probe on each suspect connection, and ends the
-// keeper's watch when no call waits for a byte. A connection of HTTP/1.1 has no
-// room for a probe beside its call; it is closed when that call is given up.
+// probeSuspects starts a probe on each connection that may be silent, and ends
+// the keeper's watch when no call waits for a byte. A connection of HTTP/1.1
+// has no room for a probe beside a call; it is closed when the call is given up.
 func (p *pool) probeSuspects(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -16,7 +16,7 @@
 		if cn.calls > 0 || cn.awaitsByte() {
 			p.watching = true
 		}
-		if cn.probing || !cn.suspect(now, p.client.opts.SuspectAfter) || p.client.opts.Protocol == HTTP1 {
+		if !p.mayBeSilent(cn, now) || (p.client.opts.Protocol == HTTP1 && cn.calls > 0) {
 			continue
 		}
 		cn.probing = true
@@ -28,6 +28,17 @@
 	}
 }
 
+// mayBeSilent reports whether a connection needs a probe: because it is
+// suspect, or because another one to the same target was found silent and
+// nothing came on this one since. Connections mostly go silent together.
+// p.mu must be held.
+func (p *pool) mayBeSilent(cn *conn, now time.Time) bool {
+	if cn.probing || cn.silent || cn.retiring {
+		return false
+	}
+	return cn.suspect(now, p.client.opts.SuspectAfter) || cn.wire.lastRead().Before(p.alarm)
+}
+
 // probe reads the status over one connection.
 func (p *pool) probe(cn *conn) {
 	start := time.Now()
@@ -51,9 +62,14 @@
 	if cn.wire.lastRead().After(start) {
 		return
 	}
+	now := time.Now()
 	p.mu.Lock()
 	first := !cn.silent
-	cn.silent = true
+	if first {
+		cn.silent = true
+		p.alarm = now
+		p.lost = append(p.lost, now)
+	}
 	p.mu.Unlock()
 	if first {
 		p.client.metrics.silent.Inc()
--- a/target/transport_bench_test.go
+++ b/target/transport_bench_test.go
@@ -188,7 +188,7 @@
 	for _, ping := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
 		b.Run(fmt.Sprintf("ping=%s", ping), func(b *testing.B) {
 			s := newStandIn(b, "a", 0)
-			c := NewClient(Options{Metrics: metrics.NewSet(), PingAfter: ping, MinPace: time.Microsecond})
+			c := NewClient(Options{Metrics: metrics.NewSet(), PingAfter: ping, MinPace: time.Microsecond, MaxOpen: 150})
 			defer c.Close()
 			endpoint := s.endpoint(150)
 			endpoint.ConnectCost = 0
