--- a/once/committer.go
+++ b/once/committer.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	maxLanes       = 64 // segments whose last known state is kept in memory
+	maxLanes       = 16 // segments whose last known state is kept in memory
 	downAfter      = 3  // failed store calls in a row
 	probeEvery     = 500 * time.Millisecond
 	firstBackoff   = 5 * time.Millisecond
--- a/once/doc.go
+++ b/once/doc.go
@@ -2,9 +2,9 @@
 //
 // Before anything is handed to a target, the VM claims the request's key on
 // the platform by a conditional update. Claims live in segments: one object
-// holds the keys of one time window whose hash falls into one bucket. A
-// conditional update of a segment carries many claims and outcomes at once
-// (group commit), so the number of requests is not bound to the number of
-// writes that the platform takes. docs/design/once.md has the reasons and the
+// holds all keys that callers made in one second. A conditional update of a
+// segment carries many claims and outcomes at once (group commit), so the
+// number of requests is not bound to the number of writes that the platform
+// takes. docs/design/once.md has the reasons and the
 // figures.
 package once
--- a/once/key_test.go
+++ b/once/key_test.go
@@ -68,14 +68,14 @@
 	a := vm(t, store, "a", c.set)
 	for i := range 2*cleanPage + 1 {
 		for _, deployment := range []string{"vatnsleit", "pletenica"} {
-			name := segmentName(deployment, "id", time.Now().Add(-time.Duration(i)*window))
+			name := segmentName(deployment, time.Now().Add(-time.Duration(i)*window))
 			_, err := store.Put(t.Context(), Kind, name, 0, []byte("{}"))
 			g.Expect(err).NotTo(HaveOccurred())
 		}
 	}
 	old := store.names("vatnsleit.")
 	others := store.names("pletenica.")
-	young := "vatnsleit.9999999999.0"
+	young := "vatnsleit.9999999999"
 	_, err := store.Put(t.Context(), Kind, young, 0, []byte("{}"))
 	g.Expect(err).NotTo(HaveOccurred())
 
--- a/once/race_test.go
+++ b/once/race_test.go
@@ -131,7 +131,7 @@
 		req.Search = fmt.Sprint("search", key)
 		claim := r.newClaim(context.Background(), req)
 		in := claimIn{key: key, op: claim.entry.Op}
-		name := segmentName(req.Deployment, "one segment for all", req.Key.Made())
+		name := segmentName(req.Deployment, req.Key.Made())
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+rng.IntN(60))*time.Millisecond)
 		call := h.now()
 		rep, err := r.claim(ctx, name, claim)
--- a/once/runner.go
+++ b/once/runner.go
@@ -58,7 +58,7 @@
 		return out
 	}
 	claim := r.newClaim(ctx, req)
-	name := segmentName(req.Deployment, claim.id, req.Key.Made())
+	name := segmentName(req.Deployment, req.Key.Made())
 	rep, err := r.claim(ctx, name, claim)
 	if err != nil {
 		return claimFailed(err)
@@ -67,7 +67,7 @@
 	case verdictHeld:
 		return r.answerHeld(req, rep.held)
 	case verdictFull:
-		return Outcome{Code: result.Overloaded, Detail: "the window of the key's time is full; make a new key", RetryAfter: window}
+		return Outcome{Code: result.Overloaded, Detail: "no more keys of that second can be claimed; make a new key", RetryAfter: window}
 	}
 	// The process may have been paused between the check above and the claim,
 	// for longer than Keep + Margin: the first claim of this key, its run and
