--- /dev/null
+++ b/integration/load_test.go
@@ -0,0 +1,97 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// load asks all daemons in turn from several callers until stop is called, and
+// checks each answer.
+type load struct {
+	c     *cluster
+	check func(gateway.Answer, gateway.SearchBody) error
+
+	stopped context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu     sync.Mutex // guards what follows
+	codes  map[result.Code]int
+	notRun []string // requests whose answer says "not run"
+	faults []string
+}
+
+const loadCallers = 4
+
+// startLoad begins to ask. need is the coverage that every other caller states;
+// the rest need everything.
+func (c *cluster) startLoad(need float64, limitMS int, check func(gateway.Answer, gateway.SearchBody) error) *load {
+	ctx, cancel := context.WithCancel(c.ctx)
+	l := &load{c: c, check: check, stopped: cancel, codes: map[result.Code]int{}}
+	for caller := range loadCallers {
+		coverage := 1.0
+		if caller%2 == 0 {
+			coverage = need
+		}
+		l.wg.Go(func() { l.ask(ctx, caller, coverage, limitMS) })
+	}
+	return l
+}
+
+func (l *load) ask(ctx context.Context, caller int, need float64, limitMS int) {
+	for i := caller; ctx.Err() == nil; i++ {
+		d := l.c.Daemons[i%len(l.c.Daemons)]
+		body := gateway.SearchBody{Query: fmt.Sprintf("q%d", i%7), Explain: true, Coverage: need, TimeLimitMS: limitMS}
+		a, _, err := d.Search(l.c.ctx, findSearch, body)
+		if err == nil {
+			err = l.check(a, body)
+			l.count(a)
+		}
+		if err != nil {
+			l.fault(fmt.Sprintf("%s, request %s: %v", d.Name, a.Request, err))
+		}
+	}
+}
+
+func (l *load) count(a gateway.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.codes[result.Code(a.Code)]++
+	if a.Ran == result.RanNo.String() {
+		l.notRun = append(l.notRun, a.Request)
+	}
+}
+
+func (l *load) fault(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, text)
+}
+
+// answered returns how many answers with one of the codes came so far.
+func (l *load) answered(codes ...result.Code) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, code := range codes {
+		n += l.codes[code]
+	}
+	return n
+}
+
+// stop ends the load and returns the faults found in answers. All targets must
+// be alive, since what was told to be not run is held against their records.
+func (l *load) stop() []string {
+	l.stopped()
+	l.wg.Wait()
+	ran := l.c.searched()
+	for _, id := range l.notRun {
+		if n := ran[id]; n > 0 {
+			l.faults = append(l.faults, fmt.Sprintf("request %s was told to be not run, targets started %d attempts", id, n))
+		}
+	}
+	return l.faults
+}
