--- /dev/null
+++ b/integration/once_test.go
@@ -0,0 +1,323 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+const sendLimit = 20 * time.Second
+
+// send sends a report under the key. The code of an answer that did not come is
+// 0.
+func (c *cluster) send(d *fleet.Daemon, key string) gateway.Answer {
+	ctx, cancel := context.WithTimeout(c.ctx, sendLimit)
+	defer cancel()
+	a, _, err := d.Submit(ctx, fileSearch, key, map[string]string{"report": key})
+	if err != nil {
+		return gateway.Answer{Detail: err.Error()}
+	}
+	return a
+}
+
+// sendAside sends a report and returns at once.
+func (c *cluster) sendAside(d *fleet.Daemon, key string) <-chan gateway.Answer {
+	answer := make(chan gateway.Answer, 1)
+	go func() { answer <- c.send(d, key) }()
+	return answer
+}
+
+// finalCode sends the key until it is told something else than "in progress"
+// or "not run".
+func (c *cluster) finalCode(d *fleet.Daemon, key string) result.Code {
+	c.t.Helper()
+	var code result.Code
+	c.Eventually(func() bool {
+		code = result.Code(c.send(d, key).Code)
+		return code != 0 && code != result.InProgress && code.Info().Ran != result.RanNo
+	}, limit, "100ms").Should(gomega.BeTrue(), "last told %v", &code)
+	return code
+}
+
+func (c *cluster) setTargets(f targetsim.Faults) {
+	for _, t := range c.Targets {
+		c.ok(t.SetFaults(f))
+	}
+}
+
+// waitClaim waits until the platform holds a claim of the key.
+func (c *cluster) waitClaim(key string) {
+	c.t.Helper()
+	client := platform.NewClient(c.Platform.Address, platform.ClientOptions{})
+	defer client.Close()
+	c.Eventually(func() (string, error) {
+		page, err := client.List(c.ctx, once.Kind, "", 100)
+		text := ""
+		for _, o := range page.Objects {
+			text += string(o.Value)
+		}
+		return text, err
+	}, limit, "10ms").Should(gomega.ContainSubstring(key))
+}
+
+func (c *cluster) waitRun(key string) {
+	c.t.Helper()
+	c.Eventually(func() int { return c.submits()[key] }, limit, "20ms").Should(gomega.Equal(1))
+}
+
+// A farm's withdrawal report is filed twice. The target runs it and the
+// connection breaks before the answer; the connection was a reused one, so that
+// net/http would send a request that looks idempotent again by itself.
+func TestConnectionCutAfterWriteRunsOnce(t *testing.T) {
+	c := start(t, shape{})
+	const keys = 8
+	for i := range keys {
+		c.Expect(result.Code(c.send(c.Daemons[i%2], newKey("warm")).Code)).To(gomega.Equal(result.Accepted))
+	}
+	c.setTargets(targetsim.Faults{CutSubmits: 1000})
+	for i := range keys {
+		key := newKey(fmt.Sprint("cut", i))
+		for turn := range 4 {
+			a := c.send(c.Daemons[(i+turn)%2], key)
+			c.Expect(result.Code(a.Code)).To(gomega.Equal(result.OutcomeUnknown), a.Detail)
+		}
+		c.Expect(c.submits()[key]).To(gomega.Equal(1))
+	}
+}
+
+// A bookmark sync fires twice. Its sender sends the key to two VMs at once, and
+// the platform takes some of their claims while the answers are lost.
+func TestSameKeyAtTwoVMsRunsOnce(t *testing.T) {
+	c := start(t, shape{})
+	for i := range 12 {
+		if i%2 == 1 {
+			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, LoseKind: once.Kind}))
+		}
+		key := newKey(fmt.Sprint("both", i))
+		told := []<-chan gateway.Answer{
+			c.sendAside(c.Daemons[0], key), c.sendAside(c.Daemons[1], key),
+			c.sendAside(c.Daemons[0], key), c.sendAside(c.Daemons[1], key),
+		}
+		for _, answer := range told {
+			a := <-answer
+			c.Expect(result.Code(a.Code)).To(gomega.BeElementOf(result.Accepted, result.InProgress), a.Detail)
+		}
+		c.Expect(c.finalCode(c.Daemons[0], key)).To(gomega.Equal(result.Accepted))
+		c.Expect(c.send(c.Daemons[0], key).Result).To(gomega.MatchJSON(c.send(c.Daemons[1], key).Result))
+		c.Expect(c.submits()[key]).To(gomega.Equal(1))
+	}
+}
+
+// An inspector's report runs at the target and its VM is lost before the
+// answer. The inspector tries another VM, which must not run it again, and
+// can't say how it went.
+func TestVMKilledBeforeTheAnswer(t *testing.T) {
+	c := start(t, shape{})
+	c.setTargets(targetsim.Faults{HoldSubmits: true})
+	key := newKey("killed")
+	c.sendAside(c.Daemons[0], key)
+	c.waitRun(key)
+	c.Daemons[0].Kill()
+	c.setTargets(targetsim.Faults{})
+	c.Expect(c.finalCode(c.Daemons[1], key)).To(gomega.Equal(result.OutcomeUnknown))
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// The same, but the VM is lost after the platform took its claim and before it
+// knew: nothing ran. Nobody can tell this from a run, so nobody runs it.
+func TestVMKilledBeforeTheHandOver(t *testing.T) {
+	c := start(t, shape{ProxyPlatform: true})
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{DelayMS: 300}))
+	key := newKey("claimed")
+	c.sendAside(c.Daemons[0], key)
+	c.waitClaim(key)
+	c.Daemons[0].Kill()
+	c.Expect(c.finalCode(c.Daemons[1], key)).To(gomega.Equal(result.OutcomeUnknown))
+	c.Expect(c.submits()[key]).To(gomega.BeNumerically("<=", 1))
+}
+
+// A VM is frozen right after its claim, for longer than its time limit, while
+// the sender asks another VM; then it goes on with the claim it still believes
+// to hold. Whoever runs the report in the end, it runs once.
+func TestVMFrozenBeforeTheHandOver(t *testing.T) {
+	c := start(t, shape{ProxyPlatform: true})
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{DelayMS: 300}))
+	key := newKey("frozen")
+	first := c.sendAside(c.Daemons[0], key)
+	c.waitClaim(key)
+	c.ok(c.Daemons[0].Pause())
+	code := c.finalCode(c.Daemons[1], key)
+	c.ok(c.Daemons[0].Resume())
+	c.Expect(code).To(gomega.Equal(result.OutcomeUnknown))
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{}))
+	a := <-first
+	c.finalCode(c.Daemons[1], key)
+	runs := c.submits()[key]
+	c.Expect(runs).To(gomega.BeNumerically("<=", 1))
+	if result.Code(a.Code) == result.Accepted {
+		c.Expect(runs).To(gomega.Equal(1))
+	}
+}
+
+// A VM is frozen after the hand-over. While it is, the other VM must not run
+// the report; once it is back, both tell what the target answered.
+func TestVMFrozenBeforeTheAnswer(t *testing.T) {
+	c := start(t, shape{})
+	c.setTargets(targetsim.Faults{HoldSubmits: true})
+	key := newKey("held")
+	first := c.sendAside(c.Daemons[0], key)
+	c.waitRun(key)
+	c.ok(c.Daemons[0].Pause())
+	c.setTargets(targetsim.Faults{})
+	c.Expect(result.Code(c.send(c.Daemons[1], key).Code)).To(gomega.BeElementOf(result.InProgress, result.OutcomeUnknown))
+	c.ok(c.Daemons[0].Resume())
+	own := <-first
+	c.Expect(result.Code(own.Code)).To(gomega.BeElementOf(result.Accepted, result.OutcomeUnknown))
+	c.Eventually(func() int { return c.send(c.Daemons[1], key).Code }, limit, "100ms").Should(gomega.Equal(own.Code))
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// A VM loses the platform's answers: its claim lands and it can't know. It says
+// "not run", which the target's record confirms; later the same key runs once.
+func TestClaimAnswerLostForLong(t *testing.T) {
+	c := start(t, shape{ProxyPlatform: true})
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{LoseDown: true}))
+	key := newKey("unheard")
+	a := c.send(c.Daemons[0], key)
+	c.Expect(result.Code(a.Code)).To(gomega.Equal(result.ClaimsDown), a.Detail)
+	c.Expect(a.RetryAfterMS).To(gomega.BeNumerically(">", 0))
+	c.Expect(c.submits()).NotTo(gomega.HaveKey(key))
+	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{}))
+	c.ok(c.PlatformProxies[0].Cut())
+	c.Eventually(func() int { return c.send(c.Daemons[1], key).Code }, limit, "100ms").Should(gomega.Equal(int(result.Accepted)))
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// The platform is down when reports come in. Each is told "not run" and when to
+// come back; when it is up again each runs once under its old key.
+func TestPlatformDownRunsNothing(t *testing.T) {
+	c := start(t, shape{})
+	c.ok(c.Platform.SetFaults(platformsim.Faults{Outage: true}))
+	var keys []string
+	for i := range 6 {
+		key := newKey(fmt.Sprint("down", i))
+		keys = append(keys, key)
+		a := c.send(c.Daemons[i%2], key)
+		c.Expect(result.Code(a.Code)).To(gomega.Equal(result.ClaimsDown), a.Detail)
+		c.Expect(a.RetryAfterMS).To(gomega.BeNumerically(">", 0))
+	}
+	c.Expect(c.submits()).To(gomega.BeEmpty())
+	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+	for i, key := range keys {
+		c.Expect(c.finalCode(c.Daemons[(i+1)%2], key)).To(gomega.Equal(result.Accepted))
+		c.Expect(c.submits()[key]).To(gomega.Equal(1))
+	}
+}
+
+// Faults come together and twice: the platform loses writes and answers and
+// goes down, connections are cut and go silent, targets shed and cut, a VM
+// freezes. Senders try all VMs until they know. By the targets' own record no
+// key ran twice, none ran that was only told "not run", and each that was told
+// "accepted" ran.
+func TestOnceUnderRandomFaults(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			c := start(t, shape{Daemons: 3, ProxyPlatform: true, ProxyTargets: true})
+			const senders, keys, tries = 4, 6, 5
+			told := make([]map[string][]result.Code, senders)
+			var wg sync.WaitGroup
+			for s := range senders {
+				rng := rand.New(rand.NewPCG(seed, uint64(s)))
+				told[s] = map[string][]result.Code{}
+				wg.Go(func() {
+					for i := range keys {
+						key := newKey(fmt.Sprintf("random%d-%d", s, i))
+						for range tries {
+							code := result.Code(c.send(c.Daemons[rng.IntN(3)], key).Code)
+							told[s][key] = append(told[s][key], code)
+						}
+					}
+				})
+			}
+			done := make(chan struct{})
+			go func() { wg.Wait(); close(done) }()
+			c.randomFaults(rand.New(rand.NewPCG(seed, 99)), done)
+			runs := c.submits()
+			for _, keys := range told {
+				for key, codes := range keys {
+					c.expectOnce(key, codes, runs[key])
+				}
+			}
+		})
+	}
+}
+
+func (c *cluster) expectOnce(key string, codes []result.Code, runs int) {
+	c.t.Helper()
+	c.Expect(runs).To(gomega.BeNumerically("<=", 1), "%s ran twice, told %v", key, codes)
+	notRun := true
+	for _, code := range codes {
+		if code == result.Accepted {
+			c.Expect(runs).To(gomega.Equal(1), "%s told %v", key, codes)
+		}
+		notRun = notRun && code != 0 && code.Info().Ran == result.RanNo
+	}
+	if notRun {
+		c.Expect(runs).To(gomega.BeZero(), "%s told %v", key, codes)
+	}
+}
+
+// randomFaults sets and clears faults until done is closed.
+func (c *cluster) randomFaults(rng *rand.Rand, done <-chan struct{}) {
+	const faultTime, calmTime = 300 * time.Millisecond, 200 * time.Millisecond
+	d := func() int { return rng.IntN(len(c.Daemons)) }
+	for {
+		paused := -1
+		for range 2 {
+			switch rng.IntN(7) {
+			case 0:
+				c.ok(c.Platform.SetFaults(platformsim.Faults{Outage: true}))
+			case 1:
+				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 3, LoseKind: once.Kind}))
+			case 2:
+				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseWrites: 3, LoseKind: once.Kind}))
+			case 3:
+				c.ok(c.PlatformProxies[d()].Silence())
+			case 4:
+				c.ok(c.TargetProxies[rng.IntN(len(c.TargetProxies))].Cut())
+			case 5:
+				c.setTargets(targetsim.Faults{CutSubmits: 1, ShedShare: 0.5})
+			case 6:
+				if paused < 0 {
+					paused = d()
+					c.ok(c.Daemons[paused].Pause())
+				}
+			}
+		}
+		time.Sleep(faultTime)
+		if paused >= 0 {
+			c.ok(c.Daemons[paused].Resume())
+		}
+		c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+		c.setTargets(targetsim.Faults{})
+		select {
+		case <-done:
+			return
+		case <-time.After(calmTime):
+		}
+	}
+}
