--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -26,8 +26,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
-		Name:     "bramley-lab",
-		Usage:    "stand-ins for tests and benchmarks",
+		Name:  "bramley-lab",
+		Usage: "stand-ins for tests and benchmarks",
 		Commands: []*cli.Command{
 			platformCommand(),
 			targetCommand(),
--- a/integration/peer_test.go
+++ b/integration/peer_test.go
@@ -19,8 +19,8 @@
 	"github.com/bramleybarrow/bramleybarrow/settings"
 )
 
-// balancer sends searches to the VMs that it lists, which lags behind.
-type balancer struct {
+// laggingList sends searches to the VMs that it lists, which lags behind.
+type laggingList struct {
 	mu     sync.Mutex // guards the fields below
 	vms    []*fleet.Daemon
 	next   int
@@ -28,13 +28,13 @@
 	good   int
 }
 
-func (b *balancer) list(vms ...*fleet.Daemon) {
+func (b *laggingList) list(vms ...*fleet.Daemon) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms = vms
 }
 
-func (b *balancer) choose() *fleet.Daemon {
+func (b *laggingList) choose() *fleet.Daemon {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.next++
@@ -43,7 +43,7 @@
 
 // drive sends searches from some callers until stop is called, which returns how
 // many were answered whole and what went wrong.
-func (c *cluster) drive(b *balancer) (stop func() (good int, faults []string)) {
+func (c *cluster) drive(b *laggingList) (stop func() (good int, faults []string)) {
 	const callers = 4
 	done := make(chan struct{})
 	var wg sync.WaitGroup
@@ -66,7 +66,7 @@
 	}
 }
 
-func (b *balancer) ask(c *cluster) {
+func (b *laggingList) ask(c *cluster) {
 	d := b.choose()
 	a, status, err := d.Search(c.ctx, findSearch, searchBody("well"))
 	b.mu.Lock()
@@ -97,7 +97,7 @@
 			}
 		},
 	})
-	balancer := &balancer{}
+	balancer := &laggingList{}
 	balancer.list(c.Daemons...)
 	stop := c.drive(balancer)
 	for i := range daemons {
