Admission: begins open, ignores single refusals, and leaves time for slow queries; retries wait for their budget

A shard whose retry found the budget empty was given up, and the work of all other shards with it. Change: the limit begins at its ceiling; a tenth of refused attempts counts as overload; a query needs mean + 2 distances of time left; retries wait for budget or a replica; attempts that a target did not start count less. The operators' page serves processor profiles.

--- a/ops/server.go
+++ b/ops/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,7 +12,8 @@
 	"goji.io/pat"
 )
 
-const opsTimeout = 10 * time.Second
+// opsTimeout bounds a request, a profile of up to a minute included.
+const opsTimeout = 70 * time.Second
 
 // Options configure the operators' page. Status is required.
 type Options struct {
@@ -36,6 +38,7 @@
 		}
 		metrics.WriteProcessMetrics(w)
 	})
+	mux.HandleFunc(pat.Get(PathProfile), pprof.Profile)
 	mux.HandleFunc(pat.Get(PathStatus), func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// The connection is gone if this fails; nobody is left to be told.
--- a/ops/status.go
+++ b/ops/status.go
@@ -9,7 +9,8 @@
 	PathHealth  = "/healthz" // 200 while the process works at all
 	PathReady   = "/readyz"  // 200 while it should get callers' requests
 	PathMetrics = "/metrics"
-	PathStatus  = "/status" // Status as JSON
+	PathProfile = "/profile" // of the processor time, for ?seconds=N, by runtime/pprof
+	PathStatus  = "/status"  // Status as JSON
 )
 
 // Status is what one VM says of itself.
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -18,6 +18,7 @@
 	nextID   TicketID
 	interval time.Duration // smoothed time between two ends while busy
 	service  time.Duration // smoothed duration of a query
+	spread   time.Duration // smoothed distance of durations from service
 	lastEnd  time.Time
 	cutAt    time.Time // of the last cut of the limit
 }
@@ -57,18 +58,16 @@
 	maxRetryAfter  = 5 * time.Second
 	minRetryAfter  = 50 * time.Millisecond
 	queuePerLimit  = 20 // waiting queries per unit of the limit, at most
+	spreads        = 2  // distances from the mean within which nearly all queries end
 	defaultService = 20 * time.Millisecond
 )
 
-// NewAdmission returns an admission that begins with the given limit and never
-// exceeds ceiling.
-func NewAdmission(limit, ceiling float64) *Admission {
+// NewAdmission returns an admission whose limit begins at its ceiling: callers
+// come in bursts, and a limit near the mean would make them wait for each other
+// while slots are free.
+func NewAdmission(ceiling float64) *Admission {
 	ceiling = max(ceiling, minLimit)
-	return &Admission{
-		limit:   min(max(limit, minLimit), ceiling),
-		ceiling: ceiling,
-		service: defaultService,
-	}
+	return &Admission{limit: ceiling, ceiling: ceiling, service: defaultService}
 }
 
 // SetCeiling changes the upper bound of the limit after a change of targets.
@@ -86,7 +85,7 @@
 		return Verdict{Ticket: id, Decision: Admit}
 	}
 	wait := a.expectedWait(len(a.queue) + 1)
-	if now.Add(wait+a.service).After(deadline) || float64(len(a.queue)) >= a.limit*queuePerLimit {
+	if now.Add(wait+a.need()).After(deadline) || float64(len(a.queue)) >= a.limit*queuePerLimit {
 		return Verdict{Ticket: id, Decision: Refuse, RetryAfter: a.retryAfter(wait)}
 	}
 	a.queue = append(a.queue, &ticket{id: id, deadline: deadline})
@@ -104,6 +103,11 @@
 	return time.Duration(n) * per
 }
 
+// need is the time that nearly every query takes once it runs. A query that is
+// admitted with only the mean left before its deadline is late every other time,
+// and the slots that it used are wasted.
+func (a *Admission) need() time.Duration { return a.service + spreads*a.spread }
+
 func (a *Admission) retryAfter(wait time.Duration) time.Duration {
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
@@ -123,6 +127,7 @@
 }
 
 func (a *Admission) measure(now time.Time, end QueryEnd) {
+	a.spread = smooth(a.spread, (end.Took - a.service).Abs())
 	a.service = smooth(a.service, end.Took)
 	busy := len(a.queue) > 0
 	if busy && !a.lastEnd.IsZero() {
@@ -160,7 +165,7 @@
 	var out []Verdict
 	for len(a.queue) > 0 {
 		head := a.queue[0]
-		late := now.Add(a.service).After(head.deadline)
+		late := now.Add(a.need()).After(head.deadline)
 		if !late && !a.free() {
 			break
 		}
--- a/policy/query.go
+++ b/policy/query.go
@@ -51,9 +51,9 @@
 //
 // Invariants: every attempt carries the one snapshot of the query's present
 // pass, and only answers of that pass count; a shard is answered at most once;
-// attempts per shard <= Spec.MaxAttempts; hedges and retries are within the
-// table's budgets; exactly one Finish is returned, at the latest by the first
-// Tick at or after Spec.Deadline.
+// attempts per shard that a target may have started <= Spec.MaxAttempts; hedges
+// and retries are within the table's budgets; exactly one Finish is returned, at
+// the latest by the first Tick at or after Spec.Deadline.
 type Query struct {
 	spec  Spec
 	table *Table
@@ -82,6 +82,7 @@
 	tried   []ReplicaID
 	flying  int // attempts in flight
 	sent    int
+	refused int // of sent, by a target that did not start them
 	hedged  bool
 	phase   phase
 	reason  Reason    // of the last failure
@@ -303,18 +304,48 @@
 	if s.flying > 0 {
 		return nil // the other attempt may still answer
 	}
-	if !q.mayRetry(a.shard) {
+	return q.retry(now, a.shard)
+}
+
+// retry sends a further attempt on a shard. If the budget is empty, the shard
+// waits for it to fill rather than being given up: the answers of all other
+// shards would be lost with it.
+func (q *Query) retry(now time.Time, shard int) []Action {
+	s := &q.shards[shard]
+	if q.exhausted(s) {
+		s.pending = time.Time{}
+		q.settle(shard)
+		return nil
+	}
+	if _, ok := q.pick(now, shard, false); !ok {
+		q.wait(now, shard)
+		q.settle(shard)
+		return nil
+	}
+	if !q.table.Retries.Take() {
+		s.pending = now.Add(budgetPause)
+		q.wake = earlier(q.wake, s.pending)
+		q.settle(shard)
 		return nil
 	}
 	q.retries++
-	return q.send(now, a.shard, false)
+	return q.send(now, shard, false)
 }
 
-func (q *Query) mayRetry(shard int) bool {
-	if q.spec.Plain || q.shards[shard].sent >= q.spec.MaxAttempts {
-		return false
+// budgetPause is how soon a retry that found the budget empty is tried again.
+const budgetPause = 10 * time.Millisecond
+
+// refusedFactor is how many times MaxAttempts may be sent where targets refuse
+// to start them.
+const refusedFactor = 3
+
+// exhausted reports whether a shard may get no further attempt. Attempts that a
+// target refused to start count less: they cost it next to nothing.
+func (q *Query) exhausted(s *shardState) bool {
+	if q.spec.Plain {
+		return s.sent > 0
 	}
-	return q.table.Retries.Take()
+	return s.sent-s.refused >= q.spec.MaxAttempts || s.sent >= q.spec.MaxAttempts*refusedFactor
 }
 
 // end removes an attempt from the flying ones; nil if it is not among them.
@@ -326,6 +357,7 @@
 	delete(q.attempts, id)
 	if e.Refused {
 		q.refused++
+		q.shards[a.shard].refused++
 	}
 	e.Took = now.Sub(a.sentAt)
 	q.table.End(a.replica, e, now)
@@ -391,7 +423,11 @@
 		if s.pending.IsZero() || now.Before(s.pending) {
 			continue
 		}
-		acts = append(acts, q.send(now, shard, false)...)
+		if s.sent == 0 {
+			acts = append(acts, q.send(now, shard, false)...)
+			continue
+		}
+		acts = append(acts, q.retry(now, shard)...)
 	}
 	return acts
 }
@@ -408,7 +444,7 @@
 	for _, id := range sortedKeys(q.attempts) {
 		a := q.attempts[id]
 		s := &q.shards[a.shard]
-		if s.hedged || now.Sub(a.sentAt) < due || s.sent >= q.spec.MaxAttempts {
+		if s.hedged || now.Sub(a.sentAt) < due || q.exhausted(s) {
 			continue
 		}
 		acts = append(acts, q.tryHedge(now, a.shard)...)
--- a/query/admit.go
+++ b/query/admit.go
@@ -75,12 +75,20 @@
 	}
 }
 
-// nearLimit is the share of the time limit beyond which a query that was
-// otherwise served counts as a sign of overload.
-const nearLimit = 0.8
+// A query that was served counts as a sign of overload if it took more than
+// nearLimit of its time limit, or if more than refusedShare of its attempts were
+// refused. A single refusal is none: of hundreds of attempts, one nearly always
+// meets a leaf whose queue is full for a moment.
+const (
+	nearLimit    = 0.8
+	refusedShare = 0.1
+)
 
 func overloaded(req *Request, out *policy.Outcome, took time.Duration) bool {
-	if out.Refused > 0 || took.Seconds() > nearLimit*req.Limit.Seconds() {
+	if took.Seconds() > nearLimit*req.Limit.Seconds() {
+		return true
+	}
+	if float64(out.Refused) > refusedShare*float64(out.Sent) {
 		return true
 	}
 	for _, gap := range out.Coverage.Gaps {
--- a/query/engine.go
+++ b/query/engine.go
@@ -122,10 +122,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Apply(spec)
-	fair := fairShare(b, spec)
-	ceiling := max(fair*ceilingPerSlot, minCeiling)
+	ceiling := max(fairShare(b, spec)*ceilingPerSlot, minCeiling)
 	if s.admit == nil {
-		s.admit = policy.NewAdmission(fair, ceiling)
+		s.admit = policy.NewAdmission(ceiling)
 	}
 	s.admit.SetCeiling(ceiling)
 	hedge, retry := budgets(b, spec.Name)
