--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -132,38 +132,20 @@
 			return errors.Trace(err)
 		}
 	}
-	cpu, err := d.daemonCPU()
+	before, err := d.meter()
 	if err != nil {
 		return err
 	}
-	var before []usage
-	for _, g := range d.groups {
-		before = append(before, g.usage())
-	}
-	acted := make(chan error, 1)
-	go func() {
-		if s.During == nil {
-			acted <- nil
-			return
-		}
-		acted <- s.During(ctx, d, o.Window, round)
-	}()
 	streams := d.streams(s)
-	l.run(ctx, streams, r.Policy, o.Window, o.Seed+uint64(round))
-	if err := <-acted; err != nil {
-		return errors.Trace(err)
+	if err := loadWhile(ctx, o, d, l, s, streams, r.Policy, round); err != nil {
+		return err
 	}
 	pause(ctx, settle/3)
-	for i, g := range d.groups {
-		r.Rows[i].Sample.add(streams[i].sample)
-		r.Rows[i].usage = r.Rows[i].usage.plus(g.usage().minus(before[i]))
-	}
-	cpuAfter, err := d.daemonCPU()
+	after, err := d.meter()
 	if err != nil {
 		return err
 	}
-	r.DaemonCPU += cpuAfter - cpu
-	r.LoadAvg = loadAverage()
+	r.add(streams, before, after)
 	if s.End != nil {
 		if err := s.End(d); err != nil {
 			return errors.Trace(err)
@@ -176,6 +158,45 @@
 	return nil
 }
 
+// loadWhile drives the load for one window while the scenario acts.
+func loadWhile(ctx context.Context, o Options, d *deployment, l *loader, s Scenario, streams []stream, policy string, round int) error {
+	acted := make(chan error, 1)
+	go func() {
+		if s.During == nil {
+			acted <- nil
+			return
+		}
+		acted <- s.During(ctx, d, o.Window, round)
+	}()
+	l.run(ctx, streams, policy, o.Window, o.Seed+uint64(round))
+	return errors.Trace(<-acted)
+}
+
+// reading is what has been spent so far, by service in the order of the shape.
+type reading struct {
+	usage     []usage
+	daemonCPU time.Duration
+}
+
+func (d *deployment) meter() (reading, error) {
+	var m reading
+	for _, g := range d.groups {
+		m.usage = append(m.usage, g.usage())
+	}
+	cpu, err := d.daemonCPU()
+	m.daemonCPU = cpu
+	return m, errors.Trace(err)
+}
+
+func (r *Result) add(streams []stream, before, after reading) {
+	for i, row := range r.Rows {
+		row.Sample.add(streams[i].sample)
+		row.usage = row.usage.plus(after.usage[i].minus(before.usage[i]))
+	}
+	r.DaemonCPU += after.daemonCPU - before.daemonCPU
+	r.LoadAvg = loadAverage()
+}
+
 func (d *deployment) streams(s Scenario) []stream {
 	var out []stream
 	for _, g := range d.groups {
