--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: test format vet lint build unit demo bench bench-fleet clean
+.PHONY: test format vet lint build unit demo bench bench-fleet bench-rollout clean
 
 test: format vet lint build unit
 
@@ -30,5 +30,11 @@
 bench: build
 	$(BIN)/bramley-lab bench $(BENCH)
 
+bench-fleet: build
+	$(BIN)/bramley-lab fleet-bench --daemon $(BIN)/bramleyd
+
+bench-rollout: build
+	$(BIN)/bramley-lab bench-rollout --daemon $(BIN)/bramleyd
+
 clean:
 	rm -rf $(BIN)
