--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -42,6 +42,7 @@
 type Row struct {
 	Service Service
 	Sample  *Sample
+	P99s    []float64 // of each window, in milliseconds
 	usage   usage
 }
 
@@ -191,6 +192,7 @@
 func (r *Result) add(streams []stream, before, after reading) {
 	for i, row := range r.Rows {
 		row.Sample.add(streams[i].sample)
+		row.P99s = append(row.P99s, streams[i].sample.milliseconds(99))
 		row.usage = row.usage.plus(after.usage[i].minus(before.usage[i]))
 	}
 	r.DaemonCPU += after.daemonCPU - before.daemonCPU
