Owners and the hop join the daemon

Where a target accepts fewer connections than the fleet has places, VMs without one had none and served nothing of it. Package route claims a place where one is needed, gives the client its share, and carries calls, submits and status reads of other targets to their owners. A leaving VM is no owner for new calls and waits for those under way before it stops.

share.Cut leaves one owner's share free also where owners have one connection each. wire makes room before it sends an answer: a peer that made one call after another could be told PeerBusy by its own last call, which showed as a flaky TestBoundsOfCalls (2 of about 10 runs); the test now waits for the blocking handler.

go test -count=1 -v -run 'TestVMsWithout|TestOwnersKilled|TestFrozenOwner' ./integration: pass; limit 3, peak 2, 2 and 3 connections at each target, none refused, no search lost. go test -count=1 ./integration passes (92 s).

--- /dev/null
+++ b/integration/owner_test.go
@@ -0,0 +1,145 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/peer/place"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// fewConnections makes a fleet that is larger than what its targets accept: each
+// takes that many connections from some VMs more.
+func fewConnections(daemons, places, connections int) shape {
+	return shape{
+		Daemons: daemons, Targets: 3, Replicas: 2, LameDuck: time.Second,
+		Target: func(_ int, o *targetsim.Options) { o.Connections = connections },
+		Bundle: func(b *bundle.Bundle) {
+			b.Fleet.MaxVMs = places
+			for i := range b.Services[0].Targets {
+				b.Services[0].Targets[i].Connections = connections
+			}
+		},
+	}
+}
+
+func (c *cluster) expectWithinLimit(connections int) {
+	c.t.Helper()
+	for _, target := range c.Targets {
+		seen := must[struct{ Peak, Refused int }](c)(connectionsOf(target))
+		c.t.Logf("%s: peak of %d connections, limit %d, %d refused", target.Name, seen.Peak, connections, seen.Refused)
+		c.Expect(seen.Peak).To(gomega.BeNumerically("<=", connections))
+		c.Expect(seen.Refused).To(gomega.BeZero())
+	}
+}
+
+// A fleet has more VMs than its targets accept connections, and all VMs are
+// replaced one after another under load. A user of a VM without a connection
+// would get nothing, and a new VM that connects too early would be turned away.
+// Every search must be answered whole, through an owner where need be, and no
+// target see more connections than it accepts.
+func TestVMsWithoutConnectionsReachTargetsThroughOwners(t *testing.T) {
+	const daemons, connections = 5, 3
+	c := start(t, fewConnections(daemons, daemons+1, connections))
+	balancer := &balancer{}
+	balancer.list(c.Daemons...)
+	stop := c.drive(balancer)
+	for i := range daemons {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
+		c.ok(err)
+		c.waitInForce(fresh, 1)
+		c.waitWhole(fresh)
+		old := c.Daemons[0]
+		c.Daemons = append(c.Daemons[1:], fresh)
+		c.ok(old.Terminate())
+		balancer.list(c.Daemons...)
+		c.listVMs()
+		c.Eventually(old.Done(), limit).Should(gomega.BeClosed())
+	}
+	good, faults := stop()
+	c.Expect(faults).To(gomega.BeEmpty())
+	c.Expect(good).To(gomega.BeNumerically(">", 0))
+	c.expectWithinLimit(connections)
+}
+
+// Owners are killed one after another, and new VMs take their places, while
+// others are calling through them. A user would lose an answer with the owner;
+// each search must still be answered whole, within its time.
+func TestOwnersKilledInMidQuery(t *testing.T) {
+	const daemons, connections = 5, 3
+	c := start(t, fewConnections(daemons, daemons, connections))
+	balancer := &balancer{}
+	for i := range 3 {
+		victim := c.Daemons[0]
+		c.Daemons = c.Daemons[1:]
+		balancer.list(c.Daemons...)
+		before := balancer.answered()
+		stop := c.drive(balancer)
+		c.Eventually(balancer.answered, limit, "10ms").Should(gomega.BeNumerically(">", before+50))
+		victim.Kill()
+		before = balancer.answered()
+		c.Eventually(balancer.answered, limit, "10ms").Should(gomega.BeNumerically(">", before+50))
+		_, faults := stop()
+		c.Expect(faults).To(gomega.BeEmpty())
+
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
+		c.ok(err)
+		c.Daemons = append(c.Daemons, fresh)
+		c.listVMs()
+		c.waitInForce(fresh, 1)
+		c.waitWhole(fresh)
+	}
+	c.expectWithinLimit(connections)
+}
+
+func (b *balancer) answered() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.good
+}
+
+// An owner is frozen for longer than any timeout. There are more VMs than places,
+// so its place is given to one of the others; then it runs on. It still has its
+// connections, and would open more. It must find that the place is not its own
+// any more, and the target must never see more connections than it accepts.
+func TestFrozenOwnerComesBack(t *testing.T) {
+	const daemons, places, connections = 3, 4, 3
+	c := start(t, fewConnections(daemons, places, connections))
+	frozen, rest := c.Daemons[0], c.Daemons[1:]
+	c.Eventually(c.places, limit, "100ms").Should(gomega.HaveLen(daemons))
+	c.ok(frozen.Pause())
+	for i := range 2 {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone})
+		c.ok(err)
+		c.waitInForce(fresh, 1)
+		rest = append(rest, fresh)
+	}
+	c.Eventually(c.places, limit, "100ms").Should(gomega.And(
+		gomega.HaveLen(places), gomega.Not(gomega.ContainElement(frozen.Name))))
+	c.ok(frozen.Resume())
+	c.waitInForce(frozen, 1)
+	for _, d := range append(rest, frozen) {
+		c.waitWhole(d)
+	}
+	c.Expect(c.places()).NotTo(gomega.ContainElement(frozen.Name))
+	c.expectWithinLimit(connections)
+}
+
+// places returns the VMs that have claimed a place.
+func (c *cluster) places() (holders []string) {
+	page, err := platform.NewClient(c.Platform.Address, platform.ClientOptions{}).List(c.ctx, place.Kind, "", 100)
+	c.ok(err)
+	for _, object := range page.Objects {
+		var claim place.Claim
+		c.ok(json.Unmarshal(object.Value, &claim))
+		holders = append(holders, claim.VM)
+	}
+	return holders
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,8 @@
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/ops"
 	"github.com/bramleybarrow/bramleybarrow/peer"
+	"github.com/bramleybarrow/bramleybarrow/peer/place"
+	"github.com/bramleybarrow/bramleybarrow/peer/route"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/query"
 	"github.com/bramleybarrow/bramleybarrow/rollout"
@@ -43,6 +45,7 @@
 	engine  *query.Engine
 	claims  *once.Runner
 	peers   *peer.Exchange
+	router  *route.Router
 	gateway *gateway.Gateway
 
 	callers *listener
@@ -84,10 +87,10 @@
 		Log:        log.Named("rollout"),
 		Watch:      true,
 	})
+	n.buildTargets()
 	if err := n.buildPeers(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.buildTargets()
 	n.claims = once.NewRunner(once.Options{
 		Store:       n.store,
 		VM:          set.Name,
@@ -123,12 +126,13 @@
 		Seeds:       n.set.Seeds,
 		Store:       n.store,
 		Heads:       n.keeper,
+		Calls:       n.router.Handle,
 		Log:         n.log.Named("peer"),
 	})
 	return errors.Trace(err)
 }
 
-// buildTargets makes the client, the engine and the monitor, which refer to
+// buildTargets makes the client, the router, the engine and the monitor, which refer to
 // each other: the engine calls through the client and is told by both.
 func (n *Node) buildTargets() {
 	relay := &sinkRelay{}
@@ -137,8 +141,18 @@
 		Sink:    relay,
 		Metrics: n.metrics,
 	})
+	n.router = route.New(route.Options{
+		Local: n.client,
+		Place: place.Options{
+			Store:       n.store,
+			Deployment:  n.set.Deployment,
+			VM:          n.set.Name,
+			Incarnation: n.incarnation,
+		},
+		Log: n.log.Named("route"),
+	})
 	n.engine = query.NewEngine(query.Options{
-		Leaves: n.client,
+		Leaves: n.router,
 		Zone:   n.set.Zone,
 		Seed:   uint64(n.started.UnixNano()),
 		Log:    n.log.Named("query"),
@@ -149,7 +163,7 @@
 	relay.engine = n.engine
 	n.monitor = target.NewMonitor(target.MonitorOptions{
 		Log:    n.log.Named("monitor"),
-		Reader: n.client,
+		Reader: n.router,
 		Sink:   n.engine,
 	})
 }
@@ -180,6 +194,7 @@
 	if err := n.peers.Start(); err != nil {
 		return errors.Trace(err)
 	}
+	n.router.Start(n.peers)
 	n.keeper.Start()
 	n.monitor.Start()
 	n.tomb.Go(n.follow)
@@ -218,15 +233,23 @@
 	}
 }
 
-// follow puts each revision that comes into force to work.
+// follow puts each revision that comes into force to work, and opens and closes
+// connections when this VM becomes an owner of targets or ceases to be one.
 func (n *Node) follow() error {
+	var applied *rollout.InForce
 	for {
 		changed := n.keeper.Changed()
-		if force := n.keeper.Current(); force != nil {
+		if force := n.keeper.Current(); force != applied {
 			n.apply(force)
+			applied = force
+		}
+		shares := n.router.Changed()
+		if applied != nil {
+			n.client.Apply(n.endpoints(applied.Bundle))
 		}
 		select {
 		case <-changed:
+		case <-shares:
 		case <-n.tomb.Dying():
 			return nil
 		}
@@ -234,7 +257,8 @@
 }
 
 func (n *Node) apply(force *rollout.InForce) {
-	endpoints := endpoints(force.Bundle)
+	n.router.Apply(force.Bundle)
+	endpoints := n.endpoints(force.Bundle)
 	n.engine.Apply(force.Bundle)
 	n.client.Apply(endpoints)
 	n.monitor.Apply(endpoints)
@@ -279,7 +303,7 @@
 }
 
 // endpoints gives this VM its share of each target's connections.
-func endpoints(b *bundle.Bundle) []target.Endpoint {
+func (n *Node) endpoints(b *bundle.Bundle) []target.Endpoint {
 	var list []target.Endpoint
 	for i := range b.Services {
 		svc := &b.Services[i]
@@ -289,7 +313,7 @@
 				Name:           t.Name,
 				Zone:           t.Zone,
 				Address:        t.Address,
-				Connections:    t.Connections / max(b.Fleet.MaxVMs, 1),
+				Connections:    n.router.Connections(t.Name),
 				ConnectCost:    time.Duration(t.ConnectCostMS * float64(time.Millisecond)),
 				HealthInterval: time.Duration(svc.Drain.HealthIntervalMS) * time.Millisecond,
 				HealthTimeout:  time.Duration(svc.Drain.HealthTimeoutMS) * time.Millisecond,
@@ -322,9 +346,11 @@
 	err = firstError(err, n.claims.Close(ctx))
 	err = firstError(err, n.monitor.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
+	err = firstError(err, n.router.Drain(ctx))
 	err = firstError(err, n.peers.Stop(ctx))
 	n.engine.Close()
 	n.client.Close()
+	err = firstError(err, n.router.Stop())
 	err = firstError(err, n.ops.server.Shutdown(ctx))
 	return firstError(err, n.tomb.Wait())
 }
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -50,8 +50,9 @@
 	wake   chan struct{}
 	cancel map[uint64]func() // of calls under way; guarded by Owner.mu
 
-	mu   sync.Mutex // guards done
-	done []Answer   // to be sent
+	mu      sync.Mutex // guards what follows
+	done    []Answer   // to be sent
+	telling int        // answers to be sent or being sent
 }
 
 // NewOwner returns an owner without any connection.
@@ -62,6 +63,36 @@
 	return &Owner{opts: o, queues: map[leafKey]*slotQueue{}, conns: map[*wire.Conn]*session{}}
 }
 
+// drainPause is the time between looks at whether calls are still under way.
+const drainPause = 5 * time.Millisecond
+
+// Drain waits until no call of another VM is under way and all answers have been
+// handed to their connections, or ctx ends.
+func (o *Owner) Drain(ctx context.Context) error {
+	for o.busy() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPause):
+		}
+	}
+	return nil
+}
+
+func (o *Owner) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls > 0 {
+		return true
+	}
+	for _, s := range o.conns {
+		if s.hasDone() {
+			return true
+		}
+	}
+	return false
+}
+
 // Handle serves the methods of this package; it is a wire.Handler.
 func (o *Owner) Handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
 	switch method {
@@ -176,10 +207,10 @@
 		} else {
 			answer.Status = &status
 		}
+		s.finish(answer)
 		o.mu.Lock()
 		o.calls--
 		o.mu.Unlock()
-		s.finish(answer)
 	}()
 	return nil
 }
@@ -196,6 +227,7 @@
 	begin := time.Now()
 	answer := o.ask(ctx, call)
 	now := time.Now()
+	s.finish(answer)
 	o.mu.Lock()
 	if stop := s.cancel[call.ID]; stop != nil {
 		stop() // frees the call's timer
@@ -209,7 +241,6 @@
 		next.run()
 	}
 	o.mu.Unlock()
-	s.finish(answer)
 }
 
 func (o *Owner) ask(ctx context.Context, call *Call) Answer {
@@ -250,6 +281,7 @@
 func (s *session) finish(a Answer) {
 	s.mu.Lock()
 	s.done = append(s.done, a)
+	s.telling++
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -275,9 +307,18 @@
 			s.conn.Close()
 			return
 		}
+		s.mu.Lock()
+		s.telling -= len(done)
+		s.mu.Unlock()
 	}
 }
 
+func (s *session) hasDone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.telling > 0
+}
+
 func (s *session) tell(done []Answer) error {
 	message, err := pack(Answers{Answers: done})
 	if err != nil {
--- a/peer/live.go
+++ b/peer/live.go
@@ -80,12 +80,13 @@
 	return xxhash.Sum64String("watch\x00" + name)
 }
 
-// placesOf returns the VMs that hold places. While a place changes hands two may
-// claim it; the one that started later has it.
+// placesOf returns the VMs that hold places and stay. While a place changes hands
+// two may claim it; the one that started later has it. A VM that is leaving still
+// serves what reaches it, but nothing new should.
 func placesOf(members []facts.Member) map[int]platform.VM {
 	holders := map[int]facts.Member{}
 	for _, m := range members {
-		if m.Place == 0 || m.State > facts.Suspect {
+		if m.Place == 0 || m.State == facts.Leaving || m.State == facts.Lost {
 			continue
 		}
 		if other, taken := holders[m.Place-1]; !taken || m.Started > other.Started {
--- /dev/null
+++ b/peer/route/route.go
@@ -0,0 +1,336 @@
+// Package route decides for each target whether this VM calls it over its own
+// connections or through a VM that owns some, and does so. Where the targets'
+// limits let every VM own connections, all calls go direct and the package costs
+// a look into a table.
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/peer/hop"
+	"github.com/bramleybarrow/bramleybarrow/peer/place"
+	"github.com/bramleybarrow/bramleybarrow/peer/share"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/target"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// Fleet is what the exchange tells of the other VMs. peer.Exchange implements it.
+type Fleet interface {
+	Places() map[int]platform.VM
+	SetPlace(place int)
+	Gone(vm, incarnation string) bool
+	WireOptions() wire.Options
+}
+
+// Options configure a Router. All but Log are required.
+type Options struct {
+	Local hop.Leaves    // over own connections
+	Place place.Options // Gone is taken from the fleet
+	Log   hclog.Logger
+}
+
+// Router reaches the leaves of targets. It is safe for concurrent use.
+type Router struct {
+	opts  Options
+	owner *hop.Owner
+	fleet Fleet
+	tomb  tomb.Tomb
+	wake  chan struct{} // the bundle changed
+
+	mu      sync.Mutex // guards what follows
+	targets map[string]*route
+	owners  map[ownersKey][]int // kept from bundle to bundle: hashing all places is slow
+	places  int                 // of the fleet, as the bundle has it
+	shared  bool                // some target has fewer owners than the fleet has places
+	own     int                 // own place; noPlace if none
+	changed chan struct{}
+	peers   map[string]*ownerConn
+}
+
+const noPlace = -1
+
+// route is how one target is reached.
+type route struct {
+	plan   share.Plan
+	slots  int
+	leaves int
+	owners []int // places; nil if direct
+	own    int   // connections of this VM's own
+}
+
+type ownersKey struct {
+	target         string
+	places, owners int
+}
+
+// New returns a router without a bundle.
+func New(o Options) *Router {
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	r := &Router{
+		opts:    o,
+		wake:    make(chan struct{}, 1),
+		targets: map[string]*route{},
+		owners:  map[ownersKey][]int{},
+		own:     noPlace,
+		changed: make(chan struct{}),
+		peers:   map[string]*ownerConn{},
+	}
+	r.owner = hop.NewOwner(hop.OwnerOptions{Leaves: o.Local, Slots: r.slots})
+	return r
+}
+
+// Handle serves the calls of other VMs; it is a wire.Handler.
+func (r *Router) Handle(ctx context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+	return r.owner.Handle(ctx, conn, method, params)
+}
+
+// Start begins to hold a place where one is needed.
+func (r *Router) Start(fleet Fleet) {
+	r.fleet = fleet
+	r.opts.Place.Gone = fleet.Gone
+	r.tomb.Go(r.holdPlace)
+}
+
+// Drain waits until no call of another VM is under way through this one, or ctx
+// ends.
+func (r *Router) Drain(ctx context.Context) error { return r.owner.Drain(ctx) }
+
+// Stop gives the place back and closes the connections to owners. The
+// connections to targets must be closed by then: another VM may take the place
+// at once.
+func (r *Router) Stop() error {
+	r.tomb.Kill(nil)
+	err := r.tomb.Wait()
+	r.mu.Lock()
+	peers := r.peers
+	r.peers = map[string]*ownerConn{}
+	r.mu.Unlock()
+	for _, p := range peers {
+		p.close()
+	}
+	return err
+}
+
+// Apply puts a bundle's targets in force.
+func (r *Router) Apply(b *bundle.Bundle) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.places = b.Fleet.MaxVMs
+	r.shared = false
+	r.targets = map[string]*route{}
+	kept := map[ownersKey][]int{}
+	for i := range b.Services {
+		for j := range b.Services[i].Targets {
+			t := &b.Services[i].Targets[j]
+			plan := share.Cut(t.Connections, r.places)
+			rt := &route{plan: plan, slots: t.Slots, leaves: t.Leaves}
+			if !plan.Direct() {
+				r.shared = true
+				key := ownersKey{t.Name, plan.Places, plan.Owners}
+				rt.owners = r.ownerPlaces(key, plan)
+				kept[key] = rt.owners
+			}
+			r.targets[t.Name] = rt
+		}
+	}
+	r.owners = kept
+	r.shareOut()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Router) ownerPlaces(key ownersKey, plan share.Plan) []int {
+	if places, known := r.owners[key]; known {
+		return places
+	}
+	return plan.OwnerPlaces(key.target)
+}
+
+// shareOut works out this VM's own connections. It must hold mu.
+func (r *Router) shareOut() {
+	for _, rt := range r.targets {
+		rt.own = 0
+		if rt.plan.Direct() {
+			rt.own = rt.plan.Each
+			continue
+		}
+		for _, owner := range rt.owners {
+			if owner == r.own {
+				rt.own = rt.plan.Each
+			}
+		}
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Connections returns how many connections to a target this VM may hold.
+func (r *Router) Connections(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rt := r.targets[name]; rt != nil {
+		return rt.own
+	}
+	return 0
+}
+
+// Changed returns a channel that is closed when Connections next changes.
+func (r *Router) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// slots is what this VM, as an owner, lets peers use of a leaf.
+func (r *Router) slots(name string, leaf int) (int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rt := r.targets[name]
+	if rt == nil || rt.own == 0 || leaf < 0 || leaf >= rt.leaves {
+		return 0, false
+	}
+	return rt.slots, true
+}
+
+// Search asks one leaf. The error is a *target.CallError.
+func (r *Router) Search(ctx context.Context, name string, leaf int, req target.LeafRequest) (a target.LeafAnswer, err error) {
+	err = r.through(ctx, name, func(l hop.Leaves) (err error) {
+		a, err = l.Search(ctx, name, leaf, req)
+		return err
+	})
+	return a, err
+}
+
+// Submit hands a non-idempotent request to one leaf, once. The error is a
+// *target.CallError; unless it says NotStarted, the request may have been run.
+func (r *Router) Submit(ctx context.Context, name string, leaf int, req target.SubmitRequest) (a target.SubmitAnswer, err error) {
+	err = r.through(ctx, name, func(l hop.Leaves) (err error) {
+		a, err = l.Submit(ctx, name, leaf, req)
+		return err
+	})
+	return a, err
+}
+
+// Status reads what a target says of itself. The error is a *target.CallError.
+func (r *Router) Status(ctx context.Context, name string) (s target.Status, err error) {
+	err = r.through(ctx, name, func(l hop.Leaves) (err error) {
+		s, err = l.Status(ctx, name)
+		return err
+	})
+	return s, err
+}
+
+// through makes a call over own connections or through the target's owners, one
+// after another. Another owner is tried only after a failure that is certain to
+// have started nothing and that speaks of the owner, not of the target: a call
+// that may have been started is not repeated here.
+func (r *Router) through(ctx context.Context, name string, call func(hop.Leaves) error) error {
+	owners, local := r.reach(name)
+	if local {
+		return call(r.opts.Local)
+	}
+	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
+	for _, vm := range owners {
+		caller, err := r.caller(ctx, vm)
+		if err != nil {
+			r.opts.Log.Debug("owner not reached", "vm", vm.Name, "target", name, "error", err)
+			continue
+		}
+		last = call(caller)
+		if !anotherOwner(last) {
+			return last
+		}
+	}
+	return last
+}
+
+func anotherOwner(err error) bool {
+	call, ok := err.(*target.CallError)
+	return ok && call.NotStarted &&
+		(call.Kind == target.ErrorUnreachable || call.Kind == target.ErrorUnknownTarget || call.Kind == target.ErrorBroken)
+}
+
+// reach returns the live owners of a target in the order in which this VM tries
+// them, or that the target is called over own connections. Each VM begins with
+// another owner, so that the owners share the calls.
+func (r *Router) reach(name string) (owners []platform.VM, local bool) {
+	r.mu.Lock()
+	rt := r.targets[name]
+	r.mu.Unlock()
+	if rt == nil || rt.plan.Direct() || r.Connections(name) > 0 {
+		return nil, true
+	}
+	holders := r.fleet.Places()
+	first := int(xxhash.Sum64String(r.opts.Place.VM+"\x00"+name) % uint64(max(len(rt.owners), 1)))
+	for i := range rt.owners {
+		if vm, live := holders[rt.owners[(first+i)%len(rt.owners)]]; live {
+			owners = append(owners, vm)
+		}
+	}
+	return owners, false
+}
+
+// ownerConn is the connection to one owner. Its mu is held while it is dialled,
+// so that calls to that owner wait for one dial.
+type ownerConn struct {
+	mu     sync.Mutex // guards the fields below; taken after no other
+	caller *hop.Caller
+	failed time.Time
+	err    error
+}
+
+const (
+	dialTimeout = time.Second
+	// dialPause is for how long an owner that couldn't be reached isn't dialled.
+	dialPause = 500 * time.Millisecond
+)
+
+func (r *Router) caller(ctx context.Context, vm platform.VM) (*hop.Caller, error) {
+	r.mu.Lock()
+	p := r.peers[vm.Address]
+	if p == nil {
+		p = &ownerConn{}
+		r.peers[vm.Address] = p
+	}
+	r.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.caller != nil {
+		select {
+		case <-p.caller.Done():
+		default:
+			return p.caller, nil
+		}
+	}
+	if time.Since(p.failed) < dialPause {
+		return nil, p.err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	p.caller, p.err = hop.Dial(ctx, vm.Address, r.fleet.WireOptions(), &wire.Counters{})
+	if p.err != nil {
+		p.caller, p.failed = nil, time.Now()
+	}
+	return p.caller, p.err
+}
+
+func (p *ownerConn) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.caller != nil {
+		p.caller.Close()
+	}
+}
--- /dev/null
+++ b/peer/route/route_test.go
@@ -0,0 +1,214 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/peer"
+	"github.com/bramleybarrow/bramleybarrow/peer/place"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+const testLimit = 20 * time.Second
+
+// noHeads takes no part in the exchange of heads.
+type noHeads struct{}
+
+func (noHeads) Revision() uint64                { return 0 }
+func (noHeads) Changed() <-chan struct{}        { return nil }
+func (noHeads) Head() []byte                    { return nil }
+func (noHeads) RawBundle(string) ([]byte, bool) { return nil, false }
+func (noHeads) OfferHead(context.Context, []byte, func(context.Context, string) ([]byte, error)) error {
+	return nil
+}
+
+// testVM is a VM without the part that plans queries.
+type testVM struct {
+	name   string
+	peers  *peer.Exchange
+	router *Router
+	client *target.Client
+	done   chan struct{}
+}
+
+type testFleet struct {
+	*WithT
+	t      *testing.T
+	store  *platformsim.Store
+	target *targetsim.Target
+	bundle *bundle.Bundle
+	vms    []*testVM
+}
+
+// newFleet starts some VMs, as many as there are places, and a target that takes
+// that many connections.
+func newFleet(t *testing.T, vms, connections int) *testFleet {
+	f := &testFleet{WithT: NewWithT(t), t: t, store: platformsim.NewStore()}
+	index := targetsim.Index{Service: "desk", Snapshot: "s1", Seq: 1, Shards: 2, Records: 10}
+	var err error
+	f.target, err = targetsim.Start(targetsim.Options{
+		Name: "target-0", Service: "desk", Leaves: 2, Slots: 2, Connections: connections,
+		Timing: targetsim.Timing{BaseMS: 1}, Snapshots: targetsim.Place(index, 1, 2, 1),
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { f.target.Close() })
+	f.bundle = &bundle.Bundle{
+		Fleet: bundle.Fleet{MaxVMs: vms},
+		Services: []bundle.Service{{Name: "desk", Shards: 2, Targets: []bundle.Target{{
+			Name: "target-0", Address: f.target.Address(), Leaves: 2, Slots: 2, Connections: connections,
+		}}}},
+	}
+	for i := range vms {
+		f.start(fmt.Sprint("vm-", i))
+	}
+	return f
+}
+
+func (f *testFleet) start(name string) *testVM {
+	vm := &testVM{name: name, client: target.NewClient(target.Options{}), done: make(chan struct{})}
+	vm.router = New(Options{
+		Local: vm.client,
+		Place: place.Options{Store: f.store, Deployment: "d", VM: name, Incarnation: name + "-1"},
+	})
+	var err error
+	vm.peers, err = peer.New(peer.Options{
+		VM: platform.VM{Name: name, Zone: "z"}, Incarnation: name + "-1", Deployment: "d",
+		FleetKeys: [][]byte{bytes.Repeat([]byte("k"), 32)}, Listen: "127.0.0.1:0",
+		Store: f.store, Heads: noHeads{}, Calls: vm.router.Handle,
+		Interval: 50 * time.Millisecond, ListInterval: 50 * time.Millisecond,
+		SuspectAfter: 300 * time.Millisecond, PingInterval: 100 * time.Millisecond,
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(vm.peers.Start()).To(Succeed())
+	f.vms = append(f.vms, vm)
+	var list []platform.VM
+	for _, vm := range f.vms {
+		list = append(list, platform.VM{Name: vm.name, Zone: "z", Address: vm.peers.Address()})
+	}
+	f.store.SetVMs(list, 0)
+	vm.router.Apply(f.bundle)
+	vm.router.Start(vm.peers)
+	go vm.follow(f.target.Address())
+	f.t.Cleanup(vm.stop)
+	return vm
+}
+
+// follow opens as many connections as the router allows.
+func (vm *testVM) follow(address string) {
+	for {
+		changed := vm.router.Changed()
+		vm.client.Apply([]target.Endpoint{{Name: "target-0", Address: address, Connections: vm.router.Connections("target-0")}})
+		select {
+		case <-changed:
+		case <-vm.done:
+			return
+		}
+	}
+}
+
+func (vm *testVM) stop() {
+	select {
+	case <-vm.done:
+		return
+	default:
+		close(vm.done)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	vm.client.Close()
+	_ = vm.router.Stop()
+	_ = vm.peers.Stop(ctx)
+}
+
+func (vm *testVM) search(f *testFleet) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	holding := f.target.Status().Leaves[1].Holdings[0]
+	echo := target.Echo{Request: "r", Attempt: 1, Shard: holding.Shard, Snapshot: holding.Snapshot}
+	answer, err := vm.router.Search(ctx, "target-0", 1, target.LeafRequest{Echo: echo, Kind: target.KindSearch, Query: "q", Limit: 5})
+	if err == nil && (answer.Echo != echo || !answer.Complete) {
+		err = fmt.Errorf("answer %+v", answer)
+	}
+	return err
+}
+
+// reached waits until all VMs reach the target.
+func (f *testFleet) reached(vms ...*testVM) {
+	f.t.Helper()
+	for _, vm := range vms {
+		f.Eventually(func() error { return vm.search(f) }).WithTimeout(testLimit).Should(Succeed(), vm.name)
+	}
+}
+
+func (f *testFleet) owners() (list []*testVM) {
+	for _, vm := range f.vms {
+		if vm.router.Connections("target-0") > 0 {
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
+func TestAllGoDirectWhereTheLimitAllows(t *testing.T) {
+	f := newFleet(t, 3, 7)
+	f.reached(f.vms...)
+	f.Expect(f.owners()).To(HaveLen(3))
+	page, err := f.store.List(context.Background(), place.Kind, "", 10)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(page.Objects).To(BeEmpty(), "a place was claimed that nobody needs")
+}
+
+// TestMoreVMsThanConnections: the fleet has grown past what a target accepts.
+// Users of VMs without a connection would get nothing from it. They reach it
+// through its owners, and the target never sees more connections than it takes.
+func TestMoreVMsThanConnections(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	for _, vm := range f.vms {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		status, err := vm.router.Status(ctx, "target-0")
+		cancel()
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(status.Incarnation).To(Equal(f.target.Incarnation()))
+	}
+	connections := f.target.Counters().Connections
+	f.Expect(connections.Peak).To(BeNumerically("<=", 3))
+	f.Expect(connections.Refused).To(BeZero())
+}
+
+// TestOwnersAreReplaced: one owner after another is replaced by a new VM. The
+// others must reach the target through those that are left and then through the
+// new one, which gets the place that was given back; the limit holds all along.
+func TestOwnersAreReplaced(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	for i := range 3 {
+		owner := f.owners()[0]
+		owner.stop()
+		var rest []*testVM
+		for _, vm := range f.vms {
+			if vm != owner {
+				rest = append(rest, vm)
+			}
+		}
+		f.vms = rest
+		f.reached(rest...)
+		f.start(fmt.Sprint("new-", i))
+		f.reached(f.vms...)
+		f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	}
+	connections := f.target.Counters().Connections
+	f.Expect(connections.Peak).To(BeNumerically("<=", 3))
+	f.Expect(connections.Refused).To(BeZero())
+}
--- a/peer/share/share.go
+++ b/peer/share/share.go
@@ -44,7 +44,7 @@
 	connections = max(connections, 0)
 	owners := places
 	if connections < places {
-		owners = min(wantedOwners, connections)
+		owners = min(wantedOwners, max(connections-frozenOwners, 1), connections)
 	}
 	switch {
 	case owners == 0:
--- a/peer/share/share_test.go
+++ b/peer/share/share_test.go
@@ -24,7 +24,7 @@
 		if sum > limit {
 			t.Fatalf("%d connections of %d", sum, limit)
 		}
-		if !plan.Direct() && limit > plan.Owners && sum+plan.Each > limit {
+		if !plan.Direct() && limit > 1 && sum+plan.Each > limit {
 			t.Fatalf("%d connections of %d leave no share for a frozen owner", sum, limit)
 		}
 		if limit > 0 && sum == 0 {
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -177,13 +177,16 @@
 	}
 	go func() {
 		defer c.served.Done()
-		defer func() { <-c.calls }()
 		select {
 		case <-c.serving:
 		case <-c.Done():
+			<-c.calls
 			return
 		}
 		c.reply(ctx, req, func(params json.RawMessage) (any, error) {
+			// Room is made before the answer goes out: a peer that makes one
+			// call after another is never told that its last one still runs.
+			defer func() { <-c.calls }()
 			if c.opts.Handler == nil {
 				return nil, result.Errorf(result.UnknownMethod, "%q", req.Method)
 			}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -217,8 +217,15 @@
 // their code, and the connection goes on.
 func TestBoundsOfCalls(t *testing.T) {
 	g := NewWithT(t)
+	running := make(chan struct{})
 	o := options("a", oldKey)
 	o.MaxCalls = 1
+	o.Handler = func(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error) {
+		if method == "block" {
+			close(running)
+		}
+		return echo(ctx, c, method, params)
+	}
 	s := serve(t, o)
 	c, err := dial(s, options("b", oldKey))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -229,16 +236,9 @@
 	g.Expect(err).To(HaveField("RetryAfter", time.Second))
 	ctx, cancel := context.WithCancel(context.Background())
 	blocked := make(chan error, 1)
-	go func() {
-		// The handler before may still be counted in while its answer is read.
-		err := c.Call(ctx, "block", nil, nil)
-		for result.Of(err) == result.PeerBusy {
-			err = c.Call(ctx, "block", nil, nil)
-		}
-		blocked <- err
-	}()
-	g.Eventually(func() result.Code { return result.Of(call(c, "echo", 1)) }).
-		WithTimeout(testLimit).Should(Equal(result.PeerBusy))
+	go func() { blocked <- c.Call(ctx, "block", nil, nil) }()
+	g.Eventually(running).WithTimeout(testLimit).Should(BeClosed())
+	g.Expect(result.Of(call(c, "echo", 1))).To(Equal(result.PeerBusy))
 	g.Expect(call(c, MethodPing, nil)).To(Succeed())
 	cancel()
 	g.Expect(result.Of(<-blocked)).To(Equal(result.PeerSilent))
