Exchange: the live list is worked out when something changed, not each tick

Each tick merged and sorted the list of all VMs and looked through all members for lost ones.

Not yet measured after the change. go test -race ./peer/... passes.

--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -48,7 +48,7 @@
 func TestVMsWithoutConnectionsReachTargetsThroughOwners(t *testing.T) {
 	const daemons, connections = 5, 3
 	c := start(t, fewConnections(daemons, daemons+1, connections))
-	balancer := &balancer{}
+	balancer := &laggingList{}
 	balancer.list(c.Daemons...)
 	stop := c.drive(balancer)
 	for i := range daemons {
@@ -75,7 +75,7 @@
 func TestOwnersKilledInMidQuery(t *testing.T) {
 	const daemons, connections = 5, 3
 	c := start(t, fewConnections(daemons, daemons, connections))
-	balancer := &balancer{}
+	balancer := &laggingList{}
 	for i := range 3 {
 		victim := c.Daemons[0]
 		c.Daemons = c.Daemons[1:]
@@ -99,7 +99,7 @@
 	c.expectWithinLimit(connections)
 }
 
-func (b *balancer) answered() int {
+func (b *laggingList) answered() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.good
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,6 +127,7 @@
 	self          facts.Member
 	replaced      bool // a newer process carries this VM's name
 	listed        []platform.VM
+	live          []platform.VM // nil if it has to be worked out anew
 	links         map[*link]struct{}
 	dialing       map[string]bool      // addresses
 	suspects      map[string]time.Time // VM to when this VM heard of the suspicion
@@ -306,11 +308,15 @@
 func (x *Exchange) Live() []platform.VM {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.liveLocked()
+	return slices.Clone(x.liveLocked())
 }
 
+// liveLocked must hold mu. Its result must not be changed.
 func (x *Exchange) liveLocked() []platform.VM {
-	return liveVMs(x.listed, x.table.Members())
+	if x.live == nil {
+		x.live = liveVMs(x.listed, x.table.Members())
+	}
+	return x.live
 }
 
 // Watching tells whether this VM is one of those that watch the platform and
@@ -337,7 +343,7 @@
 		cancel()
 		if err == nil {
 			x.mu.Lock()
-			x.listed = vms
+			x.listed, x.live = vms, nil
 			x.mu.Unlock()
 		} else {
 			x.opts.Log.Debug("list of VMs not read", "error", err)
--- a/peer/facts/table.go
+++ b/peer/facts/table.go
@@ -22,6 +22,7 @@
 type Table struct {
 	drains  map[string][]Drain // by target, the newest first
 	members map[string]Member
+	lost    int             // members that are lost
 	digest  [Buckets]uint64 // XOR of the hashes of the facts in each bucket
 }
 
@@ -58,10 +59,13 @@
 		return false
 	}
 	if known {
-		t.toggle(Fact{Member: &old})
+		t.removeMember(old)
 	}
 	t.members[m.Name] = m
 	t.toggle(Fact{Member: &m})
+	if m.State == Lost {
+		t.lost++
+	}
 	return true
 }
 
@@ -110,14 +114,29 @@
 	return f, t.Merge(f, now)
 }
 
-// Expire forgets VMs that were lost long ago.
-func (t *Table) Expire(now int64) {
-	for name, m := range t.members {
+func (t *Table) removeMember(m Member) {
+	t.toggle(Fact{Member: &m})
+	delete(t.members, m.Name)
+	if m.State == Lost {
+		t.lost--
+	}
+}
+
+// Lost returns the number of VMs that are lost and not yet forgotten.
+func (t *Table) Lost() int { return t.lost }
+
+// Expire forgets VMs that were lost long ago, and tells whether there were any.
+func (t *Table) Expire(now int64) bool {
+	if t.lost == 0 {
+		return false
+	}
+	before := t.lost
+	for _, m := range t.members {
 		if forgotten(m, now) {
-			t.toggle(Fact{Member: &m})
-			delete(t.members, name)
+			t.removeMember(m)
 		}
 	}
+	return t.lost != before
 }
 
 func forgotten(m Member, now int64) bool {
--- a/peer/facts/table_test.go
+++ b/peer/facts/table_test.go
@@ -98,6 +98,9 @@
 		for _, d := range table.Drains() {
 			fresh.Merge(Fact{Drain: &d}, now)
 		}
+		if fresh.Lost() != table.Lost() {
+			t.Fatalf("%d lost counted, %d found", table.Lost(), fresh.Lost())
+		}
 		if fresh.Root() != table.Root() {
 			t.Fatal("digest doesn't follow the content")
 		}
--- a/peer/tick.go
+++ b/peer/tick.go
@@ -20,7 +20,9 @@
 		x.resume()
 	}
 	x.lastTick = now
-	x.table.Expire(now.Unix())
+	if x.table.Expire(now.Unix()) {
+		x.live = nil
+	}
 	x.judgeSuspects(now)
 	x.keepLinks(now)
 	l := x.randomLink()
@@ -42,18 +44,19 @@
 // keepLinks opens connections up to the fanout, replaces one now and then so
 // that the VMs mix, and looks for VMs that were lost. It must hold mu.
 func (x *Exchange) keepLinks(now time.Time) {
-	live := x.liveLocked()
-	candidates := x.unlinked(live)
-	missing := x.opts.Fanout - x.outbound() - len(x.dialing)
-	for _, vm := range pick(candidates, missing) {
-		x.dial(vm.Name, vm.Address)
+	if missing := x.opts.Fanout - x.outbound() - len(x.dialing); missing > 0 {
+		for _, vm := range pick(x.unlinked(x.liveLocked()), missing) {
+			x.dial(vm.Name, vm.Address)
+		}
 	}
 	if now.Sub(x.rotated) > x.opts.Rotate {
 		x.rotated = now
-		x.rotate(candidates)
+		x.rotate(x.unlinked(x.liveLocked()))
 	}
-	if vm, ok := lookForLost(x.listed, x.table.Members(), rand.Float64()); ok {
-		x.dial(vm.Name, vm.Address)
+	if x.table.Lost() > 0 {
+		if vm, ok := lookForLost(x.listed, x.table.Members(), rand.Float64()); ok {
+			x.dial(vm.Name, vm.Address)
+		}
 	}
 	if len(x.links) == 0 && len(x.opts.Seeds) > 0 {
 		x.dial("", x.opts.Seeds[rand.N(len(x.opts.Seeds))])
