--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -111,6 +111,7 @@
 // any more, and the target must never see more connections than it accepts.
 func TestFrozenOwnerComesBack(t *testing.T) {
 	const daemons, places, connections = 3, 4, 3
+	const owned = 2 // one connection's share is left free for a frozen owner
 	c := start(t, fewConnections(daemons, places, connections))
 	frozen, rest := c.Daemons[0], c.Daemons[1:]
 	c.Eventually(c.places, limit, "100ms").Should(gomega.HaveLen(daemons))
@@ -129,6 +130,12 @@
 		c.waitWhole(d)
 	}
 	c.Expect(c.places()).NotTo(gomega.ContainElement(frozen.Name))
+	for _, target := range c.Targets {
+		c.Eventually(func() (int, error) {
+			counters, err := target.Counters()
+			return counters.Connections.Current, err
+		}, limit, "100ms").Should(gomega.BeNumerically("<=", owned), target.Name)
+	}
 	c.expectWithinLimit(connections)
 }
 
