Inner protocol: messages that can't be read or sent get their code

An oversized or unreadable message closed the connection without a word. Its sender now hears 'refused' with the code before the end; what this end would send too large fails at once with MessageTooBig and the connection goes on. NotOwner is pruned from the result codes: an owner answers with the target client's own kind of error. go test -race -count=2 ./wire ./result passes.

--- a/result/table.go
+++ b/result/table.go
@@ -53,7 +53,6 @@
 	WrongKey       Code = 704
 	PeerBusy       Code = 705
 	BadMessage     Code = 706
-	NotOwner       Code = 707
 	StaleExchange  Code = 708
 	PeerSilent     Code = 709
 	WrongFleet     Code = 710
@@ -114,7 +113,6 @@
 	{WrongKey, "WrongKey", 403, RanNo, RetryNo, "The other end does not hold a key of this fleet."},
 	{PeerBusy, "PeerBusy", 503, RanNo, RetryLater, "The bound on work taken from peers is reached; nothing was started."},
 	{BadMessage, "BadMessage", 400, RanNo, RetryNo, "An inner message failed its checks."},
-	{NotOwner, "NotOwner", 409, RanNo, RetryLater, "This VM does not own connections to that target; nothing was started."},
 	{StaleExchange, "StaleExchange", 409, RanNo, RetryNo, "What the peer offered is older than what is known."},
 	{PeerSilent, "PeerSilent", 504, RanUnknown, RetryLater, "The peer did not answer in time."},
 	{WrongFleet, "WrongFleet", 403, RanNo, RetryNo, "The other end belongs to another deployment."},
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -11,17 +11,32 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
-// boundedCodec is jsonrpc2.VarintObjectCodec with a bound on the size of what
-// is read. The library's codec believes the length that the other end states:
-// one connection could make this VM read without end.
+// boundedCodec is jsonrpc2.VarintObjectCodec with bounds on the size of messages.
+// The library's codec believes the length that the other end states: one
+// connection could make this VM read without end.
 type boundedCodec struct {
-	jsonrpc2.VarintObjectCodec
-	limit *atomic.Int64
+	limit   *atomic.Int64 // of what is read
+	maxSend int
+}
+
+// WriteObject implements jsonrpc2.ObjectCodec. What the other end would not read
+// fails here, with its code, and the connection goes on.
+func (c boundedCodec) WriteObject(stream io.Writer, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(data) > c.maxSend {
+		return result.Errorf(result.MessageTooBig, "%d bytes, at most %d", len(data), c.maxSend)
+	}
+	if _, err := stream.Write(binary.AppendUvarint(nil, uint64(len(data)))); err != nil {
+		return err
+	}
+	_, err = stream.Write(data)
+	return err
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
@@ -37,7 +52,10 @@
 	if _, err := io.ReadFull(stream, buf); err != nil {
 		return err
 	}
-	return json.Unmarshal(buf, v)
+	if err := json.Unmarshal(buf, v); err != nil {
+		return result.Wrap(result.BadMessage, err, "")
+	}
+	return nil
 }
 
 // timedConn bounds each read by the time without a byte from the peer and each
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -55,8 +55,8 @@
 	}
 	c.limit.Store(maxHelloMessage)
 	timed := &timedConn{Conn: raw, silent: o.SilentAfter, count: count}
-	stream := jsonrpc2.NewBufferedStream(timed, boundedCodec{limit: &c.limit})
-	gate := gatedStream{stream, make(chan struct{})}
+	stream := jsonrpc2.NewBufferedStream(timed, boundedCodec{limit: &c.limit, maxSend: o.MaxMessage})
+	gate := gatedStream{ObjectStream: stream, open: make(chan struct{}), refuse: c.refuseMessage}
 	logger := jsonrpc2.SetLogger(rpcLogger{o.Log})
 	c.rpc = jsonrpc2.NewConn(context.Background(), gate, c, logger)
 	close(gate.open)
@@ -67,13 +67,25 @@
 // read, and thereby to call Handle, before it has returned the connection.
 type gatedStream struct {
 	jsonrpc2.ObjectStream
-	open chan struct{}
+	open   chan struct{}
+	refuse func(error)
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s gatedStream) ReadObject(v any) error {
 	<-s.open
-	return s.ObjectStream.ReadObject(v)
+	err := s.ObjectStream.ReadObject(v)
+	if code := result.Of(err); code == result.MessageTooBig || code == result.BadMessage {
+		s.refuse(err)
+	}
+	return err
+}
+
+// refuseMessage tells the other end why the connection is about to be closed: a
+// message that can't be read has no id to answer to.
+func (c *Conn) refuseMessage(err error) {
+	c.opts.Log.Warn("message refused", "peer", c.remote, "error", err)
+	_ = c.rpc.Notify(context.Background(), methodRefused, Refused{Code: result.Of(err)})
 }
 
 // Peer returns who is at the other end.
@@ -151,6 +163,8 @@
 	case !c.dialed && !c.isProven():
 		c.refuse(ctx, req, result.Errorf(result.BadHello, "method %q before the hello", req.Method))
 		c.rpc.Close()
+	case req.Method == methodRefused:
+		c.opts.Log.Warn("a peer refused a message", "peer", c.remote, "refused", req.Params)
 	case req.Method == MethodPing:
 		c.reply(ctx, req, func(json.RawMessage) (any, error) { return struct{}{}, nil }, false)
 	default:
@@ -240,9 +254,12 @@
 		return false
 	}
 	if !req.Notif {
-		_ = c.rpc.Reply(ctx, req.ID, answer) // a broken connection shows at its reader
+		err = c.rpc.Reply(ctx, req.ID, answer)
+	}
+	if result.Of(err) == result.MessageTooBig {
+		c.refuse(ctx, req, err)
 	}
-	return true
+	return true // a broken connection shows at its reader
 }
 
 func (c *Conn) refuse(ctx context.Context, req *jsonrpc2.Request, err error) {
@@ -269,6 +286,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case result.Of(err) == result.MessageTooBig:
+		return err
 	case errors.As(err, &rpcErr):
 		var data errorData
 		if rpcErr.Data != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
 // Version is the newest version of the protocol that this code speaks.
@@ -26,8 +28,16 @@
 	MethodHello = "hello"
 	MethodProve = "prove"
 	MethodPing  = "ping"
+
+	methodRefused = "refused" // Refused; the connection is closed next
 )
 
+// Refused is the last message on a connection that carried one that could not be
+// read.
+type Refused struct {
+	Code result.Code `json:"code"`
+}
+
 // Identity names one life of one VM.
 type Identity struct {
 	Deployment  string `json:"deployment"`
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -33,6 +34,8 @@
 	case "block":
 		<-ctx.Done()
 		return nil, nil
+	case "large":
+		return make([]byte, defaultMaxMessage), nil
 	case "fail":
 		return nil, result.Errorf(result.PeerBusy, "why").After(time.Second)
 	default:
@@ -130,15 +133,18 @@
 // TestForeignBytes: something that doesn't speak the protocol, or lies about
 // sizes, connects. It is cut off, and VMs still get in and are served.
 func TestForeignBytes(t *testing.T) {
-	for name, sent := range map[string][]byte{
-		"http":           []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-		"huge length":    binary.AppendUvarint(nil, 1<<40),
-		"over the bound": message(string(bytes.Repeat([]byte(" "), maxHelloMessage+1))),
-		"not JSON":       message("{{{{"),
-		"no hello":       message(`{"jsonrpc":"2.0","id":1,"method":"echo"}`),
-		"ping":           message(`{"jsonrpc":"2.0","id":1,"method":"ping"}`),
-		"null hello":     message(`{"jsonrpc":"2.0","id":1,"method":"hello","params":null}`),
-		"proof first":    message(`{"jsonrpc":"2.0","id":1,"method":"prove","params":{"proof":""}}`),
+	for name, tc := range map[string]struct {
+		sent []byte
+		code result.Code // that is told before the end; 0 for none
+	}{
+		"http":           {[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), 0},
+		"huge length":    {binary.AppendUvarint(nil, 1<<40), result.MessageTooBig},
+		"over the bound": {message(string(bytes.Repeat([]byte(" "), maxHelloMessage+1))), result.MessageTooBig},
+		"not JSON":       {message("{{{{"), result.BadMessage},
+		"no hello":       {message(`{"jsonrpc":"2.0","id":1,"method":"echo"}`), result.BadHello},
+		"ping":           {message(`{"jsonrpc":"2.0","id":1,"method":"ping"}`), result.BadHello},
+		"null hello":     {message(`{"jsonrpc":"2.0","id":1,"method":"hello","params":null}`), result.BadHello},
+		"proof first":    {message(`{"jsonrpc":"2.0","id":1,"method":"prove","params":{"proof":""}}`), result.BadHello},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -146,11 +152,14 @@
 			raw, err := net.Dial("tcp", s.Addr().String())
 			g.Expect(err).NotTo(HaveOccurred())
 			defer raw.Close()
-			_, err = raw.Write(sent)
+			_, err = raw.Write(tc.sent)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(raw.SetReadDeadline(time.Now().Add(testLimit))).To(Succeed())
-			_, err = io.Copy(io.Discard, bufio.NewReader(raw))
+			told, err := io.ReadAll(bufio.NewReader(raw))
 			g.Expect(isTimeout(err)).To(BeFalse(), "the connection was not cut off")
+			if tc.code != 0 {
+				g.Expect(string(told)).To(ContainSubstring(fmt.Sprintf(`"code":%d`, tc.code)))
+			}
 			c, err := dial(s, options("b", oldKey))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(call(c, "echo", 1)).To(Succeed())
@@ -232,6 +241,8 @@
 	defer c.Wait()
 	defer c.Close()
 	g.Expect(result.Of(call(c, "nonsense", nil))).To(Equal(result.UnknownMethod))
+	g.Expect(result.Of(call(c, "echo", make([]byte, defaultMaxMessage)))).To(Equal(result.MessageTooBig))
+	g.Expect(result.Of(call(c, "large", nil))).To(Equal(result.MessageTooBig))
 	err = call(c, "fail", nil)
 	g.Expect(err).To(HaveField("RetryAfter", time.Second))
 	ctx, cancel := context.WithCancel(context.Background())
