--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -227,3 +227,23 @@
 	_, ok := lookForLost(listed, members, 0.99)
 	g.Expect(ok).To(BeTrue())
 }
+
+// TestPlacesOfVMsThatStay: a call through a VM that is leaving or lost would fail
+// or come late. Only VMs that stay count as holders of places, and of two that
+// claim one place the later.
+func TestPlacesOfVMsThatStay(t *testing.T) {
+	g := NewWithT(t)
+	places := placesOf([]facts.Member{
+		{Name: "stays", Place: 1},
+		{Name: "suspected", Place: 2, State: facts.Suspect},
+		{Name: "leaves", Place: 3, State: facts.Leaving},
+		{Name: "lost", Place: 4, State: facts.Lost},
+		{Name: "none"},
+		{Name: "later", Place: 6, Started: 2},
+		{Name: "earlier", Place: 6, Started: 1},
+	})
+	g.Expect(places).To(HaveLen(3))
+	g.Expect(places[0].Name).To(Equal("stays"))
+	g.Expect(places[1].Name).To(Equal("suspected"))
+	g.Expect(places[5].Name).To(Equal("later"))
+}
