--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -96,7 +96,7 @@
 
 type testFleet struct {
 	g    *WithT
-	t    *testing.T
+	t    testing.TB
 	list *fakeList
 	net  *network
 	vms  []*testVM
@@ -149,7 +149,7 @@
 }
 
 // reservePort returns an address of this host that was free a moment ago.
-func reservePort(t *testing.T) string {
+func reservePort(t testing.TB) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer ln.Close()
