--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 bench: build
 	$(BIN)/bramley-lab bench $(BENCH)
 
+bench-fleet: build
+	$(BIN)/bramley-lab fleet-bench --daemon $(BIN)/bramleyd
+
 bench-rollout: build
 	$(BIN)/bramley-lab bench-rollout --daemon $(BIN)/bramleyd
 
