Status warns of a retired sign-off and of VMs past the head

Cause: both look healthy until a VM is replaced and never gets ready, or a rollout is accepted and never arrives. Change: warnings in status; VMs are read before the head, so that a rollout in between does not look like a store that was set back. Checked: go test -race ./operator.

--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -143,6 +143,24 @@
 	Head      *rollout.Entry `json:"head"` // nil: nothing rolled out, or HeadError
 	HeadError string         `json:"head_error,omitempty"`
 	VMs       []VMRow        `json:"vms"`
+	Warnings  []string       `json:"warnings"`
+}
+
+// warnings tells of states that look healthy and end badly.
+func (s *session) warnings(answer StatusAnswer) []string {
+	list := []string{}
+	if answer.Head == nil {
+		return list
+	}
+	if _, err := s.keys.OpenSignOff(answer.Head.SignOff); err != nil {
+		list = append(list, "VMs that start now will not take the bundle in force; sign it again and roll it out: "+err.Error())
+	}
+	for _, row := range answer.VMs {
+		if row.Status != nil && row.Status.Revision > answer.Head.Revision {
+			list = append(list, fmt.Sprintf("%s is at revision %d, past the head: the store was set back, see \"A broken chain\" in docs/OPERATIONS.md", row.VM, row.Status.Revision))
+		}
+	}
+	return list
 }
 
 func (a *app) statusCommand() *cli.Command {
@@ -155,13 +173,14 @@
 				return err
 			}
 			var answer StatusAnswer
-			answer.Head, err = s.client.Head(ctx)
-			if err != nil {
-				answer.HeadError = err.Error()
-			}
+			// VMs first: a rollout in between must not make them look past the head.
 			if answer.VMs, err = s.readFleet(ctx); err != nil {
 				return result.Wrap(result.PlatformDown, err, "the list of VMs can't be read; name VMs with --vm")
 			}
+			if answer.Head, err = s.client.Head(ctx); err != nil {
+				answer.HeadError = err.Error()
+			}
+			answer.Warnings = s.warnings(answer)
 			return a.print(answer, statusTable(answer))
 		},
 	}
@@ -190,5 +209,8 @@
 		t.add(row.VM, strconv.FormatUint(st.Revision, 10), shortDigest(st.Digest), clock(st.Since),
 			strconv.FormatBool(st.Ready), strconv.FormatBool(st.Leaving || row.ListedLeaving), contact, strconv.Itoa(st.Peers))
 	}
+	for _, w := range answer.Warnings {
+		t.add("warning: " + w)
+	}
 	return t
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -192,6 +192,29 @@
 	g.Expect(answer.VMs[0].Status.Revision).To(Equal(uint64(4)), "also while the platform is down")
 }
 
+// A key is retired before its sign-off was replaced, and a VM is past the head.
+// Both look healthy until a VM is replaced or a rollout never arrives.
+func TestStatusWarnsOfWhatLooksHealthy(t *testing.T) {
+	g := NewWithT(t)
+	d := newDesk(t)
+	digest := d.pushed()
+	d.must(&struct{}{}, "sign", digest, "--reason", "checked", "--key", d.path("jon.json"))
+	d.must(&ChangeAnswer{}, "rollout", digest, "--reason", "first")
+	page := httptest.NewServer(ops.Server(ops.Options{Status: func() ops.Status { return ops.Status{Revision: 4} }}).Handler)
+	t.Cleanup(page.Close)
+	var answer StatusAnswer
+	d.must(&answer, "status")
+	g.Expect(answer.Warnings).To(BeEmpty())
+
+	d.store.SetVMs([]platform.VM{{Name: "vm-1", Ops: strings.TrimPrefix(page.URL, "http://")}}, 0)
+	data, err := os.ReadFile(d.config)
+	g.Expect(err).NotTo(HaveOccurred())
+	retired := strings.Replace(string(data), `"person":"jon"`, `"retired":true,"person":"jon"`, 1)
+	g.Expect(os.WriteFile(d.config, []byte(retired), 0o600)).To(Succeed())
+	d.must(&answer, "status")
+	g.Expect(answer.Warnings).To(ConsistOf(ContainSubstring("jon-1"), ContainSubstring("past the head")))
+}
+
 func TestSettingsInTheUsualOrder(t *testing.T) {
 	d := newDesk(t)
 	d.pushed()
