Target client: replacements beside ending connections, bounded waits proved

Cause: places of connections that end in good order (GOAWAY, distrust) or are full were not replaced before they were gone, though the share had room. A trial guard that closed idle connections after a GOAWAY was taken out again: net/http does that itself. Change: the keeper counts connections that take calls against MaxOpen and all of them against the share; a call that queues wakes the keeper; the look for suspects no longer ticks each millisecond under a slow HTTP/1.1 call.

--- a/target/failure_test.go
+++ b/target/failure_test.go
@@ -34,6 +34,21 @@
 	return c.Search(ctx, "a", 0, request(n))
 }
 
+// holdOne sends a search that the target runs until finish is closed.
+func (s *standIn) holdOne(g *WithT, c *Client) (done chan error, finish chan struct{}) {
+	began := make(chan struct{}, 1)
+	done, finish = make(chan error, 1), make(chan struct{})
+	s.onSearch(func(w http.ResponseWriter, r *http.Request, req LeafRequest) {
+		began <- struct{}{}
+		<-finish
+		answerSearch(w, r, req)
+	})
+	go func() { _, err := within(patience, c, 1); done <- err }()
+	g.Eventually(began, patience).Should(Receive())
+	s.onSearch(answerSearch)
+	return done, finish
+}
+
 func counter(c *Client, name string) func() uint64 {
 	return c.opts.Metrics.GetOrCreateCounter("bramley_target_" + name).Get
 }
@@ -312,15 +327,7 @@
 // and the call on one of them is answered.
 func TestRemovedEndpointFinishesItsCalls(t *testing.T) {
 	forProtocols(t, 2, Options{}, func(g *WithT, s *standIn, c *Client) {
-		began, finish := make(chan struct{}), make(chan struct{})
-		s.onSearch(func(w http.ResponseWriter, r *http.Request, req LeafRequest) {
-			close(began)
-			<-finish
-			answerSearch(w, r, req)
-		})
-		done := make(chan error, 1)
-		go func() { _, err := c.Search(soon(t), "a", 0, request(1)); done <- err }()
-		<-began
+		done, finish := s.holdOne(g, c)
 		c.Apply(nil)
 		open := func() int { _, open, _, _ := s.counts(); return open }
 		g.Eventually(open, patience).Should(Equal(1))
@@ -330,6 +337,50 @@
 	})
 }
 
+// A rolling restart of targets cuts searches off. A target that stops in good
+// order asks its clients to use no connection for new calls; what runs on them
+// must be left to end.
+func TestTargetsOrderlyStopFinishesCalls(t *testing.T) {
+	forProtocols(t, 1, Options{}, func(g *WithT, s *standIn, c *Client) {
+		done, finish := s.holdOne(g, c)
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.server.Shutdown(soon(t)) }()
+		if c.opts.Protocol == HTTP2 {
+			g.Eventually(c.pool("a").conns[0].http.Available, patience).Should(BeZero())
+		}
+		c.pool("a").sweep()
+		close(finish)
+		g.Expect(<-done).NotTo(HaveOccurred())
+		g.Expect(<-stopped).NotTo(HaveOccurred())
+	})
+}
+
+// Calls pile up behind a slow target until the VM runs out of memory. Only so
+// many wait for a connection, and only for so long; none of them was started.
+func TestWaitForAConnectionIsBounded(t *testing.T) {
+	busy := And(HaveField("Kind", ErrorBusy), HaveField("NotStarted", true))
+	for name, o := range map[string]Options{
+		"time":   {Protocol: HTTP1, MaxWait: time.Millisecond},
+		"number": {Protocol: HTTP1, MaxWait: patience, MaxWaiting: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newStandIn(t, "a", 0)
+			c := newTestClient(t, o, s.endpoint(1))
+			waitOpen(c, 1)
+			done, finish := s.holdOne(g, c)
+			if o.MaxWaiting > 0 {
+				go func() { _, _ = within(patience, c, 2) }()
+				g.Eventually(c.pool("a").waiting.Load, patience).Should(BeEquivalentTo(1))
+			}
+			_, err := c.Search(soon(t), "a", 0, request(3))
+			g.Expect(err).To(busy)
+			close(finish)
+			g.Expect(<-done).NotTo(HaveOccurred())
+		})
+	}
+}
+
 // After a restart of a target every VM wants its connections back at once, and
 // the target spends all its time on them. Whatever happens, two connections to
 // one target are at least half a pause apart, and failures only lengthen it.
--- a/target/keeper.go
+++ b/target/keeper.go
@@ -51,7 +51,7 @@
 	if p.retired {
 		return due, len(p.conns) == 0
 	}
-	if len(p.conns) < p.wanted(now) {
+	if p.wantsMore(now) {
 		due = min(due, p.pace.next.Sub(now))
 	}
 	return due, false
@@ -66,30 +66,41 @@
 	after := p.client.opts.SuspectAfter
 	due := after
 	for _, cn := range p.conns {
-		if cn.awaitsByte() && !cn.probing {
-			due = min(due, cn.unanswered.Add(after).Sub(now))
+		if wait := cn.unanswered.Add(after).Sub(now); wait > 0 && cn.awaitsByte() {
+			due = min(due, wait)
 		}
 	}
 	return max(due, time.Millisecond)
 }
 
-// wanted returns how many connections are to be open. Those that went silent
+// wantsMore reports whether a connection is to be opened. Those that went silent
 // keep their places in the share for a while, but never the last one: a target
 // that has forgotten them, as most soon do, must not go without calls. p.mu
 // must be held.
-func (p *pool) wanted(now time.Time) int {
-	share := p.endpoint.Connections
-	if share <= 0 {
-		return 0
+func (p *pool) wantsMore(now time.Time) bool {
+	if p.endpoint.Connections <= 0 {
+		return false
 	}
 	for len(p.lost) > 0 && now.Sub(p.lost[0]) > p.client.opts.SilentHold {
 		p.lost = p.lost[1:]
 	}
-	free := max(share-len(p.lost), 1)
-	if p.client.opts.Protocol == HTTP1 {
-		return free
+	if len(p.conns) >= max(p.endpoint.Connections-len(p.lost), 1) {
+		return false
+	}
+	return p.client.opts.Protocol == HTTP1 || p.usable() < p.client.opts.MaxOpen
+}
+
+// usable counts the connections that take calls. Those on which the last calls
+// end, or that are full, are not among them and need a replacement. p.mu must
+// be held.
+func (p *pool) usable() int {
+	count := 0
+	for _, cn := range p.conns {
+		if p.hasRoom(cn) {
+			count++
+		}
 	}
-	return min(free, p.client.opts.MaxOpen)
+	return count
 }
 
 // sweep begins to close what must be closed and hands free connections to
@@ -100,7 +111,8 @@
 	p.retireSurplus()
 	for _, cn := range p.conns {
 		lost := cn.silent || cn.http.Err() != nil
-		if cn.closing || !(lost || (cn.retiring && cn.calls == 0)) {
+		done := cn.calls == 0 && cn.retiring
+		if cn.closing || !(lost || done) {
 			continue
 		}
 		cn.closing = true
--- a/target/pool.go
+++ b/target/pool.go
@@ -86,6 +86,7 @@
 	turn := make(chan *conn, 1)
 	p.setWaiters(append(p.waiters, turn))
 	p.mu.Unlock()
+	p.wake()
 	return p.await(ctx, turn)
 }
 
--- a/target/standin_test.go
+++ b/target/standin_test.go
@@ -69,6 +69,9 @@
 		l.owner.open--
 		l.owner.mu.Unlock()
 	})
+	if l.silent.Load() {
+		return nil // the stand-in's cleanup closes it
+	}
 	return l.Conn.Close()
 }
 
@@ -124,7 +127,7 @@
 	s.address = listener.Addr().String()
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.server.Serve(&costlyListener{listener, connectCost, s}) }()
-	t.Cleanup(func() { s.server.Close(); <-done })
+	t.Cleanup(func() { s.server.Close(); <-done; s.forLegs(cut) })
 	return s
 }
 
