--- a/operator/settings.go
+++ b/operator/settings.go
@@ -21,6 +21,9 @@
 	Deployment   string        `json:"deployment,omitempty"`
 	Key          string        `json:"key,omitempty"` // file, relative to the settings file
 	OperatorKeys []OperatorKey `json:"operator_keys,omitempty"`
+	// VMs are the addresses of operators' pages that are read when the platform
+	// cannot list its VMs.
+	VMs []string `json:"vms,omitempty"`
 }
 
 // OperatorKey is a public key as in the daemons' settings.
@@ -49,6 +52,9 @@
 	override(&s.Platform, c.String(flagPlatform))
 	override(&s.Deployment, c.String(flagDeployment))
 	override(&s.Key, c.String(flagKey))
+	if vms := c.StringSlice(flagVM); len(vms) > 0 {
+		s.VMs = vms
+	}
 	return s, nil
 }
 
@@ -109,7 +115,9 @@
 			return nil, err
 		}
 	}
-	store := platform.NewClient(s.Platform, platform.ClientOptions{})
+	// The rollout client bounds its calls by itself, and more generously than
+	// daemons do: a fresh process has no connection that went silent.
+	store := platform.NewClient(s.Platform, platform.ClientOptions{CallTimeout: rollout.DefaultCallTimeout})
 	client := rollout.NewClient(rollout.ClientOptions{
 		Deployment: s.Deployment, Keys: keys, Store: store, Key: private,
 		Patience: c.Duration(flagPatience),
