Claims: a record of what was cleared, and shares of the write rate

A VM with a clock slow by more than the margin took a cleared key for young, won a claim in a new segment and ran it again (TestVMWithASlowClock..., red without the check; also red with the record not written). The cleaner now raises a record before it removes; a claim of a key older than half of Keep reads it before the hand-over. The second check of the age by the clock is gone: with the record it guarded nothing more (trial without it: green).

--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -31,7 +31,8 @@
 	set := metrics.NewSet()
 	runners := make([]*Runner, vms)
 	for i := range runners {
-		runners[i] = NewRunner(Options{Store: store, VM: fmt.Sprint("vm", i), Incarnation: "1", Writes: 280 / float64(vms), Metrics: set})
+		runners[i] = NewRunner(Options{Store: store, VM: fmt.Sprint("vm", i), Incarnation: "1", Metrics: set})
+		runners[i].SetFleet(vms)
 	}
 	var left, done atomic.Int64
 	left.Store(int64(b.N))
@@ -62,6 +63,7 @@
 	b.ReportMetric(float64(calls.Get)/n, "reads/request")
 	b.ReportMetric(float64(count.conflicts.Get())/float64(calls.Put), "conflicts/write")
 	b.ReportMetric(float64(calls.Refused)/float64(calls.Put), "refused/call")
+	b.ReportMetric(float64(count.bytes.Get())/float64(calls.Put), "B/write")
 	b.ReportMetric(n/took.Seconds(), "requests/s")
 	b.ReportMetric(float64(took.Milliseconds())*float64(callers)/float64(b.N), "ms/request")
 	b.ReportMetric(float64(int64(b.N)-done.Load()), "not_accepted")
--- a/once/cleaner.go
+++ b/once/cleaner.go
@@ -33,7 +33,7 @@
 
 func startCleaner(opts Options) *cleaner {
 	t, life := tomb.WithContext(context.Background())
-	c := &cleaner{tomb: t, life: life, opts: opts, log: opts.Log.Named("once"), count: newCounters(opts.Metrics)}
+	c := &cleaner{tomb: t, life: life, opts: opts, log: opts.Log, count: newCounters(opts.Metrics)}
 	c.tomb.Go(c.loop)
 	return c
 }
@@ -76,8 +76,12 @@
 	if !chosen(vms, c.opts.VM, c.opts.Clock().Truncate(cleanerChanges)) {
 		return nil
 	}
+	before, err := c.raise(c.life)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	for removed := 0; removed < cleanPerRound; {
-		n, more, err := c.step(c.life)
+		n, more, err := c.step(c.life, before)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -96,9 +100,19 @@
 	return vms, errors.Trace(err)
 }
 
-// step removes the old segments of one page, from the oldest on. Names sort by
-// time, so the first young one ends the round.
-func (c *cleaner) step(ctx context.Context) (removed int, more bool, err error) {
+// raise records that keys older than Keep + Margin are being cleared, and
+// returns the time recorded.
+func (c *cleaner) raise(ctx context.Context) (time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	before := c.opts.Clock().Add(-c.opts.Keep - c.opts.Margin)
+	return raiseCleared(ctx, c.opts.Store, c.opts.Deployment, before)
+}
+
+// step removes the segments of one page whose keys were all made before the
+// time, from the oldest on. Names sort by time, so the first young one ends the
+// round.
+func (c *cleaner) step(ctx context.Context, before time.Time) (removed int, more bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
 	defer cancel()
 	page, err := c.opts.Store.List(ctx, Kind, prefix(c.opts.Deployment), cleanPage)
@@ -107,7 +121,7 @@
 	}
 	for _, object := range page.Objects {
 		end, ok := windowEnd(c.opts.Deployment, object.Name)
-		if !ok || !c.old(end) {
+		if !ok || end.After(before) {
 			return removed, false, nil
 		}
 		err := c.opts.Store.Delete(ctx, Kind, object.Name, object.Version)
@@ -120,10 +134,6 @@
 	return removed, page.More, nil
 }
 
-func (c *cleaner) old(end time.Time) bool {
-	return c.opts.Clock().Sub(end) > c.opts.Keep+c.opts.Margin
-}
-
 // chosen tells whether the VM is among the few that clear in the hour: the
 // first by rendezvous hashing over the platform's list. The list lags, so that
 // more or fewer may be at it; removal is conditional and does no harm twice.
--- /dev/null
+++ b/once/cleared.go
@@ -0,0 +1,80 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// ClearedKind is the platform's kind of the one object per deployment that
+// says up to which time claims have been cleared.
+const ClearedKind = "claims-cleared"
+
+// cleared is the value of that object. Keys made before the time may have been
+// claimed and cleared. It only rises.
+type cleared struct {
+	Before int64 `json:"before"` // Unix seconds
+}
+
+func readCleared(ctx context.Context, store platform.Store, deployment string) (cleared, uint64, error) {
+	object, err := store.Get(ctx, ClearedKind, deployment)
+	if errors.Is(err, platform.ErrNotFound) {
+		return cleared{}, 0, nil
+	}
+	if err != nil {
+		return cleared{}, 0, errors.Trace(err)
+	}
+	var c cleared
+	if err := json.Unmarshal(object.Value, &c); err != nil {
+		return cleared{}, 0, errors.Annotate(err, "the record of cleared claims is not readable")
+	}
+	return c, object.Version, nil
+}
+
+// raiseCleared makes the record say at least before and returns what it says.
+// It must have succeeded before a claim older than that is removed.
+func raiseCleared(ctx context.Context, store platform.Store, deployment string, before time.Time) (time.Time, error) {
+	have, version, err := readCleared(ctx, store, deployment)
+	if err != nil {
+		return time.Time{}, errors.Trace(err)
+	}
+	if have.Before >= before.Unix() {
+		return time.Unix(have.Before, 0), nil
+	}
+	value, err := json.Marshal(cleared{Before: before.Unix()})
+	if err != nil {
+		return time.Time{}, errors.Trace(err)
+	}
+	_, err = store.Put(ctx, ClearedKind, deployment, version, value)
+	return before.Truncate(time.Second), errors.Trace(err)
+}
+
+// checkCleared refuses a key whose claim may have been cleared before it was
+// claimed again. The failure is a second run of a key that is long done. It
+// takes a VM that was paused between its check of the key's age and its claim,
+// or whose clock is slow or Keep longer. The cleaner writes its record before it
+// removes, and this read follows the claim: a claim made after the removal finds
+// the record. One made before it was the only one, however late it is used.
+//
+// Keys younger than half of Keep are not looked up, which keeps the read off
+// the usual path. So clocks may be wrong by as much as half of Keep.
+func (r *Runner) checkCleared(ctx context.Context, req Request) (Outcome, bool) {
+	if r.opts.Clock().Sub(req.Key.Made()) < r.opts.Keep/2 {
+		return Outcome{}, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
+	defer cancel()
+	have, _, err := readCleared(ctx, r.opts.Store, req.Deployment)
+	if err != nil {
+		return claimFailed(err), false
+	}
+	if req.Key.Made().Unix() < have.Before {
+		return Outcome{Code: result.KeyExpired, Detail: "claims of that time have been cleared"}, false
+	}
+	return Outcome{}, true
+}
--- a/once/committer.go
+++ b/once/committer.go
@@ -78,12 +78,13 @@
 		tomb:  t,
 		life:  life,
 		opts:  opts,
-		log:   opts.Log.Named("once"),
-		pace:  rate.NewLimiter(rate.Limit(opts.Writes), max(1, int(opts.Writes))),
+		log:   opts.Log,
+		pace:  rate.NewLimiter(0, 1),
 		count: newCounters(opts.Metrics),
 		lanes: make(map[string]*lane),
 		idle:  make(chan struct{}),
 	}
+	c.setShare(opts.FleetWrites / defaultFleet)
 	// Keeps the tomb alive between lanes.
 	c.tomb.Go(func() error {
 		<-c.tomb.Dying()
@@ -92,6 +93,13 @@
 	return c
 }
 
+// setShare sets the writes per second of this VM. It may save up those of one
+// second.
+func (c *committer) setShare(writes float64) {
+	c.pace.SetLimit(rate.Limit(writes))
+	c.pace.SetBurst(max(1, int(writes)))
+}
+
 // do carries out a claim and waits for the reply. After an error the claim is
 // abandoned: the caller must not hand anything over, and the committer removes
 // the claim if it landed.
--- a/once/counters.go
+++ b/once/counters.go
@@ -7,6 +7,7 @@
 	reads     *metrics.Counter
 	writes    *metrics.Counter // conditional updates sent
 	written   *metrics.Counter // claims, outcomes and releases in them
+	bytes     *metrics.Counter // of the values in them
 	conflicts *metrics.Counter
 	failures  *metrics.Counter // store calls without an answer
 	abandoned *metrics.Counter // claims given up that may have landed
@@ -18,6 +19,7 @@
 		reads:     set.GetOrCreateCounter("bramley_once_reads_total"),
 		writes:    set.GetOrCreateCounter("bramley_once_writes_total"),
 		written:   set.GetOrCreateCounter("bramley_once_operations_total"),
+		bytes:     set.GetOrCreateCounter("bramley_once_written_bytes_total"),
 		conflicts: set.GetOrCreateCounter("bramley_once_conflicts_total"),
 		failures:  set.GetOrCreateCounter("bramley_once_failures_total"),
 		abandoned: set.GetOrCreateCounter("bramley_once_abandoned_total"),
--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -28,8 +28,8 @@
 
 // A farm's withdrawal report is filed twice. A VM checks the key's age and is
 // paused; another VM runs the request; a day later its claim is cleared; the
-// first VM goes on, finds no claim and wins one. Only the check of the age
-// after the claim knows that this is too late.
+// first VM goes on, finds no claim and wins one. Only a check after the claim
+// knows that this is too late.
 func TestVMPausedOverClearingDoesNotRun(t *testing.T) {
 	g := NewWithT(t)
 	var c clock
@@ -43,9 +43,8 @@
 		}
 		g.Expect(b.Run(t.Context(), req, w.run).Code).To(Equal(result.Accepted))
 		c.advance(b.opts.Keep + b.opts.Margin + 2*window)
-		removed, _, err := startedCleaner(b).step(t.Context())
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(removed).To(Equal(1))
+		g.Expect(startedCleaner(b).round()).To(Succeed())
+		g.Expect(store.names("vatnsleit.")).To(BeEmpty())
 		return nil
 	}
 	g.Expect(a.Run(t.Context(), req, w.run).Code).To(Equal(result.KeyExpired))
@@ -59,6 +58,27 @@
 	return &c
 }
 
+// A renewal that ran yesterday runs again: its claim was cleared, and a VM whose
+// clock is an hour slow takes its key for young enough. The record of what was
+// cleared knows better. While it can't be read, nothing is run.
+func TestVMWithASlowClockDoesNotRunClearedKeys(t *testing.T) {
+	g := NewWithT(t)
+	var right, slow clock
+	store := newFaultStore(1)
+	a, b := vm(t, store, "a", right.set), vm(t, store, "b", slow.set)
+	req, w := request("d"), accepted()
+	g.Expect(a.Run(t.Context(), req, w.run).Code).To(Equal(result.Accepted))
+	day := a.opts.Keep + a.opts.Margin + 2*window
+	right.advance(day)
+	slow.advance(day - time.Hour)
+	g.Expect(startedCleaner(a).round()).To(Succeed())
+	g.Expect(store.names("vatnsleit.")).To(BeEmpty())
+	g.Expect(b.Run(t.Context(), req, w.run).Code).To(Equal(result.KeyExpired))
+	store.cutCleared.Store(true)
+	g.Expect(b.Run(t.Context(), req, w.run).Code).To(Equal(result.ClaimsDown))
+	g.Expect(w.ran.Load()).To(BeEquivalentTo(1))
+}
+
 // An inspector's request is told "in progress" for ever although it was never
 // run. The platform takes the claim but its answer is lost, and it stays down
 // until the VM has given up and said "not run". The claim must be removed when
--- a/once/lane.go
+++ b/once/lane.go
@@ -171,6 +171,7 @@
 	defer cancel()
 	c.count.writes.Inc()
 	c.count.written.Add(len(batch))
+	c.count.bytes.Add(len(value))
 	version, err := c.opts.Store.Put(ctx, Kind, l.name, l.version, value)
 	c.noteCall(err)
 	if err == nil {
--- a/once/options.go
+++ b/once/options.go
@@ -18,7 +18,8 @@
 	defaultOutcomeWait = 500 * time.Millisecond
 	defaultCallTimeout = time.Second
 	defaultRunLimit    = 30 * time.Second
-	defaultWrites      = 40
+	defaultFleetWrites = 280
+	defaultFleet       = 7
 	defaultMaxPending  = 10000
 	defaultMaxResult   = 16 << 10
 	defaultCleanEvery  = time.Minute
@@ -45,9 +46,11 @@
 	CallTimeout time.Duration // of one store call
 	RunLimit    time.Duration // of a request whose context has no deadline
 
-	Writes     float64 // conditional updates per second that this VM may send
-	MaxPending int     // operations waiting for a write; above it requests are refused
-	MaxResult  int     // bytes of a result that is kept
+	// FleetWrites is how many conditional updates per second all VMs together
+	// may send; SetFleet cuts it into shares.
+	FleetWrites float64
+	MaxPending  int // operations waiting for a write; above it requests are refused
+	MaxResult   int // bytes of a result that is kept
 
 	// Deployment, if set, is the one whose old claims this VM helps to clear
 	// every CleanEvery.
@@ -71,7 +74,7 @@
 	setDefault(&o.OutcomeWait, defaultOutcomeWait)
 	setDefault(&o.CallTimeout, defaultCallTimeout)
 	setDefault(&o.RunLimit, defaultRunLimit)
-	setDefault(&o.Writes, defaultWrites)
+	setDefault(&o.FleetWrites, defaultFleetWrites)
 	setDefault(&o.MaxPending, defaultMaxPending)
 	setDefault(&o.MaxResult, defaultMaxResult)
 	setDefault(&o.CleanEvery, defaultCleanEvery)
--- a/once/runner.go
+++ b/once/runner.go
@@ -40,6 +40,11 @@
 	return r
 }
 
+// SetFleet tells how many VMs share the platform's writes, this one included.
+func (r *Runner) SetFleet(vms int) {
+	r.commit.setShare(r.opts.FleetWrites / float64(max(vms, 1)))
+}
+
 // Close waits until the outcomes of all requests are kept or ctx ends, and
 // stops the background work. Call it after the last Run has returned. It
 // returns an error if outcomes could not be kept; their requests will be told
@@ -69,14 +74,8 @@
 	case verdictFull:
 		return Outcome{Code: result.Overloaded, Detail: "no more keys of that second can be claimed; make a new key", RetryAfter: window}
 	}
-	// The process may have been paused between the check above and the claim,
-	// for longer than Keep + Margin: the first claim of this key, its run and
-	// the clearing may all lie in between, and the claim just won would be a
-	// second one. It shows as a run of a key that is long done. Clearing begins
-	// only after the key's age is Keep + Margin, so a claim won after it finds
-	// the key too old here. A pause after this check is harmless: this claim
-	// came before the clearing and is then the only one.
-	if out, ok := r.checkAge(req.Key); !ok {
+	if out, ok := r.checkCleared(ctx, req); !ok {
+		r.finish(name, claim, opRelease, nil)
 		return out
 	}
 	if ctx.Err() != nil {
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -27,6 +27,7 @@
 	loseWrite  float64                            // share of writes that fail and do not land
 	late       float64                            // share of writes that fail and land later
 	cut        atomic.Bool                        // every call fails, nothing lands
+	cutCleared atomic.Bool                        // the record of cleared claims cannot be read
 	healed     atomic.Bool                        // for the hooks
 	cutPuts    atomic.Bool                        // writes fail and do not land
 	latency    time.Duration                      // of each call
@@ -57,6 +58,9 @@
 	if err := s.wait(ctx); err != nil {
 		return platform.Object{}, err
 	}
+	if s.cutCleared.Load() && kind == ClearedKind {
+		return platform.Object{}, errLost
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gets++
