Decisions: silent replicas and unreachable targets rest; overload is read from medians and refusals

Hedges answered in place of silent replicas, whose attempts were cancelled and so never counted as failed; they kept their share and emptied the hedge budget. While the target counted the silent connections, new ones were refused, and each try spent a retry. The slow queries then cut the admission limit, which refused others. Ruled out: the size of the hedge budget alone (a rested replica needs none). Change: a cancelled attempt slower than the 99th percentile counts as failed; failures count for the whole target too, since its leaves share connections; a target without a connection rests longer each time; overload is read from refusals and the median attempt, not from a slow query; the ceiling of the limit is at least 8 queries. TestStalledReplicaRests was red before.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -168,7 +168,7 @@
 }
 
 func (t *Table) accepts(r *replica, now time.Time, idle bool) bool {
-	if !r.target.usable() || now.Before(r.backoff) {
+	if !r.target.usable() || r.resting(now) {
 		return false
 	}
 	limit := r.slots * queuePerSlot
@@ -230,7 +230,7 @@
 		if !r.target.usable() {
 			continue
 		}
-		at := later(r.backoff, now.Add(pendingPause))
+		at := later(later(r.rest.until, r.target.rest.until), now.Add(pendingPause))
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
--- a/policy/query.go
+++ b/policy/query.go
@@ -276,15 +276,21 @@
 
 // Failure is why an attempt gave no answer.
 type Failure struct {
-	Reason     Reason
-	Refused    bool          // the target did not start it
-	RetryAfter time.Duration // stated with a refusal
+	Reason       Reason
+	Refused      bool          // the target did not start it
+	NoConnection bool          // this VM had none to the target
+	RetryAfter   time.Duration // stated with a refusal
 }
 
 // Failed takes that an attempt ended without an answer.
 func (q *Query) Failed(now time.Time, id AttemptID, f Failure) []Action {
 	gone := f.Reason == ReasonSnapshotGone
-	a := q.end(now, id, AttemptEnd{Refused: f.Refused, Gone: gone, RetryAfter: f.RetryAfter})
+	a := q.end(now, id, AttemptEnd{
+		Refused:      f.Refused,
+		Gone:         gone,
+		NoConnection: f.NoConnection,
+		RetryAfter:   f.RetryAfter,
+	})
 	if a == nil || q.done {
 		return nil
 	}
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -344,3 +344,23 @@
 	g.Expect(hedges).To(BeNumerically(">", 0))
 	g.Expect(hedges).To(BeNumerically("<=", 0.05*float64(first)+budgetBurst))
 }
+
+// Searches are late again and again while connections to one target are
+// silent: a hedge answers in its place and the first attempt is cancelled, so
+// nothing fails, the target keeps its share and the budget of hedges runs out.
+func TestStalledReplicaRests(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 1, 1)
+	for range 100 {
+		f.table.Latency.Add(at(0), 5*time.Millisecond)
+	}
+	id := ReplicaID{Target: targetName(0, 0)}
+	for range failuresToRest {
+		f.table.Begin(id)
+		f.table.End(id, AttemptEnd{Cancelled: true, Took: 30 * time.Millisecond}, at(100))
+	}
+	_, ok := f.table.Pick(at(101), "v1", 0, nil, false)
+	g.Expect(ok).To(BeFalse())
+	_, ok = f.table.Pick(at(100+2000), "v1", 0, nil, false)
+	g.Expect(ok).To(BeTrue(), "it is tried again")
+}
--- a/policy/table.go
+++ b/policy/table.go
@@ -24,8 +24,7 @@
 
 	outstanding int           // this VM's calls in flight
 	latency     time.Duration // smoothed, of this VM's own calls; 0 before the first
-	failures    int           // in a row, of this VM's own calls
-	backoff     time.Time     // takes no attempt before
+	rest        rest          // of this leaf
 
 	reported   float64 // load at the last status
 	reportedAt time.Time
@@ -49,6 +48,7 @@
 	failedReads int
 	drained     string // incarnation that is known to be leaving
 	servingFrom time.Time
+	rest        rest // of all leaves: they share the target's connections
 	replicas    []*replica
 }
 
@@ -182,9 +182,9 @@
 // begin forgets what was known of an earlier incarnation.
 func (ts *targetState) begin(incarnation string) {
 	ts.incarnation = incarnation
+	ts.rest = rest{}
 	for _, r := range ts.replicas {
-		r.failures = 0
-		r.backoff = time.Time{}
+		r.rest = rest{}
 		r.latency = 0
 	}
 }
@@ -308,13 +308,8 @@
 	}
 }
 
-// Limits of the reaction to failures of a replica.
-const (
-	latencyWeight  = 0.2 // of a new sample in a replica's smoothed latency
-	baseBackoff    = 50 * time.Millisecond
-	maxBackoff     = 2 * time.Second
-	failuresToRest = 2 // failures in a row before a replica rests
-)
+// latencyWeight is the weight of a new sample in a replica's smoothed latency.
+const latencyWeight = 0.2
 
 // End counts the end of an attempt on a replica.
 func (t *Table) End(id ReplicaID, end AttemptEnd, now time.Time) {
@@ -328,20 +323,40 @@
 	r.outstanding = max(r.outstanding-1, 0)
 	switch {
 	case end.Answered:
-		r.failures = 0
+		r.answered()
 		r.smooth(end.Took)
 	case end.Cancelled:
 		// A loser of a hedge was at least this slow.
 		r.smooth(max(end.Took, r.latency))
+		if t.stalled(end.Took, now) {
+			r.fail(now)
+		}
 	case end.Gone:
-		r.failures = 0
+		r.answered()
+	case end.NoConnection:
+		r.target.rest.refused(now, end.RetryAfter)
+		r.target.rest.fail(now)
 	case end.Refused:
-		r.backoff = later(r.backoff, now.Add(max(end.RetryAfter, baseBackoff)))
+		r.rest.refused(now, end.RetryAfter)
 	default:
 		r.fail(now)
 	}
 }
 
+// stallQuantile is the quantile of latencies beyond which an attempt that a hedge
+// overtook counts as failed.
+const stallQuantile = 0.99
+
+// stalled reports whether an attempt without an answer took so long that its
+// replica may not answer at all. Behind a connection that went silent every
+// attempt ends like that: a hedge answers, the first attempt is cancelled, and
+// nothing ever says that it failed. Unless these cancellations count, the replica
+// goes on getting its share of attempts and uses up the budget of hedges.
+func (t *Table) stalled(took time.Duration, now time.Time) bool {
+	slow, ok := t.Latency.Quantile(now, stallQuantile)
+	return ok && took >= slow
+}
+
 func (r *replica) smooth(d time.Duration) {
 	if r.latency == 0 {
 		r.latency = d
@@ -350,14 +365,20 @@
 	r.latency += time.Duration(latencyWeight * float64(d-r.latency))
 }
 
-// fail makes a replica rest after failures in a row, longer each time.
+// fail counts a failure of a leaf and of its target.
 func (r *replica) fail(now time.Time) {
-	r.failures++
-	if r.failures < failuresToRest {
-		return
-	}
-	rest := baseBackoff << min(r.failures-failuresToRest, 6)
-	r.backoff = later(r.backoff, now.Add(min(rest, maxBackoff)))
+	r.rest.fail(now)
+	r.target.rest.fail(now)
+}
+
+// answered takes that a leaf, and so its target, is alive.
+func (r *replica) answered() {
+	r.rest.answered()
+	r.target.rest.answered()
+}
+
+func (r *replica) resting(now time.Time) bool {
+	return r.rest.resting(now) || r.target.rest.resting(now)
 }
 
 func (t *Table) replica(id ReplicaID) *replica {
@@ -370,12 +391,16 @@
 
 // AttemptEnd is how an attempt ended. With none of the flags set, it failed.
 type AttemptEnd struct {
-	Answered   bool
-	Cancelled  bool          // by this VM, while still running
-	Refused    bool          // by the target, which did not start it
-	Gone       bool          // refused only because the leaf lacks the snapshot
-	RetryAfter time.Duration // stated with a refusal
-	Took       time.Duration
+	Answered  bool
+	Cancelled bool // by this VM, while still running
+	Refused   bool // by the target, which did not start it
+	Gone      bool // refused only because the leaf lacks the snapshot
+	// NoConnection: this VM had none to the target. The target rests longer each
+	// time, since its other leaves cannot be reached either and each try spends
+	// the budget of retries.
+	NoConnection bool
+	RetryAfter   time.Duration // stated with a refusal
+	Took         time.Duration
 }
 
 func later(a, b time.Time) time.Time {
--- a/query/admit.go
+++ b/query/admit.go
@@ -60,41 +60,21 @@
 	if req.plain() {
 		return
 	}
-	took := e.now().Sub(began)
-	e.releaseSlot(svc, policy.QueryEnd{Took: took, Overloaded: overloaded(req, out, took)})
-}
-
-func (e *Engine) releaseSlot(svc *service, end policy.QueryEnd) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	for _, v := range svc.admit.Done(e.now(), end) {
-		if decided := svc.waiting[v.Ticket]; decided != nil {
-			decided <- v
-			delete(svc.waiting, v.Ticket)
-		}
-	}
+	now := e.now()
+	svc.done(now, policy.QueryEnd{
+		Took:       now.Sub(began),
+		Overloaded: svc.table.Overloaded(out, req.Limit, now),
+	})
 }
 
-// A query that was served counts as a sign of overload if it took more than
-// nearLimit of its time limit, or if more than refusedShare of its attempts were
-// refused. A single refusal is none: of hundreds of attempts, one nearly always
-// meets a leaf whose queue is full for a moment.
-const (
-	nearLimit    = 0.8
-	refusedShare = 0.1
-)
-
-func overloaded(req *Request, out *policy.Outcome, took time.Duration) bool {
-	if took.Seconds() > nearLimit*req.Limit.Seconds() {
-		return true
-	}
-	if float64(out.Refused) > refusedShare*float64(out.Sent) {
-		return true
-	}
-	for _, gap := range out.Coverage.Gaps {
-		if gap.Reason == policy.ReasonBusy || gap.Reason == policy.ReasonShed {
-			return true
+// done passes on the verdicts that the end of a query brings. It must hold mu.
+func (s *service) done(now time.Time, end policy.QueryEnd) {
+	for _, v := range s.admit.Done(now, end) {
+		if decided := s.waiting[v.Ticket]; decided != nil {
+			decided <- v
+			delete(s.waiting, v.Ticket)
 		}
 	}
-	return false
 }
--- a/query/engine.go
+++ b/query/engine.go
@@ -114,7 +114,7 @@
 
 // Bounds of the admission limit, in queries, beside what the slots allow.
 const (
-	minCeiling     = 4.0
+	minCeiling     = 8.0
 	ceilingPerSlot = 4.0 // queries above what the slots run at once wait in targets' queues
 )
 
--- a/query/run.go
+++ b/query/run.go
@@ -209,8 +209,9 @@
 		return policy.Failure{Reason: policy.ReasonBroken}
 	}
 	return policy.Failure{
-		Reason:     reasonOf(call),
-		Refused:    call.NotStarted,
-		RetryAfter: call.RetryAfter,
+		Reason:       reasonOf(call),
+		Refused:      call.NotStarted,
+		NoConnection: call.Kind == target.ErrorUnreachable || call.Kind == target.ErrorBusy,
+		RetryAfter:   call.RetryAfter,
 	}
 }
--- a/query/submit.go
+++ b/query/submit.go
@@ -44,7 +44,10 @@
 	}
 	began := e.now()
 	return func() {
-		e.releaseSlot(svc, policy.QueryEnd{Took: e.now().Sub(began)})
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		now := e.now()
+		svc.done(now, policy.QueryEnd{Took: now.Sub(began)})
 	}, nil
 }
 
