Keeper: holds the bundle before, so that a recall needs no fetch

Cause: a recall is the urgent change and mostly falls back to the bundle before, which VMs had dropped; with bundles out of reach the faulty one stayed in force. Change: each keeper holds the packaged bundle that was replaced last, for itself and for peers. Costs one more bundle in memory, 1 MiB at most. Seen red: TestARecallNeedsNoBundleFromThePlatform before the change.

--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -76,6 +76,7 @@
 	tomb    tomb.Tomb
 
 	current  atomic.Pointer[InForce]
+	before   atomic.Pointer[InForce] // what current replaced, which a recall mostly falls back to
 	contact  atomic.Int64 // unix nanoseconds of the last read that the platform answered
 	watching atomic.Bool
 	mode     chan struct{} // wakes the loops when watching changes
@@ -165,14 +166,15 @@
 	return nil
 }
 
-// RawBundle returns the packaged bundle of that digest if it is in force here.
-// Its receiver verifies it by itself.
+// RawBundle returns the packaged bundle of that digest if it is in force here
+// or was just before. Its receiver verifies it by itself.
 func (k *Keeper) RawBundle(digest string) ([]byte, bool) {
-	cur := k.Current()
-	if cur == nil || cur.Digest != digest {
-		return nil, false
+	for _, held := range []*InForce{k.current.Load(), k.before.Load()} {
+		if held != nil && held.Digest == digest {
+			return held.raw, true
+		}
 	}
-	return cur.raw, true
+	return nil, false
 }
 
 // Refusal returns why the last head that was offered is not in force, or nil.
@@ -282,9 +284,13 @@
 func (k *Keeper) install(next *InForce) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if Replaces(k.current.Load().headOrNil(), next.head) != VerdictTake {
+	was := k.current.Load()
+	if Replaces(was.headOrNil(), next.head) != VerdictTake {
 		return
 	}
+	if was != nil && was.Digest != next.Digest {
+		k.before.Store(was)
+	}
 	next.Since = time.Now()
 	k.current.Store(next)
 	k.refused = refusal{}
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -243,6 +243,23 @@
 	}
 }
 
+// A faulty bundle is recalled while VMs can hear of it but not fetch bundles. A
+// user would see the faulty bundle stay in force. VMs still hold the one before.
+func TestARecallNeedsNoBundleFromThePlatform(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	o := newOffice(t)
+	heads := o.rollOut(o.signedOff(1), o.signedOff(2))
+	_, err := o.client("asta", o.store).Recall(ctx, bundle.Digest(o.version(2)), Ask{Reason: "faulty"})
+	g.Expect(err).NotTo(HaveOccurred())
+	k := NewKeeper(Options{Deployment: "vatnsleit", Keys: o.keys, Store: o.store})
+	for _, head := range heads {
+		g.Expect(k.OfferHead(ctx, head, o.fetch(o.packages(1, 2)))).To(Succeed())
+	}
+	g.Expect(k.OfferHead(ctx, o.head().Value, o.fetch(nil))).To(Succeed())
+	g.Expect(k.Current().Digest).To(Equal(bundle.Digest(o.version(1))))
+}
+
 // The platform goes down. One VM has revision 2, one was cut off before it and
 // has 1, one starts only now. Those that reach a peer must get 2 from it, and
 // the one that reaches nobody must go on with 1 and show how old its contact is.
