--- a/internal/lab/rolloutbench/bench.go
+++ b/internal/lab/rolloutbench/bench.go
@@ -49,7 +49,7 @@
 	daemons []*fleet.Daemon
 	store   *timedStore
 	client  *rollout.Client
-	digests [2]string
+	digests [3]string // in turn; VMs hold two bundles and fetch the third
 
 	mu      sync.Mutex // guards all below
 	highest map[string]uint64
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -77,7 +77,7 @@
 
 	current  atomic.Pointer[InForce]
 	before   atomic.Pointer[InForce] // what current replaced, which a recall mostly falls back to
-	contact  atomic.Int64 // unix nanoseconds of the last read that the platform answered
+	contact  atomic.Int64            // unix nanoseconds of the last read that the platform answered
 	watching atomic.Bool
 	mode     chan struct{} // wakes the loops when watching changes
 	hint     chan struct{} // wakes the reader when a watch tells of a change
