--- a/integration/target_test.go
+++ b/integration/target_test.go
@@ -119,7 +119,7 @@
 }
 
 // A target refuses its other clients: two VMs together hold more connections
-// than it takes. Callers that give up, cut connections and a VM that is killed
+// than it takes. Callers that give up, crossed answers and a VM that is killed
 // and replaced all make the VMs open new ones. The limit here is exactly twice
 // a VM's share, and the target counts whatever comes beyond it.
 func TestConnectionLimitOfTargets(t *testing.T) {
