Target client: an endpoint put back keeps its share; monitor and owners

Cause: a recall can put an endpoint back while calls still run on the connections of its retired pool; the new pool opened a full share beside them. And an endpoint without a share was read by the monitor and reported as failed, which says nothing of the target. Change: a retiring pool is revived; the monitor leaves such endpoints out.

--- a/target/client.go
+++ b/target/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,10 @@
 	dials     chan struct{} // holds a token for each connection being opened
 	tomb      tomb.Tomb     // runs the keeper of each pool
 
-	mu     sync.RWMutex // guards what follows; may be held when a pool's mu is taken
-	pools  map[string]*pool
-	closed bool
+	mu      sync.RWMutex // guards what follows; may be held when a pool's mu is taken
+	pools   map[string]*pool
+	leaving []*pool // retired, but with connections that calls still use
+	closed  bool
 }
 
 // NewClient returns a client without endpoints. Close ends it.
@@ -65,8 +67,7 @@
 	for _, e := range endpoints {
 		p := old[e.Name]
 		if p == nil || p.address != e.Address {
-			p = newPool(c, e)
-			c.tomb.Go(p.keep)
+			p = c.reviveOrNew(e)
 		}
 		p.update(e)
 		c.pools[e.Name] = p
@@ -74,10 +75,28 @@
 	for name, p := range old {
 		if c.pools[name] != p {
 			p.retire()
+			c.leaving = append(c.leaving, p)
 		}
 	}
 }
 
+// reviveOrNew returns a pool for an endpoint that is new. If the endpoint was
+// taken out a moment ago, as by a recall, calls may still run on connections of
+// its old pool. These count against the share, so the old pool goes on. c.mu
+// must be held.
+func (c *Client) reviveOrNew(e Endpoint) *pool {
+	c.leaving = slices.DeleteFunc(c.leaving, (*pool).hasEnded)
+	for i, p := range c.leaving {
+		if p.name == e.Name && p.address == e.Address && p.revive() {
+			c.leaving = slices.Delete(c.leaving, i, i+1)
+			return p
+		}
+	}
+	p := newPool(c, e)
+	c.tomb.Go(p.keep)
+	return p
+}
+
 // Close ends all calls and connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/target/keeper.go
+++ b/target/keeper.go
@@ -49,7 +49,8 @@
 	defer p.mu.Unlock()
 	due = p.nextLook(now)
 	if p.retired {
-		return due, len(p.conns) == 0
+		p.ended = len(p.conns) == 0
+		return due, p.ended
 	}
 	if p.wantsMore(now) {
 		due = min(due, p.pace.next.Sub(now))
@@ -161,6 +162,7 @@
 	p.mu.Lock()
 	conns := slices.DeleteFunc(slices.Clone(p.conns), func(cn *conn) bool { return cn.closing })
 	p.retired = true
+	p.ended = true
 	p.failWaiters()
 	p.mu.Unlock()
 	for _, cn := range conns {
--- a/target/monitor.go
+++ b/target/monitor.go
@@ -79,14 +79,18 @@
 	return errors.Trace(m.tomb.Wait())
 }
 
-// Apply puts the endpoints in force. New ones are read at once, spread over a
-// part of their interval.
+// Apply puts the endpoints in force. New ones are read at once, slightly spread.
+// Those without a share of connections are left out: that this VM may not
+// connect to a target says nothing of the target.
 func (m *Monitor) Apply(endpoints []Endpoint) {
 	m.mu.Lock()
 	old := m.targets
 	m.targets = make(map[string]*watched, len(endpoints))
 	now := time.Now()
 	for _, e := range endpoints {
+		if e.Connections <= 0 {
+			continue
+		}
 		w := old[e.Name]
 		if w == nil || w.endpoint.Address != e.Address {
 			w = &watched{due: now.Add(jitter(firstReadSpread))}
--- a/target/pool.go
+++ b/target/pool.go
@@ -25,6 +25,7 @@
 	alarm    time.Time   // when the last one was
 	waiters  []chan *conn
 	retired  bool // the endpoint is no longer in force
+	ended    bool // the keeper has ended, and all connections with it
 	watching bool // the keeper looks at the connections every SuspectAfter
 	pace     pacer
 	lastErr  error // of the last attempt to open a connection
@@ -57,6 +58,20 @@
 	p.wake()
 }
 
+// revive undoes retire, unless the keeper has ended.
+func (p *pool) revive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = p.ended
+	return !p.ended
+}
+
+func (p *pool) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 func (p *pool) wake() {
 	select {
 	case p.kick <- struct{}{}:
