Claims: a longer wait after a conflict

At 7 VMs 40% of the conditional updates met a conflict. Waiting up to 20 ms in place of 5 ms lets more operations gather for the next try. A request without a conflict does not wait.

--- a/once/committer.go
+++ b/once/committer.go
@@ -18,7 +18,7 @@
 	maxLanes       = 16 // segments whose last known state is kept in memory
 	downAfter      = 3  // failed store calls in a row
 	probeEvery     = 500 * time.Millisecond
-	firstBackoff   = 5 * time.Millisecond
+	firstBackoff   = 20 * time.Millisecond
 	maxBackoff     = 500 * time.Millisecond
 	maxBackoffStep = 7
 )
