--- a/policy/choose.go
+++ b/policy/choose.go
@@ -130,13 +130,15 @@
 	if s == nil {
 		return ReplicaID{}, false
 	}
-	usable := t.scratch[:0]
-	for _, r := range s.holders[shard] {
-		if t.accepts(r, now, idle) && !slices.Contains(tried, r.id) {
-			usable = append(usable, r)
-		}
+	usable := t.gather(s.holders[shard], tried, func(r *replica) bool {
+		return !r.resting(now) && t.hasRoom(r, now, idle)
+	})
+	if len(usable) == 0 && !idle {
+		// All rest after failures. To try one is better than to wait.
+		usable = t.gather(s.holders[shard], tried, func(r *replica) bool {
+			return !r.refusing(now) && t.hasRoom(r, now, idle)
+		})
 	}
-	t.scratch = usable
 	if len(usable) == 0 {
 		return ReplicaID{}, false
 	}
@@ -167,18 +169,25 @@
 	return usable[t.rng.IntN(len(usable))].id, true
 }
 
-func (t *Table) accepts(r *replica, now time.Time, idle bool) bool {
-	if !r.target.usable() || r.resting(now) {
-		return false
-	}
-	limit := r.slots * queuePerSlot
-	if idle {
-		limit = r.slots
-		if t.othersLoad(r, now)+float64(r.outstanding) >= float64(limit) {
-			return false
+// gather returns the usable replicas that match and were not tried. The list is
+// good until the next call.
+func (t *Table) gather(holders []*replica, tried []ReplicaID, match func(*replica) bool) []*replica {
+	t.scratch = t.scratch[:0]
+	for _, r := range holders {
+		if r.target.usable() && match(r) && !slices.Contains(tried, r.id) {
+			t.scratch = append(t.scratch, r)
 		}
 	}
-	return r.outstanding < limit
+	return t.scratch
+}
+
+// hasRoom reports whether r takes one more call of this VM: into its queue, or
+// if idle is set into a free slot.
+func (t *Table) hasRoom(r *replica, now time.Time, idle bool) bool {
+	if !idle {
+		return r.outstanding < r.slots*queuePerSlot
+	}
+	return t.othersLoad(r, now)+float64(r.outstanding) < float64(r.slots)
 }
 
 // cost is the expected time of one more call on r.
@@ -219,18 +228,19 @@
 }
 
 // ReadyAgain returns when the first resting replica of a shard takes attempts
-// again, and false if no replica of it is merely resting.
-func (t *Table) ReadyAgain(now time.Time, snapshot string, shard int) (time.Time, bool) {
+// again, and false if no replica of it is merely resting or busy. Replicas in
+// tried are left out.
+func (t *Table) ReadyAgain(now time.Time, snapshot string, shard int, tried []ReplicaID) (time.Time, bool) {
 	s := t.snapshots[snapshot]
 	if s == nil {
 		return time.Time{}, false
 	}
 	var first time.Time
 	for _, r := range s.holders[shard] {
-		if !r.target.usable() {
+		if !r.target.usable() || slices.Contains(tried, r.id) {
 			continue
 		}
-		at := later(later(r.rest.until, r.target.rest.until), now.Add(pendingPause))
+		at := later(later(r.rest.end(), r.target.rest.end()), now.Add(pendingPause))
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
--- a/policy/query.go
+++ b/policy/query.go
@@ -224,7 +224,7 @@
 	if s.reason == "" {
 		s.reason = ReasonNoReplica
 	}
-	at, ok := q.table.ReadyAgain(now, q.snapshot.Name, shard)
+	at, ok := q.table.ReadyAgain(now, q.snapshot.Name, shard, nil)
 	if q.spec.Plain || !ok || !at.Before(q.spec.Deadline) {
 		s.pending = time.Time{}
 		return
--- a/policy/submit.go
+++ b/policy/submit.go
@@ -32,15 +32,17 @@
 	}, true
 }
 
-// Next returns where to hand the request over, and false if it must not be or
-// cannot be handed over any more.
-func (s *Submission) Next(now time.Time) (Send, bool) {
+// Next returns where to hand the request over. If ok is false and wait is not
+// zero, all replicas are busy or resting, and Next is to be asked again then. If
+// wait is zero too, the request must not be or cannot be handed over any more.
+func (s *Submission) Next(now time.Time) (send Send, wait time.Time, ok bool) {
 	if s.open || s.closed || len(s.tried) >= s.max {
-		return Send{}, false
+		return Send{}, time.Time{}, false
 	}
 	id, ok := s.table.Pick(now, s.snapshot.Name, s.shard, s.tried, false)
 	if !ok {
-		return Send{}, false
+		wait, _ = s.table.ReadyAgain(now, s.snapshot.Name, s.shard, s.tried)
+		return Send{}, wait, false
 	}
 	s.tried = append(s.tried, id)
 	s.present = id
@@ -52,7 +54,7 @@
 		Replica:  id,
 		Shard:    s.shard,
 		Snapshot: s.snapshot.Name,
-	}, true
+	}, time.Time{}, true
 }
 
 // Ended takes how the handing over ended. Only a refusal, by which the target
--- a/query/submit.go
+++ b/query/submit.go
@@ -70,10 +70,13 @@
 func (e *Engine) submit(ctx context.Context, svc *service, req *Submission, sub *policy.Submission) Submitted {
 	for {
 		svc.mu.Lock()
-		send, ok := sub.Next(e.now())
+		send, wait, ok := sub.Next(e.now())
 		svc.mu.Unlock()
 		if !ok {
-			return notStarted(sub)
+			if wait.IsZero() || !wait.Before(req.Deadline) || !pause(ctx, time.Until(wait)) {
+				return notStarted(sub)
+			}
+			continue
 		}
 		answer, err := e.handOver(ctx, req, send)
 		svc.mu.Lock()
@@ -89,6 +92,16 @@
 	}
 }
 
+// pause waits and reports whether ctx still stands.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (e *Engine) handOver(ctx context.Context, req *Submission, send policy.Send) (target.SubmitAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
