--- a/target/monitor.go
+++ b/target/monitor.go
@@ -80,17 +80,14 @@
 }
 
 // Apply puts the endpoints in force. New ones are read at once, slightly spread.
-// Those without a share of connections are left out: that this VM may not
-// connect to a target says nothing of the target.
+// Those without a share of connections are read too: the Reader may reach them
+// by way of another VM.
 func (m *Monitor) Apply(endpoints []Endpoint) {
 	m.mu.Lock()
 	old := m.targets
 	m.targets = make(map[string]*watched, len(endpoints))
 	now := time.Now()
 	for _, e := range endpoints {
-		if e.Connections <= 0 {
-			continue
-		}
 		w := old[e.Name]
 		if w == nil || w.endpoint.Address != e.Address {
 			w = &watched{due: now.Add(jitter(firstReadSpread))}
