Real processes: a kill or a freeze that comes late gives the same verdict

On a slow machine the claim's answer could come before the kill or the freeze, and the request be settled: the tests would then be told 'accepted'. Submits are now held at the targets until the VM is stopped.

--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -141,11 +141,13 @@
 // knew: nothing ran. Nobody can tell this from a run, so nobody runs it.
 func TestVMKilledBeforeTheHandOver(t *testing.T) {
 	c := start(t, shape{ProxyPlatform: true})
+	c.setTargets(targetsim.Faults{HoldSubmits: true}) // no outcome, should the answer come before the kill
 	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{DelayMS: 300}))
 	key := newKey("claimed")
 	c.sendAside(c.Daemons[0], key)
 	c.waitClaim(key)
 	c.Daemons[0].Kill()
+	c.setTargets(targetsim.Faults{})
 	c.Expect(c.finalCode(c.Daemons[1], key)).To(gomega.Equal(result.OutcomeUnknown))
 	c.Expect(c.submits()[key]).To(gomega.BeNumerically("<=", 1))
 }
@@ -155,11 +157,13 @@
 // to hold. Whoever runs the report in the end, it runs once.
 func TestVMFrozenBeforeTheHandOver(t *testing.T) {
 	c := start(t, shape{ProxyPlatform: true})
+	c.setTargets(targetsim.Faults{HoldSubmits: true}) // no outcome, should the answer come before the pause
 	c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{DelayMS: 300}))
 	key := newKey("frozen")
 	first := c.sendAside(c.Daemons[0], key)
 	c.waitClaim(key)
 	c.ok(c.Daemons[0].Pause())
+	c.setTargets(targetsim.Faults{})
 	code := c.finalCode(c.Daemons[1], key)
 	c.ok(c.Daemons[0].Resume())
 	c.Expect(code).To(gomega.Equal(result.OutcomeUnknown))
