Hop: last answers of a leaving owner are taken before calls count as broken

The owner sends its last answers and closes; the caller saw the end of the connection while the answers were still being handled, and a message read before the end could be dropped in favour of the end. Ruled out: Owner.Drain, which waits for the answers to be written. Change: messages read before the end are served; a caller waits for their handlers before it fails the rest.

--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -258,8 +258,12 @@
 }
 
 // fail ends all calls when the connection has ended. Those that were sent may
-// have been started.
+// have been started. An owner that leaves sends its last answers and closes; they
+// are still being handled when the end is seen, so fail waits for them first, or
+// calls that were answered would be called broken.
 func (c *Caller) fail() {
+	c.conn.Close()
+	c.conn.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = true
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -191,9 +191,7 @@
 	}
 	go func() {
 		defer c.served.Done()
-		select {
-		case <-c.serving:
-		case <-c.Done():
+		if !c.awaitServing() {
 			<-c.calls
 			return
 		}
@@ -209,6 +207,23 @@
 	}()
 }
 
+// awaitServing waits until messages are served, and returns false if the
+// connection ended before. What came in before its end is served all the same:
+// an answer may be the last thing that a peer sends.
+func (c *Conn) awaitServing() bool {
+	select {
+	case <-c.serving:
+		return true
+	default:
+	}
+	select {
+	case <-c.serving:
+		return true
+	case <-c.Done():
+		return false
+	}
+}
+
 func (c *Conn) takeRoom() bool {
 	if c.opts.WaitForRoom {
 		select {
