Exchange: an island of VMs goes on asking its seeds

TestFleetStartsWithPlatformDown failed in a run of make test: two VMs that started together found each other first, and a VM with a connection asked its seeds no more, so neither got the bundle while the platform was down. Seeds are asked whenever this VM knows no other VM to connect to and has room.

TestIslandFindsItsSeed: red with the guard taken out in a trial (20 s), green now; go test -race -count=3 ./peer passes.

--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -85,6 +85,23 @@
 	f.everywhere(hasRevision(5))
 }
 
+// TestIslandFindsItsSeed: VMs start together while the platform is down. Two find
+// each other before the VM that one of them was given listens. They must go on
+// asking for it: users of an island would get no answer until the platform is
+// back, though another VM has the bundle.
+func TestIslandFindsItsSeed(t *testing.T) {
+	f := newFleet(t, 0)
+	f.list.down = true
+	late := reservePort(t)
+	first := f.start("first", func(o *Options) { o.Seeds = []string{late} })
+	f.start("second", func(o *Options) { o.Seeds = []string{first.Address()} })
+	f.everywhere(func(vm *testVM) bool { return vm.Peers() == 1 })
+	seed := f.startWith("late", nil, func(x *Exchange) { x.opts.Listen = late })
+	seed.heads.set(5)
+	f.connected()
+	f.everywhere(hasRevision(5))
+}
+
 // TestKilledVM: a VM dies without a word while the platform's list goes on
 // naming it. The others must count it out within seconds, or queries go there.
 func TestKilledVM(t *testing.T) {
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -140,6 +140,7 @@
 	address = reservePort(f.t)
 	x.opts.Listen = address
 	before(x)
+	address = x.opts.Listen
 	f.g.Expect(x.Start()).To(Succeed())
 	vm := &testVM{x, heads}
 	f.vms = append(f.vms, vm)
--- a/peer/tick.go
+++ b/peer/tick.go
@@ -45,7 +45,11 @@
 // that the VMs mix, and looks for VMs that were lost. It must hold mu.
 func (x *Exchange) keepLinks(now time.Time) {
 	if missing := x.opts.Fanout - x.outbound() - len(x.dialing); missing > 0 {
-		for _, vm := range pick(x.unlinked(x.liveLocked()), missing) {
+		candidates := x.unlinked(x.liveLocked())
+		if len(candidates) == 0 {
+			x.dialSeed()
+		}
+		for _, vm := range pick(candidates, missing) {
 			x.dial(vm.Name, vm.Address)
 		}
 	}
@@ -58,8 +62,28 @@
 			x.dial(vm.Name, vm.Address)
 		}
 	}
-	if len(x.links) == 0 && len(x.opts.Seeds) > 0 {
-		x.dial("", x.opts.Seeds[rand.N(len(x.opts.Seeds))])
+}
+
+// dialSeed dials one of the seeds that this VM isn't connected to. It must hold
+// mu. It is done also on a VM that has connections but knows nobody else: VMs
+// that start together while the platform is down may find one another first,
+// and would stay an island without a bundle if their connections kept them from
+// asking the seeds.
+func (x *Exchange) dialSeed() {
+	linked := map[string]bool{}
+	for l := range x.links {
+		if m, known := x.table.Member(l.name); known {
+			linked[m.Address] = true
+		}
+	}
+	var seeds []string
+	for _, address := range x.opts.Seeds {
+		if !linked[address] {
+			seeds = append(seeds, address)
+		}
+	}
+	if len(seeds) > 0 {
+		x.dial("", seeds[rand.N(len(seeds))])
 	}
 }
 
