Hop: the last answers of an owner that stops are delivered

TestLeavingOwnerFinishesCalls failed once in a run of make test: the caller gave up its calls when the connection ended, while the goroutine that had read the owner's last answers had not yet handed them over. Calls are now given up only after the handlers of what was read have ended, and wire serves a message that came before the end also after it.

go test -race -count=40 -run 'TestLeavingOwner|TestOwnerLost' ./peer/hop passes (4 s); before, once failed in some 20 runs.

--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -258,8 +258,10 @@
 }
 
 // fail ends all calls when the connection has ended. Those that were sent may
-// have been started.
+// have been started. Answers that were read are delivered first: an owner that
+// stops sends its last ones and closes.
 func (c *Caller) fail() {
+	c.conn.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = true
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -191,9 +191,7 @@
 	}
 	go func() {
 		defer c.served.Done()
-		select {
-		case <-c.serving:
-		case <-c.Done():
+		if !c.awaitServe() {
 			<-c.calls
 			return
 		}
@@ -209,6 +207,22 @@
 	}()
 }
 
+// awaitServe waits for Serve. A message that came before the end of the connection
+// is served also after it: it may be the answer that the peer sent last.
+func (c *Conn) awaitServe() bool {
+	select {
+	case <-c.serving:
+		return true
+	default:
+	}
+	select {
+	case <-c.serving:
+		return true
+	case <-c.Done():
+		return false
+	}
+}
+
 func (c *Conn) takeRoom() bool {
 	if c.opts.WaitForRoom {
 		select {
