--- a/wire/conn.go
+++ b/wire/conn.go
@@ -191,7 +191,7 @@
 	}
 	go func() {
 		defer c.served.Done()
-		if !c.awaitServe() {
+		if !c.awaitServing() {
 			<-c.calls
 			return
 		}
@@ -207,9 +207,10 @@
 	}()
 }
 
-// awaitServe waits for Serve. A message that came before the end of the connection
-// is served also after it: it may be the answer that the peer sent last.
-func (c *Conn) awaitServe() bool {
+// awaitServing waits until messages are served, and returns false if the
+// connection ended before. What came in before its end is served all the same:
+// an answer may be the last thing that a peer sends.
+func (c *Conn) awaitServing() bool {
 	select {
 	case <-c.serving:
 		return true
