Daemon: slow platform is no dead one; refused heads on the status page; ports of test daemons

Cause: the keeper shared the claims' client, whose calls end after 2 s, so a platform that takes 2.5 s a call counted as down; heads that were not taken showed in the log only; the share of the write rate stood at seven VMs whatever the bundle said. Daemons of tests now and then failed with 'address already in use': their ports came from the range of outgoing connections. Change: the keeper has a client of its own with a longer limit; status shows the refusal; max_vms of the bundle in force sets the share; ports below that range.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -198,16 +199,38 @@
 	return set, nil
 }
 
+// Ports for daemons are taken from below the range that the kernel gives to
+// outgoing connections. A port of that range that is free when it is looked up is
+// often the near end of somebody's connection by the time the daemon binds it,
+// and the daemon fails to start.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// nextPort is the port to be tried next. Programs that run at the same time
+// begin at different ones.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()*portStride) % (lastPort - firstPort)) }
+
+const portStride = 37
+
 // freeAddresses returns n addresses on the loopback that were free just now.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n && tries < lastPort-firstPort; tries++ {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, errors.Trace(err)
+			continue // taken
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		l.Close()
+		out = append(out, address)
+	}
+	if len(out) < n {
+		return nil, errors.Errorf("no %d free ports", n)
 	}
 	return out, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -83,9 +83,14 @@
 	n.keeper = rollout.NewKeeper(rollout.Options{
 		Deployment: set.Deployment,
 		Keys:       keys,
-		Store:      n.store,
-		Log:        log.Named("rollout"),
-		Watch:      true,
+		// Its reads may take longer than a claim: a slow platform must not count
+		// as one that is down.
+		Store: platform.NewClient(set.Platform.Address, platform.ClientOptions{
+			CallTimeout: rollout.DefaultReadTimeout,
+		}),
+		Log:     log.Named("rollout"),
+		Metrics: n.metrics,
+		Watch:   true,
 	})
 	n.buildTargets()
 	if err := n.buildPeers(); err != nil {
@@ -263,6 +268,7 @@
 	n.client.Apply(endpoints)
 	n.monitor.Apply(endpoints)
 	n.applyDrains()
+	n.claims.SetFleet(force.Bundle.Fleet.MaxVMs)
 	n.log.Info("revision in force", "revision", force.Revision, "digest", force.Digest)
 }
 
@@ -379,6 +385,9 @@
 		Peers:           n.peers.Peers(),
 	}
 	st.PlatformReachable = time.Since(st.PlatformContact) < platformSilence
+	if err := n.keeper.Refusal(); err != nil {
+		st.Refused = err.Error()
+	}
 	if force := n.keeper.Current(); force != nil {
 		st.Revision = force.Revision
 		st.Digest = force.Digest
--- a/ops/status.go
+++ b/ops/status.go
@@ -25,7 +25,8 @@
 
 	Revision uint64    `json:"revision"` // in force; 0 before the first
 	Digest   string    `json:"digest"`
-	Since    time.Time `json:"since"` // when that revision came into force here
+	Since    time.Time `json:"since"`             // when that revision came into force here
+	Refused  string    `json:"refused,omitempty"` // why the last head offered was not taken
 
 	PlatformReachable bool      `json:"platform_reachable"`
 	PlatformContact   time.Time `json:"platform_contact"` // last successful read
