Admission: rises slowly; retries wait for their budget twice only

Some 30 good queries a second raised the limit faster than a cut every 100 ms lowered it, so targets shed in most queries; and a shard with an empty budget held its query's place until the deadline. Change: the limit rises a tenth as fast; a shard finds the budget empty twice at most, then it is given up.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -52,7 +52,7 @@
 const (
 	minLimit       = 1.0
 	limitCut       = 0.8                    // factor after a sign of overload
-	limitGain      = 1.0                    // added per limit's worth of good queries
+	limitGain      = 0.1                    // added per limit's worth of good queries; a faster rise outruns the cuts
 	cutPause       = 100 * time.Millisecond // least time between two cuts
 	smoothing      = 0.1                    // weight of a new sample
 	maxRetryAfter  = 5 * time.Second
--- a/policy/query.go
+++ b/policy/query.go
@@ -83,6 +83,7 @@
 	flying  int // attempts in flight
 	sent    int
 	refused int // of sent, by a target that did not start them
+	waits   int // for the budget of retries
 	hedged  bool
 	phase   phase
 	reason  Reason    // of the last failure
@@ -314,8 +315,9 @@
 }
 
 // retry sends a further attempt on a shard. If the budget is empty, the shard
-// waits for it to fill rather than being given up: the answers of all other
-// shards would be lost with it.
+// waits a little for it to fill rather than being given up at once: the answers
+// of all other shards would be lost with it. It does not wait for long, since a
+// query in progress keeps others from being admitted.
 func (q *Query) retry(now time.Time, shard int) []Action {
 	s := &q.shards[shard]
 	if q.exhausted(s) {
@@ -329,6 +331,11 @@
 		return nil
 	}
 	if !q.table.Retries.Take() {
+		if s.waits++; s.waits > maxBudgetWaits {
+			s.pending = time.Time{}
+			q.settle(shard)
+			return nil
+		}
 		s.pending = now.Add(budgetPause)
 		q.wake = earlier(q.wake, s.pending)
 		q.settle(shard)
@@ -341,6 +348,9 @@
 // budgetPause is how soon a retry that found the budget empty is tried again.
 const budgetPause = 10 * time.Millisecond
 
+// maxBudgetWaits is how often a shard may find the budget empty.
+const maxBudgetWaits = 2
+
 // refusedFactor is how many times MaxAttempts may be sent where targets refuse
 // to start them.
 const refusedFactor = 3
