--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 demo: build
 	$(BIN)/bramley-lab demo --daemon $(BIN)/bramleyd
 
+serve: build
+	$(BIN)/bramley-lab demo --daemon $(BIN)/bramleyd --stay 10m
+
 # The figures and their conclusions stand in docs/MEASUREMENTS.md.
 bench: build
 	$(BIN)/bramley-lab bench $(BENCH)
@@ -36,5 +39,10 @@
 bench-rollout: build
 	$(BIN)/bramley-lab bench-rollout --daemon $(BIN)/bramleyd
 
+bench-transport:
+	$(GO) test -run xxx -bench Call -benchtime 2s -count 5 ./target
+	$(GO) test -run xxx -bench Cancel -benchtime 100x -count 3 ./target
+	$(GO) test -run xxx -bench Silent -benchtime 5x -count 3 ./target
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/bramley-lab/demo.go
+++ b/cmd/bramley-lab/demo.go
@@ -14,6 +14,7 @@
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
 	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/settings"
 )
 
 // Sizes of the demonstration.
@@ -24,7 +25,8 @@
 	demoReplicas = 2
 	demoRecords  = 400
 	demoVMs      = 2
-	demoTime     = time.Minute // bounds the whole
+	demoTime     = time.Minute // bounds the start and the answers
+	demoPort     = 8001        // of the first VM's callers; docs/API.md names it
 )
 
 func demoCommand() *cli.Command {
@@ -33,16 +35,15 @@
 		Usage: "start a small deployment as processes, ask it and print its answers",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "daemon", Value: "bin/bramleyd", Usage: "path of the bramleyd program"},
+			&cli.DurationFlag{Name: "stay", Usage: "keep the deployment for so long after the answers"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			ctx, cancel := context.WithTimeout(ctx, demoTime)
-			defer cancel()
-			return runDemo(ctx, cmd.String("daemon"))
+			return runDemo(ctx, cmd.String("daemon"), cmd.Duration("stay"))
 		},
 	}
 }
 
-func runDemo(ctx context.Context, daemon string) error {
+func runDemo(ctx context.Context, daemon string, stay time.Duration) error {
 	dir, err := os.MkdirTemp("", "bramley-demo")
 	if err != nil {
 		return errors.Trace(err)
@@ -57,11 +58,23 @@
 		return errors.Trace(err)
 	}
 	defer f.Close()
-	daemons, err := startDemo(ctx, f)
+	short, cancel := context.WithTimeout(ctx, demoTime)
+	defer cancel()
+	daemons, err := startDemo(short, f)
 	if err != nil {
 		return errors.Annotate(err, f.Logs(5))
 	}
-	return errors.Trace(askDemo(ctx, daemons))
+	if err := askDemo(short, daemons); err != nil {
+		return errors.Trace(err)
+	}
+	if stay > 0 {
+		fmt.Printf("\nserving at %s and %s for %s; interrupt to end\n", daemons[0].Callers, daemons[1].Callers, stay)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(stay):
+	}
+	return nil
 }
 
 // startDemo starts the platform, the targets and the daemons, rolls out a
@@ -78,7 +91,11 @@
 	var daemons []*fleet.Daemon
 	var vms []platform.VM
 	for i := range demoVMs {
-		d, err := f.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprintf("vm-%d", i+1), Zone: "reykjanes"})
+		d, err := f.StartDaemon(fleet.DaemonOptions{
+			Name:   fmt.Sprintf("vm-%d", i+1),
+			Zone:   "reykjanes",
+			Change: func(s *settings.Settings) { s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", demoPort+i) },
+		})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/query"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// fake is a bundle in force, an engine and claims in one.
+type fake struct {
+	force  *rollout.InForce
+	answer query.Answer
+	asked  *query.Request
+	refuse *query.Answer
+	ran    int
+}
+
+func (f *fake) Current() *rollout.InForce { return f.force }
+
+func (f *fake) Search(_ context.Context, req *query.Request) *query.Answer {
+	f.asked = req
+	return &f.answer
+}
+
+func (f *fake) Admit(context.Context, string, time.Time) (func(), *query.Answer) {
+	return func() {}, f.refuse
+}
+
+func (f *fake) Submit(context.Context, *query.Submission) query.Submitted {
+	f.ran++
+	return query.Submitted{Code: result.Accepted, Result: json.RawMessage(`{"filed":1}`)}
+}
+
+func (f *fake) Run(ctx context.Context, _ once.Request, run func(context.Context) once.Outcome) once.Outcome {
+	return run(ctx)
+}
+
+func newFake() *fake {
+	search := func(name string, kind bundle.SearchKind) bundle.Search {
+		return bundle.Search{
+			Name: name, Kind: kind, Service: "s", MaxItems: 10,
+			Coverage:  bundle.Coverage{Default: 1, Min: 0.5},
+			TimeLimit: bundle.TimeLimit{DefaultMS: 100, MinMS: 10, MaxMS: 1000},
+		}
+	}
+	return &fake{
+		force: &rollout.InForce{Revision: 7, Bundle: &bundle.Bundle{Searches: []bundle.Search{
+			search("find", bundle.KindSearch), search("list", bundle.KindBrowse), search("file", bundle.KindSubmit),
+		}}},
+		answer: query.Answer{
+			Code: result.Complete, Ran: result.RanYes, More: true,
+			Snapshot: policy.Snapshot{Name: "v1", Shards: 2},
+			Coverage: policy.Coverage{Shards: 2, Answered: 2},
+			Items:    []target.Item{{Key: "a"}, {Key: "b"}},
+		},
+	}
+}
+
+func (f *fake) post(t *testing.T, path, body string, header ...string) (Answer, *http.Response) {
+	t.Helper()
+	g := NewWithT(t)
+	server := httptest.NewServer(New(Options{Config: f, Engine: f, Claims: f}).Handler())
+	defer server.Close()
+	req, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	var a Answer
+	g.Expect(json.Unmarshal(data, &a)).To(Succeed(), string(data))
+	return a, res
+}
+
+const goodKey = "1700000000-abcdefgh"
+
+func TestBadRequestsGetTheirCode(t *testing.T) {
+	cases := []struct {
+		path, body string
+		header     []string
+		code       result.Code
+	}{
+		{"/v1/search/find", `{"query":"x","Limit":1}`, nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x","query":"y"}`, nil, result.BadRequest},
+		{"/v1/search/find", `{}`, nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x"} {}`, nil, result.BadRequest},
+		{"/v1/search/find", strings.Repeat("[", 100), nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x","limit":11}`, nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x","limit":-1}`, nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x","cursor":"abc"}`, nil, result.BadRequest},
+		{"/v1/browse/list", `{"query":"x","cursor":"!!"}`, nil, result.BadRequest},
+		{"/v1/search/find", `{"query":"x","time_limit_ms":5}`, nil, result.BadTimeLimit},
+		{"/v1/search/find", `{"query":"x","coverage":0.2}`, nil, result.BadCoverage},
+		{"/v1/search/find", `{"query":"x","coverage":1.2}`, nil, result.BadCoverage},
+		{"/v1/search/find", `{"query":"` + strings.Repeat("x", MaxBody) + `"}`, nil, result.TooLarge},
+		{"/v1/search/none", `{"query":"x"}`, nil, result.UnknownSearch},
+		{"/v1/browse/find", `{"query":"x"}`, nil, result.UnknownSearch},
+		{"/elsewhere", `{}`, nil, result.UnknownSearch},
+		{"/v1/submit/file", `{}`, nil, result.KeyRequired},
+		{"/v1/submit/file", `{}`, []string{HeaderKey, "short"}, result.KeyRequired},
+		{"/v1/submit/file", `{`, []string{HeaderKey, goodKey}, result.BadRequest},
+		{"/v1/submit/file", `{}`, []string{HeaderKey, goodKey, HeaderTimeLimit, "soon"}, result.BadRequest},
+	}
+	for _, c := range cases {
+		f := newFake()
+		a, res := f.post(t, c.path, c.body, c.header...)
+		g := NewWithT(t)
+		g.Expect(a.Code).To(Equal(int(c.code)), "%s %.60s: %s", c.path, c.body, a.Detail)
+		g.Expect(res.StatusCode).To(Equal(c.code.Info().HTTP))
+		g.Expect(a.Ran).To(Equal("not run"))
+		g.Expect(f.asked).To(BeNil())
+		g.Expect(f.ran).To(BeZero())
+	}
+}
+
+func TestAnswerStatesWhatItRestsOn(t *testing.T) {
+	g := NewWithT(t)
+	f := newFake()
+	a, _ := f.post(t, "/v1/browse/list", `{"query":"x","limit":2}`)
+	g.Expect(a.Revision).To(Equal(uint64(7)))
+	g.Expect(a.Snapshot).To(Equal("v1"))
+	g.Expect(a.Coverage.Ratio).To(Equal(1.0))
+	g.Expect(f.asked.Limit).To(Equal(100 * time.Millisecond))
+	next, _ := f.post(t, "/v1/browse/list", `{"query":"x","limit":2,"cursor":"`+a.Cursor+`"}`)
+	g.Expect(next.Code).To(Equal(100))
+	g.Expect(f.asked.Snapshot).To(Equal("v1"))
+	g.Expect(f.asked.After).To(Equal("b"))
+}
+
+// A caller that is refused comes back at once and makes the overload worse: it
+// was not told when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFake()
+	f.refuse = &query.Answer{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: 1200 * time.Millisecond}
+	a, res := f.post(t, "/v1/submit/file", `{}`, HeaderKey, goodKey)
+	g.Expect(a.RetryAfterMS).To(Equal(int64(1200)))
+	g.Expect(res.Header.Get(HeaderRetryAfter)).To(Equal("2"))
+	g.Expect(f.ran).To(BeZero())
+	f.force = nil
+	a, res = f.post(t, "/v1/search/find", `{"query":"x"}`)
+	g.Expect(a.Code).To(Equal(int(result.NoBundle)))
+	g.Expect(res.Header.Get(HeaderRetryAfter)).NotTo(BeEmpty())
+}
+
+// FuzzCursor: whatever a caller sends as a cursor, it is refused with a code or
+// read as one that was given out.
+func FuzzCursor(f *testing.F) {
+	f.Add(cursor{Search: "list", Snapshot: "v1", After: "b"}.encode())
+	f.Add("")
+	f.Add("eyJzZWFyY2giOiJ4In0")
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := decodeCursor(s, "list")
+		if err != nil && result.Of(err) != result.BadRequest {
+			t.Fatalf("code %v", result.Of(err))
+		}
+		if err == nil && s != "" && (c.Search != "list" || c.Snapshot == "") {
+			t.Fatalf("accepted %+v", c)
+		}
+	})
+}
