Large files split by job; one package for defaults

Cause: policy/query.go had 670 lines with five jobs, table.go 415, node.go 398; setDefault stood in five packages. Change: policy: action, query, attempts, hedge, conclude, shard; table, status, load. node: node, run, follow, status; the relay embeds its interface. internal/defaults takes the place of the five copies. No behaviour is changed. Run: go test -race -count=1 of policy, node, once, target, rollout, wire, peer and peer/hop passes.

--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/ops"
+)
+
+// Run serves until ctx ends, then leaves in order: readiness fails, callers are
+// asked to go elsewhere for the lame-duck time while requests are still served,
+// and only then the listeners close and what is in flight is waited for.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.open(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := n.peers.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	n.router.Start(n.peers)
+	n.keeper.Start()
+	n.monitor.Start()
+	n.tomb.Go(n.follow)
+	n.tomb.Go(n.followDrains)
+	n.tomb.Go(n.followWatching)
+	n.tomb.Go(n.serve(n.ops))
+	n.tomb.Go(n.serve(n.callers))
+	n.log.Info("serving", "callers", n.callers.socket.Addr(), "ops", n.ops.socket.Addr(), "incarnation", n.incarnation)
+	select {
+	case <-ctx.Done():
+	case <-n.tomb.Dying():
+	}
+	n.leave()
+	return errors.Trace(n.close())
+}
+
+func (n *Node) open() error {
+	var err error
+	if n.callers, err = listen(n.set.Listen.Callers, n.gateway.Server()); err != nil {
+		return errors.Trace(err)
+	}
+	n.ops, err = listen(n.set.Listen.Ops, ops.Server(ops.Options{
+		Status:  n.Status,
+		Metrics: []func(io.Writer){n.metrics.WritePrometheus, n.peers.WriteMetrics, n.router.WriteMetrics},
+	}))
+	return errors.Trace(err)
+}
+
+func (n *Node) serve(l *listener) func() error {
+	return func() error {
+		err := l.server.Serve(l.socket)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Trace(err)
+	}
+}
+
+// leave keeps serving for the lame-duck time. The platform's list of VMs lags,
+// so callers are still sent here for a while; a listener that closed at once
+// would cut off requests that are already on their way.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.gateway.Leave()
+	n.peers.AnnounceLeaving()
+	n.log.Info("leaving", "lame_duck_ms", n.set.LameDuckMS)
+	time.Sleep(time.Duration(n.set.LameDuckMS) * time.Millisecond)
+}
+
+// closeTimeout bounds the wait for what is in flight. No request may take
+// longer than a minute.
+const closeTimeout = 70 * time.Second
+
+func (n *Node) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := n.callers.server.Shutdown(ctx)
+	n.tomb.Kill(nil)
+	err = firstError(err, n.claims.Close(ctx))
+	err = firstError(err, n.monitor.Stop())
+	err = firstError(err, n.keeper.Stop(ctx))
+	err = firstError(err, n.router.Drain(ctx))
+	err = firstError(err, n.peers.Stop(ctx))
+	n.engine.Close()
+	n.client.Close()
+	err = firstError(err, n.router.Stop())
+	err = firstError(err, n.ops.server.Shutdown(ctx))
+	return firstError(err, n.tomb.Wait())
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
--- a/once/options.go
+++ b/once/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/hashicorp/go-hclog"
@@ -68,26 +69,19 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	setDefault(&o.Keep, defaultKeep)
-	setDefault(&o.Margin, defaultMargin)
-	setDefault(&o.ClaimWait, defaultClaimWait)
-	setDefault(&o.OutcomeWait, defaultOutcomeWait)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.RunLimit, defaultRunLimit)
-	setDefault(&o.FleetWrites, defaultFleetWrites)
-	setDefault(&o.MaxPending, defaultMaxPending)
-	setDefault(&o.MaxResult, defaultMaxResult)
-	setDefault(&o.CleanEvery, defaultCleanEvery)
+	defaults.Set(&o.Keep, defaultKeep)
+	defaults.Set(&o.Margin, defaultMargin)
+	defaults.Set(&o.ClaimWait, defaultClaimWait)
+	defaults.Set(&o.OutcomeWait, defaultOutcomeWait)
+	defaults.Set(&o.CallTimeout, defaultCallTimeout)
+	defaults.Set(&o.RunLimit, defaultRunLimit)
+	defaults.Set(&o.FleetWrites, defaultFleetWrites)
+	defaults.Set(&o.MaxPending, defaultMaxPending)
+	defaults.Set(&o.MaxResult, defaultMaxResult)
+	defaults.Set(&o.CleanEvery, defaultCleanEvery)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Request is one non-idempotent request.
 type Request struct {
 	Deployment string
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/peer/facts"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/wire"
@@ -92,25 +93,19 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Interval, defaultInterval)
-	setDefault(&o.Fanout, defaultFanout)
-	setDefault(&o.MaxInbound, defaultMaxInbound)
-	setDefault(&o.Rotate, defaultRotate)
-	setDefault(&o.SuspectAfter, defaultSuspectAfter)
-	setDefault(&o.ListInterval, defaultListInterval)
-	setDefault(&o.PingInterval, defaultPingInterval)
+	defaults.Positive(&o.Interval, defaultInterval)
+	defaults.Positive(&o.Fanout, defaultFanout)
+	defaults.Positive(&o.MaxInbound, defaultMaxInbound)
+	defaults.Positive(&o.Rotate, defaultRotate)
+	defaults.Positive(&o.SuspectAfter, defaultSuspectAfter)
+	defaults.Positive(&o.ListInterval, defaultListInterval)
+	defaults.Positive(&o.PingInterval, defaultPingInterval)
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
 	return o
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Exchange is this VM's part of the exchange. It is safe for concurrent use.
 type Exchange struct {
 	tomb    tomb.Tomb
--- /dev/null
+++ b/policy/hedge.go
@@ -0,0 +1,46 @@
+package policy
+
+import "time"
+
+// hedge sends second attempts beside slow first ones. It does so only once half
+// of the shards have answered: when all are slow, the targets are overloaded and
+// a second attempt would make that worse.
+func (q *Query) hedge(now time.Time) []Action {
+	due, ok := q.hedgeDelay(now)
+	if !ok || 2*q.unanswered() > len(q.shards) {
+		return nil
+	}
+	var acts []Action
+	for _, id := range sortedKeys(q.attempts) {
+		a := q.attempts[id]
+		s := &q.shards[a.shard]
+		if s.hedged || now.Sub(a.sentAt) < due || q.exhausted(s) {
+			continue
+		}
+		acts = append(acts, q.tryHedge(now, a.shard)...)
+	}
+	return acts
+}
+
+func (q *Query) tryHedge(now time.Time, shard int) []Action {
+	if _, ok := q.table.Pick(now, q.snapshot.Name, shard, q.shards[shard].tried, true); !ok {
+		return nil
+	}
+	if !q.table.Hedges.Take() {
+		return nil
+	}
+	q.shards[shard].hedged = true
+	q.hedges++
+	return q.send(now, shard, true)
+}
+
+func (q *Query) hedgeDelay(now time.Time) (time.Duration, bool) {
+	if q.spec.Plain || q.spec.HedgeAt <= 0 {
+		return 0, false
+	}
+	d, ok := q.table.Latency.Quantile(now, q.spec.HedgeAt)
+	if !ok {
+		return 0, false
+	}
+	return max(d, q.spec.HedgeMin), true
+}
--- /dev/null
+++ b/policy/status.go
@@ -0,0 +1,146 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// Status takes a target's own account of itself.
+func (t *Table) Status(name string, st target.Status, now time.Time) {
+	ts := t.targets[name]
+	if ts == nil {
+		return
+	}
+	if ts.incarnation != st.Incarnation {
+		ts.begin(st.Incarnation)
+	}
+	if st.State == target.StateServing && !ts.usable() {
+		ts.servingFrom = now
+	}
+	ts.seen = true
+	ts.lost = false
+	ts.failedReads = 0
+	ts.state = st.State
+	for i := range st.Leaves {
+		leaf := &st.Leaves[i]
+		if leaf.Leaf < 0 || leaf.Leaf >= len(ts.replicas) {
+			continue
+		}
+		r := ts.replicas[leaf.Leaf]
+		r.reported = leaf.Load
+		r.reportedAt = now
+		r.ownAtLoad = r.outstanding
+		t.learnMaps(leaf.Holdings)
+		t.hold(r, leaf.Holdings)
+	}
+}
+
+// begin forgets what was known of an earlier incarnation.
+func (ts *targetState) begin(incarnation string) {
+	ts.incarnation = incarnation
+	ts.rest = rest{}
+	for _, r := range ts.replicas {
+		r.rest = rest{}
+		r.latency = 0
+	}
+}
+
+// hold replaces a leaf's holdings and keeps the lists of holders true. Only what
+// changed is touched: a status comes from every target at each interval, and
+// almost all of them repeat the last one.
+func (t *Table) hold(r *replica, list []target.Holding) {
+	next := make(map[holdingKey]struct{}, len(list))
+	for _, h := range list {
+		key := holdingKey{h.Snapshot, h.Shard}
+		s := t.snapshots[h.Snapshot]
+		if s == nil || h.Shard < 0 || h.Shard >= s.shards {
+			continue
+		}
+		next[key] = struct{}{}
+		if _, had := r.holdings[key]; !had {
+			s.holders[h.Shard] = append(s.holders[h.Shard], r)
+		}
+	}
+	for key := range r.holdings {
+		if _, has := next[key]; !has {
+			t.unlist(r, key)
+		}
+	}
+	r.holdings = next
+}
+
+// unlist takes a replica out of a list of holders, and drops the snapshot if
+// nobody holds any of it.
+func (t *Table) unlist(r *replica, key holdingKey) {
+	s := t.snapshots[key.snapshot]
+	if s == nil {
+		return
+	}
+	rest := slices.DeleteFunc(s.holders[key.shard], func(o *replica) bool { return o == r })
+	if len(rest) > 0 {
+		s.holders[key.shard] = rest
+		return
+	}
+	delete(s.holders, key.shard)
+	if len(s.holders) == 0 {
+		delete(t.snapshots, s.name)
+	}
+}
+
+// learnMaps takes the partition maps and sizes that a leaf states. The number
+// of shards of a known snapshot never shrinks: if two leaves disagree, the
+// larger map counts, which can only understate coverage.
+func (t *Table) learnMaps(list []target.Holding) {
+	for _, h := range list {
+		if h.Shards <= 0 || h.Shard < 0 || h.Shard >= h.Shards {
+			continue
+		}
+		s := t.snapshots[h.Snapshot]
+		if s == nil {
+			s = &snapshotState{
+				name:    h.Snapshot,
+				records: make(map[int]int64),
+				holders: make(map[int][]*replica),
+			}
+			t.snapshots[h.Snapshot] = s
+		}
+		s.seq = max(s.seq, h.Seq)
+		s.shards = max(s.shards, h.Shards)
+		s.records[h.Shard] = max(s.records[h.Shard], h.Records)
+	}
+}
+
+// StatusFailed takes that a target's status could not be read.
+func (t *Table) StatusFailed(name string) {
+	ts := t.targets[name]
+	if ts == nil {
+		return
+	}
+	ts.failedReads++
+	if ts.failedReads >= t.suspect {
+		ts.lost = true
+	}
+}
+
+// Seen takes the state that a target put into an answer's headers. It reports
+// whether this is the first word of a drain.
+func (t *Table) Seen(name, incarnation string, state target.State) bool {
+	ts := t.targets[name]
+	if ts == nil || incarnation == "" || state != target.StateDraining {
+		return false
+	}
+	return t.Drain(name, incarnation)
+}
+
+// Drain takes, from any source, that an incarnation of a target is leaving. It
+// reports whether that is news.
+func (t *Table) Drain(name, incarnation string) bool {
+	ts := t.targets[name]
+	if ts == nil || ts.drained == incarnation {
+		return false
+	}
+	ts.drained = incarnation
+	return true
+}
--- a/rollout/client.go
+++ b/rollout/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -48,8 +49,8 @@
 
 // NewClient returns a client.
 func NewClient(opts ClientOptions) *Client {
-	setDefault(&opts.Patience, DefaultPatience)
-	setDefault(&opts.CallTimeout, DefaultCallTimeout)
+	defaults.Positive(&opts.Patience, DefaultPatience)
+	defaults.Positive(&opts.CallTimeout, DefaultCallTimeout)
 	if opts.Pause == nil {
 		opts.Pause = pauseWithJitter
 	}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -56,19 +57,13 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	setDefault(&o.RereadEvery, DefaultRereadEvery)
-	setDefault(&o.IdleEvery, DefaultIdleEvery)
-	setDefault(&o.ReadTimeout, DefaultReadTimeout)
-	setDefault(&o.WatchFor, DefaultWatchFor)
+	defaults.Positive(&o.RereadEvery, DefaultRereadEvery)
+	defaults.Positive(&o.IdleEvery, DefaultIdleEvery)
+	defaults.Positive(&o.ReadTimeout, DefaultReadTimeout)
+	defaults.Positive(&o.WatchFor, DefaultWatchFor)
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Keeper keeps the revision in force on one VM.
 type Keeper struct {
 	opts    Options
--- a/target/monitor.go
+++ b/target/monitor.go
@@ -8,6 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 )
 
 // StatusReader reads the status of a target; Client is one.
@@ -56,7 +58,7 @@
 	if opts.Log == nil {
 		opts.Log = hclog.NewNullLogger()
 	}
-	setDefault(&opts.Workers, defaultMonitorWorkers)
+	defaults.Set(&opts.Workers, defaultMonitorWorkers)
 	return &Monitor{
 		opts:    opts,
 		work:    make(chan *watched),
@@ -106,8 +108,8 @@
 const firstReadSpread = 20 * time.Millisecond
 
 func withHealthDefaults(e Endpoint) Endpoint {
-	setDefault(&e.HealthInterval, defaultHealthInterval)
-	setDefault(&e.HealthTimeout, defaultHealthTimeout)
+	defaults.Set(&e.HealthInterval, defaultHealthInterval)
+	defaults.Set(&e.HealthTimeout, defaultHealthTimeout)
 	return e
 }
 
--- a/target/options.go
+++ b/target/options.go
@@ -5,6 +5,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 )
 
 // Endpoint is a target as one VM uses it.
@@ -89,25 +91,18 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.GetDefaultSet()
 	}
-	setDefault(&o.MaxAnswer, defaultMaxAnswer)
-	setDefault(&o.MaxOpen, defaultMaxOpen)
-	setDefault(&o.SilentHold, defaultSilentHold)
-	setDefault(&o.MaxStreams, defaultMaxStreams)
-	setDefault(&o.MaxWaiting, defaultMaxWaiting)
-	setDefault(&o.MaxWait, defaultMaxWait)
-	setDefault(&o.MaxDials, defaultMaxDials)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.PaceFactor, defaultPaceFactor)
-	setDefault(&o.MinPace, defaultMinPace)
-	setDefault(&o.MaxBackoff, defaultMaxBackoff)
-	setDefault(&o.SuspectAfter, defaultSuspectAfter)
-	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
+	defaults.Set(&o.MaxAnswer, defaultMaxAnswer)
+	defaults.Set(&o.MaxOpen, defaultMaxOpen)
+	defaults.Set(&o.SilentHold, defaultSilentHold)
+	defaults.Set(&o.MaxStreams, defaultMaxStreams)
+	defaults.Set(&o.MaxWaiting, defaultMaxWaiting)
+	defaults.Set(&o.MaxWait, defaultMaxWait)
+	defaults.Set(&o.MaxDials, defaultMaxDials)
+	defaults.Set(&o.DialTimeout, defaultDialTimeout)
+	defaults.Set(&o.PaceFactor, defaultPaceFactor)
+	defaults.Set(&o.MinPace, defaultMinPace)
+	defaults.Set(&o.MaxBackoff, defaultMaxBackoff)
+	defaults.Set(&o.SuspectAfter, defaultSuspectAfter)
+	defaults.Set(&o.ProbeTimeout, defaultProbeTimeout)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
@@ -93,13 +94,13 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HelloTimeout, defaultHelloTimeout)
-	setDefault(&o.MaxHellos, defaultMaxHellos)
-	setDefault(&o.MaxConns, defaultMaxConns)
-	setDefault(&o.MaxMessage, defaultMaxMessage)
-	setDefault(&o.MaxCalls, defaultMaxCalls)
-	setDefault(&o.PingInterval, defaultPingInterval)
-	setDefault(&o.SilentAfter, pingsUntilSilent*o.PingInterval)
+	defaults.Positive(&o.HelloTimeout, defaultHelloTimeout)
+	defaults.Positive(&o.MaxHellos, defaultMaxHellos)
+	defaults.Positive(&o.MaxConns, defaultMaxConns)
+	defaults.Positive(&o.MaxMessage, defaultMaxMessage)
+	defaults.Positive(&o.MaxCalls, defaultMaxCalls)
+	defaults.Positive(&o.PingInterval, defaultPingInterval)
+	defaults.Positive(&o.SilentAfter, pingsUntilSilent*o.PingInterval)
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
@@ -108,9 +109,3 @@
 	}
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
