Claims: racing tests end their VMs before they wait for late writes

Cause: the race detector reported TestClaimsAreLinearizable once: VMs still released claims in the background, which adds to a WaitGroup that the test was waiting on. A fault of the test; the product's Close waits for such releases. Change: the VMs are closed first, and their Close must succeed.

--- a/once/race_test.go
+++ b/once/race_test.go
@@ -42,6 +42,17 @@
 	return runners, store
 }
 
+// settle ends the VMs and waits for writes that land late. The VMs end first:
+// they still release claims in the background, which may make for more of these.
+func settle(t *testing.T, runners []*Runner, store *faultStore) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, r := range runners {
+		NewWithT(t).Expect(r.Close(ctx)).To(Succeed())
+	}
+	store.lateWG.Wait()
+}
+
 // claimIn and claimOut are the register's operations for porcupine.
 type claimIn struct {
 	key     int
@@ -101,7 +112,7 @@
 				wg.Go(func() { h.drive(r, base, i, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
 			}
 			wg.Wait()
-			store.lateWG.Wait()
+			settle(t, runners, store)
 			verdict := porcupine.CheckOperationsTimeout(claimModel, h.ops, time.Minute)
 			NewWithT(t).Expect(verdict).To(Equal(porcupine.Ok))
 		})
@@ -200,7 +211,7 @@
 				})
 			}
 			wg.Wait()
-			store.lateWG.Wait()
+			settle(t, runners, store)
 			for key := range ran {
 				g.Expect(ran[key]).To(HaveLen(1), "key %d ran twice", key)
 			}
