Readiness waits until the targets are known

Cause: a VM counted as ready with its first bundle in force and answered NoReplica until it had read the first statuses.

--- a/integration/query_test.go
+++ b/integration/query_test.go
@@ -12,6 +12,7 @@
 	"github.com/bramleybarrow/bramleybarrow/gateway"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
 	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
 	"github.com/bramleybarrow/bramleybarrow/target"
 )
 
@@ -325,3 +326,14 @@
 		f.c.hold(i, f.indexes[len(f.indexes)-1])
 	}
 }
+
+// Callers of a VM that has just started are told that no replica lives: it
+// counted as ready as soon as it had a bundle, before it had heard of any target.
+func TestReadyVMKnowsItsTargets(t *testing.T) {
+	c := start(t, shape{Daemons: 1, NoRollout: true})
+	must[rollout.Entry](c)(c.RollOut(c.ctx, c.Bundle))
+	d := c.Daemons[0]
+	c.Eventually(func() bool { return d.Ready(c.ctx) }, limit, "1ms").Should(gomega.BeTrue())
+	a := must[gateway.Answer](c)(answerOnly(d.Search(c.ctx, findSearch, searchBody("x"))))
+	c.Expect(a.Code).NotTo(gomega.Equal(int(result.NoReplica)))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	metrics     *metrics.Set
 	tomb        tomb.Tomb
 	leaving     atomic.Bool
+	warmed      atomic.Bool // targets were known once
 
 	store   platform.Store
 	keeper  *rollout.Keeper
--- a/query/engine.go
+++ b/query/engine.go
@@ -154,6 +154,25 @@
 	return hedge, retry
 }
 
+// Readable reports whether some snapshot of every service can be read.
+func (e *Engine) Readable() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, svc := range e.services {
+		if !svc.readable(e.now()) {
+			return false
+		}
+	}
+	return len(e.services) > 0
+}
+
+func (s *service) readable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.table.ChooseSnapshot(now)
+	return ok
+}
+
 func (e *Engine) service(name string) *service {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
