Hedges: a search of one shard is hedged too

Cause: hedges wait until half of the shards have answered, which one shard never does before its query ends; found by reading. Change: one unanswered shard is always few enough. Run: TestSingleShardIsHedged red before, green after; go test ./policy passes.

--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -3,11 +3,11 @@
 import "time"
 
 // hedge sends second attempts beside slow first ones. It does so only once half
-// of the shards have answered: when all are slow, the targets are overloaded and
-// a second attempt would make that worse.
+// of the shards have answered, or but one: when all are slow, the targets are
+// overloaded and second attempts would make that worse.
 func (q *Query) hedge(now time.Time) []Action {
 	due, ok := q.hedgeDelay(now)
-	if !ok || 2*q.unanswered() > len(q.shards) {
+	if !ok || q.unanswered() > max(len(q.shards)/2, 1) {
 		return nil
 	}
 	var acts []Action
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -376,3 +376,16 @@
 	_, ok := f.table.Pick(at(141), "v1", 0, []ReplicaID{{Target: targetName(0, 1)}}, false)
 	g.Expect(ok).To(BeTrue(), "and at once if no other is left")
 }
+
+// A search of one shard waits for a straggler although other replicas are idle:
+// the rule that half of the shards must have answered can never hold for it.
+func TestSingleShardIsHedged(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2, 1)
+	for range 100 {
+		f.table.Latency.Add(at(0), 5*time.Millisecond)
+	}
+	q := NewQuery(spec(), f.table)
+	g.Expect(sends(q.Start(at(0)))).To(HaveLen(1))
+	g.Expect(sends(q.Tick(at(20)))).To(HaveLen(1))
+}
