Stand-in target: refusals echo the attempt they answer

Cause: the client checks the echo of a refusal if one is sent, since a refusal that belongs to another request would make a running one count as not started; the stand-in sent none, so real processes never exercised the check. Change: every refusal carries its echo. go test ./internal/lab/targetsim passes.

--- a/internal/lab/targetsim/handler.go
+++ b/internal/lab/targetsim/handler.go
@@ -38,10 +38,10 @@
 	defer cancel()
 	part, held := t.holding(number, req.Echo)
 	if !held {
-		t.refuse(w, target.ReasonNoSnapshot, true)
+		t.refuse(w, req.Echo, target.ReasonNoSnapshot, true)
 		return
 	}
-	if !t.enter(ctx, w, l) {
+	if !t.enter(ctx, w, l, req.Echo) {
 		return
 	}
 	t.ledger.search(Run{Echo: req.Echo, Leaf: number})
@@ -50,7 +50,7 @@
 	l.release()
 	if !finished {
 		t.ledger.cancel()
-		t.refuse(w, target.ReasonDeadline, false)
+		t.refuse(w, req.Echo, target.ReasonDeadline, false)
 		return
 	}
 	t.answerSearch(ctx, w, number, search(part, req))
@@ -107,7 +107,7 @@
 	}
 	ctx, cancel := withDeadline(r.Context(), req.DeadlineMS)
 	defer cancel()
-	if !t.enter(ctx, w, l) {
+	if !t.enter(ctx, w, l, req.Echo) {
 		return
 	}
 	// Once started, a submit runs to its end, whether anybody waits or not.
@@ -135,7 +135,7 @@
 }
 
 // enter takes a slot, or refuses.
-func (t *Target) enter(ctx context.Context, w http.ResponseWriter, l *leaf) bool {
+func (t *Target) enter(ctx context.Context, w http.ResponseWriter, l *leaf, echo target.Echo) bool {
 	t.mu.Lock()
 	state := t.stateNow(time.Now())
 	refuseCold := state == target.StateStarting && t.timing.ColdFactor == 0
@@ -143,21 +143,21 @@
 	t.mu.Unlock()
 	switch {
 	case state == target.StateDraining:
-		t.refuse(w, target.ReasonDraining, true)
+		t.refuse(w, echo, target.ReasonDraining, true)
 		return false
 	case refuseCold:
-		t.refuse(w, target.ReasonCold, true)
+		t.refuse(w, echo, target.ReasonCold, true)
 		return false
 	case l.chance(shedShare):
-		t.refuse(w, target.ReasonShed, true)
+		t.refuse(w, echo, target.ReasonShed, true)
 		return false
 	}
 	switch l.acquire(ctx) {
 	case queueFull:
-		t.refuse(w, target.ReasonShed, true)
+		t.refuse(w, echo, target.ReasonShed, true)
 		return false
 	case gaveUp:
-		t.refuse(w, target.ReasonDeadline, true)
+		t.refuse(w, echo, target.ReasonDeadline, true)
 		return false
 	}
 	return true
@@ -195,10 +195,10 @@
 	return n, t.leaves[n]
 }
 
-func (t *Target) refuse(w http.ResponseWriter, reason target.Reason, notStarted bool) {
+func (t *Target) refuse(w http.ResponseWriter, echo target.Echo, reason target.Reason, notStarted bool) {
 	t.ledger.refuse(reason)
 	t.answer(w, http.StatusServiceUnavailable, target.Refusal{
-		Reason: reason, NotStarted: notStarted, RetryAfterMS: retryAfterMS,
+		Echo: &echo, Reason: reason, NotStarted: notStarted, RetryAfterMS: retryAfterMS,
 	})
 }
 
