--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -211,12 +211,15 @@
 }
 
 // listVMs makes the platform list the daemons.
-func (c *cluster) listVMs() {
+func (c *cluster) listVMs() { c.listVMsAfter(0) }
+
+// listVMsAfter does so once lag has passed.
+func (c *cluster) listVMsAfter(lag time.Duration) {
 	var vms []platform.VM
 	for _, d := range c.Daemons {
 		vms = append(vms, d.VM())
 	}
-	c.ok(c.Platform.SetVMs(vms, 0))
+	c.ok(c.Platform.SetVMs(vms, lag))
 }
 
 // makeBundle describes the targets as the daemons reach them.
--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -51,18 +51,7 @@
 	balancer := &laggingList{}
 	balancer.list(c.Daemons...)
 	stop := c.drive(balancer)
-	for i := range daemons {
-		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
-		c.ok(err)
-		c.waitInForce(fresh, 1)
-		c.waitWhole(fresh)
-		old := c.Daemons[0]
-		c.Daemons = append(c.Daemons[1:], fresh)
-		c.ok(old.Terminate())
-		balancer.list(c.Daemons...)
-		c.listVMs()
-		c.Eventually(old.Done(), limit).Should(gomega.BeClosed())
-	}
+	c.replaceAll(balancer, 0)
 	good, faults := stop()
 	c.Expect(faults).To(gomega.BeEmpty())
 	c.Expect(good).To(gomega.BeNumerically(">", 0))
--- a/integration/peer_test.go
+++ b/integration/peer_test.go
@@ -100,22 +100,7 @@
 	balancer := &laggingList{}
 	balancer.list(c.Daemons...)
 	stop := c.drive(balancer)
-	for i := range daemons {
-		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
-		c.ok(err)
-		c.waitInForce(fresh, 1)
-		c.waitWhole(fresh)
-		old := c.Daemons[0]
-		c.Daemons = append(c.Daemons[1:], fresh)
-		c.ok(old.Terminate())
-		balancer.list(c.Daemons...)
-		var vms []platform.VM
-		for _, d := range c.Daemons {
-			vms = append(vms, d.VM())
-		}
-		c.ok(c.Platform.SetVMs(vms, listLag))
-		c.Eventually(old.Done(), limit).Should(gomega.BeClosed())
-	}
+	c.replaceAll(balancer, listLag)
 	good, faults := stop()
 	c.Expect(faults).To(gomega.BeEmpty())
 	c.Expect(good).To(gomega.BeNumerically(">", 0))
@@ -229,3 +214,21 @@
 		}, limit, "100ms").Should(gomega.BeNumerically(">=", 2), d.Name)
 	}
 }
+
+// replaceAll replaces every VM, one after another. Callers are sent to the new
+// VM once it reads every shard; the platform's list follows after lag.
+func (c *cluster) replaceAll(callers *laggingList, lag time.Duration) {
+	c.t.Helper()
+	for i := range c.Daemons {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("new-", i), Zone: zone, LameDuck: time.Second})
+		c.ok(err)
+		c.waitInForce(fresh, 1)
+		c.waitWhole(fresh)
+		old := c.Daemons[0]
+		c.Daemons = append(c.Daemons[1:], fresh)
+		c.ok(old.Terminate())
+		callers.list(c.Daemons...)
+		c.listVMsAfter(lag)
+		c.Eventually(old.Done(), limit).Should(gomega.BeClosed())
+	}
+}
--- a/operator/bundles.go
+++ b/operator/bundles.go
@@ -37,14 +37,23 @@
 	Warnings []bundle.Finding `json:"warnings"`
 }
 
-func (a *app) bundleCheck(_ context.Context, c *cli.Command) error {
+// fileArg reads the file that is the command's one argument.
+func fileArg(c *cli.Command) ([]byte, error) {
 	path, err := oneArg(c, "a file")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return result.Wrap(result.BadRequest, err, "FILE")
+		return nil, result.Wrap(result.BadRequest, err, "FILE")
+	}
+	return data, nil
+}
+
+func (a *app) bundleCheck(_ context.Context, c *cli.Command) error {
+	data, err := fileArg(c)
+	if err != nil {
+		return err
 	}
 	b, findings := bundle.Parse(data)
 	answer := CheckAnswer{
@@ -79,14 +88,10 @@
 }
 
 func (a *app) bundlePush(ctx context.Context, c *cli.Command) error {
-	path, err := oneArg(c, "a file")
+	data, err := fileArg(c)
 	if err != nil {
 		return err
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return result.Wrap(result.BadRequest, err, "FILE")
-	}
 	s, err := a.open(c)
 	if err != nil {
 		return err
