--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -83,3 +83,8 @@
 	s.FleetKeys = []string{"c2VjcmV0LXNlY3JldA=="}
 	NewWithT(t).Expect(parse(t, s)).To(MatchError(Not(ContainSubstring("c2VjcmV0"))))
 }
+
+func TestExampleIsValid(t *testing.T) {
+	_, err := Load("../examples/bramleyd.json")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+}
