Health of targets read by their owners and passed on

Change: a target's state, incarnation and holdings are a fact of the exchange, stated by its owners on change only. peer/facts orders the statements, peer passes them on and compares them, peer/health decides which owner speaks and what the other VMs take from it. Other VMs read a target seldom, and at once if a call contradicts what they were told. Where all VMs go direct nothing changes.

Ruled out: one owner that says 'lost' for all; each owner says only that it can't read the target itself.

--- a/node/follow.go
+++ b/node/follow.go
@@ -20,7 +20,10 @@
 		}
 		shares := n.router.Changed()
 		if applied != nil {
-			n.client.Apply(n.endpoints(applied.Bundle))
+			endpoints := n.endpoints(applied.Bundle)
+			n.client.Apply(endpoints)
+			n.monitor.Apply(endpoints)
+			n.health.Reapply()
 		}
 		select {
 		case <-changed:
@@ -36,6 +39,7 @@
 	endpoints := n.endpoints(force.Bundle)
 	n.engine.Apply(force.Bundle)
 	n.client.Apply(endpoints)
+	n.health.Apply(force.Bundle)
 	n.monitor.Apply(endpoints)
 	n.applyDrains()
 	n.claims.SetFleet(force.Bundle.Fleet.MaxVMs)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/bramleybarrow/bramleybarrow/gateway"
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/peer"
+	"github.com/bramleybarrow/bramleybarrow/peer/health"
 	"github.com/bramleybarrow/bramleybarrow/peer/place"
 	"github.com/bramleybarrow/bramleybarrow/peer/route"
 	"github.com/bramleybarrow/bramleybarrow/platform"
@@ -44,6 +45,7 @@
 	claims  *once.Runner
 	peers   *peer.Exchange
 	router  *route.Router
+	health  *health.Relay
 	gateway *gateway.Gateway
 
 	callers *listener
@@ -137,7 +139,8 @@
 
 // buildTargets makes the client, the router, the engine and the monitor, which
 // refer to each other: the engine calls through the router, the router through
-// the client, and client and monitor tell the engine.
+// the client, the client tells the engine, and so does the monitor by way of the
+// relay of targets' health.
 func (n *Node) buildTargets() {
 	relay := &sinkRelay{}
 	n.client = target.NewClient(target.Options{
@@ -155,8 +158,15 @@
 		},
 		Log: n.log.Named("route"),
 	})
+	engine := &engineRelay{}
+	n.health = health.New(health.Options{
+		Router:  n.router,
+		Sink:    engine,
+		Log:     n.log.Named("health"),
+		Metrics: n.metrics,
+	})
 	n.engine = query.NewEngine(query.Options{
-		Leaves: n.router,
+		Leaves: n.health.Calls(n.router),
 		Zone:   n.set.Zone,
 		Seed:   uint64(n.started.UnixNano()),
 		Log:    n.log.Named("query"),
@@ -165,13 +175,17 @@
 		},
 	})
 	relay.Sink = n.engine
+	engine.Sink = n.engine
 	n.monitor = target.NewMonitor(target.MonitorOptions{
 		Log:    n.log.Named("monitor"),
-		Reader: n.router,
-		Sink:   n.engine,
+		Reader: n.health,
+		Sink:   n.health,
 	})
 }
 
 // sinkRelay lets the client be made before the engine that it reports to. No
 // call is made before both exist.
 type sinkRelay struct{ target.Sink }
+
+// engineRelay is the same for the relay of targets' health.
+type engineRelay struct{ health.Sink }
--- a/node/run.go
+++ b/node/run.go
@@ -22,6 +22,7 @@
 		return errors.Trace(err)
 	}
 	n.router.Start(n.peers)
+	n.health.Start(n.peers, n.monitor)
 	n.keeper.Start()
 	n.monitor.Start()
 	n.tomb.Go(n.follow)
@@ -82,6 +83,7 @@
 	n.tomb.Kill(nil)
 	err = firstError(err, n.claims.Close(ctx))
 	err = firstError(err, n.monitor.Stop())
+	err = firstError(err, n.health.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
 	err = firstError(err, n.router.Drain(ctx))
 	err = firstError(err, n.peers.Stop(ctx))
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -1,5 +1,5 @@
 // Package peer is how the VMs of a deployment act together: who lives, and the
-// exchange of revisions and drains. Each VM keeps connections to a few others,
+// exchange of revisions, drains and the health of targets. Each VM keeps connections to a few others,
 // chosen at random, passes on what is new to it as soon as it hears of it, and
 // compares digests with one of them at an interval. What a VM sends per second
 // therefore depends on its number of connections and on how much changes, not
@@ -117,6 +117,8 @@
 	started int64         // begun by the wall clock, in Unix nanoseconds
 	pull    chan struct{} // wakes the loop that gets newer heads
 
+	healthChanged chan struct{} // there is news of targets' health
+
 	mu            sync.Mutex // guards everything below
 	table         *facts.Table
 	self          facts.Member
@@ -132,7 +134,9 @@
 	lastTick      time.Time
 	told          uint64 // revision last passed on
 	drainsChanged chan struct{}
-	drainLearned  time.Time // when a drain was last learned
+	drainLearned  time.Time           // when a drain was last learned
+	healthNews    map[string]struct{} // targets of which something was learned
+	healthLearned time.Time           // when something was last learned of a target
 }
 
 // New returns an Exchange that Start sets to work.
@@ -150,6 +154,8 @@
 		suspects:      map[string]time.Time{},
 		accused:       map[string]time.Time{},
 		drainsChanged: make(chan struct{}),
+		healthNews:    map[string]struct{}{},
+		healthChanged: make(chan struct{}, 1),
 	}
 	x.started = x.begun.UnixNano()
 	x.metrics = x.newMetrics()
--- a/peer/facts/facts.go
+++ b/peer/facts/facts.go
@@ -1,5 +1,6 @@
 // Package facts is what VMs tell one another apart from the bundle in force:
-// which incarnations of targets drain, and which VMs live. It is pure: a table
+// which incarnations of targets drain, which VMs live, and how the targets are
+// that not every VM reads. It is pure: a table
 // that merges facts in any order, any number of times, to the same state, and
 // that can say by short digests where two tables differ.
 package facts
@@ -49,10 +50,11 @@
 	Place       int    `json:"l,omitempty"` // among the fleet's, counted from 1; 0 means none
 }
 
-// Fact is one of the two, as sent.
+// Fact is one of the three, as sent.
 type Fact struct {
 	Drain  *Drain  `json:"d,omitempty"`
 	Member *Member `json:"m,omitempty"`
+	Health *Health `json:"h,omitempty"`
 }
 
 // Key names what a fact is about. Two facts of one key are merged into one.
@@ -61,21 +63,30 @@
 const (
 	drainPrefix  = "d/"
 	memberPrefix = "m/"
+	healthPrefix = "h/"
 	keySeparator = "\x00"
 )
 
 // Key returns the fact's key, or "" if it is malformed.
 func (f Fact) Key() Key {
 	switch {
-	case f.Drain != nil && f.Member == nil && f.Drain.Target != "":
+	case f.Drain != nil && f.Member == nil && f.Health == nil && f.Drain.Target != "":
 		return Key(drainPrefix + f.Drain.Target + keySeparator + f.Drain.Incarnation)
-	case f.Member != nil && f.Drain == nil && f.Member.Name != "":
+	case f.Member != nil && f.Drain == nil && f.Health == nil && f.Member.Name != "":
 		return Key(memberPrefix + f.Member.Name)
+	case f.Health != nil && f.Drain == nil && f.Member == nil && f.Health.Target != "":
+		return healthKey(f.Health.Target)
 	default:
 		return ""
 	}
 }
 
+func healthKey(target string) Key { return Key(healthPrefix + target) }
+
+func (k Key) health() (string, bool) {
+	return strings.CutPrefix(string(k), healthPrefix)
+}
+
 func (k Key) target() (string, bool) {
 	rest, ok := strings.CutPrefix(string(k), drainPrefix)
 	target, _, _ := strings.Cut(rest, keySeparator)
@@ -87,7 +98,11 @@
 }
 
 func (k Key) bucket() int {
-	return int(xxhash.Sum64String(string(k)) % Buckets)
+	bucket := int(xxhash.Sum64String(string(k)) % Buckets)
+	if _, ok := k.health(); ok {
+		return Buckets + bucket
+	}
+	return bucket
 }
 
 // hash covers the whole fact; tables are equal if the hashes of their facts are.
--- a/peer/facts/table.go
+++ b/peer/facts/table.go
@@ -6,9 +6,20 @@
 	"time"
 )
 
-// Buckets is the number of parts whose digests are compared.
+// Buckets is the number of buckets of each Part, whose digests are compared.
 const Buckets = 64
 
+// Part is a part of a table that is compared on its own.
+type Part int
+
+// The parts. What is known of targets depends on the bundle in force, so that
+// two VMs can compare it only while they have the same one.
+const (
+	General Part = iota // VMs and drains
+	Targets             // health of targets
+	parts
+)
+
 const (
 	// drainsPerTarget bounds what is kept of one target: its newest drains.
 	drainsPerTarget = 4
@@ -22,8 +33,10 @@
 type Table struct {
 	drains  map[string][]Drain // by target, the newest first
 	members map[string]Member
-	lost    int             // members that are lost
-	digest  [Buckets]uint64 // XOR of the hashes of the facts in each bucket
+	health  map[string]healthEntry       // by target
+	targets map[string]struct{}          // of the bundle in force
+	lost    int                          // members that are lost
+	digest  [Buckets * int(parts)]uint64 // XOR of the hashes of the facts in each bucket
 }
 
 // Entry is the digest of one fact.
@@ -34,7 +47,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{drains: map[string][]Drain{}, members: map[string]Member{}}
+	return &Table{drains: map[string][]Drain{}, members: map[string]Member{}, health: map[string]healthEntry{}}
 }
 
 // Merge adds a fact and tells whether it said anything new. now is in Unix
@@ -45,6 +58,8 @@
 		return false
 	case f.Member != nil:
 		return t.mergeMember(*f.Member, now)
+	case f.Health != nil:
+		return t.mergeHealth(*f.Health)
 	default:
 		return t.mergeDrain(*f.Drain)
 	}
@@ -171,33 +186,38 @@
 	return list
 }
 
-// Root is the digest of the whole table.
-func (t *Table) Root() uint64 {
+// Root is the digest of a whole part.
+func (t *Table) Root(part Part) uint64 {
 	var root uint64
-	for i, d := range t.digest {
+	for i, d := range t.buckets(part) {
 		root ^= d*uint64(2*i+1) + uint64(i)
 	}
 	return root
 }
 
-// Digest returns the digests of all buckets, eight bytes each.
-func (t *Table) Digest() []byte {
+func (t *Table) buckets(part Part) []uint64 {
+	first := int(part) * Buckets
+	return t.digest[first : first+Buckets]
+}
+
+// Digest returns the digests of a part's buckets, eight bytes each.
+func (t *Table) Digest(part Part) []byte {
 	buf := make([]byte, 0, 8*Buckets)
-	for _, d := range t.digest {
+	for _, d := range t.buckets(part) {
 		buf = binary.LittleEndian.AppendUint64(buf, d)
 	}
 	return buf
 }
 
-// Differing returns the buckets whose digests differ from the other's.
-func (t *Table) Differing(digest []byte) []int {
+// Differing returns a part's buckets whose digests differ from the other's.
+func (t *Table) Differing(part Part, digest []byte) []int {
 	if len(digest) != 8*Buckets {
 		return nil
 	}
 	var list []int
-	for i, d := range t.digest {
+	for i, d := range t.buckets(part) {
 		if binary.LittleEndian.Uint64(digest[8*i:]) != d {
-			list = append(list, i)
+			list = append(list, int(part)*Buckets+i)
 		}
 	}
 	return list
@@ -206,7 +226,7 @@
 // Entries returns the digests of the facts in some buckets.
 func (t *Table) Entries(buckets []int) []Entry {
 	var list []Entry
-	t.each(buckets, func(f Fact) { list = append(list, Entry{f.Key(), f.hash()}) })
+	t.each(buckets, func(f Fact, hash uint64) { list = append(list, Entry{f.Key(), hash}) })
 	return list
 }
 
@@ -218,12 +238,12 @@
 	for _, e := range entries {
 		theirs[e.Key] = e.Hash
 	}
-	t.each(buckets, func(f Fact) {
+	t.each(buckets, func(f Fact, own uint64) {
 		hash, known := theirs[f.Key()]
-		if !known || hash != f.hash() {
+		if !known || hash != own {
 			give = append(give, f)
 		}
-		if known && hash == f.hash() {
+		if known && hash == own {
 			delete(theirs, f.Key())
 		}
 	})
@@ -243,6 +263,12 @@
 			}
 			continue
 		}
+		if target, ok := key.health(); ok {
+			if e, known := t.health[target]; known {
+				list = append(list, Fact{Health: &e.Health})
+			}
+			continue
+		}
 		target, _ := key.target()
 		for _, d := range t.drains[target] {
 			if f := (Fact{Drain: &d}); f.Key() == key {
@@ -253,23 +279,32 @@
 	return list
 }
 
-func (t *Table) each(buckets []int, f func(Fact)) {
-	var wanted [Buckets]bool
+// each calls f with the facts of some buckets and their hashes.
+func (t *Table) each(buckets []int, f func(Fact, uint64)) {
+	var wanted [Buckets * int(parts)]bool
 	for _, b := range buckets {
-		if b >= 0 && b < Buckets {
+		if b >= 0 && b < len(wanted) {
 			wanted[b] = true
 		}
 	}
 	for _, m := range t.members {
 		if fact := (Fact{Member: &m}); wanted[fact.Key().bucket()] {
-			f(fact)
+			f(fact, fact.hash())
 		}
 	}
 	for _, drains := range t.drains {
 		for _, d := range drains {
 			if fact := (Fact{Drain: &d}); wanted[fact.Key().bucket()] {
-				f(fact)
+				f(fact, fact.hash())
 			}
 		}
 	}
+	if !slices.Contains(wanted[int(Targets)*Buckets:], true) {
+		return
+	}
+	for _, e := range t.health {
+		if fact := (Fact{Health: &e.Health}); wanted[fact.Key().bucket()] {
+			f(fact, e.hash)
+		}
+	}
 }
--- a/peer/facts/table_test.go
+++ b/peer/facts/table_test.go
@@ -11,12 +11,15 @@
 const now = int64(1_000_000)
 
 func drawFact(t *rapid.T) Fact {
-	if rapid.Bool().Draw(t, "drain") {
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
 		return Fact{Drain: &Drain{
 			Target:      fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target")),
 			Incarnation: fmt.Sprint("i", rapid.IntRange(0, 6).Draw(t, "incarnation")),
 			Since:       rapid.Int64Range(0, 3).Draw(t, "since"),
 		}}
+	case 1:
+		return Fact{Health: drawHealth(t)}
 	}
 	return Fact{Member: &Member{
 		Name:        fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(t, "vm")),
@@ -30,7 +33,7 @@
 
 // exchange does one comparison of digests, a asking b.
 func exchange(a, b *Table) {
-	buckets := a.Differing(b.Digest())
+	buckets := append(a.Differing(General, b.Digest(General)), a.Differing(Targets, b.Digest(Targets))...)
 	give, want := b.Compare(buckets, a.Entries(buckets))
 	for _, f := range give {
 		a.Merge(f, now)
@@ -45,7 +48,7 @@
 // older one on the way.
 func TestTablesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := NewTable(), NewTable()
+		a, b := newTestTable(), newTestTable()
 		for range rapid.IntRange(0, 40).Draw(t, "facts") {
 			f := drawFact(t)
 			for _, table := range []*Table{a, b} {
@@ -57,16 +60,22 @@
 		for range 5 {
 			exchange(a, b)
 		}
-		if a.Root() != b.Root() || len(a.Differing(b.Digest())) != 0 {
-			t.Fatalf("tables differ:\n%v %v\n%v %v", a.members, a.drains, b.members, b.drains)
+		for part := range parts {
+			if a.Root(part) != b.Root(part) || len(a.Differing(part, b.Digest(part))) != 0 {
+				t.Fatalf("tables differ:\n%v %v %v\n%v %v %v", a.members, a.drains, a.health, b.members, b.drains, b.health)
+			}
 		}
-		if fmt.Sprint(a.members, a.drains) != fmt.Sprint(b.members, b.drains) {
+		if fmt.Sprint(a.members, a.drains, a.health) != fmt.Sprint(b.members, b.drains, b.health) {
 			t.Fatal("equal digests of different tables")
 		}
 	})
 }
 
 func mergeWatched(t *rapid.T, table *Table, f Fact) {
+	if f.Health != nil {
+		mergeHealthWatched(t, table, f)
+		return
+	}
 	var before Member
 	if f.Member != nil {
 		before, _ = table.Member(f.Member.Name)
@@ -86,22 +95,25 @@
 // digest of a table that was filled at once.
 func TestDigestFollowsContent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := NewTable()
+		table := newTestTable()
 		for range rapid.IntRange(0, 40).Draw(t, "facts") {
 			table.Merge(drawFact(t), now)
 		}
 		table.Expire(now + rapid.Int64Range(0, 1000).Draw(t, "later"))
-		fresh := NewTable()
+		fresh := newTestTable()
 		for _, m := range table.Members() {
 			fresh.Merge(Fact{Member: &m}, m.At)
 		}
 		for _, d := range table.Drains() {
 			fresh.Merge(Fact{Drain: &d}, now)
 		}
+		for _, e := range table.health {
+			fresh.Merge(Fact{Health: &e.Health}, now)
+		}
 		if fresh.Lost() != table.Lost() {
 			t.Fatalf("%d lost counted, %d found", table.Lost(), fresh.Lost())
 		}
-		if fresh.Root() != table.Root() {
+		if fresh.Root(General) != table.Root(General) || fresh.Root(Targets) != table.Root(Targets) {
 			t.Fatal("digest doesn't follow the content")
 		}
 	})
@@ -134,7 +146,7 @@
 	} {
 		g.Expect(table.Merge(f, now)).To(BeFalse())
 	}
-	g.Expect(table.Differing([]byte("short"))).To(BeEmpty())
-	_, want := table.Compare([]int{-1, Buckets, 0}, []Entry{{"nonsense", 1}})
+	g.Expect(table.Differing(General, []byte("short"))).To(BeEmpty())
+	_, want := table.Compare([]int{-1, int(parts) * Buckets, 0}, []Entry{{"nonsense", 1}})
 	g.Expect(table.Facts(want)).To(BeEmpty())
 }
--- /dev/null
+++ b/peer/health/speaker_test.go
@@ -0,0 +1,332 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/facts"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+const testTarget = "t"
+
+var testTimes = times{interval: time.Second, suspectAfter: 2}
+
+// world is one target with its owners and one VM that owns nothing, and the time.
+type world struct {
+	now    time.Time
+	owners []*owner
+	other  *facts.Table
+	status target.Status
+	born   int
+}
+
+// owner has one of the places, in the order of their numbers.
+type owner struct {
+	speaker *speaker
+	table   *facts.Table
+	place   int
+	blind   bool     // can't read the target
+	cut     bool     // hears and tells nothing
+	dead    bool     // known by all to be lost
+	pending *reading // read, but not yet taken: the process is frozen in between
+}
+
+func newWorld(n int) *world {
+	w := &world{now: time.Unix(1_000_000, 0), other: newTable()}
+	for i := range n {
+		w.owners = append(w.owners, &owner{speaker: newSpeaker(), table: newTable(), place: i})
+	}
+	w.restart()
+	return w
+}
+
+func newTable() *facts.Table {
+	t := facts.NewTable()
+	t.SetTargets([]string{testTarget})
+	return t
+}
+
+func (w *world) restart() {
+	w.born++
+	w.status = target.Status{Target: testTarget, Incarnation: fmt.Sprint("i", w.born), State: target.StateServing}
+	w.hold("s1", 1)
+}
+
+func (w *world) hold(snapshot string, seq int64) {
+	w.status.Leaves = []target.LeafStatus{{Holdings: []target.Holding{
+		{Snapshot: snapshot, Seq: seq, Shards: 8, Shard: int(seq) % 8, Records: 10 * seq},
+	}}}
+}
+
+func (w *world) standing(place int) standing {
+	s := standing{place: place}
+	for _, o := range w.owners {
+		if !o.dead {
+			s.owners = append(s.owners, o.place)
+		}
+	}
+	return s
+}
+
+// read begins a read; take ends it.
+func (w *world) read(o *owner) {
+	base, _ := o.table.Health(testTarget)
+	r := &reading{base: base, began: w.now}
+	if !o.blind {
+		status := w.status
+		r.status = &status
+	}
+	o.pending = r
+}
+
+func (w *world) take(o *owner) {
+	r := o.pending
+	o.pending = nil
+	next, say := o.speaker.take(testTarget, *r, w.standing(o.place), testTimes, w.now)
+	if known, _ := o.table.Health(testTarget); say && known.Stamp == r.base.Stamp {
+		o.table.Merge(facts.Fact{Health: &next}, w.now.Unix())
+	}
+}
+
+// tell makes two tables equal as a comparison does.
+func tell(a, b *facts.Table) {
+	for _, pair := range [][2]*facts.Table{{a, b}, {b, a}} {
+		if h, known := pair[0].Health(testTarget); known {
+			pair[1].Merge(facts.Fact{Health: &h}, 0)
+		}
+	}
+}
+
+// round lets each owner that lives read once and tells all of everything.
+func (w *world) round() {
+	for _, o := range w.owners {
+		if o.dead {
+			continue
+		}
+		w.read(o)
+		w.take(o)
+		w.tellAll()
+	}
+	w.now = w.now.Add(testTimes.interval)
+}
+
+func (w *world) tellAll() {
+	for range 2 {
+		for _, o := range w.owners {
+			if !o.cut && !o.dead {
+				tell(o.table, w.other)
+			}
+		}
+	}
+}
+
+// settle is enough rounds for the last owner in order to have spoken.
+func (w *world) settle() {
+	for range 4 * (len(w.owners) + 1) {
+		w.round()
+	}
+}
+
+func (w *world) known() facts.Health {
+	h, _ := w.other.Health(testTarget)
+	return h
+}
+
+// truth is what the other VM must know once all has been told.
+func (w *world) truth() error {
+	h := w.known()
+	if !h.SameContent(encode(w.status)) {
+		return fmt.Errorf("known %+v, the target says %+v", h, w.status)
+	}
+	if lost(h, w.standing(0).owners) {
+		return fmt.Errorf("%+v counts as lost", h)
+	}
+	return nil
+}
+
+func TestFirstOwnerAloneSpeaks(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	w.settle()
+	g.Expect(w.truth()).To(Succeed())
+	before := w.known().Stamp
+	w.settle()
+	g.Expect(w.known().Stamp).To(Equal(before), "stated again though nothing changed")
+	w.hold("s2", 2)
+	w.read(w.owners[1])
+	w.take(w.owners[1])
+	w.tellAll()
+	g.Expect(w.known().Stamp).To(Equal(before), "the second did not wait for the first")
+	w.round()
+	g.Expect(w.truth()).To(Succeed())
+}
+
+// TestOthersStandInForTheFirst: the owner that speaks for a target is frozen, and
+// nobody has noticed yet. The target takes a new index. Users of VMs without
+// connections would be sent to an index that is gone; the next owner must speak.
+func TestOthersStandInForTheFirst(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	w.settle()
+	w.hold("s2", 2)
+	for range 4 {
+		for _, o := range w.owners[1:] {
+			w.read(o)
+			w.take(o)
+		}
+		w.tellAll()
+		w.now = w.now.Add(testTimes.interval)
+	}
+	g.Expect(w.truth()).To(Succeed())
+}
+
+// TestFrozenOwnerDoesNotSetBack: the speaker reads a target, is frozen, the target
+// restarts and the others tell of the new incarnation; then the speaker runs on
+// and states what it had read. Calls would go by the holdings of a process that is
+// gone. Its statement must lose, whether it hears of the others' before or after.
+func TestFrozenOwnerDoesNotSetBack(t *testing.T) {
+	for _, frozen := range []time.Duration{time.Second, time.Minute} {
+		g := NewWithT(t)
+		w := newWorld(3)
+		w.settle()
+		first := w.owners[0]
+		w.restart()
+		first.cut = true
+		w.read(first)
+		w.restart()
+		for range 4 {
+			for _, o := range w.owners[1:] {
+				w.read(o)
+				w.take(o)
+			}
+			w.tellAll()
+			w.now = w.now.Add(testTimes.interval)
+		}
+		g.Expect(w.truth()).To(Succeed())
+		first.pending.began = w.now.Add(-frozen)
+		w.take(first)
+		first.cut = false
+		w.tellAll()
+		g.Expect(w.truth()).To(Succeed(), "frozen for %s", frozen)
+	}
+}
+
+// TestOneBlindOwnerLosesNothing: one owner alone loses contact with a target, by a
+// broken path or its own fault. If it could call the target lost, all VMs would
+// take its shards for missing. Only when no live owner can read it is it lost.
+func TestOneBlindOwnerLosesNothing(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	w.settle()
+	for blind := range w.owners {
+		w.owners[blind].blind = true
+		w.settle()
+		if blind < len(w.owners)-1 {
+			g.Expect(w.truth()).To(Succeed(), "%d owners blind", blind+1)
+		}
+	}
+	g.Expect(lost(w.known(), w.standing(0).owners)).To(BeTrue())
+	w.owners[1].blind = false
+	w.settle()
+	g.Expect(w.truth()).To(Succeed())
+}
+
+// TestDrainedStaysDrained: a late reading says that a target serves whose drain
+// was stated. It must not be given new work.
+func TestDrainedStaysDrained(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(2)
+	w.status.State = target.StateDraining
+	w.settle()
+	w.status.State = target.StateServing
+	w.hold("s2", 2)
+	w.settle()
+	g.Expect(decode(w.known()).State).To(Equal(target.StateDraining))
+	g.Expect(decode(w.known()).Leaves).To(Equal(w.status.Leaves))
+}
+
+// TestKnowledgeSettles: owners are cut off, frozen in mid-read, blind or lost for
+// good, and the target restarts and switches its index, in any order. Once all but
+// one owner are well again, everybody knows what the target says.
+func TestKnowledgeSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(4)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			o := w.owners[rapid.IntRange(0, 3).Draw(t, "owner")]
+			w.step(o, rapid.IntRange(0, 7).Draw(t, "what"))
+		}
+		for i, o := range w.owners {
+			o.blind, o.cut, o.pending = false, false, nil
+			o.dead = i == 0
+		}
+		w.settle()
+		if err := w.truth(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func (w *world) step(o *owner, what int) {
+	switch what {
+	case 0:
+		w.restart()
+	case 1:
+		w.hold(fmt.Sprint("s", w.now.Unix()), w.now.Unix())
+	case 2:
+		o.blind = !o.blind
+	case 3:
+		o.cut = !o.cut
+	case 4, 5:
+		if o.pending == nil {
+			w.read(o)
+		} else {
+			w.take(o)
+		}
+	case 6:
+		w.tellAll()
+	default:
+		w.round()
+	}
+}
+
+// TestContentIsKept: what a status says must be the same after it was told, but
+// for the loads and the order.
+func TestContentIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		st := target.Status{Target: testTarget, Incarnation: "i", State: target.StateServing}
+		for leaf := range rapid.IntRange(0, 3).Draw(t, "leaves") {
+			l := target.LeafStatus{Leaf: leaf}
+			for seq := range int64(2) {
+				for shard := range 6 {
+					if rapid.Bool().Draw(t, "held") {
+						l.Holdings = append(l.Holdings, target.Holding{
+							Snapshot: fmt.Sprint("s", seq), Seq: seq, Shards: 6, Shard: shard,
+							Records: rapid.Int64Range(0, 9).Draw(t, "records"),
+						})
+					}
+				}
+			}
+			st.Leaves = append(st.Leaves, l)
+		}
+		if got := decode(encode(st)); fmt.Sprint(got) != fmt.Sprint(st) {
+			t.Fatalf("%+v became %+v", st, got)
+		}
+	})
+}
+
+// TestWhatDoesNotFitIsSaidToBeOpaque: a target holds more than a statement may
+// tell. If nothing were said, VMs would go on with an earlier statement.
+func TestWhatDoesNotFitIsSaidToBeOpaque(t *testing.T) {
+	g := NewWithT(t)
+	st := target.Status{Target: testTarget, Incarnation: "i", State: target.StateServing, Leaves: []target.LeafStatus{{}}}
+	for shard := range 2000 {
+		st.Leaves[0].Holdings = append(st.Leaves[0].Holdings, target.Holding{Snapshot: "s", Shards: 2000, Shard: shard, Records: 1000})
+	}
+	g.Expect(encode(st).Opaque).To(BeTrue())
+	g.Expect(encode(target.Status{Target: testTarget, Incarnation: "i", State: "resting"}).Opaque).To(BeTrue())
+}
--- a/peer/members.go
+++ b/peer/members.go
@@ -21,16 +21,34 @@
 // learn merges a fact heard from a peer, or found out here if from is nil, and
 // passes on what is new. It must hold mu.
 func (x *Exchange) learn(f facts.Fact, from *link, now time.Time) {
+	if x.take(f, from, now) {
+		x.spread(f, from)
+	}
+}
+
+// take merges a fact and tells whether it is new. It must hold mu.
+func (x *Exchange) take(f facts.Fact, from *link, now time.Time) bool {
 	if !x.table.Merge(f, now.Unix()) {
-		return
+		if from != nil && x.table.Holds(f) {
+			delete(from.pending, f.Key()) // the peer has it already
+		}
+		return false
 	}
-	x.changed()
-	x.spread(f, from)
-	if f.Drain != nil {
+	switch {
+	case f.Health != nil:
+		x.signalHealth(f.Health.Target)
+	case f.Drain != nil:
+		x.changed()
 		x.signalDrains()
-		return
+	default:
+		x.changed()
+		x.heardOfMember(*f.Member, now)
 	}
-	m := *f.Member
+	return true
+}
+
+// heardOfMember must hold mu.
+func (x *Exchange) heardOfMember(m facts.Member, now time.Time) {
 	if m.Name == x.self.Name {
 		x.heardOfSelf(m, now)
 		return
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -32,12 +32,16 @@
 type syncRequest struct {
 	Revision uint64 `json:"r"`
 	Root     uint64 `json:"d"`
+	Targets  uint64 `json:"t"` // the root of what is known of targets
 }
 
-// syncAnswer has the digests of the buckets only if the roots differ.
+// syncAnswer has the digests of the buckets only if the roots differ, and those
+// of targets only if both VMs have the same revision: what is known of targets
+// belongs to those of the bundle in force.
 type syncAnswer struct {
 	Revision uint64 `json:"r"`
 	Digest   []byte `json:"b,omitempty"`
+	Targets  []byte `json:"t,omitempty"`
 }
 
 type diffRequest struct {
@@ -48,6 +52,7 @@
 type diffAnswer struct {
 	Facts []facts.Fact `json:"f,omitempty"`
 	Want  []facts.Key  `json:"w,omitempty"`
+	More  bool         `json:"m,omitempty"` // there are more facts than fit
 }
 
 type headAnswer struct {
@@ -139,8 +144,11 @@
 	answer := syncAnswer{Revision: x.opts.Heads.Revision()}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if m.Root != x.table.Root() {
-		answer.Digest = x.table.Digest()
+	if m.Root != x.table.Root(facts.General) {
+		answer.Digest = x.table.Digest(facts.General)
+	}
+	if m.Revision == answer.Revision && m.Targets != x.table.Root(facts.Targets) {
+		answer.Targets = x.table.Digest(facts.Targets)
 	}
 	x.heardRevision(x.linkOf(conn), m.Revision)
 	return answer
@@ -150,7 +158,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	give, want := x.table.Compare(m.Buckets, m.Entries)
-	return diffAnswer{Facts: give, Want: want}
+	more := len(give) > maxDiffFacts
+	return diffAnswer{Facts: give[:min(len(give), maxDiffFacts)], Want: want, More: more}
 }
 
 // sync compares digests with a peer and exchanges what differs. A peer that
@@ -169,7 +178,8 @@
 	defer cancel()
 	request := syncRequest{Revision: x.opts.Heads.Revision()}
 	x.mu.Lock()
-	request.Root = x.table.Root()
+	request.Root = x.table.Root(facts.General)
+	request.Targets = x.table.Root(facts.Targets)
 	x.mu.Unlock()
 	var answer syncAnswer
 	if err := l.conn.Call(ctx, methodSync, request, &answer); err != nil {
@@ -177,29 +187,61 @@
 	}
 	x.mu.Lock()
 	x.heardRevision(l, answer.Revision)
-	diff := diffRequest{Buckets: x.table.Differing(answer.Digest)}
-	diff.Entries = x.table.Entries(diff.Buckets)
 	x.mu.Unlock()
-	if len(diff.Buckets) == 0 {
-		return nil
+	for range maxDiffRounds {
+		more, err := x.diff(ctx, l, &answer)
+		if err != nil || !more {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	// maxDiffFacts bounds the facts in one answer, which must fit a message
+	// also if all are as large as facts.MaxHealthBytes.
+	maxDiffFacts = 400
+	// maxDiffRounds bounds what one comparison brings. More comes with the next.
+	maxDiffRounds = 24
+)
+
+// diff exchanges what differs in the buckets of an answer and tells whether the
+// peer has more than it gave.
+func (x *Exchange) diff(ctx context.Context, l *link, answer *syncAnswer) (more bool, err error) {
+	x.mu.Lock()
+	buckets := x.table.Differing(facts.General, answer.Digest)
+	buckets = append(buckets, x.table.Differing(facts.Targets, answer.Targets)...)
+	request := diffRequest{Buckets: buckets, Entries: x.table.Entries(buckets)}
+	x.mu.Unlock()
+	if len(buckets) == 0 {
+		return false, nil
 	}
 	var differing diffAnswer
-	if err := l.conn.Call(ctx, methodDiff, diff, &differing); err != nil {
-		return err
+	if err := l.conn.Call(ctx, methodDiff, request, &differing); err != nil {
+		return false, err
 	}
 	x.takeDiff(l, &differing)
-	return nil
+	return differing.More, nil
 }
 
 func (x *Exchange) takeDiff(l *link, differing *diffAnswer) {
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	young := now.Sub(x.begun) < youth
 	for _, f := range differing.Facts {
+		if f.Health != nil && young {
+			// What a VM that starts takes over, thousands of facts, is known to
+			// the others; it would be sent over each of its connections.
+			x.take(f, l, now)
+			continue
+		}
 		x.learn(f, l, now)
 	}
-	for _, key := range differing.Want {
-		l.pending[key] = struct{}{}
+	if !differing.More { // else the peer may want what it is about to give
+		for _, key := range differing.Want {
+			l.pending[key] = struct{}{}
+		}
 	}
 	l.signal()
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -19,18 +19,40 @@
 	gauge(`bramley_peer_live_vms`, func() float64 { return float64(len(x.Live())) })
 	gauge(`bramley_peer_drains`, func() float64 { return float64(len(x.Drains())) })
 	gauge(`bramley_peer_drain_learned_seconds`, x.drainLearnedSeconds)
+	gauge(`bramley_peer_health_targets`, x.healthTargets)
+	gauge(`bramley_peer_health_learned_seconds`, x.healthLearnedSeconds)
 	return set
 }
 
+// healthTargets is the number of targets of which something is known.
+func (x *Exchange) healthTargets() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return float64(x.table.Healths())
+}
+
+// healthLearnedSeconds is the Unix time at which this VM last learned something
+// of a target, 0 before the first.
+func (x *Exchange) healthLearnedSeconds() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return unixSeconds(x.healthLearned)
+}
+
 // drainLearnedSeconds is the Unix time at which this VM last learned of a drain,
 // 0 before the first.
 func (x *Exchange) drainLearnedSeconds() float64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.drainLearned.IsZero() {
+	return unixSeconds(x.drainLearned)
+}
+
+// unixSeconds is 0 for the zero time.
+func unixSeconds(t time.Time) float64 {
+	if t.IsZero() {
 		return 0
 	}
-	return float64(x.drainLearned.UnixNano()) / float64(time.Second)
+	return float64(t.UnixNano()) / float64(time.Second)
 }
 
 // WriteMetrics writes the exchange's metrics in Prometheus text format.
--- a/policy/status.go
+++ b/policy/status.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// Lost takes that a target can't be read by any VM that has connections to it.
+func (t *Table) Lost(name string) {
+	if ts := t.targets[name]; ts != nil {
+		ts.lost = true
+	}
+}
+
 // Seen takes the state that a target put into an answer's headers. It reports
 // whether this is the first word of a drain.
 func (t *Table) Seen(name, incarnation string, state target.State) bool {
--- a/query/engine.go
+++ b/query/engine.go
@@ -212,6 +212,18 @@
 	svc.mu.Unlock()
 }
 
+// TargetLost takes from other VMs that no VM that has connections to a target can
+// read its status.
+func (e *Engine) TargetLost(name string) {
+	svc := e.serviceOf(name)
+	if svc == nil {
+		return
+	}
+	svc.mu.Lock()
+	svc.table.Lost(name)
+	svc.mu.Unlock()
+}
+
 // TargetState implements target.Sink.
 func (e *Engine) TargetState(name, incarnation string, state target.State, _ time.Time) {
 	if state != target.StateDraining {
--- a/target/monitor.go
+++ b/target/monitor.go
@@ -49,6 +49,8 @@
 type watched struct {
 	endpoint Endpoint
 	due      time.Time
+	last     time.Time     // end of the last read
+	calm     time.Duration // between reads if others tell of the target; 0 if not
 	reading  bool
 	gone     bool // no longer in force; what is read of it is dropped
 }
@@ -83,7 +85,8 @@
 
 // Apply puts the endpoints in force. New ones are read at once, slightly spread.
 // Those without a share of connections are read too: the Reader may reach them
-// by way of another VM.
+// by way of another VM. They come a little later, so that what others tell of
+// them can make these reads unnecessary; see Relax.
 func (m *Monitor) Apply(endpoints []Endpoint) {
 	m.mu.Lock()
 	old := m.targets
@@ -92,9 +95,13 @@
 	for _, e := range endpoints {
 		w := old[e.Name]
 		if w == nil || w.endpoint.Address != e.Address {
-			w = &watched{due: now.Add(jitter(firstReadSpread))}
+			w = &watched{due: now.Add(jitter(firstRead(e)))}
 		}
 		w.endpoint = withHealthDefaults(e)
+		if e.Connections > 0 && w.calm > 0 {
+			w.calm = 0
+			w.due = now.Add(jitter(firstReadSpread))
+		}
 		m.targets[e.Name] = w
 	}
 	for name, w := range old {
@@ -104,8 +111,51 @@
 	m.wake()
 }
 
-// firstReadSpread keeps the first reads of all targets from starting at once.
-const firstReadSpread = 20 * time.Millisecond
+const (
+	// firstReadSpread keeps the first reads of all targets from starting at once.
+	firstReadSpread = 20 * time.Millisecond
+	// firstToldSpread leaves other VMs time to tell of targets.
+	firstToldSpread = 400 * time.Millisecond
+)
+
+func firstRead(e Endpoint) time.Duration {
+	if e.Connections > 0 {
+		return firstReadSpread
+	}
+	return firstToldSpread
+}
+
+// Relax makes a target be read only every so often, because another VM has just
+// told of it; 0 means at the health interval again. It does nothing to a target
+// that this VM has connections to.
+func (m *Monitor) Relax(name string, every time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := m.targets[name]
+	if w == nil || w.endpoint.Connections > 0 {
+		return
+	}
+	if before := w.calm; (before == 0) != (every == 0) {
+		w.due = time.Now().Add(jitter(max(every, w.endpoint.HealthInterval)))
+	}
+	w.calm = every
+}
+
+// Hurry makes a target be read soon, because something contradicts what is known
+// of it; but no more often than at its health interval.
+func (m *Monitor) Hurry(name string) {
+	m.mu.Lock()
+	w := m.targets[name]
+	if w == nil || w.reading {
+		m.mu.Unlock()
+		return
+	}
+	if soon := w.last.Add(jitter(w.endpoint.HealthInterval)); soon.Before(w.due) {
+		w.due = soon
+	}
+	m.mu.Unlock()
+	m.wake()
+}
 
 func withHealthDefaults(e Endpoint) Endpoint {
 	defaults.Set(&e.HealthInterval, defaultHealthInterval)
@@ -202,7 +252,8 @@
 func (m *Monitor) finished(w *watched) bool {
 	m.mu.Lock()
 	w.reading = false
-	w.due = time.Now().Add(jitter(w.endpoint.HealthInterval))
+	w.last = time.Now()
+	w.due = w.last.Add(jitter(max(w.calm, w.endpoint.HealthInterval)))
 	counts := !w.gone
 	m.mu.Unlock()
 	m.wake()
