--- a/peer/link.go
+++ b/peer/link.go
@@ -147,7 +147,7 @@
 			if news == nil {
 				break
 			}
-			if err := l.conn.Notify(methodTell, news); err != nil {
+			if err := l.tell(news); err != nil {
 				l.conn.Close()
 				break
 			}
@@ -158,6 +158,18 @@
 	}
 }
 
+// tell sends news, packed if there are enough facts for that to save anything.
+func (l *link) tell(news *tellMessage) error {
+	if len(news.Facts) >= packFrom {
+		packed, err := packFacts(news.Facts)
+		if err != nil {
+			return err
+		}
+		news.Facts, news.Packed = nil, packed
+	}
+	return l.conn.Notify(methodTell, news)
+}
+
 // takeNews returns the next message for a link, or nil, and whether there is
 // more.
 func (x *Exchange) takeNews(l *link) (*tellMessage, bool) {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -24,9 +24,11 @@
 	methodGoodbye = "exchange.goodbye" // this connection is closed on purpose
 )
 
+// tellMessage has its facts in one of two forms.
 type tellMessage struct {
 	Revision uint64       `json:"r,omitempty"`
 	Facts    []facts.Fact `json:"f,omitempty"`
+	Packed   packedFacts  `json:"p,omitempty"`
 }
 
 type syncRequest struct {
@@ -50,9 +52,9 @@
 }
 
 type diffAnswer struct {
-	Facts []facts.Fact `json:"f,omitempty"`
-	Want  []facts.Key  `json:"w,omitempty"`
-	More  bool         `json:"m,omitempty"` // there are more facts than fit
+	Facts packedFacts `json:"f,omitempty"`
+	Want  []facts.Key `json:"w,omitempty"`
+	More  bool        `json:"m,omitempty"` // there are more facts than fit
 }
 
 type headAnswer struct {
@@ -81,7 +83,7 @@
 	case methodSync:
 		return serve(params, func(m *syncRequest) (any, error) { return x.answerSync(conn, m), nil })
 	case methodDiff:
-		return serve(params, func(m *diffRequest) (any, error) { return x.answerDiff(m), nil })
+		return serve(params, func(m *diffRequest) (any, error) { return x.answerDiff(m) })
 	case methodHead:
 		return headAnswer{Head: x.opts.Heads.Head()}, nil
 	case methodBundle:
@@ -103,14 +105,15 @@
 }
 
 func (x *Exchange) heard(conn *wire.Conn, m *tellMessage) error {
-	if len(m.Facts) > maxFacts {
-		return result.Errorf(result.BadMessage, "%d facts, at most %d", len(m.Facts), maxFacts)
+	told, err := m.facts()
+	if err != nil {
+		return err
 	}
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l := x.linkOf(conn)
-	for _, f := range m.Facts {
+	for _, f := range told {
 		x.learn(f, l, now)
 	}
 	x.heardRevision(l, m.Revision)
@@ -154,12 +157,13 @@
 	return answer
 }
 
-func (x *Exchange) answerDiff(m *diffRequest) diffAnswer {
+func (x *Exchange) answerDiff(m *diffRequest) (any, error) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	give, want := x.table.Compare(m.Buckets, m.Entries)
+	x.mu.Unlock()
 	more := len(give) > maxDiffFacts
-	return diffAnswer{Facts: give[:min(len(give), maxDiffFacts)], Want: want, More: more}
+	packed, err := packFacts(give[:min(len(give), maxDiffFacts)])
+	return diffAnswer{Facts: packed, Want: want, More: more}, err
 }
 
 // sync compares digests with a peer and exchanges what differs. A peer that
@@ -220,16 +224,19 @@
 	if err := l.conn.Call(ctx, methodDiff, request, &differing); err != nil {
 		return false, err
 	}
-	x.takeDiff(l, &differing)
-	return differing.More, nil
+	return differing.More, x.takeDiff(l, &differing)
 }
 
-func (x *Exchange) takeDiff(l *link, differing *diffAnswer) {
+func (x *Exchange) takeDiff(l *link, differing *diffAnswer) error {
+	given, err := differing.Facts.unpack(maxDiffFacts)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	young := now.Sub(x.begun) < youth
-	for _, f := range differing.Facts {
+	for _, f := range given {
 		if f.Health != nil && young {
 			// What a VM that starts takes over, thousands of facts, is known to
 			// the others; it would be sent over each of its connections.
@@ -244,6 +251,7 @@
 		}
 	}
 	l.signal()
+	return nil
 }
 
 func (x *Exchange) answerBundle(m *bundleRequest) (any, error) {
