Exchange: health of targets is gathered for 100 ms

Cause: an index switch is thousands of statements within a second or two, sent in many small messages over each connection.

A statement takes up to 0.1 s longer for each step, of four or five at the size to come.

--- a/peer/link.go
+++ b/peer/link.go
@@ -16,6 +16,7 @@
 	name     string
 	since    time.Time
 	pending  map[facts.Key]struct{}
+	waiting  bool   // only health of targets is pending, and a wake is set for it
 	revision bool   // the own revision is to be told
 	theirs   uint64 // highest revision that the peer said it has
 	goodbye  bool   // the peer closes it on purpose
@@ -25,6 +26,11 @@
 const (
 	// gather is how long a sender waits for more to tell in the same message.
 	gather = 10 * time.Millisecond
+	// healthGather is the same for the health of targets, which is read a second
+	// apart: an index switch comes as thousands of statements, and the more go in
+	// one message, the fewer bytes each takes and the more often a peer has told
+	// of it first.
+	healthGather = 100 * time.Millisecond
 	// maxFacts bounds the facts in one message.
 	maxFacts = 256
 )
@@ -118,12 +124,25 @@
 	}
 }
 
+// signalLater wakes the sender after healthGather. It must hold mu.
+func (l *link) signalLater() {
+	if !l.waiting {
+		l.waiting = true
+		time.AfterFunc(healthGather, l.signal)
+	}
+}
+
 // spread tells a fact to all links but the one that it came from. It must hold
 // mu.
 func (x *Exchange) spread(f facts.Fact, from *link) {
 	for l := range x.links {
-		if l != from {
-			l.pending[f.Key()] = struct{}{}
+		if l == from {
+			continue
+		}
+		l.pending[f.Key()] = struct{}{}
+		if f.Health != nil {
+			l.signalLater()
+		} else {
 			l.signal()
 		}
 	}
@@ -181,6 +200,7 @@
 		news.Revision = revision
 	}
 	l.revision = false
+	l.waiting = false
 	var keys []facts.Key
 	for key := range l.pending {
 		if len(keys) == maxFacts {
