Drains of one target come newest last

Cause: a VM applies all drains that it knows and keeps the last of each target. They came newest first, so that after a second drain of one target it kept the first, and a late status that says 'serving' could bring the target back.

Test: facts TestNewestDrainComesLast, seen red without the change.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -240,7 +240,7 @@
 	}
 }
 
-// Drains returns all drains known, in no order.
+// Drains returns all drains known, those of one target the newest last.
 func (x *Exchange) Drains() []Drain {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/peer/facts/table.go
+++ b/peer/facts/table.go
@@ -177,11 +177,14 @@
 	return list
 }
 
-// Drains returns all drains known, in no order.
+// Drains returns all drains known, those of one target in the order in which they
+// were learned: whoever keeps only the last of a target keeps the newest.
 func (t *Table) Drains() []Drain {
 	var list []Drain
 	for _, drains := range t.drains {
-		list = append(list, drains...)
+		for _, d := range slices.Backward(drains) {
+			list = append(list, d)
+		}
 	}
 	return list
 }
--- a/peer/facts/table_test.go
+++ b/peer/facts/table_test.go
@@ -135,6 +135,17 @@
 	g.Expect(fresh).To(BeFalse())
 }
 
+// TestNewestDrainComesLast: a target drains, restarts and drains again, and a late
+// status says that it serves. A VM keeps the last drain that it is given of each
+// target; were that the older one, it would send the target new work.
+func TestNewestDrainComesLast(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.AddDrain("t", "first", now)
+	table.AddDrain("t", "second", now)
+	g.Expect(table.Drains()).To(HaveExactElements(HaveField("Incarnation", "first"), HaveField("Incarnation", "second")))
+}
+
 func TestMalformedFactsAreRefused(t *testing.T) {
 	g := NewWithT(t)
 	table := NewTable()
