Health: that nobody can read a target is told though nobody ever did

Cause: of a target that is down when its bundle comes into force nothing was stated, so all VMs went on reading it at the health interval through its owners.

Change: a statement of epoch 0, without an incarnation, carries the owners that can't read it.

Test: health TestTargetDeadFromTheStart, seen red with the statement taken out.

--- a/peer/facts/health.go
+++ b/peer/facts/health.go
@@ -27,8 +27,8 @@
 	Target string `json:"t"`
 	Stamp
 	State HealthState `json:"s,omitempty"`
-	// Opaque is true if what the target says doesn't fit a statement. Each VM has
-	// to read it for itself.
+	// Opaque is true if what the target says doesn't fit a statement, or, in epoch
+	// 0, if nobody has read it yet. Each VM has to read it for itself.
 	Opaque bool `json:"o,omitempty"`
 	// Unread are the places of the owners that can't read the target. Each owner
 	// adds and removes itself only. A target that no live owner can read is lost.
@@ -116,10 +116,12 @@
 		})
 }
 
-// valid tells whether a statement can be taken: it names its target and
-// incarnation, fits the bound, and its holdings fit its maps.
+// valid tells whether a statement can be taken: it names its target and, unless
+// nobody has read it yet, its incarnation, fits the bound, and its holdings fit its
+// maps.
 func (h Health) valid() bool {
-	if h.Target == "" || h.Incarnation == "" || (h.State == Draining) != h.Drained {
+	unseen := h.Epoch == 0 && h.Opaque
+	if h.Target == "" || (h.Incarnation == "") != unseen || (h.State == Draining) != h.Drained {
 		return false
 	}
 	for _, leaf := range h.Leaves {
--- a/peer/health/health.go
+++ b/peer/health/health.go
@@ -208,7 +208,7 @@
 // relax lets the Monitor read a target seldom if others tell of it. It must hold
 // mu.
 func (r *Relay) relax(h facts.Health) {
-	if h.Opaque {
+	if h.Opaque && !lost(h, r.opts.Router.Standing(h.Target).Live) {
 		r.monitor.Relax(h.Target, 0)
 		return
 	}
--- a/peer/health/speaker.go
+++ b/peer/health/speaker.go
@@ -61,13 +61,13 @@
 		s.targets[name] = w
 	}
 	if r.status == nil {
-		return w.takeFailure(r, at, t, now)
+		return w.takeFailure(name, r, at, t, now)
 	}
 	w.failures, w.failing = 0, time.Time{}
 	return w.takeStatus(name, r, at, t, now)
 }
 
-func (w *watch) takeFailure(r reading, at standing, t times, now time.Time) (facts.Health, bool) {
+func (w *watch) takeFailure(name string, r reading, at standing, t times, now time.Time) (facts.Health, bool) {
 	w.differs = time.Time{}
 	w.failures++
 	if w.failures < t.suspectAfter {
@@ -76,7 +76,13 @@
 	if w.failing.IsZero() {
 		w.failing = now
 	}
-	return w.mark(r.base, at, t, now)
+	base := r.base
+	if base.Target == "" {
+		// Nobody has read it yet. If that were not said, all VMs would go on trying
+		// to read a target that was down when the bundle came into force.
+		base = facts.Health{Target: name, Opaque: true}
+	}
+	return w.mark(base, at, t, now)
 }
 
 // hear returns what to state after something new was learned of a target: where
@@ -96,8 +102,7 @@
 // or have been silent for long, there is no need to: the target isn't lost, and
 // most targets that one owner can't reach the others can.
 func (w *watch) mark(base facts.Health, at standing, t times, now time.Time) (facts.Health, bool) {
-	known := base.Target != ""
-	if !known || slices.Contains(base.Unread, at.place) || !due(w.failing, rank(base, at), t, now) {
+	if slices.Contains(base.Unread, at.place) || !due(w.failing, rank(base, at), t, now) {
 		return facts.Health{}, false
 	}
 	next := follow(base, at, now)
--- a/peer/health/speaker_test.go
+++ b/peer/health/speaker_test.go
@@ -236,6 +236,22 @@
 	g.Expect(w.truth()).To(Succeed())
 }
 
+// TestTargetDeadFromTheStart: a bundle names a target that is down. Nothing could
+// be told of it, and all VMs would try to read it at each interval, through its
+// owners. That nobody can read it is told, and what it says once it is up.
+func TestTargetDeadFromTheStart(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	for _, o := range w.owners {
+		o.blind = true
+	}
+	w.settle()
+	g.Expect(lost(w.known(), w.standing(0).owners)).To(BeTrue())
+	w.owners[2].blind = false
+	w.settle()
+	g.Expect(w.truth()).To(Succeed())
+}
+
 // TestDrainedStaysDrained: a late reading says that a target serves whose drain
 // was stated. It must not be given new work.
 func TestDrainedStaysDrained(t *testing.T) {
