Route: a cancelled call does not count as an owner that cannot be reached

Cause: the connection to an owner was dialled in the context of the call that needed it first, under the connection's lock. When that call ended early, as the loser of a hedge does, the dial failed with it, and for 500 ms each further call to that owner got the same error at once. Reads of status every 100 ms failed for it three times in a row, so the target counted as lost and searches ended with 400 CoverageTooLow. Ruled out: places (all VMs had an owner to call), the target's limit (0 refused). Change: the dial has its own goroutine and time limit and serves all calls that wait; a call waits until its own context ends and says then that it ran out of time. The connection moved to a file of its own. Before: TestCancelledCallDoesNotCondemnTheOwner and TestCallDoesNotWaitForAnothersDial fail.

TestOwnersKilledInMidQuery failed twice beside other work with all VMs short of coverage. By the log, vm-2 was killed 0.6 s before the place of vm-1, killed before it, had passed to a new VM: both owners of a target were dead at once, which two owners cannot stand. The test waited for answers, not for the new owner. It waits now until each target has both owners' connections again, before the first kill too; what it checks is the same.

--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -63,7 +63,9 @@
 // each search must still be answered whole, within its time.
 func TestOwnersKilledInMidQuery(t *testing.T) {
 	const daemons, connections = 5, 3
+	const owners = 2 // of each target, with a connection each; one is left free for a frozen owner
 	c := start(t, fewConnections(daemons, daemons, connections))
+	c.waitOwned(owners)
 	balancer := &laggingList{}
 	for i := range 3 {
 		victim := c.Daemons[0]
@@ -84,10 +86,24 @@
 		c.listVMs()
 		c.waitInForce(fresh, 1)
 		c.waitWhole(fresh)
+		c.waitOwned(owners)
 	}
 	c.expectWithinLimit(connections)
 }
 
+// waitOwned waits until each target has connections from that many owners again.
+// A place passes to a new VM only once its old holder counts as lost, and until
+// then the death of a further owner can leave a target without any.
+func (c *cluster) waitOwned(owners int) {
+	c.t.Helper()
+	for _, target := range c.Targets {
+		c.Eventually(func() (int, error) {
+			counters, err := target.Counters()
+			return counters.Connections.Current, err
+		}, limit, "50ms").Should(gomega.Equal(owners), target.Name)
+	}
+}
+
 func (b *laggingList) answered() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/peer/route/owner_conn_test.go
@@ -0,0 +1,72 @@
+package route
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// ownerBehindProxy returns a VM without connections of its own, and one of the
+// target's owners as it is reached through a fault proxy.
+func (f *testFleet) ownerBehindProxy() (vm *testVM, owner platform.VM, proxy *faultproxy.Proxy) {
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	for _, other := range f.vms {
+		if other.router.Connections("target-0") == 0 {
+			vm = other
+		}
+	}
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: f.owners()[0].peers.Address()})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { proxy.Close() })
+	return vm, platform.VM{Name: f.owners()[0].name, Address: proxy.Address()}, proxy
+}
+
+// TestCancelledCallDoesNotCondemnTheOwner: the first call to an owner has to dial
+// it, and the query that made the call ends meanwhile, as the loser of a hedge
+// does. Users of this VM got no answers for half a second: the dial ended with
+// that call, the owner counted as one that can't be reached, and the reads of the
+// target's status that failed for it made the target count as lost.
+func TestCancelledCallDoesNotCondemnTheOwner(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, owner, proxy := f.ownerBehindProxy()
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := vm.router.caller(ctx, owner)
+	f.Expect(err).To(HaveOccurred())
+	proxy.SetFaults(faultproxy.Faults{})
+
+	ctx, cancel = context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	_, err = vm.router.caller(ctx, owner)
+	f.Expect(err).NotTo(HaveOccurred())
+}
+
+// TestCallDoesNotWaitForAnothersDial: an owner went silent and one call is still
+// dialling it. A second call with little time left waited for that dial to end
+// before it looked at its own deadline, so its user was answered late.
+func TestCallDoesNotWaitForAnothersDial(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, owner, proxy := f.ownerBehindProxy()
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	first := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_, err := vm.router.caller(ctx, owner)
+		first <- err
+	}()
+	f.Eventually(func() int { return proxy.Counters().Open }).WithTimeout(testLimit).Should(Equal(1))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := vm.router.caller(ctx, owner)
+	f.Expect(err).To(MatchError(context.Canceled))
+	f.Eventually(first).WithTimeout(testLimit).Should(Receive(HaveOccurred()))
+}
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -252,6 +251,9 @@
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
 	for _, vm := range owners {
 		caller, err := r.caller(ctx, vm)
+		if ctx.Err() != nil {
+			return outOfTime(ctx, name)
+		}
 		if err != nil {
 			r.opts.Log.Debug("owner not reached", "vm", vm.Name, "target", name, "error", err)
 			continue
@@ -264,6 +266,15 @@
 	return last
 }
 
+// outOfTime is the error of a call that ended before an owner had it.
+func outOfTime(ctx context.Context, name string) *target.CallError {
+	kind := target.ErrorCancelled
+	if ctx.Err() == context.DeadlineExceeded {
+		kind = target.ErrorDeadline
+	}
+	return &target.CallError{Kind: kind, Target: name, NotStarted: true}
+}
+
 func anotherOwner(err error) bool {
 	call, ok := err.(*target.CallError)
 	return ok && call.NotStarted &&
@@ -289,55 +300,3 @@
 	}
 	return owners, false
 }
-
-// ownerConn is the connection to one owner. Its mu is held while it is dialled,
-// so that calls to that owner wait for one dial.
-type ownerConn struct {
-	mu     sync.Mutex // guards the fields below; taken after no other
-	caller *hop.Caller
-	failed time.Time
-	err    error
-}
-
-const (
-	dialTimeout = time.Second
-	// dialPause is for how long an owner that couldn't be reached isn't dialled.
-	dialPause = 500 * time.Millisecond
-)
-
-func (r *Router) caller(ctx context.Context, vm platform.VM) (*hop.Caller, error) {
-	r.mu.Lock()
-	p := r.peers[vm.Address]
-	if p == nil {
-		p = &ownerConn{}
-		r.peers[vm.Address] = p
-	}
-	r.mu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.caller != nil {
-		select {
-		case <-p.caller.Done():
-		default:
-			return p.caller, nil
-		}
-	}
-	if time.Since(p.failed) < dialPause {
-		return nil, p.err
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	p.caller, p.err = hop.Dial(ctx, vm.Address, r.fleet.WireOptions(), &wire.Counters{})
-	if p.err != nil {
-		p.caller, p.failed = nil, time.Now()
-	}
-	return p.caller, p.err
-}
-
-func (p *ownerConn) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.caller != nil {
-		p.caller.Close()
-	}
-}
