Targets: pools only for targets of which a VM has a share

Cause: a daemon in a fleet of 950 places took 33 MB with a bundle of 1,000 targets, of 32 allowed, though it owned connections to eight or so. Its memory profile (new page /heap) showed 10 MB in use by the Go heap; each target without a share had a pool with a goroutine, its stack, a timer and a context. Ruled out: the bundle itself (0.6 MB of the heap). Change: such targets are only remembered by name; calls to them still end as busy and not started. Connections of a share that was withdrawn close as those of a target that left the bundle do, and count until then if the share comes back.

--- a/ops/server.go
+++ b/ops/server.go
@@ -39,6 +39,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc(pat.Get(PathProfile), pprof.Profile)
+	mux.Handle(pat.Get(PathHeap), pprof.Handler("heap"))
 	mux.HandleFunc(pat.Get(PathStatus), func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// The connection is gone if this fails; nobody is left to be told.
--- a/ops/status.go
+++ b/ops/status.go
@@ -10,6 +10,7 @@
 	PathReady   = "/readyz"  // 200 while it should get callers' requests
 	PathMetrics = "/metrics"
 	PathProfile = "/profile" // of the processor time, for ?seconds=N, by runtime/pprof
+	PathHeap    = "/heap"    // profile of the memory in use, by runtime/pprof
 	PathStatus  = "/status"  // Status as JSON
 )
 
--- a/target/call.go
+++ b/target/call.go
@@ -49,7 +49,7 @@
 func (c *Client) exchangePooled(ctx context.Context, k *call) *CallError {
 	p := c.pool(k.target)
 	if p == nil {
-		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
+		return c.noPool(k.target)
 	}
 	for range unwrittenTries - 1 {
 		err := c.exchangeOnce(ctx, p, k)
--- a/target/client.go
+++ b/target/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 )
 
@@ -33,7 +34,8 @@
 
 	mu      sync.RWMutex // guards what follows; may be held when a pool's mu is taken
 	pools   map[string]*pool
-	leaving []*pool // retired, but with connections that calls still use
+	unowned map[string]struct{} // endpoints in force of which this VM has no share
+	leaving []*pool             // retired, but with connections that calls still use
 	closed  bool
 }
 
@@ -55,7 +57,8 @@
 }
 
 // Apply puts the endpoints in force. Connections to endpoints that are gone, or
-// whose address changed, take no new calls and close once they are idle.
+// whose address changed, or of which this VM has no share any more, take no new
+// calls and close once they are idle.
 func (c *Client) Apply(endpoints []Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,7 +67,12 @@
 	}
 	old := c.pools
 	c.pools = make(map[string]*pool, len(endpoints))
+	c.unowned = make(map[string]struct{})
 	for _, e := range endpoints {
+		if e.Connections <= 0 {
+			c.unowned[e.Name] = struct{}{}
+			continue
+		}
 		p := old[e.Name]
 		if p == nil || p.address != e.Address {
 			p = c.reviveOrNew(e)
@@ -113,6 +121,17 @@
 	return c.pools[target]
 }
 
+// noPool returns the error of a target without a pool. Pools are kept for targets
+// of which this VM has a share, since a VM owns few of a large deployment's.
+func (c *Client) noPool(target string) *CallError {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if _, inForce := c.unowned[target]; inForce {
+		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("this VM has no share of connections")}
+	}
+	return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
+}
+
 // Search asks one leaf for its shard. The request's DeadlineMS is set to the
 // time left until ctx ends. The error is a *CallError.
 func (c *Client) Search(ctx context.Context, target string, leaf int, req LeafRequest) (LeafAnswer, error) {
--- a/target/keeper.go
+++ b/target/keeper.go
@@ -79,9 +79,6 @@
 // that has forgotten them, as most soon do, must not go without calls. p.mu
 // must be held.
 func (p *pool) wantsMore(now time.Time) bool {
-	if p.endpoint.Connections <= 0 {
-		return false
-	}
 	for len(p.lost) > 0 && now.Sub(p.lost[0]) > p.client.opts.SilentHold {
 		p.lost = p.lost[1:]
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -111,8 +111,6 @@
 	switch {
 	case p.retired:
 		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
-	case p.endpoint.Connections <= 0:
-		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("this VM has no share of connections")}
 	case len(p.conns) == 0 && p.lastErr != nil:
 		return p.unreachable(now)
 	case len(p.waiters) >= p.client.opts.MaxWaiting:
