Split and join: the tests' network cuts dials under way too

Cause of the failure of TestSplitAndJoin that only guessed at: a dial that had passed the check of groups before the split got its connection after it, was never cut, and every suspicion was answered over that one link. All eight VMs were late, as in the failure seen. Change: a connection is registered only if no split came between. TestSplitCutsDialsUnderWay fails without that check.

--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 
@@ -70,6 +71,26 @@
 	})
 }
 
+// TestSplitCutsDialsUnderWay: TestSplitAndJoin failed now and then, with every VM
+// still counting the other side as live: a dial that began before the split got
+// its connection after it. All suspicions were answered over that one link. The
+// tests' network must cut such a dial too.
+func TestSplitCutsDialsUnderWay(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	n := newNetwork()
+	from, to := "here", ln.Addr().String()
+	n.connected = func() { n.split(map[string]int{to: 1}) }
+	conn, err := n.dialer(&from)(t.Context(), "tcp", to)
+	if err == nil {
+		conn.Close()
+	}
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(n.open).To(BeEmpty())
+}
+
 // TestStartWithPlatformDown: power returns to a zone while the platform is still
 // down, so no VM can read the list of VMs. One VM holds a bundle. With a seed the
 // others find it and each other, and take the bundle over.
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -194,6 +194,8 @@
 	mu    sync.Mutex
 	group map[string]int // by address
 	open  map[*cuttable]struct{}
+
+	connected func() // called when a dial got its connection, unless nil
 }
 
 type cuttable struct {
@@ -219,12 +221,24 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &cuttable{raw, *from, to}
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.open[c] = struct{}{}
-		return c, nil
+		if n.connected != nil {
+			n.connected()
+		}
+		return n.admit(&cuttable{raw, *from, to})
+	}
+}
+
+// admit registers a connection to be cut by the next split, unless one has come
+// between since it was dialled.
+func (n *network) admit(c *cuttable) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.group[c.from] != n.group[c.to] {
+		c.Close()
+		return nil, fmt.Errorf("split while dialling %s", c.to)
 	}
+	n.open[c] = struct{}{}
+	return c, nil
 }
 
 // split puts VMs into groups and cuts all connections between groups.
