--- a/cmd/bramley-lab/bench.go
+++ b/cmd/bramley-lab/bench.go
@@ -20,6 +20,7 @@
 			&cli.StringSliceFlag{Name: "scenario", Usage: "only this scenario; may be repeated"},
 			&cli.DurationFlag{Name: "window", Value: 5 * time.Second, Usage: "of one measurement"},
 			&cli.IntFlag{Name: "rounds", Value: 4, Usage: "windows for each scenario and policy"},
+			&cli.IntFlag{Name: "slowdown", Value: 1, Usage: "of service times and time limits, for a machine that does other work too"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of arrivals and queries"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -30,7 +31,7 @@
 			return bench.Run(ctx, bench.Options{
 				Daemon: daemon, Lab: self,
 				Shapes: cmd.StringSlice("shape"), Scenarios: cmd.StringSlice("scenario"),
-				Window: cmd.Duration("window"), Rounds: cmd.Int("rounds"), Seed: cmd.Uint64("seed"),
+				Window: cmd.Duration("window"), Rounds: cmd.Int("rounds"), Seed: cmd.Uint64("seed"), Slowdown: cmd.Int("slowdown"),
 				Out: os.Stdout, Progress: os.Stderr,
 			})
 		},
--- a/internal/lab/bench/deployment.go
+++ b/internal/lab/bench/deployment.go
@@ -84,7 +84,7 @@
 	g := &group{Service: svc, index: svc.index(1, svc.Shards), past: map[string]targetsim.Counters{}}
 	d.truths.learn(g.index)
 	for i, holder := range targetsim.Place(g.index, svc.Targets, svc.Leaves, svc.Replicas) {
-		t, err := d.fleet.StartTarget(svc.targetOptions(i, holder))
+		t, err := d.fleet.StartTarget(svc.targetOptions(i, d.shape.healthyTiming(), holder))
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -22,6 +22,7 @@
 	Window    time.Duration
 	Rounds    int
 	Seed      uint64
+	Slowdown  int // of service times and time limits
 	Out       io.Writer
 	Progress  io.Writer
 }
@@ -50,11 +51,12 @@
 // Run measures each shape and prints its table.
 func Run(ctx context.Context, o Options) error {
 	fmt.Fprintf(o.Out, "%d processors, %s; windows of %v, %d rounds for each policy in turn, seed %d, service time %d ms\n",
-		runtime.NumCPU(), runtime.Version(), o.Window, o.Rounds, o.Seed, baseMS)
+		runtime.NumCPU(), runtime.Version(), o.Window, o.Rounds, o.Seed, baseMS*max(o.Slowdown, 1))
 	for _, shape := range Shapes {
 		if !wanted(o.Shapes, shape.Name) {
 			continue
 		}
+		shape = shape.slowed(max(o.Slowdown, 1))
 		results, err := measure(ctx, o, shape)
 		if err != nil {
 			return errors.Annotate(err, shape.Name)
@@ -210,7 +212,7 @@
 func (d *deployment) streams(s Scenario) []stream {
 	var out []stream
 	for _, g := range d.groups {
-		out = append(out, stream{service: g.Service, rate: g.capacity(s.serviceMS()) * s.Load, sample: newSample()})
+		out = append(out, stream{service: g.Service, rate: g.capacity(s.serviceMS()*float64(d.shape.slowdown)) * s.Load, sample: newSample()})
 	}
 	return out
 }
--- a/internal/lab/bench/scenario.go
+++ b/internal/lab/bench/scenario.go
@@ -39,21 +39,21 @@
 	{
 		Name: "stragglers", Load: normalLoad,
 		Begin: func(d *deployment) error {
-			t := healthyTiming()
+			t := d.shape.healthyTiming()
 			t.StragglerProb, t.StragglerFactor = stragglerProb, stragglerFactor
 			return d.setTiming(t)
 		},
-		End: func(d *deployment) error { return d.setTiming(healthyTiming()) },
+		End: speedUp,
 	},
 	{
 		Name: "one slow target", Load: normalLoad,
 		Begin: func(d *deployment) error {
-			t := healthyTiming()
+			t := d.shape.healthyTiming()
 			const slower = 5
 			t.BaseMS *= slower
 			return d.groups[0].targets[1].SetTiming(t)
 		},
-		End: func(d *deployment) error { return d.setTiming(healthyTiming()) },
+		End: speedUp,
 	},
 	{Name: "replica lost", Load: normalLoad, During: loseReplica, End: restoreReplica},
 	{Name: "rolling restart", Load: normalLoad, During: rollingRestart},
@@ -82,12 +82,12 @@
 }
 
 func slowDown(d *deployment) error {
-	t := healthyTiming()
-	t.BaseMS = overloadMS
+	t := d.shape.healthyTiming()
+	t.BaseMS *= overloadMS / baseMS
 	return d.setTiming(t)
 }
 
-func speedUp(d *deployment) error { return d.setTiming(healthyTiming()) }
+func speedUp(d *deployment) error { return d.setTiming(d.shape.healthyTiming()) }
 
 // loseReplica kills one target a tenth into the window.
 func loseReplica(ctx context.Context, d *deployment, window time.Duration, _ int) error {
--- a/internal/lab/bench/shapes.go
+++ b/internal/lab/bench/shapes.go
@@ -17,6 +17,22 @@
 	Daemons     int
 	TimeLimitMS int
 	Services    []Service
+
+	slowdown int // of service times and time limits, from the options
+}
+
+// slowed returns the shape with service times and time limits that many times
+// as long. The load falls with it, and with it what a busy machine's own delays
+// add; pauses and intervals of the daemons stay as they are.
+func (s Shape) slowed(factor int) Shape {
+	s.slowdown = factor
+	s.TimeLimitMS *= factor
+	return s
+}
+
+func (s Shape) healthyTiming() targetsim.Timing {
+	const coldFactor = 3
+	return targetsim.Timing{BaseMS: baseMS * float64(s.slowdown), ColdFactor: coldFactor}
 }
 
 // Service is one service of a Shape, in the sizes of today.
@@ -79,20 +95,15 @@
 	}
 }
 
-func (s Service) targetOptions(i int, holder targetsim.Holder) targetsim.Options {
+func (s Service) targetOptions(i int, timing targetsim.Timing, holder targetsim.Holder) targetsim.Options {
 	return targetsim.Options{
 		Name: fmt.Sprintf("%s-%02d", s.Name, i+1), Service: s.Name,
 		Leaves: s.Leaves, Slots: s.Slots, Queue: queueLength, Connections: s.Connections,
-		ConnectCostMS: s.ConnectCostMS, Seed: uint64(i + 1), Timing: healthyTiming(),
+		ConnectCostMS: s.ConnectCostMS, Seed: uint64(i + 1), Timing: timing,
 		Snapshots: []targetsim.Holder{holder}, DrainMS: drainMS, IdleMS: idleMS,
 	}
 }
 
-func healthyTiming() targetsim.Timing {
-	const coldFactor = 3
-	return targetsim.Timing{BaseMS: baseMS, ColdFactor: coldFactor}
-}
-
 // The policies that are compared.
 const (
 	adaptive = string(bundle.PolicyAdaptive)
