--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -22,6 +22,7 @@
 	Window    time.Duration
 	Rounds    int
 	Seed      uint64
+	Slowdown  int // of service times and time limits
 	Out       io.Writer
 	Progress  io.Writer
 }
@@ -44,16 +45,18 @@
 	Sample  *Sample
 	P99s    []float64 // of each window, in milliseconds
 	usage   usage
+	phases  phases
 }
 
 // Run measures each shape and prints its table.
 func Run(ctx context.Context, o Options) error {
 	fmt.Fprintf(o.Out, "%d processors, %s; windows of %v, %d rounds for each policy in turn, seed %d, service time %d ms\n",
-		runtime.NumCPU(), runtime.Version(), o.Window, o.Rounds, o.Seed, baseMS)
+		runtime.NumCPU(), runtime.Version(), o.Window, o.Rounds, o.Seed, baseMS*max(o.Slowdown, 1))
 	for _, shape := range Shapes {
 		if !wanted(o.Shapes, shape.Name) {
 			continue
 		}
+		shape = shape.slowed(max(o.Slowdown, 1))
 		results, err := measure(ctx, o, shape)
 		if err != nil {
 			return errors.Annotate(err, shape.Name)
@@ -121,7 +124,7 @@
 func (d *deployment) newResult(scenario, policy string) *Result {
 	r := &Result{Scenario: scenario, Policy: policy}
 	for _, g := range d.groups {
-		r.Rows = append(r.Rows, &Row{Service: g.Service, Sample: newSample()})
+		r.Rows = append(r.Rows, &Row{Service: g.Service, Sample: newSample(), phases: phases{}})
 	}
 	return r
 }
@@ -176,6 +179,7 @@
 // reading is what has been spent so far, by service in the order of the shape.
 type reading struct {
 	usage     []usage
+	phases    []phases
 	daemonCPU time.Duration
 }
 
@@ -183,6 +187,11 @@
 	var m reading
 	for _, g := range d.groups {
 		m.usage = append(m.usage, g.usage())
+		spent, err := d.phases(g.Name)
+		if err != nil {
+			return m, err
+		}
+		m.phases = append(m.phases, spent)
 	}
 	cpu, err := d.daemonCPU()
 	m.daemonCPU = cpu
@@ -194,6 +203,7 @@
 		row.Sample.add(streams[i].sample)
 		row.P99s = append(row.P99s, streams[i].sample.milliseconds(99))
 		row.usage = row.usage.plus(after.usage[i].minus(before.usage[i]))
+		row.phases.add(before.phases[i], after.phases[i])
 	}
 	r.DaemonCPU += after.daemonCPU - before.daemonCPU
 	r.LoadAvg = loadAverage()
@@ -202,7 +212,7 @@
 func (d *deployment) streams(s Scenario) []stream {
 	var out []stream
 	for _, g := range d.groups {
-		out = append(out, stream{service: g.Service, rate: g.capacity(s.serviceMS()) * s.Load, sample: newSample()})
+		out = append(out, stream{service: g.Service, rate: g.capacity(s.serviceMS()*float64(d.shape.slowdown)) * s.Load, sample: newSample()})
 	}
 	return out
 }
