Hop: batches and answers are CBOR bodies beside their messages

Cause: half of the hop's processor time was JSON, most of it JSON-RPC's layers, which walk through parameters several times in each direction.

Ruled out: CBOR as a string within the parameters (the walks remain), JSON as a body (decoding remains), a member for codecs in the hello (an older VM drops it and its proof, which covers the hello, differs).

Change: version 2 of the inner protocol. A message may have a body of bytes in a frame before it; a batch and its answers are CBOR bodies. The newest common version is agreed in the hello, so VMs of two releases work together. Decoding is bounded in nesting, members and elements; a number or text that JSON can't carry is refused, as it would fail the whole answer to a caller later.

Tests seen failing: two releases with the codec chosen by the own version alone; foreign messages without the bounds on numbers, names and texts.

--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -213,10 +213,7 @@
 func (c *Caller) begin(calls []Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), beginTimeout)
 	defer cancel()
-	message, err := pack(Batch{Calls: calls})
-	if err == nil {
-		err = c.conn.Call(ctx, MethodCalls, message, nil)
-	}
+	err := call(ctx, c.conn, MethodCalls, Batch{Calls: calls})
 	switch result.Of(err) {
 	case result.Complete:
 	case result.PeerBusy:
@@ -236,7 +233,7 @@
 	if method != MethodAnswers {
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
-	answers, err := unpack[Answers](params)
+	answers, err := decode[Answers](c.conn, params)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/peer/hop/codec_test.go
@@ -0,0 +1,248 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"math"
+	"reflect"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+var (
+	anyText = rapid.StringMatching(`[a-zéß語"\\]{0,6}`)
+	anyJSON = rapid.SampledFrom([]json.RawMessage{
+		json.RawMessage(`null`), json.RawMessage(`{"a":[1,"b"]}`), json.RawMessage(`"x"`), json.RawMessage(`1e5`),
+	})
+	anyEcho = rapid.Custom(func(t *rapid.T) target.Echo {
+		return target.Echo{Request: anyText.Draw(t, "request"), Attempt: rapid.Int().Draw(t, "attempt"), Snapshot: anyText.Draw(t, "snapshot")}
+	})
+	anyItem = rapid.Custom(func(t *rapid.T) target.Item {
+		item := target.Item{Key: anyText.Draw(t, "key"), Score: rapid.Float64().Draw(t, "score")}
+		if rapid.Bool().Draw(t, "has fields") {
+			item.Fields = anyJSON.Draw(t, "fields")
+		}
+		return item
+	})
+	anyCall = rapid.Custom(func(t *rapid.T) Call {
+		c := Call{ID: rapid.Uint64().Draw(t, "id"), Target: anyText.Draw(t, "target"), Leaf: rapid.Int().Draw(t, "leaf")}
+		switch rapid.IntRange(0, 2).Draw(t, "which") {
+		case 0:
+			c.Search = &target.LeafRequest{Echo: anyEcho.Draw(t, "echo"), Query: anyText.Draw(t, "query"), DeadlineMS: rapid.Int64().Draw(t, "deadline")}
+		case 1:
+			c.Submit = &target.SubmitRequest{Echo: anyEcho.Draw(t, "echo"), Key: anyText.Draw(t, "key"), Payload: anyJSON.Draw(t, "payload")}
+		default:
+			c.Status = &StatusRequest{DeadlineMS: 5}
+		}
+		return c
+	})
+	anyAnswer = rapid.Custom(func(t *rapid.T) Answer {
+		a := Answer{ID: rapid.Uint64().Draw(t, "id")}
+		switch rapid.IntRange(0, 3).Draw(t, "which") {
+		case 0:
+			a.Search = &target.LeafAnswer{Echo: anyEcho.Draw(t, "echo"), Items: rapid.SliceOfN(anyItem, -1, 4).Draw(t, "items"), Complete: true}
+		case 1:
+			a.Submit = &target.SubmitAnswer{Echo: anyEcho.Draw(t, "echo"), Result: anyJSON.Draw(t, "result")}
+		case 2:
+			a.Status = &target.Status{Target: "t", State: target.StateServing, Leaves: []target.LeafStatus{{
+				Load: rapid.Float64().Draw(t, "load"), Holdings: []target.Holding{{Snapshot: "s", Records: rapid.Int64().Draw(t, "records")}},
+			}}}
+		default:
+			a.Failure = &Failure{Kind: target.ErrorRefused, Reason: target.ReasonShed, NotStarted: rapid.Bool().Draw(t, "not started")}
+		}
+		return a
+	})
+)
+
+// throughText takes a message through textCodec.
+func throughText(g Gomega, in, out any) {
+	data, err := textCodec{}.marshal(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	outer, err := json.Marshal(packed{Data: data})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(textCodec{}.unmarshal(outer, out)).To(Succeed())
+}
+
+func throughBinary(g Gomega, in, out any) {
+	data, err := binaryCodec{}.marshal(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(binaryCodec{}.unmarshal(data, out)).To(Succeed())
+}
+
+// TestCodecsAgree: VMs of two releases serve one query, some calls in JSON and
+// some in CBOR. A member that one codec loses or changes would be an answer that
+// depends on the VM that carried it.
+func TestCodecsAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		batch := Batch{Calls: rapid.SliceOfN(anyCall, 1, 3).Draw(rt, "calls")}
+		var text, binary Batch
+		throughText(g, batch, &text)
+		throughBinary(g, batch, &binary)
+		g.Expect(binary).To(Equal(text))
+		answers := Answers{Answers: rapid.SliceOfN(anyAnswer, 1, 3).Draw(rt, "answers")}
+		var textAnswers, binaryAnswers Answers
+		throughText(g, answers, &textAnswers)
+		throughBinary(g, answers, &binaryAnswers)
+		g.Expect(binaryAnswers).To(Equal(textAnswers))
+	})
+}
+
+// TestEveryMemberIsCarried: a member added to a message later must travel in both
+// codecs, and the members of today must be the ones that the other test draws.
+func TestEveryMemberIsCarried(t *testing.T) {
+	g := NewWithT(t)
+	for _, message := range []any{&Batch{}, &Answers{}} {
+		fill(reflect.ValueOf(message).Elem())
+		text := reflect.New(reflect.TypeOf(message).Elem()).Interface()
+		binary := reflect.New(reflect.TypeOf(message).Elem()).Interface()
+		throughText(g, message, text)
+		throughBinary(g, message, binary)
+		g.Expect(text).To(Equal(message))
+		g.Expect(binary).To(Equal(message))
+	}
+}
+
+// fill gives all that v holds a value that isn't zero.
+func fill(v reflect.Value) {
+	if _, raw := v.Interface().(json.RawMessage); raw {
+		v.SetBytes([]byte(`{"a":1}`))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0))
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(1.5)
+	case reflect.Uint64:
+		v.SetUint(7)
+	default:
+		v.SetInt(7)
+	}
+}
+
+// foreign are messages that nobody of this release sends.
+var foreign = map[string]string{
+	"nothing":              "",
+	"text in place":        hex.EncodeToString([]byte(`{"d":"e30="}`)),
+	"huge array, no bytes": "a16161" + "9bffffffffffffffff",
+	"large array cut":      "a16161" + "9affffffff" + "f6f6",
+	"huge string":          "a16161" + "81a16173a1676d697373696e67" + "7bffffffffffffffff",
+	"array without end":    "a16161" + "9ff6ff",
+	"one name twice":       "a2616180616180",
+	"tagged":               "a16161" + "c180",
+	"deep":                 "a16178" + "818181818181818181818181818181818180",
+	"not a number":         "a1616181a16173a1656974656d7381a16573636f7265" + "f97e00",
+	"infinite":             "a1616181a16173a1656974656d7381a16573636f7265" + "f97c00",
+	"fields not JSON":      "a1616181a16173a1656974656d7381a1666669656c6473" + "427b7b",
+	"result not JSON":      "a1616181a16175a166726573756c74" + "417b",
+	"name not UTF-8":       "a1616181a16173a16772657175657374" + "61ff",
+	"more after the end":   "a16161" + "80" + "00",
+}
+
+// TestForeignMessages: a VM that is faulty, or speaks something else, sends bytes
+// that are no message, state lengths without the bytes, or carry what JSON can't.
+// They would take this VM's memory, or fail a caller's whole answer when it is
+// written. They are refused before memory is taken for them.
+func TestForeignMessages(t *testing.T) {
+	for name, text := range foreign {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			data, err := hex.DecodeString(text)
+			g.Expect(err).NotTo(HaveOccurred())
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err = binaryCodec{}.unmarshal(data, &Answers{})
+			runtime.ReadMemStats(&after)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 1<<20))
+		})
+	}
+}
+
+// TestTooManyElements: small elements make large tables. One array holds no more
+// of them than its bound, however large messages may be.
+func TestTooManyElements(t *testing.T) {
+	data := append([]byte{0xa1, 0x61, 'a', 0x9a, 0, 1, 0, 1}, bytes.Repeat([]byte{0xa0}, maxElements+1)...)
+	NewWithT(t).Expect(binaryCodec{}.unmarshal(data, &Answers{})).NotTo(Succeed())
+}
+
+// FuzzDecode: whatever bytes come, decoding doesn't panic, and what it accepts is
+// what JSON could have said: it goes through both codecs unchanged.
+func FuzzDecode(f *testing.F) {
+	for _, text := range foreign {
+		data, _ := hex.DecodeString(text)
+		f.Add(data)
+	}
+	seedAnswers := Answers{Answers: []Answer{{ID: 1, Search: &target.LeafAnswer{Items: []target.Item{{Key: "k", Score: math.Pi, Fields: json.RawMessage(`{}`)}}}}}}
+	seedBatch := Batch{Calls: []Call{{ID: 1, Target: "t", Submit: &target.SubmitRequest{Key: "k", Payload: json.RawMessage(`[1]`)}}}}
+	for _, message := range []any{seedAnswers, seedBatch} {
+		data, err := binaryCodec{}.marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		checkDecoded(t, data, &Answers{}, &Answers{}, &Answers{})
+		checkDecoded(t, data, &Batch{}, &Batch{}, &Batch{})
+	})
+}
+
+func checkDecoded(t *testing.T, data []byte, decoded, text, binary any) {
+	if (binaryCodec{}).unmarshal(data, decoded) != nil {
+		return
+	}
+	g := NewWithT(t)
+	throughBinary(g, decoded, binary)
+	g.Expect(binary).To(Equal(decoded))
+	throughText(g, decoded, text)
+	again, err := json.Marshal(text)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(json.Marshal(decoded)).To(MatchJSON(again))
+}
+
+// TestVMsOfTwoReleases: VMs are replaced one after another by a new release that
+// speaks CBOR. While both run, a call from either to either must be answered; one
+// end that spoke what the other can't read would lose every call between them.
+func TestVMsOfTwoReleases(t *testing.T) {
+	for name, tc := range map[string]struct{ owner, caller, agreed int }{
+		"new caller, old owner": {wire.VersionJSON, wire.VersionCBOR, wire.VersionJSON},
+		"old caller, new owner": {wire.VersionCBOR, wire.VersionJSON, wire.VersionJSON},
+		"both new":              {wire.VersionCBOR, wire.VersionCBOR, wire.VersionCBOR},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newMixedPair(t, 0, tc.owner, tc.caller)
+			p.Expect(p.caller.conn.Version()).To(Equal(tc.agreed))
+			ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+			defer cancel()
+			p.Expect(p.search(ctx, "owned", 1)).To(Succeed())
+			p.Expect(callError(p.search(ctx, "owned", 8))).To(HaveField("Reason", target.ReasonCold))
+			_, err := p.caller.Submit(ctx, "owned", 1, target.SubmitRequest{Key: "k"})
+			p.Expect(err).NotTo(HaveOccurred())
+			status, err := p.caller.Status(ctx, "owned")
+			p.Expect(err).NotTo(HaveOccurred())
+			p.Expect(status.Incarnation).To(Equal("i"))
+		})
+	}
+}
--- a/peer/hop/hop.go
+++ b/peer/hop/hop.go
@@ -12,11 +12,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
-	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/target"
 )
 
@@ -101,31 +99,6 @@
 	Incarnation  string           `json:"i,omitempty"`
 }
 
-// packed carries a message as one string of bytes. JSON-RPC's layers each walk
-// through the parameters of a message once or more, in both directions, and the
-// library decodes them into maps on the way; a string costs them far less than
-// nested objects. docs/design/hop.md has the measurement.
-type packed struct {
-	Data []byte `json:"d"`
-}
-
-func pack(message any) (packed, error) {
-	data, err := json.Marshal(message)
-	return packed{Data: data}, err
-}
-
-func unpack[M any](params json.RawMessage) (*M, error) {
-	var p packed
-	if err := json.Unmarshal(params, &p); err != nil {
-		return nil, result.Wrap(result.BadMessage, err, "")
-	}
-	m := new(M)
-	if err := json.Unmarshal(p.Data, m); err != nil {
-		return nil, result.Wrap(result.BadMessage, err, "")
-	}
-	return m, nil
-}
-
 // MaxCalls bounds the calls in one Batch.
 const MaxCalls = 1024
 
--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -67,6 +67,11 @@
 }
 
 func newPair(t *testing.T, maxCalls int) *pair {
+	return newMixedPair(t, maxCalls, wire.Version, wire.Version)
+}
+
+// newMixedPair connects two VMs whose releases speak up to the given versions.
+func newMixedPair(t *testing.T, maxCalls, ownerVersion, callerVersion int) *pair {
 	p := &pair{WithT: NewWithT(t), leaves: &fakeLeaves{release: make(chan struct{})}, count: &wire.Counters{}}
 	p.owner = NewOwner(OwnerOptions{
 		Leaves:   p.leaves,
@@ -76,11 +81,12 @@
 	o := wire.Options{
 		Self: wire.Identity{Deployment: "d", VM: "owner", Incarnation: "1"},
 		Keys: [][]byte{bytes.Repeat([]byte("k"), wire.MinKeyBytes)}, Handler: p.owner.Handle,
+		MaxVersion: ownerVersion,
 	}
 	var err error
 	p.server, err = wire.Listen("127.0.0.1:0", o, &wire.Counters{}, func(c *wire.Conn) { c.Serve() })
 	p.Expect(err).NotTo(HaveOccurred())
-	o.Self.VM = "caller"
+	o.Self.VM, o.MaxVersion = "caller", callerVersion
 	p.caller, err = Dial(context.Background(), p.server.Addr().String(), o, p.count)
 	p.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() {
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -104,7 +104,7 @@
 func (o *Owner) Handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case MethodCalls:
-		b, err := unpack[Batch](params)
+		b, err := decode[Batch](conn, params)
 		if err != nil {
 			return nil, err
 		}
@@ -327,11 +327,7 @@
 }
 
 func (s *session) tell(done []Answer) error {
-	message, err := pack(Answers{Answers: done})
-	if err != nil {
-		return err
-	}
-	return s.conn.Notify(MethodAnswers, message)
+	return notify(s.conn, MethodAnswers, Answers{Answers: done})
 }
 
 // end gives up all calls of a connection: nobody waits for them any more.
--- a/wire/auth.go
+++ b/wire/auth.go
@@ -90,12 +90,13 @@
 	if hello.From.Deployment != o.Self.Deployment {
 		return nil, nil, result.Errorf(result.WrongFleet, "deployment %q found, want %q", hello.From.Deployment, o.Self.Deployment)
 	}
-	if !contains(hello.Versions, Version) {
-		return nil, nil, result.Errorf(result.WrongVersion, "versions %v found, want %d", hello.Versions, Version)
+	version := newest(hello.Versions, o.MaxVersion)
+	if version == 0 {
+		return nil, nil, result.Errorf(result.WrongVersion, "versions %v found, want %v", hello.Versions, versions(o.MaxVersion))
 	}
 	for _, id := range hello.KeyIDs {
 		if key := findKey(o.Keys, id); key != nil {
-			return &HelloAnswer{Version: Version, From: o.Self, Nonce: newNonce(), KeyID: id}, key, nil
+			return &HelloAnswer{Version: version, From: o.Self, Nonce: newNonce(), KeyID: id}, key, nil
 		}
 	}
 	return nil, nil, result.Errorf(result.WrongKey, "no key in common")
@@ -106,7 +107,7 @@
 	if answer.From.Deployment != o.Self.Deployment {
 		return nil, result.Errorf(result.WrongFleet, "deployment %q found, want %q", answer.From.Deployment, o.Self.Deployment)
 	}
-	if answer.Version != Version || answer.From.VM == "" || len(answer.Nonce) != 2*nonceBytes {
+	if newest([]int{answer.Version}, o.MaxVersion) == 0 || answer.From.VM == "" || len(answer.Nonce) != 2*nonceBytes {
 		return nil, result.Errorf(result.BadHello, "answer of version %d from VM %q", answer.Version, answer.From.VM)
 	}
 	key := findKey(o.Keys, answer.KeyID)
@@ -116,11 +117,21 @@
 	return key, nil
 }
 
-func contains(list []int, want int) bool {
-	for _, v := range list {
-		if v == want {
-			return true
+// versions lists what an end speaks, the newest first.
+func versions(newest int) (list []int) {
+	for v := newest; v >= VersionJSON; v-- {
+		list = append(list, v)
+	}
+	return list
+}
+
+// newest returns the newest of the offered versions that an end speaks, or 0.
+func newest(offered []int, limit int) int {
+	best := 0
+	for _, v := range offered {
+		if v >= VersionJSON && v <= limit {
+			best = max(best, v)
 		}
 	}
-	return false
+	return best
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -19,15 +19,17 @@
 
 // Conn is one authenticated connection. It is safe for concurrent use.
 type Conn struct {
-	tomb   tomb.Tomb
-	rpc    *jsonrpc2.Conn
-	opts   *Options
-	dialed bool
-	remote string
-	limit  atomic.Int64  // bytes of one message
-	calls  chan struct{} // one token per running handler
-	served sync.WaitGroup
-	last   atomic.Int64 // when something was last sent, in Unix nanoseconds
+	tomb    tomb.Tomb
+	rpc     *jsonrpc2.Conn
+	opts    *Options
+	dialed  bool
+	remote  string
+	limit   atomic.Int64  // bytes of one message
+	calls   chan struct{} // one token per running handler
+	bodies  bodies
+	served  sync.WaitGroup
+	version atomic.Int64 // agreed in the hello
+	last    atomic.Int64 // when something was last sent, in Unix nanoseconds
 
 	mu     sync.Mutex // guards the fields below
 	ended  bool       // Wait was called: no further handler may begin
@@ -55,10 +57,11 @@
 	}
 	c.limit.Store(maxHelloMessage)
 	timed := &timedConn{Conn: raw, silent: o.SilentAfter, count: count}
-	stream := jsonrpc2.NewBufferedStream(timed, boundedCodec{limit: &c.limit, maxSend: o.MaxMessage})
+	codec := boundedCodec{limit: &c.limit, maxSend: o.MaxMessage, bodies: &c.bodies, withBodies: o.MaxVersion >= VersionCBOR}
+	stream := jsonrpc2.NewBufferedStream(timed, codec)
 	gate := gatedStream{ObjectStream: stream, open: make(chan struct{}), refuse: c.refuseMessage}
 	logger := jsonrpc2.SetLogger(rpcLogger{o.Log})
-	c.rpc = jsonrpc2.NewConn(context.Background(), gate, c, logger)
+	c.rpc = jsonrpc2.NewConn(context.Background(), gate, c, logger, jsonrpc2.OnSend(c.bodies.onSend))
 	close(gate.open)
 	return c
 }
@@ -102,6 +105,9 @@
 	return c.use
 }
 
+// Version returns the version of the protocol that both ends agreed on.
+func (c *Conn) Version() int { return int(c.version.Load()) }
+
 // Remote returns the other end's IP and port.
 func (c *Conn) Remote() string { return c.remote }
 
@@ -150,6 +156,20 @@
 	return callError(method, c.rpc.Notify(context.Background(), method, params))
 }
 
+// CallBody is Call with a body of bytes in place of parameters. The peer must
+// speak VersionCBOR.
+func (c *Conn) CallBody(ctx context.Context, method string, body []byte) error {
+	c.last.Store(time.Now().UnixNano())
+	return callError(method, c.rpc.Call(ctx, method, nil, nil, jsonrpc2.ExtraField(attachedField, attached(body))))
+}
+
+// NotifyBody is Notify with a body of bytes in place of parameters. The peer must
+// speak VersionCBOR.
+func (c *Conn) NotifyBody(method string, body []byte) error {
+	c.last.Store(time.Now().UnixNano())
+	return callError(method, c.rpc.Notify(context.Background(), method, nil, jsonrpc2.ExtraField(attachedField, attached(body))))
+}
+
 // Handle implements jsonrpc2.Handler. It must not block: the connection reads
 // nothing more until it returns.
 func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
@@ -168,6 +188,9 @@
 	case req.Method == MethodPing:
 		c.reply(ctx, req, func(json.RawMessage) (any, error) { return struct{}{}, nil }, false)
 	default:
+		if body := c.bodies.in; body != nil {
+			req.Params = (*json.RawMessage)(&body)
+		}
 		c.serve(ctx, req)
 	}
 }
@@ -318,9 +341,10 @@
 }
 
 // authenticated opens the connection for all methods.
-func (c *Conn) authenticated(peer Identity, use string) {
+func (c *Conn) authenticated(peer Identity, use string, version int) {
 	c.mu.Lock()
 	c.peer = peer
+	c.version.Store(int64(version))
 	c.use = use
 	c.proven = true
 	c.hello, c.answer, c.key = nil, nil, nil
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -28,7 +28,7 @@
 
 func (c *Conn) sayHello(ctx context.Context) error {
 	hello := &Hello{
-		Versions: []int{Version},
+		Versions: versions(c.opts.MaxVersion),
 		From:     c.opts.Self,
 		Use:      c.opts.Use,
 		Nonce:    newNonce(),
@@ -53,7 +53,7 @@
 	if !hmac.Equal(theirs.Proof, prove(key, roleAcceptor, hello, &answer)) {
 		return result.Errorf(result.WrongKey, "the accepting end's proof is wrong")
 	}
-	c.authenticated(answer.From, c.opts.Use)
+	c.authenticated(answer.From, c.opts.Use, answer.Version)
 	return nil
 }
 
@@ -96,7 +96,7 @@
 // overtake the proof.
 func (c *Conn) finishHello() {
 	c.mu.Lock()
-	hello := c.hello
+	hello, answer := c.hello, c.answer
 	c.mu.Unlock()
-	c.authenticated(hello.From, hello.Use)
+	c.authenticated(hello.From, hello.Use, answer.Version)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1,5 +1,6 @@
 // Package wire is the inner protocol between the VMs of one deployment:
-// JSON-RPC 2.0 over TCP, length-prefixed, by IP number.
+// JSON-RPC 2.0 over TCP, length-prefixed, by IP number. From VersionCBOR on a
+// message may have a body of bytes in place of parameters.
 //
 // A connection begins with two calls by the end that dialled. MethodHello
 // carries the versions, the deployment, the VM's incarnation and the ids of the
@@ -21,8 +22,15 @@
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
-// Version is the newest version of the protocol that this code speaks.
-const Version = 1
+// The versions of the protocol. The dialling end offers all that it speaks and
+// the accepting end chooses the newest in common, so that VMs of two releases
+// work together while one replaces the other.
+const (
+	VersionJSON = 1 // all bodies are JSON
+	VersionCBOR = 2 // leaf calls and their answers are CBOR within the message
+
+	Version = VersionCBOR // the newest that this code speaks
+)
 
 // The methods that the package itself serves.
 const (
@@ -46,8 +54,8 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Handler serves one call or notification of an authenticated peer. Its result
-// is sent as JSON. An error that carries a result.Code reaches the peer with
+// Handler serves one call or notification of an authenticated peer. Its params
+// are the body if the message has one. Its result is sent as JSON. An error that carries a result.Code reaches the peer with
 // that code. Handlers of one connection run at the same time.
 type Handler func(ctx context.Context, conn *Conn, method string, params json.RawMessage) (any, error)
 
@@ -56,6 +64,8 @@
 	Self Identity
 	// Use says what a dialled connection is for, in the words of its user.
 	Use string
+	// MaxVersion is the newest version offered and chosen; default Version.
+	MaxVersion int
 	// Keys are shared by the fleet, the newest first; each has at least
 	// MinKeyBytes. Two ends agree on the first key of the dialling end that
 	// both hold, so that two keys are valid at once during a rotation.
@@ -94,6 +104,7 @@
 )
 
 func (o Options) withDefaults() Options {
+	defaults.Positive(&o.MaxVersion, Version)
 	defaults.Positive(&o.HelloTimeout, defaultHelloTimeout)
 	defaults.Positive(&o.MaxHellos, defaultMaxHellos)
 	defaults.Positive(&o.MaxConns, defaultMaxConns)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -80,6 +80,8 @@
 	foreign := options("b", oldKey)
 	foreign.Self.Deployment = "other"
 	nameless := options("", oldKey)
+	older, newer := options("b", oldKey), options("b", oldKey)
+	older.MaxVersion, newer.MaxVersion = VersionJSON, Version+1
 	for name, tc := range map[string]struct {
 		server, client Options
 		want           result.Code
@@ -90,6 +92,9 @@
 		"no key in common":        {options("a", oldKey), options("b", badKey), result.WrongKey},
 		"retired key":             {options("a", newKey), options("b", oldKey), result.WrongKey},
 		"other deployment":        {options("a", oldKey), foreign, result.WrongFleet},
+		"of an older release":     {options("a", oldKey), older, result.Complete},
+		"of a newer release":      {options("a", oldKey), newer, result.Complete},
+		"to an older release":     {older, options("a", oldKey), result.Complete},
 		"hello without a VM name": {options("a", oldKey), nameless, result.BadHello},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -137,14 +142,16 @@
 		sent []byte
 		code result.Code // that is told before the end; 0 for none
 	}{
-		"http":           {[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), 0},
-		"huge length":    {binary.AppendUvarint(nil, 1<<40), result.MessageTooBig},
-		"over the bound": {message(string(bytes.Repeat([]byte(" "), maxHelloMessage+1))), result.MessageTooBig},
-		"not JSON":       {message("{{{{"), result.BadMessage},
-		"no hello":       {message(`{"jsonrpc":"2.0","id":1,"method":"echo"}`), result.BadHello},
-		"ping":           {message(`{"jsonrpc":"2.0","id":1,"method":"ping"}`), result.BadHello},
-		"null hello":     {message(`{"jsonrpc":"2.0","id":1,"method":"hello","params":null}`), result.BadHello},
-		"proof first":    {message(`{"jsonrpc":"2.0","id":1,"method":"prove","params":{"proof":""}}`), result.BadHello},
+		"http":                {[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), 0},
+		"huge length":         {binary.AppendUvarint(nil, 1<<40), result.MessageTooBig},
+		"over the bound":      {message(string(bytes.Repeat([]byte(" "), maxHelloMessage+1))), result.MessageTooBig},
+		"not JSON":            {message("{{{{"), result.BadMessage},
+		"no hello":            {message(`{"jsonrpc":"2.0","id":1,"method":"echo"}`), result.BadHello},
+		"ping":                {message(`{"jsonrpc":"2.0","id":1,"method":"ping"}`), result.BadHello},
+		"body and no message": {append([]byte{4, bodyMark, 1, 2, 3}, message("{{{{")...), result.BadMessage},
+		"body after body":     {append([]byte{2, bodyMark, 1}, 2, bodyMark, 1), result.BadMessage},
+		"null hello":          {message(`{"jsonrpc":"2.0","id":1,"method":"hello","params":null}`), result.BadHello},
+		"proof first":         {message(`{"jsonrpc":"2.0","id":1,"method":"prove","params":{"proof":""}}`), result.BadHello},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
