Fuzz tests of what others write; claims in a foreign form are refused

Cause: decoding of segments of claims and of the record of cleared claims passed over what it did not know. A segment written by another release in another form read as one without claims: the key of a request that had been run was entered again and handed to a target. A foreign record of cleared claims read as "none". Found by writing down what decoding must keep (FuzzSegment) and feeding it values of another form. Also found: a finding for each element of a large document that is no bundle; `bundle check` joins them in time that grows as their square. Change: segments and the record are refused unless understood in full, which ends as "not run"; 100 findings are listed and the rest counted. make fuzz runs each fuzz test in turn. Before: TestForeignSegmentIsRefused fails (null is taken); TestFindingsAreBounded has no bound to name.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: test format vet lint build unit demo bench bench-fleet bench-rollout clean
+.PHONY: test format vet lint build unit demo serve bench bench-fleet bench-rollout bench-transport fuzz clean
 
 test: format vet lint build unit
 
@@ -44,5 +44,15 @@
 	$(GO) test -run xxx -bench Cancel -benchtime 100x -count 3 ./target
 	$(GO) test -run xxx -bench Silent -benchtime 5x -count 3 ./target
 
+# Each fuzz test in turn; what it finds is written below the package's testdata and
+# runs with the other tests from then on.
+FUZZTIME ?= 20s
+fuzz:
+	@set -e; for file in $$(grep -rl '^func Fuzz' --include='*_test.go' .); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$file); do \
+			$(GO) test -run XXX -fuzz "^$$name$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file); \
+		done; \
+	done
+
 clean:
 	rm -rf $(BIN)
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -17,6 +17,10 @@
 // MaxDepth bounds the nesting of objects and arrays.
 const MaxDepth = 32
 
+// MaxFindings bounds the findings that are reported one by one. A large document
+// of another kind has hundreds of thousands.
+const MaxFindings = 100
+
 // Finding is one fault of a document.
 type Finding struct {
 	Path    string `json:"path"`    // such as $.services[0].name
@@ -54,7 +58,7 @@
 	}
 	w := &walker{}
 	w.walk("$", tree, reflect.ValueOf(into).Elem())
-	return w.findings
+	return w.report()
 }
 
 func readEnd(dec *json.Decoder) error {
@@ -120,12 +124,25 @@
 
 type walker struct {
 	findings []Finding
+	more     int // findings beyond MaxFindings
 }
 
 func (w *walker) add(path, found, allowed string) {
+	if len(w.findings) >= MaxFindings {
+		w.more++
+		return
+	}
 	w.findings = append(w.findings, Finding{Path: path, Found: found, Allowed: allowed})
 }
 
+// report returns the findings, and one that counts those left out.
+func (w *walker) report() []Finding {
+	if w.more > 0 {
+		return append(w.findings, Finding{Path: "$", Found: fmt.Sprintf("%d findings more", w.more), Allowed: "none"})
+	}
+	return w.findings
+}
+
 func (w *walker) walk(path string, node any, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Struct:
--- a/once/cleared.go
+++ b/once/cleared.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -30,8 +31,10 @@
 		return cleared{}, 0, errors.Trace(err)
 	}
 	var c cleared
-	if err := json.Unmarshal(object.Value, &c); err != nil {
-		return cleared{}, 0, errors.Annotate(err, "the record of cleared claims is not readable")
+	// Read as "nothing was cleared", a record in another form would let cleared
+	// keys run again.
+	if findings := strictjson.Decode(object.Value, &c); len(findings) > 0 {
+		return cleared{}, 0, errors.Errorf("the record of cleared claims is not readable: %s", findings[0])
 	}
 	return c, object.Version, nil
 }
--- a/once/segment.go
+++ b/once/segment.go
@@ -174,11 +174,19 @@
 	return value.Bytes(), errors.Trace(err)
 }
 
+// decodeSegment refuses what it doesn't understand in full. A claim that another
+// release wrote in a form of its own would otherwise be passed over and lost with
+// the next update, and its request could run again.
 func decodeSegment(value []byte) (segment, error) {
 	var s segment
-	if err := json.Unmarshal(value, &s); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
 		return segment{}, errors.Annotate(err, "a claims object is not readable")
 	}
+	if s.Entries == nil || decoder.More() {
+		return segment{}, errors.New("a claims object is not readable: no entries, or more behind them")
+	}
 	for id, e := range s.Entries {
 		s.size += e.size(id)
 	}
