Exchange: lost VMs are looked for also where the platform's list was never read

VMs that started while the platform was out of their reach have no list. Once all that the other side knows of a region were replaced or frozen, neither looked for the other, and the region kept a bundle that was recalled until the platform was back. Ruled out: seeds, since the VM they name may be the one that is gone; dialling every lost VM always, since a VM that was replaced would be dialled for ten minutes. Change: without a list, the VMs known from peers stand for it, at the same rate. TestLostAreLookedForWithoutTheList failed before (20 s without a word) and passes. TestJoinAfterTheLostWereForgotten is new and passed at once: lost VMs that were forgotten are found by the list. `go test -race ./peer` is green, 22.9 s.

--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -71,6 +72,51 @@
 	})
 }
 
+// TestJoinAfterTheLostWereForgotten: two regions lose each other for so long that
+// each forgets the other's VMs. They must still find each other once they can,
+// or users of one of them would stay with an old bundle for good. Each side is
+// made to forget; the time itself is not waited for.
+func TestJoinAfterTheLostWereForgotten(t *testing.T) {
+	f := newFleet(t, 8)
+	f.connected()
+	left, _, group := f.halves()
+	f.net.split(group)
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == len(left) })
+	left[0].heads.set(2)
+	f.everywhere(hasRevision(2), left...)
+	const longer = time.Hour
+	for _, vm := range f.vms {
+		vm.mu.Lock()
+		f.g.Expect(vm.table.Expire(time.Now().Add(longer).Unix())).To(BeTrue())
+		vm.changed()
+		vm.mu.Unlock()
+	}
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool {
+		return vm.heads.Revision() == 2 && len(vm.Live()) == len(f.vms)
+	})
+}
+
+// TestLostAreLookedForWithoutTheList: while the platform is down two VMs lose
+// each other, and the only VM that either was given as a seed is replaced. Both
+// then know the other only as lost, from what peers told. Users of one of them
+// would stay with an old bundle until the platform is back.
+func TestLostAreLookedForWithoutTheList(t *testing.T) {
+	f := newFleet(t, 0)
+	f.list.down = true
+	seed := f.start("seed", nil)
+	withSeed := func(o *Options) { o.Seeds = []string{seed.Address()} }
+	here, there := f.start("here", withSeed), f.start("there", withSeed)
+	f.connected()
+	f.net.split(map[string]int{there.Address(): 1})
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 1 }, there)
+	seed.crash()
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 1 }, here)
+	here.heads.set(2)
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 2 && len(vm.Live()) == 2 }, here, there)
+}
+
 // TestSplitCutsDialsUnderWay: TestSplitAndJoin failed now and then, with every VM
 // still counting the other side as live: a dial that began before the split got
 // its connection after it. All suspicions were answered over that one link. The
--- a/peer/tick.go
+++ b/peer/tick.go
@@ -58,12 +58,29 @@
 		x.rotate(x.unlinked(x.liveLocked()))
 	}
 	if x.table.Lost() > 0 {
-		if vm, ok := lookForLost(x.listed, x.table.Members(), rand.Float64()); ok {
+		if vm, ok := lookForLost(x.listedOrKnown(), x.table.Members(), rand.Float64()); ok {
 			x.dial(vm.Name, vm.Address)
 		}
 	}
 }
 
+// listedOrKnown returns the platform's list of VMs. A VM that never got one, since
+// it started while the platform was down, has to go by what peers told: else two
+// halves of a fleet whose VMs were all replaced in that time would know each
+// other only as lost, and neither would look for the other. It must hold mu.
+func (x *Exchange) listedOrKnown() []platform.VM {
+	if x.listed != nil {
+		return x.listed
+	}
+	var known []platform.VM
+	for _, m := range x.table.Members() {
+		if m.Address != "" {
+			known = append(known, memberVM(m))
+		}
+	}
+	return known
+}
+
 // dialSeed dials one of the seeds that this VM isn't connected to. It must hold
 // mu. It is done also on a VM that has connections but knows nobody else: VMs
 // that start together while the platform is down may find one another first,
