--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -140,10 +140,12 @@
 		Name:  "proxy",
 		Usage: "a TCP proxy with faults",
 		Flags: append(listenFlags(),
-			&cli.StringFlag{Name: "target", Required: true, Usage: "IP and port to forward to"}),
+			&cli.StringFlag{Name: "target", Required: true, Usage: "IP and port to forward to"},
+			&cli.BoolFlag{Name: "peers", Usage: "it is a daemon's listen.peers: tell clients apart by the VM that they name"}),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			proxy, err := faultproxy.Start(faultproxy.Options{
 				Listen: cmd.String("listen"), Control: cmd.String("control"), Target: cmd.String("target"),
+				Peers: cmd.Bool("peers"),
 			})
 			if err != nil {
 				return errors.Trace(err)
--- a/integration/ctl_test.go
+++ b/integration/ctl_test.go
@@ -126,11 +126,16 @@
 // watchRevisions polls every daemon until stop is called, which reports those
 // that went back to a lower revision.
 func (c *cluster) watchRevisions() (stop func() []string) {
+	return c.watchRevisionsOf(c.Daemons...)
+}
+
+// watchRevisionsOf does so with some daemons.
+func (c *cluster) watchRevisionsOf(daemons ...*fleet.Daemon) (stop func() []string) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	var wait sync.WaitGroup
 	var mu sync.Mutex // guards back
 	var back []string
-	for _, d := range c.Daemons {
+	for _, d := range daemons {
 		wait.Go(func() {
 			var highest uint64
 			for ctx.Err() == nil {
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -9,7 +9,8 @@
 //
 // See shape for what can be chosen and cluster for what a test may reach.
 // Faults are set on c.Platform, c.Targets[i], and, when the shape asks for
-// proxies, c.TargetProxies[i] and c.PlatformProxies[i] (one for each daemon).
+// proxies, c.TargetProxies[i], c.PlatformProxies[i] and c.PeerProxies[i] (the
+// last two for each daemon; see cluster.split).
 package integration
 
 import (
@@ -78,6 +79,9 @@
 
 	ProxyTargets  bool // a fault proxy before each target
 	ProxyPlatform bool // a fault proxy between each daemon and the platform
+	ProxyPeers    bool // a fault proxy before each daemon's listener for peers
+
+	Zones int // availability zones, over which targets and daemons alternate; 1
 
 	WatchWait time.Duration // of the platform; 2 s
 	LameDuck  time.Duration // of the daemons; none
@@ -90,6 +94,9 @@
 	NoRollout bool
 }
 
+// zoneOf returns the name of an availability zone; the first is zone.
+func zoneOf(i int) string { return "zone-" + string(rune('a'+i)) }
+
 func (s shape) withDefaults() shape {
 	set := func(field *int, value int) {
 		if *field == 0 {
@@ -103,6 +110,7 @@
 	set(&s.Replicas, 2)
 	set(&s.Records, 200)
 	set(&s.Daemons, 2)
+	set(&s.Zones, 1)
 	if s.WatchWait == 0 {
 		s.WatchWait = 2 * time.Second
 	}
@@ -122,6 +130,7 @@
 	Daemons         []*fleet.Daemon
 	TargetProxies   []*fleet.Proxy
 	PlatformProxies []*fleet.Proxy
+	PeerProxies     []*fleet.Proxy
 	Bundle          *bundle.Bundle  // as rolled out, or as it would be
 	Index           targetsim.Index // that the targets hold at the start
 }
@@ -198,12 +207,18 @@
 
 func (c *cluster) startDaemon(i int) {
 	s := c.shape
-	o := fleet.DaemonOptions{Name: fmt.Sprintf("vm-%d", i), Zone: zone, LameDuck: s.LameDuck, LogLevel: "debug"}
+	o := fleet.DaemonOptions{Name: fmt.Sprintf("vm-%d", i), Zone: zoneOf(i % s.Zones), LameDuck: s.LameDuck, LogLevel: "debug"}
 	if s.ProxyPlatform {
 		proxy := must[*fleet.Proxy](c)(c.StartProxy(o.Name+"-platform-proxy", c.Platform.Address))
 		c.PlatformProxies = append(c.PlatformProxies, proxy)
 		o.Platform = proxy.Address
 	}
+	if s.ProxyPeers {
+		o.Peers = must[string](c)(fleet.FreeAddress())
+		proxy := must[*fleet.Proxy](c)(c.StartPeerProxy(o.Name+"-peer-proxy", o.Peers))
+		c.PeerProxies = append(c.PeerProxies, proxy)
+		o.PeersAt = proxy.Address
+	}
 	if s.Settings != nil {
 		o.Change = func(set *settings.Settings) { s.Settings(i, set) }
 	}
@@ -234,7 +249,7 @@
 			address = c.TargetProxies[i].Address
 		}
 		svc.Targets = append(svc.Targets, bundle.Target{
-			Name: t.Name, Zone: zone, Address: address,
+			Name: t.Name, Zone: zoneOf(i % c.shape.Zones), Address: address,
 			Leaves: c.shape.Leaves, Slots: c.shape.Slots, Connections: 25, ConnectCostMS: 1,
 		})
 	}
@@ -251,8 +266,12 @@
 		}
 		return s
 	}
+	var zones []bundle.Zone
+	for i := range c.shape.Zones {
+		zones = append(zones, bundle.Zone{Name: zoneOf(i), Region: "region"})
+	}
 	b := &bundle.Bundle{
-		Zones:    []bundle.Zone{{Name: zone, Region: "region"}},
+		Zones:    zones,
 		Fleet:    bundle.Fleet{MaxVMs: c.shape.Daemons + 1},
 		Services: []bundle.Service{svc},
 		Searches: []bundle.Search{
--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -6,14 +6,16 @@
 	"sync"
 
 	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
-// load asks all daemons in turn from several callers until stop is called, and
+// load asks some daemons in turn from several callers until stop is called, and
 // checks each answer.
 type load struct {
-	c     *cluster
-	check func(gateway.Answer, gateway.SearchBody) error
+	c       *cluster
+	daemons []*fleet.Daemon
+	check   func(gateway.Answer, gateway.SearchBody) error
 
 	stopped context.CancelFunc
 	wg      sync.WaitGroup
@@ -26,11 +28,16 @@
 
 const loadCallers = 4
 
-// startLoad begins to ask. need is the coverage that every other caller states;
+// startLoad begins to ask all daemons. need is the coverage that every other caller states;
 // the rest need everything.
 func (c *cluster) startLoad(need float64, limitMS int, check func(gateway.Answer, gateway.SearchBody) error) *load {
+	return c.startLoadOn(c.Daemons, need, limitMS, check)
+}
+
+// startLoadOn does so with some daemons.
+func (c *cluster) startLoadOn(daemons []*fleet.Daemon, need float64, limitMS int, check func(gateway.Answer, gateway.SearchBody) error) *load {
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &load{c: c, check: check, stopped: cancel, codes: map[result.Code]int{}}
+	l := &load{c: c, daemons: daemons, check: check, stopped: cancel, codes: map[result.Code]int{}}
 	for caller := range loadCallers {
 		coverage := 1.0
 		if caller%2 == 0 {
@@ -43,7 +50,7 @@
 
 func (l *load) ask(ctx context.Context, caller int, need float64, limitMS int) {
 	for i := caller; ctx.Err() == nil; i++ {
-		d := l.c.Daemons[i%len(l.c.Daemons)]
+		d := l.daemons[i%len(l.daemons)]
 		body := gateway.SearchBody{Query: fmt.Sprintf("q%d", i%7), Explain: true, Coverage: need, TimeLimitMS: limitMS}
 		a, _, err := d.Search(l.c.ctx, findSearch, body)
 		if err == nil {
--- /dev/null
+++ b/integration/region_test.go
@@ -0,0 +1,80 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/operator"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+)
+
+// Two regions lose each other, and one of them the platform, just after a faulty
+// bundle came into force everywhere. On the platform's side it is recalled. On
+// the other side a VM is replaced, learns the faulty bundle from its neighbour,
+// and a VM is frozen. The platform's list goes on naming the VM that was
+// replaced. A user would meet the faulty bundle again after the recall: once the
+// regions join, the side that kept it must take the recall over, by its peers
+// alone, and never give the faulty one back to the others.
+func TestRecallWhileRegionsAreApart(t *testing.T) {
+	const daemons, replacement = 4, "vm-4"
+	var c *cluster
+	c = start(t, shape{
+		Daemons: daemons, Zones: 2, ProxyPeers: true, ProxyPlatform: true,
+		Bundle: func(b *bundle.Bundle) {
+			b.Fleet.MaxVMs = daemons + 1
+			b.Zones[0].Region, b.Zones[1].Region = "near", "far"
+		},
+		Settings: func(i int, s *settings.Settings) {
+			if i >= daemons { // the replacement: its region is cut off from the platform
+				s.Zone = zoneOf(1)
+				s.Platform.Address = c.PlatformProxies[1].Address
+				s.Seeds = []string{c.Daemons[1].Peers}
+			}
+		},
+	})
+	near := []*fleet.Daemon{c.Daemons[0], c.Daemons[2]}
+	far := []*fleet.Daemon{c.Daemons[1], c.Daemons[3]}
+	good, faulty := c.version("good"), c.version("faulty")
+	person := c.ctl(fleet.Signer)
+	var answer operator.ChangeAnswer
+	person.must(&answer, "rollout", good, "--reason", "good", "--wait", "30s")
+	person.must(&answer, "rollout", faulty, "--reason", "faulty", "--wait", "30s")
+	spread := answer.Revision
+	stop := c.watchRevisions()
+
+	c.cutOffPlatform(far, true)
+	c.split(names(near), append(names(far), replacement))
+	c.waitLive(c.Daemons, daemons/2)
+	person.must(&answer, "recall", "head", "--reason", "faulty")
+	c.Expect(answer.InForce).To(gomega.Equal(good))
+	recalled := answer.Revision
+	for _, d := range near {
+		c.waitInForce(d, recalled)
+	}
+
+	far[1].Kill()
+	c.startDaemon(daemons)
+	fresh := c.Daemons[daemons]
+	c.split(names(near), append(names(far), replacement))
+	stopFresh := c.watchRevisionsOf(fresh)
+	c.waitInForce(fresh, spread)
+	for _, d := range []*fleet.Daemon{far[0], fresh} {
+		c.Expect(must[string](c)(digestOf(c.ctx, d))).To(gomega.Equal(faulty), d.Name)
+		c.waitWhole(d)
+	}
+	c.ok(far[0].Pause())
+
+	c.join()
+	c.waitInForce(fresh, recalled)
+	c.ok(far[0].Resume())
+	c.waitInForce(far[0], recalled)
+	for _, d := range append(near, far[0], fresh) {
+		c.Expect(must[string](c)(digestOf(c.ctx, d))).To(gomega.Equal(good), d.Name)
+		c.waitWhole(d)
+	}
+	c.Expect(stop()).To(gomega.BeEmpty(), "VMs that went back")
+	c.Expect(stopFresh()).To(gomega.BeEmpty(), "VMs that went back")
+}
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -4,8 +4,12 @@
 package faultproxy
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +28,9 @@
 	LoseUp   bool `json:"lose_up"`   // bytes from the client are thrown away
 	LoseDown bool `json:"lose_down"` // bytes to the client are thrown away
 	DelayMS  int  `json:"delay_ms"`  // of each piece of bytes, each way
+
+	// Apart names clients for which the network is Frozen; see Options.Peers.
+	Apart []string `json:"apart,omitempty"`
 }
 
 // Counters count connections since the start.
@@ -35,6 +42,7 @@
 // Proxy forwards TCP connections to one address. Create it with Start.
 type Proxy struct {
 	target   string
+	peers    bool
 	listener net.Listener
 	control  net.Listener
 	tomb     tomb.Tomb
@@ -49,7 +57,8 @@
 // link is one connection through the proxy.
 type link struct {
 	client, server net.Conn
-	silent         bool // for good; guarded by Proxy.mu
+	name           string // of the client; empty if not known
+	silent         bool   // for good; guarded by Proxy.mu
 }
 
 // Options say where a proxy listens and what it forwards to.
@@ -57,6 +66,9 @@
 	Listen  string // empty means a free port on the loopback
 	Control string
 	Target  string
+	// Peers tells that the connections are those between VMs, so that each
+	// client's first message names it.
+	Peers bool
 }
 
 // Start listens and forwards until Close.
@@ -71,7 +83,7 @@
 		return nil, errors.Trace(err)
 	}
 	p := &Proxy{
-		target: opts.Target, listener: listener, control: control,
+		target: opts.Target, peers: opts.Peers, listener: listener, control: control,
 		changed: make(chan struct{}), links: make(map[*link]struct{}),
 	}
 	srv := &http.Server{Handler: p.controlHandler()}
@@ -160,25 +172,60 @@
 		client.Close()
 		return
 	}
+	name, first := "", []byte(nil)
+	if p.peers {
+		name, first = readName(client)
+	}
+	first, ok := p.hold(&link{client: client, name: name}, first)
+	if !ok {
+		client.Close()
+		return
+	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		client.Close()
 		return
 	}
-	l := &link{client: client, server: server}
+	l := &link{client: client, server: server, name: name}
 	if !p.add(l) {
 		l.close()
 		return
 	}
 	defer p.remove(l)
 	var wg sync.WaitGroup
-	wg.Go(func() { p.pump(l, client, server, true) })
+	wg.Go(func() { p.pump(l, io.MultiReader(bytes.NewReader(first), client), server, true) })
 	wg.Go(func() { p.pump(l, server, client, false) })
 	wg.Wait()
 }
 
+// holdStep is how often a client that is held back is read from.
+const holdStep = 20 * time.Millisecond
+
+// hold keeps a new connection from the server while it is frozen, as packets that
+// are lost do, and returns what the client has sent by then. A client that gives
+// up meanwhile never reaches the server.
+func (p *Proxy) hold(l *link, read []byte) (all []byte, ok bool) {
+	defer l.client.SetReadDeadline(time.Time{})
+	buf := make([]byte, 4<<10)
+	for {
+		f, _, _ := p.state(l)
+		if !f.Frozen {
+			return read, true
+		}
+		if !p.tomb.Alive() {
+			return nil, false
+		}
+		_ = l.client.SetReadDeadline(time.Now().Add(holdStep))
+		n, err := l.client.Read(buf)
+		read = append(read, buf[:n]...)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, false
+		}
+	}
+}
+
 // pump passes bytes one way until either end closes.
-func (p *Proxy) pump(l *link, from, to net.Conn, up bool) {
+func (p *Proxy) pump(l *link, from io.Reader, to net.Conn, up bool) {
 	defer p.passClose(l, up)
 	buf := make([]byte, 32<<10)
 	for {
@@ -234,7 +281,9 @@
 func (p *Proxy) state(l *link) (Faults, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faults, p.changed, l.silent
+	f := p.faults
+	f.Frozen = f.Frozen || slices.Contains(f.Apart, l.name)
+	return f, p.changed, l.silent
 }
 
 func (f Faults) loses(up bool) bool { return up && f.LoseUp || !up && f.LoseDown }
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -19,7 +19,10 @@
 // not depend on it.
 const quiet = 50 * time.Millisecond
 
-func start(t *testing.T) *Proxy {
+func start(t *testing.T) *Proxy { return startWith(t, Options{}) }
+
+// startWith forwards to a server that sends back what it gets.
+func startWith(t *testing.T, o Options) *Proxy {
 	echo, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +39,8 @@
 			}()
 		}
 	}()
-	p, err := Start(Options{Target: echo.Addr().String()})
+	o.Target = echo.Addr().String()
+	p, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,6 +89,7 @@
 	p.SetFaults(Faults{Frozen: true})
 	g.Expect(answers(old, quiet)).NotTo(gomega.Succeed())
 	g.Expect(answers(dial(t, p), quiet)).NotTo(gomega.Succeed())
+	g.Expect(p.Counters().Open).To(gomega.Equal(1), "a new connection does not reach the server")
 	p.SetFaults(Faults{})
 	g.Expect(answers(old, limit)).To(gomega.Succeed())
 }
@@ -107,3 +112,23 @@
 	g.Expect(answers(dial(t, p), limit)).NotTo(gomega.Succeed())
 	g.Eventually(func() int { return p.Counters().Open }, limit).Should(gomega.BeNumerically("<=", 2))
 }
+
+func TestClientsApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startWith(t, Options{Peers: true})
+	p.SetFaults(Faults{Apart: []string{"vm-1"}})
+	conns := map[string]net.Conn{}
+	for _, name := range []string{"vm-0", "vm-1"} {
+		hello := `{"from":{"vm":"` + name + `"}}`
+		conns[name] = dial(t, p)
+		// In two pieces, as the inner protocol sends the length first.
+		for _, piece := range []string{hello[:3], hello[3:]} {
+			_, err := io.WriteString(conns[name], piece)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	}
+	g.Expect(answers(conns["vm-0"], limit)).To(gomega.Succeed())
+	g.Expect(answers(conns["vm-1"], quiet)).NotTo(gomega.Succeed())
+	p.SetFaults(Faults{})
+	g.Expect(answers(conns["vm-1"], limit)).To(gomega.Succeed())
+}
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -178,7 +178,17 @@
 
 // StartProxy starts a fault proxy in front of an address.
 func (f *Fleet) StartProxy(name, to string) (*Proxy, error) {
-	p, ready, err := f.startReady(name, "proxy", "--target", to)
+	return f.startProxy(name, "--target", to)
+}
+
+// StartPeerProxy starts a fault proxy in front of a daemon's listener for peers.
+// Its Faults.Apart names daemons.
+func (f *Fleet) StartPeerProxy(name, to string) (*Proxy, error) {
+	return f.startProxy(name, "--target", to, "--peers")
+}
+
+func (f *Fleet) startProxy(name string, args ...string) (*Proxy, error) {
+	p, ready, err := f.startReady(name, append([]string{"proxy"}, args...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +213,7 @@
 	Settings string // path of the file
 	Callers  string
 	Ops      string
-	Peers    string
+	Peers    string // address that other VMs dial
 }
 
 // VM returns the daemon's entry for the platform's list.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -139,6 +139,7 @@
 	Zone     string
 	Platform string                   // address; the fleet's platform if empty
 	Peers    string                   // address to listen on; a free one if empty
+	PeersAt  string                   // address that other VMs dial; Peers if empty
 	LameDuck time.Duration            // 0 means none
 	LogLevel string                   // "info" if empty
 	Change   func(*settings.Settings) // last word on the settings; may be nil
@@ -164,10 +165,21 @@
 	}
 	return &Daemon{
 		Process: p, Zone: set.Zone, Settings: path,
-		Callers: set.Listen.Callers, Ops: set.Listen.Ops, Peers: set.Listen.Peers,
+		Callers: set.Listen.Callers, Ops: set.Listen.Ops, Peers: set.Listen.PeersAddress(),
 	}, nil
 }
 
+// RestartDaemon starts a daemon that has ended again, with the same settings.
+func (f *Fleet) RestartDaemon(d *Daemon) (*Daemon, error) {
+	p, err := f.start(d.Name, f.opts.Daemon, "run", d.Settings)
+	if err != nil {
+		return nil, err
+	}
+	again := *d
+	again.Process = p
+	return &again, nil
+}
+
 func (f *Fleet) settings(o DaemonOptions) (*settings.Settings, error) {
 	addresses, err := freeAddresses(3)
 	if err != nil {
@@ -186,6 +198,7 @@
 	if o.Peers != "" {
 		set.Listen.Peers = o.Peers
 	}
+	set.Listen.PeersAt = o.PeersAt
 	if set.Platform.Address == "" {
 		set.Platform.Address = f.platform.Address
 	}
@@ -216,6 +229,15 @@
 
 const portStride = 37
 
+// FreeAddress returns an address on the loopback that was free just now.
+func FreeAddress() (string, error) {
+	list, err := freeAddresses(1)
+	if err != nil {
+		return "", err
+	}
+	return list[0], nil
+}
+
 // freeAddresses returns n addresses on the loopback that were free just now.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 	n.peers, err = peer.New(peer.Options{
 		VM: platform.VM{
 			Name:    n.set.Name,
-			Address: n.set.Listen.Peers,
+			Address: n.set.Listen.PeersAddress(),
 			Ops:     n.set.Listen.Ops,
 			Zone:    n.set.Zone,
 		},
--- a/settings/load.go
+++ b/settings/load.go
@@ -55,6 +55,9 @@
 	c.address("$.listen.callers", s.Listen.Callers)
 	c.address("$.listen.ops", s.Listen.Ops)
 	c.address("$.listen.peers", s.Listen.Peers)
+	if s.Listen.PeersAt != "" {
+		c.address("$.listen.peers_at", s.Listen.PeersAt)
+	}
 	c.address("$.platform.address", s.Platform.Address)
 	for i, seed := range s.Seeds {
 		c.address(fmt.Sprintf("$.seeds[%d]", i), seed)
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -53,6 +53,7 @@
 		"$.name":              func(s *Settings) { s.Name = "" },
 		"$.zone":              func(s *Settings) { s.Zone = "" },
 		"$.listen.callers":    func(s *Settings) { s.Listen.Callers = "localhost:80" },
+		"$.listen.peers_at":   func(s *Settings) { s.Listen.PeersAt = "0.0.0.0" },
 		"$.listen.ops":        func(s *Settings) { s.Listen.Ops = "127.0.0.1" },
 		"$.platform.address":  func(s *Settings) { s.Platform.Address = "" },
 		"$.operator_keys":     func(s *Settings) { s.OperatorKeys = nil },
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,17 @@
 	Callers string `json:"callers"`
 	Ops     string `json:"ops"`
 	Peers   string `json:"peers"`
+	// PeersAt is where other VMs reach Peers, if that is another address: behind
+	// address translation, or if Peers is a wildcard.
+	PeersAt string `json:"peers_at,omitempty"`
+}
+
+// PeersAddress returns the address that other VMs dial.
+func (l Listen) PeersAddress() string {
+	if l.PeersAt != "" {
+		return l.PeersAt
+	}
+	return l.Peers
 }
 
 // Platform says where the platform's object API is.
