Route: connections to owners without a call for 5 s are closed

Cause: a VM of a large fleet kept a connection to nearly every other VM and pinged each every 2 s, also where no call went over it, and never forgot the owners that had been replaced.

Ruled out: closing by the time of the last call alone.

Change: a call holds its connection until it ends; one that no call holds and that none has used for 5 s is taken out of the table, under the lock under which calls take theirs, and closed. The gauge bramley_route_owner_connections counts them.

Conclusion: the connections go; the bytes of a large fleet only once not every VM reads every status.

--- a/peer/route/metrics.go
+++ b/peer/route/metrics.go
@@ -15,6 +15,11 @@
 		defer r.mu.Unlock()
 		return float64(r.own)
 	})
+	r.metrics.NewGauge(`bramley_route_owner_connections`, func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(len(r.peers))
+	})
 	r.metrics.NewGauge(`bramley_route_peer_calls`, func() float64 { return float64(r.owner.Calls()) })
 }
 
--- a/peer/route/owner_conn.go
+++ b/peer/route/owner_conn.go
@@ -16,6 +16,10 @@
 	dialTimeout = time.Second
 	// dialPause is for how long an owner that couldn't be reached isn't dialled.
 	dialPause = 500 * time.Millisecond
+
+	defaultIdleAfter = 5 * time.Second
+	// idleLooks is how often idle connections are looked for within IdleAfter.
+	idleLooks = 5
 )
 
 var errClosed = errors.New("route: the router has stopped")
@@ -26,7 +30,9 @@
 type ownerConn struct {
 	dial func(context.Context) (*hop.Caller, error)
 
-	mu      sync.Mutex // guards what follows; taken after no other
+	mu      sync.Mutex // guards what follows; taken after Router.mu
+	users   int        // calls that use the connection or wait for it
+	used    time.Time  // when a call last ended
 	caller  *hop.Caller
 	dialing chan struct{} // closed when the dial under way has ended; nil if none is
 	failed  time.Time
@@ -109,9 +115,50 @@
 	}
 }
 
-// caller returns the connection to an owner.
-func (r *Router) caller(ctx context.Context, vm platform.VM) (*hop.Caller, error) {
+// take counts a call in.
+func (c *ownerConn) take() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.users++
+}
+
+// release counts a call out.
+func (c *ownerConn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.users--
+	c.used = time.Now()
+}
+
+// idle tells whether no call uses the connection, nor has for some time.
+func (c *ownerConn) idle(now time.Time, after time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.users == 0 && c.dialing == nil && now.Sub(c.used) >= after
+}
+
+// lease is a connection to an owner that isn't closed as idle until release.
+type lease struct {
+	*hop.Caller
+	conn *ownerConn
+}
+
+func (l lease) release() { l.conn.release() }
+
+// caller returns the connection to an owner; the call releases it at its end.
+func (r *Router) caller(ctx context.Context, vm platform.VM) (lease, error) {
+	c := r.takeConn(vm)
+	caller, err := c.get(ctx)
+	if err != nil {
+		c.release()
+		return lease{}, err
+	}
+	return lease{Caller: caller, conn: c}, nil
+}
+
+func (r *Router) takeConn(vm platform.VM) *ownerConn {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	c := r.peers[vm.Address]
 	if c == nil {
 		c = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
@@ -119,6 +166,39 @@
 		}}
 		r.peers[vm.Address] = c
 	}
-	r.mu.Unlock()
-	return c.get(ctx)
+	c.take()
+	return c
+}
+
+// closeIdle closes connections that no call has used for some time; otherwise a
+// VM would ping one to nearly every other VM. A call and the close of its
+// connection can't cross: a connection is taken, and found idle and dropped,
+// under Router.mu, so a later call opens another.
+func (r *Router) closeIdle() error {
+	ticker := time.NewTicker(r.opts.IdleAfter / idleLooks)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		for _, c := range r.dropIdle(time.Now(), r.opts.IdleAfter) {
+			c.close()
+		}
+	}
+}
+
+// dropIdle takes idle connections out of the table. It also forgets owners that
+// are no more.
+func (r *Router) dropIdle(now time.Time, after time.Duration) (dropped []*ownerConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, c := range r.peers {
+		if c.idle(now, after) {
+			delete(r.peers, address)
+			dropped = append(dropped, c)
+		}
+	}
+	return dropped
 }
--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,3 +71,60 @@
 	f.Expect(err).To(MatchError(context.Canceled))
 	f.Eventually(first).WithTimeout(testLimit).Should(Receive(HaveOccurred()))
 }
+
+// TestIdleConnectionsClosedUnderCalls: connections to owners are closed when they
+// are idle while users go on asking. A call that was sent as its connection was
+// closed would count as one that may have been started, and a request that must
+// run once would end with an unknown outcome. Here each gap between calls is long
+// enough to count as idle.
+func TestIdleConnectionsClosedUnderCalls(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	done := make(chan struct{})
+	closed := make(chan int)
+	go func() {
+		count := 0
+		for {
+			for _, c := range vm.router.dropIdle(time.Now(), 0) {
+				c.close()
+				count++
+			}
+			select {
+			case <-done:
+				closed <- count
+				return
+			default:
+			}
+		}
+	}()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 50 {
+				if err := vm.search(f); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	f.Expect(<-closed).To(BeNumerically(">", 0))
+}
+
+// TestIdleConnectionsAreClosed: a VM keeps a connection to nearly every other VM
+// of a large fleet though hardly any is used, and pings them all. They are closed
+// after a time without a call, and a later call opens one again.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	connections := func() int {
+		vm.router.mu.Lock()
+		defer vm.router.mu.Unlock()
+		return len(vm.router.peers)
+	}
+	f.Expect(vm.search(f)).To(Succeed())
+	f.Expect(connections()).To(BeNumerically(">", 0))
+	f.Eventually(connections).WithTimeout(testLimit).Should(BeZero())
+	f.Expect(vm.search(f)).To(Succeed())
+}
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/peer/hop"
 	"github.com/bramleybarrow/bramleybarrow/peer/place"
 	"github.com/bramleybarrow/bramleybarrow/peer/share"
@@ -31,11 +33,14 @@
 	WireOptions() wire.Options
 }
 
-// Options configure a Router. All but Log are required.
+// Options configure a Router. All but Log and IdleAfter are required.
 type Options struct {
 	Local hop.Leaves    // over own connections
 	Place place.Options // Gone is taken from the fleet
 	Log   hclog.Logger
+	// IdleAfter is for how long a connection to an owner stays open without a
+	// call; default 5 s.
+	IdleAfter time.Duration
 }
 
 // Router reaches the leaves of targets. It is safe for concurrent use.
@@ -80,6 +85,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
+	defaults.Positive(&o.IdleAfter, defaultIdleAfter)
 	r := &Router{
 		opts:    o,
 		wake:    make(chan struct{}, 1),
@@ -104,6 +110,7 @@
 	r.fleet = fleet
 	r.opts.Place.Gone = fleet.Gone
 	r.tomb.Go(r.holdPlace)
+	r.tomb.Go(r.closeIdle)
 }
 
 // Drain waits until no call of another VM is under way through this one, or ctx
@@ -250,7 +257,7 @@
 	r.viaOwner.Inc()
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
 	for _, vm := range owners {
-		caller, err := r.caller(ctx, vm)
+		owner, err := r.caller(ctx, vm)
 		if ctx.Err() != nil {
 			return outOfTime(ctx, name)
 		}
@@ -258,7 +265,8 @@
 			r.opts.Log.Debug("owner not reached", "vm", vm.Name, "target", name, "error", err)
 			continue
 		}
-		last = call(caller)
+		last = call(owner)
+		owner.release()
 		if !anotherOwner(last) {
 			return last
 		}
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -76,8 +76,9 @@
 func (f *testFleet) start(name string) *testVM {
 	vm := &testVM{name: name, client: target.NewClient(target.Options{}), done: make(chan struct{})}
 	vm.router = New(Options{
-		Local: vm.client,
-		Place: place.Options{Store: f.store, Deployment: "d", VM: name, Incarnation: name + "-1"},
+		Local:     vm.client,
+		IdleAfter: 500 * time.Millisecond,
+		Place:     place.Options{Store: f.store, Deployment: "d", VM: name, Incarnation: name + "-1"},
 	})
 	var err error
 	vm.peers, err = peer.New(peer.Options{
