Route: near owners first, those that refuse or are silent last

Cause: each VM began with another owner at random, so four of five calls went to another availability zone; and an owner that was frozen took each call of the VMs that began with it until the exchange counted it as lost.

Change: owners are ordered by zone, region and a hash of their own for each VM and target; an owner rests behind the others after a refusal for want of slots, for that target, or after it was silent or could not be reached.

--- a/integration/hop_test.go
+++ b/integration/hop_test.go
@@ -1,6 +1,10 @@
 package integration
 
 import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -15,22 +19,13 @@
 	c.Eventually(c.places, limit, "100ms").ShouldNot(gomega.BeEmpty())
 	holders := c.places()
 	for _, d := range c.Daemons {
-		if !contains(holders, d.Name) {
+		if !slices.Contains(holders, d.Name) {
 			list = append(list, d)
 		}
 	}
 	return list
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // VMs without connections of their own are asked in bursts, with quiet times in
 // which their connections to owners are closed as idle. A user of the first search
 // after a quiet time must get the whole answer all the same, also while many begin
@@ -71,3 +66,71 @@
 	}
 	c.expectWithinLimit(connections)
 }
+
+// twoZones adds as many VMs in another zone of the region as the cluster has, and
+// waits until all of them answer whole.
+func (c *cluster) twoZones() {
+	for i := range c.Daemons {
+		fresh, err := c.StartDaemon(fleet.DaemonOptions{Name: fmt.Sprint("far-", i), Zone: otherZone})
+		c.ok(err)
+		c.Daemons = append(c.Daemons, fresh)
+	}
+	c.listVMs()
+	for _, d := range c.Daemons {
+		c.waitInForce(d, 1)
+		c.waitWhole(d)
+	}
+}
+
+const otherZone = "zone-b"
+
+// VMs call the owners in their own zone. One of these is frozen in mid-query, and
+// one of the other zone killed. The users of their neighbours would each lose an
+// answer, or wait, until the exchange finds out; owners further away must take
+// over at once, and searches stay whole.
+func TestNearOwnerFrozenAndKilledInMidQuery(t *testing.T) {
+	const inZone, connections, owners = 3, 5, 4 // one connection is left free for a frozen owner
+	s := fewConnections(inZone, 2*inZone, connections)
+	plain := s.Bundle
+	s.Bundle = func(b *bundle.Bundle) {
+		plain(b)
+		b.Zones = append(b.Zones, bundle.Zone{Name: otherZone, Region: "region"})
+	}
+	c := start(t, s)
+	c.twoZones()
+	c.Eventually(c.places, limit, "100ms").Should(gomega.HaveLen(2 * inZone))
+	c.waitOwned(owners)
+	all := slices.Clone(c.Daemons)
+	for _, fault := range []struct {
+		victim *fleet.Daemon
+		strike func() error
+	}{
+		{all[0], all[0].Pause},
+		{all[inZone], func() error { all[inZone].Kill(); return nil }},
+	} {
+		c.Daemons = slices.DeleteFunc(c.Daemons, func(d *fleet.Daemon) bool { return d == fault.victim })
+		balancer := &laggingList{}
+		balancer.list(c.Daemons...)
+		stop := c.drive(balancer)
+		c.Eventually(balancer.answered, limit, "10ms").Should(gomega.BeNumerically(">", 100))
+		c.ok(fault.strike())
+		before := balancer.answered()
+		c.Eventually(balancer.answered, limit, "10ms").Should(gomega.BeNumerically(">", before+200))
+		_, faults := stop()
+		c.Expect(faults).To(gomega.BeEmpty(), fault.victim.Name)
+	}
+	c.Expect(c.callsWithin("zone")).To(gomega.BeNumerically(">", c.callsWithin("region")))
+	c.expectWithinLimit(connections)
+}
+
+// callsWithin counts the calls to owners that are that near, by all VMs.
+func (c *cluster) callsWithin(what string) (sum int) {
+	line := regexp.MustCompile(`bramley_route_owner_calls_total\{within="` + what + `"\} (\d+)`)
+	for _, d := range c.Daemons {
+		match := line.FindStringSubmatch(c.metrics(d))
+		c.Expect(match).To(gomega.HaveLen(2), d.Name)
+		sum += must[int](c)(strconv.Atoi(match[1]))
+	}
+	c.t.Logf("%d calls to owners within the %s", sum, what)
+	return sum
+}
--- a/node/node.go
+++ b/node/node.go
@@ -153,7 +153,8 @@
 			VM:          n.set.Name,
 			Incarnation: n.incarnation,
 		},
-		Log: n.log.Named("route"),
+		Zone: n.set.Zone,
+		Log:  n.log.Named("route"),
 	})
 	n.engine = query.NewEngine(query.Options{
 		Leaves: n.router,
--- a/peer/route/metrics.go
+++ b/peer/route/metrics.go
@@ -10,6 +10,9 @@
 	r.metrics = metrics.NewSet()
 	r.direct = r.metrics.NewCounter(`bramley_route_calls_total{path="direct"}`)
 	r.viaOwner = r.metrics.NewCounter(`bramley_route_calls_total{path="owner"}`)
+	for d, name := range []string{sameZone: "zone", sameRegion: "region", elsewhere: "elsewhere"} {
+		r.byDistance[d] = r.metrics.NewCounter(`bramley_route_owner_calls_total{within="` + name + `"}`)
+	}
 	r.metrics.NewGauge(`bramley_route_place`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- /dev/null
+++ b/peer/route/order_test.go
@@ -0,0 +1,174 @@
+package route
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/peer/share"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+func names(list []candidate) (out []string) {
+	for _, c := range list {
+		out = append(out, c.vm.Name)
+	}
+	return out
+}
+
+// TestNearOwnersFirst: the near owners are tried first, then those of the region;
+// one that refused or is silent is tried after all others, however near it is.
+func TestNearOwnersFirst(t *testing.T) {
+	g := NewWithT(t)
+	z := zones{own: "a", regions: map[string]string{"a": "one", "b": "one", "c": "two"}}
+	g.Expect(z.distance("a")).To(Equal(sameZone))
+	g.Expect(z.distance("b")).To(Equal(sameRegion))
+	g.Expect(z.distance("c")).To(Equal(elsewhere))
+	g.Expect(z.distance("unknown")).To(Equal(elsewhere))
+	g.Expect(zones{own: "x"}.distance("y")).To(Equal(elsewhere))
+	list := []candidate{
+		{vm: platform.VM{Name: "near, resting"}, distance: sameZone, resting: true, weight: 9},
+		{vm: platform.VM{Name: "far"}, distance: elsewhere, weight: 8},
+		{vm: platform.VM{Name: "region"}, distance: sameRegion, weight: 7},
+		{vm: platform.VM{Name: "near 1"}, distance: sameZone, weight: 1},
+		{vm: platform.VM{Name: "near 2"}, distance: sameZone, weight: 2},
+	}
+	order(list)
+	g.Expect(names(list)).To(Equal([]string{"near 2", "near 1", "region", "far", "near, resting"}))
+}
+
+// TestHealth: an owner is frozen and still counts as live. Calls to it would each
+// be lost or cost a hedge until the exchange finds out, seconds later. It must go
+// behind after some unanswered calls, and be tried again later.
+func TestHealth(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	live := context.Background()
+	cancelled := &target.CallError{Kind: target.ErrorCancelled}
+	shed := &target.CallError{Kind: target.ErrorRefused, Reason: target.ReasonShed, RetryAfter: 300 * time.Millisecond}
+	start := time.Unix(1, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	call := func(h *health, ctx context.Context, err error, broken bool, from, to int) {
+		h.sent(at(from))
+		h.outcome(ctx, "t", err, broken, at(to).Sub(at(from)), at(to))
+	}
+	for name, tc := range map[string]struct {
+		events  func(h *health)
+		resting map[int]bool // by time in ms
+	}{
+		"answers":              {func(h *health) { call(h, live, nil, false, 0, 10) }, map[int]bool{11: false, 5000: false}},
+		"silent for long":      {func(h *health) { h.sent(at(0)) }, map[int]bool{19: false, 30: true, 5000: true}},
+		"slow as usual":        {func(h *health) { h.mean = 100 * time.Millisecond; h.sent(at(0)) }, map[int]bool{399: false, 401: true}},
+		"one loser of a hedge": {func(h *health) { call(h, ended, cancelled, false, 0, 5) }, map[int]bool{6: false}},
+		"short calls unanswered": {func(h *health) {
+			for i := range maxMissed {
+				call(h, ended, cancelled, false, 10*i, 10*i+5)
+			}
+		}, map[int]bool{26: true, 2000: true, 2026: false}},
+		"losers among answers": {func(h *health) {
+			for i := range 5 {
+				call(h, ended, cancelled, false, 10*i, 10*i+1)
+				call(h, live, nil, false, 10*i+1, 10*i+2)
+			}
+		}, map[int]bool{50: false}},
+		"no slot":               {func(h *health) { call(h, live, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
+		"the connection broke":  {func(h *health) { call(h, live, cancelled, true, 0, 1) }, map[int]bool{2: false}},
+		"it can't be reached":   {func(h *health) { h.unreachable(at(0)) }, map[int]bool{1: true, 2001: false}},
+		"the target broke":      {func(h *health) { call(h, live, &target.CallError{Kind: target.ErrorBroken}, false, 0, 1) }, map[int]bool{2: false}},
+		"answers after silence": {func(h *health) { h.sent(at(0)); h.answered(0, at(100)) }, map[int]bool{101: false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := &health{}
+			tc.events(h)
+			for ms, want := range tc.resting {
+				g.Expect(h.resting("t", at(ms))).To(Equal(want), "at %d ms", ms)
+			}
+			g.Expect(h.out).To(BeNumerically(">=", 0))
+		})
+	}
+	g := NewWithT(t)
+	h := &health{}
+	call(h, live, shed, false, 0, 1)
+	g.Expect(h.resting("another target", at(2))).To(BeFalse())
+}
+
+// fleetOrder is who calls whom in a fleet of 950 VMs in 5 zones and 2 regions with
+// 3,250 targets of 8 owners.
+type fleetOrder struct {
+	vms     []platform.VM
+	regions map[string]string
+	targets []string
+	owners  [][]int
+}
+
+func newFleetOrder() *fleetOrder {
+	f := &fleetOrder{regions: map[string]string{"z0": "r0", "z1": "r0", "z2": "r0", "z3": "r1", "z4": "r1"}}
+	for i := range 950 {
+		f.vms = append(f.vms, platform.VM{Name: fmt.Sprint("vm-", i), Zone: fmt.Sprint("z", i%5)})
+	}
+	plan := share.Cut(25, len(f.vms))
+	for i := range 3250 {
+		f.targets = append(f.targets, fmt.Sprint("target-", i))
+		f.owners = append(f.owners, plan.OwnerPlaces(f.targets[i]))
+	}
+	return f
+}
+
+// first is the owner that a VM calls.
+func (f *fleetOrder) first(vm platform.VM, i int, near bool) candidate {
+	z := zones{own: vm.Zone, regions: f.regions}
+	var list []candidate
+	for _, place := range f.owners[i] {
+		owner := f.vms[place]
+		c := candidate{vm: owner, weight: weightOf(vm.Name, f.targets[i], owner.Name)}
+		if near {
+			c.distance = z.distance(owner.Zone)
+		}
+		list = append(list, c)
+	}
+	order(list)
+	list[0].distance = z.distance(list[0].vm.Zone)
+	return list[0]
+}
+
+// BenchmarkOrder reports how the load spreads if each VM calls each target as
+// often, and what one choice costs.
+func BenchmarkOrder(b *testing.B) {
+	f := newFleetOrder()
+	for _, near := range []bool{false, true} {
+		b.Run(fmt.Sprint("near=", near), func(b *testing.B) {
+			load := map[string]float64{}
+			within := [elsewhere + 1]float64{}
+			calls := 0.0
+			for b.Loop() {
+				vm := f.vms[int(calls)%len(f.vms)]
+				for i := range f.targets {
+					c := f.first(vm, i, near)
+					load[c.vm.Name]++
+					within[c.distance]++
+				}
+				calls++
+			}
+			var loads []float64
+			for _, vm := range f.vms {
+				loads = append(loads, load[vm.Name])
+			}
+			slices.SortFunc(loads, cmp.Compare[float64])
+			total := calls * float64(len(f.targets))
+			mean := total / float64(len(loads))
+			b.ReportMetric(loads[len(loads)*99/100]/mean, "p99/mean")
+			b.ReportMetric(loads[len(loads)-1]/mean, "max/mean")
+			b.ReportMetric(within[sameZone]/total, "in-zone")
+			b.ReportMetric(within[sameRegion]/total, "in-region")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/total, "ns/choice")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/peer/route/owner_conn.go
+++ b/peer/route/owner_conn.go
@@ -17,6 +17,9 @@
 	// dialPause is for how long an owner that couldn't be reached isn't dialled.
 	dialPause = 500 * time.Millisecond
 
+	// slowDial is when an owner that is being dialled goes behind the others.
+	slowDial = 50 * time.Millisecond
+
 	defaultIdleAfter = 5 * time.Second
 	// idleLooks is how often idle connections are looked for within IdleAfter.
 	idleLooks = 5
@@ -33,8 +36,10 @@
 	mu      sync.Mutex // guards what follows; taken after Router.mu
 	users   int        // calls that use the connection or wait for it
 	used    time.Time  // when a call last ended
+	health  health
 	caller  *hop.Caller
 	dialing chan struct{} // closed when the dial under way has ended; nil if none is
+	begun   time.Time     // the last dial
 	failed  time.Time
 	err     error
 	closed  bool
@@ -73,6 +78,7 @@
 		return nil, nil, c.err
 	}
 	c.dialing = make(chan struct{})
+	c.begun = time.Now()
 	go c.open()
 	return nil, c.dialing, nil
 }
@@ -98,6 +104,7 @@
 	c.caller, c.err = caller, err
 	if err != nil {
 		c.failed = time.Now()
+		c.health.unreachable(c.failed)
 	}
 	if c.closed && caller != nil {
 		caller.Close()
@@ -145,6 +152,32 @@
 
 func (l lease) release() { l.conn.release() }
 
+// call makes a call about a target, notes how it went and releases the lease.
+func (l lease) call(ctx context.Context, name string, f func(hop.Leaves) error) error {
+	defer l.release()
+	begin := time.Now()
+	l.conn.note(func(h *health) { h.sent(begin) })
+	err := f(l.Caller)
+	now := time.Now()
+	l.conn.note(func(h *health) { h.outcome(ctx, name, err, ended(l.Caller), now.Sub(begin), now) })
+	return err
+}
+
+func (c *ownerConn) note(event func(*health)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	event(&c.health)
+}
+
+// resting tells whether other owners of a target should be tried first. A dial
+// takes milliseconds, or as long as its limit if the owner is silent.
+func (c *ownerConn) resting(target string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slowDial := c.dialing != nil && now.Sub(c.begun) > slowDial
+	return slowDial || c.health.resting(target, now)
+}
+
 // caller returns the connection to an owner; the call releases it at its end.
 func (r *Router) caller(ctx context.Context, vm platform.VM) (lease, error) {
 	c := r.takeConn(vm)
--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -9,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/peer/hop"
 	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // ownerBehindProxy returns a VM without connections of its own, and one of the
@@ -128,3 +130,36 @@
 	f.Eventually(connections).WithTimeout(testLimit).Should(BeZero())
 	f.Expect(vm.search(f)).To(Succeed())
 }
+
+// TestFrozenOwnerGoesBehind: the nearest owner is frozen and still counts as live.
+// Each call of this VM was lost to it until the exchange found out, seconds later.
+// After the first few, calls must go to another owner.
+func TestFrozenOwnerGoesBehind(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	owners, _ := vm.router.reach("target-0")
+	f.Expect(owners).To(HaveLen(2))
+	first := owners[0].vm
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: first.Address})
+	f.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	vm.router.mu.Lock()
+	vm.router.peers[first.Address] = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
+		o := vm.router.fleet.WireOptions()
+		o.PingInterval = testLimit // the silence isn't found by pings, as it isn't within seconds in a real fleet
+		return hop.Dial(ctx, proxy.Address(), o, &wire.Counters{})
+	}}
+	vm.router.mu.Unlock()
+	f.Expect(vm.search(f)).To(Succeed())
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	lost := 0
+	for range 20 {
+		if vm.searchWithin(f, 200*time.Millisecond) != nil {
+			lost++
+		}
+	}
+	f.Expect(lost).To(BeNumerically("<=", maxMissed))
+	owners, _ = vm.router.reach("target-0")
+	f.Expect(owners[1].vm).To(Equal(first))
+	f.Expect(owners[1].resting).To(BeTrue())
+}
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
@@ -37,6 +36,7 @@
 type Options struct {
 	Local hop.Leaves    // over own connections
 	Place place.Options // Gone is taken from the fleet
+	Zone  string        // the VM's availability zone
 	Log   hclog.Logger
 	// IdleAfter is for how long a connection to an owner stays open without a
 	// call; default 5 s.
@@ -53,13 +53,15 @@
 
 	metrics          *metrics.Set
 	direct, viaOwner *metrics.Counter
+	byDistance       [elsewhere + 1]*metrics.Counter
 
 	mu      sync.Mutex // guards what follows
 	targets map[string]*route
 	owners  map[ownersKey][]int // kept from bundle to bundle: hashing all places is slow
 	places  int                 // of the fleet, as the bundle has it
 	shared  bool                // some target has fewer owners than the fleet has places
-	own     int                 // own place; noPlace if none
+	zones   zones
+	own     int // own place; noPlace if none
 	changed chan struct{}
 	peers   map[string]*ownerConn
 }
@@ -138,6 +140,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.places = b.Fleet.MaxVMs
+	r.zones = zones{own: r.opts.Zone, regions: map[string]string{}}
+	for _, z := range b.Zones {
+		r.zones.regions[z.Name] = z.Region
+	}
 	r.shared = false
 	r.targets = map[string]*route{}
 	kept := map[ownersKey][]int{}
@@ -256,17 +262,17 @@
 	}
 	r.viaOwner.Inc()
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
-	for _, vm := range owners {
-		owner, err := r.caller(ctx, vm)
+	for _, c := range owners {
+		owner, err := r.caller(ctx, c.vm)
 		if ctx.Err() != nil {
 			return outOfTime(ctx, name)
 		}
 		if err != nil {
-			r.opts.Log.Debug("owner not reached", "vm", vm.Name, "target", name, "error", err)
+			r.opts.Log.Debug("owner not reached", "vm", c.vm.Name, "target", name, "error", err)
 			continue
 		}
-		last = call(owner)
-		owner.release()
+		r.byDistance[c.distance].Inc()
+		last = owner.call(ctx, name, call)
 		if !anotherOwner(last) {
 			return last
 		}
@@ -290,21 +296,35 @@
 }
 
 // reach returns the live owners of a target in the order in which this VM tries
-// them, or that the target is called over own connections. Each VM begins with
-// another owner, so that the owners share the calls.
-func (r *Router) reach(name string) (owners []platform.VM, local bool) {
+// them, or that the target is called over own connections.
+func (r *Router) reach(name string) (owners []candidate, local bool) {
 	r.mu.Lock()
 	rt := r.targets[name]
+	local = rt == nil || rt.plan.Direct() || rt.own > 0
 	r.mu.Unlock()
-	if rt == nil || rt.plan.Direct() || r.Connections(name) > 0 {
+	if local {
 		return nil, true
 	}
 	holders := r.fleet.Places()
-	first := int(xxhash.Sum64String(r.opts.Place.VM+"\x00"+name) % uint64(max(len(rt.owners), 1)))
-	for i := range rt.owners {
-		if vm, live := holders[rt.owners[(first+i)%len(rt.owners)]]; live {
-			owners = append(owners, vm)
+	now := time.Now()
+	r.mu.Lock()
+	for _, place := range rt.owners {
+		if vm, live := holders[place]; live {
+			owners = append(owners, r.candidate(name, vm, now))
 		}
 	}
+	r.mu.Unlock()
+	order(owners)
 	return owners, false
 }
+
+// candidate must hold mu.
+func (r *Router) candidate(name string, vm platform.VM, now time.Time) candidate {
+	conn := r.peers[vm.Address]
+	return candidate{
+		vm:       vm,
+		distance: r.zones.distance(vm.Zone),
+		resting:  conn != nil && conn.resting(name, now),
+		weight:   weightOf(r.opts.Place.VM, name, vm.Name),
+	}
+}
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -130,8 +130,10 @@
 	_ = vm.peers.Stop(ctx)
 }
 
-func (vm *testVM) search(f *testFleet) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+func (vm *testVM) search(f *testFleet) error { return vm.searchWithin(f, time.Second) }
+
+func (vm *testVM) searchWithin(f *testFleet, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	holding := f.target.Status().Leaves[1].Holdings[0]
 	echo := target.Echo{Request: "r", Attempt: 1, Shard: holding.Shard, Snapshot: holding.Snapshot}
