--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/peer/hop"
 	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // ownerBehindProxy returns a VM without connections of its own, and one of the
@@ -70,3 +73,93 @@
 	f.Expect(err).To(MatchError(context.Canceled))
 	f.Eventually(first).WithTimeout(testLimit).Should(Receive(HaveOccurred()))
 }
+
+// TestIdleConnectionsClosedUnderCalls: connections to owners are closed when they
+// are idle while users go on asking. A call that was sent as its connection was
+// closed would count as one that may have been started, and a request that must
+// run once would end with an unknown outcome. Here each gap between calls is long
+// enough to count as idle.
+func TestIdleConnectionsClosedUnderCalls(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	done := make(chan struct{})
+	closed := make(chan int)
+	go func() {
+		count := 0
+		for {
+			for _, c := range vm.router.dropIdle(time.Now(), 0) {
+				c.close()
+				count++
+			}
+			select {
+			case <-done:
+				closed <- count
+				return
+			default:
+			}
+		}
+	}()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 50 {
+				if err := vm.search(f); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	f.Expect(<-closed).To(BeNumerically(">", 0))
+}
+
+// TestIdleConnectionsAreClosed: a VM keeps a connection to nearly every other VM
+// of a large fleet though hardly any is used, and pings them all. They are closed
+// after a time without a call, and a later call opens one again.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	connections := func() int {
+		vm.router.mu.Lock()
+		defer vm.router.mu.Unlock()
+		return len(vm.router.peers)
+	}
+	f.Expect(vm.search(f)).To(Succeed())
+	f.Expect(connections()).To(BeNumerically(">", 0))
+	f.Eventually(connections).WithTimeout(testLimit).Should(BeZero())
+	f.Expect(vm.search(f)).To(Succeed())
+}
+
+// TestFrozenOwnerGoesBehind: the nearest owner is frozen and still counts as live.
+// Each call of this VM was lost to it until the exchange found out, seconds later.
+// After the first few, calls must go to another owner.
+func TestFrozenOwnerGoesBehind(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	owners, _ := vm.router.reach("target-0")
+	f.Expect(owners).To(HaveLen(2))
+	first := owners[0].vm
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: first.Address})
+	f.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	vm.router.mu.Lock()
+	vm.router.peers[first.Address] = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
+		o := vm.router.fleet.WireOptions()
+		o.PingInterval = testLimit // the silence isn't found by pings, as it isn't within seconds in a real fleet
+		return hop.Dial(ctx, proxy.Address(), o, &wire.Counters{})
+	}}
+	vm.router.mu.Unlock()
+	f.Expect(vm.search(f)).To(Succeed())
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	lost := 0
+	for range 20 {
+		if vm.searchWithin(f, 200*time.Millisecond) != nil {
+			lost++
+		}
+	}
+	f.Expect(lost).To(BeNumerically("<=", maxMissed))
+	owners, _ = vm.router.reach("target-0")
+	f.Expect(owners[1].vm).To(Equal(first))
+	f.Expect(owners[1].resting).To(BeTrue())
+}
