--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -178,7 +180,17 @@
 
 // StartProxy starts a fault proxy in front of an address.
 func (f *Fleet) StartProxy(name, to string) (*Proxy, error) {
-	p, ready, err := f.startReady(name, "proxy", "--target", to)
+	return f.startProxy(name, "--target", to)
+}
+
+// StartPeerProxy starts a fault proxy in front of a daemon's listener for peers.
+// Its Faults.Apart names daemons.
+func (f *Fleet) StartPeerProxy(name, to string) (*Proxy, error) {
+	return f.startProxy(name, "--target", to, "--peers")
+}
+
+func (f *Fleet) startProxy(name string, args ...string) (*Proxy, error) {
+	p, ready, err := f.startReady(name, append([]string{"proxy"}, args...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +215,7 @@
 	Settings string // path of the file
 	Callers  string
 	Ops      string
-	Peers    string
+	Peers    string // address that other VMs dial
 }
 
 // VM returns the daemon's entry for the platform's list.
@@ -218,6 +230,27 @@
 	return s, err
 }
 
+// Metrics returns the values of the daemon's metrics by name and labels.
+func (d *Daemon) Metrics() (map[string]float64, error) {
+	resp, err := control.Get("http://" + d.Ops + ops.PathMetrics)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	values := make(map[string]float64)
+	for line := range strings.Lines(string(data)) {
+		name, text, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseFloat(text, 64); ok && err == nil {
+			values[name] = v
+		}
+	}
+	return values, nil
+}
+
 // Ready reports whether the daemon says that it should get callers' requests.
 func (d *Daemon) Ready(ctx context.Context) bool {
 	status, err := call(ctx, http.MethodGet, "http://"+d.Ops+ops.PathReady, nil, nil, nil)
--- a/node/node.go
+++ b/node/node.go
@@ -120,7 +120,7 @@
 	n.peers, err = peer.New(peer.Options{
 		VM: platform.VM{
 			Name:    n.set.Name,
-			Address: n.set.Listen.Peers,
+			Address: n.set.Listen.PeersAddress(),
 			Ops:     n.set.Listen.Ops,
 			Zone:    n.set.Zone,
 		},
@@ -156,7 +156,8 @@
 			VM:          n.set.Name,
 			Incarnation: n.incarnation,
 		},
-		Log: n.log.Named("route"),
+		Zone: n.set.Zone,
+		Log:  n.log.Named("route"),
 	})
 	engine := &engineRelay{}
 	n.health = health.New(health.Options{
@@ -166,10 +167,11 @@
 		Metrics: n.metrics,
 	})
 	n.engine = query.NewEngine(query.Options{
-		Leaves: n.health.Calls(n.router),
-		Zone:   n.set.Zone,
-		Seed:   uint64(n.started.UnixNano()),
-		Log:    n.log.Named("query"),
+		Leaves:  n.health.Calls(n.router),
+		Zone:    n.set.Zone,
+		Seed:    uint64(n.started.UnixNano()),
+		Log:     n.log.Named("query"),
+		Metrics: n.metrics,
 		OnDrain: func(target, incarnation string) {
 			n.peers.LearnDrain(peer.Drain{Target: target, Incarnation: incarnation})
 		},
--- /dev/null
+++ b/peer/route/owner_conn_test.go
@@ -0,0 +1,165 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/peer/hop"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// ownerBehindProxy returns a VM without connections of its own, and one of the
+// target's owners as it is reached through a fault proxy.
+func (f *testFleet) ownerBehindProxy() (vm *testVM, owner platform.VM, proxy *faultproxy.Proxy) {
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	for _, other := range f.vms {
+		if other.router.Connections("target-0") == 0 {
+			vm = other
+		}
+	}
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: f.owners()[0].peers.Address()})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { proxy.Close() })
+	return vm, platform.VM{Name: f.owners()[0].name, Address: proxy.Address()}, proxy
+}
+
+// TestCancelledCallDoesNotCondemnTheOwner: the first call to an owner has to dial
+// it, and the query that made the call ends meanwhile, as the loser of a hedge
+// does. Users of this VM got no answers for half a second: the dial ended with
+// that call, the owner counted as one that can't be reached, and the reads of the
+// target's status that failed for it made the target count as lost.
+func TestCancelledCallDoesNotCondemnTheOwner(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, owner, proxy := f.ownerBehindProxy()
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := vm.router.caller(ctx, owner)
+	f.Expect(err).To(HaveOccurred())
+	proxy.SetFaults(faultproxy.Faults{})
+
+	ctx, cancel = context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	_, err = vm.router.caller(ctx, owner)
+	f.Expect(err).NotTo(HaveOccurred())
+}
+
+// TestCallDoesNotWaitForAnothersDial: an owner went silent and one call is still
+// dialling it. A second call with little time left waited for that dial to end
+// before it looked at its own deadline, so its user was answered late.
+func TestCallDoesNotWaitForAnothersDial(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, owner, proxy := f.ownerBehindProxy()
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	first := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_, err := vm.router.caller(ctx, owner)
+		first <- err
+	}()
+	f.Eventually(func() int { return proxy.Counters().Open }).WithTimeout(testLimit).Should(Equal(1))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := vm.router.caller(ctx, owner)
+	f.Expect(err).To(MatchError(context.Canceled))
+	f.Eventually(first).WithTimeout(testLimit).Should(Receive(HaveOccurred()))
+}
+
+// TestIdleConnectionsClosedUnderCalls: connections to owners are closed when they
+// are idle while users go on asking. A call that was sent as its connection was
+// closed would count as one that may have been started, and a request that must
+// run once would end with an unknown outcome. Here each gap between calls is long
+// enough to count as idle.
+func TestIdleConnectionsClosedUnderCalls(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	done := make(chan struct{})
+	closed := make(chan int)
+	go func() {
+		count := 0
+		for {
+			for _, c := range vm.router.dropIdle(time.Now(), 0) {
+				c.close()
+				count++
+			}
+			select {
+			case <-done:
+				closed <- count
+				return
+			default:
+			}
+		}
+	}()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 50 {
+				if err := vm.search(f); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	f.Expect(<-closed).To(BeNumerically(">", 0))
+}
+
+// TestIdleConnectionsAreClosed: a VM keeps a connection to nearly every other VM
+// of a large fleet though hardly any is used, and pings them all. They are closed
+// after a time without a call, and a later call opens one again.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	connections := func() int {
+		vm.router.mu.Lock()
+		defer vm.router.mu.Unlock()
+		return len(vm.router.peers)
+	}
+	f.Expect(vm.search(f)).To(Succeed())
+	f.Expect(connections()).To(BeNumerically(">", 0))
+	f.Eventually(connections).WithTimeout(testLimit).Should(BeZero())
+	f.Expect(vm.search(f)).To(Succeed())
+}
+
+// TestFrozenOwnerGoesBehind: the nearest owner is frozen and still counts as live.
+// Each call of this VM was lost to it until the exchange found out, seconds later.
+// After the first few, calls must go to another owner.
+func TestFrozenOwnerGoesBehind(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	owners, _ := vm.router.reach("target-0")
+	f.Expect(owners).To(HaveLen(2))
+	first := owners[0].vm
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: first.Address})
+	f.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	vm.router.mu.Lock()
+	vm.router.peers[first.Address] = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
+		o := vm.router.fleet.WireOptions()
+		o.PingInterval = testLimit // the silence isn't found by pings, as it isn't within seconds in a real fleet
+		return hop.Dial(ctx, proxy.Address(), o, &wire.Counters{})
+	}}
+	vm.router.mu.Unlock()
+	f.Expect(vm.search(f)).To(Succeed())
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	lost := 0
+	for range 20 {
+		if vm.searchWithin(f, 200*time.Millisecond) != nil {
+			lost++
+		}
+	}
+	f.Expect(lost).To(BeNumerically("<=", maxMissed))
+	owners, _ = vm.router.reach("target-0")
+	f.Expect(owners[1].vm).To(Equal(first))
+	f.Expect(owners[1].resting).To(BeTrue())
+}
