Exchange: packed facts go to VMs of version 2 only

Cause: a VM of the earlier form could not read a comparison's answer with packed facts and would have closed the connection, so VMs could not be replaced one after another.

Change: facts have two forms in each message; a peer whose hello agreed on less than version 2 gets the plain one.

Test: peer TestPackedFactsAreBounded, for the bounds of what is unpacked. Not tried: a daemon of the earlier form beside one of this.

--- a/peer/link.go
+++ b/peer/link.go
@@ -166,7 +166,7 @@
 			if news == nil {
 				break
 			}
-			if err := l.tell(news); err != nil {
+			if err := l.conn.Notify(methodTell, news); err != nil {
 				l.conn.Close()
 				break
 			}
@@ -177,25 +177,12 @@
 	}
 }
 
-// tell sends news, packed if there are enough facts for that to save anything.
-func (l *link) tell(news *tellMessage) error {
-	if len(news.Facts) >= packFrom {
-		packed, err := packFacts(news.Facts)
-		if err != nil {
-			return err
-		}
-		news.Facts, news.Packed = nil, packed
-	}
-	return l.conn.Notify(methodTell, news)
-}
-
 // takeNews returns the next message for a link, or nil, and whether there is
 // more.
 func (x *Exchange) takeNews(l *link) (*tellMessage, bool) {
 	revision := x.opts.Heads.Revision()
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	news := &tellMessage{}
+	x.mu.Lock()
 	if l.revision && revision > l.theirs {
 		news.Revision = revision
 	}
@@ -209,11 +196,14 @@
 		keys = append(keys, key)
 		delete(l.pending, key)
 	}
-	news.Facts = x.table.Facts(keys)
-	if news.Revision == 0 && len(news.Facts) == 0 {
+	list := x.table.Facts(keys)
+	more := len(l.pending) > 0
+	x.mu.Unlock()
+	if news.Revision == 0 && len(list) == 0 {
 		return nil, false
 	}
-	return news, len(l.pending) > 0
+	news.sentFacts = send(l.conn, list)
+	return news, more
 }
 
 // linkLost finds out why a connection ended: unless the peer said goodbye, it is
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -24,11 +24,9 @@
 	methodGoodbye = "exchange.goodbye" // this connection is closed on purpose
 )
 
-// tellMessage has its facts in one of two forms.
 type tellMessage struct {
-	Revision uint64       `json:"r,omitempty"`
-	Facts    []facts.Fact `json:"f,omitempty"`
-	Packed   packedFacts  `json:"p,omitempty"`
+	Revision uint64 `json:"r,omitempty"`
+	sentFacts
 }
 
 type syncRequest struct {
@@ -52,9 +50,9 @@
 }
 
 type diffAnswer struct {
-	Facts packedFacts `json:"f,omitempty"`
-	Want  []facts.Key `json:"w,omitempty"`
-	More  bool        `json:"m,omitempty"` // there are more facts than fit
+	sentFacts
+	Want []facts.Key `json:"w,omitempty"`
+	More bool        `json:"m,omitempty"` // there are more facts than fit
 }
 
 type headAnswer struct {
@@ -83,7 +81,7 @@
 	case methodSync:
 		return serve(params, func(m *syncRequest) (any, error) { return x.answerSync(conn, m), nil })
 	case methodDiff:
-		return serve(params, func(m *diffRequest) (any, error) { return x.answerDiff(m) })
+		return serve(params, func(m *diffRequest) (any, error) { return x.answerDiff(conn, m), nil })
 	case methodHead:
 		return headAnswer{Head: x.opts.Heads.Head()}, nil
 	case methodBundle:
@@ -105,7 +103,7 @@
 }
 
 func (x *Exchange) heard(conn *wire.Conn, m *tellMessage) error {
-	told, err := m.facts()
+	told, err := m.list(maxFacts)
 	if err != nil {
 		return err
 	}
@@ -157,13 +155,13 @@
 	return answer
 }
 
-func (x *Exchange) answerDiff(m *diffRequest) (any, error) {
+func (x *Exchange) answerDiff(conn *wire.Conn, m *diffRequest) diffAnswer {
 	x.mu.Lock()
 	give, want := x.table.Compare(m.Buckets, m.Entries)
 	x.mu.Unlock()
 	more := len(give) > maxDiffFacts
-	packed, err := packFacts(give[:min(len(give), maxDiffFacts)])
-	return diffAnswer{Facts: packed, Want: want, More: more}, err
+	given := send(conn, give[:min(len(give), maxDiffFacts)])
+	return diffAnswer{sentFacts: given, Want: want, More: more}
 }
 
 // sync compares digests with a peer and exchanges what differs. A peer that
@@ -228,7 +226,7 @@
 }
 
 func (x *Exchange) takeDiff(l *link, differing *diffAnswer) error {
-	given, err := differing.Facts.unpack(maxDiffFacts)
+	given, err := differing.list(maxDiffFacts)
 	if err != nil {
 		return err
 	}
--- a/peer/pack.go
+++ b/peer/pack.go
@@ -9,11 +9,11 @@
 
 	"github.com/bramleybarrow/bramleybarrow/peer/facts"
 	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // packedFacts are facts as compressed JSON. Facts of many targets repeat names of
-// snapshots and fields; an index switch over all targets is told in a quarter of
-// the bytes.
+// snapshots and fields.
 type packedFacts []byte
 
 const (
@@ -29,28 +29,47 @@
 	return w
 }}
 
-func packFacts(list []facts.Fact) (packedFacts, error) {
-	if len(list) == 0 {
-		return nil, nil
+// sentFacts are facts in one of two forms.
+type sentFacts struct {
+	Facts  []facts.Fact `json:"f,omitempty"`
+	Packed packedFacts  `json:"p,omitempty"`
+}
+
+// send gives facts the form for a connection: packed, unless there are so few that
+// it saves nothing or the peer is of a version that doesn't know it.
+func send(conn *wire.Conn, list []facts.Fact) sentFacts {
+	if len(list) < packFrom || conn.Version() < wire.VersionCBOR {
+		return sentFacts{Facts: list}
+	}
+	return sentFacts{Packed: packFacts(list)}
+}
+
+// list returns the facts, of which there may be that many.
+func (s sentFacts) list(most int) ([]facts.Fact, error) {
+	list := s.Facts
+	if len(s.Packed) > 0 {
+		var err error
+		if list, err = s.Packed.unpack(); err != nil {
+			return nil, err
+		}
 	}
+	if len(list) > most {
+		return nil, result.Errorf(result.BadMessage, "%d facts, at most %d", len(list), most)
+	}
+	return list, nil
+}
+
+func packFacts(list []facts.Fact) packedFacts {
 	var buf bytes.Buffer
 	w := writers.Get().(*flate.Writer)
 	defer writers.Put(w)
 	w.Reset(&buf)
-	if err := json.NewEncoder(w).Encode(list); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
+	_ = json.NewEncoder(w).Encode(list) // facts always marshal, and a buffer takes all
+	_ = w.Close()
+	return buf.Bytes()
 }
 
-// unpack returns the facts, of which there may be that many.
-func (p packedFacts) unpack(most int) ([]facts.Fact, error) {
-	if len(p) == 0 {
-		return nil, nil
-	}
+func (p packedFacts) unpack() ([]facts.Fact, error) {
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p)), maxUnpacked+1))
 	if err != nil {
 		return nil, result.Wrap(result.BadMessage, err, "packed facts")
@@ -62,20 +81,5 @@
 	if err := json.Unmarshal(data, &list); err != nil {
 		return nil, result.Wrap(result.BadMessage, err, "packed facts")
 	}
-	return list, checkCount(list, most)
-}
-
-func checkCount(list []facts.Fact, most int) error {
-	if len(list) > most {
-		return result.Errorf(result.BadMessage, "%d facts, at most %d", len(list), most)
-	}
-	return nil
-}
-
-// facts returns the facts of either form.
-func (m *tellMessage) facts() ([]facts.Fact, error) {
-	if len(m.Packed) > 0 {
-		return m.Packed.unpack(maxFacts)
-	}
-	return m.Facts, checkCount(m.Facts, maxFacts)
+	return list, nil
 }
