Exchange: a suspicion carries the address of a VM known from the list alone

Cause: TestRecallWhileRegionsAreApart failed 9 of 15 runs beside other work: a VM that started on the side without the platform kept the recalled bundle for 30 s after the join. Traced in a trial by what it knew: "vm-0, lost, no address". Its neighbour had known vm-0 from the platform's list only, no fact of vm-0 had reached it before the split, and the suspicion that it passed on held a name alone. The new VM had no list, so it could look for nobody. Ruled out: that the new VM had not been told before its neighbour froze; the test waits for it to know three lost VMs (new metric bramley_peer_lost_vms) and failed 6 of 9 runs all the same. Change: such a suspicion takes address and zone from the list; the VM's own word outranks it as before. Before: TestLostThatWereOnlyListedAreFound fails (20 s). After: it passes, ./peer passes 3 of 3 with -race, TestRecallWhileRegionsAreApart 9 of 9, three at a time, at a load average of 54.

--- a/integration/region_test.go
+++ b/integration/region_test.go
@@ -65,6 +65,9 @@
 		c.Expect(must[string](c)(digestOf(c.ctx, d))).To(gomega.Equal(faulty), d.Name)
 		c.waitWhole(d)
 	}
+	// Only its neighbour can tell the replacement of the other region's VMs. One
+	// that knows nobody else is on its own until the platform is back.
+	c.waitMetric([]*fleet.Daemon{fresh}, "bramley_peer_lost_vms 3\n")
 	c.ok(far[0].Pause())
 
 	c.join()
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -117,6 +117,26 @@
 	f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 2 && len(vm.Live()) == 2 }, here, there)
 }
 
+// TestLostThatWereOnlyListedAreFound: two VMs know each other from the platform's
+// list alone when they lose each other and the platform. One of them tells a new VM
+// that the other is lost and then dies. Users of the new VM stayed with an old
+// bundle until the platform was back: it knew the lost VM's name, but no address.
+func TestLostThatWereOnlyListedAreFound(t *testing.T) {
+	f := newFleet(t, 0)
+	there := f.start("there", nil)
+	f.net.split(map[string]int{there.Address(): 1})
+	here := f.start("here", nil)
+	knowsLost := func(vm *testVM) bool { return vm.lost() == 1 }
+	f.everywhere(knowsLost, here)
+	f.list.setDown(true)
+	fresh := f.start("fresh", func(o *Options) { o.Seeds = []string{here.Address()} })
+	f.everywhere(knowsLost, fresh)
+	here.crash()
+	there.heads.set(2)
+	f.net.split(nil)
+	f.everywhere(hasRevision(2), fresh)
+}
+
 // TestSplitCutsDialsUnderWay: TestSplitAndJoin failed now and then, with every VM
 // still counting the other side as live: a dial that began before the split got
 // its connection after it. All suspicions were answered over that one link. The
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -83,6 +83,12 @@
 	return append([]platform.VM(nil), f.vms...), nil
 }
 
+func (f *fakeList) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
 func (f *fakeList) add(vm platform.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/peer/members.go
+++ b/peer/members.go
@@ -84,13 +84,29 @@
 		return
 	}
 	x.accused[name] = now
-	m.Name = name
+	if !known {
+		m = x.memberListed(name)
+	}
 	m.State = facts.Suspect
 	m.At = now.Unix()
 	x.opts.Log.Debug("VM suspected", "vm", name)
 	x.learn(facts.Fact{Member: &m}, nil, now)
 }
 
+// memberListed is what the platform's list says of a VM that has not spoken for
+// itself yet. Its address goes along with a suspicion: a VM without the list that
+// is told of it could otherwise never look for the suspected one. Its start is not
+// known, so whatever the VM says of itself outranks it. It must hold mu.
+func (x *Exchange) memberListed(name string) facts.Member {
+	m := facts.Member{Name: name}
+	for _, vm := range x.listed {
+		if vm.Name == name {
+			m.Address, m.Ops, m.Zone = vm.Address, vm.Ops, vm.Zone
+		}
+	}
+	return m
+}
+
 // judgeSuspects declares those lost that didn't answer in time. Every VM does so
 // by its own timer from the same fact, so there is nothing to pass on. It must
 // hold mu.
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -17,11 +17,19 @@
 	gauge(`bramley_peer_silent_total`, func() float64 { return float64(x.count.SilentClosed.Load()) })
 	gauge(`bramley_peer_connections`, func() float64 { return float64(x.Peers()) })
 	gauge(`bramley_peer_live_vms`, func() float64 { return float64(len(x.Live())) })
+	gauge(`bramley_peer_lost_vms`, func() float64 { return float64(x.lost()) })
 	gauge(`bramley_peer_drains`, func() float64 { return float64(len(x.Drains())) })
 	gauge(`bramley_peer_drain_learned_seconds`, x.drainLearnedSeconds)
 	return set
 }
 
+// lost is the number of VMs that count as lost and are not forgotten yet.
+func (x *Exchange) lost() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.Lost()
+}
+
 // drainLearnedSeconds is the Unix time at which this VM last learned of a drain,
 // 0 before the first.
 func (x *Exchange) drainLearnedSeconds() float64 {
