--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -63,8 +63,16 @@
 // each search must still be answered whole, within its time.
 func TestOwnersKilledInMidQuery(t *testing.T) {
 	const daemons, connections = 5, 3
-	const owners = 2 // of each target, with a connection each; one is left free for a frozen owner
 	c := start(t, fewConnections(daemons, daemons, connections))
+	c.killOwners()
+	c.expectWithinLimit(connections)
+}
+
+// killOwners kills VMs under load, one after another, and replaces them. Every
+// search of the others must be answered whole. Targets accept three connections.
+func (c *cluster) killOwners() {
+	c.t.Helper()
+	const owners = 2 // of each target, with a connection each; one is left free for a frozen owner
 	c.waitOwned(owners)
 	balancer := &laggingList{}
 	for i := range 3 {
@@ -88,7 +96,6 @@
 		c.waitWhole(fresh)
 		c.waitOwned(owners)
 	}
-	c.expectWithinLimit(connections)
 }
 
 // waitOwned waits until each target has connections from that many owners again.
--- a/integration/region_test.go
+++ b/integration/region_test.go
@@ -19,6 +19,7 @@
 // regions join, the side that kept it must take the recall over, by its peers
 // alone, and never give the faulty one back to the others.
 func TestRecallWhileRegionsAreApart(t *testing.T) {
+	t.Parallel() // it waits for most of its time
 	const daemons, replacement = 4, "vm-4"
 	var c *cluster
 	c = start(t, shape{
