Route: an owner that is leaving is called if no other is known

Cause: a leaving VM stopped counting as an owner as soon as it said so, though it serves for its lame-duck time. If the other owners of a target had just left too, or their successors were not known yet, each call to the target ended as unreachable at once, and searches with 400 CoverageTooLow.

Change: holders of places that are leaving are kept, marked, and ordered behind all others; of two that claim a place the one that stays has it. An owner that drains takes no further call, so that its end does not wait for VMs that go on calling, and says that it started none.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -283,7 +283,8 @@
 	}
 }
 
-// Places returns the live VMs that hold places. The map must not be changed.
+// Places returns the VMs that hold places and aren't lost, by place; those that
+// are leaving are marked. The map must not be changed.
 func (x *Exchange) Places() map[int]platform.VM {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -348,3 +348,24 @@
 	_, ok, _ = q.offer(&waiter{peer: "a", deadline: now.Add(250 * time.Millisecond)}, now)
 	g.Expect(ok).To(BeTrue())
 }
+
+// TestDrainEndsThoughCallsGoOn: an owner leaves and other VMs, which know of no
+// other one, go on calling. It would wait for them without end. It takes no further
+// call once it drains, and says that it started none.
+func TestDrainEndsThoughCallsGoOn(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	held := make(chan error, 1)
+	go func() { held <- p.search(ctx, "owned", 7) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	drained := make(chan error, 1)
+	go func() { drained <- p.owner.Drain(ctx) }()
+	p.Eventually(func() *target.CallError { return callError(p.search(ctx, "owned", 1)) }).WithTimeout(testLimit).
+		Should(And(HaveField("Kind", target.ErrorUnknownTarget), HaveField("NotStarted", true)))
+	_, err := p.caller.Status(ctx, "owned")
+	p.Expect(callError(err)).To(HaveField("NotStarted", true))
+	close(p.leaves.release)
+	p.Expect(<-held).To(Succeed())
+	p.Expect(<-drained).To(Succeed())
+}
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -35,6 +35,7 @@
 	queues map[leafKey]*slotQueue
 	calls  int
 	conns  map[*wire.Conn]*session
+	closed bool // Drain was called
 }
 
 type leafKey struct {
@@ -66,9 +67,13 @@
 // drainPause is the time between looks at whether calls are still under way.
 const drainPause = 5 * time.Millisecond
 
-// Drain waits until no call of another VM is under way and all answers have been
-// handed to their connections, or ctx ends.
+// Drain takes no further call and waits until none of another VM is under way and
+// all answers have been handed to their connections, or ctx ends. VMs that know of
+// no other owner call until the end; it would not come if their calls were taken.
 func (o *Owner) Drain(ctx context.Context) error {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
 	for o.busy() {
 		select {
 		case <-ctx.Done():
@@ -162,6 +167,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.closed {
+		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
+	}
 	if _, twice := s.cancel[call.ID]; twice || o.calls >= o.opts.MaxCalls {
 		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
@@ -201,6 +209,9 @@
 func (o *Owner) takeStatus(s *session, call *Call, limit time.Duration) *Failure {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.closed {
+		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
+	}
 	if o.calls >= o.opts.MaxCalls {
 		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
--- a/peer/live.go
+++ b/peer/live.go
@@ -53,7 +53,7 @@
 }
 
 func memberVM(m facts.Member) platform.VM {
-	return platform.VM{Name: m.Name, Address: m.Address, Ops: m.Ops, Zone: m.Zone}
+	return platform.VM{Name: m.Name, Address: m.Address, Ops: m.Ops, Zone: m.Zone, Leaving: m.State == facts.Leaving}
 }
 
 // watches tells whether the named VM is one of those that watch the platform.
@@ -80,16 +80,17 @@
 	return xxhash.Sum64String("watch\x00" + name)
 }
 
-// placesOf returns the VMs that hold places and stay. While a place changes hands
-// two may claim it; the one that started later has it. A VM that is leaving still
-// serves what reaches it, but nothing new should.
+// placesOf returns the VMs that hold places. While a place changes hands two may
+// claim it; the one that stays has it, or the one that started later. A VM that is
+// leaving is returned as such: it still serves what reaches it, but nothing new
+// should, unless nobody else can.
 func placesOf(members []facts.Member) map[int]platform.VM {
 	holders := map[int]facts.Member{}
 	for _, m := range members {
-		if m.Place == 0 || m.State == facts.Leaving || m.State == facts.Lost {
+		if m.Place == 0 || m.State == facts.Lost {
 			continue
 		}
-		if other, taken := holders[m.Place-1]; !taken || m.Started > other.Started {
+		if other, taken := holders[m.Place-1]; !taken || succeeds(m, other) {
 			holders[m.Place-1] = m
 		}
 	}
@@ -99,3 +100,11 @@
 	}
 	return places
 }
+
+// succeeds tells whether m has a place that other claims as well.
+func succeeds(m, other facts.Member) bool {
+	if leaves := m.State == facts.Leaving; leaves != (other.State == facts.Leaving) {
+		return !leaves
+	}
+	return m.Started > other.Started
+}
--- a/peer/route/order.go
+++ b/peer/route/order.go
@@ -58,16 +58,25 @@
 	return d.Sum64()
 }
 
+// behind is the order of two of which one should be tried later.
+func behind(first bool) int {
+	if first {
+		return 1
+	}
+	return -1
+}
+
 // order sorts owners in the order in which they are tried: the near ones first,
-// those that rest behind all others. A far owner costs milliseconds, one that
-// refuses or is silent costs the attempt.
+// those that rest behind them, and those that are leaving last. A far owner costs
+// milliseconds, one that refuses or is silent costs the attempt, and one that is
+// leaving should get nothing new, unless it is the last.
 func order(list []candidate) {
 	slices.SortFunc(list, func(a, b candidate) int {
+		if a.vm.Leaving != b.vm.Leaving {
+			return behind(a.vm.Leaving)
+		}
 		if a.resting != b.resting {
-			if a.resting {
-				return 1
-			}
-			return -1
+			return behind(a.resting)
 		}
 		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.weight, a.weight))
 	})
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -216,3 +216,36 @@
 	f.Expect(connections.Peak).To(BeNumerically("<=", 3))
 	f.Expect(connections.Refused).To(BeZero())
 }
+
+// TestAllOwnersLeaving: all owners of a target are replaced at about the same
+// time, each still serving for its lame-duck time. Users of the other VMs lost the
+// target's part of their answers at once, as a leaving VM was no owner any more.
+// It must be called as long as no owner that stays is known.
+func TestAllOwnersLeaving(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	owners := f.owners()
+	var other *testVM
+	for _, vm := range f.vms {
+		if vm != owners[0] && vm != owners[1] {
+			other = vm
+		}
+	}
+	staying := func() (names []string) {
+		list, _ := other.router.reach("target-0")
+		for _, c := range list {
+			if !c.vm.Leaving {
+				names = append(names, c.vm.Name)
+			}
+		}
+		return names
+	}
+	owners[0].peers.AnnounceLeaving()
+	f.Eventually(staying).WithTimeout(testLimit).Should(Equal([]string{owners[1].name}))
+	list, _ := other.router.reach("target-0")
+	f.Expect(list[0].vm.Name).To(Equal(owners[1].name), "an owner that stays comes first")
+	owners[1].peers.AnnounceLeaving()
+	f.Eventually(staying).WithTimeout(testLimit).Should(BeEmpty())
+	f.Expect(other.search(f)).To(Succeed())
+}
