--- a/integration/region_test.go
+++ b/integration/region_test.go
@@ -19,6 +19,7 @@
 // regions join, the side that kept it must take the recall over, by its peers
 // alone, and never give the faulty one back to the others.
 func TestRecallWhileRegionsAreApart(t *testing.T) {
+	t.Parallel() // it waits for most of its time
 	const daemons, replacement = 4, "vm-4"
 	var c *cluster
 	c = start(t, shape{
@@ -65,6 +66,9 @@
 		c.Expect(must[string](c)(digestOf(c.ctx, d))).To(gomega.Equal(faulty), d.Name)
 		c.waitWhole(d)
 	}
+	// Only its neighbour can tell the replacement of the other region's VMs. One
+	// that knows nobody else is on its own until the platform is back.
+	c.waitMetric([]*fleet.Daemon{fresh}, "bramley_peer_lost_vms 3\n")
 	c.ok(far[0].Pause())
 
 	c.join()
