Health: owners that are leaving do not count

Cause: since an owner that is leaving is still among the holders of places, one that states nothing any more was waited for, and a target that no other owner can read was not found lost until it was gone.

Test: route TestLeavingOwnersDoNotCount, seen red without the change.

--- a/peer/route/standing.go
+++ b/peer/route/standing.go
@@ -7,7 +7,7 @@
 	Shared bool
 	Owner  bool  // this VM owns connections
 	Place  int   // of this VM, if it is an owner
-	Live   []int // places of the live owners, the first choice first
+	Live   []int // places of the owners that live and stay, the first choice first
 }
 
 // Standing returns where this VM stands towards a target of the bundle in force.
@@ -23,7 +23,7 @@
 	r.mu.Unlock()
 	holders := r.fleet.Places()
 	for _, place := range owners {
-		if _, live := holders[place]; live {
+		if vm, held := holders[place]; held && !vm.Leaving {
 			s.Live = append(s.Live, place)
 		}
 	}
--- /dev/null
+++ b/peer/route/standing_test.go
@@ -0,0 +1,29 @@
+package route
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestLeavingOwnersDoNotCount: one of a target's owners is leaving and states
+// nothing any more. Were it still counted, a target that nobody can read would not
+// be found lost while it lasts.
+func TestLeavingOwnersDoNotCount(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	f.reached(f.vms...)
+	f.Eventually(f.owners).WithTimeout(testLimit).Should(HaveLen(2))
+	live := func(vm *testVM) func() []int {
+		return func() []int { return vm.router.Standing("target-0").Live }
+	}
+	for _, vm := range f.vms {
+		f.Eventually(live(vm)).WithTimeout(testLimit).Should(HaveLen(2))
+	}
+	leaving := f.owners()[0]
+	leaving.peers.AnnounceLeaving()
+	for _, vm := range f.vms {
+		f.Eventually(live(vm)).WithTimeout(testLimit).Should(HaveLen(1), vm.name)
+	}
+	f.Expect(leaving.router.Standing("target-0").Owner).To(BeTrue())
+	f.Expect(leaving.router.Standing("unknown")).To(Equal(Standing{}))
+}
