Claims: carried out by another VM, fenced against whatever it does later

Cause: each VM updates the segment of a second by itself.

Change: package once/relay carries claims, outcomes and releases to one VM per second, chosen by rendezvous hashing. A claim that another VM may still enter is barred by its id in the segment: moving the version on does not stop a VM that reads before it writes. A committer never removes a claim of another VM. Rights to write are passed on with the operations (once/credit.go).

Not wired into the daemon yet.

--- a/once/committer.go
+++ b/once/committer.go
@@ -10,7 +10,6 @@
 	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
-	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 )
 
@@ -36,7 +35,7 @@
 type committer struct {
 	opts  Options
 	log   hclog.Logger
-	pace  *rate.Limiter
+	pace  *credit
 	count counters
 	tomb  *tomb.Tomb
 	life  context.Context // ends when tomb dies
@@ -45,7 +44,8 @@
 	// lanes. No other lock is taken and no call is made while it is held.
 	mu        sync.Mutex
 	lanes     map[string]*lane
-	waiting   int // operations enqueued and not yet delivered
+	waiting   int // operations enqueued and not yet delivered, and those being relayed
+	fromPeers int // those of waiting that other VMs relayed to this one
 	closed    bool
 	idle      chan struct{} // closed once closed is set and waiting is 0
 	failures  int           // failed store calls in a row
@@ -55,6 +55,7 @@
 // pending is an operation on its way.
 type pending struct {
 	op    op
+	peer  bool         // relayed by another VM
 	state atomic.Int32 // of the waiter; see the constants below
 	done  chan reply   // gets at most one reply
 	// tried and expect are the lane's own: whether a write with this operation
@@ -79,12 +80,11 @@
 		life:  life,
 		opts:  opts,
 		log:   opts.Log,
-		pace:  rate.NewLimiter(0, 1),
+		pace:  newCredit(opts.FleetWrites, opts.FleetWrites/defaultFleet, time.Now()),
 		count: newCounters(opts.Metrics),
 		lanes: make(map[string]*lane),
 		idle:  make(chan struct{}),
 	}
-	c.setShare(opts.FleetWrites / defaultFleet)
 	// Keeps the tomb alive between lanes.
 	c.tomb.Go(func() error {
 		<-c.tomb.Dying()
@@ -93,11 +93,12 @@
 	return c
 }
 
-// setShare sets the writes per second of this VM. It may save up those of one
-// second.
-func (c *committer) setShare(writes float64) {
-	c.pace.SetLimit(rate.Limit(writes))
-	c.pace.SetBurst(max(1, int(writes)))
+// abandon queues the removal of a claim that this VM no longer waits for and
+// another VM may enter.
+func (c *committer) abandon(name string, o op) {
+	o.kind = opRelease
+	c.count.abandoned.Inc()
+	c.background(name, o)
 }
 
 // do carries out a claim and waits for the reply. After an error the claim is
@@ -106,6 +107,9 @@
 func (c *committer) do(ctx context.Context, name string, o op) (reply, error) {
 	p := &pending{op: o, done: make(chan reply, 1)}
 	if err := c.admit(name, p); err != nil {
+		if o.bar {
+			c.abandon(name, o)
+		}
 		return reply{}, err
 	}
 	select {
@@ -126,21 +130,86 @@
 	if c.closed {
 		return errClosed
 	}
-	if c.waiting >= c.opts.MaxPending {
+	if c.waiting-c.fromPeers >= c.opts.MaxPending {
 		return errBusy
 	}
-	if c.failures >= downAfter {
-		// The platform is down: refuse at once instead of after ClaimWait, but
-		// let one claim through now and then to find out when it is back.
-		if time.Since(c.lastProbe) < probeEvery {
-			return errDown
-		}
-		c.lastProbe = time.Now()
+	if !c.mayTry() {
+		return errDown
 	}
 	c.enqueue(name, p)
 	return nil
 }
 
+// mayTry returns false if the platform is down, so that claims are refused at
+// once instead of after ClaimWait. One is let through now and then to find out
+// when the platform is back. It must be called with mu held.
+func (c *committer) mayTry() bool {
+	if c.failures < downAfter {
+		return true
+	}
+	if time.Since(c.lastProbe) < probeEvery {
+		return false
+	}
+	c.lastProbe = time.Now()
+	return true
+}
+
+// admitPeer takes operations that another VM relayed, all or none. Their bound
+// is apart from that of callers' work, and they never go to a third VM, so that
+// VMs can't block one another in a circle.
+func (c *committer) admitPeer(name string, ops []op) ([]*pending, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errClosed
+	}
+	if c.fromPeers+len(ops) > c.opts.MaxFromPeers {
+		return nil, errBusy
+	}
+	if !c.mayTry() {
+		return nil, errDown
+	}
+	list := make([]*pending, len(ops))
+	for i, o := range ops {
+		list[i] = &pending{op: o, peer: true, done: make(chan reply, 1)}
+		c.enqueue(name, list[i])
+	}
+	return list, nil
+}
+
+// admitRelayed counts in a claim that is being relayed; retire counts it out.
+func (c *committer) admitRelayed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errClosed
+	}
+	if c.waiting-c.fromPeers >= c.opts.MaxPending {
+		return errBusy
+	}
+	c.waiting++
+	return nil
+}
+
+// aside runs f, which close waits for like for an operation. It returns false if
+// the committer has stopped.
+func (c *committer) aside(f func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.tomb.Dying():
+		return false
+	default:
+	}
+	c.waiting++
+	c.tomb.Go(func() error {
+		defer c.retire(false)
+		f()
+		return nil
+	})
+	return true
+}
+
 // background carries out a settle or a release for as long as it takes.
 func (c *committer) background(name string, o op) <-chan reply {
 	p := &pending{op: o, done: make(chan reply, 1)}
@@ -166,6 +235,9 @@
 	l.queue = append(l.queue, p)
 	l.used = time.Now()
 	c.waiting++
+	if p.peer {
+		c.fromPeers++
+	}
 	if !l.running {
 		l.running = true
 		c.tomb.Go(func() error {
@@ -209,19 +281,22 @@
 	abandoned := !p.state.CompareAndSwap(stateWaiting, stateDelivered)
 	if !abandoned {
 		p.done <- rep
-	} else if rep.verdict == verdictDone {
-		// Only claims are abandoned. This one was won after its request had been
-		// told "not run", so that it would block the key for ever.
+	} else if !p.peer && (rep.verdict == verdictDone || p.op.bar) {
+		// This claim was won after its request had been told "not run", so that
+		// it would block the key for ever.
 		c.release(l, p)
 	}
-	c.retire(1)
+	c.retire(p.peer)
 }
 
-// retire takes n operations off the count.
-func (c *committer) retire(n int) {
+// retire takes an operation off the counts.
+func (c *committer) retire(peer bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting -= n
+	c.waiting--
+	if peer {
+		c.fromPeers--
+	}
 	c.checkIdle()
 }
 
@@ -237,7 +312,10 @@
 	}
 }
 
-// release queues the removal of an abandoned claim.
+// release queues the removal of an abandoned claim of this VM's own. One that
+// another VM relayed must stay: that VM may have found it by a read of its own,
+// taken it for won and handed the request over. Were it removed here, a second
+// sending would win the key and run the request again.
 func (c *committer) release(l *lane, p *pending) {
 	o := p.op
 	o.kind = opRelease
@@ -292,7 +370,9 @@
 	case <-c.idle:
 	case <-ctx.Done():
 	}
-	c.tomb.Kill(nil)
+	c.mu.Lock()
+	c.tomb.Kill(nil) // under mu: who sees the tomb alive may still start a goroutine
+	c.mu.Unlock()
 	_ = c.tomb.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/once/counters.go
+++ b/once/counters.go
@@ -12,6 +12,8 @@
 	failures  *metrics.Counter // store calls without an answer
 	abandoned *metrics.Counter // claims given up that may have landed
 	cleared   *metrics.Counter // segments removed
+	relayed   *metrics.Counter // operations that another VM carried out
+	fellBack  *metrics.Counter // operations that another VM should have carried out and did not
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -23,6 +25,8 @@
 		conflicts: set.GetOrCreateCounter("bramley_once_conflicts_total"),
 		failures:  set.GetOrCreateCounter("bramley_once_failures_total"),
 		abandoned: set.GetOrCreateCounter("bramley_once_abandoned_total"),
+		relayed:   set.GetOrCreateCounter("bramley_once_relayed_total"),
+		fellBack:  set.GetOrCreateCounter("bramley_once_fallbacks_total"),
 		cleared:   set.GetOrCreateCounter("bramley_once_cleared_total"),
 	}
 }
--- a/once/lane.go
+++ b/once/lane.go
@@ -105,10 +105,10 @@
 			kept = append(kept, p)
 			continue
 		}
-		if p.tried {
+		if !p.peer && (p.tried || p.op.bar) {
 			c.release(l, p)
 		}
-		c.retire(1)
+		c.retire(p.peer)
 	}
 	return kept
 }
@@ -119,20 +119,25 @@
 	}
 }
 
-// waitTurn holds this VM to its share of the platform's writes.
+// creditPoll is how often a lane looks whether another VM has passed on what
+// pays for its write.
+const creditPoll = 5 * time.Millisecond
+
+// waitTurn holds this VM to the writes that it may send.
 func (c *committer) waitTurn() (waited, ok bool) {
-	r := c.pace.Reserve()
-	delay := r.Delay()
-	if delay == 0 {
-		return false, true
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true, true
-	case <-c.tomb.Dying():
-		return true, false
+	for {
+		wait, paid := c.pace.take(time.Now())
+		if paid {
+			return waited, true
+		}
+		waited = true
+		timer := time.NewTimer(min(wait, creditPoll))
+		select {
+		case <-timer.C:
+		case <-c.tomb.Dying():
+			timer.Stop()
+			return true, false
+		}
 	}
 }
 
--- a/once/options.go
+++ b/once/options.go
@@ -22,6 +22,7 @@
 	defaultFleetWrites = 280
 	defaultFleet       = 7
 	defaultMaxPending  = 10000
+	defaultFromPeers   = 10000
 	defaultMaxResult   = 16 << 10
 	defaultCleanEvery  = time.Minute
 )
@@ -48,10 +49,18 @@
 	RunLimit    time.Duration // of a request whose context has no deadline
 
 	// FleetWrites is how many conditional updates per second all VMs together
-	// may send; SetFleet cuts it into shares.
+	// may send; SetFleet cuts it into shares, which VMs pass on to the VM that
+	// commits for them.
 	FleetWrites float64
 	MaxPending  int // operations waiting for a write; above it requests are refused
-	MaxResult   int // bytes of a result that is kept
+	// MaxFromPeers bounds the operations of other VMs that wait for a write,
+	// apart from MaxPending.
+	MaxFromPeers int
+	MaxResult    int // bytes of a result that is kept
+
+	// Peers are the ways to the VMs that commit for this one; without it this VM
+	// commits by itself. *relay.Links implements it.
+	Peers Peers
 
 	// Deployment, if set, is the one whose old claims this VM helps to clear
 	// every CleanEvery.
@@ -77,6 +86,7 @@
 	defaults.Set(&o.RunLimit, defaultRunLimit)
 	defaults.Set(&o.FleetWrites, defaultFleetWrites)
 	defaults.Set(&o.MaxPending, defaultMaxPending)
+	defaults.Set(&o.MaxFromPeers, defaultFromPeers)
 	defaults.Set(&o.MaxResult, defaultMaxResult)
 	defaults.Set(&o.CleanEvery, defaultCleanEvery)
 	return o
--- a/once/race_test.go
+++ b/once/race_test.go
@@ -23,7 +23,10 @@
 
 // racing starts VMs on a store that loses writes, loses answers, carries some
 // writes out late, and pauses senders.
-func racing(t *testing.T, seed uint64) ([]*Runner, *faultStore) {
+//
+// With relayed set the VMs commit for one another, and their messages are lost,
+// come late or twice.
+func racing(t *testing.T, seed uint64, relayed bool) *race {
 	store := newFaultStore(seed)
 	store.loseAnswer, store.loseWrite, store.late = 0.15, 0.1, 0.1
 	var mu sync.Mutex
@@ -39,18 +42,56 @@
 	for i := range runners {
 		runners[i] = vm(t, store, fmt.Sprint("vm", i))
 	}
-	return runners, store
+	late := &sync.WaitGroup{}
+	if relayed {
+		late = connect(runners, seed, true)
+	}
+	return &race{runners: runners, store: store, late: late}
+}
+
+type race struct {
+	runners []*Runner
+	store   *faultStore
+	late    *sync.WaitGroup // messages that come late
+	killed  *Runner
+}
+
+// everySeed runs the test with each seed, with and without relaying.
+func everySeed(t *testing.T, test func(t *testing.T, seed uint64, r *race)) {
+	for _, relayed := range []bool{false, true} {
+		for seed := uint64(1); seed <= raceSeeds; seed++ {
+			t.Run(fmt.Sprintf("relayed %v, seed %d", relayed, seed), func(t *testing.T) {
+				t.Parallel()
+				test(t, seed, racing(t, seed, relayed))
+			})
+		}
+	}
+}
+
+// kill ends a VM in the middle of its work, by the seed in half of the races.
+func (r *race) kill(seed uint64) {
+	if seed%2 == 0 {
+		return
+	}
+	time.Sleep(time.Duration(20*seed) * time.Millisecond)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.killed = r.runners[0]
+	_ = r.killed.Close(ended)
 }
 
 // settle ends the VMs and waits for writes that land late. The VMs end first:
 // they still release claims in the background, which may make for more of these.
-func settle(t *testing.T, runners []*Runner, store *faultStore) {
+func (r *race) settle(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	for _, r := range runners {
-		NewWithT(t).Expect(r.Close(ctx)).To(Succeed())
+	for _, vm := range r.runners {
+		if vm != r.killed {
+			NewWithT(t).Expect(vm.Close(ctx)).To(Succeed())
+		}
 	}
-	store.lateWG.Wait()
+	r.late.Wait()
+	r.store.lateWG.Wait()
 }
 
 // claimIn and claimOut are the register's operations for porcupine.
@@ -101,22 +142,24 @@
 // key at once, are paused before or after their conditional update, and lose
 // its answer. Were a claim not a single register, both would believe in it.
 func TestClaimsAreLinearizable(t *testing.T) {
-	for seed := uint64(1); seed <= raceSeeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			runners, store := racing(t, seed)
-			h := &history{start: time.Now()}
-			base := request("d")
-			var wg sync.WaitGroup
-			for i, r := range runners {
-				wg.Go(func() { h.drive(r, base, i, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
-			}
-			wg.Wait()
-			settle(t, runners, store)
-			verdict := porcupine.CheckOperationsTimeout(claimModel, h.ops, time.Minute)
-			NewWithT(t).Expect(verdict).To(Equal(porcupine.Ok))
-		})
-	}
+	everySeed(t, func(t *testing.T, seed uint64, r *race) {
+		h := &history{start: time.Now()}
+		base := request("d")
+		var wg sync.WaitGroup
+		for i, vm := range r.runners {
+			wg.Go(func() { h.drive(vm, base, i, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
+		}
+		wg.Wait()
+		r.settle(t)
+		g := NewWithT(t)
+		verdict := porcupine.CheckOperationsTimeout(claimModel, h.ops, time.Minute)
+		g.Expect(verdict).To(Equal(porcupine.Ok))
+		// Each claim was released or given up. None may be left, or its key would
+		// show as in progress for ever.
+		left, err := decodeSegment(r.store.objects[segmentName(base.Deployment, base.Key.Made())].Value)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(left.Entries).To(BeEmpty())
+	})
 }
 
 type history struct {
@@ -145,7 +188,7 @@
 		name := segmentName(req.Deployment, req.Key.Made())
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+rng.IntN(60))*time.Millisecond)
 		call := h.now()
-		rep, err := r.claim(ctx, name, claim)
+		rep, err := r.claim(ctx, name, &claim)
 		cancel()
 		end := h.now()
 		switch {
@@ -155,6 +198,11 @@
 			in.release = true
 			h.add(client, in, claimOut{}, end, never)
 		case rep.verdict == verdictHeld:
+			if claim.bar {
+				// A committer in doubt may enter it until it is barred in the background.
+				h.add(client, in, claimOut{}, call, never)
+				h.add(client, claimIn{key: key, op: in.op, release: true}, claimOut{}, end, never)
+			}
 			h.add(client, in, claimOut{known: true, winner: rep.held.Op}, call, end)
 		default:
 			h.add(client, in, claimOut{known: true, winner: in.op}, call, end)
@@ -178,51 +226,51 @@
 // answers. What was told "not run" was not run, and all who are told the
 // outcome are told the same.
 func TestRunAtMostOnce(t *testing.T) {
-	for seed := uint64(1); seed <= raceSeeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			runners, store := racing(t, seed)
-			reqs := make([]Request, raceKeys)
-			for i := range reqs {
-				reqs[i] = request("d")
-			}
-			var mu sync.Mutex // guards ran and told
-			ran := make(map[int][]string)
-			var told []sending
-			var wg sync.WaitGroup
-			for i, r := range runners {
-				rng := rand.New(rand.NewPCG(seed, uint64(20+i)))
-				wg.Go(func() {
-					for turn := range raceTurns {
-						s := sending{key: rng.IntN(raceKeys), name: fmt.Sprintf(`"%d/%d"`, i, turn)}
-						ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+rng.IntN(60))*time.Millisecond)
-						s.out = r.Run(ctx, reqs[s.key], func(context.Context) Outcome {
-							mu.Lock()
-							defer mu.Unlock()
-							ran[s.key] = append(ran[s.key], s.name)
-							return Outcome{Code: result.Accepted, Result: []byte(s.name)}
-						})
-						cancel()
-						mu.Lock()
-						told = append(told, s)
-						mu.Unlock()
-					}
-				})
-			}
-			wg.Wait()
-			settle(t, runners, store)
-			for key := range ran {
-				g.Expect(ran[key]).To(HaveLen(1), "key %d ran twice", key)
-			}
-			for _, s := range told {
-				if s.out.Code == result.Accepted {
-					g.Expect(ran[s.key]).To(Equal([]string{string(s.out.Result)}))
-				}
-				if s.out.Code.Info().Ran == result.RanNo {
-					g.Expect(ran[s.key]).NotTo(ContainElement(s.name))
+	everySeed(t, func(t *testing.T, seed uint64, r *race) {
+		g := NewWithT(t)
+		reqs := make([]Request, raceKeys)
+		for i := range reqs {
+			reqs[i] = request("d")
+		}
+		var mu sync.Mutex // guards ran and told
+		ran := make(map[int][]string)
+		var told []sending
+		send := func(vm *Runner, s sending, limit time.Duration) {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			s.out = vm.Run(ctx, reqs[s.key], func(context.Context) Outcome {
+				mu.Lock()
+				defer mu.Unlock()
+				ran[s.key] = append(ran[s.key], s.name)
+				return Outcome{Code: result.Accepted, Result: []byte(s.name)}
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			told = append(told, s)
+		}
+		var wg sync.WaitGroup
+		for i, vm := range r.runners {
+			rng := rand.New(rand.NewPCG(seed, uint64(20+i)))
+			wg.Go(func() {
+				for turn := range raceTurns {
+					s := sending{key: rng.IntN(raceKeys), name: fmt.Sprintf(`"%d/%d"`, i, turn)}
+					send(vm, s, time.Duration(10+rng.IntN(60))*time.Millisecond)
 				}
+			})
+		}
+		wg.Go(func() { r.kill(seed) })
+		wg.Wait()
+		r.settle(t)
+		for key := range ran {
+			g.Expect(ran[key]).To(HaveLen(1), "key %d ran twice", key)
+		}
+		for _, s := range told {
+			if s.out.Code == result.Accepted {
+				g.Expect(ran[s.key]).To(Equal([]string{string(s.out.Result)}))
 			}
-		})
-	}
+			if s.out.Code.Info().Ran == result.RanNo {
+				g.Expect(ran[s.key]).NotTo(ContainElement(s.name))
+			}
+		}
+	})
 }
--- /dev/null
+++ b/once/relay/choose.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// Choose returns the VM that commits a segment, the first by rendezvous hashing
+// of those that are not avoided, and false if there is none.
+func Choose(segment string, vms []platform.VM, avoided func(vm string) bool) (platform.VM, bool) {
+	var first platform.VM
+	var best uint64
+	found := false
+	for _, vm := range vms {
+		if avoided(vm.Name) {
+			continue
+		}
+		rank := xxhash.Sum64String(segment + "\x00" + vm.Name)
+		if !found || rank > best || rank == best && vm.Name < first.Name {
+			first, best, found = vm, rank, true
+		}
+	}
+	return first, found
+}
--- /dev/null
+++ b/once/relay/links.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+const (
+	defaultHold     = 250 * time.Millisecond
+	defaultSilent   = 500 * time.Millisecond
+	defaultAvoidFor = 2 * time.Second
+	defaultIdle     = 10 * time.Second
+
+	// listFor is for how long a list of live VMs is used.
+	listFor = 100 * time.Millisecond
+	// gather is how long a first operation waits for others to the same VM. It
+	// is small against an update of a segment.
+	gather = 500 * time.Microsecond
+	// maxCalls is how many batches are under way to one VM; wire serves twice as
+	// many for one connection.
+	maxCalls = 8
+)
+
+// Fleet is what the exchange tells of the other VMs. peer.Exchange implements it.
+type Fleet interface {
+	Live() []platform.VM
+	WireOptions() wire.Options
+}
+
+// Options configure Links. Self and Fleet are required.
+type Options struct {
+	Self  string // this VM's name
+	Fleet Fleet
+	Log   hclog.Logger
+
+	Hold     time.Duration // within which the other VM answers, decided or not; default 250 ms
+	Silent   time.Duration // after which it counts as lost; default 500 ms
+	AvoidFor time.Duration // for which a lost VM is not chosen; default 2 s
+	Idle     time.Duration // after which an unused connection is closed; default 10 s
+}
+
+// Fate is what became of an operation that was to be relayed.
+type Fate int
+
+const (
+	// Answered means that the reply is the other VM's.
+	Answered Fate = iota
+	// NotTaken means that the other VM never carries the operation out.
+	NotTaken
+	// Lost means that it may, now or at any time later.
+	Lost
+)
+
+// Ask is one operation with what goes along.
+type Ask struct {
+	Segment string
+	Op      Op
+	Credit  func() float64 // called once for each batch
+}
+
+// Links are this VM's connections to the VMs that commit for it. They are safe
+// for concurrent use.
+type Links struct {
+	opts Options
+	tomb *tomb.Tomb
+	life context.Context // ends with tomb
+
+	mu      sync.Mutex // guards all below and the fields of all links and asks
+	links   map[string]*link
+	avoided map[string]time.Time // until when, by VM
+	live    []platform.VM
+	listed  time.Time
+}
+
+// NewLinks returns Links without any connection.
+func NewLinks(o Options) *Links {
+	defaults.Positive(&o.Hold, defaultHold)
+	defaults.Positive(&o.Silent, defaultSilent)
+	defaults.Positive(&o.AvoidFor, defaultAvoidFor)
+	defaults.Positive(&o.Idle, defaultIdle)
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	t, life := tomb.WithContext(context.Background())
+	l := &Links{opts: o, tomb: t, life: life, links: map[string]*link{}, avoided: map[string]time.Time{}}
+	// Keeps the tomb alive between links.
+	l.tomb.Go(func() error {
+		<-l.tomb.Dying()
+		return nil
+	})
+	return l
+}
+
+// Stop closes all connections. Operations under way are lost.
+func (l *Links) Stop() {
+	l.tomb.Kill(nil)
+	_ = l.tomb.Wait()
+}
+
+// Committer returns the VM that commits the segment, and false if this VM does
+// so itself.
+func (l *Links) Committer(segment string) (platform.VM, bool) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.listed) > listFor {
+		l.live, l.listed = l.opts.Fleet.Live(), now
+	}
+	vm, ok := Choose(segment, l.live, func(name string) bool { return now.Before(l.avoided[name]) })
+	return vm, ok && vm.Name != l.opts.Self
+}
+
+// Commit has one operation carried out by a VM. It returns when that VM has
+// answered or counts as lost, or ctx ends.
+func (l *Links) Commit(ctx context.Context, vm platform.VM, a Ask) (Reply, Fate) {
+	p := &pending{ask: a, done: make(chan answer, 1)}
+	if !l.enqueue(vm, p) {
+		return Reply{}, NotTaken
+	}
+	select {
+	case got := <-p.done:
+		return got.reply, got.fate
+	case <-ctx.Done():
+		return Reply{}, l.giveUp(p)
+	}
+}
+
+// enqueue returns false if the links are being stopped.
+func (l *Links) enqueue(vm platform.VM, p *pending) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.tomb.Dying():
+		return false
+	default:
+	}
+	k := l.links[vm.Address]
+	if k == nil {
+		k = &link{owner: l, vm: vm, wake: make(chan struct{}, 1), calls: make(chan struct{}, maxCalls)}
+		l.links[vm.Address] = k
+		l.tomb.Go(k.run)
+	}
+	k.queue = append(k.queue, p)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// giveUp takes an operation back. Once it is part of a batch it can't be.
+func (l *Links) giveUp(p *pending) Fate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.sent {
+		return Lost
+	}
+	p.gone = true
+	return NotTaken
+}
+
+// avoid keeps a VM from being chosen for a while.
+func (l *Links) avoid(vm platform.VM, why error) {
+	l.opts.Log.Debug("claims go elsewhere for a while", "vm", vm.Name, "error", why)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for name, until := range l.avoided {
+		if now.After(until) {
+			delete(l.avoided, name)
+		}
+	}
+	l.avoided[vm.Name] = now.Add(l.opts.AvoidFor)
+}
--- /dev/null
+++ b/once/relay/serve.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// Committer carries out the operations of other VMs. Its error says that it has
+// taken none of the batch, and won't.
+type Committer interface {
+	Commit(ctx context.Context, b Batch) ([]Reply, error)
+}
+
+// Handle serves the methods of this package; it never calls another VM.
+func Handle(ctx context.Context, c Committer, method string, params json.RawMessage) (any, error) {
+	if method != MethodCommit {
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+	var b Batch
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, result.Wrap(result.BadMessage, err, "")
+	}
+	if len(b.Ops) == 0 || len(b.Ops) > MaxOps || b.Segment == "" {
+		return nil, result.Errorf(result.BadMessage, "%d operations on segment %q, at most %d", len(b.Ops), b.Segment, MaxOps)
+	}
+	replies, err := c.Commit(ctx, b)
+	if err != nil {
+		return nil, result.Wrap(result.PeerBusy, err, err.Error())
+	}
+	return Replies{Replies: replies}, nil
+}
+
+// Handler returns Handle for one Committer.
+func Handler(c Committer) wire.Handler {
+	return func(ctx context.Context, _ *wire.Conn, method string, params json.RawMessage) (any, error) {
+		return Handle(ctx, c, method, params)
+	}
+}
--- a/once/runner.go
+++ b/once/runner.go
@@ -25,6 +25,7 @@
 	opts   Options
 	holder string
 	commit *committer
+	send   *sender
 	clean  *cleaner
 }
 
@@ -36,13 +37,14 @@
 		holder: opts.VM + "/" + opts.Incarnation,
 		commit: newCommitter(opts),
 	}
+	r.send = newSender(opts, r.commit)
 	r.clean = startCleaner(opts)
 	return r
 }
 
 // SetFleet tells how many VMs share the platform's writes, this one included.
 func (r *Runner) SetFleet(vms int) {
-	r.commit.setShare(r.opts.FleetWrites / float64(max(vms, 1)))
+	r.commit.pace.setRate(r.opts.FleetWrites/float64(max(vms, 1)), time.Now())
 }
 
 // Close waits until the outcomes of all requests are kept or ctx ends, and
@@ -64,7 +66,7 @@
 	}
 	claim := r.newClaim(ctx, req)
 	name := segmentName(req.Deployment, req.Key.Made())
-	rep, err := r.claim(ctx, name, claim)
+	rep, err := r.claim(ctx, name, &claim)
 	if err != nil {
 		return claimFailed(err)
 	}
@@ -104,12 +106,6 @@
 	}
 }
 
-func (r *Runner) claim(ctx context.Context, name string, claim op) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.opts.ClaimWait)
-	defer cancel()
-	return r.commit.do(ctx, name, claim)
-}
-
 // keep stores the outcome and waits for it a little, so that a second sending
 // is told the same. The answer does not depend on it: if the write stays out,
 // a second sending is told "in progress" or "unknown" and never runs.
@@ -129,6 +125,14 @@
 	}
 }
 
+// claim makes the claim. It sets claim.bar if another VM may yet enter the
+// claim by itself.
+func (r *Runner) claim(ctx context.Context, name string, claim *op) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.ClaimWait)
+	defer cancel()
+	return r.send.claim(ctx, name, claim)
+}
+
 func (r *Runner) keptOf(out Outcome) *kept {
 	k := &kept{Code: out.Code, Result: out.Result, Detail: out.Detail}
 	if len(k.Detail) > maxDetail {
@@ -144,7 +148,7 @@
 func (r *Runner) finish(name string, claim op, kind opKind, k *kept) <-chan reply {
 	claim.kind = kind
 	claim.entry.Outcome = k
-	return r.commit.background(name, claim)
+	return r.send.finish(name, claim)
 }
 
 func (r *Runner) checkAge(key Key) (Outcome, bool) {
--- a/once/segment.go
+++ b/once/segment.go
@@ -17,14 +17,17 @@
 	maxForResults = platform.MaxValue * 3 / 4
 	entryOverhead = 160 // field names, quotes and numbers of an entry
 	maxDetail     = 256
-	escaped       = 6 // bytes that JSON needs for one byte of text, at most
+	barOverhead   = 10 // quotes, value and comma of a barred id
+	escaped       = 6  // bytes that JSON needs for one byte of text, at most
 )
 
 // segment is the value of one claims object. It is immutable: apply returns a
 // new one.
 type segment struct {
 	Entries map[string]entry `json:"entries"` // by search and key
-	size    int
+	// Barred are the ids of claims that must not enter any more; see op.bar.
+	Barred map[string]bool `json:"barred,omitempty"`
+	size   int
 }
 
 // entry is one claimed key. Without an outcome the request may have been
@@ -69,6 +72,13 @@
 	kind  opKind
 	id    string // search and key
 	entry entry  // entry.Op identifies the claim in all three kinds
+	// bar makes a release leave the claim's id behind. The claim was handed to
+	// another VM that has not said what became of it. That VM may be frozen with
+	// the claim in its queue, and enter it when nobody waits for it any more: the
+	// key would show as in progress for ever, after its sender was told "not run".
+	// Moving the object's version on does not stop a VM that reads before it
+	// writes; the id does.
+	bar bool
 }
 
 // verdict is what became of an op.
@@ -78,7 +88,7 @@
 	verdictDone verdict = iota // the segment says what the op wanted
 	verdictHeld                // claim: another operation's entry is there
 	verdictFull                // claim: the segment has no room
-	verdictGone                // settle: the claim is no longer there
+	verdictGone                // settle: the claim is no longer there; claim: it is barred
 )
 
 // reply is a verdict with the entry that is in the way, if one is.
@@ -90,7 +100,7 @@
 // apply runs the batch in order and returns the segment after it, a reply per
 // op, and whether anything changed.
 func (s segment) apply(batch []op) (segment, []reply, bool) {
-	next := segment{Entries: maps.Clone(s.Entries), size: s.size}
+	next := segment{Entries: maps.Clone(s.Entries), Barred: maps.Clone(s.Barred), size: s.size}
 	if next.Entries == nil {
 		next.Entries = make(map[string]entry)
 	}
@@ -122,6 +132,9 @@
 		// An earlier write of this claim took effect and its answer was lost.
 		return reply{verdict: verdictDone}, false
 	}
+	if s.Barred[o.entry.Op] {
+		return reply{verdict: verdictGone}, false
+	}
 	if present {
 		return reply{verdict: verdictHeld, held: have}, false
 	}
@@ -148,15 +161,29 @@
 }
 
 func (s *segment) release(o op, have entry, mine bool) (reply, bool) {
+	barred := o.bar && s.bar(o.entry.Op)
 	// A claim with an outcome was handed over and stays.
 	if !mine || have.Outcome != nil {
-		return reply{verdict: verdictDone}, false
+		return reply{verdict: verdictDone}, barred
 	}
 	s.size -= have.size(o.id)
 	delete(s.Entries, o.id)
 	return reply{verdict: verdictDone}, true
 }
 
+// bar keeps a claim from entering, and tells whether that is new.
+func (s *segment) bar(opID string) bool {
+	if s.Barred[opID] {
+		return false
+	}
+	if s.Barred == nil {
+		s.Barred = make(map[string]bool)
+	}
+	s.Barred[opID] = true
+	s.size += len(opID) + barOverhead
+	return true
+}
+
 func (s *segment) put(id string, e entry) {
 	if old, ok := s.Entries[id]; ok {
 		s.size -= old.size(id)
@@ -182,5 +209,8 @@
 	for id, e := range s.Entries {
 		s.size += e.size(id)
 	}
+	for opID := range s.Barred {
+		s.size += len(opID) + barOverhead
+	}
 	return s, nil
 }
