Claims: the daemon has them committed by one VM per second of keys

Change: node/claims.go wires relay.Links over the exchange's live list, and serves the methods of once/relay beside those of the hop. Property tests of the course, of the credit and of the choice; the links against a refusing, frozen, silent and unreached VM over a fault proxy (the first form marked a lost VM as avoided only after it had answered the batch, so that further claims followed it; seen red in TestOnlyCertaintyIsNotTaken).

--- /dev/null
+++ b/integration/committer_test.go
@@ -0,0 +1,179 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/once/relay"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// committer is the daemon that commits the claims of these tests; the others ask
+// it.
+const committer = 2
+
+// startCommitting starts three daemons and waits until the first two have had
+// claims carried out by the third.
+func startCommitting(t *testing.T) *cluster {
+	c := start(t, shape{Daemons: 3, ProxyPlatform: true})
+	for asker := range committer {
+		c.Eventually(func() bool {
+			before := c.metric(asker, "bramley_once_relayed_total")
+			c.send(c.Daemons[asker], c.committedKey("warm"))
+			return c.metric(asker, "bramley_once_relayed_total") > before
+		}, limit, "50ms").Should(gomega.BeTrue())
+	}
+	return c
+}
+
+// committedKey returns a fresh key whose second the committer commits, if all
+// daemons live.
+func (c *cluster) committedKey(name string) string {
+	var vms []platform.VM
+	for _, d := range c.Daemons {
+		vms = append(vms, d.VM())
+	}
+	for made := time.Now().Unix(); ; made-- {
+		segment := fmt.Sprintf("%s.%010d", deployment, made)
+		vm, _ := relay.Choose(segment, vms, func(string) bool { return false })
+		if vm.Name == c.Daemons[committer].Name {
+			return fmt.Sprintf("%d-%s-%d", made, name, time.Now().UnixNano())
+		}
+	}
+}
+
+// metric returns a counter of a daemon.
+func (c *cluster) metric(d int, name string) (value float64) {
+	c.t.Helper()
+	response, err := http.Get("http://" + c.Daemons[d].Ops + "/metrics")
+	c.ok(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	c.ok(err)
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			_, err := fmt.Sscan(rest, &value)
+			c.ok(err)
+		}
+	}
+	return value
+}
+
+// claimUnheard makes the first daemon's claim land by the committer's update
+// while the committer does not yet know.
+func (c *cluster) claimUnheard(key string) <-chan gateway.Answer {
+	c.t.Helper()
+	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{DelayMS: 100}))
+	c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 1, LoseKind: once.Kind}))
+	told := c.sendAside(c.Daemons[0], key)
+	c.waitClaim(key)
+	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+	return told
+}
+
+// expectAccepted expects that the report ran once, and that all VMs say so.
+func (c *cluster) expectAccepted(key string, a gateway.Answer, asked ...int) {
+	c.t.Helper()
+	c.Expect(result.Code(a.Code)).To(gomega.Equal(result.Accepted), a.Detail)
+	for _, d := range asked {
+		c.Expect(c.finalCode(c.Daemons[d], key)).To(gomega.Equal(result.Accepted))
+	}
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// A report is told "in progress" by its own claim and never runs. The VM that
+// commits for others is killed after the claim landed and before it could say
+// so. The VM that asked falls back to an update of its own and must know the
+// entry that it finds for its own.
+func TestCommitterKilledBetweenClaimAndAnswer(t *testing.T) {
+	c := startCommitting(t)
+	key := c.committedKey("killed")
+	told := c.claimUnheard(key)
+	c.Daemons[committer].Kill()
+	c.expectAccepted(key, <-told, 0, 1)
+}
+
+// The same, but the VM that commits is cut off from the platform for good, and
+// lives: it can't answer, and goes on trying.
+func TestCommitterCutOffBetweenClaimAndAnswer(t *testing.T) {
+	c := startCommitting(t)
+	key := c.committedKey("cut")
+	told := c.claimUnheard(key)
+	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{Frozen: true}))
+	c.expectAccepted(key, <-told, 0, 1)
+	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{}))
+	c.ok(c.PlatformProxies[committer].Cut())
+	c.Expect(c.finalCode(c.Daemons[committer], key)).To(gomega.Equal(result.Accepted))
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// The VM that commits is frozen between claim and answer for longer than any
+// time limit, and then goes on. What it does then must change nothing.
+func TestCommitterFrozenBetweenClaimAndAnswer(t *testing.T) {
+	c := startCommitting(t)
+	key := c.committedKey("frozen")
+	told := c.claimUnheard(key)
+	c.ok(c.Daemons[committer].Pause())
+	c.expectAccepted(key, <-told, 0, 1)
+	c.ok(c.Daemons[committer].Resume())
+	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{}))
+	c.Expect(c.finalCode(c.Daemons[committer], key)).To(gomega.Equal(result.Accepted))
+	c.Expect(c.finalCode(c.Daemons[0], key)).To(gomega.Equal(result.Accepted))
+	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+}
+
+// A report that every target refused is told "not run", and then "in progress"
+// for ever. The VM that commits is frozen before it reads the claim; the VM that
+// asked claims by itself, is refused and gives the key free; the frozen VM goes
+// on and enters the claim of a sending that has long ended.
+func TestThawedCommitterKeepsNotRunTrue(t *testing.T) {
+	c := startCommitting(t)
+	c.ok(c.Daemons[committer].Pause())
+	c.setTargets(targetsim.Faults{ShedShare: 1})
+	key := c.committedKey("thawed")
+	a := c.send(c.Daemons[0], key)
+	c.Expect(result.Code(a.Code).Info().Ran).To(gomega.Equal(result.RanNo), a.Detail)
+	c.setTargets(targetsim.Faults{})
+	before := c.metric(0, "bramley_once_fallbacks_total")
+	c.Expect(before).To(gomega.BeNumerically(">", 0))
+	c.ok(c.Daemons[committer].Resume())
+	// Once the committer answers again it has read all that came before.
+	c.Eventually(func() bool { return c.Daemons[committer].Ready(c.ctx) }, limit, "20ms").Should(gomega.BeTrue())
+	c.Expect(c.submits()).NotTo(gomega.HaveKey(key))
+	c.expectAccepted(key, c.send(c.Daemons[committer], key), 0, 1)
+}
+
+// A bookmark sync fires twice, at two VMs at once, and both have their claims
+// carried out by a third, while the platform loses answers. One of them runs.
+func TestSameKeyAtTwoVMsThroughACommitter(t *testing.T) {
+	c := startCommitting(t)
+	for i := range 8 {
+		if i%2 == 1 {
+			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, LoseKind: once.Kind}))
+		}
+		key := c.committedKey(fmt.Sprint("both", i))
+		told := []<-chan gateway.Answer{
+			c.sendAside(c.Daemons[0], key), c.sendAside(c.Daemons[1], key),
+			c.sendAside(c.Daemons[0], key), c.sendAside(c.Daemons[1], key),
+		}
+		for _, answer := range told {
+			a := <-answer
+			c.Expect(result.Code(a.Code)).To(gomega.BeElementOf(result.Accepted, result.InProgress), a.Detail)
+		}
+		c.Expect(c.finalCode(c.Daemons[0], key)).To(gomega.Equal(result.Accepted))
+		c.Expect(c.send(c.Daemons[0], key).Result).To(gomega.MatchJSON(c.send(c.Daemons[1], key).Result))
+		c.Expect(c.submits()[key]).To(gomega.Equal(1))
+	}
+}
--- /dev/null
+++ b/node/claims.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/once/relay"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// buildClaims makes the runner of non-idempotent requests and its ways to the
+// VMs that commit for this one.
+func (n *Node) buildClaims() {
+	n.links = relay.NewLinks(relay.Options{
+		Self:  n.set.Name,
+		Fleet: n.peers,
+		Log:   n.log.Named("claims"),
+	})
+	n.claims = once.NewRunner(once.Options{
+		Store:       n.store,
+		VM:          n.set.Name,
+		Incarnation: n.incarnation,
+		Log:         n.log.Named("once"),
+		Metrics:     n.metrics,
+		Deployment:  n.set.Deployment,
+		Peers:       n.links,
+	})
+}
+
+// serveCall serves the calls that other VMs make over connections of their own.
+func (n *Node) serveCall(ctx context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
+	if strings.HasPrefix(method, relay.Prefix) {
+		return relay.Handle(ctx, n.claims, method, params)
+	}
+	return n.router.Handle(ctx, conn, method, params)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/gateway"
 	"github.com/bramleybarrow/bramleybarrow/once"
+	"github.com/bramleybarrow/bramleybarrow/once/relay"
 	"github.com/bramleybarrow/bramleybarrow/peer"
 	"github.com/bramleybarrow/bramleybarrow/peer/place"
 	"github.com/bramleybarrow/bramleybarrow/peer/route"
@@ -42,6 +43,7 @@
 	monitor *target.Monitor
 	engine  *query.Engine
 	claims  *once.Runner
+	links   *relay.Links
 	peers   *peer.Exchange
 	router  *route.Router
 	gateway *gateway.Gateway
@@ -94,14 +96,7 @@
 	if err := n.buildPeers(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.claims = once.NewRunner(once.Options{
-		Store:       n.store,
-		VM:          set.Name,
-		Incarnation: n.incarnation,
-		Log:         log.Named("once"),
-		Metrics:     n.metrics,
-		Deployment:  set.Deployment,
-	})
+	n.buildClaims()
 	n.gateway = gateway.New(gateway.Options{
 		Config:     n.keeper,
 		Engine:     n.engine,
@@ -129,7 +124,7 @@
 		Seeds:       n.set.Seeds,
 		Store:       n.store,
 		Heads:       n.keeper,
-		Calls:       n.router.Handle,
+		Calls:       n.serveCall,
 		Log:         n.log.Named("peer"),
 	})
 	return errors.Trace(err)
--- a/node/run.go
+++ b/node/run.go
@@ -81,6 +81,7 @@
 	err := n.callers.server.Shutdown(ctx)
 	n.tomb.Kill(nil)
 	err = firstError(err, n.claims.Close(ctx))
+	n.links.Stop()
 	err = firstError(err, n.monitor.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
 	err = firstError(err, n.router.Drain(ctx))
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -10,13 +11,16 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/once/relay"
+	"github.com/bramleybarrow/bramleybarrow/platform"
 	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // BenchmarkRun measures store calls per request, on a platform that answers in
 // 3 ms and takes 300 writes and 2000 reads a second. The VMs share 280 writes.
 func BenchmarkRun(b *testing.B) {
-	for _, vms := range []int{1, 7} {
+	for _, vms := range []int{1, 7, 50} {
 		for _, callers := range []int{1, 16, 64, 256} {
 			b.Run(fmt.Sprintf("vms=%d/callers=%d", vms, callers), func(b *testing.B) {
 				benchmarkRun(b, vms, callers)
@@ -34,6 +38,7 @@
 		runners[i] = NewRunner(Options{Store: store, VM: fmt.Sprint("vm", i), Incarnation: "1", Metrics: set})
 		runners[i].SetFleet(vms)
 	}
+	relayOver(b, runners)
 	var left, done atomic.Int64
 	left.Store(int64(b.N))
 	var wg sync.WaitGroup
@@ -62,6 +67,7 @@
 	b.ReportMetric(float64(calls.Put)/n, "writes/request")
 	b.ReportMetric(float64(calls.Get)/n, "reads/request")
 	b.ReportMetric(float64(count.conflicts.Get())/float64(calls.Put), "conflicts/write")
+	b.ReportMetric(float64(count.fellBack.Get())/n, "fallbacks/request")
 	b.ReportMetric(float64(calls.Refused)/float64(calls.Put), "refused/call")
 	b.ReportMetric(float64(count.bytes.Get())/float64(calls.Put), "B/write")
 	b.ReportMetric(n/took.Seconds(), "requests/s")
@@ -69,3 +75,40 @@
 	b.ReportMetric(float64(int64(b.N)-done.Load()), "not_accepted")
 	b.ReportMetric(0, "ns/op")
 }
+
+// fleetOf is a list of VMs that all live.
+type fleetOf struct {
+	vms     []platform.VM
+	options wire.Options
+}
+
+func (f *fleetOf) Live() []platform.VM       { return f.vms }
+func (f *fleetOf) WireOptions() wire.Options { return f.options }
+
+// relayOver connects the VMs over loopback.
+func relayOver(b *testing.B, runners []*Runner) {
+	var vms []platform.VM
+	fleets := make([]*fleetOf, len(runners))
+	for i, r := range runners {
+		o := wire.Options{
+			Self: wire.Identity{Deployment: "vatnsleit", VM: r.opts.VM, Incarnation: "1"},
+			Keys: [][]byte{make([]byte, wire.MinKeyBytes)},
+			Handler: func(ctx context.Context, _ *wire.Conn, method string, params json.RawMessage) (any, error) {
+				return relay.Handle(ctx, r, method, params)
+			},
+		}
+		server, err := wire.Listen("127.0.0.1:0", o, &wire.Counters{}, func(c *wire.Conn) { c.Serve() })
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(server.Stop)
+		vms = append(vms, platform.VM{Name: r.opts.VM, Address: server.Addr().String()})
+		fleets[i] = &fleetOf{options: o}
+	}
+	for i, r := range runners {
+		fleets[i].vms = vms
+		links := relay.NewLinks(relay.Options{Self: r.opts.VM, Fleet: fleets[i]})
+		b.Cleanup(links.Stop)
+		r.send.peers = links
+	}
+}
--- /dev/null
+++ b/once/course_test.go
@@ -0,0 +1,85 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestCourseProperties: an operation is relayed only in the first part of its
+// time and never again after a silence, it always comes to an end or to this
+// VM's own update, and what a VM may still carry out is never forgotten.
+func TestCourseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		begin := time.Unix(1700000000, 0)
+		now := begin
+		way := &course{relayUntil: begin.Add(time.Second)}
+		next := way.start(rapid.Bool().Draw(t, "remote"), now)
+		inDoubt := false
+		for next == stepRelay {
+			g.Expect(now).To(BeTemporally("<", way.relayUntil))
+			e := event(rapid.IntRange(int(eventDecided), int(eventLost)).Draw(t, "event"))
+			now = now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
+			next = way.next(e, now)
+			inDoubt = inDoubt || e == eventLost || e == eventUndecided
+			g.Expect(way.doubt).To(Equal(inDoubt))
+			switch e {
+			case eventDecided:
+				g.Expect(next).To(Equal(stepEnd))
+			case eventUndecided:
+				g.Expect(next).NotTo(Equal(stepEnd))
+			default:
+				g.Expect(next).To(Equal(stepDirect))
+			}
+		}
+		g.Expect(way.mustBar(true)).To(BeFalse(), "a claim that was won stays")
+		g.Expect(way.mustBar(false)).To(Equal(inDoubt))
+	})
+}
+
+// TestCreditIsNeverMade: VMs whose lists differ pass on to one another what they
+// have saved, and some of it is lost. Together they never write more than they
+// have earned, and none holds more than its bound.
+func TestCreditIsNeverMade(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		const fleet = 280.0
+		vms := rapid.SampledFrom([]int{1, 7, 950}).Draw(t, "vms")
+		begin := time.Unix(1700000000, 0)
+		now := begin
+		credits := make([]*credit, min(vms, 7))
+		for i := range credits {
+			credits[i] = newCredit(fleet, fleet/float64(vms), now)
+		}
+		written := 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			c := credits[rapid.IntRange(0, len(credits)-1).Draw(t, "vm")]
+			switch rapid.IntRange(0, 2).Draw(t, "do") {
+			case 0:
+				wait, ok := c.take(now)
+				if ok {
+					written++
+				} else {
+					_, ok = c.take(now.Add(wait + time.Millisecond))
+					g.Expect(ok).To(BeTrue(), "the wait was too short")
+					now = now.Add(wait + time.Millisecond)
+					written++
+				}
+			case 1:
+				given := c.give(now)
+				g.Expect(given).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)))
+				credits[rapid.IntRange(0, len(credits)-1).Draw(t, "to")].receive(given, now)
+			case 2:
+				c.give(now) // lost on its way
+			}
+			each := fleet / float64(vms)
+			earned := float64(len(credits)) * (min(minSaved, each) + each*now.Sub(begin).Seconds())
+			g.Expect(written).To(BeNumerically("<=", earned+1e-6))
+			g.Expect(c.balance).To(BeNumerically("<=", max(minSaved, each, fleet/maxSavedParts)))
+		}
+	})
+}
--- a/once/relay/link.go
+++ b/once/relay/link.go
@@ -158,19 +158,19 @@
 	}
 	var got Replies
 	err := conn.Call(ctx, MethodCommit, message, &got)
-	switch {
-	case err == nil && len(got.Replies) == len(batch):
+	if err == nil && len(got.Replies) == len(batch) {
 		tell(batch, got.Replies, Answered)
 		return
-	case refused(err):
+	}
+	k.owner.avoid(k.vm, err) // before the batch falls back, so that others follow
+	if refused(err) {
 		tell(batch, nil, NotTaken)
-	default:
-		// It is frozen, cut off or gone. A connection that went silent is not used
-		// again, for the VM may be reached by a new one.
-		tell(batch, nil, Lost)
-		conn.Close()
+		return
 	}
-	k.owner.avoid(k.vm, err)
+	// It is frozen, cut off or gone. A connection that went silent is not used
+	// again, for the VM may be reached by a new one.
+	tell(batch, nil, Lost)
+	conn.Close()
 }
 
 // refused tells errors which are the other VM's own word that it took nothing.
--- /dev/null
+++ b/once/relay/relay_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+const testLimit = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func none(string) bool { return false }
+
+// TestChooseProperties: VMs with the same list choose the same VM in whatever
+// order they hold it, one that is avoided is never chosen, and when a VM leaves
+// only its own segments change hands.
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`vm-[0-9]{1,3}`), 1, 20, rapid.ID).Draw(t, "vms")
+		var vms, reversed, without []platform.VM
+		for _, name := range names {
+			vms = append(vms, platform.VM{Name: name})
+			reversed = append([]platform.VM{{Name: name}}, reversed...)
+			if name != names[0] {
+				without = append(without, platform.VM{Name: name})
+			}
+		}
+		for second := range 20 {
+			segment := fmt.Sprintf("d.%010d", 1700000000+second)
+			chosen, ok := Choose(segment, vms, none)
+			g.Expect(ok).To(BeTrue())
+			same, _ := Choose(segment, reversed, none)
+			g.Expect(same).To(Equal(chosen))
+			other, found := Choose(segment, vms, func(vm string) bool { return vm == names[0] })
+			left, foundToo := Choose(segment, without, none)
+			g.Expect(other).To(Equal(left))
+			g.Expect(found).To(Equal(foundToo))
+			if chosen.Name != names[0] {
+				g.Expect(left).To(Equal(chosen))
+			}
+		}
+	})
+}
+
+func TestSegmentsAreSharedOut(t *testing.T) {
+	g := NewWithT(t)
+	var vms []platform.VM
+	for i := range 10 {
+		vms = append(vms, platform.VM{Name: fmt.Sprint("vm-", i)})
+	}
+	count := map[string]int{}
+	for second := range 1000 {
+		vm, _ := Choose(fmt.Sprintf("d.%010d", 1700000000+second), vms, none)
+		count[vm.Name]++
+	}
+	for _, vm := range vms {
+		g.Expect(count[vm.Name]).To(BeNumerically("~", 100, 50), vm.Name)
+	}
+}
+
+// committerFunc is a Committer.
+type committerFunc func(ctx context.Context, b Batch) ([]Reply, error)
+
+func (f committerFunc) Commit(ctx context.Context, b Batch) ([]Reply, error) { return f(ctx, b) }
+
+type fakeFleet struct {
+	vms     []platform.VM
+	options wire.Options
+}
+
+func (f *fakeFleet) Live() []platform.VM       { return f.vms }
+func (f *fakeFleet) WireOptions() wire.Options { return f.options }
+
+// linked starts a VM "b" with the committer, behind a fault proxy, and returns
+// the links of a VM "a" to it.
+func linked(t *testing.T, c Committer) (*Links, *faultproxy.Proxy, platform.VM) {
+	g := NewWithT(t)
+	options := func(vm string) wire.Options {
+		return wire.Options{
+			Self: wire.Identity{Deployment: "d", VM: vm, Incarnation: "1"},
+			Keys: [][]byte{make([]byte, wire.MinKeyBytes)},
+		}
+	}
+	serving := options("b")
+	serving.Handler = func(ctx context.Context, _ *wire.Conn, method string, params json.RawMessage) (any, error) {
+		return Handle(ctx, c, method, params)
+	}
+	server, err := wire.Listen("127.0.0.1:0", serving, &wire.Counters{}, func(c *wire.Conn) { c.Serve() })
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(server.Stop)
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: server.Addr().String()})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = proxy.Close() })
+	b := platform.VM{Name: "b", Address: proxy.Address()}
+	links := NewLinks(Options{Self: "a", Fleet: &fakeFleet{vms: []platform.VM{{Name: "a"}, b}, options: options("a")}})
+	t.Cleanup(links.Stop)
+	return links, proxy, b
+}
+
+func ask(id string) Ask {
+	return Ask{Segment: "d.1700000000", Op: Op{Kind: Claim, ID: id, Entry: Entry{Op: id}}, Credit: func() float64 { return 0 }}
+}
+
+// A claim's VM says "not run" and leaves the claim as it is, and the VM that
+// commits enters it a moment later: the key is blocked. Only a word of that VM,
+// or that the message never left, may count as "not taken".
+func TestOnlyCertaintyIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	taken := make(chan struct{}, 1)
+	block := make(chan struct{})
+	var refuse atomic.Bool
+	links, proxy, b := linked(t, committerFunc(func(_ context.Context, batch Batch) ([]Reply, error) {
+		if refuse.Load() {
+			return nil, errors.New("stopping")
+		}
+		if batch.Ops[0].ID == "held" {
+			taken <- struct{}{}
+			<-block
+		}
+		replies := make([]Reply, len(batch.Ops))
+		for i := range replies {
+			replies[i].Verdict = Done
+		}
+		return replies, nil
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+
+	rep, fate := links.Commit(ctx, b, ask("plain"))
+	g.Expect(fate).To(Equal(Answered))
+	g.Expect(rep.Verdict).To(Equal(Done))
+
+	// The VM is frozen: it has the operation and does not answer.
+	_, fate = links.Commit(ctx, b, ask("held"))
+	g.Expect(fate).To(Equal(Lost))
+	<-taken
+	close(block)
+	for second := range 20 {
+		_, remote := links.Committer(fmt.Sprint("d.", second))
+		g.Expect(remote).To(BeFalse(), "a lost VM is not chosen for a while")
+	}
+
+	// It refuses.
+	refuse.Store(true)
+	_, fate = links.Commit(ctx, b, ask("refused"))
+	g.Expect(fate).To(Equal(NotTaken))
+	refuse.Store(false)
+
+	// The connection goes silent.
+	_, fate = links.Commit(ctx, b, ask("again"))
+	g.Expect(fate).To(Equal(Answered))
+	proxy.Silence()
+	_, fate = links.Commit(ctx, b, ask("silent"))
+	g.Expect(fate).To(Equal(Lost))
+
+	// Its address answers nobody, and then it is gone.
+	proxy.SetFaults(faultproxy.Faults{Refuse: true})
+	proxy.Cut()
+	g.Eventually(func() Fate {
+		_, fate := links.Commit(ctx, b, ask("unreached"))
+		return fate
+	}, testLimit).Should(Equal(NotTaken))
+}
+
+// What is asked of one VM at a time goes in few messages, apart by segment.
+func TestBatches(t *testing.T) {
+	g := NewWithT(t)
+	var queue []*pending
+	for i := range 3 * MaxOps {
+		a := ask(fmt.Sprint(i))
+		a.Segment = fmt.Sprint(i % 2)
+		queue = append(queue, &pending{ask: a})
+	}
+	seen := map[string]bool{}
+	list := batches(queue)
+	g.Expect(list).To(HaveLen(4))
+	for _, batch := range list {
+		g.Expect(len(batch)).To(BeNumerically("<=", MaxOps))
+		for _, p := range batch {
+			g.Expect(p.ask.Segment).To(Equal(batch[0].ask.Segment))
+			g.Expect(seen[p.ask.Op.ID]).To(BeFalse())
+			seen[p.ask.Op.ID] = true
+		}
+	}
+	g.Expect(seen).To(HaveLen(3 * MaxOps))
+}
--- a/once/relay/serve.go
+++ b/once/relay/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 
 	"github.com/bramleybarrow/bramleybarrow/result"
-	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // Committer carries out the operations of other VMs. Its error says that it has
@@ -32,10 +31,3 @@
 	}
 	return Replies{Replies: replies}, nil
 }
-
-// Handler returns Handle for one Committer.
-func Handler(c Committer) wire.Handler {
-	return func(ctx context.Context, _ *wire.Conn, method string, params json.RawMessage) (any, error) {
-		return Handle(ctx, c, method, params)
-	}
-}
