Claims through a committer: failure tests with real processes

The committer is killed, cut off and frozen between claim and answer, thawed after the sender was told "not run", and one key is sent to two VMs at once.

--- a/integration/committer_test.go
+++ b/integration/committer_test.go
@@ -105,18 +105,35 @@
 	c.expectAccepted(key, <-told, 0, 1)
 }
 
-// The same, but the VM that commits is cut off from the platform for good, and
-// lives: it can't answer, and goes on trying.
+// A report runs twice. The VM that commits is cut off from the platform after
+// the claim landed, gives up on it, and clears it away when it is back. The VM
+// that asked has found the claim meanwhile and handed the report over, and a
+// second sending finds the key free.
 func TestCommitterCutOffBetweenClaimAndAnswer(t *testing.T) {
 	c := startCommitting(t)
+	c.setTargets(targetsim.Faults{HoldSubmits: true})
 	key := c.committedKey("cut")
 	told := c.claimUnheard(key)
 	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{Frozen: true}))
-	c.expectAccepted(key, <-told, 0, 1)
+	c.waitRun(key)
 	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{}))
 	c.ok(c.PlatformProxies[committer].Cut())
-	c.Expect(c.finalCode(c.Daemons[committer], key)).To(gomega.Equal(result.Accepted))
-	c.Expect(c.submits()[key]).To(gomega.Equal(1))
+	c.claimAfter(key)
+	c.Expect(result.Code(c.send(c.Daemons[1], key).Code)).To(gomega.Equal(result.InProgress))
+	c.setTargets(targetsim.Faults{})
+	c.expectAccepted(key, <-told, 0, 1, committer)
+}
+
+// claimAfter has the committer claim another key of the same second, which comes
+// after all that it still had to do there.
+func (c *cluster) claimAfter(key string) {
+	c.t.Helper()
+	second, _, _ := strings.Cut(key, "-")
+	after := fmt.Sprintf("%s-after-%d", second, time.Now().UnixNano())
+	c.Eventually(func() result.Code {
+		c.sendAside(c.Daemons[committer], after)
+		return result.Code(c.send(c.Daemons[committer], after).Code)
+	}, limit, "50ms").Should(gomega.BeElementOf(result.InProgress, result.Accepted))
 }
 
 // The VM that commits is frozen between claim and answer for longer than any
@@ -127,6 +144,7 @@
 	told := c.claimUnheard(key)
 	c.ok(c.Daemons[committer].Pause())
 	c.expectAccepted(key, <-told, 0, 1)
+	c.waitAlone()
 	c.ok(c.Daemons[committer].Resume())
 	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{}))
 	c.Expect(c.finalCode(c.Daemons[committer], key)).To(gomega.Equal(result.Accepted))
@@ -146,15 +164,27 @@
 	a := c.send(c.Daemons[0], key)
 	c.Expect(result.Code(a.Code).Info().Ran).To(gomega.Equal(result.RanNo), a.Detail)
 	c.setTargets(targetsim.Faults{})
-	before := c.metric(0, "bramley_once_fallbacks_total")
-	c.Expect(before).To(gomega.BeNumerically(">", 0))
+	c.Expect(c.metric(0, "bramley_once_fallbacks_total")).To(gomega.BeNumerically(">", 0))
+	c.waitAlone()
 	c.ok(c.Daemons[committer].Resume())
-	// Once the committer answers again it has read all that came before.
-	c.Eventually(func() bool { return c.Daemons[committer].Ready(c.ctx) }, limit, "20ms").Should(gomega.BeTrue())
+	// What it read before it was frozen, and what waits in its sockets, comes first.
+	c.claimAfter(key)
 	c.Expect(c.submits()).NotTo(gomega.HaveKey(key))
 	c.expectAccepted(key, c.send(c.Daemons[committer], key), 0, 1)
 }
 
+// waitAlone waits until the other daemons count the committer as gone, which
+// takes longer than any time limit of a claim.
+func (c *cluster) waitAlone() {
+	c.t.Helper()
+	for _, d := range c.Daemons[:committer] {
+		c.Eventually(func() (int, error) {
+			status, err := d.Status(c.ctx)
+			return status.Peers, err
+		}, limit, "100ms").Should(gomega.Equal(1), d.Name)
+	}
+}
+
 // A bookmark sync fires twice, at two VMs at once, and both have their claims
 // carried out by a third, while the platform loses answers. One of them runs.
 func TestSameKeyAtTwoVMsThroughACommitter(t *testing.T) {
