Claims: a second that is full goes on in parts

Cause: a segment holds about 1,800 claims; with claims batched by one VM this is the next wall: 10,449 of 15,802 requests refused at 7 VMs and 256 callers.

Change: a full segment is sealed for ever and says "moved"; a key that is not in it goes into one of eight parts by its hash, each with a committer of its own. At low load there is one object a second, as before. Parts cut from the start were tried earlier and part what one update should carry (docs/design/once.md).

--- a/once/lane.go
+++ b/once/lane.go
@@ -148,13 +148,13 @@
 	object, err := c.opts.Store.Get(ctx, Kind, l.name)
 	c.noteCall(err)
 	if errors.Is(err, platform.ErrNotFound) {
-		l.known, l.version, l.state = true, 0, segment{}
+		l.known, l.version, l.state = true, 0, segment{part: isPart(l.name)}
 		return nil
 	}
 	if err != nil {
 		return errors.Trace(err)
 	}
-	state, err := decodeSegment(object.Value)
+	state, err := decodeSegment(l.name, object.Value)
 	if err != nil {
 		c.log.Error("claims refused", "object", l.name, "error", err)
 		return errors.Trace(err)
--- a/once/name.go
+++ b/once/name.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind is the platform's kind of the objects that hold claims.
@@ -21,6 +23,22 @@
 	return fmt.Sprintf("%s%010d", prefix(deployment), made.Unix())
 }
 
+// parts is how many parts a second has beside its segment. Like window it is part
+// of the stored form.
+const parts = 8
+
+// partName returns the object that holds a key whose second's segment is sealed.
+// Names of parts follow that of their segment.
+func partName(segment, id string) string {
+	return fmt.Sprintf("%s%s%d", segment, partMark, xxhash.Sum64String(id)%parts)
+}
+
+const partMark = "+"
+
+func isPart(name string) bool {
+	return strings.Contains(name[strings.LastIndex(name, ".")+1:], partMark)
+}
+
 func prefix(deployment string) string { return deployment + "." }
 
 // windowEnd returns the end of a segment's window, which is later than the
@@ -30,6 +48,7 @@
 	if !ok {
 		return time.Time{}, false
 	}
+	start, _, _ = strings.Cut(start, partMark)
 	seconds, err := strconv.ParseInt(start, 10, 64)
 	if err != nil {
 		return time.Time{}, false
--- a/once/peers.go
+++ b/once/peers.go
@@ -56,7 +56,7 @@
 var kindNames = map[opKind]relay.Kind{opClaim: relay.Claim, opSettle: relay.Settle, opRelease: relay.Release}
 
 var verdictNames = map[verdict]relay.Verdict{
-	verdictDone: relay.Done, verdictHeld: relay.Held, verdictFull: relay.Full, verdictGone: relay.Gone,
+	verdictDone: relay.Done, verdictHeld: relay.Held, verdictFull: relay.Full, verdictMoved: relay.Moved, verdictGone: relay.Gone,
 }
 
 func toRelay(o op) relay.Op {
--- a/once/relay/messages.go
+++ b/once/relay/messages.go
@@ -81,6 +81,7 @@
 	Done      Verdict = "done"
 	Held      Verdict = "held" // another operation's entry is there
 	Full      Verdict = "full"
+	Moved     Verdict = "moved" // the key belongs into a part of the segment
 	Gone      Verdict = "gone"
 	Undecided Verdict = "undecided" // it may be carried out yet
 )
--- a/once/runner.go
+++ b/once/runner.go
@@ -66,7 +66,7 @@
 	}
 	claim := r.newClaim(ctx, req)
 	name := segmentName(req.Deployment, req.Key.Made())
-	rep, err := r.claim(ctx, name, &claim)
+	name, rep, err := r.claim(ctx, name, &claim)
 	if err != nil {
 		return claimFailed(err)
 	}
@@ -125,12 +125,18 @@
 	}
 }
 
-// claim makes the claim. It sets claim.bar if another VM may yet enter the
-// claim by itself.
-func (r *Runner) claim(ctx context.Context, name string, claim *op) (reply, error) {
+// claim makes the claim, in the segment or, if that is sealed, in the key's part,
+// and returns where. It sets claim.bar if another VM may yet enter the claim
+// there by itself.
+func (r *Runner) claim(ctx context.Context, name string, claim *op) (string, reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.opts.ClaimWait)
 	defer cancel()
-	return r.send.claim(ctx, name, claim)
+	rep, err := r.send.claim(ctx, name, claim)
+	if err == nil && rep.verdict == verdictMoved {
+		name = partName(name, claim.id)
+		rep, err = r.send.claim(ctx, name, claim)
+	}
+	return name, rep, err
 }
 
 func (r *Runner) keptOf(out Outcome) *kept {
--- a/once/segment.go
+++ b/once/segment.go
@@ -27,6 +27,10 @@
 	Entries map[string]entry `json:"entries"` // by search and key
 	// Barred are the ids of claims that must not enter any more; see op.bar.
 	Barred map[string]bool `json:"barred,omitempty"`
+	// Sealed says that the segment of a second was full once. It takes no further
+	// keys, whatever is released later: they are in one of its parts.
+	Sealed bool `json:"sealed,omitempty"`
+	part   bool // of a second, so that nothing follows when it is full
 	size   int
 }
 
@@ -85,10 +89,11 @@
 type verdict int
 
 const (
-	verdictDone verdict = iota // the segment says what the op wanted
-	verdictHeld                // claim: another operation's entry is there
-	verdictFull                // claim: the segment has no room
-	verdictGone                // settle: the claim is no longer there; claim: it is barred
+	verdictDone  verdict = iota // the segment says what the op wanted
+	verdictHeld                 // claim: another operation's entry is there
+	verdictFull                 // claim: the segment has no room
+	verdictMoved                // claim: the segment is sealed; the key belongs into its part
+	verdictGone                 // settle: the claim is no longer there; claim: it is barred
 )
 
 // reply is a verdict with the entry that is in the way, if one is.
@@ -100,7 +105,7 @@
 // apply runs the batch in order and returns the segment after it, a reply per
 // op, and whether anything changed.
 func (s segment) apply(batch []op) (segment, []reply, bool) {
-	next := segment{Entries: maps.Clone(s.Entries), Barred: maps.Clone(s.Barred), size: s.size}
+	next := segment{Entries: maps.Clone(s.Entries), Barred: maps.Clone(s.Barred), Sealed: s.Sealed, part: s.part, size: s.size}
 	if next.Entries == nil {
 		next.Entries = make(map[string]entry)
 	}
@@ -138,13 +143,27 @@
 	if present {
 		return reply{verdict: verdictHeld, held: have}, false
 	}
+	if s.Sealed {
+		return reply{verdict: verdictMoved}, false
+	}
 	if s.size+o.entry.size(o.id) > maxForClaims {
-		return reply{verdict: verdictFull}, false
+		return s.full()
 	}
 	s.put(o.id, o.entry)
 	return reply{verdict: verdictDone}, true
 }
 
+// full seals the segment of a second. Were room that is released later given to
+// new keys, a key that has been claimed in its part could be claimed here once
+// more, and run twice.
+func (s *segment) full() (reply, bool) {
+	if s.part {
+		return reply{verdict: verdictFull}, false
+	}
+	s.Sealed = true
+	return reply{verdict: verdictMoved}, true
+}
+
 func (s *segment) settle(o op, have entry, mine bool) (reply, bool) {
 	if !mine {
 		return reply{verdict: verdictGone}, false
@@ -201,8 +220,8 @@
 	return value.Bytes(), errors.Trace(err)
 }
 
-func decodeSegment(value []byte) (segment, error) {
-	var s segment
+func decodeSegment(name string, value []byte) (segment, error) {
+	s := segment{part: isPart(name)}
 	if err := json.Unmarshal(value, &s); err != nil {
 		return segment{}, errors.Annotate(err, "a claims object is not readable")
 	}
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -199,3 +199,9 @@
 	sort.Strings(names)
 	return names
 }
+
+func (s *faultStore) segment(name string) (segment, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return decodeSegment(name, s.objects[name].Value)
+}
