--- a/node/node.go
+++ b/node/node.go
@@ -113,7 +113,7 @@
 	n.peers, err = peer.New(peer.Options{
 		VM: platform.VM{
 			Name:    n.set.Name,
-			Address: n.set.Listen.Peers,
+			Address: n.set.Listen.PeersAddress(),
 			Ops:     n.set.Listen.Ops,
 			Zone:    n.set.Zone,
 		},
@@ -148,13 +148,15 @@
 			VM:          n.set.Name,
 			Incarnation: n.incarnation,
 		},
-		Log: n.log.Named("route"),
+		Zone: n.set.Zone,
+		Log:  n.log.Named("route"),
 	})
 	n.engine = query.NewEngine(query.Options{
-		Leaves: n.router,
-		Zone:   n.set.Zone,
-		Seed:   uint64(n.started.UnixNano()),
-		Log:    n.log.Named("query"),
+		Leaves:  n.router,
+		Zone:    n.set.Zone,
+		Seed:    uint64(n.started.UnixNano()),
+		Log:     n.log.Named("query"),
+		Metrics: n.metrics,
 		OnDrain: func(target, incarnation string) {
 			n.peers.LearnDrain(peer.Drain{Target: target, Incarnation: incarnation})
 		},
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
 	"github.com/bramleybarrow/bramleybarrow/peer/hop"
 	"github.com/bramleybarrow/bramleybarrow/peer/place"
 	"github.com/bramleybarrow/bramleybarrow/peer/share"
@@ -32,11 +32,15 @@
 	WireOptions() wire.Options
 }
 
-// Options configure a Router. All but Log are required.
+// Options configure a Router. All but Log and IdleAfter are required.
 type Options struct {
 	Local hop.Leaves    // over own connections
 	Place place.Options // Gone is taken from the fleet
+	Zone  string        // the VM's availability zone
 	Log   hclog.Logger
+	// IdleAfter is for how long a connection to an owner stays open without a
+	// call; default 5 s.
+	IdleAfter time.Duration
 }
 
 // Router reaches the leaves of targets. It is safe for concurrent use.
@@ -49,13 +53,15 @@
 
 	metrics          *metrics.Set
 	direct, viaOwner *metrics.Counter
+	byDistance       [elsewhere + 1]*metrics.Counter
 
 	mu      sync.Mutex // guards what follows
 	targets map[string]*route
 	owners  map[ownersKey][]int // kept from bundle to bundle: hashing all places is slow
 	places  int                 // of the fleet, as the bundle has it
 	shared  bool                // some target has fewer owners than the fleet has places
-	own     int                 // own place; noPlace if none
+	zones   zones
+	own     int // own place; noPlace if none
 	changed chan struct{}
 	peers   map[string]*ownerConn
 }
@@ -81,6 +87,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
+	defaults.Positive(&o.IdleAfter, defaultIdleAfter)
 	r := &Router{
 		opts:    o,
 		wake:    make(chan struct{}, 1),
@@ -105,6 +112,7 @@
 	r.fleet = fleet
 	r.opts.Place.Gone = fleet.Gone
 	r.tomb.Go(r.holdPlace)
+	r.tomb.Go(r.closeIdle)
 }
 
 // Drain waits until no call of another VM is under way through this one, or ctx
@@ -132,6 +140,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.places = b.Fleet.MaxVMs
+	r.zones = zones{own: r.opts.Zone, regions: map[string]string{}}
+	for _, z := range b.Zones {
+		r.zones.regions[z.Name] = z.Region
+	}
 	r.shared = false
 	r.targets = map[string]*route{}
 	kept := map[ownersKey][]int{}
@@ -250,13 +262,17 @@
 	}
 	r.viaOwner.Inc()
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
-	for _, vm := range owners {
-		caller, err := r.caller(ctx, vm)
+	for _, c := range owners {
+		owner, err := r.caller(ctx, c.vm)
+		if ctx.Err() != nil {
+			return outOfTime(ctx, name)
+		}
 		if err != nil {
-			r.opts.Log.Debug("owner not reached", "vm", vm.Name, "target", name, "error", err)
+			r.opts.Log.Debug("owner not reached", "vm", c.vm.Name, "target", name, "error", err)
 			continue
 		}
-		last = call(caller)
+		r.byDistance[c.distance].Inc()
+		last = owner.call(ctx, name, call)
 		if !anotherOwner(last) {
 			return last
 		}
@@ -264,6 +280,15 @@
 	return last
 }
 
+// outOfTime is the error of a call that ended before an owner had it.
+func outOfTime(ctx context.Context, name string) *target.CallError {
+	kind := target.ErrorCancelled
+	if ctx.Err() == context.DeadlineExceeded {
+		kind = target.ErrorDeadline
+	}
+	return &target.CallError{Kind: kind, Target: name, NotStarted: true}
+}
+
 func anotherOwner(err error) bool {
 	call, ok := err.(*target.CallError)
 	return ok && call.NotStarted &&
@@ -271,73 +296,35 @@
 }
 
 // reach returns the live owners of a target in the order in which this VM tries
-// them, or that the target is called over own connections. Each VM begins with
-// another owner, so that the owners share the calls.
-func (r *Router) reach(name string) (owners []platform.VM, local bool) {
+// them, or that the target is called over own connections.
+func (r *Router) reach(name string) (owners []candidate, local bool) {
 	r.mu.Lock()
 	rt := r.targets[name]
+	local = rt == nil || rt.plan.Direct() || rt.own > 0
 	r.mu.Unlock()
-	if rt == nil || rt.plan.Direct() || r.Connections(name) > 0 {
+	if local {
 		return nil, true
 	}
 	holders := r.fleet.Places()
-	first := int(xxhash.Sum64String(r.opts.Place.VM+"\x00"+name) % uint64(max(len(rt.owners), 1)))
-	for i := range rt.owners {
-		if vm, live := holders[rt.owners[(first+i)%len(rt.owners)]]; live {
-			owners = append(owners, vm)
-		}
-	}
-	return owners, false
-}
-
-// ownerConn is the connection to one owner. Its mu is held while it is dialled,
-// so that calls to that owner wait for one dial.
-type ownerConn struct {
-	mu     sync.Mutex // guards the fields below; taken after no other
-	caller *hop.Caller
-	failed time.Time
-	err    error
-}
-
-const (
-	dialTimeout = time.Second
-	// dialPause is for how long an owner that couldn't be reached isn't dialled.
-	dialPause = 500 * time.Millisecond
-)
-
-func (r *Router) caller(ctx context.Context, vm platform.VM) (*hop.Caller, error) {
+	now := time.Now()
 	r.mu.Lock()
-	p := r.peers[vm.Address]
-	if p == nil {
-		p = &ownerConn{}
-		r.peers[vm.Address] = p
-	}
-	r.mu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.caller != nil {
-		select {
-		case <-p.caller.Done():
-		default:
-			return p.caller, nil
+	for _, place := range rt.owners {
+		if vm, live := holders[place]; live {
+			owners = append(owners, r.candidate(name, vm, now))
 		}
 	}
-	if time.Since(p.failed) < dialPause {
-		return nil, p.err
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	p.caller, p.err = hop.Dial(ctx, vm.Address, r.fleet.WireOptions(), &wire.Counters{})
-	if p.err != nil {
-		p.caller, p.failed = nil, time.Now()
-	}
-	return p.caller, p.err
+	r.mu.Unlock()
+	order(owners)
+	return owners, false
 }
 
-func (p *ownerConn) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.caller != nil {
-		p.caller.Close()
+// candidate must hold mu.
+func (r *Router) candidate(name string, vm platform.VM, now time.Time) candidate {
+	conn := r.peers[vm.Address]
+	return candidate{
+		vm:       vm,
+		distance: r.zones.distance(vm.Zone),
+		resting:  conn != nil && conn.resting(name, now),
+		weight:   weightOf(r.opts.Place.VM, name, vm.Name),
 	}
 }
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -76,8 +76,9 @@
 func (f *testFleet) start(name string) *testVM {
 	vm := &testVM{name: name, client: target.NewClient(target.Options{}), done: make(chan struct{})}
 	vm.router = New(Options{
-		Local: vm.client,
-		Place: place.Options{Store: f.store, Deployment: "d", VM: name, Incarnation: name + "-1"},
+		Local:     vm.client,
+		IdleAfter: 500 * time.Millisecond,
+		Place:     place.Options{Store: f.store, Deployment: "d", VM: name, Incarnation: name + "-1"},
 	})
 	var err error
 	vm.peers, err = peer.New(peer.Options{
@@ -129,8 +130,10 @@
 	_ = vm.peers.Stop(ctx)
 }
 
-func (vm *testVM) search(f *testFleet) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+func (vm *testVM) search(f *testFleet) error { return vm.searchWithin(f, time.Second) }
+
+func (vm *testVM) searchWithin(f *testFleet, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	holding := f.target.Status().Leaves[1].Holdings[0]
 	echo := target.Echo{Request: "r", Attempt: 1, Shard: holding.Shard, Snapshot: holding.Snapshot}
