--- a/once/peers_test.go
+++ b/once/peers_test.go
@@ -218,3 +218,61 @@
 	}
 	return relay.Reply{}, relay.Lost
 }
+
+// A VM that commits for others leaves, and each of their requests waits until it
+// counts as lost. It must finish what it took and refuse the rest at once.
+func TestLeavingCommitterFinishesWhatItTook(t *testing.T) {
+	g := NewWithT(t)
+	store := newFaultStore(1)
+	a, c := vm(t, store, "a"), vm(t, store, "c")
+	connect([]*Runner{c, a}, 1, false)
+	entered, resume := make(chan struct{}), make(chan struct{})
+	var first sync.Once
+	store.beforePut = func(string) error {
+		first.Do(func() {
+			close(entered)
+			<-resume
+		})
+		return nil
+	}
+	w := accepted()
+	told := make(chan Outcome, 1)
+	go func() { told <- a.Run(context.Background(), request("d"), w.run) }()
+	<-entered
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close(context.Background()) }()
+	g.Eventually(c.commit.isClosed, waitLimit).Should(BeTrue())
+	_, err := c.Commit(t.Context(), relay.Batch{Segment: "d.1", HoldMS: 1000, Ops: []relay.Op{{Kind: relay.Claim, ID: "k", Entry: relay.Entry{Op: "o"}}}})
+	g.Expect(err).To(MatchError(errClosed))
+	close(resume)
+	g.Expect((<-told).Code).To(Equal(result.Accepted))
+	g.Expect(<-closed).To(Succeed())
+	g.Expect(w.ran.Load()).To(BeEquivalentTo(1))
+	g.Expect(a.commit.count.fellBack.Get()).To(BeEquivalentTo(1), "the outcome went by a's own update")
+}
+
+// The VMs of a large fleet all have their claims committed by one, which is then
+// refused its callers' own requests: work for others has a bound of its own.
+func TestWorkForPeersHasItsOwnBound(t *testing.T) {
+	g := NewWithT(t)
+	store := newFaultStore(1)
+	c := vm(t, store, "c", func(o *Options) { o.MaxFromPeers, o.MaxPending = 2, 2 })
+	store.cutPuts.Store(true)
+	ops := func(n int) []op {
+		list := make([]op, n)
+		for i := range list {
+			list[i] = op{id: strconv.Itoa(i), entry: entry{Op: strconv.Itoa(i)}}
+		}
+		return list
+	}
+	_, err := c.commit.admitPeer("d.1", ops(2))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.commit.admitPeer("d.1", ops(1))
+	g.Expect(err).To(MatchError(errBusy))
+	g.Expect(c.commit.admitRelayed()).To(Succeed())
+	c.commit.retire(false)
+	store.cutPuts.Store(false)
+	g.Eventually(c.commit.pending, waitLimit).Should(BeZero())
+	_, err = c.commit.admitPeer("d.1", ops(2))
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/once/relay/relay_test.go
+++ b/once/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -129,6 +130,8 @@
 	g := NewWithT(t)
 	taken := make(chan struct{}, 1)
 	block := make(chan struct{})
+	unblock := sync.OnceFunc(func() { close(block) })
+	defer unblock()
 	var refuse atomic.Bool
 	links, proxy, b := linked(t, committerFunc(func(_ context.Context, batch Batch) ([]Reply, error) {
 		if refuse.Load() {
@@ -155,7 +158,7 @@
 	_, fate = links.Commit(ctx, b, ask("held"))
 	g.Expect(fate).To(Equal(Lost))
 	<-taken
-	close(block)
+	unblock()
 	for second := range 20 {
 		_, remote := links.Committer(fmt.Sprint("d.", second))
 		g.Expect(remote).To(BeFalse(), "a lost VM is not chosen for a while")
