--- a/once/peers_test.go
+++ b/once/peers_test.go
@@ -226,12 +226,14 @@
 	store := newFaultStore(1)
 	a, c := vm(t, store, "a"), vm(t, store, "c")
 	connect([]*Runner{c, a}, 1, false)
-	entered, resume := make(chan struct{}), make(chan struct{})
+	entered, held := make(chan struct{}), make(chan struct{})
+	resume := sync.OnceFunc(func() { close(held) })
+	defer resume()
 	var first sync.Once
 	store.beforePut = func(string) error {
 		first.Do(func() {
 			close(entered)
-			<-resume
+			<-held
 		})
 		return nil
 	}
@@ -244,7 +246,7 @@
 	g.Eventually(c.commit.isClosed, waitLimit).Should(BeTrue())
 	_, err := c.Commit(t.Context(), relay.Batch{Segment: "d.1", HoldMS: 1000, Ops: []relay.Op{{Kind: relay.Claim, ID: "k", Entry: relay.Entry{Op: "o"}}}})
 	g.Expect(err).To(MatchError(errClosed))
-	close(resume)
+	resume()
 	g.Expect((<-told).Code).To(Equal(result.Accepted))
 	g.Expect(<-closed).To(Succeed())
 	g.Expect(w.ran.Load()).To(BeEquivalentTo(1))
