--- a/node/run.go
+++ b/node/run.go
@@ -82,6 +82,7 @@
 	err := n.callers.server.Shutdown(ctx)
 	n.tomb.Kill(nil)
 	err = firstError(err, n.claims.Close(ctx))
+	n.links.Stop()
 	err = firstError(err, n.monitor.Stop())
 	err = firstError(err, n.health.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
