--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -136,6 +136,11 @@
 			return errors.Trace(err)
 		}
 	}
+	if s.LeadIn > 0 {
+		usual := s
+		usual.Load = normalLoad
+		l.run(ctx, d.streams(usual), r.Policy, s.LeadIn, o.Seed)
+	}
 	before, err := d.meter()
 	if err != nil {
 		return err
--- a/internal/lab/bench/scenario.go
+++ b/internal/lab/bench/scenario.go
@@ -16,6 +16,9 @@
 	Load float64
 	// ServiceMS is the mean service time if not baseMS.
 	ServiceMS float64
+	// LeadIn is how long the usual load runs in the state before each window,
+	// uncounted: in life, too, targets are seen at ease before they are overrun.
+	LeadIn time.Duration
 	// Begin brings the state about before a window.
 	Begin func(d *deployment) error
 	// During acts while the load runs, and ends within the window.
@@ -29,8 +32,9 @@
 	stragglerProb   = 0.01
 	stragglerFactor = 20
 	overloadMS      = 16 // service time at and above the capacity, which bounds the calls a second
-	rollingShare    = 4  // one target in so many is restarted in a window
-	repartitionBy   = 5  // shards more, in every other index switch
+	overloadLeadIn  = 5 * time.Second
+	rollingShare    = 4 // one target in so many is restarted in a window
+	repartitionBy   = 5 // shards more, in every other index switch
 )
 
 // Scenarios lists them in the order of the table.
@@ -59,8 +63,8 @@
 	{Name: "rolling restart", Load: normalLoad, During: rollingRestart},
 	{Name: "silent connections", Load: normalLoad, During: silence},
 	{Name: "index switch", Load: normalLoad, During: switchIndex},
-	{Name: "at capacity", Load: 1, ServiceMS: overloadMS, Begin: slowDown, End: speedUp},
-	{Name: "twice the capacity", Load: 2, ServiceMS: overloadMS, Begin: slowDown, End: speedUp},
+	{Name: "at capacity", Load: 1, ServiceMS: overloadMS, LeadIn: overloadLeadIn, Begin: slowDown, End: speedUp},
+	{Name: "twice the capacity", Load: 2, ServiceMS: overloadMS, LeadIn: overloadLeadIn, Begin: slowDown, End: speedUp},
 }
 
 func (s Scenario) serviceMS() float64 {
--- a/internal/lab/bench/table.go
+++ b/internal/lab/bench/table.go
@@ -61,7 +61,7 @@
 
 // printNotes tells what the table has no column for.
 func printNotes(w io.Writer, results []*Result) {
-	fmt.Fprintln(w, "\nPercentiles are of requests not refused; whole and refused are of all sent. The most connections at a target are of the whole run so far. Result codes, and where the mean time of whole answers went: waiting for admission, held until the last answer's attempt was sent, and in that attempt:")
+	fmt.Fprintln(w, "\nPercentiles are of requests not refused; whole and refused are of all sent. The most connections at a target are of the whole run so far. Result codes, and where the time of whole answers went in the mean: waiting for admission, held until the last answer's attempt was sent, and in that attempt:")
 	fmt.Fprintln(w)
 	for _, r := range results {
 		searches := 0
