Admission: the limit follows the pace of attempts, not the time limit

Cause: under overload a query's time went into targets' queues (mean of the last attempt 270 to 310 ms of 280 to 460, slowdown 4), and the limit fell only when the median attempt came near a quarter of the time limit. That median spanned 20 s, so the limit was also cut for long after an overload had ended. A wait for admission of a whole query's time came on top.

Ruled out: retries and pauses (held: 1 to 8 ms in the mean).

Change: a Pace follows the median attempt against the one at ease; the limit has a floor that keeps slots busy, below which only refusals lower it; the wait is at most 0.6 of a query's usual longest time; the limit rises faster above the floor. Tests of each, seen red with the old rule put back.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -6,12 +6,13 @@
 // kept busy but never buried. It limits the queries in flight, lets others wait
 // in order, and refuses at once those that could not be served in time.
 //
-// The limit follows what the targets show: it falls when queries meet shedding
-// targets or come near their time limit, and rises slowly while it is used and
-// all is well. Invariants: running <= limit rounded up; a query that is told to
+// The limit follows what the targets show: it falls when attempts wait in their
+// queues or are refused, and rises slowly while it is used and all is well. Invariants: running <= limit rounded up; a query that is told to
 // wait hears Admit or Refuse at the latest when its deadline passes.
 type Admission struct {
 	limit    float64
+	share    float64
+	floor    float64
 	ceiling  float64
 	running  int
 	queue    []*ticket
@@ -50,32 +51,48 @@
 
 // Parameters of the limit.
 const (
-	minLimit       = 1.0
-	limitCut       = 0.8                    // factor after a sign of overload
-	limitGain      = 0.1                    // added per limit's worth of good queries; a faster rise outruns the cuts
-	cutPause       = 100 * time.Millisecond // least time between two cuts
-	smoothing      = 0.1                    // weight of a new sample
-	maxRetryAfter  = 5 * time.Second
-	minRetryAfter  = 50 * time.Millisecond
-	queuePerLimit  = 20 // waiting queries per unit of the limit, at most
-	spreads        = 2  // distances from the mean within which nearly all queries end
-	defaultService = 20 * time.Millisecond
+	minLimit        = 1.0
+	minCeiling      = 8.0
+	floorPerShare   = 4.5                    // enough for every slot to find its next request waiting, most of the time
+	ceilingPerShare = 6.0                    // bursts, while attempts are quick
+	waitShare       = 0.6                    // of the time that a query takes, waited for admission at most
+	limitCut        = 0.8                    // factor after a sign of overload
+	limitGain       = 0.2                    // added by a good query, from the floor on
+	lowGain         = 0.1                    // added per limit's worth of good queries below it; a faster rise outruns the refusals
+	cutPause        = 100 * time.Millisecond // least time between two cuts
+	smoothing       = 0.1                    // weight of a new sample
+	maxRetryAfter   = 5 * time.Second
+	minRetryAfter   = 50 * time.Millisecond
+	queuePerLimit   = 20 // waiting queries per unit of the limit, at most
+	spreads         = 2  // distances from the mean within which nearly all queries end
+	defaultService  = 20 * time.Millisecond
 )
 
 // NewAdmission returns an admission whose limit begins at its ceiling: callers
 // come in bursts, and a limit near the mean would make them wait for each other
 // while slots are free.
-func NewAdmission(ceiling float64) *Admission {
-	ceiling = max(ceiling, minLimit)
-	return &Admission{limit: ceiling, ceiling: ceiling, service: defaultService}
+func NewAdmission(share float64) *Admission {
+	a := &Admission{service: defaultService}
+	a.SetShare(share)
+	a.limit = a.ceiling
+	return a
 }
 
-// SetCeiling changes the upper bound of the limit after a change of targets.
-func (a *Admission) SetCeiling(ceiling float64) {
-	a.ceiling = max(ceiling, minLimit)
+// SetShare takes how many whole queries this VM may run so that all VMs together
+// just fill the targets' slots. The limit's floor is what keeps the slots busy if
+// all VMs are at it: slow attempts lower the limit no further. Refusals do, since
+// more VMs may live, or fewer targets, than the share was worked out for.
+func (a *Admission) SetShare(share float64) {
+	a.share = share
+	a.floor = max(share*floorPerShare, minLimit)
+	a.ceiling = max(share*ceilingPerShare, minCeiling, a.floor)
 	a.limit = min(a.limit, a.ceiling)
 }
 
+// Crowded reports whether this VM runs more queries than its share of the slots,
+// so that attempts may be slow for want of slots.
+func (a *Admission) Crowded() bool { return float64(a.running) > max(a.share, 1) }
+
 // Arrive takes a query that must be answered by deadline.
 func (a *Admission) Arrive(now, deadline time.Time) Verdict {
 	a.nextID++
@@ -84,10 +101,10 @@
 		a.running++
 		return Verdict{Ticket: id, Decision: Admit}
 	}
-	// Waiting for longer than a query takes keeps no target busier: it only makes
-	// everybody late.
+	// A wait fills the gap until the next query arrives. Longer ones keep no target
+	// busier: they only make everybody late.
 	wait := a.expectedWait(len(a.queue) + 1)
-	if wait > a.need() || now.Add(wait+a.need()).After(deadline) || float64(len(a.queue)) >= a.limit*queuePerLimit {
+	if float64(wait) > waitShare*float64(a.need()) || now.Add(wait+a.need()).After(deadline) || float64(len(a.queue)) >= a.limit*queuePerLimit {
 		return Verdict{Ticket: id, Decision: Refuse, RetryAfter: a.retryAfter(wait)}
 	}
 	a.queue = append(a.queue, &ticket{id: id, deadline: deadline})
@@ -116,8 +133,8 @@
 
 // End is what an admitted query met.
 type QueryEnd struct {
-	Took       time.Duration
-	Overloaded bool // a target shed, or the time limit was nearly used up
+	Took     time.Duration
+	Pressure Pressure
 }
 
 // Done takes the end of an admitted query and returns verdicts on waiting ones.
@@ -149,16 +166,31 @@
 }
 
 func (a *Admission) adapt(now time.Time, end QueryEnd) {
-	if end.Overloaded {
-		if now.Sub(a.cutAt) >= cutPause {
-			a.limit = max(a.limit*limitCut, minLimit)
-			a.cutAt = now
-		}
+	switch end.Pressure {
+	case Queueing:
+		a.cut(now, min(a.floor, a.limit))
+		return
+	case Refusing:
+		a.limit = min(a.limit, a.floor) // at once: what is sent above it is wasted
+		a.cut(now, minLimit)
 		return
 	}
 	if float64(a.running+1) >= a.limit {
-		a.limit = min(a.limit+limitGain/a.limit, a.ceiling)
+		gain := limitGain
+		if a.limit < a.floor {
+			gain = lowGain / a.limit
+		}
+		a.limit = min(a.limit+gain, a.ceiling)
+	}
+}
+
+// cut lowers the limit, to the given bound at most.
+func (a *Admission) cut(now time.Time, bound float64) {
+	if now.Sub(a.cutAt) < cutPause {
+		return
 	}
+	a.limit = max(a.limit*limitCut, bound)
+	a.cutAt = now
 }
 
 // Sweep admits waiting queries while there is room and refuses those that can
--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -12,8 +13,8 @@
 // departures.
 func TestAdmissionInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := NewAdmission(8)
-		ms, running := 0, 0
+		a := NewAdmission(rapid.Float64Range(0, 4).Draw(t, "share"))
+		ms, running, refusing := 0, 0, false
 		waiting := map[TicketID]time.Time{}
 		settle := func(list []Verdict) {
 			for _, v := range list {
@@ -44,7 +45,10 @@
 			case "done":
 				if running > 0 {
 					running--
-					settle(a.Done(at(ms), QueryEnd{Took: time.Duration(rapid.IntRange(1, 50).Draw(t, "took")) * time.Millisecond, Overloaded: rapid.Bool().Draw(t, "over")}))
+					pressure := rapid.SampledFrom([]Pressure{NoPressure, Queueing, Refusing}).Draw(t, "pressure")
+					refusing = refusing || pressure == Refusing
+					took := time.Duration(rapid.IntRange(1, 50).Draw(t, "took")) * time.Millisecond
+					settle(a.Done(at(ms), QueryEnd{Took: took, Pressure: pressure}))
 				}
 			case "leave":
 				for id := range waiting {
@@ -60,9 +64,15 @@
 			if running != a.running {
 				t.Fatalf("running is %d, want %d", a.running, running)
 			}
-			if float64(running) > 9 {
+			if float64(running) > math.Ceil(a.ceiling) {
 				t.Fatalf("%d running above the ceiling", running)
 			}
+			if a.limit < minLimit || a.limit > a.ceiling {
+				t.Fatalf("limit %v is outside of %v to %v", a.limit, minLimit, a.ceiling)
+			}
+			if !refusing && a.limit < a.floor {
+				t.Fatalf("limit %v below its floor without a refusal", a.limit)
+			}
 			if len(a.queue) != len(waiting) {
 				t.Fatalf("queue holds %d, want %d", len(a.queue), len(waiting))
 			}
@@ -74,8 +84,10 @@
 // the start that its turn would come too late. It has to be refused on arrival.
 func TestHopelessQueryIsRefusedOnArrival(t *testing.T) {
 	g := NewWithT(t)
-	a := NewAdmission(1)
-	g.Expect(a.Arrive(at(0), at(1000)).Decision).To(Equal(Admit))
+	a := NewAdmission(0)
+	for range int(minCeiling) {
+		g.Expect(a.Arrive(at(0), at(1000)).Decision).To(Equal(Admit))
+	}
 	for range 5 {
 		a.Arrive(at(0), at(1000))
 	}
@@ -83,3 +95,44 @@
 	g.Expect(v.Decision).To(Equal(Refuse))
 	g.Expect(v.RetryAfter).To(BeNumerically(">", 0))
 }
+
+// Answers lack shards although targets have recovered from none of it: a floor
+// that was worked out for few VMs held the limit up while targets refused, and
+// queries were let in only to be given up. Refusals must lower it further.
+func TestRefusalsLowerTheLimitBelowItsFloor(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAdmission(1)
+	end := func(ms int, p Pressure) {
+		a.Arrive(at(ms), at(ms+1000))
+		a.Done(at(ms), QueryEnd{Took: time.Millisecond, Pressure: p})
+	}
+	for i := range 50 {
+		end(i*200, Queueing)
+	}
+	g.Expect(a.limit).To(Equal(floorPerShare), "slow attempts alone would waste slots")
+	for i := range 50 {
+		end(10000+i*200, Refusing)
+	}
+	g.Expect(a.limit).To(Equal(minLimit))
+	end(30000, Queueing)
+	g.Expect(a.limit).To(Equal(minLimit), "a lower limit is not raised by queues")
+}
+
+// Under lasting overload every caller waits for as long as a query takes, and
+// then for the query. The wait fills no slot that the next caller would not.
+func TestWaitForAdmissionIsAPartOfAQuery(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAdmission(0)
+	a.ceiling, a.limit = 2, 2
+	a.Arrive(at(0), at(1000))
+	a.Arrive(at(0), at(1000))
+	for i := range 200 { // queries of 60 ms, two at a time, far more callers
+		ms := i * 30
+		a.Done(at(ms), QueryEnd{Took: 60 * time.Millisecond})
+		for range 3 {
+			a.Arrive(at(ms), at(ms+1000))
+		}
+	}
+	g.Expect(a.need()).To(BeNumerically("~", 60*time.Millisecond, 10*time.Millisecond))
+	g.Expect(a.expectedWait(len(a.queue))).To(BeNumerically("<=", a.need()*2/3))
+}
--- a/policy/load.go
+++ b/policy/load.go
@@ -30,6 +30,7 @@
 func (t *Table) End(id ReplicaID, end AttemptEnd, now time.Time) {
 	if end.Answered {
 		t.Latency.Add(now, end.Took)
+		t.Pace.Add(end.Took)
 	}
 	r := t.replica(id)
 	if r == nil {
--- a/policy/overload.go
+++ b/policy/overload.go
@@ -2,25 +2,36 @@
 
 import "time"
 
-// Signs of overload. A single refusal is none: of hundreds of attempts, one
+// Pressure is what the end of a query shows of the targets' load.
+type Pressure int
+
+// The grades of pressure.
+const (
+	NoPressure Pressure = iota
+	Queueing            // attempts wait in targets' queues
+	Refusing            // targets turn attempts away: some of what was sent is wasted
+)
+
+// Signs of pressure. A single refusal is none: of hundreds of attempts, one
 // nearly always meets a leaf whose queue is full for a moment. Nor is a slow
 // query: one straggler or silent connection makes it, while slots are free.
 const (
 	refusedShare = 0.1  // of a query's attempts
-	slowShare    = 0.25 // of the time limit, taken by the median attempt
+	slowShare    = 0.25 // of the time limit, taken by the median attempt, also if that is its pace at ease
 )
 
-// Overloaded reports whether the end of a query with that time limit shows that
-// the targets have more work than they can do.
-func (t *Table) Overloaded(out *Outcome, limit time.Duration, now time.Time) bool {
+// Pressure returns what the end of a query with that time limit shows.
+func (t *Table) Pressure(out *Outcome, limit time.Duration) Pressure {
 	if float64(out.Refused) > refusedShare*float64(out.Sent) {
-		return true
+		return Refusing
 	}
 	for _, gap := range out.Coverage.Gaps {
 		if gap.Reason == ReasonBusy || gap.Reason == ReasonShed {
-			return true
+			return Refusing
 		}
 	}
-	median, ok := t.Latency.Quantile(now, 0.5)
-	return ok && median.Seconds() > slowShare*limit.Seconds()
+	if t.Pace.Slow() || t.Pace.Recent().Seconds() > slowShare*limit.Seconds() {
+		return Queueing
+	}
+	return NoPressure
 }
--- a/policy/table.go
+++ b/policy/table.go
@@ -83,6 +83,7 @@
 	scratch   []*replica // reused by Pick
 
 	Latency *Latency // of attempts that answered
+	Pace    Pace     // the same, for admission
 	Hedges  *Budget
 	Retries *Budget
 }
--- a/query/admit.go
+++ b/query/admit.go
@@ -68,9 +68,10 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	now := e.now()
+	svc.table.Pace.Learn(now, svc.admit.Crowded())
 	svc.done(now, policy.QueryEnd{
-		Took:       now.Sub(began),
-		Overloaded: svc.table.Overloaded(out, req.Limit, now),
+		Took:     now.Sub(began),
+		Pressure: svc.table.Pressure(out, req.Limit),
 	})
 }
 
--- a/query/engine.go
+++ b/query/engine.go
@@ -119,21 +119,15 @@
 	}
 }
 
-// Bounds of the admission limit, in queries, beside what the slots allow.
-const (
-	minCeiling     = 8.0
-	ceilingPerSlot = 4.0 // queries above what the slots run at once wait in targets' queues
-)
-
 func (s *service) apply(b *bundle.Bundle, spec *bundle.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Apply(spec)
-	ceiling := max(fairShare(b, spec)*ceilingPerSlot, minCeiling)
+	share := fairShare(b, spec)
 	if s.admit == nil {
-		s.admit = policy.NewAdmission(ceiling)
+		s.admit = policy.NewAdmission(share)
 	}
-	s.admit.SetCeiling(ceiling)
+	s.admit.SetShare(share)
 	hedge, retry := budgets(b, spec.Name)
 	s.table.Hedges.SetShare(hedge)
 	s.table.Retries.SetShare(retry)
