Choice of replica: a reported load counts up to a cap

Cause: a leaf that shows a heavy load it doesn't have was left idle: a report of 20 made it look six times as slow, and the shard's other replica was overrun until its own latency had grown as much. Callers were refused at 70% of the capacity.

Change: in comparisons others' calls count up to 2 per slot; hedges still go by the whole report.

Not measured: what the cap costs where reports are true and replicas uneven.

--- a/internal/lab/bench/scenario.go
+++ b/internal/lab/bench/scenario.go
@@ -32,6 +32,8 @@
 	stragglerProb   = 0.01
 	stragglerFactor = 20
 	overloadMS      = 16 // service time at and above the capacity, which bounds the calls a second
+	busyLoad        = 0.7
+	shownLoad       = 20 // reported by every other target, which runs far less
 	overloadLeadIn  = 5 * time.Second
 	rollingShare    = 4 // one target in so many is restarted in a window
 	repartitionBy   = 5 // shards more, in every other index switch
@@ -63,6 +65,7 @@
 	{Name: "rolling restart", Load: normalLoad, During: rollingRestart},
 	{Name: "silent connections", Load: normalLoad, During: silence},
 	{Name: "index switch", Load: normalLoad, During: switchIndex},
+	{Name: "load misreported", Load: busyLoad, ServiceMS: overloadMS, Begin: misreport, End: reportTruly},
 	{Name: "at capacity", Load: 1, ServiceMS: overloadMS, LeadIn: overloadLeadIn, Begin: slowDown, End: speedUp},
 	{Name: "twice the capacity", Load: 2, ServiceMS: overloadMS, LeadIn: overloadLeadIn, Begin: slowDown, End: speedUp},
 }
@@ -91,6 +94,30 @@
 	return d.setTiming(t)
 }
 
+// misreport makes every other target show a heavy load and the others none.
+func misreport(d *deployment) error {
+	for _, g := range d.groups {
+		for i, target := range g.targets {
+			shown := float64(shownLoad * (i % 2))
+			if err := target.SetFaults(targetsim.Faults{LoadShown: &shown}); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	return slowDown(d)
+}
+
+func reportTruly(d *deployment) error {
+	for _, g := range d.groups {
+		for _, target := range g.targets {
+			if err := target.SetFaults(targetsim.Faults{}); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	return speedUp(d)
+}
+
 func speedUp(d *deployment) error { return d.setTiming(d.shape.healthyTiming()) }
 
 // loseReplica kills one target a tenth into the window.
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -117,6 +117,7 @@
 	otherZoneCost  = time.Millisecond     // added outside the VM's zone
 	reportLife     = 2 * time.Second      // after which reported load counts nothing
 	reportTrust    = 0.5                  // of a fresh report, since it lags and may mislead
+	reportCap      = 2                    // calls of others per slot, at most, in a comparison
 	queuePerSlot   = 2                    // own calls in flight per slot, at most
 )
 
@@ -190,13 +191,16 @@
 	return t.othersLoad(r, now)+float64(r.outstanding) < float64(r.slots)
 }
 
-// cost is the expected time of one more call on r.
+// cost is the expected time of one more call on r. What is reported counts up to
+// a cap: a leaf that shows a heavy load without having it would be left idle, and
+// its shard's other replicas be overrun, whatever own calls show of both.
 func (t *Table) cost(r *replica, now time.Time) time.Duration {
 	base := r.latency
 	if base == 0 {
 		base = defaultLatency
 	}
-	ahead := float64(r.outstanding) + t.othersLoad(r, now)
+	others := min(t.othersLoad(r, now), float64(r.slots)*reportCap*reportTrust)
+	ahead := float64(r.outstanding) + others
 	cost := time.Duration(float64(base) * (1 + ahead/float64(r.slots)))
 	if !r.sameZone {
 		cost += otherZoneCost
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -403,3 +403,31 @@
 	out := outcome(q.Answered(at(38), again[0].Attempt, answer(again[0])))
 	g.Expect(out.Last).To(Equal(LastAnswer{Held: 30 * time.Millisecond, Took: 8 * time.Millisecond}))
 }
+
+// Searches wait in one replica's queue while another one idles: that one shows a
+// heavy load which it doesn't have. Own calls show which of them is quick, and
+// have to outweigh the report.
+func TestMisreportedLoadIsOutweighed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2, 1)
+	shows := func(replica int, load float64, took time.Duration) ReplicaID {
+		id := ReplicaID{Target: targetName(0, replica)}
+		st := statusOf("i1", target.StateServing, target.Holding{Snapshot: "v1", Seq: 1, Shards: 1, Records: 100})
+		st.Leaves[0].Load = load
+		f.table.Status(id.Target, st, at(0))
+		f.table.Begin(id)
+		f.table.End(id, AttemptEnd{Answered: true, Took: took}, at(0))
+		return id
+	}
+	idle := shows(0, 20, 10*time.Millisecond)
+	shows(1, 0, 30*time.Millisecond)
+	picked := 0
+	for range 100 {
+		if id, _ := f.table.Pick(at(1), "v1", 0, nil, false); id == idle {
+			picked++
+		}
+	}
+	g.Expect(picked).To(BeNumerically(">", 50), "one choice in four is of the same replica twice")
+	_, ok := f.table.Pick(at(1), "v1", 0, []ReplicaID{{Target: targetName(0, 1)}}, true)
+	g.Expect(ok).To(BeFalse(), "hedges still keep off a replica that shows load")
+}
