Hop: an owner's own calls wait for slots with its peers' calls

Cause: an owner's own calls went to the target beside the queue in which its peers' calls wait for the leaf's slots. Together they were up to twice the slots, and the target shed what could have waited.

Change: where a target is shared, own calls take their turns in the same queue, as one more VM; one that gives up while it waits was not started.

TestOwnCallsTakeTurnsWithPeers: seen failing with own calls beside the queue.

--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -369,3 +369,55 @@
 	p.Expect(<-held).To(Succeed())
 	p.Expect(<-drained).To(Succeed())
 }
+
+// TestOwnCallsTakeTurnsWithPeers: an owner's own queries and its peers' come to one
+// leaf at once. Each side alone kept within the slots, so that together they were
+// twice as many, and the target shed what could have waited.
+func TestOwnCallsTakeTurnsWithPeers(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	own := p.owner.Own()
+	ask := func() error {
+		_, err := own.Search(ctx, "owned", 7, request(7))
+		return err
+	}
+	results := make(chan error, 8)
+	for range 4 {
+		go func() { results <- ask() }()
+		go func() { results <- p.search(ctx, "owned", 7) }()
+	}
+	key := leafKey{"owned", 7}
+	waiting := func() int {
+		p.owner.mu.Lock()
+		defer p.owner.mu.Unlock()
+		if q := p.owner.queues[key]; q != nil {
+			return q.queued
+		}
+		return 0
+	}
+	p.Eventually(waiting).WithTimeout(testLimit).Should(Equal(6))
+	p.Expect(p.leaves.started.Load()).To(BeNumerically("==", 2))
+
+	// One that gives up gives its turn to others and was not started.
+	short, stop := context.WithCancel(ctx)
+	gaveUp := make(chan error, 1)
+	go func() {
+		_, err := own.Search(short, "owned", 7, request(7))
+		gaveUp <- err
+	}()
+	p.Eventually(waiting).WithTimeout(testLimit).Should(Equal(7))
+	stop()
+	p.Expect(callError(<-gaveUp)).To(And(HaveField("Kind", target.ErrorCancelled), HaveField("NotStarted", true)))
+
+	close(p.leaves.release)
+	for range 8 {
+		p.Expect(<-results).To(Succeed())
+	}
+	p.Expect(p.leaves.started.Load()).To(BeNumerically("==", 8))
+	p.Eventually(func() int {
+		p.owner.mu.Lock()
+		defer p.owner.mu.Unlock()
+		return p.owner.queues[key].running
+	}).WithTimeout(testLimit).Should(BeZero())
+}
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -173,13 +173,7 @@
 	if _, twice := s.cancel[call.ID]; twice || o.calls >= o.opts.MaxCalls {
 		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
-	key := leafKey{call.Target, call.Leaf}
-	q := o.queues[key]
-	if q == nil {
-		q = newSlotQueue(slots)
-		o.queues[key] = q
-	}
-	q.slots = max(slots, 1)
+	q := o.queue(leafKey{call.Target, call.Leaf}, slots)
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	w := &waiter{peer: s.conn.Peer().VM, deadline: now.Add(limit)}
 	w.run = func() { go o.run(ctx, s, q, call) }
@@ -205,6 +199,28 @@
 	return nil
 }
 
+// queue must hold mu.
+func (o *Owner) queue(key leafKey, slots int) *slotQueue {
+	q := o.queues[key]
+	if q == nil {
+		q = newSlotQueue(slots)
+		o.queues[key] = q
+	}
+	q.slots = max(slots, 1)
+	return q
+}
+
+// passOn gives the slot of a call that has ended to the next. It must hold mu.
+func (o *Owner) passOn(q *slotQueue, took time.Duration, now time.Time) {
+	next, expired := q.finish(took, now)
+	for _, w := range expired {
+		w.expire()
+	}
+	if next != nil {
+		next.run()
+	}
+}
+
 // takeStatus reads a target's status apart from the leaves' slots.
 func (o *Owner) takeStatus(s *session, call *Call, limit time.Duration) *Failure {
 	o.mu.Lock()
@@ -251,13 +267,7 @@
 		stop() // frees the call's timer
 	}
 	o.forget(s, call.ID)
-	next, expired := q.finish(now.Sub(begin), now)
-	for _, w := range expired {
-		w.expire()
-	}
-	if next != nil {
-		next.run()
-	}
+	o.passOn(q, now.Sub(begin), now)
 	o.mu.Unlock()
 }
 
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -256,9 +256,9 @@
 // that may have been started is not repeated here.
 func (r *Router) through(ctx context.Context, name string, call func(hop.Leaves) error) error {
 	owners, local := r.reach(name)
-	if local {
+	if local != nil {
 		r.direct.Inc()
-		return call(r.opts.Local)
+		return call(local)
 	}
 	r.viaOwner.Inc()
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
@@ -296,14 +296,17 @@
 }
 
 // reach returns the live owners of a target in the order in which this VM tries
-// them, or that the target is called over own connections.
-func (r *Router) reach(name string) (owners []candidate, local bool) {
+// them, or the way over own connections.
+func (r *Router) reach(name string) (owners []candidate, local hop.Leaves) {
 	r.mu.Lock()
 	rt := r.targets[name]
-	local = rt == nil || rt.plan.Direct() || rt.own > 0
+	owns := rt != nil && rt.own > 0
 	r.mu.Unlock()
-	if local {
-		return nil, true
+	switch {
+	case rt == nil || rt.plan.Direct():
+		return nil, r.opts.Local
+	case owns:
+		return nil, r.owner.Own() // shares the slots with the peers' calls
 	}
 	holders := r.fleet.Places()
 	now := time.Now()
@@ -315,7 +318,7 @@
 	}
 	r.mu.Unlock()
 	order(owners)
-	return owners, false
+	return owners, nil
 }
 
 // candidate must hold mu.
