--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -124,12 +124,17 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
-		kind := target.ErrorCancelled
-		if ctx.Err() == context.DeadlineExceeded {
-			kind = target.ErrorDeadline
-		}
-		return Answer{}, &target.CallError{Kind: kind, Target: call.Target, NotStarted: !c.giveUp(p)}
+		return Answer{}, OutOfTime(ctx, call.Target, !c.giveUp(p))
+	}
+}
+
+// OutOfTime is the error of a call whose context has ended.
+func OutOfTime(ctx context.Context, name string, notStarted bool) *target.CallError {
+	kind := target.ErrorCancelled
+	if ctx.Err() == context.DeadlineExceeded {
+		kind = target.ErrorDeadline
 	}
+	return &target.CallError{Kind: kind, Target: name, NotStarted: notStarted}
 }
 
 // defaultLimit is the time for a call whose context has no deadline.
--- a/peer/hop/own.go
+++ b/peer/hop/own.go
@@ -89,7 +89,7 @@
 		return nil, &target.CallError{Kind: target.ErrorDeadline, Target: key.target, NotStarted: true}
 	case <-ctx.Done():
 		o.giveUpSlot(q, w, granted)
-		return nil, outOfTime(ctx, key.target)
+		return nil, OutOfTime(ctx, key.target, true)
 	}
 }
 
@@ -105,11 +105,3 @@
 		o.passOn(q, q.mean, time.Now())
 	}
 }
-
-func outOfTime(ctx context.Context, name string) error {
-	kind := target.ErrorCancelled
-	if ctx.Err() == context.DeadlineExceeded {
-		kind = target.ErrorDeadline
-	}
-	return &target.CallError{Kind: kind, Target: name, NotStarted: true}
-}
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -265,7 +265,7 @@
 	for _, c := range owners {
 		owner, err := r.caller(ctx, c.vm)
 		if ctx.Err() != nil {
-			return outOfTime(ctx, name)
+			return hop.OutOfTime(ctx, name, true)
 		}
 		if err != nil {
 			r.opts.Log.Debug("owner not reached", "vm", c.vm.Name, "target", name, "error", err)
@@ -280,15 +280,6 @@
 	return last
 }
 
-// outOfTime is the error of a call that ended before an owner had it.
-func outOfTime(ctx context.Context, name string) *target.CallError {
-	kind := target.ErrorCancelled
-	if ctx.Err() == context.DeadlineExceeded {
-		kind = target.ErrorDeadline
-	}
-	return &target.CallError{Kind: kind, Target: name, NotStarted: true}
-}
-
 func anotherOwner(err error) bool {
 	call, ok := err.(*target.CallError)
 	return ok && call.NotStarted &&
