--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -256,16 +256,16 @@
 // that may have been started is not repeated here.
 func (r *Router) through(ctx context.Context, name string, call func(hop.Leaves) error) error {
 	owners, local := r.reach(name)
-	if local {
+	if local != nil {
 		r.direct.Inc()
-		return call(r.opts.Local)
+		return call(local)
 	}
 	r.viaOwner.Inc()
 	var last error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
 	for _, c := range owners {
 		owner, err := r.caller(ctx, c.vm)
 		if ctx.Err() != nil {
-			return outOfTime(ctx, name)
+			return hop.OutOfTime(ctx, name, true)
 		}
 		if err != nil {
 			r.opts.Log.Debug("owner not reached", "vm", c.vm.Name, "target", name, "error", err)
@@ -280,15 +280,6 @@
 	return last
 }
 
-// outOfTime is the error of a call that ended before an owner had it.
-func outOfTime(ctx context.Context, name string) *target.CallError {
-	kind := target.ErrorCancelled
-	if ctx.Err() == context.DeadlineExceeded {
-		kind = target.ErrorDeadline
-	}
-	return &target.CallError{Kind: kind, Target: name, NotStarted: true}
-}
-
 func anotherOwner(err error) bool {
 	call, ok := err.(*target.CallError)
 	return ok && call.NotStarted &&
@@ -296,14 +287,17 @@
 }
 
 // reach returns the live owners of a target in the order in which this VM tries
-// them, or that the target is called over own connections.
-func (r *Router) reach(name string) (owners []candidate, local bool) {
+// them, or the way over own connections.
+func (r *Router) reach(name string) (owners []candidate, local hop.Leaves) {
 	r.mu.Lock()
 	rt := r.targets[name]
-	local = rt == nil || rt.plan.Direct() || rt.own > 0
+	owns := rt != nil && rt.own > 0
 	r.mu.Unlock()
-	if local {
-		return nil, true
+	switch {
+	case rt == nil || rt.plan.Direct():
+		return nil, r.opts.Local
+	case owns:
+		return nil, r.owner.Own() // shares the slots with the peers' calls
 	}
 	holders := r.fleet.Places()
 	now := time.Now()
@@ -315,7 +309,7 @@
 	}
 	r.mu.Unlock()
 	order(owners)
-	return owners, false
+	return owners, nil
 }
 
 // candidate must hold mu.
