--- a/once/fuzz_test.go
+++ b/once/fuzz_test.go
@@ -36,14 +36,14 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s, err := decodeSegment(data)
+		s, err := decodeSegment("d.1", data)
 		if err != nil {
 			return
 		}
 		g := NewWithT(t)
 		encoded, err := s.encode()
 		g.Expect(err).NotTo(HaveOccurred())
-		again, err := decodeSegment(encoded)
+		again, err := decodeSegment("d.1", encoded)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(again).To(Equal(s))
 	})
@@ -60,7 +60,7 @@
 // entered the key of a request that had been run, and handed it to a target again.
 func TestForeignSegmentIsRefused(t *testing.T) {
 	for _, text := range foreignSegments {
-		_, err := decodeSegment([]byte(text))
+		_, err := decodeSegment("d.1", []byte(text))
 		NewWithT(t).Expect(err).To(HaveOccurred(), text)
 	}
 }
