Targets: one suspect connection has all of its target probed

Cause: connections to a target go silent together, and calls found them one after another: each cost SuspectAfter again, and those not yet used were probed only once the first had been found silent, 600 ms after its call.

Change: a suspicion raises the alarm that until now only a silent connection raised; calls go first to connections that received something since. At most one more read of the status on each connection that was quiet. Test seen red without it.

--- a/target/pool.go
+++ b/target/pool.go
@@ -22,7 +22,7 @@
 	endpoint Endpoint
 	conns    []*conn     // open, the retiring ones included
 	lost     []time.Time // when connections were found silent, within SilentHold
-	alarm    time.Time   // when the last one was
+	alarm    time.Time   // when the last one was, or since when one is suspect
 	waiters  []chan *conn
 	retired  bool // the endpoint is no longer in force
 	ended    bool // the keeper has ended, and all connections with it
@@ -188,8 +188,9 @@
 	}
 }
 
-// pick returns the connection with the fewest calls, those that are not
-// suspect first, or nil if none has room. p.mu must be held.
+// pick returns the connection with the fewest calls, or nil if none has room.
+// First come those that are not suspect and have received something since the
+// last alarm. p.mu must be held.
 func (p *pool) pick(now time.Time) *conn {
 	var best *conn
 	var bestSuspect bool
@@ -197,7 +198,7 @@
 		if !p.hasRoom(cn) {
 			continue
 		}
-		suspect := cn.suspect(now, p.client.opts.SuspectAfter)
+		suspect := cn.suspect(now, p.client.opts.SuspectAfter) || cn.wire.lastRead().Before(p.alarm)
 		if best == nil || (bestSuspect && !suspect) || (bestSuspect == suspect && cn.calls < best.calls) {
 			best, bestSuspect = cn, suspect
 		}
--- a/target/probe.go
+++ b/target/probe.go
@@ -12,6 +12,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.watching = false
+	p.noteSuspects(now)
 	for _, cn := range p.conns {
 		if cn.calls > 0 || cn.awaitsByte() {
 			p.watching = true
@@ -28,10 +29,21 @@
 	}
 }
 
+// noteSuspects raises the alarm for connections that have become suspect. Without
+// it calls would find the silent connections of a target one after another, each
+// at the cost of SuspectAfter and of all calls that meet it. p.mu must be held.
+func (p *pool) noteSuspects(now time.Time) {
+	for _, cn := range p.conns {
+		if cn.suspect(now, p.client.opts.SuspectAfter) && cn.unanswered.After(p.alarm) {
+			p.alarm = cn.unanswered
+		}
+	}
+}
+
 // mayBeSilent reports whether a connection needs a probe: because it is
-// suspect, or because another one to the same target was found silent and
-// nothing came on this one since. Connections mostly go silent together.
-// p.mu must be held.
+// suspect, or because another one to the same target is suspect or was found
+// silent, and nothing came on this one since. Connections mostly go silent
+// together. p.mu must be held.
 func (p *pool) mayBeSilent(cn *conn, now time.Time) bool {
 	if cn.probing || cn.silent || cn.retiring {
 		return false
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -73,3 +73,20 @@
 	}
 	g.Expect(counter(c, "silent_connections_total")()).To(BeZero())
 }
+
+// Searches of one target are slow for a multiple of SuspectAfter. All of its
+// connections went silent together, and calls found them one after another:
+// what was learned of the first was not held against the others. The first
+// suspicion has all of them asked, and calls go to those that answer.
+func TestSuspicionOfOneConnectionHasAllProbed(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandIn(t, "a", 0)
+	c := newTestClient(t, Options{SuspectAfter: 50 * time.Millisecond, ProbeTimeout: time.Minute}, s.endpoint(3))
+	waitOpen(c, 3)
+	calls := counter(c, "calls_total")
+	before := calls()
+	s.forLegs(goSilent)
+	_, err := within(100*time.Millisecond, c, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(calls, patience).Should(BeEquivalentTo(before+1+3), "one search and three probes")
+}
