--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -64,6 +64,16 @@
 func TestOwnersKilledInMidQuery(t *testing.T) {
 	const daemons, connections = 5, 3
 	c := start(t, fewConnections(daemons, daemons, connections))
+	c.killOwners()
+	c.expectWithinLimit(connections)
+}
+
+// killOwners kills VMs under load, one after another, and replaces them. Every
+// search of the others must be answered whole. Targets accept three connections.
+func (c *cluster) killOwners() {
+	c.t.Helper()
+	const owners = 2 // of each target, with a connection each; one is left free for a frozen owner
+	c.waitOwned(owners)
 	balancer := &laggingList{}
 	for i := range 3 {
 		victim := c.Daemons[0]
@@ -84,8 +94,21 @@
 		c.listVMs()
 		c.waitInForce(fresh, 1)
 		c.waitWhole(fresh)
+		c.waitOwned(owners)
+	}
+}
+
+// waitOwned waits until each target has connections from that many owners again.
+// A place passes to a new VM only once its old holder counts as lost, and until
+// then the death of a further owner can leave a target without any.
+func (c *cluster) waitOwned(owners int) {
+	c.t.Helper()
+	for _, target := range c.Targets {
+		c.Eventually(func() (int, error) {
+			counters, err := target.Counters()
+			return counters.Connections.Current, err
+		}, limit, "50ms").Should(gomega.Equal(owners), target.Name)
 	}
-	c.expectWithinLimit(connections)
 }
 
 func (b *laggingList) answered() int {
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -70,6 +72,91 @@
 	})
 }
 
+// TestJoinAfterTheLostWereForgotten: two regions lose each other for so long that
+// each forgets the other's VMs. They must still find each other once they can,
+// or users of one of them would stay with an old bundle for good. Each side is
+// made to forget; the time itself is not waited for.
+func TestJoinAfterTheLostWereForgotten(t *testing.T) {
+	f := newFleet(t, 8)
+	f.connected()
+	left, _, group := f.halves()
+	f.net.split(group)
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == len(left) })
+	left[0].heads.set(2)
+	f.everywhere(hasRevision(2), left...)
+	const longer = time.Hour
+	for _, vm := range f.vms {
+		vm.mu.Lock()
+		f.g.Expect(vm.table.Expire(time.Now().Add(longer).Unix())).To(BeTrue())
+		vm.changed()
+		vm.mu.Unlock()
+	}
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool {
+		return vm.heads.Revision() == 2 && len(vm.Live()) == len(f.vms)
+	})
+}
+
+// TestLostAreLookedForWithoutTheList: while the platform is down two VMs lose
+// each other, and the only VM that either was given as a seed is replaced. Both
+// then know the other only as lost, from what peers told. Users of one of them
+// would stay with an old bundle until the platform is back.
+func TestLostAreLookedForWithoutTheList(t *testing.T) {
+	f := newFleet(t, 0)
+	f.list.down = true
+	seed := f.start("seed", nil)
+	withSeed := func(o *Options) { o.Seeds = []string{seed.Address()} }
+	here, there := f.start("here", withSeed), f.start("there", withSeed)
+	f.connected()
+	f.net.split(map[string]int{there.Address(): 1})
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 1 }, there)
+	seed.crash()
+	f.everywhere(func(vm *testVM) bool { return len(vm.Live()) == 1 }, here)
+	here.heads.set(2)
+	f.net.split(nil)
+	f.everywhere(func(vm *testVM) bool { return vm.heads.Revision() == 2 && len(vm.Live()) == 2 }, here, there)
+}
+
+// TestLostThatWereOnlyListedAreFound: two VMs know each other from the platform's
+// list alone when they lose each other and the platform. One of them tells a new VM
+// that the other is lost and then dies. Users of the new VM stayed with an old
+// bundle until the platform was back: it knew the lost VM's name, but no address.
+func TestLostThatWereOnlyListedAreFound(t *testing.T) {
+	f := newFleet(t, 0)
+	there := f.start("there", nil)
+	f.net.split(map[string]int{there.Address(): 1})
+	here := f.start("here", nil)
+	knowsLost := func(vm *testVM) bool { return vm.lost() == 1 }
+	f.everywhere(knowsLost, here)
+	f.list.setDown(true)
+	fresh := f.start("fresh", func(o *Options) { o.Seeds = []string{here.Address()} })
+	f.everywhere(knowsLost, fresh)
+	here.crash()
+	there.heads.set(2)
+	f.net.split(nil)
+	f.everywhere(hasRevision(2), fresh)
+}
+
+// TestSplitCutsDialsUnderWay: TestSplitAndJoin failed now and then, with every VM
+// still counting the other side as live: a dial that began before the split got
+// its connection after it. All suspicions were answered over that one link. The
+// tests' network must cut such a dial too.
+func TestSplitCutsDialsUnderWay(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	n := newNetwork()
+	from, to := "here", ln.Addr().String()
+	n.connected = func() { n.split(map[string]int{to: 1}) }
+	conn, err := n.dialer(&from)(t.Context(), "tcp", to)
+	if err == nil {
+		conn.Close()
+	}
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(n.open).To(BeEmpty())
+}
+
 // TestStartWithPlatformDown: power returns to a zone while the platform is still
 // down, so no VM can read the list of VMs. One VM holds a bundle. With a seed the
 // others find it and each other, and take the bundle over.
@@ -245,9 +332,10 @@
 	g.Expect(ok).To(BeTrue())
 }
 
-// TestPlacesOfVMsThatStay: a call through a VM that is leaving or lost would fail
-// or come late. Only VMs that stay count as holders of places, and of two that
-// claim one place the later.
+// TestPlacesOfVMsThatStay: a call through a VM that is lost would fail, and one
+// that is leaving should get nothing new while another can be called. Lost VMs
+// hold no place, leaving ones are marked, and of two that claim one place the one
+// that stays has it, or the later.
 func TestPlacesOfVMsThatStay(t *testing.T) {
 	g := NewWithT(t)
 	places := placesOf([]facts.Member{
@@ -258,8 +346,12 @@
 		{Name: "none"},
 		{Name: "later", Place: 6, Started: 2},
 		{Name: "earlier", Place: 6, Started: 1},
+		{Name: "left", Place: 7, Started: 2, State: facts.Leaving},
+		{Name: "successor", Place: 7, Started: 1},
 	})
-	g.Expect(places).To(HaveLen(3))
+	g.Expect(places).To(HaveLen(5))
+	g.Expect(places[2]).To(Equal(platform.VM{Name: "leaves", Leaving: true}))
+	g.Expect(places[6]).To(Equal(platform.VM{Name: "successor"}))
 	g.Expect(places[0].Name).To(Equal("stays"))
 	g.Expect(places[1].Name).To(Equal("suspected"))
 	g.Expect(places[5].Name).To(Equal("later"))
--- a/peer/hop/caller.go
+++ b/peer/hop/caller.go
@@ -124,14 +124,19 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
-		kind := target.ErrorCancelled
-		if ctx.Err() == context.DeadlineExceeded {
-			kind = target.ErrorDeadline
-		}
-		return Answer{}, &target.CallError{Kind: kind, Target: call.Target, NotStarted: !c.giveUp(p)}
+		return Answer{}, OutOfTime(ctx, call.Target, !c.giveUp(p))
 	}
 }
 
+// OutOfTime is the error of a call whose context has ended.
+func OutOfTime(ctx context.Context, name string, notStarted bool) *target.CallError {
+	kind := target.ErrorCancelled
+	if ctx.Err() == context.DeadlineExceeded {
+		kind = target.ErrorDeadline
+	}
+	return &target.CallError{Kind: kind, Target: name, NotStarted: notStarted}
+}
+
 // defaultLimit is the time for a call whose context has no deadline.
 const defaultLimit = time.Minute
 
@@ -213,10 +218,7 @@
 func (c *Caller) begin(calls []Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), beginTimeout)
 	defer cancel()
-	message, err := pack(Batch{Calls: calls})
-	if err == nil {
-		err = c.conn.Call(ctx, MethodCalls, message, nil)
-	}
+	err := call(ctx, c.conn, MethodCalls, Batch{Calls: calls})
 	switch result.Of(err) {
 	case result.Complete:
 	case result.PeerBusy:
@@ -236,7 +238,7 @@
 	if method != MethodAnswers {
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
-	answers, err := unpack[Answers](params)
+	answers, err := decode[Answers](c.conn, params)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -67,6 +67,11 @@
 }
 
 func newPair(t *testing.T, maxCalls int) *pair {
+	return newMixedPair(t, maxCalls, wire.Version, wire.Version)
+}
+
+// newMixedPair connects two VMs whose releases speak up to the given versions.
+func newMixedPair(t *testing.T, maxCalls, ownerVersion, callerVersion int) *pair {
 	p := &pair{WithT: NewWithT(t), leaves: &fakeLeaves{release: make(chan struct{})}, count: &wire.Counters{}}
 	p.owner = NewOwner(OwnerOptions{
 		Leaves:   p.leaves,
@@ -76,11 +81,12 @@
 	o := wire.Options{
 		Self: wire.Identity{Deployment: "d", VM: "owner", Incarnation: "1"},
 		Keys: [][]byte{bytes.Repeat([]byte("k"), wire.MinKeyBytes)}, Handler: p.owner.Handle,
+		MaxVersion: ownerVersion,
 	}
 	var err error
 	p.server, err = wire.Listen("127.0.0.1:0", o, &wire.Counters{}, func(c *wire.Conn) { c.Serve() })
 	p.Expect(err).NotTo(HaveOccurred())
-	o.Self.VM = "caller"
+	o.Self.VM, o.MaxVersion = "caller", callerVersion
 	p.caller, err = Dial(context.Background(), p.server.Addr().String(), o, p.count)
 	p.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() {
@@ -342,3 +348,76 @@
 	_, ok, _ = q.offer(&waiter{peer: "a", deadline: now.Add(250 * time.Millisecond)}, now)
 	g.Expect(ok).To(BeTrue())
 }
+
+// TestDrainEndsThoughCallsGoOn: an owner leaves and other VMs, which know of no
+// other one, go on calling. It would wait for them without end. It takes no further
+// call once it drains, and says that it started none.
+func TestDrainEndsThoughCallsGoOn(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	held := make(chan error, 1)
+	go func() { held <- p.search(ctx, "owned", 7) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	drained := make(chan error, 1)
+	go func() { drained <- p.owner.Drain(ctx) }()
+	p.Eventually(func() *target.CallError { return callError(p.search(ctx, "owned", 1)) }).WithTimeout(testLimit).
+		Should(And(HaveField("Kind", target.ErrorUnknownTarget), HaveField("NotStarted", true)))
+	_, err := p.caller.Status(ctx, "owned")
+	p.Expect(callError(err)).To(HaveField("NotStarted", true))
+	close(p.leaves.release)
+	p.Expect(<-held).To(Succeed())
+	p.Expect(<-drained).To(Succeed())
+}
+
+// TestOwnCallsTakeTurnsWithPeers: an owner's own queries and its peers' come to one
+// leaf at once. Each side alone kept within the slots, so that together they were
+// twice as many, and the target shed what could have waited.
+func TestOwnCallsTakeTurnsWithPeers(t *testing.T) {
+	p := newPair(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	own := p.owner.Own()
+	ask := func() error {
+		_, err := own.Search(ctx, "owned", 7, request(7))
+		return err
+	}
+	results := make(chan error, 8)
+	for range 4 {
+		go func() { results <- ask() }()
+		go func() { results <- p.search(ctx, "owned", 7) }()
+	}
+	key := leafKey{"owned", 7}
+	waiting := func() int {
+		p.owner.mu.Lock()
+		defer p.owner.mu.Unlock()
+		if q := p.owner.queues[key]; q != nil {
+			return q.queued
+		}
+		return 0
+	}
+	p.Eventually(waiting).WithTimeout(testLimit).Should(Equal(6))
+	p.Expect(p.leaves.started.Load()).To(BeNumerically("==", 2))
+
+	// One that gives up gives its turn to others and was not started.
+	short, stop := context.WithCancel(ctx)
+	gaveUp := make(chan error, 1)
+	go func() {
+		_, err := own.Search(short, "owned", 7, request(7))
+		gaveUp <- err
+	}()
+	p.Eventually(waiting).WithTimeout(testLimit).Should(Equal(7))
+	stop()
+	p.Expect(callError(<-gaveUp)).To(And(HaveField("Kind", target.ErrorCancelled), HaveField("NotStarted", true)))
+
+	close(p.leaves.release)
+	for range 8 {
+		p.Expect(<-results).To(Succeed())
+	}
+	p.Expect(p.leaves.started.Load()).To(BeNumerically("==", 8))
+	p.Eventually(func() int {
+		p.owner.mu.Lock()
+		defer p.owner.mu.Unlock()
+		return p.owner.queues[key].running
+	}).WithTimeout(testLimit).Should(BeZero())
+}
--- a/peer/hop/owner.go
+++ b/peer/hop/owner.go
@@ -35,6 +35,7 @@
 	queues map[leafKey]*slotQueue
 	calls  int
 	conns  map[*wire.Conn]*session
+	closed bool // Drain was called
 }
 
 type leafKey struct {
@@ -66,9 +67,13 @@
 // drainPause is the time between looks at whether calls are still under way.
 const drainPause = 5 * time.Millisecond
 
-// Drain waits until no call of another VM is under way and all answers have been
-// handed to their connections, or ctx ends.
+// Drain takes no further call and waits until none of another VM is under way and
+// all answers have been handed to their connections, or ctx ends. VMs that know of
+// no other owner call until the end; it would not come if their calls were taken.
 func (o *Owner) Drain(ctx context.Context) error {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
 	for o.busy() {
 		select {
 		case <-ctx.Done():
@@ -104,7 +109,7 @@
 func (o *Owner) Handle(_ context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case MethodCalls:
-		b, err := unpack[Batch](params)
+		b, err := decode[Batch](conn, params)
 		if err != nil {
 			return nil, err
 		}
@@ -162,16 +167,13 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.closed {
+		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
+	}
 	if _, twice := s.cancel[call.ID]; twice || o.calls >= o.opts.MaxCalls {
 		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
-	key := leafKey{call.Target, call.Leaf}
-	q := o.queues[key]
-	if q == nil {
-		q = newSlotQueue(slots)
-		o.queues[key] = q
-	}
-	q.slots = max(slots, 1)
+	q := o.queue(leafKey{call.Target, call.Leaf}, slots)
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	w := &waiter{peer: s.conn.Peer().VM, deadline: now.Add(limit)}
 	w.run = func() { go o.run(ctx, s, q, call) }
@@ -197,10 +199,35 @@
 	return nil
 }
 
+// queue must hold mu.
+func (o *Owner) queue(key leafKey, slots int) *slotQueue {
+	q := o.queues[key]
+	if q == nil {
+		q = newSlotQueue(slots)
+		o.queues[key] = q
+	}
+	q.slots = max(slots, 1)
+	return q
+}
+
+// passOn gives the slot of a call that has ended to the next. It must hold mu.
+func (o *Owner) passOn(q *slotQueue, took time.Duration, now time.Time) {
+	next, expired := q.finish(took, now)
+	for _, w := range expired {
+		w.expire()
+	}
+	if next != nil {
+		next.run()
+	}
+}
+
 // takeStatus reads a target's status apart from the leaves' slots.
 func (o *Owner) takeStatus(s *session, call *Call, limit time.Duration) *Failure {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.closed {
+		return &Failure{Kind: target.ErrorUnknownTarget, NotStarted: true}
+	}
 	if o.calls >= o.opts.MaxCalls {
 		return &Failure{Kind: target.ErrorBusy, NotStarted: true}
 	}
@@ -240,13 +267,7 @@
 		stop() // frees the call's timer
 	}
 	o.forget(s, call.ID)
-	next, expired := q.finish(now.Sub(begin), now)
-	for _, w := range expired {
-		w.expire()
-	}
-	if next != nil {
-		next.run()
-	}
+	o.passOn(q, now.Sub(begin), now)
 	o.mu.Unlock()
 }
 
@@ -327,11 +348,7 @@
 }
 
 func (s *session) tell(done []Answer) error {
-	message, err := pack(Answers{Answers: done})
-	if err != nil {
-		return err
-	}
-	return s.conn.Notify(MethodAnswers, message)
+	return notify(s.conn, MethodAnswers, Answers{Answers: done})
 }
 
 // end gives up all calls of a connection: nobody waits for them any more.
--- /dev/null
+++ b/peer/route/order.go
@@ -0,0 +1,83 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleybarrow/bramleybarrow/platform"
+)
+
+// distance is how far an owner is from this VM.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	elsewhere
+)
+
+// zones tells distances from one availability zone. Zones that the bundle doesn't
+// have are nobody's neighbours.
+type zones struct {
+	own     string
+	regions map[string]string // by zone
+}
+
+func (z zones) distance(other string) distance {
+	region := z.regions[z.own]
+	switch {
+	case other == z.own:
+		return sameZone
+	case region != "" && z.regions[other] == region:
+		return sameRegion
+	default:
+		return elsewhere
+	}
+}
+
+// candidate is a live owner of a target.
+type candidate struct {
+	vm       platform.VM
+	distance distance
+	resting  bool   // it refused or was silent a short time ago
+	weight   uint64 // spreads VMs over owners that are equal otherwise
+}
+
+// weightOf gives each VM its own order of the owners of each target. An owner that
+// is lost is replaced by another one for each VM, so that its load spreads.
+func weightOf(self, target, owner string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(self)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(target)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(owner)
+	return d.Sum64()
+}
+
+// behind is the order of two of which one should be tried later.
+func behind(first bool) int {
+	if first {
+		return 1
+	}
+	return -1
+}
+
+// order sorts owners in the order in which they are tried: the near ones first,
+// those that rest behind them, and those that are leaving last. A far owner costs
+// milliseconds, one that refuses or is silent costs the attempt, and one that is
+// leaving should get nothing new, unless it is the last.
+func order(list []candidate) {
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.vm.Leaving != b.vm.Leaving {
+			return behind(a.vm.Leaving)
+		}
+		if a.resting != b.resting {
+			return behind(a.resting)
+		}
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.weight, a.weight))
+	})
+}
