Proofs: an operator stopped at each of its writes

Until now operators were frozen at random moments and killed between writes. TestOperatorStoppedAtEachWrite stops one as soon as the platform has begun its first or second write, lets another roll out, and lets the first run on: it is told Conflict after the first and its revision after the second, and the trail has no gap.

--- /dev/null
+++ b/integration/stopped_operator_test.go
@@ -0,0 +1,60 @@
+package integration
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/operator"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// An operator's program stands still just as one of its writes is under way, for
+// as long as another operator needs for a whole rollout, and then runs on. Users
+// would see his older choice take the place of the newer one, or he would be told
+// that a change which is in force was refused. He must be told the truth, and the
+// trail must be whole.
+func TestOperatorStoppedAtEachWrite(t *testing.T) {
+	t.Parallel()                 // it waits for most of its time
+	const slowMS, writes = 50, 2 // the entry before the head, and the head
+	c := start(t, shape{Daemons: 2})
+	first, second := c.version("one"), c.version("two")
+	c.ok(c.Platform.SetFaults(platformsim.Faults{SlowMS: slowMS}))
+	stop := c.watchRevisions()
+	for write := 1; write <= writes; write++ {
+		stopped, other := c.ctl(fleet.Signer), c.ctl(fleet.Signer)
+		puts := func() int { return must[platformsim.Counters](c)(c.Platform.Counters()).Put }
+		before := puts()
+		var between operator.ChangeAnswer
+		stopped.started = func(p *os.Process) {
+			c.Eventually(puts, limit, "1ms").Should(gomega.Equal(before + write))
+			_ = p.Signal(syscall.SIGSTOP)
+			other.must(&between, "rollout", second, "--reason", "meanwhile")
+			_ = p.Signal(syscall.SIGCONT)
+		}
+		var answer operator.ChangeAnswer
+		f := stopped.run(&answer, "rollout", first, "--reason", fmt.Sprint("stopped at write ", write))
+		var audit operator.AuditAnswer
+		other.must(&audit, "audit")
+		t.Logf("write %d: told %d, revision %d; the other %d", write, f.Code, answer.Revision, between.Revision)
+		if f.Code != 0 {
+			c.Expect(f.Code).To(gomega.Equal(result.Conflict), f.Detail)
+			c.Expect(audit.Head).To(gomega.Equal(between.Revision))
+			continue
+		}
+		c.Expect(answer.Revision).NotTo(gomega.Equal(between.Revision))
+		c.Expect(audit.Head).To(gomega.Equal(max(answer.Revision, between.Revision)))
+		c.Expect(audit.Rows[answer.Revision-1].Op).To(gomega.Equal(answer.Op))
+	}
+	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
+	var audit operator.AuditAnswer
+	c.ctl(fleet.Signer).must(&audit, "audit")
+	c.Expect(audit.Rows).To(gomega.HaveLen(int(audit.Head)), "a gap in the trail")
+	c.inForceEverywhere(audit.Head)
+	c.Expect(stop()).To(gomega.BeEmpty(), "VMs that went back")
+}
