--- a/node/run.go
+++ b/node/run.go
@@ -22,6 +22,7 @@
 		return errors.Trace(err)
 	}
 	n.router.Start(n.peers)
+	n.health.Start(n.peers, n.monitor)
 	n.keeper.Start()
 	n.monitor.Start()
 	n.tomb.Go(n.follow)
@@ -81,7 +82,9 @@
 	err := n.callers.server.Shutdown(ctx)
 	n.tomb.Kill(nil)
 	err = firstError(err, n.claims.Close(ctx))
+	n.links.Stop()
 	err = firstError(err, n.monitor.Stop())
+	err = firstError(err, n.health.Stop())
 	err = firstError(err, n.keeper.Stop(ctx))
 	err = firstError(err, n.router.Drain(ctx))
 	err = firstError(err, n.peers.Stop(ctx))
