--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -1,9 +1,9 @@
 // Package peer is how the VMs of a deployment act together: who lives, and the
-// exchange of revisions, drains and the health of targets. Each VM keeps connections to a few others,
-// chosen at random, passes on what is new to it as soon as it hears of it, and
-// compares digests with one of them at an interval. What a VM sends per second
-// therefore depends on its number of connections and on how much changes, not
-// on the size of the fleet.
+// exchange of revisions, drains and the health of targets. Each VM keeps
+// connections to a few others, chosen at random, passes on what is new to it as
+// soon as it hears of it, and compares digests with one of them at an interval.
+// What a VM sends per second therefore depends on its number of connections and
+// on how much changes, not on the size of the fleet.
 //
 // Nothing learned here can revert: a head is signed and its revision only
 // rises, a drain belongs to one incarnation of a target, and of a VM only the
--- a/peer/facts/facts.go
+++ b/peer/facts/facts.go
@@ -1,8 +1,8 @@
 // Package facts is what VMs tell one another apart from the bundle in force:
 // which incarnations of targets drain, which VMs live, and how the targets are
-// that not every VM reads. It is pure: a table
-// that merges facts in any order, any number of times, to the same state, and
-// that can say by short digests where two tables differ.
+// that not every VM reads. It is pure: a table that merges facts in any order,
+// any number of times, to the same state, and that can say by short digests where
+// two tables differ.
 package facts
 
 import (
--- a/peer/route/order_test.go
+++ b/peer/route/order_test.go
@@ -55,38 +55,38 @@
 	shed := &target.CallError{Kind: target.ErrorRefused, Reason: target.ReasonShed, RetryAfter: 300 * time.Millisecond}
 	start := time.Unix(1, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	call := func(h *health, ctx context.Context, err error, broken bool, from, to int) {
+	call := func(h *ownerHealth, ctx context.Context, err error, broken bool, from, to int) {
 		h.sent(at(from))
 		h.outcome(ctx, "t", err, broken, at(to).Sub(at(from)), at(to))
 	}
 	for name, tc := range map[string]struct {
-		events  func(h *health)
+		events  func(h *ownerHealth)
 		resting map[int]bool // by time in ms
 	}{
-		"answers":              {func(h *health) { call(h, live, nil, false, 0, 10) }, map[int]bool{11: false, 5000: false}},
-		"silent for long":      {func(h *health) { h.sent(at(0)) }, map[int]bool{19: false, 30: true, 5000: true}},
-		"slow as usual":        {func(h *health) { h.mean = 100 * time.Millisecond; h.sent(at(0)) }, map[int]bool{399: false, 401: true}},
-		"one loser of a hedge": {func(h *health) { call(h, ended, cancelled, false, 0, 5) }, map[int]bool{6: false}},
-		"short calls unanswered": {func(h *health) {
+		"answers":              {func(h *ownerHealth) { call(h, live, nil, false, 0, 10) }, map[int]bool{11: false, 5000: false}},
+		"silent for long":      {func(h *ownerHealth) { h.sent(at(0)) }, map[int]bool{19: false, 30: true, 5000: true}},
+		"slow as usual":        {func(h *ownerHealth) { h.mean = 100 * time.Millisecond; h.sent(at(0)) }, map[int]bool{399: false, 401: true}},
+		"one loser of a hedge": {func(h *ownerHealth) { call(h, ended, cancelled, false, 0, 5) }, map[int]bool{6: false}},
+		"short calls unanswered": {func(h *ownerHealth) {
 			for i := range maxMissed {
 				call(h, ended, cancelled, false, 10*i, 10*i+5)
 			}
 		}, map[int]bool{26: true, 2000: true, 2026: false}},
-		"losers among answers": {func(h *health) {
+		"losers among answers": {func(h *ownerHealth) {
 			for i := range 5 {
 				call(h, ended, cancelled, false, 10*i, 10*i+1)
 				call(h, live, nil, false, 10*i+1, 10*i+2)
 			}
 		}, map[int]bool{50: false}},
-		"no slot":               {func(h *health) { call(h, live, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
-		"the connection broke":  {func(h *health) { call(h, live, cancelled, true, 0, 1) }, map[int]bool{2: false}},
-		"it can't be reached":   {func(h *health) { h.unreachable(at(0)) }, map[int]bool{1: true, 2001: false}},
-		"the target broke":      {func(h *health) { call(h, live, &target.CallError{Kind: target.ErrorBroken}, false, 0, 1) }, map[int]bool{2: false}},
-		"answers after silence": {func(h *health) { h.sent(at(0)); h.answered(0, at(100)) }, map[int]bool{101: false}},
+		"no slot":               {func(h *ownerHealth) { call(h, live, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
+		"the connection broke":  {func(h *ownerHealth) { call(h, live, cancelled, true, 0, 1) }, map[int]bool{2: false}},
+		"it can't be reached":   {func(h *ownerHealth) { h.unreachable(at(0)) }, map[int]bool{1: true, 2001: false}},
+		"the target broke":      {func(h *ownerHealth) { call(h, live, &target.CallError{Kind: target.ErrorBroken}, false, 0, 1) }, map[int]bool{2: false}},
+		"answers after silence": {func(h *ownerHealth) { h.sent(at(0)); h.answered(0, at(100)) }, map[int]bool{101: false}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			h := &health{}
+			h := &ownerHealth{}
 			tc.events(h)
 			for ms, want := range tc.resting {
 				g.Expect(h.resting("t", at(ms))).To(Equal(want), "at %d ms", ms)
@@ -95,7 +95,7 @@
 		})
 	}
 	g := NewWithT(t)
-	h := &health{}
+	h := &ownerHealth{}
 	call(h, live, shed, false, 0, 1)
 	g.Expect(h.resting("another target", at(2))).To(BeFalse())
 }
--- a/peer/route/owner_conn.go
+++ b/peer/route/owner_conn.go
@@ -36,7 +36,7 @@
 	mu      sync.Mutex // guards what follows; taken after Router.mu
 	users   int        // calls that use the connection or wait for it
 	used    time.Time  // when a call last ended
-	health  health
+	health  ownerHealth
 	caller  *hop.Caller
 	dialing chan struct{} // closed when the dial under way has ended; nil if none is
 	begun   time.Time     // the last dial
@@ -156,14 +156,14 @@
 func (l lease) call(ctx context.Context, name string, f func(hop.Leaves) error) error {
 	defer l.release()
 	begin := time.Now()
-	l.conn.note(func(h *health) { h.sent(begin) })
+	l.conn.note(func(h *ownerHealth) { h.sent(begin) })
 	err := f(l.Caller)
 	now := time.Now()
-	l.conn.note(func(h *health) { h.outcome(ctx, name, err, ended(l.Caller), now.Sub(begin), now) })
+	l.conn.note(func(h *ownerHealth) { h.outcome(ctx, name, err, ended(l.Caller), now.Sub(begin), now) })
 	return err
 }
 
-func (c *ownerConn) note(event func(*health)) {
+func (c *ownerConn) note(event func(*ownerHealth)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	event(&c.health)
--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,36 +96,39 @@
 func TestIdleConnectionsClosedUnderCalls(t *testing.T) {
 	f := newFleet(t, 5, 3)
 	vm, _, _ := f.ownerBehindProxy()
+	const enough = 10 // connections closed while calls went on
+	var closed atomic.Int64
 	done := make(chan struct{})
-	closed := make(chan int)
-	go func() {
-		count := 0
+	var closer sync.WaitGroup
+	closer.Go(func() {
 		for {
 			for _, c := range vm.router.dropIdle(time.Now(), 0) {
 				c.close()
-				count++
+				closed.Add(1)
 			}
 			select {
 			case <-done:
-				closed <- count
 				return
 			default:
 			}
 		}
-	}()
-	var callers sync.WaitGroup
-	for range 4 {
-		callers.Go(func() {
-			for range 50 {
-				if err := vm.search(f); err != nil {
-					t.Error(err)
+	})
+	f.Eventually(func() int64 {
+		var callers sync.WaitGroup
+		for range 4 {
+			callers.Go(func() {
+				for range 10 {
+					if err := vm.search(f); err != nil {
+						t.Error(err)
+					}
 				}
-			}
-		})
-	}
-	callers.Wait()
+			})
+		}
+		callers.Wait()
+		return closed.Load()
+	}).WithTimeout(testLimit).Should(BeNumerically(">=", enough))
 	close(done)
-	f.Expect(<-closed).To(BeNumerically(">", 0))
+	closer.Wait()
 }
 
 // TestIdleConnectionsAreClosed: a VM keeps a connection to nearly every other VM
@@ -165,14 +169,17 @@
 	vm.router.mu.Unlock()
 	f.Expect(vm.search(f)).To(Succeed())
 	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+	behind := func() bool {
+		owners, _ := vm.router.reach("target-0")
+		return owners[1].vm == first && owners[1].resting
+	}
 	lost := 0
-	for range 20 {
+	f.Eventually(func() bool { // ends as soon as it is behind, since its rest ends by itself
 		if vm.searchWithin(f, 200*time.Millisecond) != nil {
 			lost++
 		}
-	}
+		return behind()
+	}).WithTimeout(testLimit).Should(BeTrue())
 	f.Expect(lost).To(BeNumerically("<=", maxMissed))
-	owners, _ = vm.router.reach("target-0")
-	f.Expect(owners[1].vm).To(Equal(first))
-	f.Expect(owners[1].resting).To(BeTrue())
+	f.Expect(vm.search(f)).To(Succeed())
 }
--- a/peer/route/health.go
+++ b/peer/route/owner_health.go
@@ -25,10 +25,10 @@
 	meanWeight = 8
 )
 
-// health judges one owner by the calls that go through it. It is pure. A frozen
+// ownerHealth judges one owner by the calls that go through it. It is pure. A frozen
 // owner counts as live for seconds until the exchange finds out; until then each
 // call to it would be lost or cost a hedge.
-type health struct {
+type ownerHealth struct {
 	out       int           // calls under way
 	since     time.Time     // the last answer, or the begin of the first call after it
 	mean      time.Duration // until an answer, moving
@@ -37,7 +37,7 @@
 	refused   map[string]time.Time // until when, by target
 }
 
-func (h *health) sent(now time.Time) {
+func (h *ownerHealth) sent(now time.Time) {
 	if h.out == 0 {
 		h.since = now
 	}
@@ -45,7 +45,7 @@
 }
 
 // answered takes any answer, refusals by the target included.
-func (h *health) answered(took time.Duration, now time.Time) {
+func (h *ownerHealth) answered(took time.Duration, now time.Time) {
 	h.out--
 	h.since = now
 	h.missed = 0
@@ -53,7 +53,7 @@
 }
 
 // givenUp takes a call that ended without an answer.
-func (h *health) givenUp(now time.Time) {
+func (h *ownerHealth) givenUp(now time.Time) {
 	silent := h.silent(now)
 	h.out--
 	h.missed++
@@ -64,7 +64,7 @@
 
 // outcome tells what became of a call about a target; broken says that the
 // connection has ended.
-func (h *health) outcome(ctx context.Context, name string, err error, broken bool, took time.Duration, now time.Time) {
+func (h *ownerHealth) outcome(ctx context.Context, name string, err error, broken bool, took time.Duration, now time.Time) {
 	call, _ := err.(*target.CallError)
 	switch {
 	case call != nil && ctx.Err() != nil:
@@ -84,27 +84,27 @@
 }
 
 // lost takes a call whose connection broke.
-func (h *health) lost() { h.out-- }
+func (h *ownerHealth) lost() { h.out-- }
 
-func (h *health) unreachable(now time.Time) {
+func (h *ownerHealth) unreachable(now time.Time) {
 	h.restUntil = now.Add(restTime)
 	h.missed = 0
 }
 
 // refuse notes that no slot of a target was free. Other targets of the owner may
 // have some.
-func (h *health) refuse(name string, retryAfter time.Duration, now time.Time) {
+func (h *ownerHealth) refuse(name string, retryAfter time.Duration, now time.Time) {
 	if h.refused == nil {
 		h.refused = map[string]time.Time{}
 	}
 	h.refused[name] = now.Add(min(max(retryAfter, minRefusal), maxRefusal))
 }
 
-func (h *health) silent(now time.Time) bool {
+func (h *ownerHealth) silent(now time.Time) bool {
 	return h.out > 0 && now.Sub(h.since) > max(minSilence, silenceFactor*h.mean)
 }
 
 // resting tells whether others should be tried first.
-func (h *health) resting(name string, now time.Time) bool {
+func (h *ownerHealth) resting(name string, now time.Time) bool {
 	return now.Before(h.restUntil) || now.Before(h.refused[name]) || h.silent(now)
 }
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -7,8 +7,11 @@
 // in order, and refuses at once those that could not be served in time.
 //
 // The limit follows what the targets show: it falls when attempts wait in their
-// queues or are refused, and rises slowly while it is used and all is well. Invariants: running <= limit rounded up; a query that is told to
-// wait hears Admit or Refuse at the latest when its deadline passes.
+// queues or are turned away, and rises slowly while it is used and all is well.
+//
+// Invariants: running <= ceiling rounded up; minLimit <= limit <= ceiling; without
+// attempts turned away the limit stays at its floor or above; a query that is told
+// to wait hears Admit or Refuse at the latest when its deadline passes.
 type Admission struct {
 	limit    float64
 	share    float64
