Admission: waiting in vain for a silent target's connection is no sign of load

Change: attempts without a connection never count. Before: the new case of TestUnreachableTargetsAreNoSignOfLoad fails. After: ./policy passes with -race.

--- a/policy/overload_test.go
+++ b/policy/overload_test.go
@@ -13,22 +13,24 @@
 // to one query at a time, and callers were refused for long after.
 func TestUnreachableTargetsAreNoSignOfLoad(t *testing.T) {
 	g := NewWithT(t)
-	for reason, want := range map[Reason]Pressure{
-		ReasonUnreachable: NoPressure,
-		ReasonNoReplica:   NoPressure,
-		ReasonTimeout:     NoPressure,
-		ReasonShed:        Refusing,
-		ReasonBusy:        Refusing,
+	for failure, want := range map[Failure]Pressure{
+		{Reason: ReasonUnreachable, NoConnection: true}: NoPressure,
+		{Reason: ReasonBusy, NoConnection: true}:        NoPressure, // all connections are silent
+		{Reason: ReasonNoReplica}:                       NoPressure,
+		{Reason: ReasonTimeout}:                         NoPressure,
+		{Reason: ReasonShed}:                            Refusing,
+		{Reason: ReasonBusy}:                            Refusing,
 	} {
+		failure.Refused = true
 		f := newFleet(2, 2, 1)
 		q := NewQuery(spec(), f.table)
 		first := sends(q.Start(at(0)))
-		again := sends(q.Failed(at(1), first[0].Attempt, Failure{Reason: reason, Refused: true}))
-		g.Expect(again).To(HaveLen(1), "%s", reason)
+		again := sends(q.Failed(at(1), first[0].Attempt, failure))
+		g.Expect(again).To(HaveLen(1), "%+v", failure)
 		q.Answered(at(2), first[1].Attempt, answer(first[1]))
 		out := outcome(q.Answered(at(3), again[0].Attempt, answer(again[0])))
 		g.Expect(out.End).To(Equal(EndAnswered))
-		g.Expect(f.table.Pressure(out, time.Second)).To(Equal(want), "%s", reason)
+		g.Expect(f.table.Pressure(out, time.Second)).To(Equal(want), "%+v", failure)
 	}
 }
 
--- a/policy/query.go
+++ b/policy/query.go
@@ -116,7 +116,7 @@
 // Failed takes that an attempt ended without an answer.
 func (q *Query) Failed(now time.Time, id AttemptID, f Failure) []Action {
 	gone := f.Reason == ReasonSnapshotGone
-	shed := f.Refused && (f.Reason == ReasonShed || f.Reason == ReasonBusy)
+	shed := f.Refused && !f.NoConnection && (f.Reason == ReasonShed || f.Reason == ReasonBusy)
 	a := q.end(now, id, AttemptEnd{
 		Refused:      f.Refused,
 		Gone:         gone,
