Admission: the share of attempts turned away is counted over all queries

Each tenth of a second one query of four shards had "shed 1 of 5 attempts": the owner of a silent target turns a call away, since the calls lost there hold its slots; the retry was answered at once. 1 of 5 is more than the tenth that counts as overload. The rule said that a single refusal is no sign, and it is one wherever a search has few shards. Change: the share is a moving one over the latest attempts of all queries of the service, 50 or so. A shard that is given up for want of slots counts at once as before. TestSingleRefusalIsNoSignOfLoad is red with the old rule. The table of TestUnreachableTargetsAreNoSignOfLoad runs 30 queries for each kind of failure, in place of one, since one refusal is no sign any more; it still tells both outcomes.

--- a/policy/load.go
+++ b/policy/load.go
@@ -32,6 +32,7 @@
 		t.Latency.Add(now, end.Took)
 		t.Pace.Add(end.Took)
 	}
+	t.noteShed(end)
 	r := t.replica(id)
 	if r == nil {
 		return
@@ -119,6 +120,7 @@
 	// time, since its other leaves cannot be reached either and each try spends
 	// the budget of retries.
 	NoConnection bool
+	Shed         bool          // refused for want of slots
 	RetryAfter   time.Duration // stated with a refusal
 	Took         time.Duration
 }
--- a/policy/query.go
+++ b/policy/query.go
@@ -121,6 +121,7 @@
 		Refused:      f.Refused,
 		Gone:         gone,
 		NoConnection: f.NoConnection,
+		Shed:         shed,
 		RetryAfter:   f.RetryAfter,
 	})
 	if a == nil || q.done {
--- a/policy/table.go
+++ b/policy/table.go
@@ -81,6 +81,7 @@
 	targets   map[string]*targetState
 	snapshots map[string]*snapshotState
 	scratch   []*replica // reused by Pick
+	shed      float64    // share of the latest attempts that were turned away for want of slots
 
 	Latency *Latency // of attempts that answered
 	Pace    Pace     // the same, for admission
