--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -73,15 +73,10 @@
 
 // Start listens and forwards until Close.
 func Start(opts Options) (*Proxy, error) {
-	listener, err := net.Listen("tcp", labhttp.Address(opts.Listen))
+	listener, control, err := labhttp.Listen(opts.Listen, opts.Control)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	control, err := net.Listen("tcp", labhttp.Address(opts.Control))
-	if err != nil {
-		listener.Close()
-		return nil, errors.Trace(err)
-	}
 	p := &Proxy{
 		target: opts.Target, peers: opts.Peers, listener: listener, control: control,
 		changed: make(chan struct{}), links: make(map[*link]struct{}),
--- a/internal/lab/labhttp/labhttp.go
+++ b/internal/lab/labhttp/labhttp.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 )
 
@@ -63,3 +64,15 @@
 	Listen  string `json:"listen"`
 	Control string `json:"control"`
 }
+
+// Listen opens a stand-in's two listeners; see Address for what may be left out.
+func Listen(serve, control string) (serving, controlling net.Listener, err error) {
+	if serving, err = net.Listen("tcp", Address(serve)); err != nil {
+		return nil, nil, err
+	}
+	if controlling, err = net.Listen("tcp", Address(control)); err != nil {
+		serving.Close()
+		return nil, nil, err
+	}
+	return serving, controlling, nil
+}
--- a/internal/lab/targetsim/target.go
+++ b/internal/lab/targetsim/target.go
@@ -50,15 +50,10 @@
 	if err := checkHolders(opts.Snapshots, opts.Leaves); err != nil {
 		return nil, errors.Trace(err)
 	}
-	listener, err := net.Listen("tcp", labhttp.Address(opts.Listen))
+	listener, control, err := labhttp.Listen(opts.Listen, opts.Control)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	control, err := net.Listen("tcp", labhttp.Address(opts.Control))
-	if err != nil {
-		listener.Close()
-		return nil, errors.Trace(err)
-	}
 	t := &Target{
 		opts:        opts,
 		incarnation: rand.Text(),
--- a/peer/hop/hop_test.go
+++ b/peer/hop/hop_test.go
@@ -167,14 +167,20 @@
 func TestGivenUpCallIsCancelled(t *testing.T) {
 	p := newPair(t, 0)
 	ctx, cancel := context.WithCancel(context.Background())
-	held := make(chan error, 1)
-	go func() { held <- p.search(ctx, "owned", 9) }()
-	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	held := p.begin(ctx, 9)
 	cancel()
 	p.Expect(callError(<-held)).To(HaveField("Kind", target.ErrorCancelled))
 	p.Eventually(p.leaves.cancelled.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
 }
 
+// begin makes the pair's first call and returns once the owner's target has it.
+func (p *pair) begin(ctx context.Context, leaf int) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- p.search(ctx, "owned", leaf) }()
+	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	return ended
+}
+
 // TestOwnerLostInMidQuery: the owner dies while it has a call. The caller must
 // hear of it at once and must not be told that nothing was started; a call made
 // afterwards was certainly not.
@@ -182,9 +188,7 @@
 	p := newPair(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	held := make(chan error, 1)
-	go func() { held <- p.search(ctx, "owned", 9) }()
-	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	held := p.begin(ctx, 9)
 	p.server.Stop()
 	p.Expect(callError(<-held)).To(And(HaveField("Kind", target.ErrorBroken), HaveField("NotStarted", false)))
 	p.Eventually(func() *target.CallError { return callError(p.search(ctx, "owned", 1)) }).
@@ -220,9 +224,7 @@
 	p := newPair(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	held := make(chan error, 1)
-	go func() { held <- p.search(ctx, "owned", 7) }()
-	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	held := p.begin(ctx, 7)
 	short, stop := context.WithTimeout(ctx, 10*drainPause)
 	defer stop()
 	p.Expect(p.owner.Drain(short)).To(MatchError(context.DeadlineExceeded), "it didn't wait")
@@ -356,9 +358,7 @@
 	p := newPair(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	held := make(chan error, 1)
-	go func() { held <- p.search(ctx, "owned", 7) }()
-	p.Eventually(p.leaves.started.Load).WithTimeout(testLimit).Should(BeNumerically("==", 1))
+	held := p.begin(ctx, 7)
 	drained := make(chan error, 1)
 	go func() { drained <- p.owner.Drain(ctx) }()
 	p.Eventually(func() *target.CallError { return callError(p.search(ctx, "owned", 1)) }).WithTimeout(testLimit).
