--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 bench: build
 	$(BIN)/bramley-lab bench $(BENCH)
 
+bench-fleet: build
+	$(BIN)/bramley-lab fleet-bench --daemon $(BIN)/bramleyd
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/bramley-lab/fleet.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleetbench"
+)
+
+func fleetBenchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fleet-bench",
+		Usage: "measure the exchange between daemons in fleets of growing size",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Usage: "path of bramleyd; beside this program if empty"},
+			&cli.IntSliceFlag{Name: "size", Value: []int{7, 50, 100, 200}, Usage: "daemons; may be repeated"},
+			&cli.IntFlag{Name: "searches", Value: 4, Usage: "in the bundle, each of some 300 bytes"},
+			&cli.DurationFlag{Name: "rest", Value: 30 * time.Second, Usage: "of the measurement at rest"},
+			&cli.IntFlag{Name: "rollouts", Value: 3, Usage: "for each size"},
+			&cli.DurationFlag{Name: "every", Value: 24 * time.Second, Usage: "between rollouts"},
+			&cli.IntFlag{Name: "drains", Value: 4, Usage: "for each size"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			self, err := os.Executable()
+			if err != nil {
+				return errors.Trace(err)
+			}
+			daemon := cmd.String("daemon")
+			if daemon == "" {
+				daemon = filepath.Join(filepath.Dir(self), "bramleyd")
+			}
+			return fleetbench.Run(ctx, fleetbench.Options{
+				Daemon: daemon, Lab: self,
+				Sizes: cmd.IntSlice("size"), Searches: cmd.Int("searches"),
+				Rest: cmd.Duration("rest"), Rollouts: cmd.Int("rollouts"), Every: cmd.Duration("every"),
+				Drains: cmd.Int("drains"), Out: os.Stdout, Progress: os.Stderr,
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/fleetbench/cost.go
@@ -0,0 +1,190 @@
+package fleetbench
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
+	"github.com/bramleybarrow/bramleybarrow/ops"
+)
+
+// spread is a set of figures.
+type spread struct{ values []float64 }
+
+func (s *spread) add(v float64) { s.values = append(s.values, v) }
+
+func (s spread) mean() float64 {
+	sum := 0.0
+	for _, v := range s.values {
+		sum += v
+	}
+	return sum / math.Max(float64(len(s.values)), 1)
+}
+
+func (s spread) max() float64 {
+	if len(s.values) == 0 {
+		return math.NaN()
+	}
+	return slices.Max(s.values)
+}
+
+// String gives mean and maximum.
+func (s spread) String() string { return fmt.Sprintf("%.2f/%.2f", s.mean(), s.max()) }
+
+// cost is what each daemon spent per second, and the platform's calls.
+type cost struct {
+	cpu      spread // share of a core, in percent
+	bytesOut spread
+	bytesIn  spread
+	messages spread  // sent
+	reads    float64 // of the platform per second, by the whole fleet
+	writes   float64
+}
+
+// usage is what one daemon has spent since its start.
+type usage struct{ cpu, bytesOut, bytesIn, messages float64 }
+
+// clockTicks is the unit of processor time in /proc: a hundredth of a second.
+const clockTicks = 100
+
+func (r *run) costOf(work func() error) (cost, error) {
+	var out cost
+	before, calls, err := r.usage()
+	if err != nil {
+		return out, err
+	}
+	begin := time.Now()
+	if err := work(); err != nil {
+		return out, err
+	}
+	seconds := time.Since(begin).Seconds()
+	after, callsAfter, err := r.usage()
+	if err != nil {
+		return out, err
+	}
+	for i := range after {
+		out.cpu.add(100 * (after[i].cpu - before[i].cpu) / seconds)
+		out.bytesOut.add((after[i].bytesOut - before[i].bytesOut) / seconds)
+		out.bytesIn.add((after[i].bytesIn - before[i].bytesIn) / seconds)
+		out.messages.add((after[i].messages - before[i].messages) / seconds)
+	}
+	out.reads = float64(reads(callsAfter)-reads(calls)) / seconds
+	out.writes = float64(callsAfter.Put+callsAfter.Delete-calls.Put-calls.Delete) / seconds
+	return out, nil
+}
+
+func (r *run) usage() ([]usage, platformsim.Counters, error) {
+	var list []usage
+	for _, d := range r.daemons {
+		values, err := metricsOf(d)
+		if err != nil {
+			return nil, platformsim.Counters{}, err
+		}
+		cpu, err := cpuSeconds(d.Pid())
+		if err != nil {
+			return nil, platformsim.Counters{}, err
+		}
+		list = append(list, usage{
+			cpu:      cpu,
+			bytesOut: values[`bramley_peer_bytes_total{direction="out"}`],
+			bytesIn:  values[`bramley_peer_bytes_total{direction="in"}`],
+			messages: values[`bramley_peer_messages_total`],
+		})
+	}
+	calls, err := r.plat.Counters()
+	return list, calls, errors.Trace(err)
+}
+
+var client = &http.Client{
+	Transport: &http.Transport{DisableKeepAlives: true},
+	Timeout:   10 * time.Second,
+}
+
+func metricsOf(d *fleet.Daemon) (map[string]float64, error) {
+	resp, err := client.Get("http://" + d.Ops + ops.PathMetrics)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	values := map[string]float64{}
+	for line := range strings.Lines(string(data)) {
+		name, text, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseFloat(text, 64); ok && err == nil {
+			values[name] = v
+		}
+	}
+	return values, nil
+}
+
+// lastDrain returns the seconds from begin until the last daemon learned of a
+// drain, after checking that all know as many.
+func (r *run) lastDrain(begin time.Time, known int) (float64, error) {
+	last := 0.0
+	for _, d := range r.daemons {
+		values, err := metricsOf(d)
+		if err != nil {
+			return 0, err
+		}
+		if got := values["bramley_peer_drains"]; int(got) < min(known, keptDrains) {
+			return 0, errors.Errorf("%s knows %v drains of %d", d.Name, got, known)
+		}
+		last = max(last, values["bramley_peer_drain_learned_seconds"])
+	}
+	return last - float64(begin.UnixNano())/float64(time.Second), nil
+}
+
+// keptDrains is how many drains of one target daemons remember.
+const keptDrains = 4
+
+// The fields of /proc/PID/stat after the command's name, counted from 0.
+const (
+	statUserTime   = 11
+	statSystemTime = 12
+)
+
+func cpuSeconds(pid int) (float64, error) {
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	user, err := strconv.Atoi(fields[statUserTime])
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	system, err := strconv.Atoi(fields[statSystemTime])
+	return float64(user+system) / clockTicks, errors.Trace(err)
+}
+
+func (r *run) memory() (spread, error) {
+	var out spread
+	for _, d := range r.daemons {
+		data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(d.Pid()), "status"))
+		if err != nil {
+			return out, errors.Trace(err)
+		}
+		for line := range strings.Lines(string(data)) {
+			var kb float64
+			if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
+				out.add(kb / 1024)
+			}
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/lab/fleetbench/work.go
@@ -0,0 +1,198 @@
+package fleetbench
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
+	"github.com/bramleybarrow/bramleybarrow/peer"
+	"github.com/bramleybarrow/bramleybarrow/platform"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
+	"github.com/bramleybarrow/bramleybarrow/settings"
+)
+
+const (
+	service = "desk"
+	// healthInterval is so long that reads of targets' status don't count: they
+	// grow with targets, not with the exchange.
+	healthInterval = 10 * time.Minute
+)
+
+func (r *run) startTarget(size int) error {
+	index := targetsim.Index{Service: service, Snapshot: "s1", Seq: 1, Shards: 2, Records: 10}
+	holders := targetsim.Place(index, 1, 2, 1)
+	var err error
+	r.target, err = r.fleet.StartTarget(targetsim.Options{
+		Name: "target-0", Service: service, Leaves: 2, Slots: 2, Connections: 4 * size,
+		Snapshots: holders,
+	})
+	return err
+}
+
+// nextBundle differs from the one before in its name only.
+func (r *run) nextBundle() *bundle.Bundle {
+	r.version++
+	b := &bundle.Bundle{
+		Format:     bundle.Format,
+		Deployment: deployment,
+		Author:     fleet.Author,
+		Name:       fmt.Sprint("bundle-", r.version),
+		Fleet:      bundle.Fleet{MaxVMs: len(r.daemons)},
+		Services: []bundle.Service{{
+			Name: service, Shards: 2,
+			Drain: bundle.Drain{HealthIntervalMS: int(healthInterval.Milliseconds()), HealthTimeoutMS: 500, SuspectAfter: 3},
+			Targets: []bundle.Target{{
+				Name: "target-0", Zone: zoneName(0), Address: r.target.Address,
+				Leaves: 2, Slots: 2, Connections: 2 * len(r.daemons),
+			}},
+		}},
+	}
+	for i := range zones {
+		b.Zones = append(b.Zones, bundle.Zone{Name: zoneName(i), Region: fmt.Sprint("region-", i%2)})
+	}
+	for i := range max(r.o.Searches, 1) {
+		b.Searches = append(b.Searches, bundle.Search{
+			Name: fmt.Sprint("search-", i), Kind: bundle.KindSearch, Service: service, MaxItems: 100,
+			Coverage:  bundle.Coverage{Default: 1},
+			TimeLimit: bundle.TimeLimit{DefaultMS: 1000, MinMS: 10, MaxMS: 5000},
+			Hedge:     bundle.Hedge{Quantile: 0.95, MinDelayMS: 5, Budget: 0.05},
+			Retry:     bundle.Retry{MaxAttempts: 3, Budget: 0.1},
+		})
+	}
+	return b
+}
+
+// rollOut puts the next bundle into force and returns when the operator asked
+// for it, which is before the platform took it.
+func (r *run) rollOut(ctx context.Context, out *row) (entry rollout.Entry, asked time.Time, err error) {
+	data, err := json.Marshal(r.nextBundle())
+	if err != nil {
+		return entry, asked, errors.Trace(err)
+	}
+	if out != nil {
+		out.bundleBytes = len(data)
+	}
+	digest, err := r.fleet.Operator(fleet.Author).Push(ctx, data)
+	if err != nil {
+		return entry, asked, errors.Trace(err)
+	}
+	signer := r.fleet.Operator(fleet.Signer)
+	if _, err := signer.SignOff(ctx, digest, "bench"); err != nil {
+		return entry, asked, errors.Trace(err)
+	}
+	asked = time.Now()
+	entry, err = signer.Rollout(ctx, digest, rollout.Ask{Reason: "bench"})
+	return entry, asked, errors.Trace(err)
+}
+
+// rollouts measures how long each rollout takes to the last daemon. The daemons
+// state when a revision came into force, by this machine's clock.
+func (r *run) rollouts(ctx context.Context, out *row) error {
+	for range r.o.Rollouts {
+		begin := time.Now()
+		entry, asked, err := r.rollOut(ctx, out)
+		if err != nil {
+			return err
+		}
+		if err := pause(ctx, drainWait); err != nil {
+			return err
+		}
+		if err := r.awaitRevision(ctx, entry.Revision); err != nil {
+			return err
+		}
+		last, err := r.lastSince(ctx)
+		if err != nil {
+			return err
+		}
+		out.revision.add(last.Sub(asked).Seconds())
+		r.progress("revision %d everywhere after %.2f s", entry.Revision, last.Sub(asked).Seconds())
+		if err := pause(ctx, time.Until(begin.Add(r.o.Every))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) lastSince(ctx context.Context) (last time.Time, err error) {
+	for _, d := range r.daemons {
+		st, err := d.Status(ctx)
+		if err != nil {
+			return last, errors.Trace(err)
+		}
+		if st.Since.After(last) {
+			last = st.Since
+		}
+	}
+	return last, nil
+}
+
+// drains joins the exchange as one more VM, which alone learns of drains, and
+// measures how long each takes to the last daemon.
+func (r *run) drains(ctx context.Context) (spread, error) {
+	var out spread
+	x, err := r.observer()
+	if err != nil {
+		return out, err
+	}
+	defer x.Stop(ctx)
+	if err := pause(ctx, drainWait); err != nil {
+		return out, err
+	}
+	for i := range r.o.Drains {
+		begin := time.Now()
+		x.LearnDrain(peer.Drain{Target: "target-0", Incarnation: fmt.Sprint("bench-", i)})
+		if err := pause(ctx, drainWait); err != nil {
+			return out, err
+		}
+		last, err := r.lastDrain(begin, i+1)
+		if err != nil {
+			return out, err
+		}
+		out.add(last)
+	}
+	r.progress("drains everywhere after %s s", out)
+	return out, nil
+}
+
+func (r *run) observer() (*peer.Exchange, error) {
+	set, err := settings.Load(r.daemons[0].Settings)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var keys [][]byte
+	for _, text := range set.FleetKeys {
+		key, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		keys = append(keys, key)
+	}
+	x, err := peer.New(peer.Options{
+		VM: platform.VM{Name: "observer", Zone: zoneName(0)}, Incarnation: "observer-1",
+		Deployment: deployment, FleetKeys: keys, Listen: "127.0.0.1:0",
+		Store: platform.NewClient(r.plat.Address, platform.ClientOptions{}),
+		Heads: noHeads{},
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return x, errors.Trace(x.Start())
+}
+
+// noHeads takes no part in the exchange of heads.
+type noHeads struct{}
+
+func (noHeads) Revision() uint64                { return 0 }
+func (noHeads) Changed() <-chan struct{}        { return nil }
+func (noHeads) Head() []byte                    { return nil }
+func (noHeads) RawBundle(string) ([]byte, bool) { return nil, false }
+func (noHeads) OfferHead(context.Context, []byte, func(context.Context, string) ([]byte, error)) error {
+	return nil
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -131,6 +131,7 @@
 	lastTick      time.Time
 	told          uint64 // revision last passed on
 	drainsChanged chan struct{}
+	drainLearned  time.Time // when a drain was last learned
 }
 
 // New returns an Exchange that Start sets to work.
@@ -254,6 +255,7 @@
 
 // signalDrains must hold mu.
 func (x *Exchange) signalDrains() {
+	x.drainLearned = time.Now()
 	close(x.drainsChanged)
 	x.drainsChanged = make(chan struct{})
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -17,8 +18,20 @@
 	gauge(`bramley_peer_connections`, func() float64 { return float64(x.Peers()) })
 	gauge(`bramley_peer_live_vms`, func() float64 { return float64(len(x.Live())) })
 	gauge(`bramley_peer_drains`, func() float64 { return float64(len(x.Drains())) })
+	gauge(`bramley_peer_drain_learned_seconds`, x.drainLearnedSeconds)
 	return set
 }
 
+// drainLearnedSeconds is the Unix time at which this VM last learned of a drain,
+// 0 before the first.
+func (x *Exchange) drainLearnedSeconds() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.drainLearned.IsZero() {
+		return 0
+	}
+	return float64(x.drainLearned.UnixNano()) / float64(time.Second)
+}
+
 // WriteMetrics writes the exchange's metrics in Prometheus text format.
 func (x *Exchange) WriteMetrics(w io.Writer) { x.metrics.WritePrometheus(w) }
