--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -26,9 +26,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
-		Name:     "bramley-lab",
-		Usage:    "stand-ins for tests and benchmarks",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), proxyCommand(), benchCommand(), fleetBenchCommand(), demoCommand()},
+		Name:  "bramley-lab",
+		Usage: "stand-ins for tests and benchmarks",
+		Commands: []*cli.Command{
+			platformCommand(),
+			targetCommand(),
+			proxyCommand(),
+			benchCommand(),
+			benchRolloutCommand(),
+			fleetBenchCommand(),
+			demoCommand(),
+		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bramley-lab:", err)
