--- a/cmd/bramley-lab/fleet.go
+++ b/cmd/bramley-lab/fleet.go
@@ -20,6 +20,8 @@
 			&cli.StringFlag{Name: "daemon", Usage: "path of bramleyd; beside this program if empty"},
 			&cli.IntSliceFlag{Name: "size", Value: []int{7, 50, 100, 200}, Usage: "daemons; may be repeated"},
 			&cli.IntFlag{Name: "searches", Value: 4, Usage: "in the bundle, each of some 300 bytes"},
+			&cli.IntFlag{Name: "targets", Usage: "more in the bundle, at ports 1 and up, where nobody listens"},
+			&cli.IntFlag{Name: "places", Usage: "of the fleet, if more than daemons"},
 			&cli.DurationFlag{Name: "rest", Value: 30 * time.Second, Usage: "of the measurement at rest"},
 			&cli.IntFlag{Name: "rollouts", Value: 3, Usage: "for each size"},
 			&cli.DurationFlag{Name: "every", Value: 24 * time.Second, Usage: "between rollouts"},
@@ -37,6 +39,7 @@
 			return fleetbench.Run(ctx, fleetbench.Options{
 				Daemon: daemon, Lab: self,
 				Sizes: cmd.IntSlice("size"), Searches: cmd.Int("searches"),
+				Targets: cmd.Int("targets"), Places: cmd.Int("places"),
 				Rest: cmd.Duration("rest"), Rollouts: cmd.Int("rollouts"), Every: cmd.Duration("every"),
 				Drains: cmd.Int("drains"), Out: os.Stdout, Progress: os.Stderr,
 			})
--- a/internal/lab/fleetbench/fleetbench.go
+++ b/internal/lab/fleetbench/fleetbench.go
@@ -22,6 +22,8 @@
 	Daemon, Lab string        // paths of the programs
 	Sizes       []int         // daemons
 	Searches    int           // in the bundle, which makes it larger
+	Targets     int           // more in the bundle, which nobody serves, each of 6 or 7 leaves
+	Places      int           // of the fleet, if more than daemons
 	Rest        time.Duration // of the measurement at rest
 	Rollouts    int           // measured for each size
 	Every       time.Duration // between rollouts
--- a/internal/lab/fleetbench/work.go
+++ b/internal/lab/fleetbench/work.go
@@ -44,19 +44,22 @@
 		Deployment: deployment,
 		Author:     fleet.Author,
 		Name:       fmt.Sprint("bundle-", r.version),
-		Fleet:      bundle.Fleet{MaxVMs: len(r.daemons)},
+		Fleet:      bundle.Fleet{MaxVMs: max(len(r.daemons), r.o.Places)},
 		Services: []bundle.Service{{
 			Name: service, Shards: 2,
 			Drain: bundle.Drain{HealthIntervalMS: int(healthInterval.Milliseconds()), HealthTimeoutMS: 500, SuspectAfter: 3},
 			Targets: []bundle.Target{{
 				Name: "target-0", Zone: zoneName(0), Address: r.target.Address,
-				Leaves: 2, Slots: 2, Connections: 2 * len(r.daemons),
+				Leaves: 2, Slots: 2, Connections: 2 * max(len(r.daemons), r.o.Places),
 			}},
 		}},
 	}
 	for i := range zones {
 		b.Zones = append(b.Zones, bundle.Zone{Name: zoneName(i), Region: fmt.Sprint("region-", i%2)})
 	}
+	if r.o.Targets > 0 {
+		b.Services = append(b.Services, r.absentService())
+	}
 	for i := range max(r.o.Searches, 1) {
 		b.Searches = append(b.Searches, bundle.Search{
 			Name: fmt.Sprint("search-", i), Kind: bundle.KindSearch, Service: service, MaxItems: 100,
@@ -69,6 +72,21 @@
 	return b
 }
 
+// absentService has targets at ports where nobody listens. They show what a
+// daemon keeps and does for targets without any calls.
+func (r *run) absentService() bundle.Service {
+	svc := bundle.Service{Name: "absent", Shards: 320, Drain: bundle.Drain{
+		HealthIntervalMS: int(healthInterval.Milliseconds()), HealthTimeoutMS: 500, SuspectAfter: 3,
+	}}
+	for i := range r.o.Targets {
+		svc.Targets = append(svc.Targets, bundle.Target{
+			Name: fmt.Sprint("absent-", i), Zone: zoneName(i % zones), Address: fmt.Sprint("127.0.0.1:", i+1),
+			Leaves: 6 + i%2, Slots: 2, Connections: 25, ConnectCostMS: 6,
+		})
+	}
+	return svc
+}
+
 // rollOut puts the next bundle into force and returns when the operator asked
 // for it, which is before the platform took it.
 func (r *run) rollOut(ctx context.Context, out *row) (entry rollout.Entry, asked time.Time, err error) {
