--- a/cmd/bramley-lab/bench_rollout.go
+++ b/cmd/bramley-lab/bench_rollout.go
@@ -15,7 +15,7 @@
 		Name:  "bench-rollout",
 		Usage: "measure rollouts from their write to the last VM, under faults of the platform",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "daemon", Value: "bin/bramleyd", Usage: "path of the bramleyd program"},
+			daemonFlag(),
 			&cli.IntFlag{Name: "vms", Value: 7, Usage: "number of daemons"},
 			&cli.IntFlag{Name: "rollouts", Value: 100, Usage: "rollouts in each scenario"},
 		},
@@ -25,12 +25,12 @@
 				return errors.Trace(err)
 			}
 			defer os.RemoveAll(dir)
-			lab, err := os.Executable()
+			daemon, lab, err := programs(cmd)
 			if err != nil {
-				return errors.Trace(err)
+				return err
 			}
 			return rolloutbench.Run(ctx, rolloutbench.Options{
-				Daemon: cmd.String("daemon"), Lab: lab, Dir: dir,
+				Daemon: daemon, Lab: lab, Dir: dir,
 				VMs: cmd.Int("vms"), Rollouts: cmd.Int("rollouts"), Out: os.Stdout,
 			})
 		},
--- a/cmd/bramley-lab/demo.go
+++ b/cmd/bramley-lab/demo.go
@@ -34,25 +34,25 @@
 		Name:  "demo",
 		Usage: "start a small deployment as processes, ask it and print its answers",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "daemon", Value: "bin/bramleyd", Usage: "path of the bramleyd program"},
+			daemonFlag(),
 			&cli.DurationFlag{Name: "stay", Usage: "keep the deployment for so long after the answers"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return runDemo(ctx, cmd.String("daemon"), cmd.Duration("stay"))
+			daemon, lab, err := programs(cmd)
+			if err != nil {
+				return err
+			}
+			return runDemo(ctx, daemon, lab, cmd.Duration("stay"))
 		},
 	}
 }
 
-func runDemo(ctx context.Context, daemon string, stay time.Duration) error {
+func runDemo(ctx context.Context, daemon, lab string, stay time.Duration) error {
 	dir, err := os.MkdirTemp("", "bramley-demo")
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer os.RemoveAll(dir)
-	lab, err := os.Executable()
-	if err != nil {
-		return errors.Trace(err)
-	}
 	f, err := fleet.New(fleet.Options{Daemon: daemon, Lab: lab, Dir: dir, Deployment: "demo"})
 	if err != nil {
 		return errors.Trace(err)
