--- a/cmd/bramley-lab/fleet.go
+++ b/cmd/bramley-lab/fleet.go
@@ -20,6 +20,8 @@
 			&cli.IntFlag{Name: "searches", Value: 4, Usage: "in the bundle, each of some 300 bytes"},
 			&cli.IntFlag{Name: "targets", Usage: "more in the bundle, at ports 1 and up, where nobody listens"},
 			&cli.IntFlag{Name: "places", Usage: "of the fleet, if more than daemons"},
+			&cli.IntFlag{Name: "answering", Usage: "more targets in the bundle, which answer reads of their status; their index is switched once"},
+			&cli.DurationFlag{Name: "health", Value: 10 * time.Minute, Usage: "between reads of a target's status"},
 			&cli.DurationFlag{Name: "rest", Value: 30 * time.Second, Usage: "of the measurement at rest"},
 			&cli.IntFlag{Name: "rollouts", Value: 3, Usage: "for each size"},
 			&cli.DurationFlag{Name: "every", Value: 24 * time.Second, Usage: "between rollouts"},
@@ -34,6 +36,7 @@
 				Daemon: daemon, Lab: self,
 				Sizes: cmd.IntSlice("size"), Searches: cmd.Int("searches"),
 				Targets: cmd.Int("targets"), Places: cmd.Int("places"),
+				Answering: cmd.Int("answering"), Health: cmd.Duration("health"),
 				Rest: cmd.Duration("rest"), Rollouts: cmd.Int("rollouts"), Every: cmd.Duration("every"),
 				Drains: cmd.Int("drains"), Out: os.Stdout, Progress: os.Stderr,
 			})
--- a/internal/lab/fleetbench/cost.go
+++ b/internal/lab/fleetbench/cost.go
@@ -45,16 +45,18 @@
 
 // cost is what each daemon spent per second, and the platform's calls.
 type cost struct {
-	cpu      spread // share of a core, in percent
-	bytesOut spread
-	bytesIn  spread
-	messages spread  // sent
-	reads    float64 // of the platform per second, by the whole fleet
-	writes   float64
+	cpu       spread // share of a core, in percent
+	bytesOut  spread
+	bytesIn   spread
+	messages  spread  // sent
+	statuses  spread  // of targets, read over own connections or through an owner
+	perTarget float64 // reads of one answering target's status, by the whole fleet
+	reads     float64 // of the platform per second, by the whole fleet
+	writes    float64
 }
 
 // usage is what one daemon has spent since its start.
-type usage struct{ cpu, bytesOut, bytesIn, messages float64 }
+type usage struct{ cpu, bytesOut, bytesIn, messages, statuses float64 }
 
 // clockTicks is the unit of processor time in /proc: a hundredth of a second.
 const clockTicks = 100
@@ -65,7 +67,7 @@
 	if err != nil {
 		return out, err
 	}
-	begin := time.Now()
+	begin, read := time.Now(), r.answer.reads.Load()
 	if err := work(); err != nil {
 		return out, err
 	}
@@ -79,7 +81,9 @@
 		out.bytesOut.add((after[i].bytesOut - before[i].bytesOut) / seconds)
 		out.bytesIn.add((after[i].bytesIn - before[i].bytesIn) / seconds)
 		out.messages.add((after[i].messages - before[i].messages) / seconds)
+		out.statuses.add((after[i].statuses - before[i].statuses) / seconds)
 	}
+	out.perTarget = float64(r.answer.reads.Load()-read) / seconds / math.Max(float64(r.o.Answering), 1)
 	out.reads = float64(reads(callsAfter)-reads(calls)) / seconds
 	out.writes = float64(callsAfter.Put+callsAfter.Delete-calls.Put-calls.Delete) / seconds
 	return out, nil
@@ -101,6 +105,8 @@
 			bytesOut: values[`bramley_peer_bytes_total{direction="out"}`],
 			bytesIn:  values[`bramley_peer_bytes_total{direction="in"}`],
 			messages: values[`bramley_peer_messages_total`],
+			// No queries run, so all calls are reads of a status.
+			statuses: values[`bramley_route_calls_total{path="direct"}`] + values[`bramley_route_calls_total{path="owner"}`],
 		})
 	}
 	calls, err := r.plat.Counters()
--- a/internal/lab/fleetbench/fleetbench.go
+++ b/internal/lab/fleetbench/fleetbench.go
@@ -24,6 +24,8 @@
 	Searches    int           // in the bundle, which makes it larger
 	Targets     int           // more in the bundle, which nobody serves, each of 6 or 7 leaves
 	Places      int           // of the fleet, if more than daemons
+	Answering   int           // more in the bundle, which answer reads of their status
+	Health      time.Duration // between reads of a target's status
 	Rest        time.Duration // of the measurement at rest
 	Rollouts    int           // measured for each size
 	Every       time.Duration // between rollouts
@@ -67,6 +69,7 @@
 	drain       spread // seconds to the last daemon
 	rest        cost
 	rolling     cost
+	switching   cost   // while the answering targets switch their index
 	memory      spread // MB of each daemon, at the end
 }
 
@@ -76,6 +79,7 @@
 	fleet   *fleet.Fleet
 	plat    *fleet.Platform
 	target  *fleet.Target
+	answer  *answering
 	daemons []*fleet.Daemon
 	version int
 }
@@ -93,12 +97,21 @@
 	}
 	defer f.Close()
 	r := &run{o: o, fleet: f}
+	if r.answer, err = startAnswering(o.Answering); err != nil {
+		return out, err
+	}
+	defer r.answer.close()
 	if err := r.start(ctx, size); err != nil {
 		return out, err
 	}
 	if out.rest, err = r.costOf(func() error { return pause(ctx, o.Rest) }); err != nil {
 		return out, err
 	}
+	if o.Answering > 0 {
+		if out.switching, err = r.costOf(func() error { return r.switchIndex(ctx) }); err != nil {
+			return out, err
+		}
+	}
 	out.rolling, err = r.costOf(func() error { return r.rollouts(ctx, &out) })
 	if err != nil {
 		return out, err
--- a/internal/lab/fleetbench/table.go
+++ b/internal/lab/fleetbench/table.go
@@ -28,9 +28,30 @@
 			r.rolling.reads, r.rolling.writes, r.memory)
 	}
 	t.Flush()
+	printHealth(w, rows)
 	fits(w, rows)
 }
 
+// printHealth writes what the health of answering targets costs.
+func printHealth(w io.Writer, rows []row) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, r := range rows {
+		if len(r.switching.cpu.values) == 0 {
+			continue
+		}
+		for _, phase := range []struct {
+			name string
+			cost cost
+		}{{"rest", r.rest}, {"index switch", r.switching}} {
+			c := phase.cost
+			fmt.Fprintf(t, "%d daemons, %s\tstatus reads/s %s\tat a target %.2f\tCPU %% %s\tB/s out %.0f/%.0f\tin %.0f/%.0f\tmsg/s %s\t\n",
+				r.daemons, phase.name, c.statuses, c.perTarget, c.cpu,
+				c.bytesOut.mean(), c.bytesOut.max(), c.bytesIn.mean(), c.bytesIn.max(), c.messages)
+		}
+	}
+	t.Flush()
+}
+
 // largestFleet is the size that the fits are read at.
 const largestFleet = 950
 
