--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -44,6 +44,7 @@
 	Sample  *Sample
 	P99s    []float64 // of each window, in milliseconds
 	usage   usage
+	phases  phases
 }
 
 // Run measures each shape and prints its table.
@@ -121,7 +122,7 @@
 func (d *deployment) newResult(scenario, policy string) *Result {
 	r := &Result{Scenario: scenario, Policy: policy}
 	for _, g := range d.groups {
-		r.Rows = append(r.Rows, &Row{Service: g.Service, Sample: newSample()})
+		r.Rows = append(r.Rows, &Row{Service: g.Service, Sample: newSample(), phases: phases{}})
 	}
 	return r
 }
@@ -176,6 +177,7 @@
 // reading is what has been spent so far, by service in the order of the shape.
 type reading struct {
 	usage     []usage
+	phases    []phases
 	daemonCPU time.Duration
 }
 
@@ -183,6 +185,11 @@
 	var m reading
 	for _, g := range d.groups {
 		m.usage = append(m.usage, g.usage())
+		spent, err := d.phases(g.Name)
+		if err != nil {
+			return m, err
+		}
+		m.phases = append(m.phases, spent)
 	}
 	cpu, err := d.daemonCPU()
 	m.daemonCPU = cpu
@@ -194,6 +201,7 @@
 		row.Sample.add(streams[i].sample)
 		row.P99s = append(row.P99s, streams[i].sample.milliseconds(99))
 		row.usage = row.usage.plus(after.usage[i].minus(before.usage[i]))
+		row.phases.add(before.phases[i], after.phases[i])
 	}
 	r.DaemonCPU += after.daemonCPU - before.daemonCPU
 	r.LoadAvg = loadAverage()
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -218,6 +220,27 @@
 	return s, err
 }
 
+// Metrics returns the values of the daemon's metrics by name and labels.
+func (d *Daemon) Metrics() (map[string]float64, error) {
+	resp, err := control.Get("http://" + d.Ops + ops.PathMetrics)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	values := make(map[string]float64)
+	for line := range strings.Lines(string(data)) {
+		name, text, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseFloat(text, 64); ok && err == nil {
+			values[name] = v
+		}
+	}
+	return values, nil
+}
+
 // Ready reports whether the daemon says that it should get callers' requests.
 func (d *Daemon) Ready(ctx context.Context) bool {
 	status, err := call(ctx, http.MethodGet, "http://"+d.Ops+ops.PathReady, nil, nil, nil)
--- a/node/node.go
+++ b/node/node.go
@@ -156,10 +156,11 @@
 		Log: n.log.Named("route"),
 	})
 	n.engine = query.NewEngine(query.Options{
-		Leaves: n.router,
-		Zone:   n.set.Zone,
-		Seed:   uint64(n.started.UnixNano()),
-		Log:    n.log.Named("query"),
+		Leaves:  n.router,
+		Zone:    n.set.Zone,
+		Seed:    uint64(n.started.UnixNano()),
+		Log:     n.log.Named("query"),
+		Metrics: n.metrics,
 		OnDrain: func(target, incarnation string) {
 			n.peers.LearnDrain(peer.Drain{Target: target, Incarnation: incarnation})
 		},
--- a/policy/conclude.go
+++ b/policy/conclude.go
@@ -92,6 +92,7 @@
 		Hedges:   q.hedges,
 		Retries:  q.retries,
 		Restarts: q.restarts,
+		Last:     q.last,
 	}})
 }
 
--- a/policy/coverage.go
+++ b/policy/coverage.go
@@ -1,6 +1,10 @@
 package policy
 
-import "github.com/bramleybarrow/bramleybarrow/target"
+import (
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
 
 // Reason is why a shard has no answer.
 type Reason string
@@ -43,6 +47,15 @@
 	Hedges   int
 	Retries  int
 	Restarts int // passes begun again on another snapshot
+
+	Last LastAnswer
+}
+
+// LastAnswer tells of the attempt whose answer came last. It is the one that a
+// query answered in whole waited for.
+type LastAnswer struct {
+	Held time.Duration // from the start of the query until the attempt was sent
+	Took time.Duration // from there to its answer
 }
 
 // NotRun reports whether it is certain that no target started any part.
--- a/policy/query.go
+++ b/policy/query.go
@@ -33,6 +33,9 @@
 	partial float64         // shares read of shards that answered in part
 	wake    time.Time       // no later than anything that Tick has to do
 
+	began time.Time
+	last  LastAnswer
+
 	sent, hedges, retries int
 	refused               int // attempts that a target refused to start
 }
@@ -47,6 +50,7 @@
 
 // Start chooses the snapshot and sends the first attempts.
 func (q *Query) Start(now time.Time) []Action {
+	q.began = now
 	snap, ok := q.choose(now)
 	if !ok {
 		return q.finish(now, EndNoSnapshot)
@@ -90,6 +94,7 @@
 		return nil
 	}
 	s.answer = answer
+	q.last = LastAnswer{Held: a.sentAt.Sub(q.began), Took: now.Sub(a.sentAt)}
 	s.pending = time.Time{}
 	q.settle(a.shard)
 	full, share := readShare(answer)
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -389,3 +389,17 @@
 	g.Expect(sends(q.Start(at(0)))).To(HaveLen(1))
 	g.Expect(sends(q.Tick(at(20)))).To(HaveLen(1))
 }
+
+// A search is slow because its first attempt on one shard failed; the operator
+// sees only a fast last attempt. What went before it has to be told apart.
+func TestLastAnswerTellsWhatWasHeld(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 2, 1)
+	q := NewQuery(spec(), f.table)
+	s := sends(q.Start(at(0)))
+	q.Answered(at(5), s[0].Attempt, answer(s[0]))
+	again := sends(q.Failed(at(30), s[1].Attempt, Failure{Reason: ReasonBroken}))
+	g.Expect(again).To(HaveLen(1))
+	out := outcome(q.Answered(at(38), again[0].Attempt, answer(again[0])))
+	g.Expect(out.Last).To(Equal(LastAnswer{Held: 30 * time.Millisecond, Took: 8 * time.Millisecond}))
+}
--- a/query/admit.go
+++ b/query/admit.go
@@ -18,8 +18,9 @@
 }
 
 func (e *Engine) admitUntil(ctx context.Context, svc *service, deadline time.Time) *Answer {
+	arrived := e.now()
 	svc.mu.Lock()
-	v := svc.admit.Arrive(e.now(), deadline)
+	v := svc.admit.Arrive(arrived, deadline)
 	var decided chan policy.Verdict
 	if v.Decision == policy.Wait {
 		decided = make(chan policy.Verdict, 1)
@@ -30,8 +31,11 @@
 		v = e.await(ctx, svc, v.Ticket, decided, deadline)
 	}
 	if v.Decision == policy.Admit {
+		svc.metrics.admitted.Inc()
+		svc.metrics.took(phaseAdmission, e.now().Sub(arrived))
 		return nil
 	}
+	svc.metrics.refused.Inc()
 	return &Answer{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: v.RetryAfter}
 }
 
@@ -60,6 +64,7 @@
 	if req.plain() {
 		return
 	}
+	svc.metrics.ended(out)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	now := e.now()
--- a/query/engine.go
+++ b/query/engine.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
@@ -26,6 +27,7 @@
 	Workers int    // calls to leaves in flight, at most; 512 if 0
 	Seed    uint64 // of random choices
 	Log     hclog.Logger
+	Metrics *metrics.Set     // a set of its own if nil
 	Clock   func() time.Time // time.Now if nil
 	// OnDrain is told of each drain learned from an answer or a status.
 	OnDrain func(target, incarnation string)
@@ -46,7 +48,8 @@
 
 // service is the shared state of one service's targets.
 type service struct {
-	name string
+	name    string
+	metrics *instruments
 
 	mu      sync.Mutex // guards all below
 	table   *policy.Table
@@ -65,6 +68,9 @@
 	if opt.Clock == nil {
 		opt.Clock = time.Now
 	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewSet()
+	}
 	if opt.OnDrain == nil {
 		opt.OnDrain = func(string, string) {}
 	}
@@ -107,6 +113,7 @@
 	rng := rand.New(rand.NewPCG(e.opt.Seed, uint64(len(name))))
 	return &service{
 		name:    name,
+		metrics: newInstruments(e.opt.Metrics, name),
 		table:   policy.NewTable(e.opt.Zone, rng),
 		waiting: make(map[policy.TicketID]chan policy.Verdict),
 	}
--- /dev/null
+++ b/query/metrics.go
@@ -0,0 +1,63 @@
+package query
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bramleybarrow/bramleybarrow/policy"
+)
+
+// phase is a part of a query's time.
+type phase string
+
+// The phases of a query, in order. Together they are the time from its arrival
+// to the answer that was awaited longest.
+const (
+	phaseAdmission phase = "admission" // waiting for room
+	phaseHeld      phase = "held"      // until the last answer's attempt was sent
+	phaseAttempt   phase = "attempt"   // of that attempt, its wait at the target included
+)
+
+// phaseBuckets are the upper bounds of the histograms of phases, in seconds.
+var phaseBuckets = []float64{.001, .002, .005, .01, .02, .035, .05, .075, .1, .15, .2, .3, .5, 1}
+
+// instruments are the metrics of one service's queries.
+type instruments struct {
+	phases   map[phase]*metrics.PrometheusHistogram
+	hedges   *metrics.Counter
+	retries  *metrics.Counter
+	refused  *metrics.Counter
+	admitted *metrics.Counter
+}
+
+func newInstruments(set *metrics.Set, service string) *instruments {
+	name := func(metric string) string { return fmt.Sprintf("bramley_query_%s{service=%q}", metric, service) }
+	m := &instruments{
+		phases:   make(map[phase]*metrics.PrometheusHistogram),
+		hedges:   set.GetOrCreateCounter(name("hedges_total")),
+		retries:  set.GetOrCreateCounter(name("retries_total")),
+		refused:  set.GetOrCreateCounter(name("refused_total")),
+		admitted: set.GetOrCreateCounter(name("admitted_total")),
+	}
+	for _, p := range []phase{phaseAdmission, phaseHeld, phaseAttempt} {
+		label := fmt.Sprintf("bramley_query_phase_seconds{service=%q,phase=%q}", service, p)
+		m.phases[p] = set.GetOrCreatePrometheusHistogramExt(label, phaseBuckets)
+	}
+	return m
+}
+
+func (m *instruments) took(p phase, d time.Duration) { m.phases[p].Update(d.Seconds()) }
+
+// ended counts an admitted query. Phases are of queries answered in whole: of
+// others, no single answer was awaited.
+func (m *instruments) ended(out *policy.Outcome) {
+	m.hedges.Add(out.Hedges)
+	m.retries.Add(out.Retries)
+	if out.End != policy.EndAnswered {
+		return
+	}
+	m.took(phaseHeld, out.Last.Held)
+	m.took(phaseAttempt, out.Last.Took)
+}
--- /dev/null
+++ b/query/metrics_test.go
@@ -0,0 +1,52 @@
+package query
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/target"
+)
+
+// leaves answers every search in whole.
+type leaves struct{}
+
+func (leaves) Search(_ context.Context, _ string, _ int, req target.LeafRequest) (target.LeafAnswer, error) {
+	return target.LeafAnswer{Echo: req.Echo, Records: 1, Complete: true}, nil
+}
+
+func (leaves) Submit(context.Context, string, int, target.SubmitRequest) (target.SubmitAnswer, error) {
+	return target.SubmitAnswer{}, nil
+}
+
+// Searches get slower, and an operator cannot tell whether they wait for
+// admission, for a retry or for a leaf. Each phase of a whole answer is counted.
+func TestPhasesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	set := metrics.NewSet()
+	e := NewEngine(Options{Leaves: leaves{}, Metrics: set})
+	defer e.Close()
+	e.Apply(&bundle.Bundle{
+		Fleet:    bundle.Fleet{MaxVMs: 1},
+		Services: []bundle.Service{{Name: "s", Shards: 1, Targets: []bundle.Target{{Name: "t", Leaves: 1, Slots: 2}}}},
+	})
+	e.TargetStatus("t", target.Status{
+		Incarnation: "i1", State: target.StateServing,
+		Leaves: []target.LeafStatus{{Holdings: []target.Holding{{Snapshot: "v1", Seq: 1, Shards: 1, Records: 1}}}},
+	}, time.Now())
+	a := e.Search(context.Background(), &Request{
+		Search: &bundle.Search{Service: "s"}, Arrived: time.Now(), Limit: 10 * time.Second, Need: 1, Items: 1,
+	})
+	g.Expect(a.Code).To(Equal(result.Complete))
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	for _, p := range []string{"admission", "held", "attempt"} {
+		g.Expect(text.String()).To(ContainSubstring(`bramley_query_phase_seconds_count{service="s",phase="` + p + `"} 1`))
+	}
+}
