Logs: one package, log/slog, lines beyond the rate cost nothing

Cause: lines were put into words and then dropped, and the product's own daemon had a log of its own that could block.

Tests: TestDroppedLinesAreNotPutIntoWords and TestPartsShareTheRate, seen failing with the bound behind the wording. check-edge refuses unknown log levels.

--- a/cmd/bramleyd/edge.go
+++ b/cmd/bramleyd/edge.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bramleybarrow/bramleybarrow/edge"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/platform"
 )
 
@@ -35,7 +36,11 @@
 	if err != nil {
 		return err
 	}
-	log, flush := edge.NewLog(os.Stdout, set.LogLevel)
+	level, err := logging.ParseLevel(set.LogLevel)
+	if err != nil {
+		return err
+	}
+	log, flush := logging.New(os.Stdout, logging.Options{Level: level, JSON: true})
 	defer flush()
 	return edge.NewNode(edge.Options{
 		Settings:  set,
--- a/cmd/bramleyd/main.go
+++ b/cmd/bramleyd/main.go
@@ -8,9 +8,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/node"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/settings"
@@ -63,11 +63,12 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{
-		Name:       "bramleyd",
-		Level:      hclog.LevelFromString(set.Log.Level),
-		JSONFormat: set.Log.JSON,
-	})
+	level, err := logging.ParseLevel(set.Log.Level)
+	if err != nil {
+		return err
+	}
+	log, flush := logging.New(os.Stdout, logging.Options{Level: level, JSON: set.Log.JSON})
+	defer flush()
 	n, err := node.New(set, log.With("vm", set.Name))
 	if err != nil {
 		return err
--- a/edge/announce.go
+++ b/edge/announce.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
@@ -17,7 +16,7 @@
 // killed finds its own again. It is safe for concurrent use.
 type announcer struct {
 	store Store
-	log   hclog.Logger
+	log   *slog.Logger
 
 	mu      sync.Mutex // held during a write; guards the fields below
 	self    scatter.VM // without a key until adopt
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -1,13 +1,12 @@
 package edge
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
@@ -20,7 +19,7 @@
 	pool     *leafhttp.Pool
 	inForce  routing.InForce
 	rotation *routing.Rotation
-	log      hclog.Logger
+	log      *slog.Logger
 	stats    *stats
 	feed     *feed
 	// suspected receives when a call to another VM was not answered.
@@ -39,7 +38,7 @@
 	Zone     string // of this VM
 	Budget   scatter.BudgetTerms
 	Seed     uint64 // of random choices
-	Log      hclog.Logger
+	Log      *slog.Logger
 }
 
 // NewEngine returns an engine that knows no leafs and no manifest.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
@@ -48,7 +47,7 @@
 	store Store
 	set   *Settings
 	self  scatter.VM
-	log   hclog.Logger
+	log   *slog.Logger
 	seen  chan struct{} // receives when the leafs were listed once
 	// ready reports whether this VM knows what it must to answer others. They call it
 	// from the moment when it is announced.
--- a/edge/node.go
+++ b/edge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -13,12 +14,12 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"goji.io"
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
@@ -28,7 +29,7 @@
 	set       *Settings
 	store     Store
 	readyPath string
-	log       hclog.Logger
+	log       *slog.Logger
 	engine    *Engine
 	self      scatter.VM
 	tomb      tomb.Tomb
@@ -47,7 +48,7 @@
 	Store     Store
 	Exchange  Exchange
 	ReadyPath string // at the ready address
-	Log       hclog.Logger
+	Log       *slog.Logger
 }
 
 // Limits of the Go runtime.
@@ -158,7 +159,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          logging.Standard(n.log),
 	}
 }
 
@@ -243,7 +244,7 @@
 		return nil
 	}
 	identity := wire.Identity{Deployment: "platform", VM: self.Name, Incarnation: uuid.NewString()}
-	p, err := join(n.engine, identity, n.set.Listen.VMs, []byte(self.Key), n.log.Named("vms"))
+	p, err := join(n.engine, identity, n.set.Listen.VMs, []byte(self.Key), logging.Part(n.log, "vms"))
 	if err != nil {
 		return errors.Annotate(err, "listen to VMs")
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
@@ -33,7 +33,7 @@
 type peers struct {
 	opts   wire.Options
 	count  wire.Counters
-	log    hclog.Logger
+	log    *slog.Logger
 	server *wire.Server
 
 	mu      sync.Mutex // guards the fields below
@@ -49,7 +49,7 @@
 }
 
 // join listens for other VMs, which must have this VM's key, and lets the engine call them.
-func join(e *Engine, self wire.Identity, listen string, key []byte, log hclog.Logger) (*peers, error) {
+func join(e *Engine, self wire.Identity, listen string, key []byte, log *slog.Logger) (*peers, error) {
 	p := &peers{
 		log:     log,
 		links:   make(map[string]*peerLink),
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
@@ -37,7 +37,7 @@
 
 // follows returns a relay of a VM that others read the store for.
 func follows(store Store, d delegates) *relay {
-	e := &Engine{log: hclog.NewNullLogger(), stats: newStats(), feed: newFeed(), peers: d}
+	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), peers: d}
 	for i := range 20 {
 		// One of many names sorts behind two others.
 		name := string(rune('a' + i))
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/settings"
 )
@@ -27,7 +28,7 @@
 	Power float64 `json:"power"`
 	// MemoryMB is what the process may use; beyond it the process is killed.
 	MemoryMB float64 `json:"memory_mb"`
-	LogLevel string  `json:"log_level"` // trace, debug, info, warn or error
+	LogLevel string  `json:"log_level"` // debug, info, warn or error
 }
 
 // ListenSettings holds the addresses that a daemon serves, IP and port each.
@@ -110,6 +111,9 @@
 			add(path, value, "a number above 0")
 		}
 	}
+	if _, err := logging.ParseLevel(s.LogLevel); err != nil {
+		add("$.log_level", s.LogLevel, logging.Levels)
+	}
 	for path, value := range map[string]float64{"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor} {
 		if value < 0 {
 			add(path, value, "a number from 0")
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -76,14 +77,12 @@
 		return
 	}
 	line := Line{Source: source, Fields: fields}
-	line.Message, _ = fields["@message"].(string)
-	stamp, _ := fields["@timestamp"].(string)
+	line.Message, _ = fields[slog.MessageKey].(string)
+	stamp, _ := fields[slog.TimeKey].(string)
 	// A line without a time stands first.
 	line.At, _ = time.Parse(time.RFC3339Nano, stamp)
-	for name := range fields {
-		if strings.HasPrefix(name, "@") || name == "request" {
-			delete(fields, name)
-		}
+	for _, name := range []string{slog.MessageKey, slog.TimeKey, slog.LevelKey, "request"} {
+		delete(fields, name)
 	}
 	r.report.Lines = append(r.report.Lines, line)
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -7,10 +7,10 @@
 	"github.com/onsi/gomega"
 )
 
-const log = `  9.1 vm-2 {"@level":"info","@message":"attempt failed","@timestamp":"2026-01-01T00:00:01.5Z","end":"broken","leaf":"i-1","request":"aa","service":"s","why":"first"}
+const log = `  9.1 vm-2 {"level":"INFO","msg":"attempt failed","time":"2026-01-01T00:00:01.5Z","end":"broken","leaf":"i-1","request":"aa","service":"s","why":"first"}
 not a line of ours
-{"@level":"info","@message":"request","@timestamp":"2026-01-01T00:00:01.6Z","missing":0,"ms":90,"request":"aa","status":502,"verdict":"unknown"}
-{"@level":"info","@message":"request","@timestamp":"2026-01-01T00:00:01.7Z","request":"bb","verdict":"answered"}
+{"level":"INFO","msg":"request","time":"2026-01-01T00:00:01.6Z","missing":0,"ms":90,"request":"aa","status":502,"verdict":"unknown"}
+{"level":"INFO","msg":"request","time":"2026-01-01T00:00:01.7Z","request":"bb","verdict":"answered"}
 {broken
 `
 
@@ -35,7 +35,7 @@
 func TestRefusalIsExplained(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := NewReader("dd")
-	line := `{"@message":"request refused","@timestamp":"2026-01-01T00:00:01Z","request":"dd","status":503,"why":"no_manifest"}`
+	line := `{"msg":"request refused","time":"2026-01-01T00:00:01Z","request":"dd","status":503,"why":"no_manifest"}`
 	g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("503"))
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("no_manifest"))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
 	"goji.io"
 	"goji.io/pat"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/query"
 	"github.com/bramleybarrow/bramleybarrow/result"
@@ -51,7 +52,7 @@
 	Engine     Engine
 	Claims     Claims
 	Deployment string
-	Log        hclog.Logger
+	Log        *slog.Logger
 	Metrics    *metrics.Set
 }
 
@@ -64,7 +65,7 @@
 // New returns a gateway.
 func New(opt Options) *Gateway {
 	if opt.Log == nil {
-		opt.Log = hclog.NewNullLogger()
+		opt.Log = logging.Discard()
 	}
 	if opt.Metrics == nil {
 		opt.Metrics = metrics.NewSet()
@@ -85,7 +86,7 @@
 		WriteTimeout:      maxTimeLimit + writeAllowance,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    MaxHeader,
-		ErrorLog:          g.opt.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          logging.Standard(g.opt.Log),
 	}
 }
 
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,74 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// costly counts how often it is put into words.
+type costly struct{ asked *int }
+
+func (c costly) LogValue() slog.Value {
+	*c.asked++
+	return slog.StringValue("costly")
+}
+
+// Leafs fail by the hundred, and each failure writes a line. The lines beyond the rate are
+// dropped, but a VM with a fifth of a core spent its time on putting them into words, and
+// its answers came late.
+func TestDroppedLinesAreNotPutIntoWords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	asked := 0
+	log, flush := New(&bytes.Buffer{}, Options{JSON: true})
+	const lines = 100 * burstLines
+	for range lines {
+		log.Info("a line", "value", costly{&asked})
+	}
+	flush()
+	g.Expect(asked).To(gomega.BeNumerically("<", lines/2))
+}
+
+// The parts of a daemon share one rate: a part of its own must not have a rate of its own.
+func TestPartsShareTheRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	log, flush := New(&out, Options{JSON: true})
+	parts := []*slog.Logger{Part(log, "a"), Part(log, "b"), log.WithGroup("g")}
+	for range burstLines {
+		for _, part := range parts {
+			part.Info("a line")
+		}
+	}
+	flush()
+	g.Expect(bytes.Count(out.Bytes(), []byte("a line"))).To(gomega.BeNumerically("<", 2*burstLines))
+	g.Expect(out.String()).To(gomega.ContainSubstring("log lines dropped"))
+}
+
+func TestLinesAreJSONWithTheLevelAskedFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	level, err := ParseLevel("warn")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	log, flush := New(&out, Options{Level: level, JSON: true})
+	log.Info("left out")
+	Part(log, "vms").Warn("written", "count", 3)
+	Standard(log).Println("a library's remark")
+	flush()
+	var line map[string]any
+	g.Expect(json.Unmarshal(out.Bytes(), &line)).To(gomega.Succeed())
+	g.Expect(line).To(gomega.HaveKeyWithValue(slog.MessageKey, "written"))
+	g.Expect(line).To(gomega.HaveKeyWithValue("part", "vms"))
+	g.Expect(line).To(gomega.HaveKeyWithValue("count", 3.0))
+}
+
+func TestUnknownLevelsAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range []string{"", "trace", "INFO", "warn+2"} {
+		_, err := ParseLevel(name)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(Levels)), name)
+	}
+}
--- a/edge/log_test.go
+++ b/logging/writer_test.go
@@ -1,4 +1,4 @@
-package edge
+package logging
 
 import (
 	"bytes"
@@ -29,7 +29,7 @@
 func TestLogNeverBlocks(t *testing.T) {
 	g := gomega.NewWithT(t)
 	out := &stuckReader{free: make(chan struct{})}
-	log, flush := NewLog(out, "info")
+	log, flush := New(out, Options{JSON: true})
 	done := make(chan struct{})
 	go func() {
 		for range 5000 {
@@ -43,7 +43,7 @@
 	flush()
 	out.mu.Lock()
 	defer out.mu.Unlock()
-	g.Expect(strings.Count(out.taken.String(), "a line")).To(gomega.BeNumerically("<", logBurst+logQueue+2*logLinesPerSecond))
+	g.Expect(strings.Count(out.taken.String(), "a line")).To(gomega.BeNumerically("<", burstLines+queueLines+2*linesPerSecond))
 }
 
 // slowReader takes a while for each write, and counts them.
@@ -66,7 +66,7 @@
 func TestFlushWaitsForLinesThatAreBeingWritten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	out := &slowReader{}
-	log, flush := NewLog(out, "info")
+	log, flush := New(out, Options{JSON: true})
 	for range 50 {
 		log.Info("a line")
 	}
--- a/node/claims.go
+++ b/node/claims.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/once/relay"
 	"github.com/bramleybarrow/bramleybarrow/wire"
@@ -16,13 +17,13 @@
 	n.links = relay.NewLinks(relay.Options{
 		Self:  n.set.Name,
 		Fleet: n.peers,
-		Log:   n.log.Named("claims"),
+		Log:   logging.Part(n.log, "claims"),
 	})
 	n.claims = once.NewRunner(once.Options{
 		Store:       n.store,
 		VM:          n.set.Name,
 		Incarnation: n.incarnation,
-		Log:         n.log.Named("once"),
+		Log:         logging.Part(n.log, "once"),
 		Metrics:     n.metrics,
 		Deployment:  n.set.Deployment,
 		Peers:       n.links,
--- a/node/example_test.go
+++ b/node/example_test.go
@@ -4,8 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/hashicorp/go-hclog"
-
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/node"
 	"github.com/bramleybarrow/bramleybarrow/settings"
 )
@@ -26,7 +25,7 @@
 		fmt.Println(err)
 		return
 	}
-	n, err := node.New(set, hclog.NewNullLogger())
+	n, err := node.New(set, logging.Discard())
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -8,12 +9,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/gateway"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/once"
 	"github.com/bramleybarrow/bramleybarrow/once/relay"
@@ -30,7 +31,7 @@
 // Node is one daemon.
 type Node struct {
 	set         *settings.Settings
-	log         hclog.Logger
+	log         *slog.Logger
 	incarnation string
 	started     time.Time
 	metrics     *metrics.Set
@@ -69,7 +70,7 @@
 }
 
 // New prepares a daemon with checked settings. Nothing runs before Run.
-func New(set *settings.Settings, log hclog.Logger) (*Node, error) {
+func New(set *settings.Settings, log *slog.Logger) (*Node, error) {
 	n := &Node{
 		set:         set,
 		log:         log,
@@ -90,7 +91,7 @@
 		Store: objstore.NewClient(set.Platform.Address, objstore.ClientOptions{
 			CallTimeout: rollout.DefaultReadTimeout,
 		}),
-		Log:     log.Named("rollout"),
+		Log:     logging.Part(log, "rollout"),
 		Metrics: n.metrics,
 		Watch:   true,
 	})
@@ -104,7 +105,7 @@
 		Engine:     n.engine,
 		Claims:     n.claims,
 		Deployment: set.Deployment,
-		Log:        log.Named("gateway"),
+		Log:        logging.Part(log, "gateway"),
 		Metrics:    n.metrics,
 	})
 	return n, nil
@@ -127,7 +128,7 @@
 		Store:       n.store,
 		Heads:       n.keeper,
 		Calls:       n.serveCall,
-		Log:         n.log.Named("peer"),
+		Log:         logging.Part(n.log, "peer"),
 	})
 	return errors.Trace(err)
 }
@@ -139,7 +140,7 @@
 func (n *Node) buildTargets() {
 	relay := &sinkRelay{}
 	n.client = target.NewClient(target.Options{
-		Log:     n.log.Named("target"),
+		Log:     logging.Part(n.log, "target"),
 		Sink:    relay,
 		Metrics: n.metrics,
 	})
@@ -152,20 +153,20 @@
 			Incarnation: n.incarnation,
 		},
 		Zone: n.set.Zone,
-		Log:  n.log.Named("route"),
+		Log:  logging.Part(n.log, "route"),
 	})
 	engine := &engineRelay{}
 	n.health = health.New(health.Options{
 		Router:  n.router,
 		Sink:    engine,
-		Log:     n.log.Named("health"),
+		Log:     logging.Part(n.log, "health"),
 		Metrics: n.metrics,
 	})
 	n.engine = query.NewEngine(query.Options{
 		Leaves:  n.health.Calls(n.router),
 		Zone:    n.set.Zone,
 		Seed:    uint64(n.started.UnixNano()),
-		Log:     n.log.Named("query"),
+		Log:     logging.Part(n.log, "query"),
 		Metrics: n.metrics,
 		OnDrain: func(target, incarnation string) {
 			n.peers.LearnDrain(peer.Drain{Target: target, Incarnation: incarnation})
@@ -174,7 +175,7 @@
 	relay.Sink = n.engine
 	engine.Sink = n.engine
 	n.monitor = target.NewMonitor(target.MonitorOptions{
-		Log:    n.log.Named("monitor"),
+		Log:    logging.Part(n.log, "monitor"),
 		Reader: n.health,
 		Sink:   n.health,
 	})
--- a/once/cleaner.go
+++ b/once/cleaner.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/cespare/xxhash/v2"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -25,7 +25,7 @@
 // cleaner removes segments whose keys are all older than Keep + Margin.
 type cleaner struct {
 	opts  Options
-	log   hclog.Logger
+	log   *slog.Logger
 	count counters
 	tomb  *tomb.Tomb
 	life  context.Context // ends when tomb dies
--- a/once/committer.go
+++ b/once/committer.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/objstore"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -34,7 +34,7 @@
 // operations gather and go together with the next.
 type committer struct {
 	opts  Options
-	log   hclog.Logger
+	log   *slog.Logger
 	pace  *credit
 	count counters
 	tomb  *tomb.Tomb
--- a/once/options.go
+++ b/once/options.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/result"
-	"github.com/hashicorp/go-hclog"
 )
 
 // The defaults of Options.
@@ -33,7 +34,7 @@
 	VM          string // of this process, as in the platform's list
 	Incarnation string // new at each start of this process
 	Clock       func() time.Time
-	Log         hclog.Logger
+	Log         *slog.Logger
 	Metrics     *metrics.Set
 
 	// Keep is how long after a key was made it may be sent. All VMs must have
@@ -73,7 +74,7 @@
 		o.Clock = time.Now
 	}
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
--- a/once/relay/links.go
+++ b/once/relay/links.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
@@ -39,7 +40,7 @@
 type Options struct {
 	Self  string // this VM's name
 	Fleet Fleet
-	Log   hclog.Logger
+	Log   *slog.Logger
 
 	Hold     time.Duration // within which the other VM answers, decided or not; default 250 ms
 	Silent   time.Duration // after which it counts as lost; default 500 ms
@@ -87,7 +88,7 @@
 	defaults.Positive(&o.AvoidFor, defaultAvoidFor)
 	defaults.Positive(&o.Idle, defaultIdle)
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	t, life := tomb.WithContext(context.Background())
 	l := &Links{opts: o, tomb: t, life: life, links: map[string]*link{}, avoided: map[string]time.Time{}}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -19,11 +20,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/peer/facts"
 	"github.com/bramleybarrow/bramleybarrow/wire"
@@ -62,7 +63,7 @@
 	Seeds []string
 	Store objstore.Store // for the list of VMs
 	Heads Heads
-	Log   hclog.Logger
+	Log   *slog.Logger
 	// Calls serves connections that other VMs open for calls to leaves; may be
 	// nil.
 	Calls wire.Handler
@@ -101,7 +102,7 @@
 	defaults.Positive(&o.ListInterval, defaultListInterval)
 	defaults.Positive(&o.PingInterval, defaultPingInterval)
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	return o
 }
--- a/peer/health/health.go
+++ b/peer/health/health.go
@@ -9,11 +9,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
@@ -54,7 +54,7 @@
 type Options struct {
 	Router  Router
 	Sink    Sink
-	Log     hclog.Logger
+	Log     *slog.Logger
 	Metrics *metrics.Set
 }
 
--- a/peer/health/relay_test.go
+++ b/peer/health/relay_test.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/peer/facts"
 	"github.com/bramleybarrow/bramleybarrow/peer/route"
 	"github.com/bramleybarrow/bramleybarrow/target"
@@ -79,7 +79,7 @@
 		standing: route.Standing{Shared: true, Place: -1, Live: []int{3, 5}},
 		status:   target.Status{Target: testTarget, Incarnation: "read", State: target.StateServing},
 	}
-	r := New(Options{Router: f, Sink: f, Log: hclog.NewNullLogger(), Metrics: metrics.NewSet()})
+	r := New(Options{Router: f, Sink: f, Log: logging.Discard(), Metrics: metrics.NewSet()})
 	r.exchange, r.monitor = f, f
 	r.Apply(&bundle.Bundle{Services: []bundle.Service{{
 		Drain:   bundle.Drain{HealthIntervalMS: 1000, SuspectAfter: 3},
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -7,15 +7,16 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/peer/hop"
 	"github.com/bramleybarrow/bramleybarrow/peer/place"
@@ -37,7 +38,7 @@
 	Local hop.Leaves    // over own connections
 	Place place.Options // Gone is taken from the fleet
 	Zone  string        // the VM's availability zone
-	Log   hclog.Logger
+	Log   *slog.Logger
 	// IdleAfter is for how long a connection to an owner stays open without a
 	// call; default 5 s.
 	IdleAfter time.Duration
@@ -85,7 +86,7 @@
 // New returns a router without a bundle.
 func New(o Options) *Router {
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	defaults.Positive(&o.IdleAfter, defaultIdleAfter)
 	r := &Router{
--- a/query/engine.go
+++ b/query/engine.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/policy"
 	"github.com/bramleybarrow/bramleybarrow/target"
 )
@@ -26,7 +27,7 @@
 	Zone    string // of this VM
 	Workers int    // calls to leaves in flight, at most; 512 if 0
 	Seed    uint64 // of random choices
-	Log     hclog.Logger
+	Log     *slog.Logger
 	Metrics *metrics.Set     // a set of its own if nil
 	Clock   func() time.Time // time.Now if nil
 	// OnDrain is told of each drain learned from an answer or a status.
@@ -63,7 +64,7 @@
 		opt.Workers = defaultWorkers
 	}
 	if opt.Log == nil {
-		opt.Log = hclog.NewNullLogger()
+		opt.Log = logging.Discard()
 	}
 	if opt.Clock == nil {
 		opt.Clock = time.Now
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
@@ -33,7 +34,7 @@
 	Deployment string
 	Keys       *bundle.Keyring
 	Store      objstore.Store
-	Log        hclog.Logger
+	Log        *slog.Logger
 	Metrics    *metrics.Set // may be nil
 	// Watch makes the VM watch the platform and re-read the head every
 	// RereadEvery; without it the VM re-reads every IdleEvery and is told by
@@ -55,7 +56,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	defaults.Positive(&o.RereadEvery, DefaultRereadEvery)
 	defaults.Positive(&o.IdleEvery, DefaultIdleEvery)
--- a/settings/load.go
+++ b/settings/load.go
@@ -7,10 +7,9 @@
 	"os"
 	"strings"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/internal/strictjson"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
@@ -86,8 +85,8 @@
 	if n := len(s.FleetKeys); n < 1 || n > 2 {
 		c.add("$.fleet_keys", fmt.Sprintf("%d keys", n), "1 key, or 2 during a rotation")
 	}
-	if hclog.LevelFromString(s.Log.Level) == hclog.NoLevel {
-		c.add("$.log.level", s.Log.Level, "trace, debug, info, warn or error")
+	if _, err := logging.ParseLevel(s.Log.Level); err != nil {
+		c.add("$.log.level", s.Log.Level, logging.Levels)
 	}
 	if s.LameDuckMS < 0 || s.LameDuckMS > MaxLameDuckMS {
 		c.add("$.lame_duck_ms", fmt.Sprint(s.LameDuckMS), fmt.Sprintf("0 to %d", MaxLameDuckMS))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,7 +54,7 @@
 
 // Log governs the daemon's log.
 type Log struct {
-	Level string `json:"level"` // trace, debug, info, warn or error
+	Level string `json:"level"` // debug, info, warn or error
 	JSON  bool   `json:"json"`
 }
 
--- a/target/monitor.go
+++ b/target/monitor.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 )
 
 // StatusReader reads the status of a target; Client is one.
@@ -19,7 +20,7 @@
 
 // MonitorOptions govern a Monitor. Reader and Sink are required.
 type MonitorOptions struct {
-	Log     hclog.Logger
+	Log     *slog.Logger
 	Reader  StatusReader
 	Sink    Sink
 	Workers int // status reads at once; 16
@@ -58,7 +59,7 @@
 // NewMonitor returns a monitor without endpoints.
 func NewMonitor(opts MonitorOptions) *Monitor {
 	if opts.Log == nil {
-		opts.Log = hclog.NewNullLogger()
+		opts.Log = logging.Discard()
 	}
 	defaults.Set(&opts.Workers, defaultMonitorWorkers)
 	return &Monitor{
--- a/target/options.go
+++ b/target/options.go
@@ -1,12 +1,13 @@
 package target
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 )
 
 // Endpoint is a target as one VM uses it.
@@ -31,7 +32,7 @@
 
 // Options govern a Client. The zero value of each field stands for its default.
 type Options struct {
-	Log      hclog.Logger
+	Log      *slog.Logger
 	Sink     Sink         // told of the state that each answer states; may be nil
 	Metrics  *metrics.Set // the default set if nil
 	Protocol Protocol
@@ -86,7 +87,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.GetDefaultSet()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 	"gopkg.in/tomb.v2"
 
@@ -381,9 +381,9 @@
 }
 
 // rpcLogger passes the library's remarks to the daemon's log.
-type rpcLogger struct{ log hclog.Logger }
+type rpcLogger struct{ log *slog.Logger }
 
 // Printf implements jsonrpc2.Logger.
 func (l rpcLogger) Printf(format string, args ...any) {
-	l.log.Trace("jsonrpc2", "remark", fmt.Sprintf(format, args...))
+	l.log.Debug("jsonrpc2", "remark", fmt.Sprintf(format, args...))
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -13,12 +13,12 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bramleybarrow/bramleybarrow/internal/defaults"
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/result"
 )
 
@@ -71,7 +71,7 @@
 	// both hold, so that two keys are valid at once during a rotation.
 	Keys    [][]byte
 	Handler Handler
-	Log     hclog.Logger
+	Log     *slog.Logger
 	// DialContext opens TCP connections; default net.Dialer's.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -113,7 +113,7 @@
 	defaults.Positive(&o.PingInterval, defaultPingInterval)
 	defaults.Positive(&o.SilentAfter, pingsUntilSilent*o.PingInterval)
 	if o.Log == nil {
-		o.Log = hclog.NewNullLogger()
+		o.Log = logging.Discard()
 	}
 	if o.DialContext == nil {
 		o.DialContext = new(net.Dialer).DialContext
