Hedges: timed by leafs as usual, and never beyond use

Cause: a gathered part is hedged not before 1.3 times the time in which nine of ten answers come.

Change: durations are recorded as at a leaf whose machine is as usual; a leaf that states to be slow is given as much longer; a hedge goes out at half of the time at the latest. Hedging has a file of its own.

--- /dev/null
+++ b/scatter/hedge.go
@@ -0,0 +1,101 @@
+package scatter
+
+import "time"
+
+// hedgeSpare is what hedges leave of the budget for retries: a hedge saves time, a
+// retry saves the answer.
+const hedgeSpare = 1
+
+// Parameters of the moment to hedge.
+const (
+	hedgeQuantile = 0.9  // of recent durations; beyond it lie the pauses of leafs
+	hedgeFactor   = 1.3  // times that quantile, so that spread alone hedges little
+	hedgeLatest   = 0.4  // of the aim: later, the second answer would be late as well
+	hedgeFirst    = 0.35 // of the aim, until durations are known
+	hedgeEarliest = 4 * time.Millisecond
+
+	// hedgeNeeds is how many times that quantile a second answer is given, and
+	// hedgeSlack what is added for the way. A part of a gathered answer is of use
+	// until AnswerBy, and a hedge is an answer's bytes from another zone: it is sent
+	// as late as it may still be in time, since of the leafs that are slow many have
+	// answered by then.
+	hedgeNeeds = 2.5
+	hedgeSlack = 4 * time.Millisecond
+)
+
+// hedgeDelay is how long an attempt at a leaf may take before a second leaf is asked.
+//
+// A leaf that states that its machine is slow is given as much longer. It is hedged
+// nonetheless while a second answer that takes the quantile is still in time, or at half of
+// the time if none would be: where a tenth of the leafs was slow, 1.3 times the quantile of all lay beyond AnswerBy, no part
+// was hedged at all, and requests failed for want of shards whose leafs had gone dark.
+func (q *Query) hedgeDelay(now time.Time, id LeafID) time.Duration {
+	d, known := q.table.record(q.key()).Quantile(now, hedgeQuantile)
+	if !known {
+		return time.Duration(hedgeFirst * float64(q.spec.Aim))
+	}
+	pace := 1.0
+	if l := q.table.find(id); l != nil {
+		pace = max(l.speed.pace(now), 1)
+	}
+	delay := max(time.Duration(hedgeFactor*pace*float64(d)), hedgeEarliest)
+	if !q.spec.Gathered {
+		return min(delay, time.Duration(hedgeLatest*float64(q.spec.Aim)))
+	}
+	window := q.spec.AnswerBy.Sub(q.began) - hedgeSlack
+	inTime := window - time.Duration(hedgeNeeds*float64(d))
+	last := max(window-d, window/2)
+	return max(min(delay, last), inTime, hedgeEarliest)
+}
+
+// hedgeRetry is how soon a hedge that was due, but had no idle leaf or no budget, is
+// tried again.
+const hedgeRetry = 6 * time.Millisecond
+
+// hedge asks a second leaf of each shard whose first one is slow.
+func (q *Query) hedge(now time.Time) []Action {
+	if !q.mayHedgeAtAll() || now.Before(q.hedgeAt) {
+		return nil
+	}
+	var acts []Action
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !q.mayHedge(s) || now.Before(q.hedgeDue(now, s)) {
+			continue
+		}
+		sent := q.try(now, i, Hedge)
+		if len(sent) == 0 {
+			q.hedgeAt = now.Add(hedgeRetry)
+		}
+		acts = append(acts, sent...)
+	}
+	return acts
+}
+
+// hedgeDue returns when a shard with one attempt in flight is hedged.
+func (q *Query) hedgeDue(now time.Time, s *shard) time.Time {
+	return s.sentAt.Add(q.hedgeDelay(now, s.tried[len(s.tried)-1]))
+}
+
+func (q *Query) mayHedgeAtAll() bool { return q.spec.Idempotent && q.spec.MaxAttempts > 1 }
+
+func (q *Query) mayHedge(s *shard) bool {
+	return s.flying == 1 && !s.answered() && !s.hedged && s.maybeRan < q.spec.MaxAttempts
+}
+
+// hedgeWake returns when the first hedge falls due, zero if none will.
+func (q *Query) hedgeWake(now time.Time) time.Time {
+	if !q.mayHedgeAtAll() {
+		return time.Time{}
+	}
+	var first time.Time
+	for i := range q.shards {
+		if s := &q.shards[i]; q.mayHedge(s) {
+			first = earlier(first, q.hedgeDue(now, s))
+		}
+	}
+	if first.IsZero() {
+		return first
+	}
+	return later(first, q.hedgeAt)
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -247,7 +247,7 @@
 		q.failure = id
 		return q.conclude(now, q.again(now, a.shard))
 	}
-	q.table.record(q.key()).Add(now, now.Sub(a.sentAt))
+	q.table.learn(now, q.key(), a)
 	if s.answer == 0 {
 		s.answer = id
 		s.lookAt = time.Time{}
--- a/scatter/speed.go
+++ b/scatter/speed.go
@@ -23,7 +23,8 @@
 // Parameters of a speed.
 const (
 	paceWeight   = 0.5             // of a new word: machines change many times a second around a mean that lasts for seconds
-	paceMost     = 50              // a leaf that states more counts as this slow
+	paceLeast    = 0.2             // a leaf that states less counts as this quick
+	paceMost     = 50              // ... more, as this slow
 	excessWeight = 0.2             // of a new answer
 	excessStep   = 3               // times the smoothed excess that a new answer counts as at most
 	excessSlow   = 2               // times what is expected, from which an answer is slow
@@ -32,7 +33,7 @@
 
 // state takes what a leaf says of its machine.
 func (s *speed) state(now time.Time, pace float64) {
-	pace = min(pace, paceMost)
+	pace = min(max(pace, paceLeast), paceMost)
 	if s.stated == 0 {
 		s.stated = pace
 	}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -219,6 +219,16 @@
 	return r
 }
 
+// learn records how long an answer took, as it would have at a leaf whose machine is as
+// usual: what is expected of one leaf must not follow from how slow others are.
+func (t *Table) learn(now time.Time, kind timesKey, a *attempt) {
+	took := now.Sub(a.sentAt)
+	if l := t.find(a.leaf); l != nil {
+		took = time.Duration(float64(took) / l.speed.pace(now))
+	}
+	t.record(kind).Add(now, took)
+}
+
 // usual is how long one kind of request mostly takes at a leaf, 0 while too few answers
 // are known.
 func (t *Table) usual(now time.Time, kind timesKey) time.Duration {
