Delegated shards: the called VM asks one leaf of its own choice

Cause: where two VMs may ask for a shard, both were held to the same two leafs of three, picked by the request's id.

Change: what both may ask is one leaf fewer than allowed (one near the called VM); the called VM may ask one more of its own choice, another if that one ran nothing. Together they stay within what is allowed.

--- a/scatter/allowed.go
+++ b/scatter/allowed.go
@@ -10,8 +10,13 @@
 
 // Two VMs may ask leafs of one shard: the one that was called, and the one that called,
 // when it has waited for too long. Neither knows in time what the other did. Both reckon
-// the same few leafs from the request's id, so that together they ask no more than the
-// request allows, even if one of them freezes between any two steps.
+// the same leafs from the request's id, one fewer than the request allows. The one that
+// called asks these only; the other may ask one more of its own choice. Together they ask no
+// more than the request allows, even if one of them freezes between any two steps.
+//
+// The VM that was called asks these leafs all the time and knows which are slow or dark.
+// While it too was held to those that were reckoned, a shard with one bad leaf of three was
+// lost to every third request where two leafs were allowed.
 //
 // They reckon the same only if both know the same leafs. A change reaches one VM up to
 // some seconds before another, and much later one that has lost the store. So a call
@@ -47,10 +52,10 @@
 	return View(sum)
 }
 
-// allowed returns the leafs that may run a request for one shard that two VMs may ask
-// for in a zone: a leaf of that zone first, and as many in all as the request may have
-// attempts. One whose address has moved counts among them, since only this VM may know.
-func (t *Table) allowed(service, zone, request string, attempts int) []LeafID {
+// common returns the leafs of a shard that two VMs may ask, for a request that may run on
+// attempts leafs: one in the zone given first, and one fewer in all than attempts. One whose
+// address has moved counts among them, since only this VM may know.
+func (t *Table) common(service, zone, request string, attempts int) []LeafID {
 	s := t.groups[service]
 	if s == nil {
 		return nil
@@ -67,13 +72,41 @@
 			cmp.Compare(rank(request, a.ID), rank(request, b.ID)),
 		)
 	})
-	ids := make([]LeafID, 0, attempts)
-	for _, l := range leafs[:min(len(leafs), attempts)] {
+	n := min(len(leafs), max(attempts-1, 1))
+	ids := make([]LeafID, 0, n)
+	for _, l := range leafs[:n] {
 		ids = append(ids, l.id)
 	}
 	return ids
 }
 
+// candidates returns the leafs that an attempt on a shard may go to.
+func (q *Query) candidates(s *shard) []*leaf {
+	switch {
+	case !s.shared:
+		return q.table.usable(s.service)
+	case !q.spec.Delegated || q.spec.MaxAttempts < 2:
+		return q.table.usableOf(s.common)
+	case s.chosen != LeafID{}:
+		return q.table.usableOf(append(slices.Clone(s.common), s.chosen))
+	}
+	return q.table.usable(s.service)
+}
+
+// choose notes that the VM that was called asks a leaf of its own choice.
+func (s *shard) choose(id LeafID) {
+	if s.shared && !slices.Contains(s.common, id) {
+		s.chosen = id
+	}
+}
+
+// unchoose notes that an attempt ran nothing, so that another leaf may be chosen.
+func (s *shard) unchoose(id LeafID) {
+	if s.chosen == id {
+		s.chosen = LeafID{}
+	}
+}
+
 // usableOf returns those of some leafs that still take requests.
 func (t *Table) usableOf(ids []LeafID) []*leaf {
 	var list []*leaf
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -39,14 +39,6 @@
 	return []Action{q.send(now, i, l, why)}
 }
 
-// candidates returns the leafs that an attempt on a shard may go to.
-func (q *Query) candidates(s *shard) []*leaf {
-	if s.shared {
-		return q.table.usableOf(s.allowed)
-	}
-	return q.table.usable(s.service)
-}
-
 // pay counts the arrival that an attempt is going to cause.
 func (q *Query) pay(now time.Time, s *shard, why Why) bool {
 	b := q.table.budget(now, s.service)
@@ -76,6 +68,7 @@
 		q.retries++
 	}
 	s.tried = append(s.tried, l.id)
+	s.choose(l.id)
 	s.sends++
 	s.flying++
 	s.maybeRan++
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -42,8 +42,8 @@
 }
 
 // Leafs do three times the work for one request: another VM had asked two leafs of a
-// shard and then froze, and this VM asked a third one directly. Whatever both do, they
-// keep to the same two leafs of three.
+// shard and then froze, and this VM asked a third one directly. Whatever both do, and
+// whichever leafs the other VM avoids, they ask two leafs of three.
 func TestTwoVMsAskNoMoreLeafsThanAllowed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		request := rapid.StringMatching("[0-9a-f]{16}").Draw(t, "request")
@@ -75,6 +75,11 @@
 		peer := newWorld(t)
 		peer.become(calls[0].VM.Name, calls[0].VM.Zone, roomyTerms)
 		peer.shards(10, "other", "third", "fourth")
+		for _, service := range names {
+			if zone := rapid.SampledFrom([]string{"", "other", "third", "fourth"}).Draw(t, "dark"); zone != "" {
+				peer.table.Ended(peer.now, LeafID{ID: service + "@" + zone, Born: 1}, peer.now, EndUnreachable)
+			}
+		}
 		sub := peer.gathered(nil)
 		for _, i := range calls[0].Shards {
 			sub.Services = append(sub.Services, names[i])
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -157,7 +157,8 @@
 	answer   AttemptID // 0 without one
 	call     CallID    // that it was delegated to; 0 if to none
 	shared   bool      // another VM may ask it too
-	allowed  []LeafID  // that may run it, if it is shared
+	common   []LeafID  // that either VM may ask, if it is shared
+	chosen   LeafID    // that only this VM asks, if it is shared; zero for none
 	byCall   bool      // the call's answer includes it
 }
 
@@ -216,10 +217,10 @@
 	return q.conclude(now, acts)
 }
 
-// share fixes the leafs that may run a shard which another VM may ask for too.
+// share fixes the leafs that may run a shard for either VM, where another may ask for it too.
 func (q *Query) share(s *shard, zone string) {
 	s.shared = true
-	s.allowed = q.table.allowed(s.service, zone, q.spec.Request, q.spec.MaxAttempts)
+	s.common = q.table.common(s.service, zone, q.spec.Request, q.spec.MaxAttempts)
 }
 
 // Declined returns the shards of a delegated query that this VM does not ask, since it
@@ -266,6 +267,7 @@
 	s.flying--
 	if end == EndUnreachable || end == EndRefused || end == EndMoved {
 		s.maybeRan--
+		s.unchoose(a.leaf)
 	}
 	if end != EndUnreachable {
 		s.arrived = true
