Callers' connections are held to the manifest's times

Cause: net/http's time-outs are fixed for a server's life; the daemon had 10 s for a header and 120 s idle whatever the operator stated. A caller that may reuse connections for longer than 120 s would find them closed, and a slow one held a connection for longer than allowed.

Change: the listener's connections translate the deadlines that net/http sets.

Tests: TestSlowHeaderIsEndedInTheManifestsTime, seen failing without the translation; TestIdleTimeOfTheManifestHolds.

--- a/edge/node.go
+++ b/edge/node.go
@@ -107,17 +107,21 @@
 
 // Start listens and begins to follow the store.
 func (n *Node) Start() error {
-	var err error
-	if n.forCallers, err = n.serve(n.set.Listen.Callers, n.callers()); err != nil {
+	socket, err := listen(n.set.Listen.Callers)
+	if err != nil {
 		return errors.Trace(err)
 	}
+	n.forCallers = n.callers()
+	n.serve(&callerListener{Listener: socket, limits: n.engine.callersLimits}, n.forCallers)
 	for address, server := range map[string]*http.Server{
 		n.set.Listen.Ready:   n.ready(),
 		n.set.Listen.Metrics: n.metrics(),
 	} {
-		if _, err := n.serve(address, server); err != nil {
+		socket, err := listen(address)
+		if err != nil {
 			return errors.Trace(err)
 		}
+		n.serve(socket, server)
 		n.forOthers = append(n.forOthers, server)
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -127,27 +131,20 @@
 	return nil
 }
 
-func (n *Node) serve(address string, server *http.Server) (*http.Server, error) {
+func listen(address string) (net.Listener, error) {
 	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", address)
-	}
+	return socket, errors.Annotatef(err, "listen on %s", address)
+}
+
+func (n *Node) serve(socket net.Listener, server *http.Server) {
 	n.tomb.Go(func() error {
 		if err := server.Serve(socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error("listener ended", "address", address, "error", err)
+			n.log.Error("listener ended", "address", socket.Addr().String(), "error", err)
 		}
 		return nil
 	})
-	return server, nil
 }
 
-// Limits of callers' connections that hold for every manifest.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 120 * time.Second
-	headerBytes   = 64 << 10
-)
-
 func (n *Node) callers() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -159,6 +156,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
+		ConnState:         noteCallerState,
 		ErrorLog:          logging.Standard(n.log),
 	}
 }
