Hedges: when one is due is reckoned once an attempt

Cause: with a time for each leaf, each event of a request over 90 shards reckoned 90 of them anew. BenchmarkGatheredQuery: 1.09 ms; 0.30 ms before leafs were told apart. Change: the moment is fixed when the attempt is sent. 0.42 ms.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -72,7 +72,7 @@
 	s.sends++
 	s.flying++
 	s.maybeRan++
-	s.sentAt = now
+	s.hedgeAt = now.Add(q.hedgeDelay(now, l))
 	s.lookAt = time.Time{}
 	l.sent(now, q.table.usual(now, q.key()))
 	q.attempts[q.last] = &attempt{shard: i, leaf: l.id, sentAt: now}
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -29,15 +29,12 @@
 // nonetheless while a second answer that takes the quantile is still in time, or at half of
 // the time if none would be: where a tenth of the leafs was slow, 1.3 times the quantile of all lay beyond AnswerBy, no part
 // was hedged at all, and requests failed for want of shards whose leafs had gone dark.
-func (q *Query) hedgeDelay(now time.Time, id LeafID) time.Duration {
+func (q *Query) hedgeDelay(now time.Time, l *leaf) time.Duration {
 	d, known := q.table.record(q.key()).Quantile(now, hedgeQuantile)
 	if !known {
 		return time.Duration(hedgeFirst * float64(q.spec.Aim))
 	}
-	pace := 1.0
-	if l := q.table.find(id); l != nil {
-		pace = max(l.speed.pace(now), 1)
-	}
+	pace := max(l.speed.pace(now), 1)
 	delay := max(time.Duration(hedgeFactor*pace*float64(d)), hedgeEarliest)
 	if !q.spec.Gathered {
 		return min(delay, time.Duration(hedgeLatest*float64(q.spec.Aim)))
@@ -60,7 +57,7 @@
 	var acts []Action
 	for i := range q.shards {
 		s := &q.shards[i]
-		if !q.mayHedge(s) || now.Before(q.hedgeDue(now, s)) {
+		if !q.mayHedge(s) || now.Before(s.hedgeAt) {
 			continue
 		}
 		sent := q.try(now, i, Hedge)
@@ -72,11 +69,6 @@
 	return acts
 }
 
-// hedgeDue returns when a shard with one attempt in flight is hedged.
-func (q *Query) hedgeDue(now time.Time, s *shard) time.Time {
-	return s.sentAt.Add(q.hedgeDelay(now, s.tried[len(s.tried)-1]))
-}
-
 func (q *Query) mayHedgeAtAll() bool { return q.spec.Idempotent && q.spec.MaxAttempts > 1 }
 
 func (q *Query) mayHedge(s *shard) bool {
@@ -84,14 +76,14 @@
 }
 
 // hedgeWake returns when the first hedge falls due, zero if none will.
-func (q *Query) hedgeWake(now time.Time) time.Time {
+func (q *Query) hedgeWake() time.Time {
 	if !q.mayHedgeAtAll() {
 		return time.Time{}
 	}
 	var first time.Time
 	for i := range q.shards {
 		if s := &q.shards[i]; q.mayHedge(s) {
-			first = earlier(first, q.hedgeDue(now, s))
+			first = earlier(first, s.hedgeAt)
 		}
 	}
 	if first.IsZero() {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -150,7 +150,7 @@
 	arrived  bool // an attempt reached a leaf or may have
 	counted  bool // as a first arrival
 	hedged   bool
-	sentAt   time.Time // of the latest attempt
+	hedgeAt  time.Time // when the latest attempt is slow enough for a hedge
 	lookAt   time.Time // when to look for a leaf again; zero if not waiting
 	closed   bool      // no further attempt will be made
 	declined bool      // left to the VM that called
@@ -344,7 +344,7 @@
 	for i := range q.shards {
 		wake = earlier(wake, q.shards[i].lookAt)
 	}
-	return earlier(wake, q.hedgeWake(now))
+	return earlier(wake, q.hedgeWake())
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/scatter/query_bench_test.go
@@ -0,0 +1,28 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkGatheredQuery plays the decisions for one request over 90 shards with three leafs
+// each: all answers come, one after another. A VM with a fifth of a core has some 16 ms of
+// processor time until the aim for all that it does.
+func BenchmarkGatheredQuery(b *testing.B) {
+	w := newWorld(b)
+	names := w.shards(90, homeZone, "other", "third")
+	spec := w.gathered(names)
+	b.ReportAllocs()
+	for b.Loop() {
+		spec.AnswerBy, spec.Deadline = w.now.Add(90*time.Millisecond), w.now.Add(400*time.Millisecond)
+		q := NewQuery(spec, w.table)
+		first := sends(q.Start(w.now))
+		q.Wake(w.now)
+		for _, s := range first {
+			w.wait(100 * time.Microsecond)
+			w.table.Ended(w.now, s.Leaf, s.SentAt, EndAnswered)
+			q.Reply(w.now, s.Attempt, false)
+			q.Wake(w.now)
+		}
+	}
+}
