--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -17,6 +17,7 @@
 // LeafFaults are what a leaf does wrong. The zero value is a healthy leaf.
 type LeafFaults struct {
 	Delay     time.Duration // of its work
+	Hold      chan struct{} // its work ends when this is closed; nil for at once
 	Refuse    bool          // every request is answered 503, not run
 	Fail      bool          // every request is run and answered 500
 	Lose      bool          // every request is run, and its connection closed without an answer
@@ -185,6 +186,13 @@
 	case <-time.After(f.Delay):
 	case <-r.Context().Done():
 	}
+	if f.Hold == nil {
+		return
+	}
+	select {
+	case <-f.Hold:
+	case <-r.Context().Done():
+	}
 }
 
 func (l *Leaf) reply(w http.ResponseWriter, id string, f LeafFaults) {
--- a/scatter/faults.go
+++ b/scatter/faults.go
@@ -19,8 +19,8 @@
 	faultWeight = 0.15            // of the latest request
 	faultLife   = 4 * time.Second // in which half of it is forgotten, so that the leaf is tried again
 	// faultCost is the part of the aim that a leaf is charged which fails every request.
-	// A leaf in another zone takes its place after two failures of three (0.15 of the
-	// aim, farShare), not after one.
+	// A leaf in another zone takes its place after three failures in a row (farShare), not
+	// after one.
 	faultCost = 0.8
 )
 
