Claims: a silent connection is closed before its operations are told lost

Cause (TestOnlyCertaintyIsNotTaken, once, in a run of all tests beside three busy processes): an operation that the other VM refuses came back as lost, right after one that was lost by silence. The link told the caller before it closed the connection, so the next operation could go out on it. Reasoned from the order of calls, since the test took 0.53 s: 0.5 s of silence, and the next answer came at once. Ruled out: a time-out of its own.

Change: close first, then tell; a link whose connection has ended sends nothing more.

Test: TestOperationAfterALostOneIsNotLostWithIt; not seen failing on the former code in 40 rounds, since it takes a pause between two statements.

--- a/once/relay/link.go
+++ b/once/relay/link.go
@@ -55,6 +55,9 @@
 			return nil
 		case <-k.wake:
 		}
+		if ended(conn) {
+			return nil // what waits was never sent
+		}
 		time.Sleep(gather)
 		for _, batch := range batches(k.take()) {
 			k.send(conn, batch)
@@ -63,6 +66,15 @@
 	}
 }
 
+func ended(conn *wire.Conn) bool {
+	select {
+	case <-conn.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 func (k *link) dial() (*wire.Conn, error) {
 	ctx, cancel := context.WithTimeout(k.owner.life, k.owner.opts.Silent)
 	defer cancel()
@@ -168,9 +180,10 @@
 		return
 	}
 	// It is frozen, cut off or gone. A connection that went silent is not used
-	// again, for the VM may be reached by a new one.
-	tell(batch, nil, Lost)
+	// again, for the VM may be reached by a new one. It is closed first: who is told
+	// may come back at once, and what is then sent on it would be lost as well.
 	conn.Close()
+	tell(batch, nil, Lost)
 }
 
 // refused tells errors which are the other VM's own word that it took nothing.
--- a/once/relay/relay_test.go
+++ b/once/relay/relay_test.go
@@ -96,6 +96,11 @@
 // linked starts a VM "b" with the committer, behind a fault proxy, and returns
 // the links of a VM "a" to it.
 func linked(t *testing.T, c Committer) (*Links, *faultproxy.Proxy, objstore.VM) {
+	return linkedWith(t, c, 0)
+}
+
+// linkedWith is linked with another time after which a silent VM is lost, 0 for the usual.
+func linkedWith(t *testing.T, c Committer, silent time.Duration) (*Links, *faultproxy.Proxy, objstore.VM) {
 	g := NewWithT(t)
 	options := func(vm string) wire.Options {
 		return wire.Options{
@@ -114,7 +119,10 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = proxy.Close() })
 	b := objstore.VM{Name: "b", Address: proxy.Address()}
-	links := NewLinks(Options{Self: "a", Fleet: &fakeFleet{vms: []objstore.VM{{Name: "a"}, b}, options: options("a")}})
+	links := NewLinks(Options{
+		Self: "a", Silent: silent,
+		Fleet: &fakeFleet{vms: []objstore.VM{{Name: "a"}, b}, options: options("a")},
+	})
 	t.Cleanup(links.Stop)
 	return links, proxy, b
 }
@@ -123,6 +131,32 @@
 	return Ask{Segment: "d.1700000000", Op: Op{Kind: Claim, ID: id, Entry: Entry{Op: id}}, Credit: func() float64 { return 0 }}
 }
 
+// A VM is silent for one operation, and the next one, which a caller sends at that very
+// moment, is lost with it: it went out on the connection that was being closed. It waits for
+// a new one, or is known not to have been taken.
+func TestOperationAfterALostOneIsNotLostWithIt(t *testing.T) {
+	g := NewWithT(t)
+	silence := make(chan struct{})
+	links, _, b := linkedWith(t, committerFunc(func(ctx context.Context, batch Batch) ([]Reply, error) {
+		if batch.Ops[0].ID == "held" {
+			select {
+			case <-silence:
+			case <-ctx.Done():
+			}
+		}
+		return make([]Reply, len(batch.Ops)), nil
+	}), 250*time.Millisecond)
+	defer close(silence)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	for range 20 {
+		_, fate := links.Commit(ctx, b, ask("held"))
+		g.Expect(fate).To(Equal(Lost))
+		_, fate = links.Commit(ctx, b, ask("next"))
+		g.Expect(fate).NotTo(Equal(Lost))
+	}
+}
+
 // A claim's VM says "not run" and leaves the claim as it is, and the VM that
 // commits enters it a moment later: the key is blocked. Only a word of that VM,
 // or that the message never left, may count as "not taken".
