Leafs: what a kind of request usually takes starts from its aim

Cause: while few answers are known, every kind counted as taking 8 ms, so that a kind that takes 60 ms of an aim of 250 looked like a pause after 24 ms and went to another zone. Ruled out: waiting for answers before the first guess (nothing is known for the whole first second). Change: a tenth of the aim until answers are known; answers measured against a guess say nothing of a leaf's speed. Test: TestSlowKindIsNotTakenForAPauseWhileLittleIsKnown.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -74,7 +74,8 @@
 	s.maybeRan++
 	s.hedgeAt = now.Add(q.hedgeDelay(now, l))
 	s.lookAt = time.Time{}
-	l.sent(now, q.table.usual(now, q.key()))
+	usual, known := q.table.usual(now, q.key())
+	l.sent(flight{sentAt: now, usual: usual, known: known})
 	q.attempts[q.last] = &attempt{shard: i, leaf: l.id, sentAt: now}
 	return Send{
 		Attempt: q.last,
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -43,18 +43,18 @@
 // flight is a request on its way.
 type flight struct {
 	sentAt time.Time
-	usual  time.Duration // that its kind takes at a leaf which is as usual; 0 if not known
+	usual  time.Duration // that its kind takes at a leaf which is as usual
+	known  bool          // usual comes from answers
 }
 
 // Parameters of what a leaf is expected to take.
 const (
-	defaultLatency = 8 * time.Millisecond  // of a kind of request of which too few answers are known
-	reportLife     = time.Second           // after which a reported load counts nothing
-	reportTrust    = 0.5                   // of a fresh report, which lags
-	coldFactor     = 0.6                   // added to the latency of a leaf that has just started
-	stallFactor    = 3                     // times the expected time without an answer, after which a leaf is taken to pause
-	stallMin       = 20 * time.Millisecond // the least such time
-	stallCost      = 80 * time.Millisecond // expected of a leaf that pauses, which takes some 100 ms
+	reportLife  = time.Second           // after which a reported load counts nothing
+	reportTrust = 0.5                   // of a fresh report, which lags
+	coldFactor  = 0.6                   // added to the latency of a leaf that has just started
+	stallFactor = 3                     // times the expected time without an answer, after which a leaf is taken to pause
+	stallMin    = 20 * time.Millisecond // the least such time
+	stallCost   = 80 * time.Millisecond // expected of a leaf that pauses, which takes some 100 ms
 )
 
 // asked reports whether requests may be sent to the leaf, as far as is known of it.
@@ -78,9 +78,7 @@
 // 0.5 they got less on two of the three.
 const farShare = 0.25
 
-func (l *leaf) sent(now time.Time, usual time.Duration) {
-	l.flying = append(l.flying, flight{sentAt: now, usual: usual})
-}
+func (l *leaf) sent(f flight) { l.flying = append(l.flying, f) }
 
 // ended takes one request that was sent at the time given out of flight.
 func (l *leaf) ended(sentAt time.Time) flight {
@@ -95,7 +93,9 @@
 
 func (l *leaf) answered(now time.Time, f flight) {
 	l.rest.answered()
-	l.speed.answered(now, f.sentAt, f.usual)
+	if f.known {
+		l.speed.answered(now, f.sentAt, f.usual)
+	}
 }
 
 // report takes the load that a leaf stated; own requests are not among the others'.
@@ -128,9 +128,6 @@
 
 // expected is the time that a kind of request takes here which takes usual elsewhere.
 func (l *leaf) expected(now time.Time, usual time.Duration) time.Duration {
-	if usual == 0 {
-		usual = defaultLatency
-	}
 	return time.Duration(l.speed.factor(now) * float64(usual))
 }
 
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -279,7 +279,7 @@
 		for _, zone := range []string{homeZone, "other"} {
 			l := w.table.leafs["shard-00@"+zone]
 			if zone == homeZone {
-				l.speed.state(w.now, float64(c.near)/float64(defaultLatency))
+				l.speed.state(w.now, float64(c.near)/(usualShare*float64(100*time.Millisecond)))
 			}
 		}
 		first := sends(NewQuery(w.gathered(names), w.table).Start(w.now))
--- a/scatter/speed.go
+++ b/scatter/speed.go
@@ -43,14 +43,9 @@
 }
 
 // answered takes an answer to a request that was sent at sentAt and usually takes the time
-// given, 0 if that is not known. Slow answers to requests in flight together count once: one
-// pause makes them all.
+// given. Slow answers to requests in flight together count once: one pause makes them all.
 func (s *speed) answered(now, sentAt time.Time, usual time.Duration) {
-	expected := float64(usual) * s.pace(now)
-	if expected <= 0 {
-		return
-	}
-	ratio := float64(now.Sub(sentAt)) / expected
+	ratio := float64(now.Sub(sentAt)) / (float64(usual) * s.pace(now))
 	if ratio > excessSlow {
 		if sentAt.Before(s.slowAt) {
 			return
--- a/scatter/speed_test.go
+++ b/scatter/speed_test.go
@@ -89,3 +89,19 @@
 	}
 	w.Expect(sends(NewQuery(short, w.table).Start(w.now))[0].Leaf).To(gomega.Equal(near))
 }
+
+// A VM has just started and knows no durations. Requests that take 60 ms of an aim of 250 are
+// taken for pausing leafs after 24 ms, as if all kinds were as quick as parts of a search, and
+// the next ones go to another zone.
+func TestSlowKindIsNotTakenForAPauseWhileLittleIsKnown(t *testing.T) {
+	w := newWorld(t)
+	near := w.leaf("ledger", homeZone)
+	w.leaf("ledger", "other")
+	report := w.single("ledger", true)
+	report.Aim = 250 * time.Millisecond
+	for range 2 {
+		s := sends(NewQuery(report, w.table).Start(w.now))[0]
+		w.Expect(s.Leaf).To(gomega.Equal(near))
+		w.wait(50 * time.Millisecond)
+	}
+}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -174,7 +174,7 @@
 func (t *Table) pick(now time.Time, kind timesKey, leafs []*leaf, tried []LeafID, idle bool) *leaf {
 	var best *leaf
 	var bestCost time.Duration
-	usual := t.usual(now, kind)
+	usual, _ := t.usual(now, kind)
 	for _, l := range leafs {
 		if slices.Contains(tried, l.id) || !l.hasRoom() || !l.asked(now) {
 			continue
@@ -230,15 +230,22 @@
 	t.record(kind).Add(now, took)
 }
 
-// usual is how long one kind of request mostly takes at a leaf, 0 while too few answers
-// are known.
-func (t *Table) usual(now time.Time, kind timesKey) time.Duration {
-	d, _ := t.record(kind).Quantile(now, usualQuantile)
-	return d
-}
+// Parameters of what is usual.
+const (
+	usualQuantile = 0.5 // the median: pauses and slow leafs are fewer than half
+	// usualShare is the part of its aim that a kind of request is taken to need while too
+	// few answers are known.
+	usualShare = 0.1
+)
 
-// usualQuantile is the median: pauses and slow leafs are fewer than half.
-const usualQuantile = 0.5
+// usual is how long one kind of request mostly takes at a leaf, and whether that is known.
+func (t *Table) usual(now time.Time, kind timesKey) (d time.Duration, known bool) {
+	d, known = t.record(kind).Quantile(now, usualQuantile)
+	if !known {
+		d = time.Duration(usualShare * float64(kind.aim))
+	}
+	return d, known
+}
 
 // Unused returns the near leafs of this VM's part that it has no request at, so that
 // connections to them can be opened before they are needed.
