Liveness checks of VMs no longer wait for probes of dark ones

Cause: one loop both asked the VMs in doubt and probed silent ones; a probe of a dark VM lasts for a whole dial, and the question waited behind it. Change: two loops with an alarm each; one bounded fan-out serves leafs and VMs.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -22,6 +22,7 @@
 	log         *slog.Logger
 	stats       *stats
 	feed        *feed
+	doubts      alarm // a call to another VM was not answered: others may be silent too
 	silentVMs   alarm // a call to another VM was not answered
 	silentLeafs alarm // a leaf was silent or could not be reached
 
@@ -51,6 +52,7 @@
 		log:         opt.Log,
 		stats:       newStats(),
 		feed:        newFeed(),
+		doubts:      newAlarm(),
 		silentVMs:   newAlarm(),
 		silentLeafs: newAlarm(),
 		peers:       noDelegates{},
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -11,10 +10,24 @@
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
-// probesAtOnce bounds the connections that are opened at once to leafs which did not answer.
+// probesAtOnce bounds the connections that are opened at once to those who did not answer.
 // A dead one takes the whole time of a dial.
 const probesAtOnce = 64
 
+// each does something for all of a list, probesAtOnce at a time, and returns when all is done.
+func each[T any](list []T, do func(T)) {
+	var wg sync.WaitGroup
+	places := make(chan struct{}, probesAtOnce)
+	for _, item := range list {
+		places <- struct{}{}
+		wg.Go(func() {
+			do(item)
+			<-places
+		})
+	}
+	wg.Wait()
+}
+
 // alarm wakes whoever looks for suspects. Raising it never waits.
 type alarm chan struct{}
 
@@ -56,44 +69,39 @@
 // with a pause of a small VM.
 const pingTimeout = 150 * time.Millisecond
 
-// pingVMs asks VMs whether they live. Those that do not say so are not called until they are
-// reached on a new connection.
-func (n *Node) pingVMs(ctx context.Context, d delegates, vms []scatter.VM) {
-	var wg sync.WaitGroup
-	for _, vm := range vms {
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-			defer cancel()
-			err := d.ping(ctx, vm)
-			if err == nil || errors.Is(err, errNotJoined) {
-				return
-			}
-			n.engine.mu.Lock()
-			n.engine.table.Unanswered(time.Now(), vm.Name)
-			n.engine.mu.Unlock()
-			n.log.Info("VM does not say that it lives", "vm", vm.Name, "zone", vm.Zone, "error", err)
-		})
+// askVMs asks all VMs that this one calls whether they live, once one was silent.
+func (n *Node) askVMs(ctx context.Context) (made bool, next time.Time) {
+	n.engine.mu.Lock()
+	doubted := n.engine.table.Doubted(time.Now())
+	d := n.engine.peers
+	n.engine.mu.Unlock()
+	each(doubted, func(vm scatter.VM) { n.askVM(ctx, d, vm) })
+	return len(doubted) > 0, time.Time{}
+}
+
+// askVM asks one VM. If it does not say that it lives, it is not called until it is reached
+// on a new connection.
+func (n *Node) askVM(ctx context.Context, d delegates, vm scatter.VM) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	err := d.ping(ctx, vm)
+	if err == nil {
+		return
 	}
-	wg.Wait()
+	n.engine.mu.Lock()
+	n.engine.table.Unanswered(time.Now(), vm.Name)
+	n.engine.mu.Unlock()
 	n.engine.silentVMs.raise()
+	n.log.Info("VM does not say that it lives", "vm", vm.Name, "zone", vm.Zone, "error", err)
 }
 
-// probeVMs finds out which of the VMs that did not answer live. Their probes run beside
-// each other.
+// probeVMs finds out which of the VMs that did not answer live.
 func (n *Node) probeVMs(ctx context.Context) (made bool, next time.Time) {
 	n.engine.mu.Lock()
-	if doubted := n.engine.table.Doubted(time.Now()); len(doubted) > 0 {
-		d := n.engine.peers
-		n.tomb.Go(func() error { n.pingVMs(ctx, d, doubted); return nil })
-	}
 	suspects, next := n.engine.table.SuspectVMs(time.Now())
 	d := n.engine.peers
 	n.engine.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, vm := range suspects {
-		wg.Go(func() { n.probeVM(ctx, d, vm) })
-	}
-	wg.Wait()
+	each(suspects, func(vm scatter.VM) { n.probeVM(ctx, d, vm) })
 	return len(suspects) > 0, next
 }
 
@@ -113,16 +121,7 @@
 	n.engine.mu.Lock()
 	suspects, next := n.engine.table.SuspectLeafs(time.Now())
 	n.engine.mu.Unlock()
-	var wg sync.WaitGroup
-	places := make(chan struct{}, probesAtOnce)
-	for _, leaf := range suspects {
-		places <- struct{}{}
-		wg.Go(func() {
-			n.probeLeaf(ctx, leaf)
-			<-places
-		})
-	}
-	wg.Wait()
+	each(suspects, func(leaf registry.Leaf) { n.probeLeaf(ctx, leaf) })
 	return len(suspects) > 0, next
 }
 
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -116,6 +116,18 @@
 	return f
 }
 
+// newPatientFleet is newFleet with the daemon's own times until a VM counts as silent.
+func newPatientFleet(t *testing.T, n int) *testFleet {
+	f := newFleet(t, 0)
+	for i := range n {
+		f.start(fmt.Sprintf("vm-%03d", i), func(o *Options) {
+			o.SuspectAfter = defaultSuspectAfter
+			o.PingInterval = defaultPingInterval
+		})
+	}
+	return f
+}
+
 // start adds a VM to the fleet and to the platform's list.
 func (f *testFleet) start(name string, change func(*Options)) *testVM {
 	return f.startWith(name, change, func(*Exchange) {})
