VMs: answers to one call are taken in the order in which they were sent

Cause: handlers of one connection ran side by side. A VM that declines all shards sends what it declined and, microseconds later, its last answer; the last one was taken first, so that the caller asked for the shards as second arrivals, found no budget, and ended with 502 after 1 ms. An interim answer behind the last one could be lost in the same way. Ruled out: repeating what was declined in the last answer, which leaves the order open for whatever comes next. Change: wire.Options.InOrder; methods named there are handled on the reading loop. Their handlers must not wait; taking an answer does not. Test: TestMessagesInOrderAreNotOvertaken, seen failing without the option.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -64,6 +64,7 @@
 		MaxCalls:     peerMaxCalls,
 		PingInterval: peerPing,
 		SilentAfter:  peerSilent,
+		InOrder:      func(method string) bool { return method == methodGathered },
 		Handler: func(ctx context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
 			return p.handle(ctx, e, conn, method, params)
 		},
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -191,6 +191,10 @@
 		if body := c.bodies.in; body != nil {
 			req.Params = (*json.RawMessage)(&body)
 		}
+		if c.opts.InOrder != nil && c.opts.InOrder(req.Method) {
+			c.serveInOrder(ctx, req)
+			return
+		}
 		c.serve(ctx, req)
 	}
 }
@@ -222,14 +226,32 @@
 			// Room is made before the answer goes out: a peer that makes one
 			// call after another is never told that its last one still runs.
 			defer func() { <-c.calls }()
-			if c.opts.Handler == nil {
-				return nil, result.Errorf(result.UnknownMethod, "%q", req.Method)
-			}
-			return c.opts.Handler(ctx, c, req.Method, params)
+			return c.handle(ctx, req.Method, params)
 		}, false)
 	}()
 }
 
+// serveInOrder runs the handler on the reading loop, before the next message is read.
+func (c *Conn) serveInOrder(ctx context.Context, req *jsonrpc2.Request) {
+	if !c.begin() {
+		return
+	}
+	defer c.served.Done()
+	if !c.awaitServing() {
+		return
+	}
+	c.reply(ctx, req, func(params json.RawMessage) (any, error) {
+		return c.handle(ctx, req.Method, params)
+	}, false)
+}
+
+func (c *Conn) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	if c.opts.Handler == nil {
+		return nil, result.Errorf(result.UnknownMethod, "%q", method)
+	}
+	return c.opts.Handler(ctx, c, method, params)
+}
+
 // awaitServing waits until messages are served, and returns false if the
 // connection ended before. What came in before its end is served all the same:
 // an answer may be the last thing that a peer sends.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -56,7 +56,7 @@
 
 // Handler serves one call or notification of an authenticated peer. Its params
 // are the body if the message has one. Its result is sent as JSON. An error that carries a result.Code reaches the peer with
-// that code. Handlers of one connection run at the same time.
+// that code. Handlers of one connection run at the same time, but for Options.InOrder.
 type Handler func(ctx context.Context, conn *Conn, method string, params json.RawMessage) (any, error)
 
 // Options governs connections. Zero values are replaced by the defaults.
@@ -71,6 +71,10 @@
 	// both hold, so that two keys are valid at once during a rotation.
 	Keys    [][]byte
 	Handler Handler
+	// InOrder names the methods whose messages are handled one after another, in the
+	// order in which the peer sent them. Their handlers must not wait for anything:
+	// the connection reads nothing meanwhile.
+	InOrder func(method string) bool
 	Log     *slog.Logger
 	// DialContext opens TCP connections; default net.Dialer's.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -262,6 +262,40 @@
 	g.Expect(result.Of(<-blocked)).To(Equal(result.PeerSilent))
 }
 
+// A call is answered by two messages, and the last one is taken before the first: handlers
+// of one connection ran side by side.
+func TestMessagesInOrderAreNotOvertaken(t *testing.T) {
+	const messages = 2000
+	g := NewWithT(t)
+	var taken []int
+	done := make(chan struct{})
+	o := options("a", oldKey)
+	o.MaxCalls = messages
+	o.InOrder = func(method string) bool { return method == "number" }
+	o.Handler = func(_ context.Context, _ *Conn, _ string, params json.RawMessage) (any, error) {
+		var n int
+		if err := json.Unmarshal(params, &n); err != nil {
+			return nil, err
+		}
+		if taken = append(taken, n); len(taken) == messages {
+			close(done)
+		}
+		return nil, nil
+	}
+	s := serve(t, o)
+	c, err := dial(s, options("b", oldKey))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Wait()
+	defer c.Close()
+	var sent []int
+	for n := range messages {
+		g.Expect(c.Notify("number", n)).To(Succeed())
+		sent = append(sent, n)
+	}
+	g.Eventually(done).WithTimeout(testLimit).Should(BeClosed())
+	g.Expect(taken).To(Equal(sent))
+}
+
 // hole forwards one connection until it is told to swallow all bytes.
 type hole struct {
 	ln    net.Listener
