Parts of gathered answers end when they are of no use any more

Cause: a gathered request is answered just before its aim, but its parts went out with the caller's whole time, 15 times the aim for the newest customer. Leafs that were short of slots spent them on parts of answers that had been given or given up; a leaf that went dark was noticed after 3 s. Change: Send.Until, decided in scatter: AnswerBy, or half an aim from now for a part that can't come before it. Leafs stop by themselves, so that their connections stay; attempts end 300 ms later for those that pause. A leaf's 503 or 504 at that time (EndExpired) is no fault and no refusal. Test: TestLeafStopsWhenThePartIsOfNoUse (Until did not exist before).

--- a/edge/run.go
+++ b/edge/run.go
@@ -56,10 +56,11 @@
 
 // How long attempts in flight go on after a query.
 const (
-	// lingerAbandoned is for a caller that left, and for a call of another VM that has
-	// been answered: leafs should not work for nobody, but closing a connection costs a
-	// new one, so a leaf gets the time of most requests to finish. The other VM's caller
-	// may have left long before; this VM is not told, so it never waits for the deadline.
+	// lingerAbandoned is for a caller that left, and for a gathered request that has been
+	// answered: leafs should not work for nobody, but closing a connection costs a
+	// new one, so a leaf gets the time of most requests to finish, and one that pauses
+	// the time to say that it has stopped. Another VM's caller may have left long
+	// before; this VM is not told, so it never waits for the deadline.
 	lingerAbandoned = 300 * time.Millisecond
 	// lingerLate is added to the caller's deadline, at which leafs stop by
 	// themselves.
@@ -86,7 +87,7 @@
 func (r *runner) run(ctx context.Context) scatter.Outcome {
 	out := r.loop(ctx)
 	close(r.done)
-	forNobody := out.Verdict == scatter.Abandoned || r.spec.Delegated
+	forNobody := out.Verdict == scatter.Abandoned || r.spec.Gathered
 	if forNobody && r.spec.Idempotent {
 		time.AfterFunc(lingerAbandoned, r.cancel)
 	} else {
@@ -192,7 +193,8 @@
 // send makes one attempt. It ends by itself and tells the table, also when the query
 // has long ended.
 func (r *runner) send(s scatter.Send) {
-	left := time.Until(r.req.Deadline)
+	ctx, cancel := context.WithDeadline(r.attempts, s.Until.Add(r.linger()))
+	defer cancel()
 	peer := leafhttp.Peer{Key: poolKey(s.Leaf), Address: s.Address}
 	var word LeafWord
 	// A leaf may send the answer to an earlier request late, where the next is expected.
@@ -200,15 +202,12 @@
 		word = r.e.exchange.FromLeaf(ans.Status, ans.Header)
 		return word.RequestID == "" || word.RequestID == r.req.ID
 	}
-	ans, err := r.e.pool.Do(r.attempts, peer, r.req.HTTP, r.e.exchange.ToLeaf(s.Leaf, left), own)
+	ans, err := r.e.pool.Do(ctx, peer, r.req.HTTP, r.e.exchange.ToLeaf(s.Leaf, time.Until(s.Until)), own)
 	ev := event{attempt: s.Attempt}
 	if err == nil {
-		ev.reply, ev.end = r.judge(ans, word)
-		if ev.reply != nil && r.failedFor(ev.reply) {
-			ev.end = scatter.EndFailed
-		}
+		ev.reply, ev.end = r.judge(s, ans, word)
 	} else {
-		ev.end = r.endOf(err)
+		ev.end = endOf(ctx, err)
 	}
 	if ev.end == scatter.EndSilent {
 		// Others to this leaf may be as silent.
@@ -229,27 +228,44 @@
 	r.post(ev)
 }
 
+// linger is how long an attempt goes on after the leaf should have stopped.
+func (r *runner) linger() time.Duration {
+	if r.spec.Gathered {
+		return lingerAbandoned
+	}
+	return lingerLate
+}
+
+// expirySlack is how much before its time a leaf may stop, since it is told whole
+// milliseconds.
+const expirySlack = 2 * time.Millisecond
+
 // judge tells what a leaf's answer is worth. Without a receipt it proves nothing: a
 // success is spoilt, and a failure may have come after the request ran.
-func (r *runner) judge(ans *leafhttp.Answer, word LeafWord) (*reply, scatter.End) {
+func (r *runner) judge(s scatter.Send, ans *leafhttp.Answer, word LeafWord) (*reply, scatter.End) {
+	rep := &reply{Answer: ans, word: word}
 	switch {
 	case word.Moved:
 		return nil, scatter.EndMoved
+	case r.spec.Gathered && rep.failed() && time.Until(s.Until) < expirySlack:
+		return nil, scatter.EndExpired
 	case word.NotRun:
 		return nil, scatter.EndRefused
 	case word.Receipt == "":
 		return nil, scatter.EndBroken
+	case r.failedFor(rep):
+		return rep, scatter.EndFailed
 	default:
-		return &reply{Answer: ans, word: word}, scatter.EndAnswered
+		return rep, scatter.EndAnswered
 	}
 }
 
-func (r *runner) endOf(err error) scatter.End {
+func endOf(ctx context.Context, err error) scatter.End {
 	var unreachable *leafhttp.UnreachableError
 	switch {
 	case errors.As(err, &unreachable):
 		return scatter.EndUnreachable
-	case r.attempts.Err() != nil:
+	case ctx.Err() != nil:
 		return scatter.EndSilent
 	default:
 		return scatter.EndBroken
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -44,6 +44,7 @@
 	scatter.EndSilent:      "silent",
 	scatter.EndMoved:       "moved",
 	scatter.EndFailed:      "failed",
+	scatter.EndExpired:     "expired",
 }
 
 func (s *stats) attempt(why scatter.Why, end scatter.End) {
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -83,11 +83,31 @@
 		Leaf:    l.id,
 		Address: l.Address,
 		SentAt:  now,
+		Until:   q.usefulUntil(now, usual),
 		Far:     !l.near,
 		Why:     why,
 	}
 }
 
+// lateShare is the part of the aim that a leaf is given for a part that can't come before
+// AnswerBy any more. The answer is late then, but it is one.
+const lateShare = 0.5
+
+// usefulUntil returns when an attempt that is sent now, and usually takes the time given,
+// ends being of use. Parts of a gathered answer are of none once it was given: with the
+// caller's whole time, which may be many times the aim, leafs that are short of slots spend
+// them on parts that nobody waits for.
+func (q *Query) usefulUntil(now time.Time, usual time.Duration) time.Time {
+	switch {
+	case !q.spec.Gathered:
+		return q.spec.Deadline
+	case now.Add(usual).Before(q.spec.AnswerBy):
+		return earlier(q.spec.AnswerBy, q.spec.Deadline)
+	}
+	late := now.Add(time.Duration(lateShare * float64(q.spec.Aim)))
+	return earlier(late, q.spec.Deadline)
+}
+
 // wait lets a shard that has leafs, none of which takes a request just now, be
 // looked at again.
 func (q *Query) wait(now time.Time, s *shard, why Why) {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -44,8 +44,10 @@
 	Leaf    LeafID
 	Address string
 	SentAt  time.Time
-	Far     bool // in another availability zone
-	Why     Why
+	// Until is when the leaf is to stop: later, its answer is of no use.
+	Until time.Time
+	Far   bool // in another availability zone
+	Why   Why
 }
 
 // Ask lets another VM ask the leafs of some shards.
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -310,3 +310,23 @@
 		w.Expect(first().Leaf).To(gomega.Equal(grey))
 	}
 }
+
+// A shard is short of slots, and its leafs go on for seconds with parts of answers that were
+// given long ago, while parts that are still of use wait behind them.
+func TestLeafStopsWhenThePartIsOfNoUse(t *testing.T) {
+	w := newWorld(t)
+	names := w.shards(10, homeZone, "other")
+	spec := w.gathered(names)
+	spec.Deadline = w.now.Add(1500 * time.Millisecond)
+	q := NewQuery(spec, w.table)
+	for _, s := range sends(q.Start(w.now)) {
+		w.Expect(s.Until).To(gomega.Equal(spec.AnswerBy))
+	}
+	w.wait(85 * time.Millisecond)
+	late := sends(q.Fail(w.now, 1, EndBroken))
+	w.Expect(late).To(gomega.HaveLen(1))
+	w.Expect(late[0].Until).To(gomega.BeTemporally(">", spec.AnswerBy))
+	w.Expect(late[0].Until).To(gomega.BeTemporally("<", spec.Deadline))
+	report := w.single("shard-00", false)
+	w.Expect(sends(NewQuery(report, w.table).Start(w.now))[0].Until).To(gomega.Equal(report.Deadline))
+}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -272,6 +272,7 @@
 	EndSilent                 // it may have run: nothing came while it was waited for
 	EndMoved                  // another leaf has the address; nothing ran
 	EndFailed                 // with the leaf's own failure for an answer
+	EndExpired                // the leaf stopped when the time that it was given was over
 )
 
 // shedRest is how long a leaf that refused is left alone: about the time in which
@@ -285,7 +286,7 @@
 		return
 	}
 	f := l.ended(sentAt)
-	if end == EndAnswered || end == EndFailed || end == EndRefused {
+	if end == EndAnswered || end == EndFailed || end == EndRefused || end == EndExpired {
 		l.suspect = suspicion{}
 	}
 	switch end {
@@ -295,6 +296,8 @@
 	case EndFailed:
 		l.answered(now, f)
 		l.faults.add(now, 1)
+	case EndExpired:
+		l.answered(now, f) // slow, which is no fault
 	case EndUnreachable:
 		l.rest.unreachable(now)
 		l.suspect.hold(now)
