Gathered requests that can't be answered in time are refused at once

Nine of ten gathered requests were begun, kept slots of all shards for 0.8 of the aim, and failed with 502. Their parts stood in queues of fast leafs until their time was over, and sixteen parts a second went to each slow leaf, which finished none. Also: the line of a request, and of one gathered for a VM, says how many shards were missing, why, and names some.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -97,6 +97,7 @@
 		Header:      r.req.HTTP.Header,
 		Services:    services,
 		Views:       a.Views,
+		Needed:      a.Needed,
 		Top:         r.req.Top,
 		MaxAttempts: r.spec.MaxAttempts,
 		AimUS:       r.spec.Aim.Microseconds(),
@@ -130,11 +131,13 @@
 		return nil, err
 	}
 	return &ShardsAnswer{
-		Included: included,
-		Receipts: ans.Receipts,
-		Records:  ans.Records,
-		declined: declined,
-		last:     ans.Last,
+		Included:   included,
+		Receipts:   ans.Receipts,
+		Records:    ans.Records,
+		declined:   declined,
+		last:       ans.Last,
+		refused:    ans.Refused,
+		retryAfter: time.Duration(ans.RetryAfterUS) * time.Microsecond,
 	}, nil
 }
 
@@ -178,22 +181,26 @@
 		Request:     call.ID,
 		Delegated:   true,
 		Views:       call.Views,
+		Needed:      call.Needed,
 		Weight:      scatter.DelegateWeight,
 	}
 	r := e.newRunner(req, spec)
 	told := make(map[scatter.AttemptID]bool)
-	tell := func(ids []scatter.AttemptID, last bool) {
-		ans := r.partialAnswer(ids, told)
-		ans.Key, ans.Last = call.Key, last
-		if last || len(ans.Included) > 0 {
+	r.interim = in(call.InterimUS)
+	r.tell = func(ids []scatter.AttemptID) {
+		if ans := r.partialAnswer(ids, told); len(ans.Included) > 0 {
+			ans.Key = call.Key
 			answer(ans)
 		}
 	}
-	r.interim = in(call.InterimUS)
-	r.tell = func(ids []scatter.AttemptID) { tell(ids, false) }
 	r.decline = func(shards []int) { answer(&gatherAnswer{Key: call.Key, Declined: shards}) }
 	out := r.run(ctx)
-	tell(out.Parts, true)
+	last := r.partialAnswer(out.Parts, told)
+	last.Key, last.Last = call.Key, true
+	if out.Verdict == scatter.NotRun {
+		last.Refused, last.RetryAfterUS = true, out.RetryAfter.Microseconds()
+	}
+	answer(last)
 	e.logGather(req, spec, out, time.Since(now))
 }
 
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -33,6 +33,8 @@
 	DeadlineUS  int64       `cbor:"13,keyasint"` // until the caller's deadline
 	// Views is what the calling VM knows of each of Services.
 	Views []scatter.View `cbor:"14,keyasint"`
+	// Needed is how many of Services the whole answer can't do without; 0 if not stated.
+	Needed int `cbor:"15,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. Each shard is in one answer at most.
@@ -44,6 +46,10 @@
 	Last     bool     `cbor:"5,keyasint"` // no other answer follows
 	// Declined are indexes of gatherCall.Services that were not asked and won't be.
 	Declined []int `cbor:"6,keyasint,omitempty"`
+	// Refused says that no leaf was asked for any of the others, and none will be; the
+	// caller should come back after RetryAfterUS. Only with Last.
+	Refused      bool  `cbor:"7,keyasint,omitempty"`
+	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // decodeBody decodes a message. The other end is a VM of this system, perhaps of a
--- a/edge/log.go
+++ b/edge/log.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/routing"
@@ -20,6 +22,7 @@
 		"verdict", out.Verdict.String(),
 		"status", res.Status,
 		"missing", out.Missing,
+		"gaps", gapsText(out.Gaps, route.Gather),
 		"sent", out.Sent,
 		"hedges", out.Hedges,
 		"retries", out.Retries,
@@ -52,6 +55,7 @@
 		"shards", len(spec.Services),
 		"verdict", out.Verdict.String(),
 		"missing", out.Missing,
+		"gaps", gapsText(out.Gaps, spec.Services),
 		"sent", out.Sent,
 		"hedges", out.Hedges,
 		"retries", out.Retries,
@@ -59,6 +63,31 @@
 	)
 }
 
+// gapsNamed is how many services a line names for one cause of gaps.
+const gapsNamed = 3
+
+// gapsText says why shards had no answer: for each cause how many, and some of them by name.
+func gapsText(gaps []scatter.Gap, services []string) string {
+	var text strings.Builder
+	for _, cause := range scatter.GapCauses() {
+		var names []string
+		for _, gap := range gaps {
+			if gap.Cause == cause {
+				names = append(names, services[gap.Shard])
+			}
+		}
+		if len(names) == 0 {
+			continue
+		}
+		if text.Len() > 0 {
+			text.WriteString("; ")
+		}
+		named := strings.Join(names[:min(len(names), gapsNamed)], " ")
+		fmt.Fprintf(&text, "%s %d: %s", cause, len(names), named)
+	}
+	return text.String()
+}
+
 // noteEnd writes an attempt that ended otherwise than with an answer.
 func (r *runner) noteEnd(s scatter.Send, ev event, err error) {
 	if ev.end == scatter.EndAnswered {
--- a/edge/merge.go
+++ b/edge/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/topk"
@@ -15,6 +16,9 @@
 
 	declined []int // the shards that this VM has not asked and won't
 	last     bool  // no other answer of this VM follows
+
+	refused    bool // no leaf was asked, and none will be
+	retryAfter time.Duration
 }
 
 // merged is the result of a gathered request with the shards that out includes.
--- a/edge/run.go
+++ b/edge/run.go
@@ -152,6 +152,9 @@
 				Included: ev.shards.Included,
 				Declined: ev.shards.declined,
 				Last:     ev.shards.last,
+
+				Refused:    ev.shards.refused,
+				RetryAfter: ev.shards.retryAfter,
 			})
 		case ev.call != 0:
 			return r.query.CallFail(now, ev.call, ev.neverSent)
@@ -248,6 +251,9 @@
 	case word.Moved:
 		return nil, scatter.EndMoved
 	case r.spec.Gathered && rep.failed() && time.Until(s.Until) < expirySlack:
+		if word.NotRun {
+			return nil, scatter.EndUnbegun
+		}
 		return nil, scatter.EndExpired
 	case word.NotRun:
 		return nil, scatter.EndRefused
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -45,6 +45,7 @@
 	scatter.EndMoved:       "moved",
 	scatter.EndFailed:      "failed",
 	scatter.EndExpired:     "expired",
+	scatter.EndUnbegun:     "unbegun",
 }
 
 func (s *stats) attempt(why scatter.Why, end scatter.End) {
--- /dev/null
+++ b/scatter/admission.go
@@ -0,0 +1,165 @@
+package scatter
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Admission of gathered requests.
+//
+// The load it answers: some shards have fewer slots than requests need, since a leaf is slow,
+// dark or gone. Once these are more than an answer may leave out, no request is answered in
+// time, although most of the slots would do: each one waits behind parts of others that are
+// as late, keeps the slots of all other shards busy, fails, and comes back.
+//
+// So before anything is sent, the VM that asks the leafs forecasts when each shard could
+// answer, from the leafs' stated load and pace, its own requests in flight, and how long
+// requests of that kind usually take. Parts that would come too late are not sent, and a
+// request that lacks too many of them is refused at once: it has not run, and its caller is
+// told when to come back.
+
+// admit decides whether the request is worth beginning, by the shards that this VM asks itself;
+// a VM that is called decides by its own. Those that can't answer in time are closed.
+func (q *Query) admit(now time.Time, own []int) bool {
+	q.spareLeft = q.spare(len(own))
+	if !q.spec.Gathered || q.table.admitAll {
+		return true
+	}
+	left := time.Duration(admitShare * float64(q.spec.AnswerBy.Sub(now)))
+	var etas []time.Duration
+	var late []int
+	for _, i := range own {
+		eta := q.eta(now, &q.shards[i])
+		etas = append(etas, eta)
+		if eta > left {
+			late = append(late, i)
+		}
+	}
+	slices.Sort(etas)
+	if n := len(etas) - q.spareLeft; n > 0 && etas[n-1] > left {
+		q.refuse(now, etas[n-1]-left)
+		return false
+	}
+	for _, i := range late {
+		q.leaveOut(now, &q.shards[i])
+	}
+	q.spareLeft = max(q.spareLeft-len(late), 0)
+	return true
+}
+
+// spare is how many shards an answer can do without, of a delegated request how many of those
+// that this VM asks.
+func (q *Query) spare(own int) int {
+	if !q.spec.Delegated {
+		return q.dispensable()
+	}
+	return own - min(q.spec.Needed, own)
+}
+
+// dispensable is how many shards an answer can do without.
+func (q *Query) dispensable() int {
+	n := float64(len(q.shards))
+	return len(q.shards) - max(int(math.Ceil(q.spec.MinShare*n-shareSlack)), 1)
+}
+
+// shareSlack keeps a share that is a whole number of shards from being rounded up.
+const shareSlack = 1e-9
+
+// leaveOut closes a shard that is not asked. The request counts for its budget all the same.
+func (q *Query) leaveOut(now time.Time, s *shard) {
+	s.close(GapForecast)
+	if !s.counted {
+		s.counted = true
+		q.table.service(now, s.service).budget.first(now, q.spec.Weight)
+	}
+}
+
+// Parameters of the time that a refused caller is told, as parts of the time that it has left:
+// random between these, so that those who were refused together don't come back together. Most
+// callers don't wait for longer, and what remains does for another attempt.
+const (
+	leastReturn = 0.1
+	mostReturn  = 0.33
+)
+
+// refuse closes all shards. Over is how much too late the scarcest shard that is needed was.
+func (q *Query) refuse(now time.Time, over time.Duration) {
+	for i := range q.shards {
+		if s := &q.shards[i]; !s.declined {
+			q.leaveOut(now, s)
+		}
+	}
+	left := float64(q.spec.Deadline.Sub(now))
+	random := leastReturn + (mostReturn-leastReturn)*q.table.rng.Float64()
+	after := min(over+time.Duration(random*left), time.Duration(mostReturn*left))
+	q.retryAfter = min(max(after, minRetryAfter), maxRetryAfter)
+}
+
+// Parameters of a forecast.
+const (
+	// admitShare is the part of the time until AnswerBy within which the shards must be
+	// expected to answer. Other VMs begin requests at the same time, some work takes longer
+	// than usual, and leafs pause.
+	admitShare = 0.6
+	// drained is the part of what a leaf can run that its queue has become shorter by since
+	// the last report: other VMs go on sending.
+	drained = 0.5
+)
+
+// never is the forecast of a shard without a leaf that could be asked.
+const never = time.Hour
+
+// eta is the time until a shard would answer, at the best of its leafs, behind the requests
+// that wait for one of them already.
+func (q *Query) eta(now time.Time, s *shard) time.Duration {
+	usual, _ := q.table.usual(now, q.key())
+	best := time.Duration(never)
+	slots := 0.0 // of leafs as quick as usual
+	var work time.Duration
+	for _, l := range q.candidates(s) {
+		if l.suspect.held {
+			continue
+		}
+		best = min(best, l.eta(now, usual))
+		slots += float64(l.Slots) / l.speed.factor(now)
+		work = max(work, l.work)
+	}
+	if best == never {
+		return never
+	}
+	ahead := float64(q.table.groups[s.service].waiting)
+	return best + time.Duration(ahead/slots*float64(work))
+}
+
+// eta is the time until the leaf would answer a request that usually takes the time given.
+func (l *leaf) eta(now time.Time, usual time.Duration) time.Duration {
+	d := l.expected(now, usual) + l.backlog(now)
+	if l.rest.resting(now) {
+		d += l.rest.until.Sub(now)
+	}
+	if l.stalled(now) {
+		d += stallCost
+	}
+	return d
+}
+
+// backlog is the time until a slot of the leaf is free.
+func (l *leaf) backlog(now time.Time) time.Duration {
+	ahead := float64(len(l.flying)) + l.queued(now) + 1 - float64(l.Slots)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(l.Slots) * float64(l.expected(now, l.work)))
+}
+
+// queued is how many requests of other VMs the leaf has: those of the last report, less what
+// it has worked off since.
+func (l *leaf) queued(now time.Time) float64 {
+	age := now.Sub(l.reportedAt)
+	if age >= reportLife || l.reported == 0 {
+		return 0
+	}
+	done := drained * float64(l.Slots) * float64(age) / float64(max(l.expected(now, l.work), time.Millisecond))
+	return max(l.reported-done, 0)
+}
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -19,13 +19,19 @@
 func (q *Query) try(now time.Time, i int, why Why) []Action {
 	s := &q.shards[i]
 	leafs := q.candidates(s)
-	l := q.table.pick(now, q.key(), leafs, s.tried, why == Hedge)
+	c := choice{tried: s.tried, idle: why == Hedge}
+	if q.spec.Gathered {
+		c.by = q.usefulUntil(now)
+		c.idle = c.idle || c.by.After(q.spec.AnswerBy)
+	}
+	l := q.table.pick(now, q.key(), leafs, c)
 	if l == nil && why != Hedge && s.flying == 0 {
 		// All rest after failures, or each was tried. One of them is better than
 		// none: a leaf that refused or was out of reach may be well again.
-		l = q.table.pickResting(leafs, s.tried)
+		l = q.table.pickResting(now, leafs, s.tried)
 		if l == nil && (s.maybeRan == 0 || s.shared) {
-			l = q.table.pick(now, q.key(), leafs, nil, false)
+			c.tried = nil
+			l = q.table.pick(now, q.key(), leafs, c)
 		}
 	}
 	if l == nil {
@@ -33,7 +39,9 @@
 		return nil
 	}
 	if !q.pay(now, s, why) {
-		s.closed = s.closed || why == Retry
+		if why == Retry {
+			s.close(GapBudget)
+		}
 		return nil
 	}
 	return []Action{q.send(now, i, l, why)}
@@ -73,7 +81,7 @@
 	s.flying++
 	s.maybeRan++
 	s.hedgeAt = now.Add(q.hedgeDelay(now, l))
-	s.lookAt = time.Time{}
+	q.look(s, time.Time{})
 	usual, known := q.table.usual(now, q.key())
 	l.sent(flight{sentAt: now, usual: usual, known: known})
 	q.attempts[q.last] = &attempt{shard: i, leaf: l.id, sentAt: now}
@@ -83,25 +91,26 @@
 		Leaf:    l.id,
 		Address: l.Address,
 		SentAt:  now,
-		Until:   q.usefulUntil(now, usual),
+		Until:   q.usefulUntil(now),
 		Far:     !l.near,
 		Why:     why,
 	}
 }
 
 // lateShare is the part of the aim that a leaf is given for a part that can't come before
-// AnswerBy any more. The answer is late then, but it is one.
+// AnswerBy any more. The answer is late then, but it is one. Only leafs with a free slot are
+// asked for it.
 const lateShare = 0.5
 
-// usefulUntil returns when an attempt that is sent now, and usually takes the time given,
-// ends being of use. Parts of a gathered answer are of none once it was given: with the
+// usefulUntil returns when an attempt that is sent now ends being of use. Parts of a gathered answer are of none once it was given: with the
 // caller's whole time, which may be many times the aim, leafs that are short of slots spend
 // them on parts that nobody waits for.
-func (q *Query) usefulUntil(now time.Time, usual time.Duration) time.Time {
-	switch {
-	case !q.spec.Gathered:
+func (q *Query) usefulUntil(now time.Time) time.Time {
+	if !q.spec.Gathered {
 		return q.spec.Deadline
-	case now.Add(usual).Before(q.spec.AnswerBy):
+	}
+	usual, _ := q.table.usual(now, q.key())
+	if now.Add(usual).Before(q.spec.AnswerBy) {
 		return earlier(q.spec.AnswerBy, q.spec.Deadline)
 	}
 	late := now.Add(time.Duration(lateShare * float64(q.spec.Aim)))
@@ -115,16 +124,33 @@
 		return
 	}
 	if s.flying > 0 || !now.Before(q.waitUntil()) {
-		s.closed = s.flying == 0
+		if s.flying == 0 {
+			s.close(GapRoom)
+		}
 		return
 	}
 	if !q.table.Usable(s.service) && (!q.spec.Gathered || q.spec.Delegated) {
 		// A caller who is told at once can turn elsewhere, and so can another VM,
 		// which may know leafs that this one, just started, does not.
-		s.closed = true
+		s.close(GapNoLeaf)
 		return
 	}
-	s.lookAt = now.Add(lookPause)
+	q.look(s, now.Add(lookPause))
+}
+
+// look sets when a leaf of a shard is looked for again, zero for never.
+func (q *Query) look(s *shard, at time.Time) {
+	if s.lookAt.IsZero() && at.IsZero() {
+		return
+	}
+	waits := q.table.groups[s.service]
+	if waits != nil && !s.lookAt.IsZero() {
+		waits.waiting--
+	}
+	s.lookAt = at
+	if waits != nil && !at.IsZero() {
+		waits.waiting++
+	}
 }
 
 func (q *Query) waitUntil() time.Time {
@@ -141,12 +167,16 @@
 	if s.answered() || s.closed || s.flying > 0 {
 		return nil
 	}
+	if q.spec.Gathered && !now.Before(q.spec.AnswerBy) {
+		s.close(GapLate)
+		return nil
+	}
 	if s.maybeRan >= q.spec.MaxAttempts || s.sends >= q.spec.MaxAttempts*sendsPerAttempt {
-		s.closed = true
+		s.close(GapAttempts)
 		return nil
 	}
 	if s.maybeRan > 0 && !q.spec.Idempotent {
-		s.closed = true
+		s.close(GapAttempts)
 		return nil
 	}
 	why := Retry
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -16,6 +16,12 @@
 
 func (q *Query) finish(out Outcome) []Action {
 	q.done = true
+	if q.spec.Gathered {
+		out.Gaps = q.gaps()
+	}
+	for i := range q.shards {
+		q.look(&q.shards[i], time.Time{})
+	}
 	out.Sent, out.Hedges, out.Retries = q.sent, q.hedges, q.retries
 	return []Action{Finish{Outcome: out}}
 }
@@ -61,6 +67,9 @@
 )
 
 func (q *Query) comeBack() time.Duration {
+	if q.retryAfter > 0 {
+		return q.retryAfter
+	}
 	d := time.Duration(retryAfterShare * float64(q.spec.Aim))
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -49,9 +49,15 @@
 	part int
 }
 
-// delegate hands the shards that this VM does not own to VMs that do: near ones in this
-// zone, the others in as few zones as possible.
-func (q *Query) delegate(now time.Time) []Action {
+// delegation is a call to make: the VM, and the shards that it is asked for.
+type delegation struct {
+	vm     *vm
+	shards []int
+}
+
+// delegations chooses VMs for the shards that this VM does not own: near ones in this zone,
+// the others in as few zones as possible.
+func (q *Query) delegations(now time.Time) []delegation {
 	near, far := q.sortShards(now)
 	byPlace := make(map[place][]int)
 	q.assign(byPlace, q.table.zone, near)
@@ -65,17 +71,17 @@
 		}
 		q.assign(byPlace, zone, shards)
 	}
-	var acts []Action
+	var calls []delegation
 	for _, p := range slices.SortedFunc(maps.Keys(byPlace), comparePlaces) {
 		shards := byPlace[p]
 		if len(shards) < minDelegated && p.zone != q.table.zone {
 			continue
 		}
 		if v := q.table.pickVM(now, p.zone, p.part); v != nil {
-			acts = append(acts, q.ask(now, v, shards))
+			calls = append(calls, delegation{vm: v, shards: shards})
 		}
 	}
-	return acts
+	return calls
 }
 
 func comparePlaces(a, b place) int {
@@ -162,6 +168,7 @@
 		SentAt:    now,
 		Shards:    shards,
 		Views:     views,
+		Needed:    max(len(shards)-q.spareLeft, 0),
 		InterimBy: interim,
 		AnswerBy:  now.Add(time.Duration(answerShare * float64(left))),
 	}
@@ -195,6 +202,10 @@
 	Included []int // shards that its answer includes
 	Declined []int // shards that it has not asked and never will
 	Last     bool  // no other answer follows
+	// Refused says that the VM has asked none of the shards and never will, since enough of
+	// them for an answer could not be had in time. It ends the call.
+	Refused    bool
+	RetryAfter time.Duration // if Refused: when the caller should come back
 }
 
 // CallReply takes an answer of another VM. Where a shard was answered directly meanwhile,
@@ -204,6 +215,9 @@
 	if c == nil || q.done {
 		return nil
 	}
+	if ans.Refused {
+		return q.refused(now, c, id, ans.RetryAfter)
+	}
 	heard := len(ans.Included) > 0 || ans.Last // and not only what was declined
 	if heard && !c.heard {
 		q.table.record(q.callKey()).Add(now, now.Sub(c.sentAt))
@@ -213,7 +227,7 @@
 	c.over = c.over || ans.Last
 	for _, i := range ans.Included {
 		q.shards[i].byCall = true
-		q.shards[i].lookAt = time.Time{}
+		q.look(&q.shards[i], time.Time{})
 	}
 	acts := q.takeBack(now, ans.Declined)
 	if c.ended {
@@ -230,6 +244,22 @@
 	return q.conclude(now, append(acts, q.askDirectly(now, c)...))
 }
 
+// refused takes that a VM asks none of the shards of a call. The others can't make up for
+// them, so nothing is asked directly.
+func (q *Query) refused(now time.Time, c *call, id CallID, retryAfter time.Duration) []Action {
+	c.over, c.ended = true, true
+	q.retryAfter = max(q.retryAfter, retryAfter)
+	for _, i := range c.shards {
+		s := &q.shards[i]
+		if s.call == id && s.sends == 0 {
+			s.call = 0
+			s.shared = false
+			s.close(GapForecast)
+		}
+	}
+	return q.conclude(now, nil)
+}
+
 // CallFail takes that another VM gave no answer. With neverSent it got no call, so that
 // its shards are this VM's alone again.
 func (q *Query) CallFail(now time.Time, id CallID, neverSent bool) []Action {
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -38,6 +38,7 @@
 
 	reported   float64 // requests of other VMs at the last report
 	reportedAt time.Time
+	work       time.Duration // smoothed: what requests usually take that were sent here
 }
 
 // flight is a request on its way.
@@ -54,6 +55,7 @@
 	coldFactor  = 0.6                   // added to the latency of a leaf that has just started
 	stallFactor = 3                     // times the expected time without an answer, after which a leaf is taken to pause
 	stallMin    = 20 * time.Millisecond // the least such time
+	workWeight  = 0.1                   // of a new request in what requests usually take
 	stallCost   = 80 * time.Millisecond // expected of a leaf that pauses, which takes some 100 ms
 )
 
@@ -78,7 +80,13 @@
 // 0.5 they got less on two of the three.
 const farShare = 0.25
 
-func (l *leaf) sent(f flight) { l.flying = append(l.flying, f) }
+func (l *leaf) sent(f flight) {
+	l.flying = append(l.flying, f)
+	if l.work == 0 {
+		l.work = f.usual
+	}
+	l.work += time.Duration(workWeight * float64(f.usual-l.work))
+}
 
 // ended takes one request that was sent at the time given out of flight.
 func (l *leaf) ended(sentAt time.Time) flight {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -23,6 +23,9 @@
 	// service; a shard of which this VM knows otherwise is declined.
 	Delegated bool
 	Views     []View
+	// Needed is how many of Services the whole answer can't do without, of a request that
+	// another VM delegates; 0 if it doesn't say.
+	Needed int
 	// Weight is the part of a request that counts here for the budget, from 0 to 1:
 	// of one that another VM passes on, it counts the rest.
 	Weight float64
@@ -57,6 +60,7 @@
 	SentAt time.Time
 	Shards []int
 	Views  []View // one for each of Shards
+	Needed int    // of Shards, without which there is no answer
 	// InterimBy is when that VM answers with what it has, and AnswerBy when it gives
 	// up on the rest.
 	InterimBy time.Time
@@ -115,6 +119,7 @@
 	// not among Parts.
 	Calls      []CallID
 	Missing    int           // shards that are left out
+	Gaps       []Gap         // the shards without an answer, also of a request that failed
 	RetryAfter time.Duration // with NotRun: when to come back
 
 	Sent, Hedges, Retries int
@@ -139,6 +144,9 @@
 	failure  AttemptID // the latest with a leaf's own failure
 	hedgeAt  time.Time // no hedge before; one that was due found no idle leaf or no budget
 
+	spareLeft  int           // shards that may be left out besides those that are
+	retryAfter time.Duration // that a refused caller is told; 0 if nobody refused
+
 	sent, hedges, retries int
 }
 
@@ -155,6 +163,7 @@
 	hedgeAt  time.Time // when the latest attempt is slow enough for a hedge
 	lookAt   time.Time // when to look for a leaf again; zero if not waiting
 	closed   bool      // no further attempt will be made
+	gap      GapCause  // why it was closed
 	declined bool      // left to the VM that called
 	answer   AttemptID // 0 without one
 	call     CallID    // that it was delegated to; 0 if to none
@@ -198,27 +207,60 @@
 	return q
 }
 
-// Start sends the first attempts.
+// Start sends the first attempts, or refuses the request if it can't be answered in time.
 func (q *Query) Start(now time.Time) []Action {
 	q.began = now
-	var acts []Action
+	var calls []delegation
 	if q.spec.Delegate {
-		acts = q.delegate(now)
+		calls = q.delegations(now)
+	}
+	if q.spec.Delegated {
+		q.decline()
+	}
+	if !q.admit(now, q.own(calls)) {
+		return q.finish(q.gaveUp(ShortAnswer))
+	}
+	var acts []Action
+	for _, d := range calls {
+		acts = append(acts, q.ask(now, d.vm, d.shards))
 	}
 	for i := range q.shards {
-		s := &q.shards[i]
-		if q.spec.Delegated {
-			q.share(s, q.table.zone)
-			s.declined = q.table.View(s.service) != q.spec.Views[i]
-			s.closed = s.declined
-		}
-		if s.call == 0 && !s.closed {
+		if s := &q.shards[i]; s.call == 0 && !s.closed {
 			acts = append(acts, q.try(now, i, First)...)
 		}
 	}
 	return q.conclude(now, acts)
 }
 
+// decline leaves the shards of which this VM knows other leafs to the VM that called.
+func (q *Query) decline() {
+	for i := range q.shards {
+		s := &q.shards[i]
+		q.share(s, q.table.zone)
+		s.declined = q.table.View(s.service) != q.spec.Views[i]
+		if s.declined {
+			s.close(GapDeclined)
+		}
+	}
+}
+
+// own returns the shards whose leafs this VM asks itself.
+func (q *Query) own(calls []delegation) []int {
+	delegated := make(map[int]bool)
+	for _, d := range calls {
+		for _, i := range d.shards {
+			delegated[i] = true
+		}
+	}
+	var list []int
+	for i := range q.shards {
+		if !delegated[i] && !q.shards[i].closed {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // share fixes the leafs that may run a shard for either VM, where another may ask for it too.
 func (q *Query) share(s *shard, zone string) {
 	s.shared = true
@@ -253,7 +295,7 @@
 	q.table.learn(now, q.key(), a)
 	if s.answer == 0 {
 		s.answer = id
-		s.lookAt = time.Time{}
+		q.look(s, time.Time{})
 	}
 	return q.conclude(now, nil)
 }
@@ -267,7 +309,7 @@
 	delete(q.attempts, id)
 	s := &q.shards[a.shard]
 	s.flying--
-	if end == EndUnreachable || end == EndRefused || end == EndMoved {
+	if !end.ran() {
 		s.maybeRan--
 		s.unchoose(a.leaf)
 	}
@@ -293,7 +335,7 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !s.lookAt.IsZero() && !now.Before(s.lookAt) {
-			s.lookAt = time.Time{}
+			q.look(s, time.Time{})
 			acts = append(acts, q.again(now, i)...)
 		}
 	}
--- a/scatter/speed.go
+++ b/scatter/speed.go
@@ -23,13 +23,15 @@
 
 // Parameters of a speed.
 const (
-	paceWeight   = 0.5             // of a new word: machines change many times a second around a mean that lasts for seconds
-	paceLeast    = 0.2             // a leaf that states less counts as this quick
-	paceMost     = 50              // ... more, as this slow
-	excessWeight = 0.2             // of a new answer
-	excessStep   = 3               // times the smoothed excess that a new answer counts as at most
-	excessSlow   = 2               // times what is expected, from which an answer is slow
-	speedLife    = 2 * time.Second // in which half of what sets a leaf apart is forgotten: one that was slow and gets no requests is tried again
+	paceWeight    = 0.5             // of a new word: machines change many times a second around a mean that lasts for seconds
+	paceLeast     = 0.2             // a leaf that states less counts as this quick
+	paceMost      = 50              // ... more, as this slow
+	excessWeight  = 0.2             // of a new answer
+	expiredFactor = 2               // times the time after which a request expired, that it counts as
+	expiredWeight = 0.5             // of an expired request
+	excessStep    = 3               // times the smoothed excess that a new answer counts as at most
+	excessSlow    = 2               // times what is expected, from which an answer is slow
+	speedLife     = 2 * time.Second // in which half of what sets a leaf apart is forgotten: one that was slow and gets no requests is tried again
 )
 
 // state takes what a leaf says of its machine.
@@ -45,7 +47,18 @@
 // answered takes an answer to a request that was sent at sentAt and usually takes the time
 // given. Slow answers to requests in flight together count once: one pause makes them all.
 func (s *speed) answered(now, sentAt time.Time, usual time.Duration) {
-	ratio := float64(now.Sub(sentAt)) / (float64(usual) * s.pace(now))
+	s.add(now, sentAt, now.Sub(sentAt), usual, excessWeight)
+}
+
+// expired takes that the leaf was still at work when the time of a request was over. How long
+// it would have taken is not known. Such a leaf is too slow for its requests, and it tells so
+// much more seldom than others do.
+func (s *speed) expired(now, sentAt time.Time, usual time.Duration) {
+	s.add(now, sentAt, expiredFactor*now.Sub(sentAt), usual, expiredWeight)
+}
+
+func (s *speed) add(now, sentAt time.Time, took, usual time.Duration, weight float64) {
+	ratio := float64(took) / (float64(usual) * s.pace(now))
 	if ratio > excessSlow {
 		if sentAt.Before(s.slowAt) {
 			return
@@ -53,7 +66,7 @@
 		s.slowAt = now
 	}
 	excess := s.beyond(now)
-	s.excess = excess + excessWeight*(min(ratio, excessStep*excess)-excess)
+	s.excess = excess + weight*(min(ratio, excessStep*excess)-excess)
 	s.excessAt = now
 }
 
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -25,6 +25,8 @@
 	doubt  doubt
 	born   time.Time // start of this VM's process
 	times  map[timesKey]*latency.Record
+
+	admitAll bool // for tests: no request is refused by forecast
 }
 
 // service is the leafs and the budget of one service.
@@ -32,6 +34,7 @@
 	leafs          []*leaf
 	budget         *budget
 	maxConnections int
+	waiting        int  // shards of queries in progress that wait for a leaf to take them
 	shard          bool // asked by gathered requests only, so mostly by its owners
 	view           View
 	viewKnown      bool // false after a change
@@ -168,18 +171,27 @@
 // Usable reports whether a service has a leaf that takes requests.
 func (t *Table) Usable(name string) bool { return len(t.usable(name)) > 0 }
 
-// pick chooses the leaf for a request: of the leafs not tried that neither rest nor
-// are full, the one that is expected to answer first. With idle set, only leafs that
-// would start at once count.
-func (t *Table) pick(now time.Time, kind timesKey, leafs []*leaf, tried []LeafID, idle bool) *leaf {
+// choice is what limits the leafs for a request.
+type choice struct {
+	tried []LeafID  // not these again
+	idle  bool      // only leafs that would start at once
+	by    time.Time // only leafs that are expected to answer until then; zero for all
+}
+
+// pick chooses the leaf for a request: of those that are asked and not full, the one that is
+// expected to answer first.
+func (t *Table) pick(now time.Time, kind timesKey, leafs []*leaf, c choice) *leaf {
 	var best *leaf
 	var bestCost time.Duration
 	usual, _ := t.usual(now, kind)
 	for _, l := range leafs {
-		if slices.Contains(tried, l.id) || !l.hasRoom() || !l.asked(now) {
+		if slices.Contains(c.tried, l.id) || !l.hasRoom() || !l.asked(now) {
 			continue
 		}
-		if idle && !l.idle(now) {
+		if c.idle && !l.idle(now) {
+			continue
+		}
+		if !c.by.IsZero() && now.Add(l.eta(now, usual)).After(c.by) {
 			continue
 		}
 		cost := l.cost(now, kind.aim, usual)
@@ -197,10 +209,10 @@
 
 // pickResting chooses, for requests that have no other, the leaf that rests for the shortest
 // time. Those that are suspect come last.
-func (t *Table) pickResting(leafs []*leaf, tried []LeafID) *leaf {
+func (t *Table) pickResting(now time.Time, leafs []*leaf, tried []LeafID) *leaf {
 	var best *leaf
 	for _, l := range leafs {
-		if slices.Contains(tried, l.id) || !l.hasRoom() {
+		if l.asked(now) || slices.Contains(tried, l.id) || !l.hasRoom() {
 			continue
 		}
 		if best == nil || l.soonerThan(best) {
@@ -273,8 +285,27 @@
 	EndMoved                  // another leaf has the address; nothing ran
 	EndFailed                 // with the leaf's own failure for an answer
 	EndExpired                // the leaf stopped when the time that it was given was over
+	EndUnbegun                // that time was over before the leaf began
 )
 
+// alive reports whether the end shows that the leaf lives.
+func (e End) alive() bool {
+	switch e {
+	case EndAnswered, EndFailed, EndRefused, EndExpired, EndUnbegun:
+		return true
+	}
+	return false
+}
+
+// ran reports whether the leaf ran the request or may have.
+func (e End) ran() bool {
+	switch e {
+	case EndUnreachable, EndRefused, EndMoved, EndUnbegun:
+		return false
+	}
+	return true
+}
+
 // shedRest is how long a leaf that refused is left alone: about the time in which
 // one request ends and frees a slot.
 const shedRest = 15 * time.Millisecond
@@ -286,7 +317,7 @@
 		return
 	}
 	f := l.ended(sentAt)
-	if end == EndAnswered || end == EndFailed || end == EndRefused || end == EndExpired {
+	if end.alive() {
 		l.suspect = suspicion{}
 	}
 	switch end {
@@ -297,7 +328,9 @@
 		l.answered(now, f)
 		l.faults.add(now, 1)
 	case EndExpired:
-		l.answered(now, f) // slow, which is no fault
+		if f.known {
+			l.speed.expired(now, sentAt, f.usual)
+		}
 	case EndUnreachable:
 		l.rest.unreachable(now)
 		l.suspect.hold(now)
