--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -26,19 +26,21 @@
 	if !q.spec.Gathered || q.table.admitAll {
 		return true
 	}
-	left := time.Duration(admitShare * float64(q.spec.AnswerBy.Sub(now)))
-	var etas []time.Duration
+	usual, _ := q.table.usual(now, q.key())
+	slack := max(q.spec.AnswerBy.Sub(now)-usual, 0)
+	var waits []time.Duration
 	var late []int
 	for _, i := range own {
-		eta := q.eta(now, &q.shards[i])
-		etas = append(etas, eta)
-		if eta > left {
+		wait := q.eta(now, &q.shards[i]) - usual
+		waits = append(waits, wait)
+		if wait > slack {
 			late = append(late, i)
 		}
 	}
-	slices.Sort(etas)
-	if n := len(etas) - q.spareLeft; n > 0 && etas[n-1] > left {
-		q.refuse(now, etas[n-1]-left)
+	slices.Sort(waits)
+	longest := time.Duration(admitShare * float64(slack))
+	if n := len(waits) - q.spareLeft; n > 0 && waits[n-1] > longest {
+		q.refuse(now, waits[n-1]-longest)
 		return false
 	}
 	for _, i := range late {
@@ -48,6 +50,20 @@
 	return true
 }
 
+// Parameters of holding back own shards.
+const (
+	holdFrom = 0.05 // share of refused calls from which they are held
+	// holdTime is about what a call and its refusal take.
+	holdTime = 3 * time.Millisecond
+)
+
+// holdsOwn reports whether the shards that this VM asks itself wait until called VMs had the
+// time to refuse. Where calls are refused now and then, leafs would work on the other shards
+// for nobody, and the caller could not be told that its request has not run.
+func (q *Query) holdsOwn(now time.Time, calls []delegation) bool {
+	return len(calls) > 0 && q.table.callsRefused.share(now) > holdFrom
+}
+
 // spare is how many shards an answer can do without, of a delegated request how many of those
 // that this VM asks.
 func (q *Query) spare(own int) int {
@@ -98,10 +114,12 @@
 
 // Parameters of a forecast.
 const (
-	// admitShare is the part of the time until AnswerBy within which the shards must be
-	// expected to answer. Other VMs begin requests at the same time, some work takes longer
+	// admitShare is the part of the time until AnswerBy within which the shards that are
+	// needed must be expected to answer, for a request to be begun. Other VMs begin requests at the same time, some work takes longer
 	// than usual, and leafs pause.
-	admitShare = 0.6
+	admitShare = 0.4
+	// sendMargin is how many times too late a part must be expected for not being sent.
+	sendMargin = 2
 	// drained is the part of what a leaf can run that its queue has become shorter by since
 	// the last report: other VMs go on sending.
 	drained = 0.5
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -241,6 +241,7 @@
 		return q.conclude(now, acts)
 	}
 	c.ended = true
+	q.table.callsRefused.add(now, 0)
 	return q.conclude(now, append(acts, q.askDirectly(now, c)...))
 }
 
@@ -248,6 +249,7 @@
 // them, so nothing is asked directly.
 func (q *Query) refused(now time.Time, c *call, id CallID, retryAfter time.Duration) []Action {
 	c.over, c.ended = true, true
+	q.table.callsRefused.add(now, 1)
 	q.retryAfter = max(q.retryAfter, retryAfter)
 	for _, i := range c.shards {
 		s := &q.shards[i]
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -224,8 +224,14 @@
 	for _, d := range calls {
 		acts = append(acts, q.ask(now, d.vm, d.shards))
 	}
+	hold := q.holdsOwn(now, calls)
 	for i := range q.shards {
-		if s := &q.shards[i]; s.call == 0 && !s.closed {
+		s := &q.shards[i]
+		switch {
+		case s.call != 0 || s.closed:
+		case hold:
+			q.look(s, now.Add(holdTime))
+		default:
 			acts = append(acts, q.try(now, i, First)...)
 		}
 	}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -26,7 +26,8 @@
 	born   time.Time // start of this VM's process
 	times  map[timesKey]*latency.Record
 
-	admitAll bool // for tests: no request is refused by forecast
+	callsRefused faults // share of calls that other VMs refuse
+	admitAll     bool   // for tests: no request is refused by forecast
 }
 
 // service is the leafs and the budget of one service.
@@ -191,7 +192,7 @@
 		if c.idle && !l.idle(now) {
 			continue
 		}
-		if !c.by.IsZero() && now.Add(l.eta(now, usual)).After(c.by) {
+		if !c.by.IsZero() && now.Add(l.eta(now, usual)*2/4).After(c.by) {
 			continue
 		}
 		cost := l.cost(now, kind.aim, usual)
