Called VMs leave no more than 8 ms of the caller's aim

Cause: a called VM gave up after 0.85 of the time until the answer leaves. Ruled out: a fixed share nearer to 1 (too little for aims of 40 ms). Change: what is left is callSlack at the most. Test: TestCalledVMHasNearlyAllOfALongAim, seen failing before.

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -31,10 +31,10 @@
 	// tells what it has. A VM that says nothing by then is overtaken; there is time
 	// yet to ask leafs directly.
 	interimShare = 0.5
-	// answerShare is the part that it has in all: what is left is for its answer and
-	// for answering the caller.
+	// answerShare is the part that it has in all at the least: what is left is for its
+	// answer and for answering the caller, callSlack at the most.
 	answerShare = 0.85
-	// callSlack is added for the way to the other VM and back.
+	// callSlack is for the way to the other VM and back.
 	callSlack = 8 * time.Millisecond
 	// callQuantile and callFactor say when a silent VM is overtaken, callLatest by
 	// when at the latest, as a part of the time until AnswerBy.
@@ -170,7 +170,7 @@
 		Views:     views,
 		Needed:    max(len(shards)-q.spareLeft, 0),
 		InterimBy: interim,
-		AnswerBy:  now.Add(time.Duration(answerShare * float64(left))),
+		AnswerBy:  now.Add(max(time.Duration(answerShare*float64(left)), left-callSlack)),
 	}
 }
 
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -370,3 +370,19 @@
 	w.Expect(w.table.ProbedLeaf(w.now, dark, true)).To(gomega.BeTrue())
 	w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0].Leaf).To(gomega.Equal(dark))
 }
+
+// A VM gives up on shards long before the caller's aim: what it leaves for the way back grew
+// with the aim.
+func TestCalledVMHasNearlyAllOfALongAim(t *testing.T) {
+	w := newWorld(t)
+	names := w.shards(10, "other")
+	w.table.SetVMs(w.now, []VM{{Name: "vm-other", Zone: "other", Power: 1}})
+	spec := w.gathered(names)
+	spec.Delegate = true
+	for _, left := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond} {
+		spec.AnswerBy = w.now.Add(left)
+		call := asks(NewQuery(spec, w.table).Start(w.now))[0]
+		w.Expect(spec.AnswerBy.Sub(call.AnswerBy)).To(gomega.BeNumerically("<=", callSlack))
+		w.Expect(spec.AnswerBy.Sub(call.AnswerBy)).To(gomega.BeNumerically(">=", callSlack/2))
+	}
+}
