No part is sent late for an answer that is good without it

Change: once a part can't come before AnswerBy, it is sent only if there is no answer without it. Test: TestNothingIsSentLateForAnAnswerThatIsGoodWithoutIt, seen failing before; with one shard more missing the part is still sent.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -22,7 +22,14 @@
 	c := choice{tried: s.tried, idle: why == Hedge}
 	if q.spec.Gathered {
 		c.by = q.usefulUntil(now)
-		c.idle = c.idle || c.by.After(q.spec.AnswerBy)
+		late := c.by.After(q.spec.AnswerBy)
+		if late && q.enough(q.answered()) {
+			if s.flying == 0 {
+				s.close(GapLate)
+			}
+			return nil
+		}
+		c.idle = c.idle || late
 	}
 	l := q.table.pick(now, q.key(), leafs, c)
 	if l == nil && why != Hedge && s.flying == 0 {
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -103,6 +103,17 @@
 	return s.call != 0 && !q.calls[s.call].over
 }
 
+// answered returns how many shards have an answer.
+func (q *Query) answered() int {
+	n := 0
+	for i := range q.shards {
+		if q.shards[i].answered() {
+			n++
+		}
+	}
+	return n
+}
+
 // enough reports whether n shards make an answer.
 func (q *Query) enough(n int) bool {
 	return n > 0 && float64(n) >= q.spec.MinShare*float64(len(q.shards))
@@ -125,12 +136,7 @@
 }
 
 func (q *Query) atDeadline() Outcome {
-	answered := 0
-	for i := range q.shards {
-		if q.shards[i].answered() {
-			answered++
-		}
-	}
+	answered := q.answered()
 	if q.spec.Gathered && q.enough(answered) {
 		return q.gathered(answered)
 	}
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -345,3 +345,21 @@
 	report := w.single("shard-00", false)
 	w.Expect(sends(NewQuery(report, w.table).Start(w.now))[0].Until).To(gomega.Equal(report.Deadline))
 }
+
+// An attempt fails just before an answer leaves that is good without it. Leafs work on another
+// one that nobody waits for, and other requests queue behind it.
+func TestNothingIsSentLateForAnAnswerThatIsGoodWithoutIt(t *testing.T) {
+	for _, missing := range []int{1, 2} {
+		w := newWorld(t)
+		spec := w.gathered(w.shards(10, homeZone, "other"))
+		q := NewQuery(spec, w.table)
+		first := sends(q.Start(w.now))
+		w.wait(10 * time.Millisecond)
+		for _, s := range first[missing:] {
+			q.Reply(w.now, s.Attempt, false)
+		}
+		w.now = spec.AnswerBy.Add(-2 * time.Millisecond)
+		again := sends(q.Fail(w.now, first[0].Attempt, EndBroken))
+		w.Expect(again).To(gomega.HaveLen(missing-1), "an answer that lacks %d of 10 shards", missing)
+	}
+}
