explain-request says which shards were missing and why

The lines of a request, and of one gathered for a VM, have the gaps since admission came; a refusal now has the forecast that decided it too: how long the scarcest shard that the answer needs was expected to wait, how long was allowed, and the Retry-After. explain puts both into words, from the VM that took the request and those that it called. Tests: TestMissingShardsAreExplained, TestRefusalByForecastIsExplained.

--- a/edge/log.go
+++ b/edge/log.go
@@ -14,7 +14,7 @@
 func (e *Engine) logRequest(req *Request, route *routing.Route, version int64, res *Result, took time.Duration) {
 	out := res.Outcome
 	e.stats.request(route.Kind.String(), out, took)
-	e.log.Info("request",
+	e.log.Info("request", append(refusalFields(out),
 		"request", req.ID,
 		"route", route.Name,
 		"kind", route.Kind.String(),
@@ -29,7 +29,19 @@
 		"calls", len(out.Calls),
 		"ms", took.Milliseconds(),
 		"left_ms", time.Until(req.Deadline).Milliseconds(),
-	)
+	)...)
+}
+
+// refusalFields says by which forecast a request was refused, if one was.
+func refusalFields(out scatter.Outcome) []any {
+	if out.Refusal == nil {
+		return nil
+	}
+	return []any{
+		"wait_ms", out.Refusal.Wait.Milliseconds(),
+		"wait_limit_ms", out.Refusal.Longest.Milliseconds(),
+		"retry_after_ms", out.RetryAfter.Milliseconds(),
+	}
 }
 
 // logRefusal writes that a request was answered without being handed to anyone.
@@ -50,7 +62,7 @@
 	if out.Missing == 0 && out.Verdict == scatter.Answered && out.Retries == 0 {
 		return
 	}
-	e.log.Info("gathered for a VM",
+	e.log.Info("gathered for a VM", append(refusalFields(out),
 		"request", req.ID,
 		"shards", len(spec.Services),
 		"verdict", out.Verdict.String(),
@@ -60,7 +72,7 @@
 		"hedges", out.Hedges,
 		"retries", out.Retries,
 		"ms", took.Milliseconds(),
-	)
+	)...)
 }
 
 // gapsNamed is how many services a line names for one cause of gaps.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -115,7 +115,7 @@
 var verdicts = map[string]string{
 	"answered":    "It was answered",
 	"leaf_failed": "A leaf ran it and failed",
-	"not_run":     "No leaf ran it: all were full, away, or out of reach",
+	"not_run":     "No leaf ran it: it was refused, or all leafs were full, away or out of reach",
 	"unknown":     "A leaf may have run it, but gave no answer that proves it",
 	"timed_out":   "Its time was over before a leaf had answered",
 	"abandoned":   "Its caller left",
@@ -128,12 +128,65 @@
 		text += fmt.Sprintf(", without %v shards", missing)
 	}
 	text += fmt.Sprintf(" after %v ms", line.Fields["ms"])
+	if wait, ok := line.Fields["wait_ms"]; ok {
+		text += fmt.Sprintf("; a shard that it needed was expected to wait %v ms, %v at most were allowed", wait, line.Fields["wait_limit_ms"])
+	}
+	if gaps := r.gaps(); gaps != "" {
+		text += "; " + gaps
+	}
 	if why := r.failures(); why != "" {
 		text += "; " + why
 	}
 	return text + "."
 }
 
+// gapCauses says what each cause means for which a shard had no answer.
+var gapCauses = map[string]string{
+	"slow":     "asked, and not answered in time",
+	"room":     "not asked, since leafs were full or left alone",
+	"budget":   "not asked again, since the budget for that was spent",
+	"late":     "not asked again, since it was too late",
+	"attempts": "asked as often as allowed",
+	"no_leaf":  "without a leaf that takes requests",
+	"forecast": "not asked, since no leaf was expected to answer in time",
+	"call":     "not had by the VM that was called",
+	"silent":   "left to a VM that had not answered",
+	"declined": "left to the VM that called",
+}
+
+// gaps says why shards were missing, at the VM that took the request and at those it called.
+func (r *Reader) gaps() string {
+	var parts []string
+	for i := range r.report.Lines {
+		line := &r.report.Lines[i]
+		text, _ := line.Fields["gaps"].(string)
+		if text == "" {
+			continue
+		}
+		where := "shards missing"
+		if line.Message == messageGather {
+			where = "at a VM that was called"
+		}
+		parts = append(parts, where+": "+gapWords(text))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// gapWords turns "slow 2: a b; budget 1: c" into words.
+func gapWords(text string) string {
+	var parts []string
+	for part := range strings.SplitSeq(text, "; ") {
+		head, names, _ := strings.Cut(part, ": ")
+		cause, count, _ := strings.Cut(head, " ")
+		words, known := gapCauses[cause]
+		if !known {
+			words = cause
+		}
+		parts = append(parts, fmt.Sprintf("%s %s (%s)", count, words, names))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // failures sums up the attempts and calls that failed.
 func (r *Reader) failures() string {
 	counts := make(map[string]int)
@@ -143,10 +196,6 @@
 			counts[fmt.Sprintf("attempts at leafs ended %v", line.Fields["end"])]++
 		case messageCall:
 			counts[fmt.Sprintf("calls to VM %v failed", line.Fields["vm"])]++
-		case messageGather:
-			if missing, _ := line.Fields["missing"].(float64); missing > 0 {
-				counts["VMs that were called answered in part"]++
-			}
 		}
 	}
 	parts := make([]string, 0, len(counts))
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -40,3 +40,26 @@
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("503"))
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("no_manifest"))
 }
+
+// Counter staff complain of a failed lookup. Which shards it lacked, and why, stands in the
+// lines of the VM that took it and of the one that it called.
+func TestMissingShardsAreExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewReader("ee")
+	lines := `{"msg":"gathered for a VM","time":"2026-01-01T00:00:01Z","request":"ee","gaps":"forecast 1: s4","missing":1,"verdict":"answered"}
+{"msg":"request","time":"2026-01-01T00:00:02Z","request":"ee","gaps":"slow 2: s1 s2; budget 1: s3","missing":0,"ms":190,"status":502,"verdict":"short"}
+`
+	g.Expect(r.Read("one", strings.NewReader(lines))).To(gomega.Succeed())
+	g.Expect(r.Report().Cause).To(gomega.Equal("Too few shards could be had for an answer after 190 ms; " +
+		"at a VM that was called: 1 not asked, since no leaf was expected to answer in time (s4); " +
+		"shards missing: 2 asked, and not answered in time (s1 s2), 1 not asked again, since the budget for that was spent (s3)."))
+}
+
+// A caller is refused at once. The forecast that decided stands in the line.
+func TestRefusalByForecastIsExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewReader("ff")
+	line := `{"msg":"request","time":"2026-01-01T00:00:02Z","request":"ff","gaps":"forecast 20: s1 s2 s3","wait_ms":90,"wait_limit_ms":62,"ms":0,"status":503,"verdict":"not_run"}`
+	g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
+	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("expected to wait 90 ms, 62 at most"))
+}
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -40,7 +40,7 @@
 	slices.Sort(waits)
 	longest := time.Duration(admitShare * float64(slack))
 	if n := len(waits) - q.spareLeft; n > 0 && waits[n-1] > longest {
-		q.refuse(now, waits[n-1]-longest)
+		q.refuse(now, Refusal{Wait: waits[n-1], Longest: longest})
 		return false
 	}
 	for _, i := range late {
@@ -99,8 +99,15 @@
 	mostReturn  = 0.33
 )
 
-// refuse closes all shards. Over is how much too late the scarcest shard that is needed was.
-func (q *Query) refuse(now time.Time, over time.Duration) {
+// Refusal is the forecast for which a request was refused.
+type Refusal struct {
+	Wait    time.Duration // at the scarcest shard that the answer needs
+	Longest time.Duration // that would have been borne
+}
+
+// refuse closes all shards.
+func (q *Query) refuse(now time.Time, why Refusal) {
+	q.refusal = &why
 	for i := range q.shards {
 		if s := &q.shards[i]; !s.declined {
 			q.leaveOut(now, s)
@@ -108,7 +115,7 @@
 	}
 	left := float64(q.spec.Deadline.Sub(now))
 	random := leastReturn + (mostReturn-leastReturn)*q.table.rng.Float64()
-	after := min(over+time.Duration(random*left), time.Duration(mostReturn*left))
+	after := min(why.Wait-why.Longest+time.Duration(random*left), time.Duration(mostReturn*left))
 	q.retryAfter = min(max(after, minRetryAfter), maxRetryAfter)
 }
 
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -22,6 +22,7 @@
 	for i := range q.shards {
 		q.look(&q.shards[i], time.Time{})
 	}
+	out.Refusal = q.refusal
 	out.Sent, out.Hedges, out.Retries = q.sent, q.hedges, q.retries
 	return []Action{Finish{Outcome: out}}
 }
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -121,6 +121,7 @@
 	Missing    int           // shards that are left out
 	Gaps       []Gap         // the shards without an answer, also of a request that failed
 	RetryAfter time.Duration // with NotRun: when to come back
+	Refusal    *Refusal      // if this VM's own forecast refused it
 
 	Sent, Hedges, Retries int
 }
@@ -145,6 +146,7 @@
 	hedgeAt  time.Time // no hedge before; one that was due found no idle leaf or no budget
 
 	spareLeft  int           // shards that may be left out besides those that are
+	refusal    *Refusal      // nil if this VM did not refuse
 	retryAfter time.Duration // that a refused caller is told; 0 if nobody refused
 
 	sent, hedges, retries int
