A leaf that was too slow for its requests is tried with one at a time

What is known of its pace fades within a second, and each VM then sent several parts before the first of them had expired. Change: after a request that expired a VM has one at a time at that leaf, until one is answered. Test: TestLeafThatWasTooSlowIsTriedWithOneRequest, seen failing before.

--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -38,6 +38,7 @@
 
 	reported   float64 // requests of other VMs at the last report
 	reportedAt time.Time
+	halfOpen   bool          // its latest request expired: one at a time until one is answered
 	work       time.Duration // smoothed: what requests usually take that were sent here
 }
 
@@ -101,6 +102,7 @@
 
 func (l *leaf) answered(now time.Time, f flight) {
 	l.rest.answered()
+	l.halfOpen = false
 	if f.known {
 		l.speed.answered(now, f.sentAt, f.usual)
 	}
@@ -162,5 +164,11 @@
 	return !l.stalled(now) && float64(len(l.flying))+l.others(now) < float64(l.Slots)
 }
 
-// hasRoom reports whether this VM may send one more request.
-func (l *leaf) hasRoom() bool { return len(l.flying) < l.room }
+// hasRoom reports whether this VM may send one more request. A leaf that was too slow for its
+// latest one is tried with a single request, so that no more are lost if it still is.
+func (l *leaf) hasRoom() bool {
+	if l.halfOpen {
+		return len(l.flying) == 0
+	}
+	return len(l.flying) < l.room
+}
--- a/scatter/speed_test.go
+++ b/scatter/speed_test.go
@@ -105,3 +105,27 @@
 		w.wait(50 * time.Millisecond)
 	}
 }
+
+// A leaf is nine times as slow as others and finishes nothing in time. Once that is forgotten
+// a little, a handful of requests goes there before the first of them shows it again.
+func TestLeafThatWasTooSlowIsTriedWithOneRequest(t *testing.T) {
+	w := newWorld(t)
+	near := w.leaf("ledger", homeZone)
+	w.answersOf(w.single("ledger", true), 60, 8*time.Millisecond)
+	expire := func(s Send) {
+		w.wait(100 * time.Millisecond)
+		w.table.Ended(w.now, near, s.SentAt, EndExpired)
+	}
+	first := sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))
+	second := sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))
+	expire(first[0])
+	expire(second[0])
+	alone := sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))
+	w.Expect(alone).To(gomega.HaveLen(1))
+	w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))).To(gomega.BeEmpty())
+	w.wait(8 * time.Millisecond)
+	w.table.Ended(w.now, near, alone[0].SentAt, EndAnswered)
+	for range 2 {
+		w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))).To(gomega.HaveLen(1))
+	}
+}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -329,6 +329,7 @@
 		l.answered(now, f)
 		l.faults.add(now, 1)
 	case EndExpired:
+		l.halfOpen = true
 		if f.known {
 			l.speed.expired(now, sentAt, f.usual)
 		}
