--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -78,7 +78,7 @@
 	r.e.table.EndedAtVM(time.Now(), a.VM.Name, end)
 	r.e.mu.Unlock()
 	if end != scatter.EndAnswered {
-		r.e.doubts.raise()
+		r.e.livenessDue.raise()
 		r.e.silentVMs.raise()
 	}
 	r.e.stats.call(end)
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -23,7 +23,7 @@
 	log         *slog.Logger
 	stats       *stats
 	feed        *feed
-	doubts      alarm // a call to another VM was not answered: others may be silent too
+	livenessDue alarm // a call to another VM was not answered: others may be silent too
 	silentVMs   alarm // a call to another VM was not answered
 	silentLeafs alarm // a leaf was silent or could not be reached
 
@@ -54,7 +54,7 @@
 		log:         opt.Log,
 		stats:       newStats(),
 		feed:        newFeed(),
-		doubts:      newAlarm(),
+		livenessDue: newAlarm(),
 		silentVMs:   newAlarm(),
 		silentLeafs: newAlarm(),
 		peers:       noDelegates{},
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -166,17 +166,17 @@
 
 // leafs follows the list of leafs.
 func (f *follower) leafs() source {
-	var doubt doubt
+	var age listAge
 	return source{
 		name: "leafs",
 		read: func(ctx context.Context) (Revision, error) {
 			list, err := f.store.Leafs(ctx)
 			if err != nil {
-				doubt.failed = true
+				age.failed = true
 				return 0, err
 			}
 			f.noteLeafs(f.e.change(func(now time.Time, r *registry.Registry) []registry.Change {
-				if hold := doubt.hold(now, list.AfterOutage, f.set.Bounds.drain()); hold > 0 {
+				if hold := age.hold(now, list.AfterOutage, f.set.Bounds.drain()); hold > 0 {
 					time.AfterFunc(time.Until(r.Returned(now, hold)), f.expireLeafs)
 				}
 				return r.Replace(now, list.Leafs)
@@ -195,7 +195,7 @@
 			if err != nil {
 				return 0, false, err
 			}
-			doubt.fresh = time.Now()
+			age.fresh = time.Now()
 			f.noteLeafs(f.e.change(func(now time.Time, r *registry.Registry) []registry.Change {
 				var out []registry.Change
 				for _, one := range c.Changes {
@@ -213,8 +213,8 @@
 	}
 }
 
-// doubt is what a VM knows of how old its list of leafs was when it read it anew.
-type doubt struct {
+// listAge is what a VM knows of how old its list of leafs was when it read it anew.
+type listAge struct {
 	failed bool      // a reading failed since the list was last known to be fresh
 	fresh  time.Time // when that was
 }
@@ -227,16 +227,16 @@
 // outage of the store their entries may have lapsed. If only the VM that was followed
 // failed, that may be so too; but a leaf may as well have left just after the list was
 // last known to be fresh, and is held no longer than it may get requests then.
-func (d *doubt) hold(now time.Time, afterOutage bool, bound time.Duration) time.Duration {
+func (a *listAge) hold(now time.Time, afterOutage bool, bound time.Duration) time.Duration {
 	hold := time.Duration(0)
 	switch {
-	case afterOutage, d.failed && d.fresh.IsZero():
+	case afterOutage, a.failed && a.fresh.IsZero():
 		// So too for a VM that has just started and at first found nobody to read from.
 		hold = registry.LapseHold
-	case d.failed:
-		hold = min(registry.LapseHold, d.fresh.Add(time.Duration(heldWithin*float64(bound))).Sub(now))
+	case a.failed:
+		hold = min(registry.LapseHold, a.fresh.Add(time.Duration(heldWithin*float64(bound))).Sub(now))
 	}
-	*d = doubt{fresh: now}
+	*a = listAge{fresh: now}
 	return max(hold, 0)
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -17,9 +17,9 @@
 // answerMargin is taken off a caller's deadline for the way of the answer back.
 const answerMargin = 6 * time.Millisecond
 
-// unready is what a caller is told while no manifest is known. A VM that has just
+// retryWithoutManifest is what a caller is told while no manifest is known. A VM that has just
 // started reads it within some hundred milliseconds.
-const unready = 200 * time.Millisecond
+const retryWithoutManifest = 200 * time.Millisecond
 
 // ServeHTTP implements http.Handler for callers. There is no router in front of it
 // that would clean paths or answer by itself: every request is judged by the manifest
@@ -28,7 +28,7 @@
 	arrived := time.Now()
 	m := e.inForce.Get()
 	if m == nil {
-		e.refuse(w, r, "no_manifest", unready)
+		e.refuse(w, r, "no_manifest", retryWithoutManifest)
 		return
 	}
 	if limit := m.Limits.HeaderBytes; limit > 0 && headSize(r) > limit {
--- a/edge/node.go
+++ b/edge/node.go
@@ -212,7 +212,7 @@
 	})
 	n.tomb.Go(func() error { n.sweep(ctx); return nil })
 	n.tomb.Go(func() error { n.warm(ctx); return nil })
-	n.tomb.Go(func() error { probe(ctx, n.engine.doubts, n.askVMs); return nil })
+	n.tomb.Go(func() error { probe(ctx, n.engine.livenessDue, n.checkVMs); return nil })
 	n.tomb.Go(func() error { probe(ctx, n.engine.silentVMs, n.probeVMs); return nil })
 	n.tomb.Go(func() error { probe(ctx, n.engine.silentLeafs, n.probeLeafs); return nil })
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,8 +20,7 @@
 const (
 	// peerPing is on an idle connection. Calls have their own, shorter bounds, and a VM
 	// that leaves one unanswered is probed; pings only clear away connections that
-	// nobody uses. Each wakes two processes. With pings every 5 s and looks at fixed
-	// times, 77 VMs used 27.6 s of processor time on a calm day, without them 17.0 s.
+	// nobody uses. Each wakes two processes.
 	peerPing     = 30 * time.Second
 	peerSilent   = 65 * time.Second       // two pings
 	peerDial     = 300 * time.Millisecond // for connect and hello
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -69,19 +69,19 @@
 // with a pause of a small VM.
 const pingTimeout = 150 * time.Millisecond
 
-// askVMs asks all VMs that this one calls whether they live, once one was silent.
-func (n *Node) askVMs(ctx context.Context) (made bool, next time.Time) {
+// checkVMs asks all VMs that this one calls whether they live, once one was silent.
+func (n *Node) checkVMs(ctx context.Context) (made bool, next time.Time) {
 	n.engine.mu.Lock()
-	doubted := n.engine.table.Doubted(time.Now())
+	due := n.engine.table.DueForLivenessCheck(time.Now())
 	d := n.engine.peers
 	n.engine.mu.Unlock()
-	each(doubted, func(vm scatter.VM) { n.askVM(ctx, d, vm) })
-	return len(doubted) > 0, time.Time{}
+	each(due, func(vm scatter.VM) { n.checkVM(ctx, d, vm) })
+	return len(due) > 0, time.Time{}
 }
 
-// askVM asks one VM. If it does not say that it lives, it is not called until it is reached
+// checkVM asks one VM. If it does not say that it lives, it is not called until it is reached
 // on a new connection.
-func (n *Node) askVM(ctx context.Context, d delegates, vm scatter.VM) {
+func (n *Node) checkVM(ctx context.Context, d delegates, vm scatter.VM) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	err := d.ping(ctx, vm)
@@ -89,7 +89,7 @@
 		return
 	}
 	n.engine.mu.Lock()
-	n.engine.table.Unanswered(time.Now(), vm.Name)
+	n.engine.table.FailedLivenessCheck(time.Now(), vm.Name)
 	n.engine.mu.Unlock()
 	n.engine.silentVMs.raise()
 	n.log.Info("VM does not say that it lives", "vm", vm.Name, "zone", vm.Zone, "error", err)
--- a/edge/probe_test.go
+++ b/edge/probe_test.go
@@ -37,7 +37,7 @@
 		table: table, peers: &darkVMs{dark: "vm-c"}, silentVMs: newAlarm(),
 	}}
 	table.EndedAtVM(now, "vm-b", scatter.EndSilent)
-	made, _ := n.askVMs(t.Context())
+	made, _ := n.checkVMs(t.Context())
 	g.Expect(made).To(gomega.BeTrue())
 	var called []string
 	for _, vm := range table.Partners(now) {
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -97,10 +97,10 @@
 		{10 * time.Second, false, 0},
 		{10 * time.Second, true, registry.LapseHold},
 	} {
-		d := doubt{failed: true, fresh: start}
+		d := listAge{failed: true, fresh: start}
 		g.Expect(d.hold(start.Add(c.silent), c.outage, bound)).To(gomega.Equal(c.hold))
 		g.Expect(d.hold(start.Add(c.silent), false, bound)).To(gomega.BeZero(), "the list is fresh again")
 	}
-	unread := doubt{failed: true}
+	unread := listAge{failed: true}
 	g.Expect(unread.hold(start, false, bound)).To(gomega.Equal(registry.LapseHold))
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -87,8 +87,8 @@
 func (r *runner) run(ctx context.Context) scatter.Outcome {
 	out := r.loop(ctx)
 	close(r.done)
-	forNobody := out.Verdict == scatter.Abandoned || r.spec.Gathered
-	if forNobody && r.spec.Idempotent {
+	unwanted := out.Verdict == scatter.Abandoned || r.spec.Gathered
+	if unwanted && r.spec.Idempotent {
 		time.AfterFunc(lingerAbandoned, r.cancel)
 	} else {
 		time.AfterFunc(time.Until(r.spec.Deadline)+lingerLate, r.cancel)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -13,7 +13,7 @@
 // stats are the counters and histograms of a daemon. docs/OPERATIONS.md lists them.
 type stats struct {
 	set      *metrics.Set
-	attempts map[attemptEnd]*metrics.Counter // made at the start: looking one up by its text took 6% of an attempt
+	attempts map[attemptEnd]*metrics.Counter // made at the start, since looking one up by its text is slow
 }
 
 type attemptEnd struct {
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -160,8 +160,8 @@
 // eta is the time until the leaf would answer a request that usually takes the time given.
 func (l *leaf) eta(now time.Time, usual time.Duration) time.Duration {
 	d := l.expected(now, usual) + l.backlog(now)
-	if l.rest.resting(now) {
-		d += l.rest.until.Sub(now)
+	if l.cooldown.active(now) {
+		d += l.cooldown.until.Sub(now)
 	}
 	if l.stalled(now) {
 		d += stallCost
--- a/scatter/allowed.go
+++ b/scatter/allowed.go
@@ -9,21 +9,19 @@
 )
 
 // Two VMs may ask leafs of one shard: the one that was called, and the one that called,
-// when it has waited for too long. Neither knows in time what the other did. Both reckon
+// when it has waited for too long. Neither knows in time what the other did. Both compute
 // the same leafs from the request's id, one fewer than the request allows. The one that
 // called asks these only; the other may ask one more of its own choice. Together they ask no
 // more than the request allows, even if one of them freezes between any two steps.
 //
 // The VM that was called asks these leafs all the time and knows which are slow or dark.
-// While it too was held to those that were reckoned, two where two are allowed, a shard whose
-// near leaf and one of two others were bad was lost to every second request, with a good leaf
-// idle. With a quarter of the leafs slow, worth rose from 0.572 to 0.698.
+// If it too were held to those that were computed, a shard with two bad leafs of three would be
+// lost to every second request, with a good leaf idle.
 //
-// They reckon the same only if both know the same leafs. A change reaches one VM up to
+// They compute the same only if both know the same leafs. A change reaches one VM up to
 // some seconds before another, and much later one that has lost the store. So a call
 // carries what the caller knows as a View, and the called VM declines a shard of which
-// it has another. Without that, 5 requests of one day ran on 3 leafs of a shard where 2
-// may: a third of the VMs had lost the store while leafs were replaced.
+// it has another.
 
 // View identifies the leafs of a service that a VM takes for usable. VMs with the same
 // leafs have the same view.
@@ -42,7 +40,7 @@
 	return s.view
 }
 
-// viewForm changes with each release that reckons otherwise who may ask which leafs. While VMs
+// viewForm changes with each release that decides otherwise who may ask which leafs. While VMs
 // are replaced one after another, those of two forms have different views and decline each
 // other's shards; together they might ask one leaf more than a request allows.
 const viewForm = 2
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -33,9 +33,9 @@
 	}
 	l := q.table.pick(now, q.key(), leafs, c)
 	if l == nil && why != Hedge && s.flying == 0 {
-		// All rest after failures, or each was tried. One of them is better than
+		// All cool down after failures, or each was tried. One of them is better than
 		// none: a leaf that refused or was out of reach may be well again.
-		l = q.table.pickResting(now, leafs, s.tried)
+		l = q.table.pickCoolingDown(now, leafs, s.tried)
 		if l == nil && (s.maybeRan == 0 || s.shared) {
 			c.tried = nil
 			l = q.table.pick(now, q.key(), leafs, c)
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -105,7 +105,7 @@
 }
 
 // sortShards returns the shards that have a leaf near, and the zones of the leafs of
-// those that have others only. Leafs that rest don't count.
+// those that have others only. Leafs that are not asked don't count.
 func (q *Query) sortShards(now time.Time) (near []int, far map[int][]string) {
 	far = make(map[int][]string)
 	for i := range q.shards {
--- a/scatter/faults.go
+++ b/scatter/faults.go
@@ -6,7 +6,7 @@
 )
 
 // faults follows the share of a leaf's requests that it fails, while others succeed. A
-// rest after failures in a row does not find such a leaf: it answers every other request,
+// cooldown after failures in a row does not find such a leaf: it answers every other request,
 // and says that it is healthy. Each failure costs a retry, which has to be paid for, and
 // the time until then.
 type faults struct {
--- a/scatter/floor.go
+++ b/scatter/floor.go
@@ -6,9 +6,8 @@
 // none knows what the others spend.
 const (
 	// ownersFloor is the part of the floor that the owners of a shard divide among them,
-	// where most arrivals at a shard are theirs. Divided by all VMs alike, 77 of them
-	// had one arrival each in 10 s, and 529 of 946 answers of a calm day left shards
-	// out; 381 with this.
+	// where most arrivals at a shard are theirs. Divided by all VMs alike, a part of a
+	// large fleet's floor is less than one arrival.
 	ownersFloor = 0.5
 	// freshFloor is the part of its share that a VM spends in its first window: an
 	// earlier life of it may have spent the whole share in the same window. Both
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -27,9 +27,8 @@
 //
 // A leaf that states that its machine is slow is given as much longer. It is hedged
 // nonetheless while a second answer that takes the quantile is still in time, or at half of
-// the time if none would be. Where a tenth of the leafs was slow, 1.3 times the quantile of
-// all lay beyond AnswerBy: no part was hedged at all, and requests failed for want of shards
-// whose leafs had gone dark.
+// the time if none would be: where many leafs are slow, the quantile of all may lie beyond
+// AnswerBy.
 func (q *Query) hedgeDelay(now time.Time, l *leaf) time.Duration {
 	d, known := q.table.record(q.key()).Quantile(now, hedgeQuantile)
 	if !known {
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -30,11 +30,11 @@
 	room      int  // requests of this VM in flight at most
 	moved     bool // another leaf answered at its address, where it will not be again
 
-	flying  []flight // the oldest first
-	speed   speed
-	rest    rest
-	faults  faults
-	suspect suspicion
+	flying   []flight // the oldest first
+	speed    speed
+	cooldown cooldown
+	faults   faults
+	suspect  suspicion
 
 	reported   float64 // requests of other VMs at the last report
 	reportedAt time.Time
@@ -61,14 +61,14 @@
 )
 
 // asked reports whether requests may be sent to the leaf, as far as is known of it.
-func (l *leaf) asked(now time.Time) bool { return !l.suspect.held && !l.rest.resting(now) }
+func (l *leaf) asked(now time.Time) bool { return !l.suspect.held && !l.cooldown.active(now) }
 
 // soonerThan reports which of two leafs that are not asked is the better one to ask.
 func (l *leaf) soonerThan(o *leaf) bool {
 	if l.suspect.held != o.suspect.held {
 		return o.suspect.held
 	}
-	return l.rest.until.Before(o.rest.until)
+	return l.cooldown.until.Before(o.cooldown.until)
 }
 
 // usable reports whether the leaf takes requests.
@@ -76,9 +76,7 @@
 
 // farShare is the part of a request's aim that a leaf in another zone is charged, while
 // one is chosen. Bytes between zones are dear, and a near leaf that is slower by less than
-// that still answers in time. On three grown days, without processor time, 0.25 in place of
-// 0.15 saved 11 to 14% of the bytes' price, and callers got the same or more; with 0.35 and
-// 0.5 they got less on two of the three.
+// that still answers in time.
 const farShare = 0.25
 
 func (l *leaf) sent(f flight) {
@@ -101,7 +99,7 @@
 }
 
 func (l *leaf) answered(now time.Time, f flight) {
-	l.rest.answered()
+	l.cooldown.answered()
 	l.halfOpen = false
 	if f.known {
 		l.speed.answered(now, f.sentAt, f.usual)
--- a/scatter/doubt_test.go
+++ b/scatter/liveness_test.go
@@ -14,17 +14,17 @@
 	w := newWorld(t)
 	vms := fleetOf(8, "other", "third")
 	w.table.SetVMs(w.now, vms)
-	w.Expect(w.table.Doubted(w.now)).To(gomega.BeEmpty())
+	w.Expect(w.table.DueForLivenessCheck(w.now)).To(gomega.BeEmpty())
 	partners := w.table.Partners(w.now)
 	silent := partners[0]
 	w.table.EndedAtVM(w.now, silent.Name, EndSilent)
-	doubted := w.table.Doubted(w.now)
-	w.Expect(doubted).NotTo(gomega.BeEmpty())
-	w.Expect(doubted).NotTo(gomega.ContainElement(silent), "it is under suspicion already")
-	w.Expect(w.table.Doubted(w.now)).To(gomega.BeEmpty(), "once is enough")
+	due := w.table.DueForLivenessCheck(w.now)
+	w.Expect(due).NotTo(gomega.BeEmpty())
+	w.Expect(due).NotTo(gomega.ContainElement(silent), "it is under suspicion already")
+	w.Expect(w.table.DueForLivenessCheck(w.now)).To(gomega.BeEmpty(), "once is enough")
 
-	lost := doubted[0]
-	w.table.Unanswered(w.now, lost.Name)
+	lost := due[0]
+	w.table.FailedLivenessCheck(w.now, lost.Name)
 	w.Expect(w.table.Partners(w.now)).NotTo(gomega.ContainElement(lost))
 	w.wait(firstProbe)
 	suspects, _ := w.table.SuspectVMs(w.now)
@@ -41,7 +41,7 @@
 	const seconds = 5
 	for range seconds * 100 {
 		w.table.EndedAtVM(w.now, w.table.Partners(w.now)[0].Name, EndSilent)
-		if len(w.table.Doubted(w.now)) > 0 {
+		if len(w.table.DueForLivenessCheck(w.now)) > 0 {
 			rounds++
 		}
 		for _, vm := range vms {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -300,7 +300,7 @@
 		q.failure = id
 		return q.conclude(now, q.again(now, a.shard))
 	}
-	q.table.learn(now, q.key(), a)
+	q.table.recordDuration(now, q.key(), a)
 	if s.answer == 0 {
 		s.answer = id
 		q.look(s, time.Time{})
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -168,15 +168,15 @@
 		w.wait(2 * time.Second)
 	}
 	w.table.Ended(w.now, old, w.now, EndUnreachable)
-	w.Expect(w.table.find(old).rest.resting(w.now)).To(gomega.BeTrue())
+	w.Expect(w.table.find(old).cooldown.active(w.now)).To(gomega.BeTrue())
 	w.table.Apply(w.now, registry.Change{Leaf: registry.Leaf{
 		ID: old.ID, Born: 2, Service: "ledger", Zone: homeZone, Slots: 2, Address: "127.0.0.1:1",
 	}})
 	young := LeafID{ID: old.ID, Born: 2}
-	w.Expect(w.table.find(young).rest.resting(w.now)).To(gomega.BeFalse())
+	w.Expect(w.table.find(young).cooldown.active(w.now)).To(gomega.BeFalse())
 	w.Expect(w.table.find(old)).To(gomega.BeNil())
 	w.table.Ended(w.now, old, w.now, EndUnreachable)
-	w.Expect(w.table.find(young).rest.resting(w.now)).To(gomega.BeFalse())
+	w.Expect(w.table.find(young).cooldown.active(w.now)).To(gomega.BeFalse())
 }
 
 // Whatever leafs do and whenever, a query ends exactly once, by its deadline, asks no
--- a/scatter/speed.go
+++ b/scatter/speed.go
@@ -10,9 +10,7 @@
 //
 // A leaf states how its machine does; its pauses, queues and the way to it show in its
 // answers only. Both are kept apart, since a pause says nothing of the next request: with
-// one smoothed latency, a leaf that had paused once was asked less for seconds: of 85,000
-// first attempts of a calm day 6,100 went to another zone while a near leaf was free, more
-// than half of them in seconds without slow machines.
+// one smoothed latency, a leaf that had paused once would be asked less for seconds.
 type speed struct {
 	stated   float64 // of the leaf's machine, smoothed: 1 as usual; 0 before the first word
 	statedAt time.Time
--- a/scatter/suspicion.go
+++ b/scatter/suspicion.go
@@ -8,10 +8,8 @@
 
 // suspicion keeps requests away from a VM or a leaf that did not answer, until a connection
 // to it is made anew. Each request sent to one that is frozen, cut off or without power
-// loses half of its time, and requests to one leaf or VM are rarer than a rest can last, so
-// that after a rest nearly every one would find out anew: while 96 leafs were dark, 440
-// attempts a second went to them. A proof costs a handshake. With a third of the VMs cut off
-// for 12 s, worth rose from 0.606 to 0.629.
+// loses half of its time, and requests to one leaf or VM are rarer than a cooldown can last, so
+// that after one nearly every request would find out anew. A proof costs a handshake.
 type suspicion struct {
 	held   bool
 	probes int       // that failed in a row
@@ -67,39 +65,38 @@
 	case v == nil:
 	case alive:
 		v.suspect = suspicion{}
-		v.rest = rest{}
+		v.cooldown = cooldown{}
 	default:
 		v.suspect.failed(now, maxProbe)
 	}
 }
 
-// doubt has all VMs that this one calls asked whether they live, once one was silent.
+// livenessRound has all VMs that this one calls asked whether they live, once one was silent.
 //
 // VMs are lost together: a rack, a zone, a network. Each loss that shows only by a call
-// costs a request the shards of that call, and a VM calls some thirty others. While 35 of 77
-// VMs were without power for 2 s, the others made 184 calls to them.
-type doubt struct {
+// costs a request the shards of that call, and a VM calls many others.
+type livenessRound struct {
 	raised bool
 	last   time.Time // when the others were asked
 }
 
-// doubtPause is the least time between two rounds of asking: a round costs each VM a message
+// livenessPause is the least time between two rounds of asking: a round costs each VM a message
 // for each of those that call it.
-const doubtPause = time.Second
+const livenessPause = time.Second
 
-func (d *doubt) raise(now time.Time) { d.raised = now.Sub(d.last) >= doubtPause }
+func (r *livenessRound) raise(now time.Time) { r.raised = now.Sub(r.last) >= livenessPause }
 
-// Doubted returns the VMs that are to be asked now whether they live.
-func (t *Table) Doubted(now time.Time) []VM {
-	if !t.doubt.raised {
+// DueForLivenessCheck returns the VMs that are to be asked now whether they live.
+func (t *Table) DueForLivenessCheck(now time.Time) []VM {
+	if !t.liveness.raised {
 		return nil
 	}
-	t.doubt = doubt{last: now}
+	t.liveness = livenessRound{last: now}
 	return t.Partners(now)
 }
 
-// Unanswered takes that a VM did not say that it lives.
-func (t *Table) Unanswered(now time.Time, name string) {
+// FailedLivenessCheck takes that a VM did not say that it lives.
+func (t *Table) FailedLivenessCheck(now time.Time, name string) {
 	if v := t.vms[name]; v != nil {
 		v.suspect.hold(now)
 	}
--- a/scatter/suspicion_test.go
+++ b/scatter/suspicion_test.go
@@ -64,7 +64,7 @@
 	w.wait(2 * time.Second)
 	w.table.Ended(w.now, near, one.SentAt, EndSilent)
 	w.table.Ended(w.now, near, two.SentAt, EndAnswered)
-	w.wait(maxRest)
+	w.wait(maxCooldown)
 	due, next := w.table.SuspectLeafs(w.now)
 	w.Expect(due).To(gomega.BeEmpty())
 	w.Expect(next).To(gomega.BeZero())
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -11,20 +11,20 @@
 
 // Table is what this VM knows of leafs and of other VMs.
 type Table struct {
-	self   string // name of this VM
-	zone   string
-	rng    *rand.Rand
-	terms  BudgetTerms
-	leafs  map[string]*leaf // by id
-	groups map[string]*service
-	vms    map[string]*vm      // the others
-	places map[string]vmPlace  // of other VMs, those that left lately included
-	zones  map[string]*zoneVMs // these and this VM
-	owners int                 // VMs that ask one leaf, in all zones together
-	listed bool                // the other VMs were listed once
-	doubt  doubt
-	born   time.Time // start of this VM's process
-	times  map[timesKey]*latency.Record
+	self     string // name of this VM
+	zone     string
+	rng      *rand.Rand
+	terms    BudgetTerms
+	leafs    map[string]*leaf // by id
+	groups   map[string]*service
+	vms      map[string]*vm      // the others
+	places   map[string]vmPlace  // of other VMs, those that left lately included
+	zones    map[string]*zoneVMs // these and this VM
+	owners   int                 // VMs that ask one leaf, in all zones together
+	listed   bool                // the other VMs were listed once
+	liveness livenessRound
+	born     time.Time // start of this VM's process
+	times    map[timesKey]*latency.Record
 
 	callsRefused faults // share of calls that other VMs refuse
 	admitAll     bool   // for tests: no request is refused by forecast
@@ -154,7 +154,7 @@
 	return l
 }
 
-// usable returns the leafs of a service that take requests, resting ones included.
+// usable returns the leafs of a service that take requests, those that cool down included.
 func (t *Table) usable(name string) []*leaf {
 	s := t.groups[name]
 	if s == nil {
@@ -208,9 +208,9 @@
 // choiceNoise is the difference in cost below which either leaf will do.
 const choiceNoise = time.Millisecond
 
-// pickResting chooses, for requests that have no other, the leaf that rests for the shortest
-// time. Those that are suspect come last.
-func (t *Table) pickResting(now time.Time, leafs []*leaf, tried []LeafID) *leaf {
+// pickCoolingDown chooses, for requests that have no other, the leaf that is to be asked again
+// first. Those that are suspect come last.
+func (t *Table) pickCoolingDown(now time.Time, leafs []*leaf, tried []LeafID) *leaf {
 	var best *leaf
 	for _, l := range leafs {
 		if l.asked(now) || slices.Contains(tried, l.id) || !l.hasRoom() {
@@ -233,9 +233,9 @@
 	return r
 }
 
-// learn records how long an answer took, as it would have at a leaf whose machine is as
+// recordDuration records how long an answer took, as it would have at a leaf whose machine is as
 // usual: what is expected of one leaf must not follow from how slow others are.
-func (t *Table) learn(now time.Time, kind timesKey, a *attempt) {
+func (t *Table) recordDuration(now time.Time, kind timesKey, a *attempt) {
 	took := now.Sub(a.sentAt)
 	if l := t.find(a.leaf); l != nil {
 		took = time.Duration(float64(took) / l.speed.pace(now))
@@ -307,9 +307,9 @@
 	return true
 }
 
-// shedRest is how long a leaf that refused is left alone: about the time in which
+// refusedCooldown is how long a leaf that refused is left alone: about the time in which
 // one request ends and frees a slot.
-const shedRest = 15 * time.Millisecond
+const refusedCooldown = 15 * time.Millisecond
 
 // Ended takes the end of a request to a leaf, also long after the query itself.
 func (t *Table) Ended(now time.Time, id LeafID, sentAt time.Time, end End) {
@@ -334,18 +334,18 @@
 			l.speed.expired(now, sentAt, f.usual)
 		}
 	case EndUnreachable:
-		l.rest.unreachable(now)
+		l.cooldown.unreachable(now)
 		l.suspect.hold(now)
 	case EndRefused:
-		l.rest.refuse(now, shedRest)
+		l.cooldown.refuse(now, refusedCooldown)
 	case EndMoved:
 		l.moved = true
 	case EndSilent:
-		l.rest.silent(sentAt, now)
+		l.cooldown.silent(sentAt, now)
 		l.suspect.hold(now)
 		l.faults.add(now, 1)
 	case EndBroken:
-		l.rest.fail(sentAt, now)
+		l.cooldown.fail(sentAt, now)
 		l.faults.add(now, 1)
 	}
 }
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -19,13 +19,13 @@
 
 type vm struct {
 	VM
-	rest    rest
-	flying  int
-	suspect suspicion
+	cooldown cooldown
+	flying   int
+	suspect  suspicion
 }
 
 // asked reports whether requests may be sent to the VM.
-func (v *vm) asked(now time.Time) bool { return !v.suspect.held && !v.rest.resting(now) }
+func (v *vm) asked(now time.Time) bool { return !v.suspect.held && !v.cooldown.active(now) }
 
 // ownersPerLeaf is how many VMs of a zone ask the same leafs, as long as the zone has
 // as many. Fewer would be too few when some are lost. With more, a leaf's connections
@@ -113,7 +113,7 @@
 const partnersPerPart = 2
 
 // partners returns the VMs that this one calls for a part of a zone, leaving out those
-// that rest or are under suspicion.
+// that cool down or are under suspicion.
 func (t *Table) partners(now time.Time, zone string, part int) []*vm {
 	z := t.zones[zone]
 	if z == nil {
@@ -149,7 +149,7 @@
 // Reading says who reads the store in this VM's zone.
 type Reading struct {
 	Self   bool // this VM does, for itself and for those that follow it
-	Others []VM // that do and don't rest, if this VM does not
+	Others []VM // that do and are asked, if this VM does not
 }
 
 // Reading returns who reads the store in this zone. All VMs that know the same list
@@ -216,12 +216,12 @@
 	v.flying = max(v.flying-1, 0)
 	switch end {
 	case EndAnswered:
-		v.rest.answered()
+		v.cooldown.answered()
 	case EndUnreachable:
-		v.rest.unreachable(now)
+		v.cooldown.unreachable(now)
 		v.suspect.hold(now)
 	default:
 		v.suspect.hold(now)
-		t.doubt.raise(now)
+		t.liveness.raise(now)
 	}
 }
