A refusal by an overtaken VM is believed

Change: a refusal clears the call's shards whether or not they were asked directly; what may have run follows from the own attempts. Further attempts are paid for, since leafs may have refused some.

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -245,17 +245,20 @@
 	return q.conclude(now, append(acts, q.askDirectly(now, c)...))
 }
 
-// refused takes that a VM asks none of the shards of a call. The others can't make up for
-// them, so nothing is asked directly.
+// refused takes that no leaf has run any shard of a call, nor will for that VM. Shards that
+// were not asked directly meanwhile are closed: the others can't make up for them.
 func (q *Query) refused(now time.Time, c *call, id CallID, retryAfter time.Duration) []Action {
 	c.over, c.ended = true, true
 	q.table.callsRefused.add(now, 1)
 	q.retryAfter = max(q.retryAfter, retryAfter)
 	for _, i := range c.shards {
 		s := &q.shards[i]
-		if s.call == id && s.sends == 0 {
-			s.call = 0
-			s.shared = false
+		if s.call != id {
+			continue
+		}
+		s.call = 0
+		s.arrived = true // leafs may have refused it
+		if s.sends == 0 {
 			s.close(GapForecast)
 		}
 	}
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -386,3 +386,33 @@
 		w.Expect(spec.AnswerBy.Sub(call.AnswerBy)).To(gomega.BeNumerically(">=", callSlack/2))
 	}
 }
+
+// A called VM reaches no leaf, and says so when it was overtaken and the caller's own attempts
+// have found the same. Nothing has run, and the caller is told so.
+func TestRefusalOfAnOvertakenVMIsBelieved(t *testing.T) {
+	w := newWorld(t)
+	q, call := delegating(w, 10)
+	var out *Outcome
+	unreachable := func(acts []Action) {
+		for len(acts) > 0 && out == nil {
+			out = outcome(acts)
+			var next []Action
+			for _, s := range sends(acts) {
+				next = append(next, q.Fail(w.now, s.Attempt, EndUnreachable)...)
+			}
+			acts = next
+		}
+	}
+	w.now = q.Wake(w.now)
+	overtaking := q.Tick(w.now)
+	w.Expect(sends(overtaking)).NotTo(gomega.BeEmpty())
+	unreachable(overtaking)
+	refused := CallAnswer{Last: true, Refused: true, RetryAfter: 250 * time.Millisecond}
+	unreachable(q.CallReply(w.now, call.Call, refused))
+	for out == nil {
+		w.now = q.Wake(w.now)
+		unreachable(q.Tick(w.now))
+	}
+	w.Expect(out.Verdict).To(gomega.Equal(NotRun))
+	w.Expect(out.RetryAfter).To(gomega.Equal(refused.RetryAfter))
+}
