Waiting requests are counted off the service they were counted at

Found by reading the diff: a shard that waited for a service before its first leaf was known was not counted, but counted off once the service was known, so that the forecast of that service was too early from then on. Comments of refusals say what they promise: nothing has run, not that nobody was asked.

--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -46,7 +46,7 @@
 	Last     bool     `cbor:"5,keyasint"` // no other answer follows
 	// Declined are indexes of gatherCall.Services that were not asked and won't be.
 	Declined []int `cbor:"6,keyasint,omitempty"`
-	// Refused says that no leaf was asked for any of the others, and none will be; the
+	// Refused says that no leaf has run any of the others, and none will; the caller's
 	// caller should come back after RetryAfterUS. Only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
--- a/edge/merge.go
+++ b/edge/merge.go
@@ -17,7 +17,7 @@
 	declined []int // the shards that this VM has not asked and won't
 	last     bool  // no other answer of this VM follows
 
-	refused    bool // no leaf was asked, and none will be
+	refused    bool // no leaf has run any shard, and none will
 	retryAfter time.Duration
 }
 
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -121,9 +121,9 @@
 
 // Parameters of a forecast.
 const (
-	// admitShare is the part of the time until AnswerBy within which the shards that are
-	// needed must be expected to answer, for a request to be begun. Other VMs begin requests at the same time, some work takes longer
-	// than usual, and leafs pause.
+	// admitShare is the part of the slack, which is what a request has beyond its usual
+	// time, that it may have to wait at a shard that it needs. Other VMs begin requests at
+	// the same time, some work takes longer than usual, and leafs pause.
 	admitShare = 0.4
 	// sendMargin is how many times too late a part must be expected for not being sent.
 	sendMargin = 2
--- a/scatter/admission_test.go
+++ b/scatter/admission_test.go
@@ -94,3 +94,20 @@
 	w.now = q.Wake(w.now)
 	w.Expect(sends(q.Tick(w.now))).To(gomega.HaveLen(2))
 }
+
+// Queries wait for a service before its first leaf is known. Were they taken off a count that
+// they were not added to, shards would be forecast to answer before they are asked.
+func TestWaitingRequestsAreCountedOnce(t *testing.T) {
+	w := newWorld(t)
+	q := NewQuery(w.gathered([]string{"late"}), w.table)
+	s := &q.shards[0]
+	q.look(s, w.now.Add(lookPause))
+	w.leaf("late", homeZone)
+	q.look(s, time.Time{})
+	w.Expect(w.table.groups["late"].waiting).To(gomega.BeZero())
+	q.look(s, w.now.Add(lookPause))
+	q.look(s, w.now.Add(2*lookPause))
+	w.Expect(w.table.groups["late"].waiting).To(gomega.Equal(1))
+	q.finish(Outcome{})
+	w.Expect(w.table.groups["late"].waiting).To(gomega.BeZero())
+}
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -109,9 +109,9 @@
 // asked for it.
 const lateShare = 0.5
 
-// usefulUntil returns when an attempt that is sent now ends being of use. Parts of a gathered answer are of none once it was given: with the
-// caller's whole time, which may be many times the aim, leafs that are short of slots spend
-// them on parts that nobody waits for.
+// usefulUntil returns when an attempt that is sent now ends being of use. Parts of a gathered
+// answer are of none once it was given: with the caller's whole time, which may be many times
+// the aim, leafs that are short of slots spend them on parts that nobody waits for.
 func (q *Query) usefulUntil(now time.Time) time.Time {
 	if !q.spec.Gathered {
 		return q.spec.Deadline
@@ -147,16 +147,16 @@
 
 // look sets when a leaf of a shard is looked for again, zero for never.
 func (q *Query) look(s *shard, at time.Time) {
-	if s.lookAt.IsZero() && at.IsZero() {
-		return
-	}
-	waits := q.table.groups[s.service]
-	if waits != nil && !s.lookAt.IsZero() {
-		waits.waiting--
+	if s.waitsAt != nil {
+		s.waitsAt.waiting--
+		s.waitsAt = nil
 	}
 	s.lookAt = at
-	if waits != nil && !at.IsZero() {
-		waits.waiting++
+	if at.IsZero() {
+		return
+	}
+	if s.waitsAt = q.table.groups[s.service]; s.waitsAt != nil {
+		s.waitsAt.waiting++
 	}
 }
 
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -57,7 +57,7 @@
 			return Outcome{Verdict: mayHaveRun}
 		}
 	}
-	return Outcome{Verdict: NotRun, RetryAfter: q.defaultRetryAfter()}
+	return Outcome{Verdict: NotRun, RetryAfter: q.retryAfterOrDefault()}
 }
 
 // Bounds of what a refused caller is told.
@@ -67,7 +67,7 @@
 	maxRetryAfter   = time.Second
 )
 
-func (q *Query) defaultRetryAfter() time.Duration {
+func (q *Query) retryAfterOrDefault() time.Duration {
 	if q.retryAfter > 0 {
 		return q.retryAfter
 	}
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -202,8 +202,8 @@
 	Included []int // shards that its answer includes
 	Declined []int // shards that it has not asked and never will
 	Last     bool  // no other answer follows
-	// Refused says that the VM has asked none of the shards and never will, since enough of
-	// them for an answer could not be had in time. It ends the call.
+	// Refused says that no leaf has run any of the shards for that VM, and none will. It
+	// ends the call.
 	Refused    bool
 	RetryAfter time.Duration // if Refused: when the caller should come back
 }
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -164,6 +164,7 @@
 	hedged   bool
 	hedgeAt  time.Time // when the latest attempt is slow enough for a hedge
 	lookAt   time.Time // when to look for a leaf again; zero if not waiting
+	waitsAt  *service  // that counts it among the waiting, nil for none
 	closed   bool      // no further attempt will be made
 	gap      GapCause  // why it was closed
 	declined bool      // left to the VM that called
