--- a/scatter/table.go
+++ b/scatter/table.go
@@ -192,7 +192,7 @@
 		if c.idle && !l.idle(now) {
 			continue
 		}
-		if !c.by.IsZero() && now.Add(l.eta(now, usual)*2/4).After(c.by) {
+		if !c.by.IsZero() && now.Add(l.eta(now, usual)/sendMargin).After(c.by) {
 			continue
 		}
 		cost := l.cost(now, kind.aim, usual)
