--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -363,3 +363,22 @@
 		w.Expect(again).To(gomega.HaveLen(missing-1), "an answer that lacks %d of 10 shards", missing)
 	}
 }
+
+// The leafs' queues are so long that the time of all parts is over before any is begun. The
+// caller hears that its request may have run, though no leaf has begun with it.
+func TestPartsThatWereNotBegunHaveNotRun(t *testing.T) {
+	w := newWorld(t)
+	spec := w.gathered(w.shards(2, homeZone))
+	q := NewQuery(spec, w.table)
+	first := sends(q.Start(w.now))
+	w.now = spec.AnswerBy
+	w.Expect(outcome(q.Fail(w.now, first[0].Attempt, EndUnbegun)).Verdict).To(gomega.Equal(ShortAnswer), "the other may run yet")
+	q = NewQuery(spec, w.table)
+	spec.MinShare = 0.1
+	q.spec = spec
+	w.now = w.now.Add(-90 * time.Millisecond)
+	first = sends(q.Start(w.now))
+	w.now = spec.AnswerBy
+	w.Expect(outcome(q.Fail(w.now, first[0].Attempt, EndUnbegun))).To(gomega.BeNil())
+	w.Expect(outcome(q.Fail(w.now, first[1].Attempt, EndUnbegun)).Verdict).To(gomega.Equal(NotRun))
+}
--- a/scatter/speed_test.go
+++ b/scatter/speed_test.go
@@ -129,3 +129,22 @@
 		w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))).To(gomega.HaveLen(1))
 	}
 }
+
+// A leaf is so slow that it finishes nothing in time, and so never shows how slow it is by an
+// answer. Requests go there as before, each a part that an answer lacks.
+func TestLeafThatFinishesNothingInTimeIsLeftAside(t *testing.T) {
+	w := newWorld(t)
+	near := w.leaf("ledger", homeZone)
+	far := w.leaf("ledger", "other")
+	w.answersOf(w.single("ledger", true), 60, 8*time.Millisecond)
+	for range 6 {
+		s := sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0]
+		if s.Leaf == far {
+			return
+		}
+		w.wait(90 * time.Millisecond)
+		w.table.Report(w.now, near, Load{Slots: 2})
+		w.table.Ended(w.now, s.Leaf, s.SentAt, EndExpired)
+	}
+	t.Fatal("the slow leaf is asked first for ever")
+}
