A leaf that refuses with free slots is left aside

Cause: while one of two leafs of each shard turned away six parts of ten, its twin stood nearly idle.

Ruled out: counting every refusal. A leaf that is full for a moment says so with its load, and is not shunned for seconds.

Change: a refusal whose stated load has a free slot counts as a failed request.

--- a/scatter/faults.go
+++ b/scatter/faults.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// faults follows the share of a leaf's requests that it fails, while others succeed. A
+// faults follows the share of a leaf's requests that it fails, or turns away without being full,
+// while others succeed. A
 // cooldown after failures in a row does not find such a leaf: it answers every other request,
 // and says that it is healthy. Each failure costs a retry, which has to be paid for, and
 // the time until then.
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -38,6 +38,7 @@
 
 	reported   float64 // requests of other VMs at the last report
 	reportedAt time.Time
+	freeSlots  int           // at the last report
 	halfOpen   bool          // its latest request expired: one at a time until one is answered
 	work       time.Duration // smoothed: what requests usually take that were sent here
 }
@@ -111,11 +112,22 @@
 	others := load.Running + load.Waiting - len(l.flying)
 	l.reported = float64(max(others, 0))
 	l.reportedAt = now
+	l.freeSlots = load.Slots - load.Running
 	if load.Pace > 0 {
 		l.speed.state(now, load.Pace)
 	}
 }
 
+// refused takes that the leaf did not run a request. One that is full for a moment is left
+// alone for that moment. One that says with its refusal that it has a free slot turns requests
+// away for another reason: it is no less likely to refuse the next one.
+func (l *leaf) refused(now time.Time) {
+	l.cooldown.refuse(now, refusedCooldown)
+	if l.reportedAt.Equal(now) && l.freeSlots > 0 {
+		l.faults.add(now, 1)
+	}
+}
+
 func (l *leaf) others(now time.Time) float64 {
 	age := now.Sub(l.reportedAt)
 	if age >= reportLife {
--- /dev/null
+++ b/scatter/shed_test.go
@@ -0,0 +1,63 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// refusing lets a leaf turn away those of n requests that it gets, one after another, with a load.
+func (w *world) refusing(service string, leaf LeafID, n int, load Load) {
+	for range n {
+		s := sends(NewQuery(w.single(service, true), w.table).Start(w.now))[0]
+		end := EndAnswered
+		w.wait(time.Millisecond)
+		if s.Leaf == leaf {
+			w.table.Report(w.now, s.Leaf, load)
+			end = EndRefused
+		}
+		w.table.Ended(w.now, s.Leaf, s.SentAt, end)
+		w.wait(2 * refusedCooldown)
+	}
+}
+
+// Guards against asking first, for each request again, a leaf that turns requests away though it
+// has free slots.
+func TestLeafThatRefusesWithFreeSlotsIsLeftAside(t *testing.T) {
+	w := newWorld(t)
+	near := w.leaf("ledger", homeZone)
+	far := w.leaf("ledger", "other")
+	first := func() LeafID { return sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0].Leaf }
+	w.refusing("ledger", near, 5, Load{Running: 0, Slots: 2})
+	w.Expect(first()).To(gomega.Equal(far))
+	w.wait(3 * faultLife)
+	w.Expect(first()).To(gomega.Equal(near))
+}
+
+// Guards against leaving a leaf aside for seconds that was full for a moment.
+func TestLeafThatRefusesWhileFullIsAskedAgain(t *testing.T) {
+	w := newWorld(t)
+	near := w.leaf("ledger", homeZone)
+	w.leaf("ledger", "other")
+	w.refusing("ledger", near, 5, Load{Running: 2, Waiting: 12, Slots: 2})
+	w.wait(reportLife)
+	w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0].Leaf).To(gomega.Equal(near))
+}
+
+// Guards against spending the budget of further arrivals on leafs that turn away six parts of
+// ten, while the other leaf of each shard has slots to spare.
+func TestCallersAreServedWhileHalfOfTheLeafsShed(t *testing.T) {
+	w := newWorld(t)
+	p := newPlay(w, 1)
+	names := p.shards(30, 9*time.Millisecond, homeZone, "other")
+	for id, l := range p.leafs {
+		if w.table.find(id).Zone == homeZone {
+			l.sheds = 0.6
+		}
+	}
+	p.run(10*time.Second, 20, func() Spec { return w.gathered(names) })
+	t.Logf("callers %d, in time %d, late %d, refused %d, failed %d", p.callers, p.inTime, p.late, p.refused, p.failed)
+	w.Expect(float64(p.failed+p.refused) / float64(p.callers)).To(gomega.BeNumerically("<", 0.03))
+	w.Expect(p.credit / float64(p.callers)).To(gomega.BeNumerically(">", 0.95))
+}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -337,7 +337,7 @@
 		l.cooldown.unreachable(now)
 		l.suspect.hold(now)
 	case EndRefused:
-		l.cooldown.refuse(now, refusedCooldown)
+		l.refused(now)
 	case EndMoved:
 		l.moved = true
 	case EndSilent:
@@ -350,7 +350,7 @@
 	}
 }
 
-// Report takes the load that a leaf stated with an answer.
+// Report takes the load that a leaf stated with an answer. It comes before Ended, at the same time.
 func (t *Table) Report(now time.Time, id LeafID, load Load) {
 	if l := t.find(id); l != nil {
 		l.report(now, load)
