Owners and parts of a zone follow from power; others keep no connections

Causes, both of size. (1) A zone of 33 VMs had eight parts of four owners, drawn whatever their power: a gathered request made 11 to 14 calls over several zones, most to VMs of 0.19 cores, and waited for the slowest; each owner saw so few requests of a leaf that it learned of slow or shedding ones anew.

Ruled out: direct attempts after overdue calls, restarts of all VMs (the resets come in calm seconds too, at two leafs only).

Change: VMs of a zone are ordered by power; the first ones lead a part each, with as many parts as answer a request soonest by the power of the leading VMs, the work of a call and the shards that a zone has. Of the owners of a part those with half of the strongest one's power are called, the others when these don't answer. The owners' part of the floor is divided by power among zones that have leafs of the service. A VM keeps connections only where its share of the cap is one or more; others are closed after their request.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -36,8 +36,9 @@
 // EngineOptions configure an Engine; all are required.
 type EngineOptions struct {
 	Exchange Exchange
-	Self     string // name of this VM
-	Zone     string // of this VM
+	Self     string  // name of this VM
+	Zone     string  // of this VM
+	Power    float64 // of this VM, in cores
 	Budget   scatter.BudgetTerms
 	Seed     uint64 // of random choices
 	Log      *slog.Logger
@@ -58,7 +59,7 @@
 		silentVMs:   newAlarm(),
 		silentLeafs: newAlarm(),
 		peers:       noDelegates{},
-		table:       scatter.NewTable(opt.Self, opt.Zone, opt.Budget, time.Now(), rng),
+		table:       scatter.NewTable(scatter.VM{Name: opt.Self, Zone: opt.Zone, Power: opt.Power}, opt.Budget, time.Now(), rng),
 		registry:    registry.New(),
 	}
 }
@@ -78,6 +79,7 @@
 	for name, svc := range m.Services {
 		e.table.SetTerms(now, name, scatter.Terms{MaxConnections: svc.MaxConnections, Shard: shards[name]})
 	}
+	e.table.SetShards(now, m.Widest())
 	return true
 }
 
@@ -90,6 +92,7 @@
 	for _, c := range changes {
 		e.table.Apply(now, c)
 	}
+	e.table.Rearrange(now)
 	e.mu.Unlock()
 	e.feed.addLeafs(changes)
 	for _, c := range changes {
--- a/edge/node.go
+++ b/edge/node.go
@@ -76,6 +76,7 @@
 			Exchange: opt.Exchange,
 			Self:     opt.Settings.Name,
 			Zone:     opt.Settings.Zone,
+			Power:    opt.Settings.Power,
 			Budget:   opt.Settings.Budget.terms(),
 			Seed:     uint64(time.Now().UnixNano()),
 			Log:      opt.Log,
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -116,7 +116,7 @@
 }
 
 // probeLeafs finds out which of the leafs that did not answer can be reached. The connection
-// is kept for requests.
+// is kept if later ones are.
 func (n *Node) probeLeafs(ctx context.Context) (made bool, next time.Time) {
 	n.engine.mu.Lock()
 	suspects, next := n.engine.table.SuspectLeafs(time.Now())
@@ -127,7 +127,10 @@
 
 func (n *Node) probeLeaf(ctx context.Context, leaf registry.Leaf) {
 	id := scatter.LeafID{ID: leaf.ID, Born: leaf.Born}
-	err := n.engine.pool.Warm(ctx, leafhttp.Peer{Key: poolKey(id), Address: leaf.Address})
+	n.engine.mu.Lock()
+	peer := leafhttp.Peer{Key: poolKey(id), Address: leaf.Address, Transient: !n.engine.table.Keeps(id)}
+	n.engine.mu.Unlock()
+	err := n.engine.pool.Warm(ctx, peer)
 	n.engine.mu.Lock()
 	cleared := n.engine.table.ProbedLeaf(time.Now(), id, err == nil)
 	n.engine.mu.Unlock()
--- a/edge/probe_test.go
+++ b/edge/probe_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/bramleybarrow/bramleybarrow/logging"
+	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -31,8 +32,12 @@
 func TestVMThatDoesNotSayThatItLivesIsNotCalled(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
-	table := scatter.NewTable("vm-a", "a", scatter.BudgetTerms{}, now, rand.New(rand.NewPCG(1, 2)))
+	table := scatter.NewTable(scatter.VM{Name: "vm-a", Zone: "a"}, scatter.BudgetTerms{}, now, rand.New(rand.NewPCG(1, 2)))
 	table.SetVMs(now, []scatter.VM{{Name: "vm-b", Zone: "b"}, {Name: "vm-c", Zone: "c"}, {Name: "vm-d", Zone: "d"}})
+	table.SetTerms(now, "shard", scatter.Terms{Shard: true})
+	for _, zone := range []string{"b", "c", "d"} {
+		table.Apply(now, registry.Change{Leaf: registry.Leaf{ID: "leaf-" + zone, Service: "shard", Zone: zone}})
+	}
 	n := &Node{log: logging.Discard(), engine: &Engine{
 		table: table, peers: &darkVMs{dark: "vm-c"}, silentVMs: newAlarm(),
 	}}
--- a/edge/run.go
+++ b/edge/run.go
@@ -198,7 +198,7 @@
 func (r *runner) send(s scatter.Send) {
 	ctx, cancel := context.WithDeadline(r.attempts, s.Until.Add(r.linger()))
 	defer cancel()
-	peer := leafhttp.Peer{Key: poolKey(s.Leaf), Address: s.Address}
+	peer := leafhttp.Peer{Key: poolKey(s.Leaf), Address: s.Address, Transient: !s.Keep}
 	var word LeafWord
 	// A leaf may send the answer to an earlier request late, where the next is expected.
 	own := func(ans *leafhttp.Answer) bool {
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -14,6 +14,9 @@
 type Peer struct {
 	Key     string // of this lifetime of the leaf
 	Address string // IP and port
+	// Transient connections are closed after their request. A leaf accepts a number of
+	// connections, which idle ones of many VMs would use up.
+	Transient bool
 }
 
 // Pool keeps idle connections to leafs. It is safe for concurrent use. How many
@@ -79,7 +82,7 @@
 	if err == nil && !accept(ans) {
 		ans, err = nil, errForeign
 	}
-	if !stop() || err != nil || keep <= 0 {
+	if !stop() || err != nil || keep <= 0 || leaf.Transient {
 		_ = c.Close()
 		return ans, err
 	}
@@ -162,7 +165,7 @@
 	p.idle[leaf.Key] = append(p.idle[leaf.Key], c)
 }
 
-// Warm opens a connection to a leaf that has no idle one.
+// Warm opens a connection to a leaf that has no idle one, and keeps it unless it is transient.
 func (p *Pool) Warm(ctx context.Context, leaf Peer) error {
 	if c := p.pop(leaf); c != nil {
 		if time.Now().Before(c.until) && c.clean() {
@@ -177,6 +180,9 @@
 	if err != nil {
 		return err
 	}
+	if leaf.Transient {
+		return c.Close()
+	}
 	p.put(leaf, c, defaultKeep)
 	return nil
 }
--- a/routing/manifest.go
+++ b/routing/manifest.go
@@ -132,6 +132,15 @@
 	return shards
 }
 
+// Widest returns the number of shards of the gathered route that has most, 0 without one.
+func (m *Manifest) Widest() int {
+	n := 0
+	for _, r := range m.Routes {
+		n = max(n, len(r.Gather))
+	}
+	return n
+}
+
 // Match returns the route of a request, or nil: of the host's routes, the one with
 // the longest prefix that begins the path. The host may bear a port.
 func (m *Manifest) Match(host, path string) *Route {
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -100,6 +100,7 @@
 		SentAt:  now,
 		Until:   q.usefulUntil(now),
 		Far:     !l.near,
+		Keep:    q.table.Keeps(l.id),
 		Why:     why,
 	}
 }
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -260,6 +260,7 @@
 		others = append(others, VM{Name: fmt.Sprintf("vm-%02d", i), Zone: homeZone, Power: 1})
 	}
 	w.table.SetVMs(w.now, others)
+	w.table.SetShards(w.now, len(names))
 	spec := w.gathered(names)
 	spec.Delegate = true
 	acts := NewQuery(spec, w.table).Start(w.now)
@@ -277,6 +278,7 @@
 		}
 	}
 	peer.table.SetVMs(peer.now, list)
+	peer.table.SetShards(peer.now, len(names))
 	z := peer.table.zones[homeZone]
 	for _, i := range calls[0].Shards {
 		w.Expect(z.owns(z.partOf(names[i]))).To(gomega.BeTrue())
@@ -291,21 +293,22 @@
 	for i := range 15 {
 		others = append(others, VM{Name: fmt.Sprintf("vm-%02d", i), Zone: homeZone, Power: 1})
 	}
+	w.table.SetShards(w.now, 60)
 	w.table.SetVMs(w.now, others)
 	before := w.table.zones[homeZone]
 	w.wait(time.Second)
 	w.table.SetVMs(w.now, others[1:])
 	after := w.table.zones[homeZone]
 	w.Expect(after.self).To(gomega.Equal(before.self))
-	w.Expect(after.parts()).To(gomega.Equal(before.parts()))
-	for part := range after.parts() {
+	w.Expect(after.parts).To(gomega.Equal(before.parts))
+	for part := range after.parts {
 		for _, v := range w.table.partners(w.now, homeZone, part) {
 			w.Expect(v.Name).NotTo(gomega.Equal("vm-00"))
 		}
 	}
 	w.wait(2 * keepPlace)
 	w.table.SetVMs(w.now, others[1:])
-	w.Expect(w.table.zones[homeZone].names).NotTo(gomega.ContainElement("vm-00"))
+	w.Expect(w.table.zones[homeZone].list).NotTo(gomega.ContainElement(placedVM{name: "vm-00", power: 1}))
 }
 
 // A page fails although its parts are on their way: the VM that was called is a little
--- a/scatter/floor.go
+++ b/scatter/floor.go
@@ -31,10 +31,7 @@
 	vms := float64(len(t.places) + 1)
 	share := 1 / vms
 	if shard {
-		share = (1 - ownersFloor) / vms
-		if t.ownsService(name) {
-			share += ownersFloor / float64(t.owners)
-		}
+		share = (1-ownersFloor)/vms + ownersFloor*t.ownerShare(name)
 	}
 	share /= spareVMs
 	if now.Sub(t.born) < t.terms.Window {
@@ -43,6 +40,41 @@
 	return t.terms.Floor * share
 }
 
+// ownerShare is this VM's part of what the owners of a service divide among them by power, as
+// calls are; 0 if it is none of them.
+func (t *Table) ownerShare(name string) float64 {
+	if !t.ownsService(name) {
+		return 0
+	}
+	zones := t.leafZones(name)
+	if len(zones) > 0 && !zones[t.zone] {
+		return 0
+	}
+	all := 0.0
+	for zone, z := range t.zones {
+		if len(zones) > 0 && !zones[zone] {
+			continue
+		}
+		for _, owner := range z.ownersOf(z.partOf(name)) {
+			all += max(owner.power, leastPower)
+		}
+	}
+	return max(t.power, leastPower) / all
+}
+
+// leafZones returns the zones of a service's leafs, none if no leaf is known.
+func (t *Table) leafZones(name string) map[string]bool {
+	s := t.groups[name]
+	if s == nil {
+		return nil
+	}
+	zones := make(map[string]bool)
+	for _, l := range s.leafs {
+		zones[l.Zone] = true
+	}
+	return zones
+}
+
 // ownsService reports whether this VM owns the part of its zone that a service's leafs
 // would belong to.
 func (t *Table) ownsService(name string) bool {
--- a/scatter/floor_test.go
+++ b/scatter/floor_test.go
@@ -21,7 +21,7 @@
 
 // tableOf returns the table of one VM of a fleet that was born at a time.
 func tableOf(vms []VM, self VM, terms BudgetTerms, now, born time.Time) *Table {
-	t := NewTable(self.Name, self.Zone, terms, born, nil)
+	t := NewTable(self, terms, born, nil)
 	var others []VM
 	for _, v := range vms {
 		if v.Name != self.Name {
@@ -81,7 +81,7 @@
 func TestVMThatKnowsNoOthersSpendsNothingOfTheFloor(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(1_000_000, 0)
-	table := NewTable("vm-1", "a", BudgetTerms{Ratio: 0.2, Floor: 200, Window: 10 * time.Second}, now, nil)
+	table := NewTable(VM{Name: "vm-1", Zone: "a"}, BudgetTerms{Ratio: 0.2, Floor: 200, Window: 10 * time.Second}, now, nil)
 	g.Expect(table.budget(now, "ledger").take(now, 0)).To(gomega.BeFalse())
 	table.SetVMs(now, nil)
 	g.Expect(table.budget(now, "ledger").take(now, 0)).To(gomega.BeTrue())
--- a/scatter/harness_test.go
+++ b/scatter/harness_test.go
@@ -31,7 +31,7 @@
 // become makes the table that of another VM, which has run for a while and knows no
 // others.
 func (w *world) become(name, zone string, terms BudgetTerms) {
-	w.table = NewTable(name, zone, terms, w.now.Add(-terms.Window), rand.New(rand.NewPCG(1, 2)))
+	w.table = NewTable(VM{Name: name, Zone: zone, Power: 1}, terms, w.now.Add(-terms.Window), rand.New(rand.NewPCG(1, 2)))
 	w.table.SetVMs(w.now, nil)
 }
 
--- a/scatter/liveness_test.go
+++ b/scatter/liveness_test.go
@@ -7,11 +7,19 @@
 	"github.com/onsi/gomega"
 )
 
+// ownedShards adds shards with a leaf in each of the zones, so that VMs there are called.
+func (w *world) ownedShards(zones ...string) {
+	for _, name := range w.shards(2, zones...) {
+		w.table.SetTerms(w.now, name, Terms{Shard: true})
+	}
+}
+
 // A third of the VMs loses power at once. Each of those that are left finds each loss by a
 // call that is not answered, and every request of some seconds lacks the shards of one or
 // two calls. After the first such call all VMs that are called are asked whether they live.
 func TestOneSilentVMHasTheOthersAsked(t *testing.T) {
 	w := newWorld(t)
+	w.ownedShards("other", "third")
 	vms := fleetOf(8, "other", "third")
 	w.table.SetVMs(w.now, vms)
 	w.Expect(w.table.DueForLivenessCheck(w.now)).To(gomega.BeEmpty())
@@ -35,6 +43,7 @@
 // what processor time is left.
 func TestVMsAreNotAskedAgainAndAgain(t *testing.T) {
 	w := newWorld(t)
+	w.ownedShards("other", "third")
 	vms := fleetOf(8, "other", "third")
 	w.table.SetVMs(w.now, vms)
 	rounds := 0
--- /dev/null
+++ b/scatter/owners_test.go
@@ -0,0 +1,87 @@
+package scatter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// largeFleet returns VMs in zones, in each of them three of much power and thirty of little.
+func largeFleet(zones ...string) []VM {
+	var list []VM
+	for _, zone := range zones {
+		for i := range 33 {
+			power := 0.2
+			if i%11 == 5 {
+				power = 0.8
+			}
+			list = append(list, VM{Name: fmt.Sprintf("vm-%s-%02d", zone, i), Zone: zone, Power: power})
+		}
+	}
+	return list
+}
+
+// inFleet makes the world that of one VM of a fleet, before shards with leafs in two zones.
+func (w *world) inFleet(vms []VM, self VM, shards int) []string {
+	w.become(self.Name, self.Zone, BudgetTerms{Ratio: 0.2, Floor: 430, Window: 10 * time.Second})
+	w.table = tableOf(vms, self, w.table.terms, w.now, w.now.Add(-time.Minute))
+	w.table.rng = rand.New(rand.NewPCG(1, 2))
+	w.table.SetShards(w.now, shards)
+	names := w.shards(shards, "a", "b")
+	for _, name := range names {
+		w.table.SetTerms(w.now, name, Terms{MaxConnections: 120, Shard: true})
+	}
+	return names
+}
+
+// Guards against a dozen calls for each request, most of them to VMs of little power, the
+// slowest of which the request waits for.
+func TestPowerfulVMsAreCalledWhileTheyAnswer(t *testing.T) {
+	vms := largeFleet("a", "b", "c")
+	w := newWorld(t)
+	names := w.inFleet(vms, vms[len(vms)-1], 87)
+	called := func() []VM {
+		spec := w.gathered(names)
+		spec.Delegate = true
+		var list []VM
+		for _, ask := range asks(NewQuery(spec, w.table).Start(w.now)) {
+			list = append(list, ask.VM)
+		}
+		return list
+	}
+	for range 10 {
+		list := called()
+		w.Expect(len(list)).To(gomega.BeNumerically("<=", 3))
+		for _, v := range list {
+			w.Expect(v.Power).To(gomega.Equal(0.8), v.Name)
+		}
+	}
+	for _, v := range vms {
+		if v.Power > 0.5 {
+			w.table.EndedAtVM(w.now, v.Name, EndSilent)
+		}
+	}
+	w.Expect(called()).To(gomega.HaveLen(3), "others own the parts too")
+}
+
+// Guards against VMs that hold more connections to a leaf than it accepts: hundreds of them, each
+// of which asked it once.
+func TestConnectionsThatAreKeptStayBelowTheCap(t *testing.T) {
+	vms := largeFleet("a", "b", "c", "d", "e", "f")
+	kept := 0
+	for _, self := range vms {
+		w := newWorld(t)
+		w.inFleet(vms, self, 1)
+		for _, l := range w.table.leafs {
+			if l.Zone == "a" && w.table.Keeps(l.id) {
+				kept += l.room
+			}
+		}
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(kept).To(gomega.BeNumerically(">", 0))
+	g.Expect(float64(kept)).To(gomega.BeNumerically("<=", connectionShare*120))
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -50,6 +50,7 @@
 	// Until is when the leaf is to stop: later, its answer is of no use.
 	Until time.Time
 	Far   bool // in another availability zone
+	Keep  bool // the connection, for later requests
 	Why   Why
 }
 
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 type Table struct {
 	self     string // name of this VM
 	zone     string
+	power    float64 // of this VM, in cores
 	rng      *rand.Rand
 	terms    BudgetTerms
 	leafs    map[string]*leaf // by id
@@ -21,6 +23,8 @@
 	places   map[string]vmPlace  // of other VMs, those that left lately included
 	zones    map[string]*zoneVMs // these and this VM
 	owners   int                 // VMs that ask one leaf, in all zones together
+	shards   int                 // of the widest request
+	perZone  int                 // ... that have a leaf in one zone
 	listed   bool                // the other VMs were listed once
 	liveness livenessRound
 	born     time.Time // start of this VM's process
@@ -32,6 +36,7 @@
 
 // service is the leafs and the budget of one service.
 type service struct {
+	name           string
 	leafs          []*leaf
 	budget         *budget
 	maxConnections int
@@ -49,12 +54,13 @@
 	shard bool // of one shard of a gathered request
 }
 
-// NewTable returns the table of the VM self in zone, which knows nothing yet. Its
-// process started at born.
-func NewTable(self, zone string, terms BudgetTerms, born time.Time, rng *rand.Rand) *Table {
+// NewTable returns the table of the VM self, which knows nothing yet. Its process started at
+// born.
+func NewTable(self VM, terms BudgetTerms, born time.Time, rng *rand.Rand) *Table {
 	t := &Table{
-		self:   self,
-		zone:   zone,
+		self:   self.Name,
+		zone:   self.Zone,
+		power:  self.Power,
 		rng:    rng,
 		terms:  terms,
 		born:   born,
@@ -116,7 +122,7 @@
 func (t *Table) service(now time.Time, name string) *service {
 	s := t.groups[name]
 	if s == nil {
-		s = &service{budget: newBudget(t.terms, now)}
+		s = &service{name: name, budget: newBudget(t.terms, now)}
 		t.groups[name] = s
 	}
 	return s
@@ -137,13 +143,30 @@
 // shareConnections sets how many requests this VM may have in flight at each leaf:
 // one for each connection of its share.
 func (t *Table) shareConnections(s *service) {
+	share := t.connections(s)
 	for _, l := range s.leafs {
-		l.room = l.Slots * queuePerSlot
-		if s.maxConnections > 0 {
-			share := float64(s.maxConnections) * connectionShare / (float64(t.owners) * spareVMs)
-			l.room = max(min(l.room, int(share)), 1)
-		}
+		l.room = max(int(min(share, float64(l.Slots*queuePerSlot))), 1)
+	}
+}
+
+// connections is this VM's share of the connections that a leaf of the service accepts. Less
+// than one allows a connection now and then, but none that stays open unused.
+func (t *Table) connections(s *service) float64 {
+	if s.maxConnections == 0 {
+		return math.Inf(1)
 	}
+	vms := len(t.places) + 1
+	if s.shard && t.ownsService(s.name) {
+		vms = t.owners
+	}
+	return float64(s.maxConnections) * connectionShare / (float64(vms) * spareVMs)
+}
+
+// Keeps reports whether connections to a leaf are kept when a request is over. VMs that ask it
+// now and then would hold all that it accepts.
+func (t *Table) Keeps(id LeafID) bool {
+	l := t.find(id)
+	return l != nil && t.connections(t.groups[l.Service]) >= 1
 }
 
 func (t *Table) find(id LeafID) *leaf {
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,30 +30,86 @@
 
 // ownersPerLeaf is how many VMs of a zone ask the same leafs, as long as the zone has
 // as many. Fewer would be too few when some are lost. With more, a leaf's connections
-// would not do for all of them, each would be used too seldom to stay open, and a
-// request over many shards would cost one VM more processor time than there is before
-// its aim.
+// would not do for all of them, and each would be used too seldom to stay open.
 const ownersPerLeaf = 4
 
-// parts returns into how many parts the VMs of a zone divide its leafs.
-func parts(vms int) int { return max(vms/ownersPerLeaf, 1) }
+// callWork is the processor time that a call to another VM costs the calling one, in
+// requests to leafs.
+const callWork = 3
 
-// zoneVMs is the VMs of one zone, this one included, in the order of their names. All
-// VMs that know the same list divide the leafs alike.
+// zoneVMs is the VMs of one zone, this one included, those of most power first, then in the
+// order of their names. All VMs that know the same list divide the leafs alike.
+//
+// The leafs of a zone are divided into parts. The first VMs of the list own one part each, the
+// next ones as well, until each part has ownersPerLeaf; a small zone has one part, which all of
+// its VMs own.
 type zoneVMs struct {
-	names []string
-	self  int // index of this VM, -1 in other zones
+	list   []placedVM
+	self   int // index of this VM, -1 in other zones
+	parts  int
+	owners int // VMs that own a part: the first ones of the list
 }
 
-func (z *zoneVMs) parts() int { return parts(len(z.names)) }
+// placedVM is a VM that has a place in its zone.
+type placedVM struct {
+	name  string
+	power float64
+}
+
+// arrange orders the VMs of a zone and divides its leafs for requests to a number of its shards.
+func (z *zoneVMs) arrange(self string, shards int) {
+	slices.SortFunc(z.list, func(a, b placedVM) int {
+		return cmp.Or(cmp.Compare(b.power, a.power), cmp.Compare(a.name, b.name))
+	})
+	z.self = slices.IndexFunc(z.list, func(v placedVM) bool { return v.name == self })
+	z.parts = z.quickestParts(shards)
+	z.owners = len(z.list)
+	if len(z.list) >= 2*ownersPerLeaf {
+		z.owners = z.parts * ownersPerLeaf
+	}
+}
+
+// quickestParts returns the number of parts with which a request has its answers first. More
+// parts are asked side by side, but each is a call, and the part of the weakest VM that leads
+// one takes longest. Power, and with it the time of one request to a leaf, differs between VMs.
+func (z *zoneVMs) quickestParts(shards int) int {
+	most := len(z.list) / ownersPerLeaf
+	if most <= 1 {
+		return 1
+	}
+	caller := max(z.list[len(z.list)/2].power, leastPower)
+	best, least := 1, math.Inf(1)
+	for n := 1; n <= most; n++ {
+		weakest := max(z.list[n-1].power, leastPower)
+		took := float64(n)*callWork/caller + float64(shards)/float64(n)/weakest
+		if took < least {
+			best, least = n, took
+		}
+	}
+	return best
+}
+
+// leastPower stands for the power of a VM that states none, in cores.
+const leastPower = 0.01
 
 // partOf returns the part of a zone that a service's leafs belong to.
 func (z *zoneVMs) partOf(service string) int {
-	return int(xxhash.Sum64String(service) % uint64(z.parts()))
+	return int(xxhash.Sum64String(service) % uint64(z.parts))
 }
 
 // owns reports whether this VM asks the leafs of a part.
-func (z *zoneVMs) owns(part int) bool { return z.self >= 0 && z.self%z.parts() == part }
+func (z *zoneVMs) owns(part int) bool {
+	return z.self >= 0 && z.self < z.owners && z.self%z.parts == part
+}
+
+// ownersOf returns the VMs that ask the leafs of a part, those of most power first.
+func (z *zoneVMs) ownersOf(part int) []placedVM {
+	var list []placedVM
+	for i := part; i < z.owners; i += z.parts {
+		list = append(list, z.list[i])
+	}
+	return list
+}
 
 // keepPlace is how long a VM that left keeps its place among those that divide the
 // leafs of its zone. Most come back within seconds under their old name. Without it
@@ -69,25 +126,60 @@
 			known = &vm{VM: v}
 		}
 		next[v.Name] = known
-		t.places[v.Name] = vmPlace{zone: v.Zone, seen: now}
+		t.places[v.Name] = vmPlace{zone: v.Zone, power: v.Power, seen: now}
 	}
 	t.vms = next
 	t.divide(now)
 	t.listed = true
-	for _, s := range t.groups {
-		t.shareConnections(s)
-	}
 }
 
 // vmPlace is where a VM stands, and when it was last listed.
 type vmPlace struct {
-	zone string
-	seen time.Time
+	zone  string
+	power float64
+	seen  time.Time
+}
+
+// SetShards takes how many shards the widest request asks.
+func (t *Table) SetShards(now time.Time, n int) {
+	t.shards = n
+	t.Rearrange(now)
+}
+
+// Rearrange divides the leafs anew if their number makes it necessary. It follows a batch of
+// changes of the list of leafs.
+func (t *Table) Rearrange(now time.Time) {
+	if n := t.shardsOfZone(); n != t.perZone {
+		t.perZone = n
+		t.divide(now)
+	}
+}
+
+// shardsOfZone is how many shards of the widest request have a leaf in one zone, taken that
+// leafs are spread alike. Single leafs that come and go don't change it.
+func (t *Table) shardsOfZone() int {
+	zones := make(map[string]bool)
+	services, leafs := 0, 0
+	for _, s := range t.groups {
+		if !s.shard || len(s.leafs) == 0 {
+			continue
+		}
+		services++
+		leafs += len(s.leafs)
+		for _, l := range s.leafs {
+			zones[l.Zone] = true
+		}
+	}
+	if services == 0 {
+		return t.shards
+	}
+	replicas := math.Round(float64(leafs) / float64(services))
+	return int(math.Ceil(float64(t.shards) * min(replicas/float64(len(zones)), 1)))
 }
 
 // divide orders the VMs of each zone, those that left lately included.
 func (t *Table) divide(now time.Time) {
-	zones := map[string]*zoneVMs{t.zone: {names: []string{t.self}}}
+	zones := map[string]*zoneVMs{t.zone: {list: []placedVM{{name: t.self, power: t.power}}}}
 	for name, p := range t.places {
 		if now.Sub(p.seen) > keepPlace {
 			delete(t.places, name)
@@ -96,21 +188,29 @@
 		if zones[p.zone] == nil {
 			zones[p.zone] = &zoneVMs{}
 		}
-		zones[p.zone].names = append(zones[p.zone].names, name)
+		zones[p.zone].list = append(zones[p.zone].list, placedVM{name: name, power: p.power})
 	}
 	t.owners = 0
 	for _, z := range zones {
-		slices.Sort(z.names)
-		z.self = slices.Index(z.names, t.self)
-		t.owners += (len(z.names) + z.parts() - 1) / z.parts()
+		z.arrange(t.self, t.perZone)
+		t.owners += (z.owners + z.parts - 1) / z.parts
 	}
 	t.zones = zones
+	for _, s := range t.groups {
+		t.shareConnections(s)
+	}
 }
 
-// partnersPerPart is how many of the owners of a part a VM calls, as long as they answer.
-// Each VM has others, so that connections between VMs grow with the number of parts
-// rather than of VMs.
-const partnersPerPart = 2
+// Parameters of the VMs that are called for a part.
+const (
+	// partnersPerPart is how many of the owners of a part a VM calls, as long as they answer.
+	// Each VM has others, so that connections between VMs grow with the number of parts
+	// rather than of VMs.
+	partnersPerPart = 2
+	// partnerPower is the part of the power of the strongest owner that another one must have
+	// to be called beside it: a request waits for the slowest of its calls.
+	partnerPower = 0.5
+)
 
 // partners returns the VMs that this one calls for a part of a zone, leaving out those
 // that cool down or are under suspicion.
@@ -120,10 +220,15 @@
 		return nil
 	}
 	var list []*vm
-	for i := part; i < len(z.names); i += z.parts() {
-		if v := t.vms[z.names[i]]; v != nil && v.asked(now) {
-			list = append(list, v)
+	for _, owner := range z.ownersOf(part) {
+		v := t.vms[owner.name]
+		if v == nil || !v.asked(now) {
+			continue
 		}
+		if len(list) > 0 && owner.power < partnerPower*list[0].Power {
+			break
+		}
+		list = append(list, v)
 	}
 	slices.SortFunc(list, func(a, b *vm) int { return cmp.Compare(rank(t.self, a.Name), rank(t.self, b.Name)) })
 	return list[:min(len(list), partnersPerPart)]
@@ -179,8 +284,12 @@
 // opened before they are needed.
 func (t *Table) Partners(now time.Time) []VM {
 	var list []VM
+	zones := t.shardZones()
 	for name, z := range t.zones {
-		for part := range z.parts() {
+		if !zones[name] {
+			continue
+		}
+		for part := range z.parts {
 			if z.owns(part) {
 				continue
 			}
@@ -192,6 +301,17 @@
 	return list
 }
 
+// shardZones returns the zones that have leafs of shards.
+func (t *Table) shardZones() map[string]bool {
+	zones := make(map[string]bool)
+	for _, l := range t.leafs {
+		if t.groups[l.Service].shard {
+			zones[l.Zone] = true
+		}
+	}
+	return zones
+}
+
 // drawVM draws a VM by its power.
 func (t *Table) drawVM(list []*vm) *vm {
 	total := 0.0
