A caller's spent time is known from its own connection

Cause: with 0.06 requests of a route a second at a VM, the longest wait that other callers of the route stated is mostly not known, so quick answers left in time by the VM's clock and came late by the caller's: 3 ms each way, and a round trip more on a new connection, of an aim of 50 ms.

Change: the round trip is asked of the kernel when a connection is accepted. A request has spent half of it on its way, and a whole one more if it is the first of a connection that was just made; the answer needs half of it. Where the kernel says nothing, 2 ms are taken as before. What a caller states less than others counts still, if it is more.

Test: the only caller of a route over a new connection; not there before, the former code knows no such caller and answers 6.5 ms before the aim in both cases.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/bramleybarrow/bramleybarrow/routing"
 )
 
@@ -37,21 +40,67 @@
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, limits: l.limits}, nil
+	return &callerConn{TCPConn: tcp, limits: l.limits, acceptedAt: time.Now(), roundTrip: roundTripOf(tcp)}, nil
+}
+
+// roundTripOf returns the round trip that the kernel measured on a connection, 0 if it does
+// not say.
+func roundTripOf(c *net.TCPConn) time.Duration {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return 0 // a time that is assumed takes its place
+	}
+	return time.Duration(info.Rtt) * time.Microsecond
 }
 
 // callerConn is a caller's connection. net/http sets its read deadlines from one goroutine,
 // and tells of a change of state from the same one.
 type callerConn struct {
 	*net.TCPConn
-	limits func() routing.Limits
-	idle   bool // the next deadline ends the time without a request
+	limits     func() routing.Limits
+	acceptedAt time.Time
+	roundTrip  time.Duration // 0 if not known
+	idle       bool          // the next deadline ends the time without a request
+	used       bool          // a request before the present one came on it
+}
+
+// callerConnKey is the key of a request's *callerConn in its context.
+type callerConnKey struct{}
+
+// withCallerConn is the server's ConnContext.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	if cc, ok := c.(*callerConn); ok {
+		return context.WithValue(ctx, callerConnKey{}, cc)
+	}
+	return ctx
+}
+
+// callerPathOf returns what is known of the way from the caller of a request that arrived now, zero if
+// nothing is.
+func callerPathOf(ctx context.Context, now time.Time) callerPath {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return callerPath{}
+	}
+	path := callerPath{way: c.roundTrip / 2}
+	if !c.used && now.Sub(c.acceptedAt) <= c.roundTrip {
+		path.connecting = c.roundTrip
+	}
+	return path
 }
 
 // noteCallerState is the server's ConnState.
 func noteCallerState(c net.Conn, state http.ConnState) {
 	if cc, ok := c.(*callerConn); ok && state == http.StateIdle {
-		cc.idle = true
+		cc.idle, cc.used = true, true
 	}
 }
 
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -121,7 +121,7 @@
 type Request struct {
 	ID       string
 	HTTP     *leafhttp.Request
-	Began    time.Time // when the caller began, as far as it shows
+	AnswerBy time.Time // when an answer has to leave to be there within the aim
 	Deadline time.Time // of the caller or of the route, whichever comes first
 	Top      int       // records of the answer to a gathered request
 }
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -49,7 +49,7 @@
 		return
 	}
 	req := e.request(r, target, body, arrived, route)
-	res := e.serve(r, req, route, arrived)
+	res := e.serve(r, req, route)
 	e.logRequest(req, route, m.Version, res, time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
 		return
@@ -110,16 +110,18 @@
 // request prepares what leafs are sent.
 func (e *Engine) request(r *http.Request, target string, body []byte, arrived time.Time, route *routing.Route) *Request {
 	wait := route.Timeout
-	var spent time.Duration
+	var missing time.Duration
 	if stated, ok := e.exchange.Wait(r.Header); ok {
-		spent = e.spent.of(arrived, route.Name, stated)
+		missing = e.spent.of(arrived, route.Name, stated)
 		if stated < wait || wait == 0 {
 			wait = stated
 		}
 	}
+	path := callerPathOf(r.Context(), arrived)
+	began := arrived.Add(-path.spent(missing, route.Aim))
 	return &Request{
 		ID:       e.exchange.RequestID(r.Header),
-		Began:    arrived.Add(-spent),
+		AnswerBy: path.answerBy(began, route.Aim),
 		Deadline: arrived.Add(wait - answerMargin),
 		Top:      route.Top,
 		HTTP: &leafhttp.Request{
@@ -153,26 +155,8 @@
 	return out
 }
 
-// Parameters of the moment to answer a gathered request in part: an answer is worth
-// the square of its share until the aim and a tenth afterwards, so it leaves just
-// before, by the time that writing it and its way back take.
-const (
-	answerEarlier      = 4 * time.Millisecond
-	answerEarlierShare = 0.05 // of the aim
-	// repeatShare is the part of the aim that no caller needs to reach a VM.
-	repeatShare = 0.25
-)
-
-func answerBy(began, arrived time.Time, aim time.Duration) time.Time {
-	if arrived.Sub(began) > time.Duration(repeatShare*float64(aim)) {
-		began = arrived // a repeat, which is late or counts from anew
-	}
-	early := answerEarlier + time.Duration(answerEarlierShare*float64(aim))
-	return began.Add(max(aim-early, aim/2))
-}
-
 // serve runs a request to its end.
-func (e *Engine) serve(r *http.Request, req *Request, route *routing.Route, arrived time.Time) *Result {
+func (e *Engine) serve(r *http.Request, req *Request, route *routing.Route) *Result {
 	spec := scatter.Spec{
 		Services:    route.Gather,
 		Gathered:    route.Gathered(),
@@ -180,7 +164,7 @@
 		MaxAttempts: route.MaxAttempts,
 		MinShare:    route.MinShare,
 		Aim:         route.Aim,
-		AnswerBy:    answerBy(req.Began, arrived, route.Aim),
+		AnswerBy:    req.AnswerBy,
 		Deadline:    req.Deadline,
 		Delegate:    route.Gathered(),
 		Request:     req.ID,
--- a/edge/node.go
+++ b/edge/node.go
@@ -158,6 +158,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         noteCallerState,
+		ConnContext:       withCallerConn,
 		ErrorLog:          logging.Standard(n.log),
 	}
 }
--- a/edge/spent.go
+++ b/edge/spent.go
@@ -45,6 +45,44 @@
 	return max(w.this, w.before) - stated
 }
 
+// callerPath is what is known of the way between a caller and this VM; zero for nothing.
+type callerPath struct {
+	way        time.Duration // in one direction
+	connecting time.Duration // that a caller spent on opening the connection for this request
+}
+
+// repeatShare is the part of the aim that no caller needs to reach a VM.
+const repeatShare = 0.25
+
+// spent returns how long before its arrival a request began. Missing is how much less its caller
+// states to have left than others of the route: what it spent on connecting, unless it is a
+// repeat, which is late or counts from anew.
+func (p callerPath) spent(missing, aim time.Duration) time.Duration {
+	if missing > max(time.Duration(repeatShare*float64(aim)), p.connecting+p.way) {
+		missing = 0
+	}
+	return max(missing, p.connecting) + p.way
+}
+
+// Parameters of the moment to answer a gathered request in part: an answer is worth
+// the square of its share until the aim and a tenth afterwards, so it leaves just
+// before, by the time that writing it and its way back take.
+const (
+	assumedWay       = 2 * time.Millisecond // to a caller, if it is not known
+	writingTime      = 2 * time.Millisecond
+	writingTimeShare = 0.05 // of the aim
+)
+
+// answerBy is when the answer to a request that began at a time has to leave.
+func (p callerPath) answerBy(began time.Time, aim time.Duration) time.Time {
+	way := p.way
+	if way == 0 {
+		way = assumedWay
+	}
+	early := way + writingTime + time.Duration(writingTimeShare*float64(aim))
+	return began.Add(max(aim-early, aim/2))
+}
+
 // keep forgets the routes that a manifest does not name.
 func (t *spentTimes) keep(m *routing.Manifest) {
 	names := make(map[string]bool, len(m.Routes))
--- a/edge/spent_test.go
+++ b/edge/spent_test.go
@@ -1,26 +1,66 @@
 package edge
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 )
 
-// A caller opens a connection, which takes it 9 ms of an aim of 80. Its answer leaves just
-// before the aim by the VM's clock, and is late by its own.
+// Guards against answers that leave in time by the VM's clock and are late by that of a caller,
+// who had to open a connection first.
 func TestAnswerComesInTimeOverANewConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const aim, way = 80 * time.Millisecond, 3 * time.Millisecond
 	spent := newSpentTimes()
 	now := time.Unix(1_000_000, 0)
 	g.Expect(spent.of(now, "check", 1200*time.Millisecond)).To(gomega.BeZero())
-	handshake := spent.of(now, "check", 1191*time.Millisecond)
-	g.Expect(handshake).To(gomega.Equal(9 * time.Millisecond))
-	g.Expect(answerBy(now.Add(-handshake), now, aim).Add(way)).To(gomega.BeTemporally("<", now.Add(-handshake).Add(aim)))
+	missing := spent.of(now, "check", 1191*time.Millisecond)
+	g.Expect(missing).To(gomega.Equal(9 * time.Millisecond))
+	var unknown callerPath
+	began := now.Add(-unknown.spent(missing, aim))
+	g.Expect(began).To(gomega.Equal(now.Add(-missing)))
+	g.Expect(unknown.answerBy(began, aim).Add(way)).To(gomega.BeTemporally("<", began.Add(aim)))
 	// One that repeats after a failure gets the whole time anew.
 	repeat := spent.of(now, "check", 900*time.Millisecond)
-	g.Expect(answerBy(now.Add(-repeat), now, aim)).To(gomega.Equal(answerBy(now, now, aim)))
+	g.Expect(unknown.spent(repeat, aim)).To(gomega.BeZero())
+}
+
+// Guards against late answers where requests of a route are so rare that no other caller's
+// stated time is known: the connection itself tells what its caller spent.
+func TestAnswerComesInTimeToTheOnlyCallerOfARoute(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const aim, way = 50 * time.Millisecond, 3 * time.Millisecond
+	now := time.Unix(1_000_000, 0)
+	conn := &callerConn{acceptedAt: now, roundTrip: 2 * way}
+	ctx := withCallerConn(t.Context(), conn)
+	leaves := func(arrived time.Time) time.Duration {
+		path := callerPathOf(ctx, arrived)
+		return path.answerBy(arrived.Add(-path.spent(0, aim)), aim).Sub(arrived)
+	}
+	toConnect := 2 * way
+	g.Expect(toConnect + way + leaves(now) + way).To(gomega.BeNumerically("<", aim))
+	g.Expect(way + leaves(now.Add(time.Second)) + way).To(gomega.BeNumerically("<", aim))
+	g.Expect(leaves(now.Add(time.Second))).To(gomega.Equal(leaves(now) + toConnect))
+	noteCallerState(conn, http.StateIdle)
+	g.Expect(leaves(now)).To(gomega.Equal(leaves(now.Add(time.Second))), "the connection was there")
+}
+
+// Guards against a round trip that the kernel is asked for in vain.
+func TestRoundTripOfAConnectionIsKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	socket, err := listen("127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = socket.Close() }()
+	caller, err := net.Dial("tcp", socket.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = caller.Close() }()
+	conn, err := (&callerListener{Listener: socket}).Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	g.Expect(conn.(*callerConn).roundTrip).To(gomega.BeNumerically(">", 0))
 }
 
 // Callers of a route come to wait for less. They are not taken to have lost time for ever.
