Shards of a silent VM are asked for through another owner

Cause: a call that is not answered was made up for by direct attempts of the calling VM. It owns none of these leafs: it opens a connection to each, and its part of the budget is less than one arrival, so that the request failed with budget gaps. A VM of hundreds makes a call every few seconds and finds each lost VM anew.

Change: a VM that is overtaken, or gone before it got the call, is replaced by another owner of the same part. Where the first may have asked already, the second one pays for each arrival and asks only the leafs that both compute; its refusal proves nothing. Two answers may share a shard then: the one with more shards counts, the other is left out whole.

Tests: a silent VM, one that is gone, overlapping answers, a refusal, and a property test that no request is run by more leafs than it allows.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -98,6 +98,7 @@
 		Services:    services,
 		Views:       a.Views,
 		Needed:      a.Needed,
+		Again:       a.Again,
 		Top:         r.req.Top,
 		MaxAttempts: r.spec.MaxAttempts,
 		AimUS:       r.spec.Aim.Microseconds(),
@@ -182,8 +183,12 @@
 		Delegated:   true,
 		Views:       call.Views,
 		Needed:      call.Needed,
+		Again:       call.Again,
 		Weight:      scatter.DelegateWeight,
 	}
+	if call.Again {
+		spec.Weight = 0 // counted where it was asked for before
+	}
 	r := e.newRunner(req, spec)
 	told := make(map[scatter.AttemptID]bool)
 	r.interim = in(call.InterimUS)
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -35,6 +35,8 @@
 	Views []scatter.View `cbor:"14,keyasint"`
 	// Needed is how many of Services the whole answer can't do without; 0 if not stated.
 	Needed int `cbor:"15,keyasint,omitempty"`
+	// Again says that another VM was called for the same before, and is silent.
+	Again bool `cbor:"16,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. Each shard is in one answer at most.
--- a/edge/log.go
+++ b/edge/log.go
@@ -26,7 +26,7 @@
 		"sent", out.Sent,
 		"hedges", out.Hedges,
 		"retries", out.Retries,
-		"calls", len(out.Calls),
+		"calls", out.Called,
 		"ms", took.Milliseconds(),
 		"left_ms", time.Until(req.Deadline).Milliseconds(),
 	)...)
--- a/edge/merge.go
+++ b/edge/merge.go
@@ -40,15 +40,13 @@
 
 // collect returns the answers that out includes, each shard in one of them only.
 func (r *runner) collect(out scatter.Outcome) []ShardsAnswer {
-	parts := make([]ShardsAnswer, 0, len(out.Parts)+len(out.Calls))
+	parts := make([]ShardsAnswer, 0, len(out.Parts)+len(out.CallAnswers))
 	for _, id := range out.Parts {
 		ans := r.answers[id]
 		parts = append(parts, ShardsAnswer{Receipts: []string{ans.word.Receipt}, Records: ans.Body})
 	}
-	for _, id := range out.Calls {
-		for _, ans := range r.calls[id] {
-			parts = append(parts, *ans)
-		}
+	for _, n := range out.CallAnswers {
+		parts = append(parts, *r.callAnswers[n])
 	}
 	return parts
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -23,9 +23,9 @@
 	attempts context.Context
 	cancel   context.CancelFunc // of attempts
 
-	answers map[scatter.AttemptID]*reply
-	shards  map[scatter.AttemptID]int // that each attempt asks for
-	calls   map[scatter.CallID][]*ShardsAnswer
+	answers     map[scatter.AttemptID]*reply
+	shards      map[scatter.AttemptID]int // that each attempt asks for
+	callAnswers []*ShardsAnswer           // in the order in which the query took them
 
 	// Of a query for another VM; zero for a caller's.
 	interim time.Time                 // when tell gets what was answered by then
@@ -79,7 +79,6 @@
 		cancel:   cancel,
 		answers:  make(map[scatter.AttemptID]*reply),
 		shards:   make(map[scatter.AttemptID]int),
-		calls:    make(map[scatter.CallID][]*ShardsAnswer),
 	}
 }
 
@@ -147,7 +146,7 @@
 	return r.step(func(now time.Time) []scatter.Action {
 		switch {
 		case ev.call != 0 && ev.shards != nil:
-			r.calls[ev.call] = append(r.calls[ev.call], ev.shards)
+			r.callAnswers = append(r.callAnswers, ev.shards)
 			return r.query.CallReply(now, ev.call, scatter.CallAnswer{
 				Included: ev.shards.Included,
 				Declined: ev.shards.declined,
--- a/scatter/allowed.go
+++ b/scatter/allowed.go
@@ -14,6 +14,8 @@
 // called asks these only; the other may ask one more of its own choice. Together they ask no
 // more than the request allows, even if one of them freezes between any two steps.
 //
+// A second VM that is called, since the first one is silent, asks the computed ones only.
+//
 // The VM that was called asks these leafs all the time and knows which are slow or dark.
 // If it too were held to those that were computed, a shard with two bad leafs of three would be
 // lost to every second request, with a good leaf idle.
@@ -89,7 +91,7 @@
 	switch {
 	case !s.shared:
 		return q.table.usable(s.service)
-	case !q.spec.Delegated || q.spec.MaxAttempts < 2:
+	case !q.spec.Delegated || q.spec.Again || q.spec.MaxAttempts < 2:
 		return q.table.usableOf(s.common)
 	case s.chosen != LeafID{}:
 		return q.table.usableOf(append(slices.Clone(s.common), s.chosen))
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -46,7 +46,7 @@
 		return nil
 	}
 	if !q.pay(now, s, why) {
-		if why == Retry {
+		if why != Hedge && s.flying == 0 {
 			s.close(GapBudget)
 		}
 		return nil
@@ -61,7 +61,7 @@
 		s.counted = true
 		b.first(now, q.spec.Weight)
 	}
-	if !s.arrived && s.flying == 0 && s.call == 0 {
+	if !s.arrived && s.flying == 0 && s.call == 0 && !q.spec.Again {
 		return true
 	}
 	spare := 0.0
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -23,7 +23,7 @@
 		q.look(&q.shards[i], time.Time{})
 	}
 	out.Refusal = q.refusal
-	out.Sent, out.Hedges, out.Retries = q.sent, q.hedges, q.retries
+	out.Sent, out.Hedges, out.Retries, out.Called = q.sent, q.hedges, q.retries, len(q.calls)
 	return []Action{Finish{Outcome: out}}
 }
 
@@ -53,7 +53,7 @@
 		return Outcome{Verdict: LeafFailed, Attempt: q.failure}
 	}
 	for i := range q.shards {
-		if q.shards[i].maybeRan > 0 || q.shards[i].call != 0 {
+		if s := &q.shards[i]; s.maybeRan > 0 || s.call != 0 || s.again {
 			return Outcome{Verdict: mayHaveRun}
 		}
 	}
@@ -128,9 +128,9 @@
 			out.Parts = append(out.Parts, s.answer)
 		}
 	}
-	for id := CallID(1); int(id) <= len(q.calls); id++ {
-		if q.calls[id].used {
-			out.Calls = append(out.Calls, id)
+	for n, ans := range q.answers {
+		if ans.used {
+			out.CallAnswers = append(out.CallAnswers, n)
 		}
 	}
 	return out
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -52,6 +52,7 @@
 // delegation is a call to make: the VM, and the shards that it is asked for.
 type delegation struct {
 	vm     *vm
+	place  place
 	shards []int
 }
 
@@ -77,8 +78,8 @@
 		if len(shards) < minDelegated && p.zone != q.table.zone {
 			continue
 		}
-		if v := q.table.pickVM(now, p.zone, p.part); v != nil {
-			calls = append(calls, delegation{vm: v, shards: shards})
+		if v := q.table.pickVM(now, p, ""); v != nil {
+			calls = append(calls, delegation{vm: v, place: p, shards: shards})
 		}
 	}
 	return calls
@@ -147,21 +148,28 @@
 	return best, shards
 }
 
-func (q *Query) ask(now time.Time, v *vm, shards []int) Action {
+// ask makes a call; again says that another VM was called for the same shards.
+func (q *Query) ask(now time.Time, d delegation, again bool) Action {
 	id := CallID(len(q.calls) + 1)
+	v, shards := d.vm, d.shards
 	v.flying++
 	views := make([]View, len(shards))
 	for n, i := range shards {
 		s := &q.shards[i]
 		views[n] = q.table.View(s.service)
 		s.call = id
+		s.again = s.again || again
 		q.share(s, v.Zone)
-		s.counted = true
-		q.table.service(now, s.service).budget.first(now, q.spec.Weight*delegatedWeight)
+		if !s.counted {
+			s.counted = true
+			q.table.service(now, s.service).budget.first(now, q.spec.Weight*delegatedWeight)
+		}
 	}
 	left := q.spec.AnswerBy.Sub(now)
 	interim := now.Add(time.Duration(interimShare * float64(left)))
-	q.calls[id] = &call{vm: v.Name, shards: shards, sentAt: now, dueAt: q.callDue(now, interim)}
+	q.calls[id] = &call{
+		vm: v.Name, place: d.place, again: again, shards: shards, sentAt: now, dueAt: q.callDue(now, interim),
+	}
 	return Ask{
 		Call:      id,
 		VM:        v.VM,
@@ -169,6 +177,7 @@
 		Shards:    shards,
 		Views:     views,
 		Needed:    max(len(shards)-q.spareLeft, 0),
+		Again:     again,
 		InterimBy: interim,
 		AnswerBy:  now.Add(max(time.Duration(answerShare*float64(left)), left-callSlack)),
 	}
@@ -215,6 +224,7 @@
 	if c == nil || q.done {
 		return nil
 	}
+	q.include(ans.Included)
 	if ans.Refused {
 		return q.refused(now, c, id, ans.RetryAfter)
 	}
@@ -223,13 +233,8 @@
 		q.table.record(q.callKey()).Add(now, now.Sub(c.sentAt))
 	}
 	c.heard = c.heard || heard
-	c.used = c.used || len(ans.Included) > 0
 	c.over = c.over || ans.Last
-	for _, i := range ans.Included {
-		q.shards[i].byCall = true
-		q.look(&q.shards[i], time.Time{})
-	}
-	acts := q.takeBack(now, ans.Declined)
+	acts := q.takeBack(now, id, ans.Declined)
 	if c.ended {
 		return q.conclude(now, acts)
 	}
@@ -242,7 +247,47 @@
 	}
 	c.ended = true
 	q.table.callsRefused.add(now, 0)
-	return q.conclude(now, append(acts, q.askDirectly(now, c)...))
+	return q.conclude(now, append(acts, q.askDirectly(now, id)...))
+}
+
+// include takes the shards of an answer. Two VMs may have been called for one shard: of answers
+// that share one, those with more shards count.
+func (q *Query) include(shards []int) {
+	q.answers = append(q.answers, callAnswer{shards: shards})
+	if len(shards) == 0 {
+		return
+	}
+	rivals, lost := q.rivals(shards)
+	if lost >= len(shards) {
+		return
+	}
+	for _, n := range rivals {
+		q.setUsed(n, false)
+	}
+	q.setUsed(len(q.answers)-1, true)
+}
+
+// rivals returns the included answers that share a shard with these, and how many shards they
+// have.
+func (q *Query) rivals(shards []int) (list []int, have int) {
+	for n, ans := range q.answers {
+		if ans.used && slices.ContainsFunc(ans.shards, func(i int) bool { return slices.Contains(shards, i) }) {
+			list = append(list, n)
+			have += len(ans.shards)
+		}
+	}
+	return list, have
+}
+
+func (q *Query) setUsed(n int, used bool) {
+	q.answers[n].used = used
+	for _, i := range q.answers[n].shards {
+		s := &q.shards[i]
+		s.byCall = used
+		if used {
+			q.look(s, time.Time{})
+		}
+	}
 }
 
 // refused takes that no leaf has run any shard of a call, nor will for that VM. Shards that
@@ -273,25 +318,29 @@
 		return nil
 	}
 	c.over = true
-	var acts []Action
-	if neverSent {
-		acts = q.takeBack(now, c.shards)
-	}
 	if c.ended {
+		var acts []Action
+		if neverSent {
+			acts = q.takeBack(now, id, c.shards)
+		}
 		return q.conclude(now, acts)
 	}
 	c.ended = true
-	return q.conclude(now, append(acts, q.askDirectly(now, c)...))
+	acts := q.overtake(now, id, !neverSent)
+	if neverSent {
+		acts = append(acts, q.takeBack(now, id, c.shards)...)
+	}
+	return q.conclude(now, acts)
 }
 
 // takeBack asks for shards that were delegated, but that the other VM never asked: the
-// first attempt is the first arrival, and costs nothing of the budget. Where this VM has
-// asked already, two VMs may have, and all stays as it is.
-func (q *Query) takeBack(now time.Time, shards []int) []Action {
+// first attempt is the first arrival, and costs nothing of the budget. Where this VM or a
+// second one may have asked already, all stays as it is.
+func (q *Query) takeBack(now time.Time, id CallID, shards []int) []Action {
 	var acts []Action
 	for _, i := range shards {
 		s := &q.shards[i]
-		if s.sends > 0 || s.answered() {
+		if s.call != id || s.again || s.sends > 0 || s.answered() {
 			continue
 		}
 		s.call = 0
@@ -302,7 +351,7 @@
 	return acts
 }
 
-// overdueCalls asks directly for the shards of VMs that are silent.
+// overdueCalls asks elsewhere for the shards of VMs that are silent.
 func (q *Query) overdueCalls(now time.Time) []Action {
 	var acts []Action
 	for id := CallID(1); int(id) <= len(q.calls); id++ {
@@ -311,20 +360,48 @@
 			continue
 		}
 		c.ended = true
-		acts = append(acts, q.askDirectly(now, c)...)
+		acts = append(acts, q.overtake(now, id, true)...)
 	}
 	return acts
 }
 
+// overtake asks for what a VM has not answered: through another VM that owns these leafs, and
+// so has connections to them and most of the budget. If there is none, what the first one may
+// have asked is asked for directly.
+func (q *Query) overtake(now time.Time, id CallID, mayHaveAsked bool) []Action {
+	c := q.calls[id]
+	open := q.unanswered(id)
+	var v *vm
+	if !c.again && len(open) >= minDelegated {
+		v = q.table.pickVM(now, c.place, c.vm)
+	}
+	switch {
+	case v != nil:
+		return []Action{q.ask(now, delegation{vm: v, place: c.place, shards: open}, mayHaveAsked)}
+	case mayHaveAsked || c.again:
+		return q.askDirectly(now, id)
+	}
+	return nil
+}
+
+// unanswered returns the shards of a call that nobody else was asked for.
+func (q *Query) unanswered(id CallID) []int {
+	var list []int
+	for _, i := range q.calls[id].shards {
+		s := &q.shards[i]
+		if s.call == id && !s.answered() && s.flying == 0 && !s.closed {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // askDirectly sends what a call has not answered. These may be second arrivals, so
 // each is paid for as a retry.
-func (q *Query) askDirectly(now time.Time, c *call) []Action {
+func (q *Query) askDirectly(now time.Time, id CallID) []Action {
 	var acts []Action
-	for _, i := range c.shards {
-		s := &q.shards[i]
-		if s.call != 0 && !s.answered() && s.flying == 0 && !s.closed {
-			acts = append(acts, q.try(now, i, Retry)...)
-		}
+	for _, i := range q.unanswered(id) {
+		acts = append(acts, q.try(now, i, Retry)...)
 	}
 	return acts
 }
--- /dev/null
+++ b/scatter/overtake_test.go
@@ -0,0 +1,149 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// twoOwners returns a query whose shards have leafs in a zone with two VMs, and the call that it
+// begins with.
+func twoOwners(w *world, shards int) (*Query, Ask) {
+	names := w.shards(shards, "other", "third")
+	w.table.SetVMs(w.now, []VM{
+		{Name: "vm-1", Zone: "other", Power: 1}, {Name: "vm-2", Zone: "other", Power: 1},
+		{Name: "vm-3", Zone: "third", Power: 1}, {Name: "vm-4", Zone: "third", Power: 1},
+	})
+	spec := w.gathered(names)
+	spec.Delegate = true
+	spec.Request = "request"
+	q := NewQuery(spec, w.table)
+	calls := asks(q.Start(w.now))
+	w.Expect(calls).To(gomega.HaveLen(1))
+	return q, calls[0]
+}
+
+// overtaken lets a call be silent until another VM is called.
+func (w *world) overtaken(q *Query) Ask {
+	w.now = q.Wake(w.now)
+	acts := q.Tick(w.now)
+	w.Expect(sends(acts)).To(gomega.BeEmpty())
+	calls := asks(acts)
+	w.Expect(calls).To(gomega.HaveLen(1))
+	return calls[0]
+}
+
+// Guards against losing the shards of a silent VM: those that call it own none of its leafs, and
+// their part of the budget is less than one arrival.
+func TestShardsOfASilentVMAreAskedThroughAnother(t *testing.T) {
+	w := newWorld(t)
+	q, first := twoOwners(w, 10)
+	w.spendBudgets(q)
+	second := w.overtaken(q)
+	w.Expect(second.Again).To(gomega.BeTrue())
+	w.Expect(second.VM.Zone).To(gomega.Equal(first.VM.Zone))
+	w.Expect(second.VM.Name).NotTo(gomega.Equal(first.VM.Name))
+	w.Expect(second.Shards).To(gomega.Equal(first.Shards))
+	out := outcome(q.CallReply(w.now, second.Call, CallAnswer{Included: allBut(10), Last: true}))
+	w.Expect(out.Verdict).To(gomega.Equal(Answered))
+	w.Expect(out.Missing).To(gomega.BeZero())
+}
+
+// Guards against asking thirty leafs over new connections, since the VM that was called is gone.
+func TestVMThatIsGoneIsReplacedByAnother(t *testing.T) {
+	w := newWorld(t)
+	q, first := twoOwners(w, 10)
+	w.table.EndedAtVM(w.now, first.VM.Name, EndUnreachable)
+	acts := q.CallFail(w.now, first.Call, true)
+	w.Expect(sends(acts)).To(gomega.BeEmpty())
+	second := asks(acts)[0]
+	w.Expect(second.VM.Name).NotTo(gomega.Equal(first.VM.Name))
+	w.Expect(second.Again).To(gomega.BeFalse(), "nobody has asked for the shards")
+}
+
+// Guards against an answer that counts a shard twice: the first VM was slow, not gone.
+func TestAnswersOfTwoVMsCountEachShardOnce(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		first, second []int
+		included      []int
+		missing       int
+	}{
+		{"the earlier one has as many", []int{0, 1, 2, 3, 4}, []int{4, 5, 6, 7, 8}, []int{0}, 5},
+		{"the later one has more", []int{0, 1}, []int{1, 2, 3, 4, 5, 6, 7, 8}, []int{1}, 2},
+		{"they share none", []int{0, 1, 2, 3, 4}, []int{5, 6, 7, 8, 9}, []int{0, 1}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			q, first := twoOwners(w, 10)
+			q.spec.MinShare = 0.1
+			second := w.overtaken(q)
+			w.Expect(outcome(q.CallReply(w.now, second.Call, CallAnswer{Included: test.first}))).To(gomega.BeNil())
+			out := outcome(q.CallReply(w.now, first.Call, CallAnswer{Included: test.second}))
+			for out == nil {
+				w.now = q.Wake(w.now)
+				out = outcome(q.Tick(w.now))
+			}
+			w.Expect(out.CallAnswers).To(gomega.Equal(test.included))
+			w.Expect(out.Missing).To(gomega.Equal(test.missing))
+		})
+	}
+}
+
+// Guards against telling a caller that its request has not run, since the second VM refused it.
+func TestRefusalOfASecondVMIsNoProof(t *testing.T) {
+	w := newWorld(t)
+	q, _ := twoOwners(w, 10)
+	second := w.overtaken(q)
+	out := outcome(q.CallReply(w.now, second.Call, CallAnswer{Last: true, Refused: true}))
+	for out == nil {
+		w.now = q.Wake(w.now)
+		out = outcome(q.Tick(w.now))
+	}
+	w.Expect(out.Verdict).NotTo(gomega.Equal(NotRun))
+}
+
+// Guards against more leafs at work for one request than it allows: two VMs were called for the
+// same shards, and neither knows what the other did.
+func TestTwoCalledVMsAskNoMoreLeafsThanAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		q, call := twoOwners(w, 6)
+		names := q.spec.Services
+		ran := make(map[string]map[LeafID]bool)
+		serve := func(call Ask) {
+			peer := newWorld(t)
+			peer.become(call.VM.Name, call.VM.Zone, roomyTerms)
+			peer.shards(6, "other", "third")
+			for _, name := range names {
+				if zone := rapid.SampledFrom([]string{"", "other", "third"}).Draw(t, "dark"); zone != "" {
+					peer.table.Ended(peer.now, LeafID{ID: name + "@" + zone, Born: 1}, peer.now, EndUnreachable)
+				}
+			}
+			spec := peer.gathered(nil)
+			for _, i := range call.Shards {
+				spec.Services = append(spec.Services, names[i])
+			}
+			spec.Request, spec.Delegated, spec.Views, spec.Again = "request", true, call.Views, call.Again
+			spec.MaxAttempts = q.spec.MaxAttempts
+			served := NewQuery(spec, peer.table)
+			for _, acts := range [][]Action{served.Start(peer.now), served.Tick(peer.now.Add(60 * time.Millisecond))} {
+				for _, s := range sends(acts) {
+					name := spec.Services[s.Shard]
+					if ran[name] == nil {
+						ran[name] = make(map[LeafID]bool)
+					}
+					ran[name][s.Leaf] = true
+				}
+			}
+		}
+		w.leaf(names[0], "fourth")
+		serve(call)
+		serve(w.overtaken(q))
+		for name, leafs := range ran {
+			w.Expect(len(leafs)).To(gomega.BeNumerically("<=", 2), name)
+		}
+	})
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -26,6 +26,9 @@
 	// Needed is how many of Services the whole answer can't do without, of a request that
 	// another VM delegates; 0 if it doesn't say.
 	Needed int
+	// Again says that yet another VM was asked for the same before: each arrival is a further
+	// one, and leafs are chosen as if that one had asked them too.
+	Again bool
 	// Weight is the part of a request that counts here for the budget, from 0 to 1:
 	// of one that another VM passes on, it counts the rest.
 	Weight float64
@@ -62,6 +65,7 @@
 	Shards []int
 	Views  []View // one for each of Shards
 	Needed int    // of Shards, without which there is no answer
+	Again  bool   // another VM was asked before, which is silent
 	// InterimBy is when that VM answers with what it has, and AnswerBy when it gives
 	// up on the rest.
 	InterimBy time.Time
@@ -116,15 +120,16 @@
 	Attempt AttemptID
 	// Parts are the attempts whose answers are included, for a gathered request.
 	Parts []AttemptID
-	// Calls are the calls to other VMs whose answers are included. Their shards are
-	// not among Parts.
-	Calls      []CallID
-	Missing    int           // shards that are left out
-	Gaps       []Gap         // the shards without an answer, also of a request that failed
-	RetryAfter time.Duration // with NotRun: when to come back
-	Refusal    *Refusal      // if this VM's own forecast refused it
+	// CallAnswers are the answers of other VMs that are included, numbered from 0 in the order
+	// in which CallReply took them. Their shards are not among Parts.
+	CallAnswers []int
+	Missing     int           // shards that are left out
+	Gaps        []Gap         // the shards without an answer, also of a request that failed
+	RetryAfter  time.Duration // with NotRun: when to come back
+	Refusal     *Refusal      // if this VM's own forecast refused it
 
 	Sent, Hedges, Retries int
+	Called                int // calls to other VMs
 }
 
 // Query is the course of one request. Feed it Start once, then the events; carry out
@@ -142,9 +147,10 @@
 
 	attempts map[AttemptID]*attempt
 	calls    map[CallID]*call
-	last     AttemptID // newest number
-	failure  AttemptID // the latest with a leaf's own failure
-	hedgeAt  time.Time // no hedge before; one that was due found no idle leaf or no budget
+	answers  []callAnswer // of other VMs, in the order in which they came
+	last     AttemptID    // newest number
+	failure  AttemptID    // the latest with a leaf's own failure
+	hedgeAt  time.Time    // no hedge before; one that was due found no idle leaf or no budget
 
 	spareLeft  int           // shards that may be left out besides those that are
 	refusal    *Refusal      // nil if this VM did not refuse
@@ -170,7 +176,8 @@
 	gap      GapCause  // why it was closed
 	declined bool      // left to the VM that called
 	answer   AttemptID // 0 without one
-	call     CallID    // that it was delegated to; 0 if to none
+	call     CallID    // that it was delegated to last; 0 if to none
+	again    bool      // it was delegated twice
 	shared   bool      // another VM may ask it too
 	common   []LeafID  // that either VM may ask, if it is shared
 	chosen   LeafID    // that only this VM asks, if it is shared; zero for none
@@ -187,13 +194,20 @@
 
 type call struct {
 	vm     string
+	place  place
+	again  bool // follows another call for the same shards
 	shards []int
 	sentAt time.Time
 	dueAt  time.Time // when its shards are asked for directly
 	heard  bool      // it has answered, perhaps in part
 	over   bool      // nothing more will come of it
 	ended  bool
-	used   bool // its answer is included
+}
+
+// callAnswer is what one answer of another VM includes. It can't be taken apart.
+type callAnswer struct {
+	shards []int
+	used   bool
 }
 
 // NewQuery returns a query that has not begun.
@@ -226,7 +240,7 @@
 	}
 	var acts []Action
 	for _, d := range calls {
-		acts = append(acts, q.ask(now, d.vm, d.shards))
+		acts = append(acts, q.ask(now, d, false))
 	}
 	hold := q.holdsOwn(now, calls)
 	for i := range q.shards {
