Spare readers are followed where a zone's readers lost the store

Cause: two VMs of a zone read the store for it.

Change: VMs follow the first of six that works, in an order that all know alike, and only those before themselves, so that no two follow each other. Two read always; the next reads when both fail, and the others follow it.

Test: of 33 VMs whose two readers fail, one reads the store.

--- /dev/null
+++ b/scatter/reading_test.go
@@ -0,0 +1,40 @@
+package scatter
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against a zone of which every VM reads the store, since the store turns its readers away.
+func TestSpareReadersAreFollowedWhereReadersFail(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	vms := fleetOf(33, "a")
+	failed := map[string]bool{}
+	for _, v := range vms {
+		if tableOf(vms, v, roomyTerms, now, now).Reading(now).Self {
+			failed[v.Name] = true
+		}
+	}
+	g.Expect(failed).To(gomega.HaveLen(readersPerZone))
+	reads, follows := 0, map[string]string{}
+	for _, v := range vms {
+		if failed[v.Name] {
+			continue
+		}
+		others := tableOf(vms, v, roomyTerms, now, now).Reading(now).Others
+		first := slices.IndexFunc(others, func(o VM) bool { return !failed[o.Name] })
+		if first < 0 {
+			reads++
+			continue
+		}
+		follows[v.Name] = others[first].Name
+	}
+	g.Expect(reads).To(gomega.Equal(1))
+	for _, whom := range follows {
+		g.Expect(follows).NotTo(gomega.HaveKey(whom), "who is followed reads the store")
+	}
+}
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -248,13 +248,19 @@
 	return a
 }
 
-// readersPerZone is how many VMs of a zone read the store for the others.
-const readersPerZone = 2
+// Numbers of the VMs of a zone that read the store for the others.
+const (
+	readersPerZone = 2
+	// spareReaders follow the readers like all others, and are followed when these fail. If
+	// each VM turned to the store instead, one that turns some VMs away, the readers of a
+	// zone among them, would be called by the rest of the zone.
+	spareReaders = 4
+)
 
 // Reading says who reads the store in this VM's zone.
 type Reading struct {
 	Self   bool // this VM does, for itself and for those that follow it
-	Others []VM // that do and are asked, if this VM does not
+	Others []VM // that do or may do, and are asked, if this VM does not: the first one that works is followed
 }
 
 // Reading returns who reads the store in this zone. All VMs that know the same list
@@ -267,10 +273,12 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank("readers", a), rank("readers", b)) })
-	names = names[:min(len(names), readersPerZone)]
-	if slices.Contains(names, t.self) {
+	before := slices.Index(names, t.self)
+	if before < readersPerZone {
 		return Reading{Self: true}
 	}
+	// Only those before this one, so that no two VMs follow each other.
+	names = names[:min(before, readersPerZone+spareReaders)]
 	var r Reading
 	for _, name := range names {
 		if v := t.vms[name]; v != nil && v.asked(now) {
