A called VM acknowledges a call; one that does not is overtaken early

Cause: a VM that is frozen or cut off was overtaken after half of the time of a request. What was left did for some shards only, and hundreds of VMs found each lost one by a request of their own.

Change: a call is acknowledged before it is begun. Without a word after a fifth of the time until the answer (10 ms at the least, half as long again as the longest acknowledgement from that zone lately) another owner is called. Ruled out: usual durations of calls; a VM that makes one call a second never has enough of them.

VMs of the former release decline calls of this one and the other way round, since what a second VM may ask has changed.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -146,7 +146,7 @@
 }
 
 // answersPerCall is how many messages may answer a call.
-const answersPerCall = 3
+const answersPerCall = 4
 
 func (p *peers) expect() (uint64, <-chan *gatherAnswer) {
 	answers := make(chan *gatherAnswer, answersPerCall)
--- a/scatter/allowed.go
+++ b/scatter/allowed.go
@@ -45,7 +45,7 @@
 // viewForm changes with each release that decides otherwise who may ask which leafs. While VMs
 // are replaced one after another, those of two forms have different views and decline each
 // other's shards; together they might ask one leaf more than a request allows.
-const viewForm = 2
+const viewForm = 3
 
 func viewOf(leafs []*leaf) View {
 	var sum uint64 = viewForm
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -167,8 +168,10 @@
 	}
 	left := q.spec.AnswerBy.Sub(now)
 	interim := now.Add(time.Duration(interimShare * float64(left)))
+	due := q.callDue(now, interim)
 	q.calls[id] = &call{
-		vm: v.Name, place: d.place, again: again, shards: shards, sentAt: now, dueAt: q.callDue(now, interim),
+		vm: v.Name, place: d.place, again: again, shards: shards, sentAt: now,
+		dueAt: earlier(q.ackDue(now, v.Zone), due), answerDue: due,
 	}
 	return Ask{
 		Call:      id,
@@ -194,6 +197,43 @@
 	return earlier(due, last)
 }
 
+// Parameters of the time within which a VM acknowledges a call. One that is frozen, cut off or
+// gone does not, and is overtaken while there is time for another one to do all of the work.
+const (
+	ackShare = 0.2 // of the time until AnswerBy
+	ackLeast = 10 * time.Millisecond
+	// ackFactor is how many times longer than lately an acknowledgement may take.
+	ackFactor = 1.5
+	ackLife   = 10 * time.Second // in which half of a long one is forgotten
+)
+
+// ackDue returns when a VM in a zone that has not acknowledged a call is overtaken.
+func (q *Query) ackDue(now time.Time, zone string) time.Time {
+	wait := max(time.Duration(ackShare*float64(q.spec.AnswerBy.Sub(now))), ackLeast)
+	lately := q.table.acks[zone].longest(now)
+	return now.Add(max(wait, time.Duration(ackFactor*float64(lately))))
+}
+
+// acknowledged takes the first word of a VM on a call: it lives, and its answer is awaited.
+func (q *Query) acknowledged(now time.Time, c *call) {
+	if c.acked {
+		return
+	}
+	c.acked = true
+	c.dueAt = c.answerDue
+	q.table.acks[c.place.zone] = ackTime{took: max(now.Sub(c.sentAt), q.table.acks[c.place.zone].longest(now)), at: now}
+}
+
+// ackTime is the longest time that VMs of a zone took lately to acknowledge a call.
+type ackTime struct {
+	took time.Duration
+	at   time.Time
+}
+
+func (a ackTime) longest(now time.Time) time.Duration {
+	return time.Duration(float64(a.took) * math.Exp2(-float64(now.Sub(a.at))/float64(ackLife)))
+}
+
 // delegatedWeight is the part of a delegated request that counts for the budget of
 // the VM that delegates; the other VM counts the rest (DelegateWeight). That one hedges;
 // this one needs the budget only when it is overtaken.
@@ -206,7 +246,8 @@
 	return timesKey{aim: q.spec.Aim, byVM: true, shard: q.spec.Gathered}
 }
 
-// CallAnswer is what another VM says of the shards that it was asked for.
+// CallAnswer is what another VM says of the shards that it was asked for. An empty one
+// acknowledges the call.
 type CallAnswer struct {
 	Included []int // shards that its answer includes
 	Declined []int // shards that it has not asked and never will
@@ -225,6 +266,7 @@
 		return nil
 	}
 	q.include(ans.Included)
+	q.acknowledged(now, c)
 	if ans.Refused {
 		return q.refused(now, c, id, ans.RetryAfter)
 	}
--- a/scatter/overtake_test.go
+++ b/scatter/overtake_test.go
@@ -147,3 +147,35 @@
 		}
 	})
 }
+
+// Guards against losing half of a request's time to a VM that is frozen or cut off, and against
+// overtaking one that lives and has not answered yet.
+func TestVMThatAcknowledgesNothingIsOvertakenEarly(t *testing.T) {
+	w := newWorld(t)
+	q, _ := twoOwners(w, 10)
+	began := w.now
+	w.overtaken(q)
+	w.Expect(w.now.Sub(began)).To(gomega.BeNumerically("<=", q.spec.AnswerBy.Sub(began)/4))
+
+	w = newWorld(t)
+	q, first := twoOwners(w, 10)
+	w.wait(2 * time.Millisecond)
+	q.CallReply(w.now, first.Call, CallAnswer{})
+	began = w.now
+	w.overtaken(q)
+	w.Expect(w.now.Sub(began)).To(gomega.BeNumerically(">", q.spec.AnswerBy.Sub(began)/2))
+}
+
+// Guards against overtaking all VMs of a region that is far away.
+func TestSlowAcknowledgementsAreWaitedFor(t *testing.T) {
+	w := newWorld(t)
+	q, first := twoOwners(w, 10)
+	w.overtaken(q)
+	w.wait(10 * time.Millisecond)
+	took := w.now.Sub(q.began)
+	q.CallReply(w.now, first.Call, CallAnswer{})
+	next := NewQuery(q.spec, w.table)
+	next.spec.AnswerBy = w.now.Add(90 * time.Millisecond)
+	next.Start(w.now)
+	w.Expect(next.Wake(w.now)).To(gomega.BeTemporally(">", w.now.Add(took)))
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -198,10 +198,13 @@
 	again  bool // follows another call for the same shards
 	shards []int
 	sentAt time.Time
-	dueAt  time.Time // when its shards are asked for directly
-	heard  bool      // it has answered, perhaps in part
-	over   bool      // nothing more will come of it
-	ended  bool
+	acked  bool      // the VM has said anything
+	dueAt  time.Time // when its shards are asked for elsewhere
+	// answerDue is dueAt once it has acknowledged the call.
+	answerDue time.Time
+	heard     bool // it has answered, perhaps in part
+	over      bool // nothing more will come of it
+	ended     bool
 }
 
 // callAnswer is what one answer of another VM includes. It can't be taken apart.
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -30,8 +30,9 @@
 	born     time.Time // start of this VM's process
 	times    map[timesKey]*latency.Record
 
-	callsRefused faults // share of calls that other VMs refuse
-	admitAll     bool   // for tests: no request is refused by forecast
+	acks         map[string]ackTime // by zone
+	callsRefused faults             // share of calls that other VMs refuse
+	admitAll     bool               // for tests: no request is refused by forecast
 }
 
 // service is the leafs and the budget of one service.
@@ -69,6 +70,7 @@
 		vms:    make(map[string]*vm),
 		places: make(map[string]vmPlace),
 		times:  make(map[timesKey]*latency.Record),
+		acks:   make(map[string]ackTime),
 	}
 	t.divide(time.Time{})
 	return t
