Further owners are called while called ones are silent

Cause: where three of ten VMs froze together, the second owner was as silent as the first for every tenth call, and the shards were lost for want of a budget for direct attempts.

Change: each VM that is called and silent is overtaken by an owner that was not called yet, as long as there is one. Test seen failing with one overtaking only.

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -79,7 +79,7 @@
 		if len(shards) < minDelegated && p.zone != q.table.zone {
 			continue
 		}
-		if v := q.table.pickVM(now, p, ""); v != nil {
+		if v := q.table.pickVM(now, p, nil); v != nil {
 			calls = append(calls, delegation{vm: v, place: p, shards: shards})
 		}
 	}
@@ -412,20 +412,32 @@
 // have asked is asked for directly.
 func (q *Query) overtake(now time.Time, id CallID, mayHaveAsked bool) []Action {
 	c := q.calls[id]
+	again := mayHaveAsked || c.again
 	open := q.unanswered(id)
 	var v *vm
-	if !c.again && len(open) >= minDelegated {
-		v = q.table.pickVM(now, c.place, c.vm)
+	if len(open) >= minDelegated {
+		v = q.table.pickVM(now, c.place, q.calledFor(c.place))
 	}
 	switch {
 	case v != nil:
-		return []Action{q.ask(now, delegation{vm: v, place: c.place, shards: open}, mayHaveAsked)}
-	case mayHaveAsked || c.again:
+		return []Action{q.ask(now, delegation{vm: v, place: c.place, shards: open}, again)}
+	case again:
 		return q.askDirectly(now, id)
 	}
 	return nil
 }
 
+// calledFor returns the VMs that were called for a part of a zone.
+func (q *Query) calledFor(p place) []string {
+	var names []string
+	for _, c := range q.calls {
+		if c.place == p {
+			names = append(names, c.vm)
+		}
+	}
+	return names
+}
+
 // unanswered returns the shards of a call that nobody else was asked for.
 func (q *Query) unanswered(id CallID) []int {
 	var list []int
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -227,7 +227,7 @@
 	q, call := delegating(w, 10)
 	w.table.EndedAtVM(w.now, call.VM.Name, EndUnreachable)
 	w.Expect(sends(q.CallFail(w.now, call.Call, true))).To(gomega.HaveLen(10))
-	w.Expect(w.table.pickVM(w.now, place{zone: call.VM.Zone}, "")).To(gomega.BeNil())
+	w.Expect(w.table.pickVM(w.now, place{zone: call.VM.Zone}, nil)).To(gomega.BeNil())
 }
 
 // Shards with a leaf near are asked for directly; others go to as few VMs as hold them.
@@ -302,7 +302,7 @@
 	w.Expect(after.self).To(gomega.Equal(before.self))
 	w.Expect(after.parts).To(gomega.Equal(before.parts))
 	for part := range after.parts {
-		for _, v := range w.table.partners(w.now, place{zone: homeZone, part: part}, "") {
+		for _, v := range w.table.partners(w.now, place{zone: homeZone, part: part}, nil) {
 			w.Expect(v.Name).NotTo(gomega.Equal("vm-00"))
 		}
 	}
@@ -338,7 +338,7 @@
 	w.table.EndedAtVM(w.now, name, EndSilent)
 	for range 20 {
 		w.wait(time.Second)
-		w.Expect(w.table.pickVM(w.now, place{zone: zone}, "")).To(gomega.BeNil())
+		w.Expect(w.table.pickVM(w.now, place{zone: zone}, nil)).To(gomega.BeNil())
 		suspects, _ := w.table.SuspectVMs(w.now)
 		for _, vm := range suspects {
 			w.table.ProbedVM(w.now, vm.Name, false)
@@ -348,7 +348,7 @@
 	suspects, _ := w.table.SuspectVMs(w.now)
 	w.Expect(suspects).To(gomega.HaveLen(1))
 	w.table.ProbedVM(w.now, name, true)
-	w.Expect(w.table.pickVM(w.now, place{zone: zone}, "").Name).To(gomega.Equal(name))
+	w.Expect(w.table.pickVM(w.now, place{zone: zone}, nil).Name).To(gomega.Equal(name))
 	suspects, next := w.table.SuspectVMs(w.now)
 	w.Expect(suspects).To(gomega.BeEmpty())
 	w.Expect(next).To(gomega.BeZero())
--- a/scatter/overtake_test.go
+++ b/scatter/overtake_test.go
@@ -10,12 +10,13 @@
 
 // twoOwners returns a query whose shards have leafs in a zone with two VMs, and the call that it
 // begins with.
-func twoOwners(w *world, shards int) (*Query, Ask) {
+func twoOwners(w *world, shards int) (*Query, Ask) { return ownedBy(w, 2, shards) }
+
+// ownedBy returns a query whose shards have leafs in a zone with a number of VMs, and the call that
+// it begins with.
+func ownedBy(w *world, owners, shards int) (*Query, Ask) {
 	names := w.shards(shards, "other", "third")
-	w.table.SetVMs(w.now, []VM{
-		{Name: "vm-1", Zone: "other", Power: 1}, {Name: "vm-2", Zone: "other", Power: 1},
-		{Name: "vm-3", Zone: "third", Power: 1}, {Name: "vm-4", Zone: "third", Power: 1},
-	})
+	w.table.SetVMs(w.now, fleetOf(owners, "other", "third"))
 	spec := w.gathered(names)
 	spec.Delegate = true
 	spec.Request = "request"
@@ -51,6 +52,23 @@
 	w.Expect(out.Missing).To(gomega.BeZero())
 }
 
+// Guards against failing where VMs are lost together, two that own the same leafs among them.
+func TestASecondSilentVMIsOvertakenAsWell(t *testing.T) {
+	w := newWorld(t)
+	q, first := ownedBy(w, 3, 10)
+	w.spendBudgets(q)
+	second := w.overtaken(q)
+	third := w.overtaken(q)
+	w.Expect(third.Again).To(gomega.BeTrue())
+	w.Expect(third.Shards).To(gomega.Equal(first.Shards))
+	names := map[string]bool{}
+	for _, call := range []Ask{first, second, third} {
+		w.Expect(call.VM.Zone).To(gomega.Equal(first.VM.Zone))
+		names[call.VM.Name] = true
+	}
+	w.Expect(names).To(gomega.HaveLen(3))
+}
+
 // Guards against asking thirty leafs over new connections, since the VM that was called is gone.
 func TestVMThatIsGoneIsReplacedByAnother(t *testing.T) {
 	w := newWorld(t)
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -213,8 +213,8 @@
 )
 
 // partners returns the VMs that this one calls for a part of a zone, leaving out those
-// that cool down or are under suspicion, and the one named except.
-func (t *Table) partners(now time.Time, p place, except string) []*vm {
+// that cool down or are under suspicion, and those named except.
+func (t *Table) partners(now time.Time, p place, except []string) []*vm {
 	z := t.zones[p.zone]
 	if z == nil {
 		return nil
@@ -222,7 +222,7 @@
 	var list []*vm
 	for _, owner := range z.ownersOf(p.part) {
 		v := t.vms[owner.name]
-		if v == nil || owner.name == except || !v.asked(now) {
+		if v == nil || slices.Contains(except, owner.name) || !v.asked(now) {
 			continue
 		}
 		if len(list) > 0 && owner.power < partnerPower*list[0].Power {
@@ -234,9 +234,9 @@
 	return list[:min(len(list), partnersPerPart)]
 }
 
-// pickVM chooses a VM to ask the leafs of a part of a zone, other than the one named except: of
+// pickVM chooses a VM to ask the leafs of a part of a zone, other than those named except: of
 // two random partners, the one with fewer of this VM's calls for its power.
-func (t *Table) pickVM(now time.Time, p place, except string) *vm {
+func (t *Table) pickVM(now time.Time, p place, except []string) *vm {
 	list := t.partners(now, p, except)
 	if len(list) == 0 {
 		return nil
@@ -301,7 +301,7 @@
 			if z.owns(part) {
 				continue
 			}
-			for _, v := range t.partners(now, place{zone: name, part: part}, "") {
+			for _, v := range t.partners(now, place{zone: name, part: part}, nil) {
 				list = append(list, v.VM)
 			}
 		}
