A call is to be acknowledged from when it is written

Cause: the wait for an acknowledgement began when a call was decided on.

Change: the wait begins when the call was written; until then the usual time holds. Events that are there are taken before the clock.

Test: a call that waits for its connection is not overtaken early; it was, before.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -12,9 +12,10 @@
 
 // delegates reaches other VMs.
 type delegates interface {
-	// gather makes a call and passes each answer to take. It returns after the last
-	// answer, or when ctx ends. A neverSentError says that the VM got no call.
-	gather(ctx context.Context, vm scatter.VM, call *gatherCall, take func(*gatherAnswer)) error
+	// gather makes a call, reports that it was written, and passes each answer to take. It
+	// returns after the last answer, or when ctx ends. A neverSentError says that the VM got no
+	// call.
+	gather(ctx context.Context, vm scatter.VM, call *gatherCall, sent func(), take func(*gatherAnswer)) error
 	// connect opens a connection if there is none, and reports whether it did. A new one
 	// proves that the VM lives.
 	connect(ctx context.Context, vm scatter.VM) (opened bool, err error)
@@ -39,7 +40,7 @@
 
 var errNotJoined = errors.New("edge: not joined to other VMs")
 
-func (noDelegates) gather(context.Context, scatter.VM, *gatherCall, func(*gatherAnswer)) error {
+func (noDelegates) gather(context.Context, scatter.VM, *gatherCall, func(), func(*gatherAnswer)) error {
 	return &neverSentError{err: errNotJoined}
 }
 
@@ -59,7 +60,8 @@
 func (r *runner) ask(a scatter.Ask) {
 	ctx, cancel := context.WithDeadline(r.attempts, a.AnswerBy.Add(callLinger))
 	defer cancel()
-	err := r.e.delegatesNow().gather(ctx, a.VM, r.callFor(a), func(ans *gatherAnswer) {
+	sent := func() { r.post(event{call: a.Call, sent: true}) }
+	err := r.e.delegatesNow().gather(ctx, a.VM, r.callFor(a), sent, func(ans *gatherAnswer) {
 		shards, err := fromPeer(a, ans)
 		if err != nil {
 			r.e.log.Error("answer of a VM dropped", "request", r.req.ID, "vm", a.VM.Name, "error", err)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -164,7 +164,7 @@
 }
 
 // gather implements delegates.
-func (p *peers) gather(ctx context.Context, vm scatter.VM, call *gatherCall, take func(*gatherAnswer)) error {
+func (p *peers) gather(ctx context.Context, vm scatter.VM, call *gatherCall, sent func(), take func(*gatherAnswer)) error {
 	link := p.link(vm)
 	conn, err := link.get(ctx, vm, p)
 	if err != nil {
@@ -180,6 +180,7 @@
 	if err := conn.NotifyBody(methodGather, body); err != nil {
 		return err
 	}
+	sent()
 	for {
 		select {
 		case ans := <-answers:
--- a/edge/run.go
+++ b/edge/run.go
@@ -37,6 +37,7 @@
 type event struct {
 	attempt scatter.AttemptID
 	call    scatter.CallID // set for a call
+	sent    bool           // the call was written
 	end     scatter.End
 	reply   *reply
 	shards  *ShardsAnswer
@@ -120,13 +121,24 @@
 		case ev := <-r.events:
 			acts, wake = r.take(ev)
 		case <-timer.C:
-			acts, wake = r.step(func(now time.Time) []scatter.Action { return r.query.Tick(now) })
+			acts, wake = r.tick()
 		case <-ctx.Done():
 			acts, wake = r.step(func(time.Time) []scatter.Action { return r.query.Abandon() })
 		}
 	}
 }
 
+// tick lets the query see that time has passed, unless there is news: a VM that was short of
+// processor time must not take for silent who has answered meanwhile.
+func (r *runner) tick() ([]scatter.Action, time.Time) {
+	select {
+	case ev := <-r.events:
+		return r.take(ev)
+	default:
+		return r.step(func(now time.Time) []scatter.Action { return r.query.Tick(now) })
+	}
+}
+
 // firstOf returns the earlier of two times; b may be zero for never.
 func firstOf(a, b time.Time) time.Time {
 	if !b.IsZero() && b.Before(a) {
@@ -145,6 +157,8 @@
 func (r *runner) take(ev event) ([]scatter.Action, time.Time) {
 	return r.step(func(now time.Time) []scatter.Action {
 		switch {
+		case ev.sent:
+			return r.query.CallSent(now, ev.call)
 		case ev.call != 0 && ev.shards != nil:
 			r.callAnswers = append(r.callAnswers, ev.shards)
 			return r.query.CallReply(now, ev.call, scatter.CallAnswer{
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -171,7 +171,7 @@
 	due := q.callDue(now, interim)
 	q.calls[id] = &call{
 		vm: v.Name, place: d.place, again: again, shards: shards, sentAt: now,
-		dueAt: earlier(q.ackDue(now, v.Zone), due), answerDue: due,
+		dueAt: due,
 	}
 	return Ask{
 		Call:      id,
@@ -207,6 +207,18 @@
 	ackLife   = 10 * time.Second // in which half of a long one is forgotten
 )
 
+// CallSent takes that a call was written to its connection. Until then the other VM may be well:
+// a connection to it has to be made.
+func (q *Query) CallSent(now time.Time, id CallID) []Action {
+	c := q.calls[id]
+	if c == nil || q.done || c.acked {
+		return nil
+	}
+	c.onItsWay = now
+	c.ackDue = q.ackDue(now, c.place.zone)
+	return nil
+}
+
 // ackDue returns when a VM in a zone that has not acknowledged a call is overtaken.
 func (q *Query) ackDue(now time.Time, zone string) time.Time {
 	wait := max(time.Duration(ackShare*float64(q.spec.AnswerBy.Sub(now))), ackLeast)
@@ -220,8 +232,12 @@
 		return
 	}
 	c.acked = true
-	c.dueAt = c.answerDue
-	q.table.acks[c.place.zone] = ackTime{took: max(now.Sub(c.sentAt), q.table.acks[c.place.zone].longest(now)), at: now}
+	c.ackDue = time.Time{}
+	if c.onItsWay.IsZero() {
+		return
+	}
+	took := max(now.Sub(c.onItsWay), q.table.acks[c.place.zone].longest(now))
+	q.table.acks[c.place.zone] = ackTime{took: took, at: now}
 }
 
 // ackTime is the longest time that VMs of a zone took lately to acknowledge a call.
@@ -398,7 +414,7 @@
 	var acts []Action
 	for id := CallID(1); int(id) <= len(q.calls); id++ {
 		c := q.calls[id]
-		if c.ended || now.Before(c.dueAt) {
+		if c.ended || now.Before(c.overdueAt()) {
 			continue
 		}
 		c.ended = true
--- a/scatter/overtake_test.go
+++ b/scatter/overtake_test.go
@@ -170,13 +170,15 @@
 // overtaking one that lives and has not answered yet.
 func TestVMThatAcknowledgesNothingIsOvertakenEarly(t *testing.T) {
 	w := newWorld(t)
-	q, _ := twoOwners(w, 10)
+	q, first := twoOwners(w, 10)
 	began := w.now
+	q.CallSent(w.now, first.Call)
 	w.overtaken(q)
 	w.Expect(w.now.Sub(began)).To(gomega.BeNumerically("<=", q.spec.AnswerBy.Sub(began)/4))
 
 	w = newWorld(t)
-	q, first := twoOwners(w, 10)
+	q, first = twoOwners(w, 10)
+	q.CallSent(w.now, first.Call)
 	w.wait(2 * time.Millisecond)
 	q.CallReply(w.now, first.Call, CallAnswer{})
 	began = w.now
@@ -188,12 +190,23 @@
 func TestSlowAcknowledgementsAreWaitedFor(t *testing.T) {
 	w := newWorld(t)
 	q, first := twoOwners(w, 10)
+	q.CallSent(w.now, first.Call)
 	w.overtaken(q)
 	w.wait(10 * time.Millisecond)
 	took := w.now.Sub(q.began)
 	q.CallReply(w.now, first.Call, CallAnswer{})
 	next := NewQuery(q.spec, w.table)
 	next.spec.AnswerBy = w.now.Add(90 * time.Millisecond)
-	next.Start(w.now)
+	next.CallSent(w.now, asks(next.Start(w.now))[0].Call)
 	w.Expect(next.Wake(w.now)).To(gomega.BeTemporally(">", w.now.Add(took)))
 }
+
+// Guards against calling two VMs for everything after a start of all VMs, when connections between
+// them have yet to be made.
+func TestCallThatWaitsForItsConnectionIsNotOvertakenEarly(t *testing.T) {
+	w := newWorld(t)
+	q, _ := twoOwners(w, 10)
+	began := w.now
+	w.overtaken(q)
+	w.Expect(w.now.Sub(began)).To(gomega.BeNumerically(">", q.spec.AnswerBy.Sub(began)/2))
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -200,13 +200,17 @@
 	sentAt time.Time
 	acked  bool      // the VM has said anything
 	dueAt  time.Time // when its shards are asked for elsewhere
-	// answerDue is dueAt once it has acknowledged the call.
-	answerDue time.Time
-	heard     bool // it has answered, perhaps in part
-	over      bool // nothing more will come of it
-	ended     bool
+	// onItsWay is when the call was written, and ackDue when it must be acknowledged; zero
+	// before, and ackDue afterwards as well.
+	onItsWay, ackDue time.Time
+	heard            bool // it has answered, perhaps in part
+	over             bool // nothing more will come of it
+	ended            bool
 }
 
+// overdueAt is when the shards of a call are asked for elsewhere unless its VM says something.
+func (c *call) overdueAt() time.Time { return earlier(c.dueAt, c.ackDue) }
+
 // callAnswer is what one answer of another VM includes. It can't be taken apart.
 type callAnswer struct {
 	shards []int
@@ -409,7 +413,7 @@
 	}
 	for _, c := range q.calls {
 		if !c.ended {
-			wake = earlier(wake, c.dueAt)
+			wake = earlier(wake, c.overdueAt())
 		}
 	}
 	for i := range q.shards {
