Files by concern: zone, readers, overtake; tests that see their guards

Moves: the division of a zone, who reads the store, and overtaking with acknowledgements and overlapping answers have files of their own. A shard knows the number of the answer that includes it, so that overlapping answers are found without comparing lists.

Tests: two called VMs before shards of three leafs (with two, no guard was needed), a full leaf that refuses once a second, further arrivals that a second VM pays for, and parts of the floor by power; each seen failing with its guard taken out.

--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -124,7 +124,7 @@
 	out := Outcome{Verdict: Answered, Missing: len(q.shards) - answered}
 	for i := range q.shards {
 		s := &q.shards[i]
-		if !s.byCall && s.answer != 0 {
+		if s.included == 0 && s.answer != 0 {
 			out.Parts = append(out.Parts, s.answer)
 		}
 	}
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -20,8 +19,8 @@
 // of a zone then divide its leafs into parts, and near shards too are asked for through
 // VMs that own their part. With few VMs there is one part, which all of them own.
 //
-// It costs two more hops within the region, and nothing when the other VM is frozen,
-// cut off or killed: its shards are then asked for directly.
+// It costs two more hops within the region. A VM that is frozen, cut off or killed is overtaken
+// (overtake.go).
 
 // Parameters of delegating.
 const (
@@ -29,8 +28,7 @@
 	// smaller than the answers that it saves.
 	minDelegated = 3
 	// interimShare is the part of the time until AnswerBy after which the other VM
-	// tells what it has. A VM that says nothing by then is overtaken; there is time
-	// yet to ask leafs directly.
+	// tells what it has. A VM that says nothing by then is overtaken.
 	interimShare = 0.5
 	// answerShare is the part that it has in all at the least: what is left is for its
 	// answer and for answering the caller, callSlack at the most.
@@ -50,7 +48,7 @@
 	part int
 }
 
-// delegation is a call to make: the VM, and the shards that it is asked for.
+// delegation is a call to make: the VM, whose part it is called for, and the shards.
 type delegation struct {
 	vm     *vm
 	place  place
@@ -197,59 +195,6 @@
 	return earlier(due, last)
 }
 
-// Parameters of the time within which a VM acknowledges a call. One that is frozen, cut off or
-// gone does not, and is overtaken while there is time for another one to do all of the work.
-const (
-	ackShare = 0.2 // of the time until AnswerBy
-	ackLeast = 10 * time.Millisecond
-	// ackFactor is how many times longer than lately an acknowledgement may take.
-	ackFactor = 1.5
-	ackLife   = 10 * time.Second // in which half of a long one is forgotten
-)
-
-// CallSent takes that a call was written to its connection. Until then the other VM may be well:
-// a connection to it has to be made.
-func (q *Query) CallSent(now time.Time, id CallID) []Action {
-	c := q.calls[id]
-	if c == nil || q.done || c.acked {
-		return nil
-	}
-	c.onItsWay = now
-	c.ackDue = q.ackDue(now, c.place.zone)
-	return nil
-}
-
-// ackDue returns when a VM in a zone that has not acknowledged a call is overtaken.
-func (q *Query) ackDue(now time.Time, zone string) time.Time {
-	wait := max(time.Duration(ackShare*float64(q.spec.AnswerBy.Sub(now))), ackLeast)
-	lately := q.table.acks[zone].longest(now)
-	return now.Add(max(wait, time.Duration(ackFactor*float64(lately))))
-}
-
-// acknowledged takes the first word of a VM on a call: it lives, and its answer is awaited.
-func (q *Query) acknowledged(now time.Time, c *call) {
-	if c.acked {
-		return
-	}
-	c.acked = true
-	c.ackDue = time.Time{}
-	if c.onItsWay.IsZero() {
-		return
-	}
-	took := max(now.Sub(c.onItsWay), q.table.acks[c.place.zone].longest(now))
-	q.table.acks[c.place.zone] = ackTime{took: took, at: now}
-}
-
-// ackTime is the longest time that VMs of a zone took lately to acknowledge a call.
-type ackTime struct {
-	took time.Duration
-	at   time.Time
-}
-
-func (a ackTime) longest(now time.Time) time.Duration {
-	return time.Duration(float64(a.took) * math.Exp2(-float64(now.Sub(a.at))/float64(ackLife)))
-}
-
 // delegatedWeight is the part of a delegated request that counts for the budget of
 // the VM that delegates; the other VM counts the rest (DelegateWeight). That one hedges;
 // this one needs the budget only when it is overtaken.
@@ -308,46 +253,6 @@
 	return q.conclude(now, append(acts, q.askDirectly(now, id)...))
 }
 
-// include takes the shards of an answer. Two VMs may have been called for one shard: of answers
-// that share one, those with more shards count.
-func (q *Query) include(shards []int) {
-	q.answers = append(q.answers, callAnswer{shards: shards})
-	if len(shards) == 0 {
-		return
-	}
-	rivals, lost := q.rivals(shards)
-	if lost >= len(shards) {
-		return
-	}
-	for _, n := range rivals {
-		q.setUsed(n, false)
-	}
-	q.setUsed(len(q.answers)-1, true)
-}
-
-// rivals returns the included answers that share a shard with these, and how many shards they
-// have.
-func (q *Query) rivals(shards []int) (list []int, have int) {
-	for n, ans := range q.answers {
-		if ans.used && slices.ContainsFunc(ans.shards, func(i int) bool { return slices.Contains(shards, i) }) {
-			list = append(list, n)
-			have += len(ans.shards)
-		}
-	}
-	return list, have
-}
-
-func (q *Query) setUsed(n int, used bool) {
-	q.answers[n].used = used
-	for _, i := range q.answers[n].shards {
-		s := &q.shards[i]
-		s.byCall = used
-		if used {
-			q.look(s, time.Time{})
-		}
-	}
-}
-
 // refused takes that no leaf has run any shard of a call, nor will for that VM. Shards that
 // were not asked directly meanwhile are closed: the others can't make up for them.
 func (q *Query) refused(now time.Time, c *call, id CallID, retryAfter time.Duration) []Action {
@@ -408,70 +313,3 @@
 	}
 	return acts
 }
-
-// overdueCalls asks elsewhere for the shards of VMs that are silent.
-func (q *Query) overdueCalls(now time.Time) []Action {
-	var acts []Action
-	for id := CallID(1); int(id) <= len(q.calls); id++ {
-		c := q.calls[id]
-		if c.ended || now.Before(c.overdueAt()) {
-			continue
-		}
-		c.ended = true
-		acts = append(acts, q.overtake(now, id, true)...)
-	}
-	return acts
-}
-
-// overtake asks for what a VM has not answered: through another VM that owns these leafs, and
-// so has connections to them and most of the budget. If there is none, what the first one may
-// have asked is asked for directly.
-func (q *Query) overtake(now time.Time, id CallID, mayHaveAsked bool) []Action {
-	c := q.calls[id]
-	again := mayHaveAsked || c.again
-	open := q.unanswered(id)
-	var v *vm
-	if len(open) >= minDelegated {
-		v = q.table.pickVM(now, c.place, q.calledFor(c.place))
-	}
-	switch {
-	case v != nil:
-		return []Action{q.ask(now, delegation{vm: v, place: c.place, shards: open}, again)}
-	case again:
-		return q.askDirectly(now, id)
-	}
-	return nil
-}
-
-// calledFor returns the VMs that were called for a part of a zone.
-func (q *Query) calledFor(p place) []string {
-	var names []string
-	for _, c := range q.calls {
-		if c.place == p {
-			names = append(names, c.vm)
-		}
-	}
-	return names
-}
-
-// unanswered returns the shards of a call that nobody else was asked for.
-func (q *Query) unanswered(id CallID) []int {
-	var list []int
-	for _, i := range q.calls[id].shards {
-		s := &q.shards[i]
-		if s.call == id && !s.answered() && s.flying == 0 && !s.closed {
-			list = append(list, i)
-		}
-	}
-	return list
-}
-
-// askDirectly sends what a call has not answered. These may be second arrivals, so
-// each is paid for as a retry.
-func (q *Query) askDirectly(now time.Time, id CallID) []Action {
-	var acts []Action
-	for _, i := range q.unanswered(id) {
-		acts = append(acts, q.try(now, i, Retry)...)
-	}
-	return acts
-}
--- a/scatter/overtake_test.go
+++ b/scatter/overtake_test.go
@@ -15,8 +15,8 @@
 // ownedBy returns a query whose shards have leafs in a zone with a number of VMs, and the call that
 // it begins with.
 func ownedBy(w *world, owners, shards int) (*Query, Ask) {
-	names := w.shards(shards, "other", "third")
-	w.table.SetVMs(w.now, fleetOf(owners, "other", "third"))
+	names := w.shards(shards, "other", "third", "fourth")
+	w.table.SetVMs(w.now, fleetOf(owners, "other", "third", "fourth"))
 	spec := w.gathered(names)
 	spec.Delegate = true
 	spec.Request = "request"
@@ -134,9 +134,9 @@
 		serve := func(call Ask) {
 			peer := newWorld(t)
 			peer.become(call.VM.Name, call.VM.Zone, roomyTerms)
-			peer.shards(6, "other", "third")
+			peer.shards(6, "other", "third", "fourth")
 			for _, name := range names {
-				if zone := rapid.SampledFrom([]string{"", "other", "third"}).Draw(t, "dark"); zone != "" {
+				if zone := rapid.SampledFrom([]string{"", "other", "third", "fourth"}).Draw(t, "dark"); zone != "" {
 					peer.table.Ended(peer.now, LeafID{ID: name + "@" + zone, Born: 1}, peer.now, EndUnreachable)
 				}
 			}
@@ -157,7 +157,6 @@
 				}
 			}
 		}
-		w.leaf(names[0], "fourth")
 		serve(call)
 		serve(w.overtaken(q))
 		for name, leafs := range ran {
@@ -195,9 +194,14 @@
 	w.wait(10 * time.Millisecond)
 	took := w.now.Sub(q.began)
 	q.CallReply(w.now, first.Call, CallAnswer{})
-	next := NewQuery(q.spec, w.table)
-	next.spec.AnswerBy = w.now.Add(90 * time.Millisecond)
-	next.CallSent(w.now, asks(next.Start(w.now))[0].Call)
+	var next *Query
+	var call Ask
+	for call.VM.Zone != first.VM.Zone {
+		next = NewQuery(q.spec, w.table)
+		next.spec.AnswerBy = w.now.Add(90 * time.Millisecond)
+		call = asks(next.Start(w.now))[0]
+	}
+	next.CallSent(w.now, call.Call)
 	w.Expect(next.Wake(w.now)).To(gomega.BeTemporally(">", w.now.Add(took)))
 }
 
@@ -205,8 +209,24 @@
 // them have yet to be made.
 func TestCallThatWaitsForItsConnectionIsNotOvertakenEarly(t *testing.T) {
 	w := newWorld(t)
-	q, _ := twoOwners(w, 10)
+	q, first := twoOwners(w, 10)
 	began := w.now
 	w.overtaken(q)
 	w.Expect(w.now.Sub(began)).To(gomega.BeNumerically(">", q.spec.AnswerBy.Sub(began)/2))
+	q.CallReply(w.now, first.Call, CallAnswer{})
+	w.Expect(w.table.acks).To(gomega.BeEmpty(), "how long the acknowledgement took is not known")
+}
+
+// Guards against further arrivals that no budget pays for: the silent VM may have asked each shard.
+func TestSecondVMPaysForEachArrival(t *testing.T) {
+	w := newWorld(t)
+	names := w.shards(5, homeZone, "other")
+	spec := w.gathered(names)
+	spec.Delegated, spec.Again, spec.Weight, spec.Request = true, true, 0, "request"
+	for _, name := range names {
+		spec.Views = append(spec.Views, w.table.View(name))
+	}
+	w.Expect(sends(NewQuery(spec, w.table).Start(w.now))).To(gomega.HaveLen(5))
+	w.spendBudgets(NewQuery(spec, w.table))
+	w.Expect(sends(NewQuery(spec, w.table).Start(w.now))).To(gomega.BeEmpty())
 }
--- a/scatter/owners_test.go
+++ b/scatter/owners_test.go
@@ -85,3 +85,20 @@
 	g.Expect(kept).To(gomega.BeNumerically(">", 0))
 	g.Expect(float64(kept)).To(gomega.BeNumerically("<=", connectionShare*120))
 }
+
+// Guards against more further arrivals than agreed where the floor is divided by power among the
+// zones that have leafs.
+func TestPartsOfTheFloorByPowerStayBelowIt(t *testing.T) {
+	vms := largeFleet("a", "b", "c")
+	sum, strongest := 0.0, 0.0
+	for _, self := range vms {
+		w := newWorld(t)
+		names := w.inFleet(vms, self, 40)
+		floor := w.table.floorOf(w.now, names[7], true)
+		sum += floor
+		strongest = max(strongest, floor)
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(sum).To(gomega.BeNumerically("<=", 430/spareVMs+1e-9))
+	g.Expect(strongest).To(gomega.BeNumerically(">", 20), "an owner has most of it")
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -181,10 +181,10 @@
 	shared   bool      // another VM may ask it too
 	common   []LeafID  // that either VM may ask, if it is shared
 	chosen   LeafID    // that only this VM asks, if it is shared; zero for none
-	byCall   bool      // the call's answer includes it
+	included int       // the number of the included answer of another VM that has it, from 1; 0 without one
 }
 
-func (s *shard) answered() bool { return s.answer != 0 || s.byCall }
+func (s *shard) answered() bool { return s.answer != 0 || s.included != 0 }
 
 type attempt struct {
 	shard  int
--- /dev/null
+++ b/scatter/readers.go
@@ -0,0 +1,47 @@
+package scatter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Numbers of the VMs of a zone that read the store for the others.
+const (
+	readersPerZone = 2
+	// spareReaders follow the readers like all others, and are followed when these fail. If
+	// each VM turned to the store instead, one that turns some VMs away, the readers of a
+	// zone among them, would be called by the rest of the zone.
+	spareReaders = 4
+)
+
+// Reading says who reads the store in this VM's zone.
+type Reading struct {
+	Self   bool // this VM does, for itself and for those that follow it
+	Others []VM // that do or may do, and are asked, if this VM does not: the first one that works is followed
+}
+
+// Reading returns who reads the store in this zone. All VMs that know the same list
+// choose alike.
+func (t *Table) Reading(now time.Time) Reading {
+	names := []string{t.self}
+	for name, v := range t.vms {
+		if v.Zone == t.zone {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank("readers", a), rank("readers", b)) })
+	before := slices.Index(names, t.self)
+	if before < readersPerZone {
+		return Reading{Self: true}
+	}
+	// Only those before this one, so that no two VMs follow each other.
+	names = names[:min(before, readersPerZone+spareReaders)]
+	var r Reading
+	for _, name := range names {
+		if v := t.vms[name]; v != nil && v.asked(now) {
+			r.Others = append(r.Others, v.VM)
+		}
+	}
+	return r
+}
--- a/scatter/shed_test.go
+++ b/scatter/shed_test.go
@@ -7,8 +7,8 @@
 	"github.com/onsi/gomega"
 )
 
-// refusing lets a leaf turn away those of n requests that it gets, one after another, with a load.
-func (w *world) refusing(service string, leaf LeafID, n int, load Load) {
+// refusing lets a leaf turn away those of n requests that it gets, at a distance, with a load.
+func (w *world) refusing(service string, leaf LeafID, n int, distance time.Duration, load Load) {
 	for range n {
 		s := sends(NewQuery(w.single(service, true), w.table).Start(w.now))[0]
 		end := EndAnswered
@@ -18,7 +18,7 @@
 			end = EndRefused
 		}
 		w.table.Ended(w.now, s.Leaf, s.SentAt, end)
-		w.wait(2 * refusedCooldown)
+		w.wait(distance)
 	}
 }
 
@@ -29,7 +29,7 @@
 	near := w.leaf("ledger", homeZone)
 	far := w.leaf("ledger", "other")
 	first := func() LeafID { return sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0].Leaf }
-	w.refusing("ledger", near, 5, Load{Running: 0, Slots: 2})
+	w.refusing("ledger", near, 5, 2*refusedCooldown, Load{Running: 0, Slots: 2})
 	w.Expect(first()).To(gomega.Equal(far))
 	w.wait(3 * faultLife)
 	w.Expect(first()).To(gomega.Equal(near))
@@ -40,8 +40,7 @@
 	w := newWorld(t)
 	near := w.leaf("ledger", homeZone)
 	w.leaf("ledger", "other")
-	w.refusing("ledger", near, 5, Load{Running: 2, Waiting: 12, Slots: 2})
-	w.wait(reportLife)
+	w.refusing("ledger", near, 6, reportLife, Load{Running: 2, Waiting: 12, Slots: 2})
 	w.Expect(sends(NewQuery(w.single("ledger", true), w.table).Start(w.now))[0].Leaf).To(gomega.Equal(near))
 }
 
