A called VM that lives is not overtaken by another owner

Change: only VMs that acknowledge nothing, or whose call broke, are replaced by another owner. What a living VM lacks is asked for directly, as before, within the budget of the calling VM.

--- a/scatter/overtake.go
+++ b/scatter/overtake.go
@@ -64,7 +64,7 @@
 // The load it answers: hundreds of VMs, of which some freeze or are lost together. Each VM makes
 // a call every few seconds, so that it learns of a lost one by a request of its own. A VM that
 // owns none of a shard's leafs has no connections to them and next to nothing of the budget; so
-// the shards of a silent VM are asked for through another owner.
+// the shards of a VM that is silent or gone are asked for through another owner.
 
 // overdueCalls asks elsewhere for the shards of VMs that are silent.
 func (q *Query) overdueCalls(now time.Time) []Action {
@@ -75,7 +75,12 @@
 			continue
 		}
 		c.ended = true
-		acts = append(acts, q.overtake(now, id, true)...)
+		if c.acked {
+			// It lives, and its leafs are slow: another VM would only ask them once more.
+			acts = append(acts, q.askDirectly(now, id)...)
+		} else {
+			acts = append(acts, q.overtake(now, id, true)...)
+		}
 	}
 	return acts
 }
