--- a/registry/registry.go
+++ b/registry/registry.go
@@ -17,7 +17,6 @@
 	Zone     string // availability zone
 	Slots    int    // requests that it works on at once
 	Draining bool   // it takes no new requests
-	ColdFor  time.Duration
 }
 
 // Change is a leaf that is new or different, or one that is gone.
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -24,11 +24,10 @@
 // leaf is what this VM knows of one lifetime of a leaf.
 type leaf struct {
 	registry.Leaf
-	id        LeafID
-	near      bool // in this VM's availability zone
-	coldUntil time.Time
-	room      int  // requests of this VM in flight at most
-	moved     bool // another leaf answered at its address, where it will not be again
+	id    LeafID
+	near  bool // in this VM's availability zone
+	room  int  // requests of this VM in flight at most
+	moved bool // another leaf answered at its address, where it will not be again
 
 	flying   []flight // the oldest first
 	speed    speed
@@ -54,7 +53,6 @@
 const (
 	reportLife  = time.Second           // after which a reported load counts nothing
 	reportTrust = 0.5                   // of a fresh report, which lags
-	coldFactor  = 0.6                   // added to the latency of a leaf that has just started
 	stallFactor = 3                     // times the expected time without an answer, after which a leaf is taken to pause
 	stallMin    = 20 * time.Millisecond // the least such time
 	workWeight  = 0.1                   // of a new request in what requests usually take
@@ -155,9 +153,6 @@
 // what else it costs. Usual is what its kind takes.
 func (l *leaf) cost(now time.Time, aim, usual time.Duration) time.Duration {
 	base := l.expected(now, usual)
-	if now.Before(l.coldUntil) {
-		base += time.Duration(coldFactor * float64(base))
-	}
 	ahead := float64(len(l.flying)) + l.others(now) + 1 - float64(l.Slots)
 	cost := base + time.Duration(max(ahead, 0)/float64(l.Slots)*float64(base))
 	if !l.near {
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -107,7 +107,7 @@
 		old.Leaf = c.Leaf
 		return
 	}
-	l := &leaf{Leaf: c.Leaf, id: id, near: c.Leaf.Zone == t.zone, coldUntil: now.Add(c.Leaf.ColdFor)}
+	l := &leaf{Leaf: c.Leaf, id: id, near: c.Leaf.Zone == t.zone}
 	l.Slots = max(l.Slots, 1)
 	t.leafs[l.ID] = l
 	s.leafs = append(s.leafs, l)
