--- a/edge/callers.go
+++ b/edge/callers.go
@@ -83,8 +83,7 @@
 	return ctx
 }
 
-// callerPathOf returns what is known of the way from the caller of a request that arrived now, zero if
-// nothing is.
+// callerPathOf returns what is known of the way from the caller of a request that arrived now.
 func callerPathOf(ctx context.Context, now time.Time) callerPath {
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -155,8 +155,8 @@
 	return shards, nil
 }
 
-// serveGather carries out another VM's call, which it acknowledges at once. It never asks a third VM, so that no two
-// VMs wait for each other. What has come in by the interim is answered then: the caller
+// serveGather carries out another VM's call, which it acknowledges at once. It never asks a
+// third VM, so that no two VMs wait for each other. What has come in by the interim is answered then: the caller
 // learns that this VM lives, and has most of the shards should it die.
 // Shards of which this VM knows other leafs than the caller are declined at once.
 func (e *Engine) serveGather(ctx context.Context, call *gatherCall, answer func(*gatherAnswer)) {
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -39,7 +39,8 @@
 	Again bool `cbor:"16,keyasint,omitempty"`
 }
 
-// gatherAnswer is an answer to a gatherCall; an empty one acknowledges it. Each shard is in one answer at most.
+// gatherAnswer is an answer to a gatherCall; an empty one acknowledges it. Each shard is in one
+// answer at most.
 type gatherAnswer struct {
 	Key      uint64   `cbor:"1,keyasint"` // of the call
 	Included []int    `cbor:"2,keyasint"` // indexes of gatherCall.Services
--- a/scatter/overtake.go
+++ b/scatter/overtake.go
@@ -23,7 +23,7 @@
 	if c == nil || q.done || c.acked {
 		return nil
 	}
-	c.onItsWay = now
+	c.writtenAt = now
 	c.ackDue = q.ackDue(now, c.place.zone)
 	return nil
 }
@@ -42,10 +42,10 @@
 	}
 	c.acked = true
 	c.ackDue = time.Time{}
-	if c.onItsWay.IsZero() {
+	if c.writtenAt.IsZero() {
 		return
 	}
-	took := max(now.Sub(c.onItsWay), q.table.acks[c.place.zone].longest(now))
+	took := max(now.Sub(c.writtenAt), q.table.acks[c.place.zone].longest(now))
 	q.table.acks[c.place.zone] = ackTime{took: took, at: now}
 }
 
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -200,12 +200,12 @@
 	sentAt time.Time
 	acked  bool      // the VM has said anything
 	dueAt  time.Time // when its shards are asked for elsewhere
-	// onItsWay is when the call was written, and ackDue when it must be acknowledged; zero
-	// before, and ackDue afterwards as well.
-	onItsWay, ackDue time.Time
-	heard            bool // it has answered, perhaps in part
-	over             bool // nothing more will come of it
-	ended            bool
+	// writtenAt is when the call went out, zero before; ackDue is by when it must be
+	// acknowledged, zero before it went out and once it was.
+	writtenAt, ackDue time.Time
+	heard             bool // it has answered, perhaps in part
+	over              bool // nothing more will come of it
+	ended             bool
 }
 
 // overdueAt is when the shards of a call are asked for elsewhere unless its VM says something.
--- a/scatter/readers.go
+++ b/scatter/readers.go
@@ -17,8 +17,10 @@
 
 // Reading says who reads the store in this VM's zone.
 type Reading struct {
-	Self   bool // this VM does, for itself and for those that follow it
-	Others []VM // that do or may do, and are asked, if this VM does not: the first one that works is followed
+	Self bool // this VM does, for itself and for those that follow it
+	// Others are the VMs that read it or may have to, if this VM does not. The first one that
+	// works is followed.
+	Others []VM
 }
 
 // Reading returns who reads the store in this zone. All VMs that know the same list
