Exchange: a suspicion before a VM's first statement ends no incarnation of it

Cause: a VM that is suspected before it has made a statement gets one without an incarnation, and Ended took every incarnation of that VM for another one, so places of running VMs were claimed (TestIdleConnectionsToOwnersAreClosedAndOpenedAgain). Now a statement without incarnation ends none unless the VM is lost. The test in peer was seen failing on the former code ("only suspected: expected true to be false").

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -326,12 +326,17 @@
 func (x *Exchange) invalidateCaches() { x.liveCache, x.placeCache = nil, nil }
 
 // Ended reports whether an incarnation of the named VM counts as ended: the VM is lost, or
-// the known statement about the VM is about another incarnation.
+// the known statement about the VM is about another incarnation. A suspicion of a VM that has
+// made no statement yet names no incarnation, and ends none unless the VM becomes lost.
 func (x *Exchange) Ended(vm, incarnation string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	m, known := x.table.Member(vm)
-	return known && (m.State == facts.Lost || m.Incarnation != incarnation)
+	if !known {
+		return false
+	}
+	replaced := m.Incarnation != "" && m.Incarnation != incarnation
+	return m.State == facts.Lost || replaced
 }
 
 // Live returns the VMs that count as alive and aren't leaving, sorted by name. It
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -365,3 +365,29 @@
 	g.Expect(places[1].Name).To(Equal("suspected"))
 	g.Expect(places[5].Name).To(Equal("later"))
 }
+
+// TestSuspicionBeforeFirstStatementEndsNoIncarnation guards against the takeover of a running
+// VM's place: a VM that is listed but has made no statement yet is suspected, and its
+// incarnation must not count as ended before the VM is lost.
+func TestSuspicionBeforeFirstStatementEndsNoIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	x, err := New(Options{VM: objstore.VM{Name: "vm-0"}, Incarnation: "a", Deployment: "d"})
+	g.Expect(err).NotTo(HaveOccurred())
+	now := time.Now()
+	x.mu.Lock()
+	x.listedVMs = []objstore.VM{{Name: "vm-1", Address: "127.0.0.1:1"}}
+	x.suspect("vm-1", now)
+	x.mu.Unlock()
+	g.Expect(x.Ended("vm-1", "b")).To(BeFalse(), "only suspected")
+
+	x.mu.Lock()
+	x.expireSuspects(now.Add(x.opts.SuspectAfter))
+	x.mu.Unlock()
+	g.Expect(x.Ended("vm-1", "b")).To(BeTrue(), "lost")
+
+	x.mu.Lock()
+	x.mergeAndForward(facts.Fact{Member: &facts.Member{Name: "vm-1", Incarnation: "b", Started: 1}}, nil, now)
+	x.mu.Unlock()
+	g.Expect(x.Ended("vm-1", "b")).To(BeFalse(), "states that it is alive")
+	g.Expect(x.Ended("vm-1", "a")).To(BeTrue(), "an earlier incarnation")
+}
