Evacuated zones: followed from the store, kept from leaf choice, known within the bound

Change: the set of evacuated zones is followed like the manifest, by two VMs of each zone in the store and by the others over these (edge/evacuations.go, relay); sets are ordered by the store's revision. A leaf of such a zone is not usable and is left out of the views (scatter/evacuation.go). Shards without another leaf are left out at once (gap evacuated). bounds.evacuate_ms decides whether anything is followed. The soak evacuates and takes back.

Found by the property test on the way: a reader that was not told of changes while an evacuation began and ended did not pass its unchanged set on, and its followers kept the zone evacuated for good.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -23,7 +23,7 @@
 	// connection is closed. Without a connection, ping returns nil.
 	ping(ctx context.Context, vm scatter.VM) error
 	// follow sends a call to a VM that reads the store for others, and stores the decoded answer
-	// in into. method is methodFollowLeafs or methodFollowManifest.
+	// in into. method is one of those by which a VM follows another one.
 	follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error
 }
 
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -27,10 +27,11 @@
 	suspectVMs       wakeup // wakes probeVMs after a failed call to another VM or a failed liveness check
 	suspectLeafs     wakeup // wakes probeLeafs after a leaf did not answer or could not be reached
 
-	mu         sync.Mutex         // guards the fields below and the query of each runner
-	table      *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
-	registry   *registry.Registry // list of leafs
-	peerClient peerClient         // calls other VMs; noPeerClient until this VM has joined them
+	mu          sync.Mutex         // guards the fields below and the query of each runner
+	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
+	registry    *registry.Registry // list of leafs
+	evacuations evacuationTracker  // zones whose leafs get no requests
+	peerClient  peerClient         // calls other VMs; noPeerClient until this VM has joined them
 }
 
 // EngineOptions configures an Engine. All fields are required.
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -25,8 +25,9 @@
 	changeLog   []feedChange             // the latest changes of the leafs, at most maxFeedLog
 	leafs       map[string]registry.Leaf // by leaf id
 	manifest    *routing.Manifest        // in force; nil before the first
+	evacuations *Evacuations             // in force; nil before the first
 	changed     chan struct{}            // closed and replaced at each change of the feed
-	lastSuccess map[string]time.Time     // by followedLeafs or followedManifest: when the store last answered about it
+	lastSuccess map[string]time.Time     // by followedLeafs, followedManifest or followedEvacuations: when the store last answered about it
 
 	packedList     []byte // leafs, encoded by pack; nil if they have changed since
 	packedManifest []byte // document of manifest, encoded by pack; nil if it has changed since
@@ -84,22 +85,41 @@
 	f.notifyWaiters()
 }
 
+// setEvacuations replaces the set of evacuated zones, and wakes the calls of VMs that wait for a
+// newer one. It does so even if the zones are the same: a VM that follows this one may have heard
+// elsewhere of an evacuation that began and ended while this VM was not told of changes.
+func (f *feed) setEvacuations(next Evacuations) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations = &next
+	f.notifyWaiters()
+}
+
+// evacuationsSince returns the set of evacuated zones if it was read at a later revision of the
+// store than the given one, and otherwise nil.
+func (f *feed) evacuationsSince(revision Revision) *Evacuations {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuations == nil || f.evacuations.Revision <= revision {
+		return nil
+	}
+	return f.evacuations
+}
+
 // notifyWaiters wakes all calls of waitFor. The caller must hold f.mu.
 func (f *feed) notifyWaiters() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
-// recordSuccess records that the store answered about a resource, which is followedLeafs or
-// followedManifest.
+// recordSuccess records that the store answered about a resource, a followed resource.
 func (f *feed) recordSuccess(resource string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastSuccess[resource] = time.Now()
 }
 
-// recordFailure records that a store call about a resource, which is followedLeafs or
-// followedManifest, failed. Calls of VMs that follow this one stop waiting and fail, so that
+// recordFailure records that a store call about a followed resource failed. Calls of VMs that follow this one stop waiting and fail, so that
 // these VMs can read from elsewhere at once: the store may be rejecting this VM alone.
 func (f *feed) recordFailure(resource string) {
 	f.mu.Lock()
@@ -108,8 +128,7 @@
 	f.notifyWaiters()
 }
 
-// isFresh reports whether the store last answered about a resource, which is followedLeafs or
-// followedManifest, less than maxStaleness ago.
+// isFresh reports whether the store last answered about a followed resource less than maxStaleness ago.
 func (f *feed) isFresh(resource string, maxStaleness time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -63,9 +63,9 @@
 	announcer *announcer // writes this VM's entry in the list of VMs
 	// listen starts accepting calls of other VMs. It does nothing after the first success.
 	listen func(self scatter.VM) error
-	// followLeafsAndManifest starts following the leafs and the manifest. It is called when the
+	// followResources starts following the leafs, the manifest and evacuations. It is called when the
 	// list of VMs has been read, or when listen fails. It does nothing after the first call.
-	followLeafsAndManifest func()
+	followResources func()
 }
 
 // backoff waits before the next try of a store call, or until ctx ends. failures is the number
--- a/edge/follow_vms.go
+++ b/edge/follow_vms.go
@@ -32,7 +32,7 @@
 	}
 	f.announcer.observeList(entry)
 	if err := f.listen(self); err != nil {
-		f.followLeafsAndManifest()
+		f.followResources()
 		return err
 	}
 	return nil
@@ -95,7 +95,7 @@
 				}
 			}
 			apply(revision)
-			f.followLeafsAndManifest()
+			f.followResources()
 			return revision, announce(ctx)
 		},
 		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -171,7 +171,13 @@
 
 // isReady reports whether callers should send requests to this VM.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.leafsListed.Load() && n.engine.inForce.Get() != nil
+	return !n.leaving.Load() && n.leafsListed.Load() && n.engine.inForce.Get() != nil && n.knowsEvacuations()
+}
+
+// knowsEvacuations reports whether this VM knows which zones are evacuated, if zones may be.
+func (n *Node) knowsEvacuations() bool {
+	_, known := n.engine.evacuatedZones()
+	return known || n.settings.Bounds.EvacuateMS == 0
 }
 
 // newReadyServer returns the server for the load balancer's readiness checks: status 200 if
@@ -237,17 +243,23 @@
 // store for others. If it is older, this VM no longer follows the reader.
 func (n *Node) maxStaleness() time.Duration {
 	bound := min(n.settings.Bounds.ManifestMS, n.settings.Bounds.DrainMS)
+	if evacuate := n.settings.Bounds.EvacuateMS; evacuate > 0 {
+		bound = min(bound, evacuate)
+	}
 	return time.Duration(maxStaleShare * bound * float64(time.Millisecond))
 }
 
 // followStore follows the list of VMs. This list determines which VMs read the store for
-// others. So the manifest and the leafs are followed only once the list has been read, or
+// others. So the other resources are followed only once the list has been read, or
 // listening for other VMs has failed.
 func (n *Node) followStore(ctx context.Context, f *follower, r *relay) {
-	f.followLeafsAndManifest = sync.OnceFunc(func() {
+	f.followResources = sync.OnceFunc(func() {
 		r.delayFirstRead()
 		n.tomb.Go(func() error { f.follow(ctx, f.manifests()); return nil })
 		n.tomb.Go(func() error { f.follow(ctx, f.leafs()); return nil })
+		if n.settings.Bounds.EvacuateMS > 0 {
+			n.tomb.Go(func() error { f.follow(ctx, f.evacuationsResource()); return nil })
+		}
 	})
 	f.listen = n.listenForVMs
 	f.follow(ctx, f.vms())
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -99,15 +99,12 @@
 		}
 		p.deliver(ans)
 		return nil, nil
-	case methodFollowLeafs, methodFollowManifest:
+	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations:
 		call, err := decodeFollow(params)
 		if err != nil {
 			return nil, err
 		}
-		if method == methodFollowLeafs {
-			return e.serveFollowLeafs(ctx, call)
-		}
-		return e.serveFollowManifest(ctx, call)
+		return e.serveFollow(ctx, method, call)
 	default:
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -17,15 +17,16 @@
 // connections between VMs, and read the store themselves if it fails. A VM that lost the store
 // reports this instead of passing on data that may be stale.
 
-// relay is a Store that reads leafs and the manifest from another VM if one serves them, else
-// from the embedded Store. Leafs and WatchLeafs must be called from a single goroutine, and
-// so must Manifest and WatchManifest.
+// relay is a Store that reads leafs, the manifest and evacuations from another VM if one serves
+// them, else from the embedded Store. The two methods about each resource, such as Leafs and
+// WatchLeafs, must be called from a single goroutine.
 type relay struct {
 	Store        // the platform's store; also serves the calls about VMs
 	e            *Engine
 	maxStaleness time.Duration // how old the followed VM's latest answer from the store may be
 
-	leafsUpstream, manifestUpstream upstream // sources of the latest full read of the leafs and of the manifest
+	// Sources of the latest full read of each resource.
+	leafsUpstream, manifestUpstream, evacuationsUpstream upstream
 	// incarnation is that of the followed VM when it returned the list of leafs. Positions in
 	// that VM's sequence of changes are valid within this incarnation only.
 	incarnation string
@@ -37,8 +38,7 @@
 	storeFailed bool                 // a read of the store failed since leafs were last listed
 }
 
-// upstream is where the leafs or the manifest are read from: the store, or a VM that reads the
-// store for others.
+// upstream is where a resource is read from: the store, or a VM that reads the store for others.
 type upstream struct {
 	vm string // name of the VM that is followed; empty for the store
 }
@@ -80,7 +80,7 @@
 	}
 }
 
-// delayFirstRead is called before the leafs and the manifest are first read. It delays this
+// delayFirstRead is called before the followed resources are first read. It delays this
 // VM's first read of the store, unless it reads the store for others. This gives the VMs that
 // do so time to become available.
 func (r *relay) delayFirstRead() {
@@ -148,25 +148,43 @@
 	return vm, up.vm == vm.Name
 }
 
+// read reads a resource as a whole from the VM to follow by fromVM. If there is none or that fails,
+// it reads from the store by fromStore, or returns errReadDeferred if this VM may not read the
+// store now. It records in up which of the two it was.
+func (r *relay) read(resource string, up *upstream, fromVM func(scatter.VM) error, fromStore func() error) error {
+	if vm, ok := r.currentReader(); ok && fromVM(vm) == nil {
+		*up = upstream{vm: vm.Name}
+		return nil
+	}
+	if !r.mayReadStore() {
+		return errReadDeferred
+	}
+	err := fromStore()
+	r.recordListing(resource, err)
+	if err == nil {
+		*up = upstream{}
+	}
+	return err
+}
+
 // Leafs implements Store. It returns the list of leafs of the VM to follow, or that of the store
 // if no VM can be followed. It returns errReadDeferred if this VM may not read the store now.
 func (r *relay) Leafs(ctx context.Context) (LeafList, error) {
-	if vm, ok := r.currentReader(); ok {
+	var list LeafList
+	err := r.read(followedLeafs, &r.leafsUpstream, func(vm scatter.VM) error {
 		var ans leafsAnswer
-		if r.callReader(ctx, vm, methodFollowLeafs, &followCall{List: true}, &ans) == nil {
-			r.leafsUpstream, r.incarnation = upstream{vm: vm.Name}, ans.Incarnation
-			list := LeafList{Revision: Revision(ans.Position), AfterOutage: r.takeStoreFailed()}
-			return list, unpack(ans.Leafs, &list.Leafs)
+		if err := r.callReader(ctx, vm, methodFollowLeafs, &followCall{List: true}, &ans); err != nil {
+			return err
 		}
-	}
-	if !r.mayReadStore() {
-		return LeafList{}, errReadDeferred
-	}
-	list, err := r.Store.Leafs(ctx)
-	r.recordListing(followedLeafs, err)
+		r.incarnation = ans.Incarnation
+		list.Revision = Revision(ans.Position)
+		return unpack(ans.Leafs, &list.Leafs)
+	}, func() (err error) {
+		list, err = r.Store.Leafs(ctx)
+		return err
+	})
 	if err == nil {
 		list.AfterOutage = r.takeStoreFailed()
-		r.leafsUpstream = upstream{}
 	}
 	return list, err
 }
@@ -198,22 +216,20 @@
 // no VM can be followed. It returns errReadDeferred if this VM may not read the store now. The
 // revision is 0 if a VM is followed.
 func (r *relay) Manifest(ctx context.Context) (*routing.Manifest, Revision, error) {
-	if vm, ok := r.currentReader(); ok {
+	var m *routing.Manifest
+	var revision Revision
+	err := r.read(followedManifest, &r.manifestUpstream, func(vm scatter.VM) error {
 		var ans manifestAnswer
-		if r.callReader(ctx, vm, methodFollowManifest, &followCall{List: true}, &ans) == nil {
-			r.manifestUpstream = upstream{vm: vm.Name}
-			m, err := ans.manifest()
-			return m, 0, err
+		if err := r.callReader(ctx, vm, methodFollowManifest, &followCall{List: true}, &ans); err != nil {
+			return err
 		}
-	}
-	if !r.mayReadStore() {
-		return nil, 0, errReadDeferred
-	}
-	m, revision, err := r.Store.Manifest(ctx)
-	r.recordListing(followedManifest, err)
-	if err == nil {
-		r.manifestUpstream = upstream{}
-	}
+		newer, err := ans.manifest()
+		m = newer
+		return err
+	}, func() (err error) {
+		m, revision, err = r.Store.Manifest(ctx)
+		return err
+	})
 	return m, revision, err
 }
 
@@ -243,8 +259,52 @@
 	return m, 0, err
 }
 
-// recordListing records the result of a full read of a resource, followedLeafs or
-// followedManifest, from the store. It passes the result to the feed, so that VMs that follow
+// Evacuations implements Store. It returns the set of evacuated zones of the VM to follow, or that
+// of the store if no VM can be followed. It returns errReadDeferred if this VM may not read the
+// store now.
+func (r *relay) Evacuations(ctx context.Context) (Evacuations, error) {
+	var set Evacuations
+	err := r.read(followedEvacuations, &r.evacuationsUpstream, func(vm scatter.VM) error {
+		var ans evacuationsAnswer
+		if err := r.callReader(ctx, vm, methodFollowEvacuations, &followCall{List: true}, &ans); err != nil {
+			return err
+		}
+		set = ans.set()
+		return nil
+	}, func() (err error) {
+		set, err = r.Store.Evacuations(ctx)
+		return err
+	})
+	return set, err
+}
+
+// WatchEvacuations implements Store. It waits for a newer set of evacuated zones, at most for the
+// time wait, and returns nil if there is none. If the VM to follow has changed since Evacuations
+// was called, it returns ErrHistoryCompacted, so that its caller reads the set again. If a VM is
+// followed, since is not used: the call to that VM states the revision of the set in force.
+func (r *relay) WatchEvacuations(ctx context.Context, since Revision, wait time.Duration) (*Evacuations, Revision, error) {
+	vm, same := r.sameUpstream(r.evacuationsUpstream)
+	if !same {
+		return nil, 0, ErrHistoryCompacted
+	}
+	if r.evacuationsUpstream.vm == "" {
+		set, revision, err := r.Store.WatchEvacuations(ctx, since, wait)
+		r.recordWatch(followedEvacuations, err)
+		return set, revision, err
+	}
+	call := &followCall{Position: int64(r.e.evacuationRevision()), WaitMS: wait.Milliseconds()}
+	var ans evacuationsAnswer
+	if err := r.callReader(ctx, vm, methodFollowEvacuations, call, &ans); err != nil {
+		return nil, 0, err
+	}
+	if ans.Revision == 0 {
+		return nil, 0, nil
+	}
+	set := ans.set()
+	return &set, 0, nil
+}
+
+// recordListing records the result of a full read of a resource from the store. It passes the result to the feed, so that VMs that follow
 // this one are notified of a failure. After a failure it also delays the next read.
 func (r *relay) recordListing(resource string, err error) {
 	if err == nil {
@@ -271,8 +331,7 @@
 	return failed
 }
 
-// recordWatch records the result of a watch of a resource, followedLeafs or followedManifest, in
-// the store. A failed watch is ignored, because the full read that follows immediately shows
+// recordWatch records the result of a watch of a resource in the store. A failed watch is ignored, because the full read that follows immediately shows
 // whether the store is lost. If a failed watch counted as a loss, all VMs that follow this one
 // would read the store themselves whenever the store ends its watches. This would take as many
 // calls as without a relay.
--- a/edge/relay_serve.go
+++ b/edge/relay_serve.go
@@ -11,17 +11,18 @@
 
 // Methods by which a VM follows another one. Calls are rare, so their parameters are JSON.
 const (
-	methodFollowLeafs    = "follow_leafs"    // returns the list of leafs, or its changes
-	methodFollowManifest = "follow_manifest" // returns a newer manifest
+	methodFollowLeafs       = "follow_leafs"       // returns the list of leafs, or its changes
+	methodFollowManifest    = "follow_manifest"    // returns a newer manifest
+	methodFollowEvacuations = "follow_evacuations" // returns a newer set of evacuated zones
 )
 
 // followCall requests what another VM has read from the store: the list of leafs or its
-// changes, or the manifest. The called VM numbers the changes of leafs in the order in which
+// changes, the manifest, or the set of evacuated zones. The called VM numbers the changes of leafs in the order in which
 // it received them; a position is the number of a change.
 type followCall struct {
 	Incarnation    string `json:"life"`      // incarnation of the called VM in which Position is valid
-	Position       int64  `json:"position"`  // return the changes after this one; for methodFollowManifest, the version of the manifest that the calling VM has
-	List           bool   `json:"list"`      // return all leafs, or the manifest if it is newer, at once
+	Position       int64  `json:"position"`  // return the changes after this one; for methodFollowManifest, the version of the manifest that the calling VM has; for methodFollowEvacuations, the revision of its set
+	List           bool   `json:"list"`      // return all leafs, the manifest if it is newer, or the set of evacuated zones, at once
 	WaitMS         int64  `json:"wait_ms"`   // without List: longest wait for a change, in milliseconds
 	MaxStalenessMS int64  `json:"within_ms"` // the call fails if the store last answered the called VM longer ago than this, in milliseconds
 }
@@ -40,12 +41,37 @@
 	Document []byte `json:"document,omitempty"` // a routing.Document encoded by pack; absent if there is no newer one
 }
 
-// Names of the resources that are followed.
+// evacuationsAnswer is the result of methodFollowEvacuations. It is empty if the set of evacuated
+// zones has not changed.
+type evacuationsAnswer struct {
+	Zones    []string `json:"zones,omitempty"`
+	Revision int64    `json:"revision,omitempty"` // of the store, at which the called VM or its source read the set; 0 if there is no newer set
+}
+
+// set returns the set of evacuated zones that the answer holds.
+func (a *evacuationsAnswer) set() Evacuations {
+	return Evacuations{Zones: a.Zones, Revision: Revision(a.Revision)}
+}
+
+// Names of the resources that VMs follow.
 const (
-	followedLeafs    = "leafs"    // the list of leafs, as a resource that other VMs follow
-	followedManifest = "manifest" // the manifest in force, as a resource that other VMs follow
+	followedLeafs       = "leafs"       // the list of leafs
+	followedManifest    = "manifest"    // the manifest in force
+	followedEvacuations = "evacuations" // the set of evacuated zones
 )
 
+// serveFollow serves a call of a VM that reads a resource from this VM instead of from the store.
+func (e *Engine) serveFollow(ctx context.Context, method string, call *followCall) (any, error) {
+	switch method {
+	case methodFollowLeafs:
+		return e.serveFollowLeafs(ctx, call)
+	case methodFollowManifest:
+		return e.serveFollowManifest(ctx, call)
+	default:
+		return e.serveFollowEvacuations(ctx, call)
+	}
+}
+
 // serveFollowLeafs serves a VM that reads the leafs from this VM instead of from the store. It
 // returns all leafs at once, or waits for changes for up to WaitMS. It returns errStoreStale if
 // the store has not answered this VM recently, and errPositionUnknown if the calling VM must
@@ -118,6 +144,38 @@
 	return &manifestAnswer{Document: doc}, nil
 }
 
+// serveFollowEvacuations serves a VM that reads the set of evacuated zones from this VM instead of
+// from the store. It waits for a newer set for up to WaitMS, unless List is set. It returns
+// errStoreStale if the store has not answered this VM recently.
+func (e *Engine) serveFollowEvacuations(ctx context.Context, call *followCall) (*evacuationsAnswer, error) {
+	fresh := func() bool {
+		return e.feed.isFresh(followedEvacuations, time.Duration(call.MaxStalenessMS)*time.Millisecond)
+	}
+	if !fresh() {
+		return nil, errStoreStale
+	}
+	known := Revision(call.Position)
+	if call.List {
+		known = -1
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.WaitMS)*time.Millisecond)
+	defer cancel()
+	var set *Evacuations
+	// The wait ends when there is a newer set, or when the store has not answered this VM
+	// recently.
+	e.feed.waitFor(ctx, func() bool {
+		set = e.feed.evacuationsSince(known)
+		return set != nil || call.List || !fresh()
+	})
+	switch {
+	case set != nil:
+		return &evacuationsAnswer{Zones: set.Zones, Revision: int64(set.Revision)}, nil
+	case !fresh():
+		return nil, errStoreStale
+	}
+	return &evacuationsAnswer{}, nil
+}
+
 var (
 	// errStoreStale means that this VM cannot pass on what it read from the store, because it
 	// may be stale.
@@ -127,7 +185,7 @@
 	errPositionUnknown = result.Errorf(result.PositionGone, "the position is unknown or no longer kept")
 )
 
-// decodeFollow decodes the parameters of methodFollowLeafs or methodFollowManifest.
+// decodeFollow decodes the parameters of a method by which a VM follows another one.
 func decodeFollow(params json.RawMessage) (*followCall, error) {
 	call := new(followCall)
 	if err := json.Unmarshal(params, call); err != nil {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -45,7 +45,11 @@
 // milliseconds.
 type BoundSettings struct {
 	ManifestMS float64 `json:"manifest_ms"` // time within which a new manifest must be in force, in milliseconds
-	DrainMS    float64 `json:"drain_ms"`    // time after which a leaf that drains or has left must get no more requests, in milliseconds
+	// EvacuateMS is the time after which the leafs of an evacuated zone must get no more
+	// requests, in milliseconds. 0 means that the platform evacuates no zones; evacuations are
+	// then not followed.
+	EvacuateMS float64 `json:"evacuate_ms,omitempty"`
+	DrainMS    float64 `json:"drain_ms"` // time after which a leaf that drains or has left must get no more requests, in milliseconds
 }
 
 // drainBound returns the time within which a leaf that drains or has left must get no more
@@ -121,7 +125,7 @@
 	if _, err := logging.ParseLevel(s.LogLevel); err != nil {
 		add("$.log_level", s.LogLevel, logging.Levels)
 	}
-	for path, value := range map[string]float64{"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor} {
+	for path, value := range map[string]float64{"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor, "$.bounds.evacuate_ms": s.Bounds.EvacuateMS} {
 		if value < 0 {
 			add(path, value, "a number from 0")
 		}
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -91,6 +91,9 @@
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_dropped_total %d\n", discarded)
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_idle %d\n", e.pool.Idle())
 	fmt.Fprintf(w, "bramley_edge_leafs %d\n", e.Leafs())
+	if zones, known := e.evacuatedZones(); known {
+		fmt.Fprintf(w, "bramley_edge_evacuated_zones %d\n", zones)
+	}
 	if m := e.inForce.Get(); m != nil {
 		fmt.Fprintf(w, "bramley_edge_manifest_version %d\n", m.Version)
 	}
--- a/edge/store.go
+++ b/edge/store.go
@@ -41,7 +41,7 @@
 	Revision Revision     // revision to watch from next
 }
 
-// Store is the users' platform as a source of leafs, manifests and VMs. Implementations bound
+// Store is the users' platform as a source of leafs, manifests, evacuations and VMs. Implementations bound
 // the duration of each call.
 type Store interface {
 	// Leafs returns all leafs.
@@ -55,6 +55,12 @@
 	// WatchManifest waits for a new manifest after a revision, at most for the time wait. It
 	// returns the manifest, nil if none appears, and the revision to watch from next.
 	WatchManifest(ctx context.Context, since Revision, wait time.Duration) (*routing.Manifest, Revision, error)
+	// Evacuations returns the set of evacuated zones.
+	Evacuations(ctx context.Context) (Evacuations, error)
+	// WatchEvacuations waits for a change of the set of evacuated zones after a revision, at
+	// most for the time wait. It returns the new set, nil if there is none, and the revision
+	// to watch from next.
+	WatchEvacuations(ctx context.Context, since Revision, wait time.Duration) (*Evacuations, Revision, error)
 
 	// VMs returns the VMs of this system that have announced themselves, and the revision to
 	// watch from next.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -49,6 +49,17 @@
 // no longer lists them.
 func (r *Registry) Len() int { return len(r.leafs) }
 
+// CountIn returns the number of leafs in use in a zone, those included that are held.
+func (r *Registry) CountIn(zone string) int {
+	n := 0
+	for _, l := range r.leafs {
+		if l.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // StoreRecovered records that the store answers again after an outage. Leafs that go
 // missing from its listings before now plus hold are kept until then. StoreRecovered returns
 // now plus hold, the time at which ExpireHeld has to be called.
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -106,11 +106,16 @@
 // is a whole number except for floating-point error is thus not rounded up to the next one.
 const roundingSlack = 1e-9
 
-// omitShard closes a shard that is not queried, since no leaf is expected to answer in time. The
+// omitShard closes a shard that is not queried, since no leaf takes requests or is expected to
+// answer in time. The
 // request is still counted in the service's budget, which allows hedges and retries in proportion
 // to requests.
 func (q *Query) omitShard(now time.Time, s *shard) {
-	s.close(GapForecast)
+	cause := GapForecast
+	if !q.table.HasUsableLeaf(s.service) {
+		cause = q.table.gapWithoutLeaf(s.service)
+	}
+	s.close(cause)
 	if !s.budgetCounted {
 		s.budgetCounted = true
 		q.table.service(now, s.service).budget.countRequest(now, q.spec.BudgetWeight)
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -171,7 +171,7 @@
 		// A caller that gets the error at once can turn elsewhere. So can a VM that
 		// delegated the request to this one. It may know leafs that this VM does not
 		// know, since this VM may have just started.
-		s.close(GapNoLeaf)
+		s.close(q.table.gapWithoutLeaf(s.service))
 		return
 	}
 	q.setPollAt(s, now.Add(leafPollInterval))
--- /dev/null
+++ b/scatter/evacuation.go
@@ -0,0 +1,42 @@
+package scatter
+
+import "slices"
+
+// Evacuated zones. An operator evacuates a zone to keep all requests away from its leafs, for
+// instance before work on its power supply. The leafs stay listed and may stay healthy.
+//
+// A leaf of an evacuated zone is not usable: it gets no first attempt, hedge or retry, and no VM
+// is called so that it queries the leaf. Requests in flight end as usual. The zone's VMs still
+// serve callers and query leafs elsewhere. The evacuated leafs are left out of the views, like
+// draining ones. So a VM that does not know of an evacuation yet is declined, and the calling and
+// the called VM choose their common leafs from the same set.
+
+// SetEvacuatedZones sets the zones whose leafs get no requests.
+func (t *Table) SetEvacuatedZones(zones []string) {
+	t.evacuatedZones = slices.Clone(zones)
+	for _, l := range t.leafs {
+		t.updateEvacuated(l)
+	}
+}
+
+// updateEvacuated records for a leaf whether its zone is evacuated.
+func (t *Table) updateEvacuated(l *leaf) {
+	evacuated := slices.Contains(t.evacuatedZones, l.Zone)
+	if evacuated != l.evacuated {
+		l.evacuated = evacuated
+		t.services[l.Service].viewKnown = false
+	}
+}
+
+// gapWithoutLeaf returns why no leaf of the named service takes requests: GapEvacuated if a leaf
+// would but for the evacuation of its zone, and otherwise GapNoLeaf.
+func (t *Table) gapWithoutLeaf(service string) GapCause {
+	if s := t.services[service]; s != nil {
+		for _, l := range s.leafs {
+			if l.evacuated && !l.Draining && !l.addressReused {
+				return GapEvacuated
+			}
+		}
+	}
+	return GapNoLeaf
+}
--- a/scatter/gap.go
+++ b/scatter/gap.go
@@ -22,13 +22,14 @@
 	GapCall                       // the called VM answered, but not for this shard
 	GapSilent                     // the called VM did not answer
 	GapDeclined                   // the called VM left the shard to the calling VM, since the two know different leafs
+	GapEvacuated                  // all leafs that would take requests are in evacuated zones
 	gapCauses                     // number of the causes above, not a cause itself
 )
 
 // String returns the word for the cause that is used in logs and metrics.
 func (c GapCause) String() string {
 	return [...]string{
-		"slow", "room", "budget", "late", "attempts", "no_leaf", "forecast", "call", "silent", "declined",
+		"slow", "room", "budget", "late", "attempts", "no_leaf", "forecast", "call", "silent", "declined", "evacuated",
 	}[c]
 }
 
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -27,6 +27,7 @@
 	id            LeafID
 	sameZone      bool // in this VM's availability zone
 	maxInFlight   int  // limit on the requests that this VM may have in flight at the leaf
+	evacuated     bool // its zone is evacuated
 	addressReused bool // another leaf answered at its address; this leaf will not be there again
 
 	inFlight  []pendingRequest // requests of this VM, oldest first
@@ -87,9 +88,13 @@
 	return l.cooldown.until.Before(other.cooldown.until)
 }
 
-// usable reports whether the leaf takes requests at all: it is not draining, and no other leaf
-// has its address.
-func (l *leaf) usable() bool { return !l.Draining && !l.addressReused }
+// inService reports whether the leaf takes requests by what the operator and the leaf itself have
+// published: it is not draining, and its zone is not evacuated.
+func (l *leaf) inService() bool { return !l.Draining && !l.evacuated }
+
+// usable reports whether the leaf takes requests at all: it is in service, and no other leaf has
+// its address.
+func (l *leaf) usable() bool { return l.inService() && !l.addressReused }
 
 // crossZoneSurcharge is what is added to the expected duration at a leaf in another zone, as a
 // share of the latency objective. Requests go to the leaf with the lowest sum. Traffic between
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -31,6 +31,7 @@
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
+	evacuatedZones  []string           // zones whose leafs get no requests
 	callRefusalRate failureRate        // share of calls that other VMs refuse
 	admitAll        bool               // for tests: the forecast refuses no request
 }
@@ -106,12 +107,14 @@
 	s.viewKnown = false
 	if old != nil {
 		old.Leaf = change.Leaf
+		t.updateEvacuated(old)
 		return
 	}
 	l := &leaf{Leaf: change.Leaf, id: id, sameZone: change.Leaf.Zone == t.zone}
 	l.Slots = max(l.Slots, 1)
 	t.leafs[l.ID] = l
 	s.leafs = append(s.leafs, l)
+	t.updateEvacuated(l)
 	t.shareConnections(s)
 }
 
@@ -321,13 +324,13 @@
 
 // UnusedLeafs returns leafs of this VM's zone to which connections can be opened before they are
 // needed. These are the leafs of the partition that this VM owns, to which it normally sends
-// requests. Leafs with a request of this VM in flight, draining ones and suspect ones are left
+// requests. Leafs with a request of this VM in flight, unusable ones and suspect ones are left
 // out.
 func (t *Table) UnusedLeafs() []registry.Leaf {
 	z := t.zones[t.zone]
 	var list []registry.Leaf
 	for _, l := range t.leafs {
-		if l.sameZone && !l.Draining && !l.suspicion.raised && len(l.inFlight) == 0 && z.owns(z.partitionOf(l.Service)) {
+		if l.sameZone && l.usable() && !l.suspicion.raised && len(l.inFlight) == 0 && z.owns(z.partitionOf(l.Service)) {
 			list = append(list, l.Leaf)
 		}
 	}
--- a/scatter/view.go
+++ b/scatter/view.go
@@ -27,8 +27,8 @@
 // declines shards for which its own view differs.
 
 // View identifies the set of leafs that one VM knows of a service: it is a hash of the leafs'
-// ids and start times. Draining leafs are left out. VMs that know the same leafs have the same
-// view.
+// ids and start times. Only leafs in service count: draining ones and those in evacuated zones
+// are left out. VMs that know the same leafs in service have the same view.
 type View uint32
 
 // View returns this VM's view of a service: a hash of the leafs that it knows. It is 0 if the
@@ -50,14 +50,14 @@
 // view, the hash of the leafs that a VM knows. So VMs of two versions have different views and
 // decline each other's shards during a rolling upgrade. Otherwise they might together use one leaf
 // more than a request allows.
-const viewVersion = 3
+const viewVersion = 4
 
-// viewOf returns the hash of the ids and start times of the given leafs. Draining leafs are left
-// out.
+// viewOf returns the hash of the ids and start times of those of the given leafs that are in
+// service.
 func viewOf(leafs []*leaf) View {
 	var sum uint64 = viewVersion
 	for _, l := range leafs {
-		if !l.Draining {
+		if l.inService() {
 			// A sum does not depend on the order in which leafs became known.
 			sum += xxhash.Sum64String(l.ID + "/" + strconv.FormatInt(l.Born, 10))
 		}
@@ -79,7 +79,7 @@
 	}
 	var leafs []*leaf
 	for _, l := range s.leafs {
-		if !l.Draining {
+		if l.inService() {
 			leafs = append(leafs, l)
 		}
 	}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -106,7 +106,7 @@
 	v := &vm{proxy: proxy, settingsPath: filepath.Join(d.dir, name+".json"), set: &edge.Settings{
 		Name: name, Zone: zone, Store: proxy.Address(), GraceS: 1, Power: 1, MemoryMB: 256, LogLevel: "warn",
 		Listen: edge.ListenSettings{Callers: d.freeAddress(), Ready: d.freeAddress(), VMs: d.freeAddress(), Metrics: d.freeAddress()},
-		Bounds: edge.BoundSettings{ManifestMS: 3000, DrainMS: 3000},
+		Bounds: edge.BoundSettings{ManifestMS: 3000, DrainMS: 3000, EvacuateMS: float64(evacuationBound.Milliseconds())},
 		Budget: edge.BudgetSettings{Ratio: 0.2, Floor: 200, WindowS: 10},
 	}}
 	data, err := json.Marshal(v.set)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,8 @@
 	faultDuration    = 6 * time.Second  // time for which one run injects faults
 	recoveryTimeout  = 20 * time.Second // bounds the time until all VMs are ready and serve again, also on a busy machine
 	callerCount      = 6                // number of concurrent callers in a run
-	faultSeriesCount = 3                // number of concurrent series of faults: at VMs, at leafs, at the store
+	faultSeriesCount = 4                // number of concurrent series of faults: at VMs, at leafs, evacuations, at the store
+	evacuationBound  = 3 * time.Second  // time within which the leafs of an evacuated zone must get no more requests
 )
 
 // seeds returns the SOAK_SEEDS seeds from SOAK_FIRST on, or fixedSeeds if SOAK_SEEDS is
@@ -46,10 +47,11 @@
 }
 
 // Callers send reports and reads while VMs are stopped, frozen, killed and restarted,
-// leafs lose, cut, repeat and refuse answers, and the store is down, silent, serves old
-// listings, or refuses single VMs. In every order of the faults, each answer must be
+// leafs lose, cut, repeat and refuse answers, zones are evacuated and taken back, and the
+// store is down, silent, serves old listings, or refuses single VMs. In every order of the faults, each answer must be
 // intact and correct, a report must run at most once, a report that was answered as not
-// run must not have run, and all VMs must serve again soon after the last fault.
+// run must not have run, and all VMs must serve again soon after the last fault. An
+// evacuation must then hold at all VMs within its bound.
 func TestSoak(t *testing.T) {
 	binary, err := gexec.Build("github.com/bramleybarrow/bramleybarrow/cmd/bramleyd")
 	if err != nil {
@@ -81,6 +83,7 @@
 	wg.Wait()
 	d.clearFaults()
 	d.waitServing(t)
+	d.checkEvacuation(t)
 	load.checkReports()
 	for _, violation := range load.violations {
 		t.Error(violation)
@@ -88,8 +91,37 @@
 	t.Logf("%d answers, %d reports", load.served, len(load.reports))
 }
 
+// checkEvacuation evacuates a zone and fails the test if requests reach its leafs after the
+// bound.
+func (d *deployment) checkEvacuation(t *testing.T) {
+	d.store.Put("evacuations", zones[0], "{}")
+	defer d.store.Remove("evacuations", zones[0])
+	time.Sleep(evacuationBound)
+	before := d.arrivalsIn(zones[0])
+	for _, v := range d.vms {
+		if !d.serves(v, -1) {
+			t.Errorf("%s does not serve while zone %s is evacuated; end of its log:\n%s", v.set.Name, zones[0], v.logTail())
+		}
+	}
+	if n := d.arrivalsIn(zones[0]) - before; n > 0 {
+		t.Errorf("%d requests reached the evacuated zone %s", n, zones[0])
+	}
+}
+
+// arrivalsIn returns how many requests have reached the leafs of a zone.
+func (d *deployment) arrivalsIn(zone string) int {
+	sum := 0
+	for _, l := range d.leafs {
+		if l.Zone == zone {
+			n, _ := l.Totals()
+			sum += n
+		}
+	}
+	return sum
+}
+
 // injectFaults injects one fault after another until ctx ends. Series 0 has faults of VMs,
-// series 1 those of leafs, and any other series those of the store.
+// series 1 those of leafs, series 2 evacuations, and any other series those of the store.
 func (d *deployment) injectFaults(ctx context.Context, series int, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(50+rng.IntN(300)) * time.Millisecond)
@@ -98,6 +130,8 @@
 			d.injectVMFault(d.vms[rng.IntN(len(d.vms))], rng)
 		case 1:
 			d.injectLeafFault(rng)
+		case 2:
+			d.injectEvacuation(rng)
 		default:
 			d.injectStoreFault(rng)
 		}
@@ -149,6 +183,14 @@
 	d.store.Put("servers", id, l.RegistryEntry("ready"))
 }
 
+// injectEvacuation evacuates a random zone and takes the evacuation back.
+func (d *deployment) injectEvacuation(rng *rand.Rand) {
+	zone := zones[rng.IntN(len(zones))]
+	d.store.Put("evacuations", zone, "{}")
+	time.Sleep(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
+	d.store.Remove("evacuations", zone)
+}
+
 // injectStoreFault injects a random fault into the store and ends it. In half of the cases
 // the store then discards its history and closes its connections.
 func (d *deployment) injectStoreFault(rng *rand.Rand) {
