Zones without a VM to call are not chosen for shards

Cause: after the loss of a zone its VMs are known to be silent, but its leafs are still listed; shards without a leaf at home were planned for that zone, no VM was found to call, and a quarter of the shards was asked directly. Change: only zones where an owner can be called count (scatter/delegate.go).

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -121,9 +121,12 @@
 
 // splitByProximity divides the shards by where their available leafs are. local holds the
 // indexes of the shards that have such a leaf in this VM's zone. remote holds the other shards,
-// by index, each with the zones of its leafs. Shards without an available leaf are in neither.
+// by index, each with those zones of its leafs where a VM can be called for the shard. So a zone
+// whose VMs are all lost is not chosen while another one can answer. Shards without an available
+// leaf, or without a VM to call, are in neither.
 func (q *Query) splitByProximity(now time.Time) (local []int, remote map[int][]string) {
 	remote = make(map[int][]string)
+	canCall := q.table.callableOwners(now)
 	for i := range q.shards {
 		var zones []string
 		hasLocal := false
@@ -132,7 +135,9 @@
 				continue
 			}
 			hasLocal = hasLocal || l.sameZone
-			zones = append(zones, l.Zone)
+			if canCall(l.Zone, q.shards[i].service) {
+				zones = append(zones, l.Zone)
+			}
 		}
 		switch {
 		case hasLocal:
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -433,3 +433,26 @@
 	w.Expect(out.Verdict).To(gomega.Equal(NotRun))
 	w.Expect(out.RetryAfter).To(gomega.Equal(refused.RetryAfter))
 }
+
+// Guards against direct requests to a quarter of the shards, each over a new connection, while a
+// zone is lost: its VMs are known to be silent, its leafs are still listed, and another zone could
+// be asked.
+func TestZoneWithoutCallableVMIsNotChosen(t *testing.T) {
+	w := newWorld(t)
+	names := w.shards(20, "lost", "other")
+	vms := fleetOf(3, "lost", "other")
+	w.table.SetVMs(w.now, vms)
+	for _, v := range vms {
+		if v.Zone == "lost" {
+			w.table.LivenessCheckFailed(w.now, v.Name)
+		}
+	}
+	for range 10 {
+		spec := w.gathered(names)
+		spec.MayDelegate = true
+		acts := NewQuery(spec, w.table).Start(w.now)
+		w.Expect(sends(acts)).To(gomega.BeEmpty())
+		w.Expect(vmCalls(acts)).To(gomega.HaveLen(1))
+		w.Expect(vmCalls(acts)[0].VM.Zone).To(gomega.Equal("other"))
+	}
+}
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -114,6 +114,25 @@
 	return a
 }
 
+// callableOwners returns a function that reports whether a VM of a zone can be called for a
+// service. It remembers its results, so it is to be used only at the time now.
+func (t *Table) callableOwners(now time.Time) func(zone, service string) bool {
+	known := make(map[zonePartition]bool)
+	return func(zone, service string) bool {
+		z := t.zones[zone]
+		if z == nil {
+			return false
+		}
+		p := zonePartition{zone: zone, partition: z.partitionOf(service)}
+		callable, ok := known[p]
+		if !ok {
+			callable = len(t.delegates(now, p, nil)) > 0
+			known[p] = callable
+		}
+		return callable
+	}
+}
+
 // Delegates returns all VMs that this one calls so that they query leafs for it. Connections to
 // them can thus be opened before they are needed.
 func (t *Table) Delegates(now time.Time) []VM {
