--- a/edge/engine.go
+++ b/edge/engine.go
@@ -40,6 +40,7 @@
 	Self        string               // name of this VM
 	Zone        string               // availability zone of this VM
 	Power       float64              // processor capacity of this VM, in cores
+	Cold        scatter.ColdConfig   // bounds the requests to cold leafs
 	Budget      scatter.BudgetConfig // bounds the extra load that retries and hedges put on leafs
 	Seed        uint64               // seed of random choices
 	Log         *slog.Logger
@@ -48,6 +49,8 @@
 // NewEngine returns an engine that knows no leafs and no manifest yet.
 func NewEngine(opt EngineOptions) *Engine {
 	rng := rand.New(rand.NewPCG(opt.Seed, opt.Seed>>1))
+	table := scatter.NewTable(scatter.VM{Name: opt.Self, Zone: opt.Zone, Power: opt.Power}, opt.Budget, time.Now(), rng)
+	table.SetColdConfig(opt.Cold)
 	return &Engine{
 		headerCodec:      opt.HeaderCodec,
 		pool:             leafhttp.NewPool(),
@@ -60,7 +63,7 @@
 		suspectVMs:       newWakeup(),
 		suspectLeafs:     newWakeup(),
 		peerClient:       noPeerClient{},
-		table:            scatter.NewTable(scatter.VM{Name: opt.Self, Zone: opt.Zone, Power: opt.Power}, opt.Budget, time.Now(), rng),
+		table:            table,
 		registry:         registry.New(),
 	}
 }
@@ -79,7 +82,9 @@
 	now := time.Now()
 	shards := m.ShardServices()
 	for name, svc := range m.Services {
-		e.table.SetServiceConfig(now, name, scatter.ServiceConfig{MaxConnections: svc.MaxConnections, Shard: shards[name]})
+		e.table.SetServiceConfig(now, name, scatter.ServiceConfig{
+			MaxConnections: svc.MaxConnections, ColdPerSecond: svc.ColdPerSecond, ColdFor: svc.ColdFor, Shard: shards[name],
+		})
 	}
 	e.table.SetMaxShards(now, m.MaxShards())
 	return true
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -50,7 +50,7 @@
 	e.mu.Lock()
 	begun, ended, adopted := e.evacuations.offer(next)
 	if len(begun)+len(ended) > 0 {
-		e.table.SetEvacuatedZones(next.Zones)
+		e.table.SetEvacuatedZones(time.Now(), next.Zones)
 	}
 	e.mu.Unlock()
 	if adopted {
--- a/edge/node.go
+++ b/edge/node.go
@@ -78,6 +78,7 @@
 			Self:        opt.Settings.Name,
 			Zone:        opt.Settings.Zone,
 			Power:       opt.Settings.Power,
+			Cold:        opt.Settings.Cold.config(),
 			Budget:      opt.Settings.Budget.config(),
 			Seed:        uint64(time.Now().UnixNano()),
 			Log:         opt.Log,
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,6 +24,7 @@
 	GraceS     float64        `json:"grace_s"` // time from SIGTERM until the process is killed, in seconds
 	Bounds     BoundSettings  `json:"bounds"`
 	Budget     BudgetSettings `json:"budget"`
+	Cold       ColdSettings   `json:"cold,omitempty"`
 	// Power is the CPU capacity of this VM, in cores. VMs with more capacity get more calls.
 	Power float64 `json:"power"`
 	// MemoryMB is the memory limit of the process, in MiB. The platform kills a process that
@@ -75,6 +76,22 @@
 	}
 }
 
+// ColdSettings bounds the requests per second that all VMs together send to one cold leaf: Excess
+// times the number that its service states in the manifest, plus Slack. If both are 0, the number
+// itself is the limit.
+type ColdSettings struct {
+	Excess float64 `json:"excess"`
+	Slack  float64 `json:"slack"`
+}
+
+// config returns the limits in the form that package scatter uses.
+func (c ColdSettings) config() scatter.ColdConfig {
+	if c == (ColdSettings{}) {
+		return scatter.ColdConfig{Excess: 1}
+	}
+	return scatter.ColdConfig{Excess: c.Excess, Slack: c.Slack}
+}
+
 // LoadSettings reads and validates a settings file. The error names each invalid field, the
 // value found and the allowed values.
 func LoadSettings(path string) (*Settings, error) {
@@ -125,7 +142,10 @@
 	if _, err := logging.ParseLevel(s.LogLevel); err != nil {
 		add("$.log_level", s.LogLevel, logging.Levels)
 	}
-	for path, value := range map[string]float64{"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor, "$.bounds.evacuate_ms": s.Bounds.EvacuateMS} {
+	for path, value := range map[string]float64{
+		"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor, "$.bounds.evacuate_ms": s.Bounds.EvacuateMS,
+		"$.cold.excess": s.Cold.Excess, "$.cold.slack": s.Cold.Slack,
+	} {
 		if value < 0 {
 			add(path, value, "a number from 0")
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -17,6 +17,7 @@
 	Zone     string // availability zone
 	Slots    int    // requests that the leaf can run concurrently
 	Draining bool   // the leaf accepts no new requests
+	Cold     bool   // the leaf is slow after a start or an interruption, and tolerates only few requests
 }
 
 // Change is a leaf that was added, changed or removed.
--- a/routing/manifest.go
+++ b/routing/manifest.go
@@ -73,7 +73,9 @@
 // Service holds the settings of a group of interchangeable leafs.
 type Service struct {
 	Name           string
-	MaxConnections int // connections that one leaf accepts from all VMs together; 0: no limit
+	MaxConnections int           // connections that one leaf accepts from all VMs together; 0: no limit
+	ColdPerSecond  float64       // requests per second that a cold leaf tolerates from all VMs together; 0: no limit
+	ColdFor        time.Duration // how long a leaf is cold after a start or an evacuation
 }
 
 // Limits bound the requests and connections of callers. For one that is 0, the daemon's
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -182,7 +182,7 @@
 
 // eta returns the expected time from now until a shard answers. It is the time until the answer of
 // the leaf that is expected to answer first, plus the time for this VM's queries that already wait
-// for a leaf of the shard. Suspect leafs don't count. If no other leaf may be used, the result is
+// for a leaf of the shard. Suspect leafs and those too cold for another request don't count. If no other leaf may be used, the result is
 // the constant never.
 func (q *Query) eta(now time.Time, s *shard) time.Duration {
 	typical, _ := q.table.typicalDuration(now, q.durationKey())
@@ -190,7 +190,7 @@
 	slots := 0.0           // of all leafs, where a slot of a leaf that is twice as slow counts half
 	var work time.Duration // longest typical duration of the recent requests to one leaf
 	for _, l := range q.candidates(s) {
-		if l.suspicion.raised {
+		if l.suspicion.raised || !q.table.admitsCold(now, l) {
 			continue
 		}
 		best = min(best, l.eta(now, typical))
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -111,6 +111,7 @@
 	q.setPollAt(s, time.Time{})
 	typical, known := q.table.typicalDuration(now, q.durationKey())
 	l.recordSent(pendingRequest{sentAt: now, typical: typical, known: known})
+	q.table.recordIfLimited(now, l)
 	q.attempts[q.lastAttempt] = &attempt{shard: i, leaf: l.id, sentAt: now}
 	return Send{
 		Attempt:        q.lastAttempt,
--- a/scatter/evacuation.go
+++ b/scatter/evacuation.go
@@ -1,6 +1,9 @@
 package scatter
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Evacuated zones. An operator evacuates a zone to keep all requests away from its leafs, for
 // instance before work on its power supply. The leafs stay listed and may stay healthy.
@@ -11,10 +14,14 @@
 // draining ones. So a VM that does not know of an evacuation yet is declined, and the calling and
 // the called VM choose their common leafs from the same set.
 
-// SetEvacuatedZones sets the zones whose leafs get no requests.
-func (t *Table) SetEvacuatedZones(zones []string) {
+// SetEvacuatedZones sets the zones whose leafs get no requests. The leafs of a zone whose evacuation
+// ends may be cold, and count as such until their entries had time to say otherwise.
+func (t *Table) SetEvacuatedZones(now time.Time, zones []string) {
 	t.evacuatedZones = slices.Clone(zones)
 	for _, l := range t.leafs {
+		if l.evacuated && !slices.Contains(zones, l.Zone) {
+			l.maybeColdUntil = now.Add(t.services[l.Service].coldFor)
+		}
 		t.updateEvacuated(l)
 	}
 }
--- a/scatter/evacuation_test.go
+++ b/scatter/evacuation_test.go
@@ -16,7 +16,7 @@
 	w := newWorld(t)
 	names := w.shards(10, "gone", "other")
 	w.table.SetVMs(w.now, fleetOf(2, "gone", "other"))
-	w.table.SetEvacuatedZones([]string{"gone"})
+	w.table.SetEvacuatedZones(w.now, []string{"gone"})
 	for range 20 {
 		spec := w.gathered(names)
 		spec.MayDelegate = true
@@ -25,7 +25,7 @@
 		w.Expect(vmCalls(acts)).To(gomega.HaveLen(1))
 		w.Expect(vmCalls(acts)[0].VM.Zone).To(gomega.Equal("other"))
 	}
-	w.table.SetEvacuatedZones(nil)
+	w.table.SetEvacuatedZones(w.now, nil)
 	zones := map[string]bool{}
 	for range 20 {
 		spec := w.gathered(names)
@@ -44,7 +44,7 @@
 	q := NewQuery(w.single("ledger", true), w.table)
 	first := sends(q.Start(w.now))[0]
 	w.Expect(first.Leaf.ID).To(gomega.Equal("ledger@home"))
-	w.table.SetEvacuatedZones([]string{"gone"})
+	w.table.SetEvacuatedZones(w.now, []string{"gone"})
 	for w.now.Before(q.Wake(w.now)) && q.Wake(w.now).Before(q.spec.Deadline) {
 		w.now = q.Wake(w.now)
 		w.Expect(sends(q.Tick(w.now))).To(gomega.BeEmpty())
@@ -62,7 +62,7 @@
 	names := w.shards(19, homeZone)
 	w.leaf("lone-1", "gone")
 	w.leaf("lone-2", "gone")
-	w.table.SetEvacuatedZones([]string{"gone"})
+	w.table.SetEvacuatedZones(w.now, []string{"gone"})
 
 	q := NewQuery(w.gathered(append(names, "lone-1")), w.table)
 	first := sends(q.Start(w.now))
@@ -95,13 +95,13 @@
 	for i, name := range names {
 		before[i] = w.table.View(name)
 	}
-	w.table.SetEvacuatedZones([]string{"a"})
+	w.table.SetEvacuatedZones(w.now, []string{"a"})
 	spec := w.gathered(names)
 	spec.Delegated, spec.Views = true, before
 	q := NewQuery(spec, w.table)
 	w.Expect(sends(q.Start(w.now))).To(gomega.BeEmpty())
 	w.Expect(q.Declined()).To(gomega.HaveLen(10))
-	w.table.SetEvacuatedZones(nil)
+	w.table.SetEvacuatedZones(w.now, nil)
 	w.Expect(w.table.View(names[0])).To(gomega.Equal(before[0]))
 }
 
@@ -131,7 +131,7 @@
 						list = append(list, z)
 					}
 				}
-				w.table.SetEvacuatedZones(list)
+				w.table.SetEvacuatedZones(w.now, list)
 			case 2:
 				w.wait(time.Duration(step) * time.Millisecond)
 				for _, s := range sends(NewQuery(w.single("ledger", true), w.table).Start(w.now)) {
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -24,11 +24,15 @@
 // leaf is what this VM knows of one incarnation of a leaf.
 type leaf struct {
 	registry.Leaf
-	id            LeafID
-	sameZone      bool // in this VM's availability zone
-	maxInFlight   int  // limit on the requests that this VM may have in flight at the leaf
-	evacuated     bool // its zone is evacuated
-	addressReused bool // another leaf answered at its address; this leaf will not be there again
+	id          LeafID
+	sameZone    bool // in this VM's availability zone
+	maxInFlight int  // limit on the requests that this VM may have in flight at the leaf
+	evacuated   bool // its zone is evacuated
+	// maybeColdUntil is until when the leaf may be cold although its entry does not say so yet,
+	// since the evacuation of its zone has ended.
+	maybeColdUntil time.Time
+	coldRequests   coldLimiter // requests of this VM to the leaf while it is cold
+	addressReused  bool        // another leaf answered at its address; this leaf will not be there again
 
 	inFlight  []pendingRequest // requests of this VM, oldest first
 	slowdown  slowdown         // how much longer than usual work takes at the leaf
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -32,6 +32,7 @@
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
 	evacuatedZones  []string           // zones whose leafs get no requests
+	coldConfig      ColdConfig         // limits of requests to cold leafs
 	callRefusalRate failureRate        // share of calls that other VMs refuse
 	admitAll        bool               // for tests: the forecast refuses no request
 }
@@ -40,12 +41,14 @@
 type service struct {
 	name           string
 	leafs          []*leaf
-	budget         *budget // bounds the hedges, retries and other extra arrivals that this VM causes
-	maxConnections int     // connections that a leaf accepts from all VMs together; 0 for no limit
-	waiting        int     // shards of this VM's queries that wait for a leaf of the service with capacity
-	gatheredOnly   bool    // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
-	view           View    // hash of the leafs that don't drain; valid if viewKnown
-	viewKnown      bool    // view is up to date; false after a change of the leafs
+	budget         *budget       // bounds the hedges, retries and other extra arrivals that this VM causes
+	maxConnections int           // connections that a leaf accepts from all VMs together; 0 for no limit
+	coldPerSecond  float64       // requests per second that a cold leaf tolerates from all VMs together; 0 for no limit
+	coldFor        time.Duration // how long a leaf is cold after a start or an evacuation
+	waiting        int           // shards of this VM's queries that wait for a leaf of the service with capacity
+	gatheredOnly   bool          // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
+	view           View          // hash of the leafs that don't drain; valid if viewKnown
+	viewKnown      bool          // view is up to date; false after a change of the leafs
 }
 
 // durationKey identifies a kind of request. The durations of requests of one kind are comparable
@@ -72,6 +75,7 @@
 		members:      make(map[string]memberInfo),
 		durations:    make(map[durationKey]*latency.Recorder),
 		ackTimes:     make(map[string]ackTime),
+		coldConfig:   defaultColdConfig,
 	}
 	t.partitionZones(time.Time{})
 	return t
@@ -79,8 +83,10 @@
 
 // ServiceConfig is the configuration in force for a service.
 type ServiceConfig struct {
-	MaxConnections int  // connections that a leaf accepts from all VMs together; 0 for no limit
-	Shard          bool // only gathered requests use the service
+	MaxConnections int           // connections that a leaf accepts from all VMs together; 0 for no limit
+	ColdPerSecond  float64       // requests per second that a cold leaf tolerates from all VMs together; 0 for no limit
+	ColdFor        time.Duration // how long a leaf is cold after a start or an evacuation
+	Shard          bool          // only gathered requests use the service
 }
 
 // SetServiceConfig sets the configuration in force for the named service.
@@ -88,6 +94,7 @@
 	s := t.service(now, name)
 	s.maxConnections = config.MaxConnections
 	s.gatheredOnly = config.Shard
+	s.coldPerSecond, s.coldFor = config.ColdPerSecond, config.ColdFor
 	t.shareConnections(s)
 }
 
@@ -237,7 +244,7 @@
 	var bestCost time.Duration
 	typical, _ := t.typicalDuration(now, kind)
 	for _, l := range leafs {
-		if slices.Contains(filter.exclude, l.id) || !l.hasCapacity() || !l.available(now) {
+		if slices.Contains(filter.exclude, l.id) || !t.mayTake(now, l) || !l.available(now) {
 			continue
 		}
 		if filter.idleOnly && !l.idle(now) {
@@ -258,6 +265,9 @@
 	return best
 }
 
+// mayTake reports whether this VM may send one more request to the leaf.
+func (t *Table) mayTake(now time.Time, l *leaf) bool { return l.hasCapacity() && t.admitsCold(now, l) }
+
 // costJitter bounds the random time that is added to a leaf's cost, its expected duration plus
 // surcharges, when leafs are compared. If the costs of two leafs differ by less, either may be
 // picked.
@@ -270,7 +280,7 @@
 func (t *Table) pickUnavailable(now time.Time, leafs []*leaf, tried []LeafID) *leaf {
 	var best *leaf
 	for _, l := range leafs {
-		if l.available(now) || slices.Contains(tried, l.id) || !l.hasCapacity() {
+		if l.available(now) || slices.Contains(tried, l.id) || !t.mayTake(now, l) {
 			continue
 		}
 		if best == nil || l.preferredTo(best) {
