The loss of a zone is told among VMs, and a VM that is cut off turns callers away

Cause: each VM found the loss of a zone by a lost request of its own, and then again for each pair of owners that it called next; at 78 VMs and 0.7 requests a second each that takes two seconds, at 300 VMs five. Calls that were not acknowledged started no liveness check before the request had ended.

Change (scatter/liveness.go): an unacknowledged call starts a round at once; a round that finds two silent VMs or more is told to all VMs with a connection, which make a round of their own and pass it on; a zone of which several VMs are silent and none answered counts as lost until one of them is reached. A VM to which all other zones, two at least, are lost for 1.5 s is not ready and closes callers' connections after each answer.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -20,8 +20,10 @@
 	// connection proves that the VM is alive.
 	connect(ctx context.Context, vm scatter.VM) (opened bool, err error)
 	// ping checks that a VM is alive, on the connection to it. If the check fails, the
-	// connection is closed. Without a connection, ping returns nil.
+	// connection is closed. Without a connection, ping returns errNotConnected.
 	ping(ctx context.Context, vm scatter.VM) error
+	// reportLoss tells all VMs to which this one has a connection that VMs were lost.
+	reportLoss()
 	// follow sends a call to a VM that reads the store for others, and stores the decoded answer
 	// in into. method is one of those by which a VM follows another one.
 	follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error
@@ -43,6 +45,9 @@
 // errNotJoined means that this VM does not accept calls of other VMs yet, and cannot call them.
 var errNotJoined = errors.New("edge: this VM has not joined the other VMs")
 
+// errNotConnected means that there is no connection to a VM.
+var errNotConnected = errors.New("edge: no connection to the VM")
+
 // gather implements peerClient. It always fails: nothing is sent.
 func (noPeerClient) gather(context.Context, scatter.VM, *gatherCall, func(), func(*gatherAnswer)) error {
 	return &neverSentError{err: errNotJoined}
@@ -54,6 +59,9 @@
 // ping implements peerClient. It always fails.
 func (noPeerClient) ping(context.Context, scatter.VM) error { return errNotJoined }
 
+// reportLoss implements peerClient. It tells nobody.
+func (noPeerClient) reportLoss() {}
+
 // follow implements peerClient. It always fails: nothing is sent.
 func (noPeerClient) follow(context.Context, scatter.VM, string, *followCall, any) error {
 	return errNotJoined
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -131,6 +131,7 @@
 	ID       string // from the caller's headers
 	HTTP     *leafhttp.Request
 	AnswerBy time.Time // latest time to send an answer that reaches the caller within the latency objective
+	DueAt    time.Time // latest time to send an answer in time, without the margin of AnswerBy for writing it; zero for another VM's call
 	Deadline time.Time // end of the caller's time or of the route's timeout, whichever comes first, less answerMargin for sending the answer
 	Top      int       // maximum number of records in the answer to a gathered request
 }
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -15,6 +15,7 @@
 const (
 	methodGather   = "gather"   // method of a gatherCall, which requests the results of some shards
 	methodGathered = "gathered" // method of a gatherAnswer; one call may get several
+	methodLost     = "lost"     // tells that several VMs were lost, without parameters; the VM that gets it checks those that it calls
 )
 
 // gatherCall is a call to another VM to query the shards that have leafs near it. Each shard
--- a/edge/node.go
+++ b/edge/node.go
@@ -151,12 +151,13 @@
 	})
 }
 
-// newCallerServer returns the server for callers' requests. Once Leave was called, it closes
-// each connection after the next answer, so that callers connect to other VMs.
+// newCallerServer returns the server for callers' requests. Once Leave was called, and while this VM
+// is cut off from all other zones, it closes each connection after the next answer, so that callers
+// connect to other VMs.
 func (n *Node) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if n.leaving.Load() {
+			if n.leaving.Load() || n.engine.isolated() {
 				w.Header().Set("Connection", "close")
 			}
 			n.engine.ServeHTTP(w, r)
@@ -172,7 +173,7 @@
 
 // isReady reports whether callers should send requests to this VM.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.leafsListed.Load() && n.engine.inForce.Get() != nil && n.knowsEvacuations()
+	return !n.leaving.Load() && n.leafsListed.Load() && n.engine.inForce.Get() != nil && n.knowsEvacuations() && !n.engine.isolated()
 }
 
 // knowsEvacuations reports whether this VM knows which zones are evacuated, if zones may be.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -99,6 +99,11 @@
 		}
 		p.deliver(ans)
 		return nil, nil
+	case methodLost:
+		if e.lossReported() {
+			p.reportLoss()
+		}
+		return nil, nil
 	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations:
 		call, err := decodeFollow(params)
 		if err != nil {
@@ -125,6 +130,24 @@
 	return err
 }
 
+// reportLoss implements peerClient. It tells all VMs to which there is a connection, dialled or
+// accepted, that VMs were lost.
+func (p *peerTransport) reportLoss() {
+	p.mu.Lock()
+	links := slices.Collect(maps.Values(p.links))
+	p.mu.Unlock()
+	conns := p.server.Conns()
+	for _, link := range links {
+		if conn := link.current(); conn != nil {
+			conns = append(conns, conn)
+		}
+	}
+	for _, conn := range conns {
+		// A failure means that the VM is lost too, or will hear of it elsewhere.
+		_ = conn.Notify(methodLost, nil)
+	}
+}
+
 // sendAnswer sends an answer to the VM that made the call. If that fails, the failure is only
 // logged.
 func (p *peerTransport) sendAnswer(conn *wire.Conn, ans *gatherAnswer) {
@@ -220,12 +243,12 @@
 }
 
 // ping implements peerClient. It checks that vm is alive, on the connection to it, and closes the
-// connection if the check fails. Without a connection it returns nil.
+// connection if the check fails. Without a connection it returns errNotConnected.
 func (p *peerTransport) ping(ctx context.Context, vm scatter.VM) error {
 	link := p.link(vm)
 	conn := link.current()
 	if conn == nil {
-		return nil
+		return errNotConnected
 	}
 	err := conn.Call(ctx, wire.MethodPing, nil, nil)
 	if err != nil {
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -80,27 +81,58 @@
 // call that fails, so next is always zero.
 func (n *Node) checkVMs(ctx context.Context) (probed bool, next time.Time) {
 	n.engine.mu.Lock()
-	due := n.engine.table.DueForLivenessCheck(time.Now())
+	due := n.engine.table.StartLivenessRound(time.Now())
 	client := n.engine.peerClient
 	n.engine.mu.Unlock()
 	forEachLimited(due, func(vm scatter.VM) { n.checkVM(ctx, client, vm) })
+	if len(due) > 0 && n.engine.endLivenessRound() {
+		n.log.Info("several VMs are lost; telling the others", "checked", len(due))
+		client.reportLoss()
+	}
 	return len(due) > 0, time.Time{}
 }
 
+// isolated reports whether this VM, or its zone, is cut off from all other zones.
+func (e *Engine) isolated() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Isolated(time.Now())
+}
+
+// endLivenessRound records the end of a round of liveness checks, and reports whether to tell
+// other VMs of the loss of VMs.
+func (e *Engine) endLivenessRound() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.EndLivenessRound(time.Now())
+}
+
+// lossReported handles another VM's report that VMs were lost. It requests a round of liveness
+// checks, and reports whether to pass the report on.
+func (e *Engine) lossReported() bool {
+	e.mu.Lock()
+	passOn := e.table.LossReported(time.Now())
+	e.mu.Unlock()
+	e.livenessCheckDue.notify()
+	return passOn
+}
+
 // checkVM pings one VM. If the check fails, the VM is not called until it can be reached on a
-// new connection.
+// new connection. A VM without a connection is not checked.
 func (n *Node) checkVM(ctx context.Context, client peerClient, vm scatter.VM) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	err := client.ping(ctx, vm)
-	if err == nil {
+	if errors.Is(err, errNotConnected) {
 		return
 	}
 	n.engine.mu.Lock()
-	n.engine.table.LivenessCheckFailed(time.Now(), vm.Name)
+	n.engine.table.RecordLivenessCheck(time.Now(), vm.Name, err == nil)
 	n.engine.mu.Unlock()
-	n.engine.suspectVMs.notify()
-	n.log.Info("VM does not say that it lives", "vm", vm.Name, "zone", vm.Zone, "error", err)
+	if err != nil {
+		n.engine.suspectVMs.notify()
+		n.log.Info("VM does not say that it lives", "vm", vm.Name, "zone", vm.Zone, "error", err)
+	}
 }
 
 // probeVMs tries to connect to the VMs that did not answer. It is a round of probeLoop: it
--- a/edge/probe_test.go
+++ b/edge/probe_test.go
@@ -12,6 +12,7 @@
 	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
+	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
 // silentPeerClient is a peerClient for which the VM named silentVM does not answer pings.
@@ -53,3 +54,30 @@
 	g.Expect(called).To(gomega.ConsistOf("vm-d"))
 	g.Expect(n.engine.suspectVMs).To(gomega.Receive(), "suspects are to be probed")
 }
+
+// Guards against VMs that hear nothing of the loss of a zone: a report must reach the VMs at both
+// ends of a connection, whichever of them opened it, and be passed on once.
+func TestReportOfLostVMsReachesBothEndsOfAConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	join := func(name string) (*Engine, *peerTransport, scatter.VM) {
+		e := NewEngine(EngineOptions{Self: name, Zone: name, Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+		key := make([]byte, 32)
+		p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: name, Incarnation: name}, "127.0.0.1:0", key, logging.Discard())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(p.close)
+		e.setPeerClient(p)
+		return e, p, scatter.VM{Name: name, Zone: name, Address: p.server.Addr().String(), Key: string(key)}
+	}
+	engineA, peersA, _ := join("a")
+	engineB, peersB, b := join("b")
+	_, err := peersA.connect(t.Context(), b)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(engineA.lossReported()).To(gomega.BeTrue(), "to be passed on")
+	<-engineA.livenessCheckDue
+	peersA.reportLoss()
+	g.Eventually(engineB.livenessCheckDue).Should(gomega.Receive(), "from the VM that dialled")
+	g.Eventually(engineA.livenessCheckDue).Should(gomega.Receive(), "passed on to the VM that dialled")
+	g.Consistently(engineB.livenessCheckDue, "200ms").ShouldNot(gomega.Receive(), "passed on once by each")
+	peersB.reportLoss()
+	g.Eventually(engineA.livenessCheckDue).Should(gomega.Receive())
+}
--- a/edge/run.go
+++ b/edge/run.go
@@ -170,7 +170,11 @@
 	r.e.mu.Lock()
 	defer r.e.mu.Unlock()
 	now := time.Now()
-	return f(now), r.query.Wake(now)
+	acts := f(now)
+	if r.e.table.LivenessCheckRequested() {
+		r.e.livenessCheckDue.notify()
+	}
+	return acts, r.query.Wake(now)
 }
 
 // handleEvent passes an event to the query, and returns the results of step.
--- a/scatter/delegate_test.go
+++ b/scatter/delegate_test.go
@@ -444,7 +444,7 @@
 	w.table.SetVMs(w.now, vms)
 	for _, v := range vms {
 		if v.Zone == "lost" {
-			w.table.LivenessCheckFailed(w.now, v.Name)
+			w.table.RecordLivenessCheck(w.now, v.Name, false)
 		}
 	}
 	for range 10 {
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -53,6 +53,7 @@
 		return
 	}
 	c.acked = true
+	q.table.zoneFound(c.partition.zone)
 	c.ackDue = time.Time{}
 	if c.writtenAt.IsZero() {
 		return
@@ -86,8 +87,8 @@
 // silent or lost are queried through another owner.
 
 // failOverOverdueCalls handles the calls whose answer or acknowledgement is overdue. If the
-// called VM has sent no message, the call fails over to another VM. Otherwise this VM sends the
-// shards to leafs itself.
+// called VM has sent no message, the call fails over to another VM, and a check of all VMs that this
+// one calls is requested. Otherwise this VM sends the shards to leafs itself.
 func (q *Query) failOverOverdueCalls(now time.Time) []Action {
 	var acts []Action
 	for id := CallID(1); int(id) <= len(q.calls); id++ {
@@ -101,6 +102,7 @@
 			// them a second time.
 			acts = append(acts, q.sendDirectly(now, id)...)
 		} else {
+			q.table.liveness.request(now)
 			acts = append(acts, q.failOver(now, id, true)...)
 		}
 	}
--- a/scatter/liveness_test.go
+++ b/scatter/liveness_test.go
@@ -23,17 +23,17 @@
 	w.gatheredShards("other", "third")
 	vms := fleetOf(8, "other", "third")
 	w.table.SetVMs(w.now, vms)
-	w.Expect(w.table.DueForLivenessCheck(w.now)).To(gomega.BeEmpty())
+	w.Expect(w.table.StartLivenessRound(w.now)).To(gomega.BeEmpty())
 	delegates := w.table.Delegates(w.now)
 	silent := delegates[0]
 	w.table.CallEnded(w.now, silent.Name, EndSilent)
-	due := w.table.DueForLivenessCheck(w.now)
+	due := w.table.StartLivenessRound(w.now)
 	w.Expect(due).NotTo(gomega.BeEmpty())
 	w.Expect(due).NotTo(gomega.ContainElement(silent), "it is already suspect")
-	w.Expect(w.table.DueForLivenessCheck(w.now)).To(gomega.BeEmpty(), "one round is enough")
+	w.Expect(w.table.StartLivenessRound(w.now)).To(gomega.BeEmpty(), "one round is enough")
 
 	lost := due[0]
-	w.table.LivenessCheckFailed(w.now, lost.Name)
+	w.table.RecordLivenessCheck(w.now, lost.Name, false)
 	w.Expect(w.table.Delegates(w.now)).NotTo(gomega.ContainElement(lost))
 	w.wait(firstProbePause)
 	suspects, _ := w.table.SuspectVMs(w.now)
@@ -51,7 +51,7 @@
 	const seconds = 5
 	for range seconds * 100 {
 		w.table.CallEnded(w.now, w.table.Delegates(w.now)[0].Name, EndSilent)
-		if len(w.table.DueForLivenessCheck(w.now)) > 0 {
+		if len(w.table.StartLivenessRound(w.now)) > 0 {
 			rounds++
 		}
 		for _, vm := range vms {
@@ -61,3 +61,70 @@
 	}
 	w.Expect(rounds).To(gomega.BeNumerically("<=", seconds+1))
 }
+
+// Guards against a zone that is never called again: all of its VMs that this one calls were silent,
+// and then one of them was reached, or all of them were replaced.
+func TestLostZoneIsCalledAgain(t *testing.T) {
+	lose := func() (*world, []VM) {
+		w := newWorld(t)
+		w.gatheredShards("other", "third")
+		vms := fleetOf(8, "other", "third")
+		w.table.SetVMs(w.now, vms)
+		w.table.liveness.request(w.now)
+		for _, v := range w.table.StartLivenessRound(w.now) {
+			w.table.RecordLivenessCheck(w.now, v.Name, v.Zone != "other")
+		}
+		w.Expect(w.table.EndLivenessRound(w.now)).To(gomega.BeTrue(), "others are told")
+		w.Expect(w.table.EndLivenessRound(w.now)).To(gomega.BeFalse(), "others are told once")
+		for _, v := range w.table.Delegates(w.now) {
+			w.Expect(v.Zone).To(gomega.Equal("third"), "other owners of the zone are not called either")
+		}
+		return w, vms
+	}
+	zones := func(w *world) map[string]bool {
+		list := map[string]bool{}
+		for _, v := range w.table.Delegates(w.now) {
+			list[v.Zone] = true
+		}
+		return list
+	}
+	w, _ := lose()
+	w.wait(firstProbePause)
+	suspects, _ := w.table.SuspectVMs(w.now)
+	w.Expect(suspects).NotTo(gomega.BeEmpty())
+	w.table.RecordVMProbe(w.now, suspects[0].Name, true)
+	w.Expect(zones(w)).To(gomega.HaveLen(2))
+
+	w, vms := lose()
+	for i := range vms {
+		vms[i].Address = "new"
+	}
+	w.table.SetVMs(w.now, vms)
+	w.Expect(zones(w)).To(gomega.HaveLen(2))
+}
+
+// Guards against callers that stay with a VM, or with all VMs of a zone, that is cut off from the
+// other zones and lacks most shards. A loss of power that ends soon, and one of all zones but one,
+// must not turn callers away.
+func TestVMThatIsCutOffCountsAsIsolated(t *testing.T) {
+	for _, others := range [][]string{{"other"}, {"other", "third"}} {
+		w := newWorld(t)
+		w.gatheredShards(append(others, homeZone)...)
+		w.table.SetVMs(w.now, fleetOf(8, append(others, homeZone)...))
+		round := func(alive func(VM) bool) {
+			w.wait(livenessPause)
+			w.table.liveness.request(w.now)
+			for _, v := range w.table.StartLivenessRound(w.now) {
+				w.table.RecordLivenessCheck(w.now, v.Name, alive(v))
+			}
+			w.table.EndLivenessRound(w.now)
+		}
+		round(func(v VM) bool { return v.Zone == homeZone })
+		w.Expect(w.table.Isolated(w.now)).To(gomega.BeFalse(), "only just")
+		w.wait(isolationPeriod)
+		w.Expect(w.table.Isolated(w.now)).To(gomega.Equal(len(others) >= minOtherZones))
+		suspects, _ := w.table.SuspectVMs(w.now)
+		w.table.RecordVMProbe(w.now, suspects[0].Name, true)
+		w.Expect(w.table.Isolated(w.now)).To(gomega.BeFalse(), "reaches a VM of another zone")
+	}
+}
--- a/scatter/suspicion.go
+++ b/scatter/suspicion.go
@@ -77,48 +77,12 @@
 	case alive:
 		v.suspicion = suspicion{}
 		v.cooldown = cooldown{}
+		t.zoneFound(v.Zone)
 	default:
 		v.suspicion.probeFailed(now, maxVMProbePause)
 	}
 }
 
-// livenessRound schedules a liveness check of all VMs that this one calls, after one of them
-// was silent.
-//
-// VMs fail together: those of a rack, a zone or a network. A request whose call detects that a VM
-// is lost may get no answers for the shards of that call. Since a VM calls many others, this would
-// happen to many requests. The check finds the other lost VMs before requests do.
-type livenessRound struct {
-	requested bool      // a check of all VMs that this one calls has to be started
-	lastAt    time.Time // when the latest check was started
-}
-
-// livenessPause is the minimum time between two rounds of liveness checks by this VM. In a
-// round, a VM sends a message to each VM that it calls. If all VMs make a round, each of them
-// gets one message from each of the VMs that call it.
-const livenessPause = time.Second
-
-// request requests a round, unless the latest one was started less than livenessPause ago.
-func (r *livenessRound) request(now time.Time) { r.requested = now.Sub(r.lastAt) >= livenessPause }
-
-// DueForLivenessCheck returns the VMs whose liveness has to be checked now. If a round of checks
-// was requested, these are all VMs that this one calls, and the round counts as started.
-// Otherwise there are none.
-func (t *Table) DueForLivenessCheck(now time.Time) []VM {
-	if !t.liveness.requested {
-		return nil
-	}
-	t.liveness = livenessRound{lastAt: now}
-	return t.Delegates(now)
-}
-
-// LivenessCheckFailed records that a VM did not answer a liveness check: it becomes suspect.
-func (t *Table) LivenessCheckFailed(now time.Time, name string) {
-	if v := t.vms[name]; v != nil {
-		v.suspicion.raise(now)
-	}
-}
-
 // SuspectLeafs returns the suspect leafs that have to be probed now: a new connection to each
 // shows whether it can be reached. next is when to call SuspectLeafs again for the other suspect
 // leafs, zero if there are none.
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -31,6 +31,8 @@
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
+	lostZones       map[string]bool    // zones of which all VMs that this one calls are silent
+	isolatedSince   time.Time          // when all other zones were found lost; zero if they are not
 	evacuatedZones  []string           // zones whose leafs get no requests
 	coldConfig      ColdConfig         // limits of requests to cold leafs
 	callRefusalRate failureRate        // share of calls that other VMs refuse
@@ -76,6 +78,8 @@
 		durations:    make(map[durationKey]*latency.Recorder),
 		ackTimes:     make(map[string]ackTime),
 		coldConfig:   defaultColdConfig,
+		lostZones:    make(map[string]bool),
+		liveness:     newLivenessRound(),
 	}
 	t.partitionZones(time.Time{})
 	return t
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -46,6 +46,7 @@
 		t.members[v.Name] = memberInfo{zone: v.Zone, power: v.Power, lastListed: now}
 	}
 	t.vms = next
+	t.forgetLostZones()
 	t.partitionZones(now)
 	t.vmsKnown = true
 }
@@ -74,11 +75,11 @@
 )
 
 // delegates returns the VMs that this one calls for a leaf partition: up to
-// delegatesPerPartition of its owners. Those in cooldown or under suspicion, those named in
+// delegatesPerPartition of its owners. There are none in a zone that counts as lost. Those in cooldown or under suspicion, those named in
 // except, and those with too little power are left out.
 func (t *Table) delegates(now time.Time, p zonePartition, except []string) []*vm {
 	z := t.zones[p.zone]
-	if z == nil {
+	if z == nil || t.zoneLost(p.zone) {
 		return nil
 	}
 	var list []*vm
--- a/wire/server.go
+++ b/wire/server.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,13 @@
 // Addr returns the listener's address.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
+// Conns returns the authenticated connections that are open.
+func (s *Server) Conns() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // Stop closes the listener and all connections, and waits until their handlers have
 // returned.
 func (s *Server) Stop() {
