--- a/edge/handler.go
+++ b/edge/handler.go
@@ -129,6 +129,7 @@
 	return &Request{
 		ID:       e.headerCodec.RequestID(r.Header),
 		AnswerBy: path.answerBy(start, route.Aim),
+		DueAt:    start.Add(route.Aim - path.oneWay),
 		Deadline: arrived.Add(timeout - answerMargin),
 		Top:      route.Top,
 		HTTP: &leafhttp.Request{
--- a/edge/log.go
+++ b/edge/log.go
@@ -22,6 +22,7 @@
 		"manifest", version,
 		"verdict", out.Verdict.String(),
 		"status", res.Status,
+		"shards", len(route.Gather),
 		"missing", out.Missing,
 		"gaps", formatGaps(out.Gaps, route.Gather),
 		"sent", out.Sent,
@@ -30,6 +31,7 @@
 		"calls", out.Called,
 		"ms", took.Milliseconds(),
 		"left_ms", time.Until(req.Deadline).Milliseconds(),
+		"late_ms", max(time.Since(req.DueAt), 0).Milliseconds(),
 	)...)
 }
 
--- /dev/null
+++ b/explain/day.go
@@ -0,0 +1,272 @@
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// DayOptions says how a DayReader values answers.
+type DayOptions struct {
+	Window     time.Duration      // length of the windows of a report; 0 for two seconds
+	LateCredit float64            // credit of a late answer, from 0 to 1
+	Weights    map[string]float64 // by route: what one of its requests counts; 1 if not named, 0 to leave it out
+}
+
+// defaultWindow is the length of a window if DayOptions names none.
+const defaultWindow = 2 * time.Second
+
+// Account says what became of a number of requests. The credit of an answer in time is the square
+// of the share of shards that it holds; that of a late answer is LateCredit times that; a request
+// without an answer earns nothing. All but the counts are weighted by route.
+type Account struct {
+	Name    string             `json:"name"` // of the window, route or zone
+	Asked   int                `json:"asked"`
+	InTime  int                `json:"in_time"`
+	Late    int                `json:"late"`
+	Refused int                `json:"refused"`
+	Failed  int                `json:"failed"`
+	Owed    float64            `json:"owed"`   // credit if each request were answered in time and whole
+	Earned  float64            `json:"earned"` // credit that was earned
+	Lost    map[string]float64 `json:"lost"`   // credit that was lost, by cause
+}
+
+// Day says where the credit of all requests in the logs of daemons was lost.
+type Day struct {
+	Total   Account   `json:"total"`
+	Windows []Account `json:"windows"` // by time, without those in which nothing was asked
+	Routes  []Account `json:"routes"`  // by name
+	Zones   []Account `json:"zones"`   // by name, of the VMs that the requests came to; empty if the logs don't tell
+	Unread  int       `json:"unread"`  // lines that hold no valid JSON object, empty lines excepted
+}
+
+// DayReader sums up the requests in daemons' logs. Each attempt of a caller is a request of its own,
+// since logs don't show which of them belong together. It is not safe for concurrent use.
+type DayReader struct {
+	options  DayOptions
+	requests []dayRequest
+	unread   int
+}
+
+// dayRequest is what the log says of one request.
+type dayRequest struct {
+	at      time.Time
+	route   string
+	zone    string
+	outcome string  // inTime, late, refused or failed
+	credit  float64 // earned, from 0 to 1
+	cause   string  // why credit was lost; empty if none was
+}
+
+// The outcomes of a request.
+const (
+	inTime  = "in time"
+	late    = "late"
+	refused = "refused"
+	failed  = "failed"
+)
+
+// NewDayReader returns a reader without requests.
+func NewDayReader(options DayOptions) *DayReader {
+	if options.Window <= 0 {
+		options.Window = defaultWindow
+	}
+	return &DayReader{options: options}
+}
+
+// Read reads one log. It returns an error if reading fails or a line is longer than maxLineBytes.
+func (r *DayReader) Read(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLineBytes)
+	zones := make(map[string]string) // by the daemon's name in the text before a line, if any
+	for scanner.Scan() {
+		prefix, line, ok := parseObject(scanner.Text())
+		if !ok {
+			r.unread++
+			continue
+		}
+		if line == nil {
+			continue
+		}
+		daemon := lastWord(prefix)
+		if line[slog.MessageKey] == messageStarted {
+			zones[daemon], _ = line["zone"].(string)
+		}
+		r.add(line, zones[daemon])
+	}
+	return scanner.Err()
+}
+
+// messageStarted is the message of the first line of each daemon.
+const messageStarted = "started"
+
+// parseObject splits a log line into the JSON object, nil for an empty line, and the text before it,
+// where log collectors may name the machine. It returns false if a line that is not empty holds no
+// object.
+func parseObject(text string) (prefix string, line map[string]any, ok bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return "", nil, strings.TrimSpace(text) == ""
+	}
+	err := json.Unmarshal([]byte(text[start:]), &line)
+	return text[:start], line, err == nil
+}
+
+// lastWord returns the last word of a text, empty if there is none.
+func lastWord(text string) string {
+	words := strings.Fields(text)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
+// add adds the request that a line is about, if it is about the end of one.
+func (r *DayReader) add(line map[string]any, zone string) {
+	stamp, _ := line[slog.TimeKey].(string)
+	at, _ := time.Parse(time.RFC3339Nano, stamp)
+	req := dayRequest{at: at, zone: zone}
+	req.route, _ = line["route"].(string)
+	switch line[slog.MessageKey] {
+	case messageRefused:
+		if line["status"] == float64(http.StatusNotFound) {
+			return // the manifest does not allow the request
+		}
+		req.outcome, req.cause = refused, fmt.Sprintf("refused: %v", line["why"])
+	case messageRequest:
+		if line["verdict"] == "abandoned" {
+			return // nothing is owed to a caller that has left
+		}
+		r.judge(&req, line)
+	default:
+		return
+	}
+	if r.weight(req.route) > 0 {
+		r.requests = append(r.requests, req)
+	}
+}
+
+// judge sets what became of a request by its line.
+func (r *DayReader) judge(req *dayRequest, line map[string]any) {
+	number := func(name string) float64 {
+		n, _ := line[name].(float64)
+		return n
+	}
+	cause := mainGap(fmt.Sprint(line["gaps"]))
+	verdict := fmt.Sprint(line["verdict"])
+	switch {
+	case verdict == "not_run":
+		req.outcome, req.cause = refused, "refused: "+cause
+	case verdict != "answered":
+		req.outcome, req.cause = failed, fmt.Sprintf("%s: %s", verdict, cause)
+	default:
+		share := 1.0
+		if shards := number("shards"); shards > 0 {
+			share = 1 - number("missing")/shards
+		}
+		req.outcome, req.credit = inTime, share*share
+		if share < 1 {
+			req.cause = "left out: " + cause
+		}
+		if number("late_ms") > 0 {
+			req.outcome, req.credit, req.cause = late, req.credit*r.options.LateCredit, "late: "+cause
+		}
+	}
+}
+
+// mainGap returns the cause of most gaps in the field gaps of a line, or "other" if it names none.
+func mainGap(gaps string) string {
+	most, cause := 0, "other"
+	for part := range strings.SplitSeq(gaps, "; ") {
+		var name string
+		var n int
+		if _, err := fmt.Sscanf(part, "%s %d:", &name, &n); err == nil && n > most {
+			most, cause = n, name
+		}
+	}
+	return cause
+}
+
+// Day returns the account of the requests read so far.
+func (r *DayReader) Day() Day {
+	slices.SortStableFunc(r.requests, func(a, b dayRequest) int { return a.at.Compare(b.at) })
+	day := Day{Unread: r.unread, Total: newAccount("all")}
+	if len(r.requests) == 0 {
+		return day
+	}
+	first := r.requests[0].at
+	windows, routes, zones := map[int]*Account{}, map[string]*Account{}, map[string]*Account{}
+	for _, req := range r.requests {
+		n := int(req.at.Sub(first) / r.options.Window)
+		accounts := []*Account{
+			&day.Total,
+			accountOf(windows, n, (time.Duration(n) * r.options.Window).String()),
+			accountOf(routes, req.route, req.route),
+		}
+		if req.zone != "" {
+			accounts = append(accounts, accountOf(zones, req.zone, req.zone))
+		}
+		for _, a := range accounts {
+			a.add(req, r.weight(req.route))
+		}
+	}
+	day.Windows, day.Routes, day.Zones = sortedAccounts(windows), sortedAccounts(routes), sortedAccounts(zones)
+	return day
+}
+
+// weight returns what one request of a route counts.
+func (r *DayReader) weight(route string) float64 {
+	if w, ok := r.options.Weights[route]; ok {
+		return w
+	}
+	return 1
+}
+
+// newAccount returns an account without requests.
+func newAccount(name string) Account { return Account{Name: name, Lost: make(map[string]float64)} }
+
+// accountOf returns the account with a key, and adds one if there is none.
+func accountOf[K comparable](accounts map[K]*Account, key K, name string) *Account {
+	if accounts[key] == nil {
+		a := newAccount(name)
+		accounts[key] = &a
+	}
+	return accounts[key]
+}
+
+// sortedAccounts returns accounts by key.
+func sortedAccounts[K cmp.Ordered](accounts map[K]*Account) []Account {
+	var list []Account
+	for _, key := range slices.Sorted(maps.Keys(accounts)) {
+		list = append(list, *accounts[key])
+	}
+	return list
+}
+
+// add adds a request.
+func (a *Account) add(req dayRequest, weight float64) {
+	a.Asked++
+	switch req.outcome {
+	case inTime:
+		a.InTime++
+	case late:
+		a.Late++
+	case refused:
+		a.Refused++
+	default:
+		a.Failed++
+	}
+	a.Owed += weight
+	a.Earned += weight * req.credit
+	if req.cause != "" {
+		a.Lost[req.cause] += weight * (1 - req.credit)
+	}
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -3,7 +3,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -64,16 +63,12 @@
 // parseLine adds a line of the log source to the report if it has the request's id, and
 // counts it in Report.Unread if it can't be parsed.
 func (r *Reader) parseLine(source, text string) {
-	start := strings.IndexByte(text, '{')
-	if start < 0 {
-		if strings.TrimSpace(text) != "" {
-			r.report.Unread++
-		}
+	_, fields, ok := parseObject(text)
+	if !ok {
+		r.report.Unread++
 		return
 	}
-	var fields map[string]any
-	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
-		r.report.Unread++
+	if fields == nil {
 		return
 	}
 	if fields["request"] != r.report.Request {
--- a/latency/latency.go
+++ b/latency/latency.go
@@ -59,12 +59,21 @@
 }
 
 // mergeInterval is the least time between two merges of a Recorder's windows: a merge costs
-// far too much to be done for each shard of a query.
-const mergeInterval = 100 * time.Millisecond
+// far too much to be done for each shard of a query, and for each query of a VM that gets one a
+// second. It is short compared with a window. Until there are enough samples, merges are more
+// frequent.
+const (
+	mergeInterval      = time.Second
+	firstMergeInterval = 100 * time.Millisecond
+)
 
 // merge updates merged and drops the cached quantiles, at most once per mergeInterval.
 func (r *Recorder) merge(now time.Time) {
-	if r.merged != nil && now.Sub(r.mergedAt) < mergeInterval {
+	interval := firstMergeInterval
+	if r.merged != nil && r.merged.TotalCount() >= minSamples {
+		interval = mergeInterval
+	}
+	if r.merged != nil && now.Sub(r.mergedAt) < interval {
 		return
 	}
 	r.merged = r.hist.Merge()
--- a/operator/app.go
+++ b/operator/app.go
@@ -80,6 +80,7 @@
 			a.restoreHeadCommand(),
 			a.explainCommand(),
 			a.explainRequestCommand(),
+			a.explainDayCommand(),
 		},
 	}
 	forEachCommand(root, func(c *cli.Command) {
--- a/operator/explain_request.go
+++ b/operator/explain_request.go
@@ -43,23 +43,13 @@
 		return reader.Report(), errors.Trace(err)
 	}
 	for _, path := range paths {
-		if err := readLog(reader, path); err != nil {
+		if err := readFile(path, func(log io.Reader) error { return reader.Read(path, log) }); err != nil {
 			return explain.Report{}, result.Wrap(result.BadRequest, err, "log")
 		}
 	}
 	return reader.Report(), nil
 }
 
-// readLog passes the log file at path to reader.
-func readLog(reader *explain.Reader, path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer file.Close()
-	return errors.Annotate(reader.Read(path, io.Reader(file)), path)
-}
-
 // requestTable returns the text form of report.
 func requestTable(report explain.Report) table {
 	t := table{rows: [][]string{{"request", report.Request}, {"cause", report.Cause}}}
--- a/scatter/view.go
+++ b/scatter/view.go
@@ -77,17 +77,21 @@
 	if s == nil {
 		return nil
 	}
-	var leafs []*leaf
+	// All shards of a request are ranked, so each leaf is hashed once, and few leafs need no
+	// memory besides the result.
+	type rankedLeaf struct {
+		id     LeafID
+		inZone bool
+		rank   uint64
+	}
+	leafs := make([]rankedLeaf, 0, 8)
 	for _, l := range s.leafs {
 		if l.inService() {
-			leafs = append(leafs, l)
+			leafs = append(leafs, rankedLeaf{id: l.id, inZone: l.Zone == zone, rank: rank(request, l.ID)})
 		}
 	}
-	slices.SortFunc(leafs, func(a, b *leaf) int {
-		return cmp.Or(
-			cmpBool(a.Zone == zone, b.Zone == zone),
-			cmp.Compare(rank(request, a.ID), rank(request, b.ID)),
-		)
+	slices.SortFunc(leafs, func(a, b rankedLeaf) int {
+		return cmp.Or(cmpBool(a.inZone, b.inZone), cmp.Compare(a.rank, b.rank))
 	})
 	n := min(len(leafs), max(attempts-1, 1))
 	ids := make([]LeafID, 0, n)
@@ -162,5 +166,11 @@
 // ordered in the same way, with another text in place of the request's id and VM names in place
 // of leaf ids.
 func rank(request, leaf string) uint64 {
-	return xxhash.Sum64String(request + "/" + leaf)
+	var d xxhash.Digest
+	d.Reset()
+	// Writing to a digest can't fail.
+	_, _ = d.WriteString(request)
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(leaf)
+	return d.Sum64()
 }
