Weak VMs answer gathered requests earlier: margin by processor power

Change: the time for writing is 1 ms of a whole core, divided by the VM's power (5.2 ms at 0.192 cores, 1.25 at 0.8). A setting that VMs know anyway. The test needs the new parameter, so it was not seen failing before.

--- a/edge/elapsed.go
+++ b/edge/elapsed.go
@@ -84,19 +84,27 @@
 // reach the caller before the objective.
 const (
 	assumedOneWay        = 2 * time.Millisecond // one-way network time to a caller, if it is unknown
-	answerWriteTime      = 2 * time.Millisecond // time for writing the answer, without the part that grows with the latency objective
 	answerWriteTimeShare = 0.05                 // further time for writing the answer, as a share of the latency objective
+	// answerWork is the processor time, on a whole core, for merging and writing an answer and
+	// for what else is due at that moment. A VM with a part of a core takes longer.
+	answerWork = time.Millisecond
 )
 
-// answerBy returns the latest time to send the answer to a request that began at start. This is
-// early enough for the answer to reach the caller within the latency objective, but not before
+// answerWriteTime returns how long a VM of the given power, in cores, takes to write an answer,
+// without the part that grows with the latency objective.
+func answerWriteTime(power float64) time.Duration {
+	return time.Duration(float64(answerWork) / power)
+}
+
+// answerBy returns the latest time to send the answer to a request that began at start, if writing
+// the answer takes writeTime. This is early enough for the answer to reach the caller within the latency objective, but not before
 // half of the objective has passed.
-func (p callerPath) answerBy(start time.Time, objective time.Duration) time.Time {
+func (p callerPath) answerBy(start time.Time, objective, writeTime time.Duration) time.Time {
 	oneWay := p.oneWay
 	if oneWay == 0 {
 		oneWay = assumedOneWay
 	}
-	early := oneWay + answerWriteTime + time.Duration(answerWriteTimeShare*float64(objective))
+	early := oneWay + writeTime + time.Duration(answerWriteTimeShare*float64(objective))
 	return start.Add(max(objective-early, objective/2))
 }
 
--- a/edge/elapsed_test.go
+++ b/edge/elapsed_test.go
@@ -22,7 +22,7 @@
 	var unknown callerPath
 	start := now.Add(-unknown.elapsed(shortfall, objective))
 	g.Expect(start).To(gomega.Equal(now.Add(-shortfall)))
-	g.Expect(unknown.answerBy(start, objective).Add(oneWay)).To(gomega.BeTemporally("<", start.Add(objective)))
+	g.Expect(unknown.answerBy(start, objective, answerWriteTime(1)).Add(oneWay)).To(gomega.BeTemporally("<", start.Add(objective)))
 	// A request that is repeated after a failure gets the whole time again.
 	repeat := times.observe(now, "check", 900*time.Millisecond)
 	g.Expect(unknown.elapsed(repeat, objective)).To(gomega.BeZero())
@@ -39,7 +39,7 @@
 	ctx := withCallerConn(t.Context(), conn)
 	timeToAnswer := func(arrived time.Time) time.Duration {
 		path := callerPathOf(ctx, arrived)
-		return path.answerBy(arrived.Add(-path.elapsed(0, objective)), objective).Sub(arrived)
+		return path.answerBy(arrived.Add(-path.elapsed(0, objective)), objective, answerWriteTime(1)).Sub(arrived)
 	}
 	connectTime := 2 * oneWay
 	g.Expect(connectTime + oneWay + timeToAnswer(now) + oneWay).To(gomega.BeNumerically("<", objective))
@@ -78,3 +78,14 @@
 	}
 	g.Expect(times.observe(now, "check", 990*time.Millisecond)).To(gomega.BeZero())
 }
+
+// Guards against late answers of VMs with a small part of a core, which take several times as long
+// to write an answer as those with a whole one.
+func TestWeakVMAnswersEarlier(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const objective = 50 * time.Millisecond
+	start := time.Unix(1_000_000, 0)
+	weak := callerPath{}.answerBy(start, objective, answerWriteTime(0.2))
+	strong := callerPath{}.answerBy(start, objective, answerWriteTime(0.8))
+	g.Expect(strong.Sub(weak)).To(gomega.BeNumerically("~", answerWork*5-answerWork*5/4))
+}
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -16,6 +16,7 @@
 // Engine serves callers' requests, and the calls of other VMs. It is safe for concurrent use.
 type Engine struct {
 	headerCodec      HeaderCodec
+	answerWriteTime  time.Duration     // time for writing an answer to a caller
 	pool             *leafhttp.Pool    // connections to leafs
 	inForce          routing.InForce   // holds the manifest in force
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
@@ -53,6 +54,7 @@
 	table.SetColdConfig(opt.Cold)
 	return &Engine{
 		headerCodec:      opt.HeaderCodec,
+		answerWriteTime:  answerWriteTime(opt.Power),
 		pool:             leafhttp.NewPool(),
 		splitter:         routing.NewSplitter(),
 		elapsedTimes:     newElapsedTimes(),
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -128,7 +128,7 @@
 	start := arrived.Add(-path.elapsed(shortfall, route.Aim))
 	return &Request{
 		ID:       e.headerCodec.RequestID(r.Header),
-		AnswerBy: path.answerBy(start, route.Aim),
+		AnswerBy: path.answerBy(start, route.Aim, e.answerWriteTime),
 		DueAt:    start.Add(route.Aim - path.oneWay),
 		Deadline: arrived.Add(timeout - answerMargin),
 		Top:      route.Top,
