Shards are declined only if the leafs that both VMs may use differ

Change: a view is a hash of the common leafs only, those that both VMs may use. Both are restricted by these whatever else they know, so the bound of leafs for a request holds as before (TestVMsWithDifferentViewsUseNoMoreLeafsThanAllowed).

--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -35,8 +35,9 @@
 	InterimUS          int64       `cbor:"11,keyasint"` // time until an answer with the results so far must be sent
 	AnswerUS           int64       `cbor:"12,keyasint"` // time until the last answer must be sent
 	DeadlineUS         int64       `cbor:"13,keyasint"` // time until the deadline of the caller's request
-	// Views holds one hash for each of Services: of the set of usable leafs of the service that
-	// the calling VM knows. The called VM declines a shard if it knows another set.
+	// Views holds one hash for each of Services: of the leafs of the service that both VMs may
+	// use, as the calling VM has computed them. The called VM declines a shard if it computes
+	// other ones.
 	Views []scatter.View `cbor:"14,keyasint"`
 	// Required is how many of Services must answer so that the calling VM has enough shards
 	// for its caller; 0 if not stated.
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -179,10 +179,10 @@
 	views := make([]View, len(shards))
 	for n, i := range shards {
 		s := &q.shards[i]
-		views[n] = q.table.View(s.service)
 		s.call = id
 		s.redelegated = s.redelegated || redelegated
 		q.shareShard(s, v.Zone)
+		views[n] = viewOf(s.commonLeafs)
 		if !s.budgetCounted {
 			s.budgetCounted = true
 			q.table.service(now, s.service).budget.countRequest(now, q.spec.BudgetWeight*delegatedWeight)
--- a/scatter/evacuation.go
+++ b/scatter/evacuation.go
@@ -10,9 +10,8 @@
 //
 // A leaf of an evacuated zone is not usable: it gets no first attempt, hedge or retry, and no VM
 // is called so that it queries the leaf. Requests in flight end as usual. The zone's VMs still
-// serve callers and query leafs elsewhere. The evacuated leafs are left out of the views, like
-// draining ones. So a VM that does not know of an evacuation yet is declined, and the calling and
-// the called VM choose their common leafs from the same set.
+// serve callers and query leafs elsewhere. The evacuated leafs are never among the common leafs, like
+// draining ones. So a VM that does not know of an evacuation yet is declined where that matters.
 
 // SetEvacuatedZones sets the zones whose leafs get no requests. The leafs of a zone whose evacuation
 // ends may be cold, and count as such until their entries had time to say otherwise.
@@ -28,11 +27,7 @@
 
 // updateEvacuated records for a leaf whether its zone is evacuated.
 func (t *Table) updateEvacuated(l *leaf) {
-	evacuated := slices.Contains(t.evacuatedZones, l.Zone)
-	if evacuated != l.evacuated {
-		l.evacuated = evacuated
-		t.services[l.Service].viewKnown = false
-	}
+	l.evacuated = slices.Contains(t.evacuatedZones, l.Zone)
 }
 
 // gapWithoutLeaf returns why no leaf of the named service takes requests: GapEvacuated if a leaf
--- a/scatter/harness_test.go
+++ b/scatter/harness_test.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// viewsOf returns the views of a delegated request's shards, as a VM computes them that knows the
+// same leafs as this one.
+func (w *world) viewsOf(spec Spec) []View {
+	var views []View
+	for _, service := range spec.Services {
+		views = append(views, viewOf(w.table.commonLeafs(service, w.table.zone, spec.RequestID, spec.MaxAttempts)))
+	}
+	return views
+}
+
 // sends returns those of the actions that send a request to a leaf.
 func sends(acts []Action) []Send {
 	var out []Send
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -23,8 +23,8 @@
 	RequestID string
 	// Delegated says that another VM called this one for the request.
 	Delegated bool
-	// Views holds, for a delegated request, the calling VM's view of each service: a hash
-	// of the leafs that it knows. A shard is declined if this VM's view of it differs.
+	// Views holds, for a delegated request, the calling VM's view of each shard: a hash of
+	// its common leafs. A shard is declined if this VM's view of it differs.
 	Views []View
 	// Required is, for a delegated request, how many of the shards have to be answered so
 	// that the calling VM has enough for its caller; 0 if the calling VM did not set it.
@@ -69,7 +69,7 @@
 	VM          VM
 	SentAt      time.Time // when the query decided to make the call
 	Shards      []int     // indexes of the shards in the query
-	Views       []View    // for each of Shards, a hash of the leafs that the calling VM knows
+	Views       []View    // for each of Shards, a hash of the common leafs that the calling VM has computed
 	Required    int       // how many of Shards have to be answered so that the whole answer is sufficient
 	Redelegated bool      // another VM was called for the shards before and may have queried them
 	// InterimBy is when the called VM sends a first answer with the shards answered so far.
@@ -283,13 +283,13 @@
 	return q.conclude(now, acts)
 }
 
-// decline closes the shards for which this VM knows other leafs than the calling VM does. The
+// decline closes the shards for which this VM computes other common leafs than the calling VM did. The
 // calling VM queries them itself.
 func (q *Query) decline() {
 	for i := range q.shards {
 		s := &q.shards[i]
 		q.shareShard(s, q.table.zone)
-		s.declined = q.table.View(s.service) != q.spec.Views[i]
+		s.declined = viewOf(s.commonLeafs) != q.spec.Views[i]
 		if s.declined {
 			s.close(GapDeclined)
 		}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -49,8 +49,6 @@
 	coldFor        time.Duration // how long a leaf is cold after a start or an evacuation
 	waiting        int           // shards of this VM's queries that wait for a leaf of the service with capacity
 	gatheredOnly   bool          // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
-	view           View          // hash of the leafs that don't drain; valid if viewKnown
-	viewKnown      bool          // view is up to date; false after a change of the leafs
 }
 
 // durationKey identifies a kind of request. The durations of requests of one kind are comparable
@@ -115,7 +113,6 @@
 		return
 	}
 	s := t.service(now, change.Leaf.Service)
-	s.viewKnown = false
 	if old != nil {
 		old.Leaf = change.Leaf
 		t.updateEvacuated(old)
@@ -133,7 +130,6 @@
 func (t *Table) removeLeaf(l *leaf) {
 	delete(t.leafs, l.ID)
 	s := t.services[l.Service]
-	s.viewKnown = false
 	s.leafs = slices.DeleteFunc(s.leafs, func(o *leaf) bool { return o == l })
 }
 
--- a/scatter/view.go
+++ b/scatter/view.go
@@ -21,46 +21,34 @@
 // unreachable. If it too were restricted to the common leafs, every second request would get no
 // answer from a shard with two bad leafs of three, while a good leaf is idle.
 //
-// Both compute the same leafs only if both know the same list of leafs. A change of the list
-// reaches one VM up to some seconds before another, and much later if a VM can't reach the
-// store. Therefore a call carries a View, a hash of the calling VM's list, and the called VM
-// declines shards for which its own view differs.
+// Both compute the same leafs only if both know the same leafs that matter for it. A change of the
+// list of leafs reaches one VM up to some seconds before another, and much later if a VM can't reach
+// the store. Therefore a call carries a View of each shard, a hash of the common leafs that the
+// calling VM has computed, and the called VM declines shards for which it computes other ones. A
+// change of the shard's other leafs does not matter: each VM is restricted by the common leafs,
+// whatever else it knows.
 
-// View identifies the set of leafs that one VM knows of a service: it is a hash of the leafs'
-// ids and start times. Only leafs in service count: draining ones and those in evacuated zones
-// are left out. VMs that know the same leafs in service have the same view.
+// View identifies the common leafs that a VM has computed for a shard of a request: it is a hash of
+// their ids and start times. VMs with the same view have computed the same leafs.
 type View uint32
 
-// View returns this VM's view of a service: a hash of the leafs that it knows. It is 0 if the
-// service is unknown.
-func (t *Table) View(service string) View {
-	s := t.services[service]
-	if s == nil {
-		return 0
-	}
-	if !s.viewKnown {
-		s.view = viewOf(s.leafs)
-		s.viewKnown = true
-	}
-	return s.view
-}
-
 // viewVersion is the version of the rule that determines which of two VMs may use which leafs of a
 // shard. A release that changes the rule has to increase the version. The version is part of every
-// view, the hash of the leafs that a VM knows. So VMs of two versions have different views and
-// decline each other's shards during a rolling upgrade. Otherwise they might together use one leaf
-// more than a request allows.
-const viewVersion = 4
+// view. So VMs of two versions have different views and decline each other's shards during a rolling
+// upgrade. Otherwise they might together use one leaf more than a request allows.
+const viewVersion = 5
 
-// viewOf returns the hash of the ids and start times of those of the given leafs that are in
-// service.
-func viewOf(leafs []*leaf) View {
+// viewOf returns the view of a shard with the given common leafs.
+func viewOf(common []LeafID) View {
 	var sum uint64 = viewVersion
-	for _, l := range leafs {
-		if l.inService() {
-			// A sum does not depend on the order in which leafs became known.
-			sum += xxhash.Sum64String(l.ID + "/" + strconv.FormatInt(l.Born, 10))
-		}
+	var d xxhash.Digest
+	for _, id := range common {
+		d.Reset()
+		// Writing to a digest can't fail.
+		_, _ = d.WriteString(id.ID)
+		_, _ = d.Write(strconv.AppendInt([]byte{'/'}, id.Born, 10))
+		// A sum does not depend on the order of the leafs.
+		sum += d.Sum64()
 	}
 	return View(sum)
 }
