VMs that follow another one take its changes without a long pause

Cause: a VM that follows another one paused as long after a change (0.5 s for leafs) as the readers do, whose store calls are billed; so VMs of one zone knew different leafs for up to that time, and declined each other's shards. Change: 50 ms between two watches of a VM; the reader passes changes on in batches anyway.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -153,13 +153,26 @@
 			return err
 		}
 		revision = max(revision, next)
-		if changed || time.Since(began) < res.pause {
-			sleep(ctx, res.pause)
+		if pause := f.pauseAfter(res); changed || time.Since(began) < pause {
+			sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
 }
 
+// followedPause is the pause between two watches of a resource that this VM follows another VM for.
+// That VM pauses between its own watches of the store, so changes are passed on in batches anyway,
+// and the sooner all VMs of a zone know the same, the better they work together.
+const followedPause = 50 * time.Millisecond
+
+// pauseAfter returns the pause between two watches of a resource.
+func (f *follower) pauseAfter(res resource) time.Duration {
+	if r, ok := f.store.(*relay); ok && r.followsVM(res.name) {
+		return min(followedPause, res.pause)
+	}
+	return res.pause
+}
+
 // manifests returns the resource of the manifest.
 func (f *follower) manifests() resource {
 	// apply puts a manifest in force if it is newer than the present one; m may be nil.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -148,6 +148,20 @@
 	return vm, up.vm == vm.Name
 }
 
+// followsVM reports whether the latest full read of a resource was from another VM. It must be called
+// from the goroutine that reads the resource.
+func (r *relay) followsVM(resource string) bool {
+	switch resource {
+	case followedLeafs:
+		return r.leafsUpstream.vm != ""
+	case followedManifest:
+		return r.manifestUpstream.vm != ""
+	case followedEvacuations:
+		return r.evacuationsUpstream.vm != ""
+	}
+	return false
+}
+
 // read reads a resource as a whole from the VM to follow by fromVM. If there is none or that fails,
 // it reads from the store by fromStore, or returns errReadDeferred if this VM may not read the
 // store now. It records in up which of the two it was.
