A VM that knows no leaf yet says when to come back

Change: 503 with Retry-After 0.2 s, as without a manifest; nothing has run. Also a test of the pause of VMs that follow others.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -18,9 +18,9 @@
 // back.
 const answerMargin = 6 * time.Millisecond
 
-// retryWithoutManifest is the Retry-After time that callers get while no manifest is known. A
-// VM that has just started reads the manifest within a few hundred milliseconds.
-const retryWithoutManifest = 200 * time.Millisecond
+// retryAfterStart is the Retry-After time that callers get while no manifest or no leaf is known. A
+// VM that has just started reads both within a few hundred milliseconds.
+const retryAfterStart = 200 * time.Millisecond
 
 // ServeHTTP implements http.Handler for callers. No router runs before it that would clean
 // paths or send answers of its own, so only the manifest in force decides how a request is
@@ -29,7 +29,7 @@
 	arrived := time.Now()
 	m := e.inForce.Get()
 	if m == nil {
-		e.replyUnavailable(w, r, "no_manifest", retryWithoutManifest)
+		e.replyUnavailable(w, r, "no_manifest", 0, retryAfterStart)
 		return
 	}
 	if limit := m.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
@@ -44,6 +44,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if e.Leafs() == 0 {
+		e.replyUnavailable(w, r, "no_leafs", m.Version, retryAfterStart)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
 		e.rejectBody(w, r, err, m.Version)
@@ -217,10 +221,11 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
 
-// replyUnavailable answers 503 with Retry-After to a request that was sent to no leaf, because
-// there is no manifest in force. why is the reason for the log and the metrics.
-func (e *Engine) replyUnavailable(w http.ResponseWriter, r *http.Request, why string, retryAfter time.Duration) {
-	e.logRefusal(r, http.StatusServiceUnavailable, why, 0)
+// replyUnavailable answers 503 with Retry-After to a request that was sent to no leaf, because this
+// VM knows no manifest or no leaf yet. why is the reason for the log and the metrics, and version is
+// that of the manifest in force, 0 if there is none.
+func (e *Engine) replyUnavailable(w http.ResponseWriter, r *http.Request, why string, version int64, retryAfter time.Duration) {
+	e.logRefusal(r, http.StatusServiceUnavailable, why, version)
 	w.Header().Set("Retry-After", formatSeconds(retryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -108,3 +108,16 @@
 	neverRead := listAge{failed: true}
 	g.Expect(neverRead.missingLeafHold(start, false, bound)).To(gomega.Equal(registry.OutageHold))
 }
+
+// Guards against VMs of one zone that know different leafs for half a second after each change. A VM
+// that follows another one need not pause as long as one whose store calls are billed.
+func TestVMThatFollowsAnotherOnePausesBriefly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newFollowingRelay(&listingStore{}, noPeerClient{})
+	f := &follower{store: r}
+	leafs := f.leafs()
+	g.Expect(f.pauseAfter(leafs)).To(gomega.Equal(leafsChangePause), "reads the store")
+	r.leafsUpstream = upstream{vm: "vm-1"}
+	g.Expect(f.pauseAfter(leafs)).To(gomega.Equal(followedPause))
+	g.Expect(f.pauseAfter(f.manifests())).To(gomega.Equal(manifestChangePause), "the manifest is read from the store")
+}
