Liveness checks and reports of lost VMs don't wait for dials

Cause: the connection to a VM is locked while it is dialled, up to 0.3 s at a lost VM, and checks and reports waited for that, just when a zone is lost. Change: they pass over connections that are being dialled. The test was seen failing with the former code (timed out; at first it hung and was made robust). TestFrozenOwnerComesBack and TestRecallWhileRegionsAreApart stay: whether they have the same cause was not shown.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -138,7 +138,7 @@
 	p.mu.Unlock()
 	conns := p.server.Conns()
 	for _, link := range links {
-		if conn := link.current(); conn != nil {
+		if conn := link.currentUnlessDialing(); conn != nil {
 			conns = append(conns, conn)
 		}
 	}
@@ -246,7 +246,7 @@
 // connection if the check fails. Without a connection it returns errNotConnected.
 func (p *peerTransport) ping(ctx context.Context, vm scatter.VM) error {
 	link := p.link(vm)
-	conn := link.current()
+	conn := link.currentUnlessDialing()
 	if conn == nil {
 		return errNotConnected
 	}
@@ -302,6 +302,20 @@
 	return l.conn
 }
 
+// currentUnlessDialing is current, but returns nil at once while the connection is being dialled. A
+// VM that is lost may hold up a dial until its timeout, and the checks that find out which VMs are
+// lost must not wait for that.
+func (l *peerLink) currentUnlessDialing() *wire.Conn {
+	if !l.mu.TryLock() {
+		return nil
+	}
+	defer l.mu.Unlock()
+	if !l.connOpen() {
+		return nil
+	}
+	return l.conn
+}
+
 // connOpen reports whether there is an open connection. The caller must hold l.mu.
 func (l *peerLink) connOpen() bool {
 	if l.conn == nil {
--- a/edge/probe_test.go
+++ b/edge/probe_test.go
@@ -81,3 +81,23 @@
 	peersB.reportLoss()
 	g.Eventually(engineA.livenessCheckDue).Should(gomega.Receive())
 }
+
+// Guards against liveness checks and reports of lost VMs that wait for a dial to a lost VM, which
+// takes the whole dial timeout.
+func TestLivenessChecksDoNotWaitForADial(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := NewEngine(EngineOptions{Self: "a", Zone: "a", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: "a", Incarnation: "a"}, "127.0.0.1:0", make([]byte, 32), logging.Discard())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(p.close)
+	lost := scatter.VM{Name: "lost", Address: "127.0.0.1:1"}
+	link := p.link(lost)
+	link.mu.Lock() // as while it is being dialled
+	t.Cleanup(link.mu.Unlock)
+	done := make(chan error, 1)
+	go func() {
+		p.reportLoss()
+		done <- p.ping(t.Context(), lost)
+	}()
+	g.Eventually(done).Should(gomega.Receive(gomega.MatchError(errNotConnected)))
+}
