--- a/edge/elapsed.go
+++ b/edge/elapsed.go
@@ -97,8 +97,8 @@
 }
 
 // answerBy returns the latest time to send the answer to a request that began at start, if writing
-// the answer takes writeTime. This is early enough for the answer to reach the caller within the latency objective, but not before
-// half of the objective has passed.
+// the answer takes writeTime. This is early enough for the answer to reach the caller within the
+// latency objective, but not before half of the objective has passed.
 func (p callerPath) answerBy(start time.Time, objective, writeTime time.Duration) time.Time {
 	oneWay := p.oneWay
 	if oneWay == 0 {
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -27,7 +27,7 @@
 	manifest    *routing.Manifest        // in force; nil before the first
 	evacuations *Evacuations             // in force; nil before the first
 	changed     chan struct{}            // closed and replaced at each change of the feed
-	lastSuccess map[string]time.Time     // by followedLeafs, followedManifest or followedEvacuations: when the store last answered about it
+	lastSuccess map[string]time.Time     // by name of a followed resource: when the store last answered about it
 
 	packedList     []byte // leafs, encoded by pack; nil if they have changed since
 	packedManifest []byte // document of manifest, encoded by pack; nil if it has changed since
@@ -112,15 +112,16 @@
 	f.changed = make(chan struct{})
 }
 
-// recordSuccess records that the store answered about a resource, a followed resource.
+// recordSuccess records that the store answered about a followed resource.
 func (f *feed) recordSuccess(resource string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastSuccess[resource] = time.Now()
 }
 
-// recordFailure records that a store call about a followed resource failed. Calls of VMs that follow this one stop waiting and fail, so that
-// these VMs can read from elsewhere at once: the store may be rejecting this VM alone.
+// recordFailure records that a store call about a followed resource failed. Calls of VMs that
+// follow this one stop waiting and fail, so that these VMs can read from elsewhere at once: the
+// store may be rejecting this VM alone.
 func (f *feed) recordFailure(resource string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -128,7 +129,8 @@
 	f.notifyWaiters()
 }
 
-// isFresh reports whether the store last answered about a followed resource less than maxStaleness ago.
+// isFresh reports whether the store last answered about a followed resource less than maxStaleness
+// ago.
 func (f *feed) isFresh(resource string, maxStaleness time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -63,8 +63,9 @@
 	announcer *announcer // writes this VM's entry in the list of VMs
 	// listen starts accepting calls of other VMs. It does nothing after the first success.
 	listen func(self scatter.VM) error
-	// followResources starts following the leafs, the manifest and evacuations. It is called when the
-	// list of VMs has been read, or when listen fails. It does nothing after the first call.
+	// followResources starts following the leafs, the manifest and evacuations. It is called
+	// when the list of VMs has been read, or when listen fails. It does nothing after the
+	// first call.
 	followResources func()
 }
 
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -91,6 +91,11 @@
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_dropped_total %d\n", discarded)
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_idle %d\n", e.pool.Idle())
 	fmt.Fprintf(w, "bramley_edge_leafs %d\n", e.Leafs())
+	isolated := 0
+	if e.isolated() {
+		isolated = 1
+	}
+	fmt.Fprintf(w, "bramley_edge_isolated %d\n", isolated)
 	if zones, known := e.evacuatedZones(); known {
 		fmt.Fprintf(w, "bramley_edge_evacuated_zones %d\n", zones)
 	}
