--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -182,8 +182,8 @@
 
 // eta returns the expected time from now until a shard answers. It is the time until the answer of
 // the leaf that is expected to answer first, plus the time for this VM's queries that already wait
-// for a leaf of the shard. Suspect leafs and those too cold for another request don't count. If no other leaf may be used, the result is
-// the constant never.
+// for a leaf of the shard. Suspect leafs and those too cold for another request don't count. If no
+// other leaf may be used, the result is the constant never.
 func (q *Query) eta(now time.Time, s *shard) time.Duration {
 	typical, _ := q.table.typicalDuration(now, q.durationKey())
 	best := time.Duration(never)
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -74,9 +74,9 @@
 	minDelegatePowerShare = 0.5
 )
 
-// delegates returns the VMs that this one calls for a leaf partition: up to
-// delegatesPerPartition of its owners. There are none in a zone that counts as lost. Those in cooldown or under suspicion, those named in
-// except, and those with too little power are left out.
+// delegates returns the VMs that this one calls for a leaf partition: up to delegatesPerPartition of
+// its owners. There are none in a zone that counts as lost. Owners in cooldown or under suspicion,
+// those named in except, and those with too little power are left out.
 func (t *Table) delegates(now time.Time, p zonePartition, except []string) []*vm {
 	z := t.zones[p.zone]
 	if z == nil || t.zoneLost(p.zone) {
