--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -9,7 +9,7 @@
 // Evacuations is the set of zones whose leafs must get no requests, as the store lists it.
 type Evacuations struct {
 	Zones    []string // sorted
-	Invalid  int      // number of invalid entries, which are not in Zones
+	Invalid  []string // names of invalid entries, which are not in Zones; sorted
 	Revision Revision // revision of the store at which the set was read
 }
 
@@ -80,7 +80,7 @@
 
 // evacuationsResource returns the resource of the set of evacuated zones.
 func (f *follower) evacuationsResource() resource {
-	invalid := 0          // number of invalid entries at the last read
+	var invalid []string  // names of the invalid entries at the last read
 	var freshAt time.Time // when the set was last known to be up to date; zero if never
 	// apply puts a set in force if it is newer than the present one; next may be nil.
 	apply := func(next *Evacuations) {
@@ -93,16 +93,16 @@
 		if next == nil {
 			return
 		}
-		if next.Invalid > 0 && next.Invalid != invalid {
-			f.log.Warn("invalid evacuation entries ignored", "count", next.Invalid, "revision", next.Revision)
+		if len(next.Invalid) > 0 && !slices.Equal(next.Invalid, invalid) {
+			f.log.Warn("invalid evacuation entries ignored", "entries", next.Invalid, "revision", next.Revision)
 		}
 		invalid = next.Invalid
 		begun, ended := f.e.offerEvacuations(*next)
 		for _, zone := range begun {
-			f.log.Info("zone evacuated", "zone", zone, "revision", next.Revision, "age_ms_at_most", stale.Milliseconds(), "leafs", f.e.leafsIn(zone))
+			f.log.Info("zone evacuated", "zone", zone, "revision", next.Revision, "max_age_ms", stale.Milliseconds(), "leafs", f.e.leafsIn(zone))
 		}
 		for _, zone := range ended {
-			f.log.Info("evacuation of a zone ended", "zone", zone, "revision", next.Revision, "age_ms_at_most", stale.Milliseconds())
+			f.log.Info("evacuation of a zone ended", "zone", zone, "revision", next.Revision, "max_age_ms", stale.Milliseconds())
 		}
 	}
 	return resource{
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -86,8 +86,8 @@
 }
 
 // setEvacuations replaces the set of evacuated zones, and wakes the calls of VMs that wait for a
-// newer one. It does so even if the zones are the same: a VM that follows this one may have heard
-// elsewhere of an evacuation that began and ended while this VM was not told of changes.
+// newer one. It does so even if the zones are the same: a VM that follows this one may know from
+// another VM of an evacuation that began and ended while this VM received no changes.
 func (f *feed) setEvacuations(next Evacuations) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -161,9 +161,9 @@
 	return ctx.Err()
 }
 
-// followedPause is the pause between two watches of a resource that this VM follows another VM for.
-// That VM pauses between its own watches of the store, so changes are passed on in batches anyway,
-// and the sooner all VMs of a zone know the same, the better they work together.
+// followedPause is the pause between two watches of a resource that this VM reads from another VM.
+// That VM pauses between its own watches of the store, so changes arrive in batches anyway. VMs that
+// know different leafs decline each other's shards, so the lag has to be short.
 const followedPause = 50 * time.Millisecond
 
 // pauseAfter returns the pause between two watches of a resource.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -143,8 +143,10 @@
 		}
 	}
 	for _, conn := range conns {
-		// A failure means that the VM is lost too, or will hear of it elsewhere.
-		_ = conn.Notify(methodLost, nil)
+		// The VM at the other end may be lost itself, or be told by others.
+		if err := conn.Notify(methodLost, nil); err != nil {
+			p.log.Debug("telling a VM of lost VMs failed", "vm", conn.Peer().VM, "error", err)
+		}
 	}
 }
 
@@ -275,8 +277,8 @@
 func (l *peerLink) ensureConn(ctx context.Context, vm scatter.VM, p *peerTransport) (*wire.Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.connOpen() {
-		return l.conn, nil
+	if conn := l.openConn(); conn != nil {
+		return conn, nil
 	}
 	opts := p.opts
 	opts.Keys = [][]byte{[]byte(vm.Key)}
@@ -296,10 +298,7 @@
 func (l *peerLink) current() *wire.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.connOpen() {
-		return nil
-	}
-	return l.conn
+	return l.openConn()
 }
 
 // currentUnlessDialing is current, but returns nil at once while the connection is being dialled. A
@@ -310,22 +309,19 @@
 		return nil
 	}
 	defer l.mu.Unlock()
-	if !l.connOpen() {
-		return nil
-	}
-	return l.conn
+	return l.openConn()
 }
 
-// connOpen reports whether there is an open connection. The caller must hold l.mu.
-func (l *peerLink) connOpen() bool {
+// openConn returns the connection, nil if none is open. The caller must hold l.mu.
+func (l *peerLink) openConn() *wire.Conn {
 	if l.conn == nil {
-		return false
+		return nil
 	}
 	select {
 	case <-l.conn.Done():
-		return false
+		return nil
 	default:
-		return true
+		return l.conn
 	}
 }
 
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -85,11 +85,14 @@
 	client := n.engine.peerClient
 	n.engine.mu.Unlock()
 	forEachLimited(due, func(vm scatter.VM) { n.checkVM(ctx, client, vm) })
-	if len(due) > 0 && n.engine.endLivenessRound() {
-		n.log.Info("several VMs are lost; telling the others", "checked", len(due))
+	if len(due) == 0 {
+		return false, time.Time{}
+	}
+	if found := n.engine.endLivenessRound(); found.Report {
+		n.log.Info("several VMs are lost; telling the others", "checked", len(due), "silent", found.Silent, "lost_zones", found.LostZones)
 		client.reportLoss()
 	}
-	return len(due) > 0, time.Time{}
+	return true, time.Time{}
 }
 
 // isolated reports whether this VM, or its zone, is cut off from all other zones.
@@ -99,9 +102,8 @@
 	return e.table.Isolated(time.Now())
 }
 
-// endLivenessRound records the end of a round of liveness checks, and reports whether to tell
-// other VMs of the loss of VMs.
-func (e *Engine) endLivenessRound() bool {
+// endLivenessRound records the end of a round of liveness checks, and returns what it found.
+func (e *Engine) endLivenessRound() scatter.RoundResult {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.table.EndLivenessRound(time.Now())
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -86,9 +86,6 @@
 
 // config returns the limits in the form that package scatter uses.
 func (c ColdSettings) config() scatter.ColdConfig {
-	if c == (ColdSettings{}) {
-		return scatter.ColdConfig{Excess: 1}
-	}
 	return scatter.ColdConfig{Excess: c.Excess, Slack: c.Slack}
 }
 
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -51,7 +51,10 @@
 }
 
 // Second says what became of the requests that came in one second.
-type Second struct{ Asked, InTime int }
+type Second struct {
+	Asked, InTime int
+	CalledLost    int // requests for which a lost VM was called
+}
 
 // Model plays one run. Faults are added with At before Run.
 type Model struct {
@@ -211,7 +214,7 @@
 		Services: m.services, Gathered: true, Idempotent: true, MaxAttempts: m.config.MaxAttempts, MinShare: m.config.MinShare,
 		LatencyObjective: m.config.Objective, AnswerBy: began.Add(m.config.Objective - m.config.ToCaller - answerMargin),
 		Deadline: began.Add(m.config.Deadline), MayDelegate: true, RequestID: fmt.Sprintf("%016x", m.rng.Uint64()), BudgetWeight: 1,
-	}, func(out scatter.Outcome) {
+	}, second, func(out scatter.Outcome) {
 		if m.record(out, m.now.Add(m.config.ToCaller).Sub(began)) {
 			second.InTime++
 		}
--- a/internal/lab/model/query.go
+++ b/internal/lab/model/query.go
@@ -17,16 +17,17 @@
 
 // query is a request in progress at a VM: a caller's, or a call of another VM.
 type query struct {
-	m     *Model
-	vm    *vm
-	spec  scatter.Spec
-	query *scatter.Query
-	ended bool
-	ticks int // number of ticks scheduled so far; only the latest one counts
+	m          *Model
+	vm         *vm
+	spec       scatter.Spec
+	query      *scatter.Query
+	ended      bool
+	calledLost bool // a lost VM was called
+	ticks      int  // number of ticks scheduled so far; only the latest one counts
 	// shards is the shard of each attempt.
 	shards map[scatter.AttemptID]int
-	// finish is called with the outcome.
-	finish func(scatter.Outcome)
+	second *Second               // account of a caller's request; nil for a call of another VM
+	finish func(scatter.Outcome) // called with the outcome
 }
 
 // Times of the network and of calls that don't matter for what is compared.
@@ -36,9 +37,10 @@
 	livenessAfter = 150 * time.Millisecond // time after which a liveness check has failed
 )
 
-// start starts a request at a VM.
-func (m *Model) start(v *vm, spec scatter.Spec, finish func(scatter.Outcome)) *query {
-	q := &query{m: m, vm: v, spec: spec, query: scatter.NewQuery(spec, v.table), shards: make(map[scatter.AttemptID]int), finish: finish}
+// start starts a request at a VM. second is the account of a caller's request, nil for a call of
+// another VM.
+func (m *Model) start(v *vm, spec scatter.Spec, second *Second, finish func(scatter.Outcome)) *query {
+	q := &query{m: m, vm: v, spec: spec, second: second, query: scatter.NewQuery(spec, v.table), shards: make(map[scatter.AttemptID]int), finish: finish}
 	q.execute(q.query.Start(m.now))
 	return q
 }
@@ -104,6 +106,10 @@
 	q.query.CallSent(m.now, c.Call)
 	peer := m.vms[c.VM.Name]
 	if peer.lost {
+		if q.second != nil && !q.calledLost {
+			q.calledLost = true
+			q.second.CalledLost++
+		}
 		m.at(c.AnswerBy.Add(callLinger), func() {
 			q.vm.table.CallEnded(m.now, c.VM.Name, scatter.EndSilent)
 			q.execute(q.query.CallFail(m.now, c.Call, false))
@@ -165,7 +171,7 @@
 			Included: included(out.Parts), Last: true, Refused: out.Verdict == scatter.NotRun, RetryAfter: out.RetryAfter,
 		})
 	}
-	q = m.start(v, spec, finish)
+	q = m.start(v, spec, nil, finish)
 	if declined := q.query.Declined(); len(declined) > 0 {
 		m.result.Declined += len(declined)
 		reply(scatter.CallAnswer{Declined: slices.Clone(declined)})
@@ -191,7 +197,7 @@
 		for _, other := range due {
 			v.table.RecordLivenessCheck(m.now, other.Name, !m.vms[other.Name].lost)
 		}
-		if v.table.EndLivenessRound(m.now) {
+		if v.table.EndLivenessRound(m.now).Report {
 			m.reportLoss(v)
 		}
 	})
--- a/scatter/cold.go
+++ b/scatter/cold.go
@@ -37,13 +37,19 @@
 	coldDelaySpread = 100 * time.Millisecond
 )
 
-// defaultColdConfig is in force until SetColdConfig is called: the number that the service states is
-// the limit.
-var defaultColdConfig = ColdConfig{Excess: 1}
-
-// SetColdConfig sets the limits for cold leafs.
+// SetColdConfig sets the limits for cold leafs. Until then, and if both are 0, the number that the
+// service states is the limit.
 func (t *Table) SetColdConfig(config ColdConfig) { t.coldConfig = config }
 
+// coldLimit returns how many requests per second all VMs together may send to a cold leaf of the
+// service.
+func (t *Table) coldLimit(s *service) float64 {
+	if t.coldConfig == (ColdConfig{}) {
+		return s.coldPerSecond
+	}
+	return s.coldPerSecond*t.coldConfig.Excess + t.coldConfig.Slack
+}
+
 // coldLimiter records when this VM recently sent requests to one leaf, oldest first.
 type coldLimiter []time.Time
 
@@ -78,12 +84,11 @@
 	if !slices.ContainsFunc(first, func(v zoneMember) bool { return v.name == t.self }) {
 		return 0
 	}
-	limit := t.services[l.Service].coldPerSecond*t.coldConfig.Excess + t.coldConfig.Slack
-	return int(limit / (warmingVMs * coldMargin))
+	return int(t.coldLimit(t.services[l.Service]) / (warmingVMs * coldMargin))
 }
 
-// admitsCold reports whether this VM may send one more request to the leaf as far as it may be
-// cold. A leaf is limited only if its service states a number of requests per second.
+// admitsCold reports whether the limit for cold leafs allows this VM one more request to the leaf. A
+// warm leaf, and one whose service states no number of requests per second, is not limited.
 func (t *Table) admitsCold(now time.Time, l *leaf) bool {
 	if t.services[l.Service].coldPerSecond <= 0 || !l.isCold(now) {
 		return true
--- a/scatter/liveness.go
+++ b/scatter/liveness.go
@@ -1,6 +1,10 @@
 package scatter
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // livenessRound schedules liveness checks of all VMs that this one calls, after one of them was
 // silent, and keeps what the latest round found.
@@ -28,7 +32,8 @@
 	livenessPause = time.Second
 	// minLostVMs is the number of silent VMs from which they count as lost together: the other
 	// VMs are told, and if no VM of their zone has answered, the zone counts as lost. A single
-	// silent VM is no matter for others, since its shards are queried through another owner.
+	// silent VM among others that answer is not reported, since its shards are queried through
+	// another owner.
 	minLostVMs = 2
 )
 
@@ -79,12 +84,19 @@
 	}
 }
 
-// EndLivenessRound records that the checks of a round have ended. Zones of which several VMs are
-// suspect and none answered count as lost. It reports whether to tell other VMs that VMs were lost.
-func (t *Table) EndLivenessRound(now time.Time) (report bool) {
-	silent := 0
+// RoundResult is what a round of liveness checks found.
+type RoundResult struct {
+	Silent    int      // number of VMs that did not answer
+	LostZones []string // zones that count as lost; sorted
+	Report    bool     // other VMs have to be told that VMs were lost
+}
+
+// EndLivenessRound records that the checks of a round have ended, and returns what it found. Zones of
+// which several VMs are suspect and none answered count as lost.
+func (t *Table) EndLivenessRound(now time.Time) RoundResult {
+	var result RoundResult
 	for zone, n := range t.liveness.silent {
-		silent += n
+		result.Silent += n
 		if t.liveness.answered[zone] == 0 && t.suspectsIn(zone) >= min(minLostVMs, t.vmsIn(zone)) {
 			t.lostZones[zone] = true
 		}
@@ -92,7 +104,9 @@
 	if t.isolatedSince.IsZero() && t.otherZonesLost() {
 		t.isolatedSince = now
 	}
-	return silent >= minLostVMs && t.liveness.passOn(now)
+	result.LostZones = slices.Sorted(maps.Keys(t.lostZones))
+	result.Report = result.Silent >= minLostVMs && t.liveness.passOn(now)
+	return result
 }
 
 // LossReported records that another VM reports a loss of VMs: this VM makes a liveness round of its
--- a/scatter/liveness_test.go
+++ b/scatter/liveness_test.go
@@ -74,8 +74,10 @@
 		for _, v := range w.table.StartLivenessRound(w.now) {
 			w.table.RecordLivenessCheck(w.now, v.Name, v.Zone != "other")
 		}
-		w.Expect(w.table.EndLivenessRound(w.now)).To(gomega.BeTrue(), "others are told")
-		w.Expect(w.table.EndLivenessRound(w.now)).To(gomega.BeFalse(), "others are told once")
+		found := w.table.EndLivenessRound(w.now)
+		w.Expect(found.Report).To(gomega.BeTrue(), "others are told")
+		w.Expect(found.LostZones).To(gomega.Equal([]string{"other"}))
+		w.Expect(w.table.EndLivenessRound(w.now).Report).To(gomega.BeFalse(), "others are told once")
 		for _, v := range w.table.Delegates(w.now) {
 			w.Expect(v.Zone).To(gomega.Equal("third"), "other owners of the zone are not called either")
 		}
@@ -108,6 +110,7 @@
 // must not turn callers away.
 func TestVMThatIsCutOffCountsAsIsolated(t *testing.T) {
 	for _, others := range [][]string{{"other"}, {"other", "third"}} {
+		cutOff := len(others) == 2 // with one other zone, either may be the one that is lost
 		w := newWorld(t)
 		w.gatheredShards(append(others, homeZone)...)
 		w.table.SetVMs(w.now, fleetOf(8, append(others, homeZone)...))
@@ -122,7 +125,7 @@
 		round(func(v VM) bool { return v.Zone == homeZone })
 		w.Expect(w.table.Isolated(w.now)).To(gomega.BeFalse(), "only just")
 		w.wait(isolationPeriod)
-		w.Expect(w.table.Isolated(w.now)).To(gomega.Equal(len(others) >= minOtherZones))
+		w.Expect(w.table.Isolated(w.now)).To(gomega.Equal(cutOff))
 		suspects, _ := w.table.SuspectVMs(w.now)
 		w.table.RecordVMProbe(w.now, suspects[0].Name, true)
 		w.Expect(w.table.Isolated(w.now)).To(gomega.BeFalse(), "reaches a VM of another zone")
--- a/scatter/loss_test.go
+++ b/scatter/loss_test.go
@@ -132,7 +132,7 @@
 		for _, v := range due {
 			t.RecordLivenessCheck(m.now, v.Name, v.Zone != "lost")
 		}
-		if t.EndLivenessRound(m.now) {
+		if t.EndLivenessRound(m.now).Report {
 			m.report(name)
 		}
 	})
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -75,7 +75,6 @@
 		members:      make(map[string]memberInfo),
 		durations:    make(map[durationKey]*latency.Recorder),
 		ackTimes:     make(map[string]ackTime),
-		coldConfig:   defaultColdConfig,
 		lostZones:    make(map[string]bool),
 		liveness:     newLivenessRound(),
 	}
