Record that small fleets learn of a lost zone late; a test that is red

Cause: with three VMs a zone each VM calls one VM of another zone. When the zone is lost, a round of liveness checks finds one silent VM, below the two from which VMs tell each other and a zone counts as lost. Each VM then finds the loss by lost requests of its own, up to two each.

Ruled out: telling others of zones in which all called VMs were silent, without counting the zone as lost.

Change: TestLossOfAZoneIsKnownInASmallFleet in internal/lab/model, seen red, listed in KNOWN-RED.txt. No decision of the product changes.

--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
+	"github.com/bramleybarrow/bramleybarrow/internal/knownred"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/targetsim"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
@@ -148,7 +149,7 @@
 // test failed, the last lines of the processes' logs are printed.
 func start(t *testing.T, cfg clusterConfig) *cluster {
 	t.Helper()
-	skipKnownRed(t)
+	knownred.Skip(t)
 	c := &cluster{WithT: gomega.NewWithT(t), t: t, config: cfg.withDefaults()}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	c.ctx = ctx
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/bramleybarrow/bramleybarrow/internal/knownred"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -74,3 +75,23 @@
 	}
 	g.Expect(r.Failed + r.Refused + r.Late).To(gomega.BeNumerically("<", r.PerSecond[1].Asked))
 }
+
+// Guards against zones whose loss stays unknown in a small fleet, where each VM calls a single VM of the
+// zone and so never finds several silent at once: from the second after the loss on, no request is to
+// call a lost VM.
+func TestLossOfAZoneIsKnownInASmallFleet(t *testing.T) {
+	knownred.Skip(t)
+	for seed := range uint64(4) {
+		g := gomega.NewWithT(t)
+		config := shifted()
+		config.Seed = seed + 1
+		config.VMsPerZone, config.StrongPerZone, config.Shards, config.PerSecond = 3, 1, 20, 60
+		m := New(config)
+		m.At(0, func() { m.LoseZone("d") })
+		for n, second := range m.Run(4 * time.Second).PerSecond {
+			if n >= 1 {
+				g.Expect(second.CalledLost).To(gomega.BeZero(), "seed %d, second %d", config.Seed, n)
+			}
+		}
+	}
+}
