--- a/explain/day.go
+++ b/explain/day.go
@@ -39,13 +39,21 @@
 	Lost    map[string]float64 `json:"lost"`   // credit that was lost, by cause
 }
 
+// Share returns a part of the credit, earned or lost, as a share of what was owed, 0 if nothing was.
+func (a *Account) Share(credit float64) float64 {
+	if a.Owed == 0 {
+		return 0
+	}
+	return credit / a.Owed
+}
+
 // Day says where the credit of all requests in the logs of daemons was lost.
 type Day struct {
 	Total   Account   `json:"total"`
 	Windows []Account `json:"windows"` // by time, without those in which nothing was asked
 	Routes  []Account `json:"routes"`  // by name
 	Zones   []Account `json:"zones"`   // by name, of the VMs that the requests came to; empty if the logs don't tell
-	Unread  int       `json:"unread"`  // lines that hold no valid JSON object, empty lines excepted
+	Unread  int       `json:"unread"`  // lines that hold no valid JSON object or no valid time, empty lines excepted
 }
 
 // DayReader sums up the requests in daemons' logs. Each attempt of a caller is a request of its own,
@@ -131,9 +139,7 @@
 
 // add adds the request that a line is about, if it is about the end of one.
 func (r *DayReader) add(line map[string]any, zone string) {
-	stamp, _ := line[slog.TimeKey].(string)
-	at, _ := time.Parse(time.RFC3339Nano, stamp)
-	req := dayRequest{at: at, zone: zone}
+	req := dayRequest{zone: zone}
 	req.route, _ = line["route"].(string)
 	switch line[slog.MessageKey] {
 	case messageRefused:
@@ -149,9 +155,17 @@
 	default:
 		return
 	}
-	if r.weight(req.route) > 0 {
-		r.requests = append(r.requests, req)
+	if r.weight(req.route) == 0 {
+		return
+	}
+	stamp, _ := line[slog.TimeKey].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil {
+		r.unread++
+		return
 	}
+	req.at = at
+	r.requests = append(r.requests, req)
 }
 
 // judge sets what became of a request by its line.
--- a/explain/day_test.go
+++ b/explain/day_test.go
@@ -60,3 +60,24 @@
 	g := gomega.NewWithT(t)
 	g.Expect(NewDayReader(DayOptions{}).Day().Total.Asked).To(gomega.BeZero())
 }
+
+// Guards against a request without a readable time that counts as one of the year 1, so that the
+// windows of all others begin from there.
+func TestLineWithoutATimeIsUnread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewDayReader(DayOptions{})
+	g.Expect(r.Read(strings.NewReader(`{"msg":"request","time":"noon","route":"one","verdict":"answered"}
+{"msg":"request","time":"2026-01-01T00:00:01Z","route":"one","verdict":"answered"}
+`))).To(gomega.Succeed())
+	day := r.Day()
+	g.Expect(day.Unread).To(gomega.Equal(1))
+	g.Expect(day.Windows).To(gomega.HaveLen(1))
+	g.Expect(day.Windows[0].Name).To(gomega.Equal("0s"))
+}
+
+// Guards against a share of credit that is counted of a whole request where less is owed.
+func TestShareOfCreditOfLightRoutes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect((&Account{Owed: 0.5, Earned: 0.25}).Share(0.25)).To(gomega.Equal(0.5))
+	g.Expect((&Account{}).Share(0)).To(gomega.BeZero())
+}
--- a/operator/explain_day.go
+++ b/operator/explain_day.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -33,8 +34,12 @@
 			if err != nil {
 				return err
 			}
+			lateCredit := c.Float("late-credit")
+			if !(lateCredit >= 0 && lateCredit <= 1) {
+				return result.Errorf(result.BadRequest, "late-credit: found %v, allowed is a number from 0 to 1", lateCredit)
+			}
 			day, err := readDay(explain.DayOptions{
-				Window: c.Duration("window"), LateCredit: c.Float("late-credit"), Weights: weights,
+				Window: c.Duration("window"), LateCredit: lateCredit, Weights: weights,
 			}, c.Args().Slice())
 			if err != nil {
 				return err
@@ -50,7 +55,7 @@
 	for _, text := range list {
 		route, number, _ := strings.Cut(text, "=")
 		weight, err := strconv.ParseFloat(number, 64)
-		if err != nil || weight < 0 || route == "" {
+		if err != nil || !(weight >= 0 && weight <= math.MaxFloat64) || route == "" {
 			return nil, result.Errorf(result.BadRequest, "weight: found %q, allowed is ROUTE=WEIGHT with a weight from 0", text)
 		}
 		weights[route] = weight
@@ -88,7 +93,7 @@
 	t := table{header: []string{"", "asked", "in time", "late", "refused", "failed", "credit", "lost by cause"}}
 	row := func(a explain.Account) {
 		t.add(a.Name, strconv.Itoa(a.Asked), strconv.Itoa(a.InTime), strconv.Itoa(a.Late), strconv.Itoa(a.Refused),
-			strconv.Itoa(a.Failed), fmt.Sprintf("%.3f", a.Earned/max(a.Owed, 1)), lossText(a))
+			strconv.Itoa(a.Failed), fmt.Sprintf("%.3f", a.Share(a.Earned)), lossText(a))
 	}
 	row(day.Total)
 	for _, group := range [][]explain.Account{day.Windows, day.Routes, day.Zones} {
@@ -112,7 +117,7 @@
 	})
 	var parts []string
 	for _, cause := range causes[:min(len(causes), maxLossCauses)] {
-		parts = append(parts, fmt.Sprintf("%s %.3f", cause, a.Lost[cause]/a.Owed))
+		parts = append(parts, fmt.Sprintf("%s %.3f", cause, a.Share(a.Lost[cause])))
 	}
 	return strings.Join(parts, ", ")
 }
