What a VM has read of the store is passed on once it is in force

Cause, found at a reading: a VM that reads the store for others counted as fresh from the store's answer on, before what it had read was in force. A VM that follows it and listed in that moment got what was in force before: of one that has just started, no leafs and no evacuated zones. The follower dropped its leafs, or counted as knowing of evacuations and so as ready, and could send requests to the leafs of a zone evacuated long ago. The moment is short, but VMs of a part of a core are paused in it, and after a loss of all VMs many list at once. So it was for all three resources; for leafs and the manifest since VMs follow each other.

Ruled out: to refuse only a list without a set of evacuations. The list of leafs has the same fault, and a store without leafs must be told from it.

Change: the success of a read counts once the follower's loop has put it in force (relay.recordApplied). Until then followers are told that there is no recent answer, as before the read, and ask another VM or the store.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -130,6 +130,9 @@
 			f.log.Info("store regained", "reading", res.name, "failures", failures, "revision", revision)
 			failures = 0
 		}
+		if r, ok := f.store.(*relay); ok {
+			r.recordApplied(res.name)
+		}
 		began := time.Now()
 		err = f.watch(ctx, res, revision)
 		f.log.Debug("watch ended", "reading", res.name, "error", err)
@@ -183,7 +186,7 @@
 		}
 	}
 	return resource{
-		name: "manifest",
+		name: followedManifest,
 		read: func(ctx context.Context) (Revision, error) {
 			m, revision, err := f.store.Manifest(ctx)
 			apply(m)
@@ -204,7 +207,7 @@
 func (f *follower) leafs() resource {
 	var age listAge
 	return resource{
-		name: "leafs",
+		name: followedLeafs,
 		read: func(ctx context.Context) (Revision, error) {
 			list, err := f.store.Leafs(ctx)
 			if err != nil {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -318,11 +318,11 @@
 	return &set, 0, nil
 }
 
-// recordListing records the result of a full read of a resource from the store. It passes the result to the feed, so that VMs that follow
-// this one are notified of a failure. After a failure it also delays the next read.
+// recordListing records the result of a full read of a resource from the store. After a failure it
+// delays the next read, and VMs that follow this one are notified. A success is passed on by
+// recordApplied.
 func (r *relay) recordListing(resource string, err error) {
 	if err == nil {
-		r.e.feed.recordSuccess(resource)
 		r.delayRead(0)
 		return
 	}
@@ -334,6 +334,15 @@
 	r.storeFailed = true
 }
 
+// recordApplied records that what the latest full read of a resource returned is in force in this VM.
+// If it came from the store, VMs that follow this one can have it from now on. Were they answered
+// earlier, a VM that has just started would tell them that there are no leafs and no evacuated zones.
+func (r *relay) recordApplied(resource string) {
+	if !r.followsVM(resource) {
+		r.e.feed.recordSuccess(resource)
+	}
+}
+
 // takeStoreFailed reports whether a read of the store by this VM itself has failed since leafs were
 // last listed, and clears storeFailed. Failed calls to a VM that reads the store for others do not
 // count, and neither do failed reads of the store by that VM.
@@ -345,10 +354,10 @@
 	return failed
 }
 
-// recordWatch records the result of a watch of a resource in the store. A failed watch is ignored, because the full read that follows immediately shows
-// whether the store is lost. If a failed watch counted as a loss, all VMs that follow this one
-// would read the store themselves whenever the store ends its watches. This would take as many
-// calls as without a relay.
+// recordWatch records the result of a watch of a resource in the store. A failed watch is ignored,
+// because the full read that follows immediately shows whether the store is lost. If a failed watch
+// counted as a loss, all VMs that follow this one would read the store themselves whenever the store
+// ends its watches. This would take as many calls as without a relay.
 func (r *relay) recordWatch(resource string, err error) {
 	if err == nil {
 		r.e.feed.recordSuccess(resource)
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -121,3 +122,58 @@
 	g.Expect(f.pauseAfter(leafs)).To(gomega.Equal(followedPause))
 	g.Expect(f.pauseAfter(f.manifests())).To(gomega.Equal(manifestChangePause), "the manifest is read from the store")
 }
+
+// answeringStore is a Store that answers each read, with one leaf, no manifest and no evacuated zone.
+type answeringStore struct{ listingStore }
+
+// Manifest returns no manifest.
+func (*answeringStore) Manifest(context.Context) (*routing.Manifest, Revision, error) {
+	return nil, 1, nil
+}
+
+// Evacuations returns an empty set.
+func (*answeringStore) Evacuations(context.Context) (Evacuations, error) {
+	return Evacuations{Revision: 1}, nil
+}
+
+// Guards against a VM that passes on what it had before its first read of the store, which is no leafs
+// and no evacuated zones, because the store has answered that read: VMs that follow it would drop
+// their leafs, or count as ready without knowing of an evacuation.
+func TestReadThatIsNotInForceYetIsNotPassedOn(t *testing.T) {
+	store := &answeringStore{}
+	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), peerClient: noPeerClient{}}
+	e.table = scatter.NewTable(scatter.VM{Name: "vm-1", Zone: "a"}, scatter.BudgetConfig{}, time.Now(), rand.New(rand.NewPCG(1, 2)))
+	r := newRelay(store, e, time.Minute)
+	f := &follower{e: e, store: r, log: logging.Discard()}
+	for _, c := range []struct {
+		name, method string
+		read         func(context.Context) error
+	}{
+		{followedLeafs, methodFollowLeafs, func(ctx context.Context) error { _, err := r.Leafs(ctx); return err }},
+		{followedManifest, methodFollowManifest, func(ctx context.Context) error { _, _, err := r.Manifest(ctx); return err }},
+		{followedEvacuations, methodFollowEvacuations, func(ctx context.Context) error { _, err := r.Evacuations(ctx); return err }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			serve := func() error {
+				_, err := e.serveFollow(ctx, c.method, &followCall{List: true, MaxStalenessMS: time.Minute.Milliseconds()})
+				return err
+			}
+			f.follow(ctx, resource{
+				name: c.name,
+				read: func(ctx context.Context) (Revision, error) {
+					g.Expect(c.read(ctx)).To(gomega.Succeed())
+					g.Expect(serve()).To(gomega.MatchError(errStoreStale), "the store has answered; nothing is in force yet")
+					return 1, nil
+				},
+				watch: func(context.Context, Revision) (Revision, bool, error) {
+					g.Expect(serve()).To(gomega.Succeed(), "what was read is in force")
+					cancel()
+					return 0, false, ctx.Err()
+				},
+			})
+		})
+	}
+}
