Failed searches name their attempts in the log

Callers sometimes got 503 with code 400 while an owner was frozen (TestNearOwnerFrozenAndKilledInMidQuery). No log line said which leaves and owners the search had tried, why each attempt failed and what was left when the search ended, so the possible causes could not be told apart.

A search that sent attempts and ends neither complete nor sufficient now writes one line "search failed": shards without an answer and why, and the failed attempts on them with leaf, duration, timeout and error. The error of a call through an owner names that VM, and the router logs each owner after which it tries the next one.

--- a/peer/route/owner_conn.go
+++ b/peer/route/owner_conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/peer/hop"
+	"github.com/bramleybarrow/bramleybarrow/target"
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
@@ -163,19 +164,23 @@
 // lease is a connection to an owner that isn't closed as idle until release is called.
 type lease struct {
 	*hop.Caller
-	conn *ownerConn
+	conn  *ownerConn
+	owner string // name of the owner's VM
 }
 
 // release ends the use of the connection.
 func (l lease) release() { l.conn.release() }
 
 // call makes a call to the named target through the owner by calling f. It records the
-// outcome in the owner's health and releases the lease.
+// outcome in the owner's health, names the owner in the error and releases the lease.
 func (l lease) call(ctx context.Context, name string, f func(hop.Leaves) error) error {
 	defer l.release()
 	start := time.Now()
 	l.conn.updateHealth(func(h *ownerHealth) { h.sent(start) })
 	err := f(l.Caller)
+	if call, ok := err.(*target.CallError); ok {
+		call.Via = l.owner
+	}
 	now := time.Now()
 	l.conn.updateHealth(func(h *ownerHealth) { h.record(ctx, name, err, ended(l.Caller), now.Sub(start), now) })
 	return err
@@ -188,14 +193,14 @@
 	event(&c.health)
 }
 
-// inCooldown reports whether other owners of a target should be tried before this one:
+// inCooldown reports whether other owners of the named target should be tried before this one:
 // the owner's health says so, or its dial is slow. A dial takes milliseconds, or up to
 // dialTimeout if the owner doesn't answer.
-func (c *ownerConn) inCooldown(target string, now time.Time) bool {
+func (c *ownerConn) inCooldown(name string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	slowDial := c.dialing != nil && now.Sub(c.dialStarted) > slowDialAfter
-	return slowDial || c.health.inCooldown(target, now)
+	return slowDial || c.health.inCooldown(name, now)
 }
 
 // acquireConn returns a lease on the connection to an owner, which it dials if necessary.
@@ -207,7 +212,7 @@
 		c.release()
 		return lease{}, err
 	}
-	return lease{Caller: caller, conn: c}, nil
+	return lease{Caller: caller, conn: c, owner: vm.Name}, nil
 }
 
 // reserveConn returns the connection to an owner, which may not be dialled yet, and
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -311,6 +311,7 @@
 		if !tryNextOwner(lastErr) {
 			return lastErr
 		}
+		r.opts.Log.Debug("call through owner failed", "vm", c.vm.Name, "target", name, "error", lastErr)
 	}
 	return lastErr
 }
--- /dev/null
+++ b/query/failed.go
@@ -0,0 +1,61 @@
+package query
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleybarrow/bramleybarrow/policy"
+	"github.com/bramleybarrow/bramleybarrow/result"
+)
+
+// maxLoggedAttempts bounds the failed attempts that the log line of one query lists.
+const maxLoggedAttempts = 24
+
+// errNoWorker is the error of an attempt that was not sent because the queue of the workers
+// was full.
+var errNoWorker = errors.New("no worker is free")
+
+// failedAttempt is an attempt that ended without an answer.
+type failedAttempt struct {
+	send policy.Send
+	took time.Duration // from the start of the call to its end
+	err  error
+}
+
+// String describes the attempt in one line, for the log.
+func (f failedAttempt) String() string {
+	kind := ""
+	if f.send.Hedge {
+		kind = " hedge"
+	}
+	return fmt.Sprintf("shard %d leaf %d%s after %d of %d ms: %v",
+		f.send.Shard, f.send.Replica.Leaf, kind, f.took.Milliseconds(), f.send.Timeout.Milliseconds(), f.err)
+}
+
+// logFailure logs a query that sent attempts and ended with neither a complete nor a
+// sufficient answer: the shards without an answer, and the failed attempts on them in the
+// order in which they ended.
+func (r *runner) logFailure(code result.Code, out *policy.Outcome) {
+	if out.Sent == 0 || code == result.Complete || code == result.Partial {
+		return
+	}
+	var missing []string
+	unanswered := map[int]bool{}
+	for _, gap := range out.Coverage.Gaps {
+		unanswered[gap.Shard] = true
+		missing = append(missing, fmt.Sprintf("%d %s", gap.Shard, gap.Reason))
+	}
+	failed := slices.DeleteFunc(r.failed, func(f failedAttempt) bool { return !unanswered[f.send.Shard] })
+	var attempts []string
+	for _, f := range failed[:min(len(failed), maxLoggedAttempts)] {
+		attempts = append(attempts, f.String())
+	}
+	r.engine.opts.Log.Info("search failed", "request", r.req.ID, "service", r.svc.name, "code", int(code),
+		"took", time.Since(r.req.Arrived).Round(time.Millisecond), "limit", r.req.TimeLimit,
+		"sent", out.Sent, "refused", out.Refused, "retries", out.Retries, "hedges", out.Hedges,
+		"missing", strings.Join(missing, ", "), "failed", len(failed), "attempts", strings.Join(attempts, "; "))
+}
--- a/query/run.go
+++ b/query/run.go
@@ -27,23 +27,33 @@
 		return refused
 	}
 	admittedAt := e.now()
-	out := e.run(ctx, svc, req)
+	r := e.newRunner(svc, req)
+	out := r.run(ctx)
 	e.release(svc, req, admittedAt, out)
-	return newAnswer(req, out)
+	answer := newAnswer(req, out)
+	if out.End != policy.EndAbandoned {
+		r.logFailure(answer.Code, out)
+	}
+	return answer
 }
 
-// run passes one query's events to the policy and executes the policy's actions.
-func (e *Engine) run(ctx context.Context, svc *service, req *Request) *policy.Outcome {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	r := &runner{
+// newRunner returns a query that has not begun.
+func (e *Engine) newRunner(svc *service, req *Request) *runner {
+	return &runner{
 		engine:  e,
 		svc:     svc,
 		req:     req,
-		ctx:     ctx,
 		events:  make(chan event, eventBuffer),
 		cancels: make(map[policy.AttemptID]context.CancelFunc),
 	}
+}
+
+// run passes the query's events to the policy and executes the policy's actions until the
+// outcome is decided.
+func (r *runner) run(ctx context.Context) *policy.Outcome {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	r.ctx = ctx
 	return r.loop()
 }
 
@@ -61,6 +71,7 @@
 	events  chan event                              // ends of attempts, for loop
 	cancels map[policy.AttemptID]context.CancelFunc // cancel the calls of the attempts
 	query   *policy.Query                           // the policy's state of this query; guarded by svc.mu
+	failed  []failedAttempt                         // for the log
 }
 
 // event is the end of an attempt; answer is nil if it failed.
@@ -68,6 +79,7 @@
 	attempt policy.AttemptID
 	answer  *target.LeafAnswer
 	failure policy.Failure // valid only if answer is nil
+	details failedAttempt  // valid only if answer is nil
 }
 
 // loop runs the query until its outcome is decided. In each round it executes the policy's
@@ -128,6 +140,7 @@
 	if ev.answer != nil {
 		return r.query.HandleAnswer(now, ev.attempt, ev.answer)
 	}
+	r.failed = append(r.failed, ev.details)
 	return r.query.HandleFailure(now, ev.attempt, ev.failure)
 }
 
@@ -185,7 +198,11 @@
 	if !r.engine.pool.TryEnqueue(job) {
 		cancel()
 		// In a goroutine, because post may wait for loop, which runs send.
-		go r.post(event{attempt: s.Attempt, failure: policy.Failure{Reason: policy.ReasonBusy, Refused: true}})
+		go r.post(event{
+			attempt: s.Attempt,
+			failure: policy.Failure{Reason: policy.ReasonBusy, Refused: true},
+			details: failedAttempt{send: s, err: errNoWorker},
+		})
 	}
 }
 
@@ -201,6 +218,7 @@
 // an event. The request states the time that is left until ctx's deadline.
 func (r *runner) call(ctx context.Context, s policy.Send) event {
 	deadline, _ := ctx.Deadline()
+	started := time.Now()
 	answer, err := r.engine.opts.Leaves.Search(ctx, s.Replica.Target, s.Replica.Leaf, target.LeafRequest{
 		Echo: target.Echo{
 			Request:  r.req.ID,
@@ -215,7 +233,11 @@
 		DeadlineMS: time.Until(deadline).Milliseconds(),
 	})
 	if err != nil {
-		return event{attempt: s.Attempt, failure: failureOf(err)}
+		return event{
+			attempt: s.Attempt,
+			failure: failureOf(err),
+			details: failedAttempt{send: s, took: time.Since(started), err: err},
+		}
 	}
 	return event{attempt: s.Attempt, answer: &answer}
 }
--- a/target/errors.go
+++ b/target/errors.go
@@ -26,6 +26,7 @@
 type CallError struct {
 	Kind   ErrorKind
 	Target string // name of the target
+	Via    string // VM through which the target was called; empty if it was called directly
 	Reason Reason // why the target refused the call; empty if it did not refuse
 	// NotStarted is true only if it is certain that the target did not start
 	// the request: the transport read nothing of its body, or the target
@@ -38,7 +39,11 @@
 
 // Error implements error.
 func (e *CallError) Error() string {
-	msg := fmt.Sprintf("target %s: %s", e.Target, e.Kind)
+	name := e.Target
+	if e.Via != "" {
+		name += " via " + e.Via
+	}
+	msg := fmt.Sprintf("target %s: %s", name, e.Kind)
 	if e.Reason != "" {
 		msg += " (" + string(e.Reason) + ")"
 	}
