The last attempt of a shard keeps the time left

Cause: a shard may get three attempts that a target may have started. Each was cut off after its own timeout, 50 ms here, also the third, after which the shard can't get another one. The timeout exists to leave time for another attempt; without one it only loses the answer.

The last attempt now has the time left of the query. A shard that no attempt can answer any more is still given up at once.

Test: policy TestLastAttemptOfAShardKeepsTheTimeLeft, red before (timeout of 50 ms where 4,900 ms are left).

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -22,7 +22,7 @@
 	q.lastAttempt++
 	q.sent++
 	a := &attempt{id: q.lastAttempt, shard: shard, replica: id, sentAt: now}
-	a.expiresAt = now.Add(q.attemptTimeout(now))
+	a.expiresAt = now.Add(q.attemptTimeout(now, q.exhausted(s)))
 	q.attempts[a.id] = a
 	q.updatePhase(shard)
 	q.scheduleWake(now, a)
@@ -70,8 +70,8 @@
 	q.wakeAt = earlier(q.wakeAt, readyAt)
 }
 
-// Parameters of the timeout of one attempt. Each attempt has its own timeout so that a
-// connection that went silent takes only part of the query's time limit.
+// Parameters of the timeout of one attempt. Each attempt but a shard's last one has its own
+// timeout, so that a connection that went silent takes only part of the query's time limit.
 const (
 	attemptTimeoutQuantile = 0.99                  // quantile of the latency of answered attempts from which the timeout is calculated
 	attemptTimeoutFactor   = 4                     // timeout as a multiple of the latency at attemptTimeoutQuantile
@@ -80,10 +80,11 @@
 
 // attemptTimeout returns the timeout of an attempt that is sent now. It is never longer
 // than the time left for the query. It equals that time while the latency of attempts is
-// not known, and with Spec.Plain: a shard then gets one attempt and no retry.
-func (q *Query) attemptTimeout(now time.Time) time.Duration {
+// not known, and if last is set, which says that the shard can't get a further attempt:
+// cutting the attempt off would then only lose its answer.
+func (q *Query) attemptTimeout(now time.Time, last bool) time.Duration {
 	timeLeft := q.spec.Deadline.Sub(now)
-	if q.spec.Plain {
+	if last {
 		return timeLeft
 	}
 	slow, ok := q.table.Latency.Quantile(now, attemptTimeoutQuantile)
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -486,6 +486,36 @@
 	g.Expect(again[0].Replica).NotTo(Equal(s[1].Replica))
 }
 
+// Guards against a search that fails long before its deadline although replicas are alive: the
+// last attempt that a shard may get was cut off after the timeout that leaves time for another
+// one.
+func TestLastAttemptOfAShardKeepsTheTimeLeft(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2, 1)
+	for range 200 {
+		f.table.EndAttempt(ReplicaID{Target: targetName(0, 0)}, AttemptEnd{Answered: true, Took: 5 * time.Millisecond}, at(0))
+	}
+	f.table.Median.UpdateBaseline(at(0), false)
+	sp := spec()
+	sp.HedgeQuantile = 0
+	sp.Deadline = at(5000)
+	q := NewQuery(sp, f.table)
+	now := 0
+	last := sends(q.Start(at(now)))
+	for sent := 1; sent < sp.MaxAttempts; sent++ {
+		g.Expect(last).To(HaveLen(1))
+		g.Expect(last[0].Timeout).To(Equal(attemptTimeoutMin))
+		now += int(attemptTimeoutMin.Milliseconds())
+		last = sends(q.Tick(at(now)))
+	}
+	g.Expect(last).To(HaveLen(1))
+	g.Expect(last[0].Timeout).To(Equal(sp.Deadline.Sub(at(now))))
+	g.Expect(outcome(q.Tick(at(4000)))).To(BeNil())
+	out := outcome(q.HandleAnswer(at(4500), last[0].Attempt, answer(last[0])))
+	g.Expect(out).NotTo(BeNil())
+	g.Expect(out.End).To(Equal(EndComplete))
+}
+
 // Guards against giving up attempts that only wait in a target's queue. If an attempt is
 // given up after half of its query's time, its slot is wasted and the next attempt waits
 // as long: at a load of twice the capacity a tenth less is served. Such an attempt must
