Further attempts on a shard go through another owner

Cause: the first attempt on a shard, its hedge and the retry could all go through the frozen owner. A hedge chooses another replica, but the owner of that one's target may be the same VM, and the router chose the owner for each call by itself. Owner health finds a frozen owner only after 20 ms and four mean latencies, by then the hedge is sent.

Attempts of one request on one shard now share a target.Trail, which the router fills with the VMs that it calls; owners on it are tried after all others that aren't leaving, also those in cooldown: another attempt through the same owner adds no chance of its own.

--- a/peer/route/order.go
+++ b/peer/route/order.go
@@ -43,6 +43,7 @@
 type candidate struct {
 	vm         objstore.VM
 	distance   distance
+	tried      bool   // an earlier attempt of the same request on the same shard went through it
 	inCooldown bool   // other owners are tried first: it refused a call, could not be reached or didn't answer a short time ago
 	weight     uint64 // of otherwise equal owners, the one with the greatest weight is tried first; see rendezvousWeight
 }
@@ -72,15 +73,20 @@
 }
 
 // sortCandidates sorts owners into the order in which they are tried. Owners in cooldown
-// come after the others, and leaving ones come last. Within each group the nearest is
-// first. The reason for this order: a far owner costs milliseconds, and an owner that
-// refuses calls or doesn't answer costs the attempt. A leaving owner should receive no new
-// calls, unless there is no other.
+// come after the others, then those through which an earlier attempt went, and leaving ones
+// come last. Within each group the nearest is first. The reason for this order: a far owner
+// costs milliseconds, and an owner that refuses calls or doesn't answer costs the attempt.
+// If an earlier attempt has not been answered, its owner may be frozen, which takes longer
+// to detect than a search has. A leaving owner should receive no new calls, unless there is
+// no other.
 func sortCandidates(list []candidate) {
 	slices.SortFunc(list, func(a, b candidate) int {
 		if a.vm.Leaving != b.vm.Leaving {
 			return compareLast(a.vm.Leaving)
 		}
+		if a.tried != b.tried {
+			return compareLast(a.tried)
+		}
 		if a.inCooldown != b.inCooldown {
 			return compareLast(a.inCooldown)
 		}
--- a/peer/route/order_test.go
+++ b/peer/route/order_test.go
@@ -27,7 +27,7 @@
 // owner, and an attempt for each call to one that refuses it or doesn't answer. Owners in
 // the same zone must be tried first, then those in the same region. An owner that refused
 // calls or doesn't answer must be tried after all others that aren't leaving, however near
-// it is.
+// it is, except for those through which an earlier attempt of the search went.
 func TestNearOwnersFirst(t *testing.T) {
 	g := NewWithT(t)
 	z := topology{local: "a", regions: map[string]string{"a": "one", "b": "one", "c": "two"}}
@@ -41,11 +41,12 @@
 		{vm: objstore.VM{Name: "near, in cooldown"}, distance: sameZone, inCooldown: true, weight: 9},
 		{vm: objstore.VM{Name: "far"}, distance: elsewhere, weight: 8},
 		{vm: objstore.VM{Name: "region"}, distance: sameRegion, weight: 7},
+		{vm: objstore.VM{Name: "near, tried"}, distance: sameZone, tried: true, weight: 3},
 		{vm: objstore.VM{Name: "near 1"}, distance: sameZone, weight: 1},
 		{vm: objstore.VM{Name: "near 2"}, distance: sameZone, weight: 2},
 	}
 	sortCandidates(list)
-	g.Expect(names(list)).To(Equal([]string{"near 2", "near 1", "region", "far", "near, in cooldown", "leaving"}))
+	g.Expect(names(list)).To(Equal([]string{"near 2", "near 1", "region", "far", "near, in cooldown", "near, tried", "leaving"}))
 }
 
 // TestOwnerHealth: an owner is frozen and still counts as live. Until the exchange
--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/faultproxy"
 	"github.com/bramleybarrow/bramleybarrow/objstore"
 	"github.com/bramleybarrow/bramleybarrow/peer/hop"
+	"github.com/bramleybarrow/bramleybarrow/target"
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
@@ -153,7 +154,7 @@
 func TestFrozenOwnerIsTriedLast(t *testing.T) {
 	f := newFleet(t, 5, 3)
 	vm, _, _ := f.ownerBehindProxy()
-	owners, _ := vm.router.resolve("target-0")
+	owners, _ := vm.router.resolve("target-0", nil)
 	f.Expect(owners).To(HaveLen(2))
 	preferred := owners[0].vm
 	proxy, err := faultproxy.Start(faultproxy.Options{Target: preferred.Address})
@@ -169,7 +170,7 @@
 	f.Expect(vm.search(f)).To(Succeed())
 	proxy.SetFaults(faultproxy.Faults{Frozen: true})
 	triedLast := func() bool {
-		owners, _ := vm.router.resolve("target-0")
+		owners, _ := vm.router.resolve("target-0", nil)
 		return owners[1].vm == preferred && owners[1].inCooldown
 	}
 	lost := 0
@@ -182,3 +183,35 @@
 	f.Expect(lost).To(BeNumerically("<=", maxUnanswered))
 	f.Expect(vm.search(f)).To(Succeed())
 }
+
+// Guards against further attempts of a search that go through the same frozen owner as the
+// first one: while the first is not answered yet, and after it has timed out.
+func TestFurtherAttemptGoesThroughAnotherOwner(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	vm, _, _ := f.ownerBehindProxy()
+	owners, _ := vm.router.resolve("target-0", nil)
+	f.Expect(owners).To(HaveLen(2))
+	first, second := owners[0].vm, owners[1].vm
+	proxy, err := faultproxy.Start(faultproxy.Options{Target: first.Address})
+	f.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	vm.router.mu.Lock()
+	vm.router.ownerConns[first.Address] = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
+		return hop.Dial(ctx, proxy.Address(), vm.router.fleet.WireOptions(), &wire.Counters{})
+	}}
+	vm.router.mu.Unlock()
+	f.Expect(vm.search(f)).To(Succeed())
+	proxy.SetFaults(faultproxy.Faults{Frozen: true})
+
+	trail := &target.Trail{}
+	ctx, cancel := context.WithCancel(target.WithTrail(context.Background(), trail))
+	ended := make(chan error, 1)
+	go func() { ended <- vm.searchWith(ctx, f) }()
+	f.Eventually(trail.String).WithTimeout(testLimit).Should(Equal(first.Name))
+	next, _ := vm.router.resolve("target-0", trail)
+	f.Expect(next[0].vm).To(Equal(second), "the first attempt is not answered yet")
+	cancel()
+	f.Expect(<-ended).To(HaveOccurred())
+	f.Expect(vm.searchWith(target.WithTrail(context.Background(), trail), f)).To(Succeed())
+	f.Expect(trail.String()).To(Equal(first.Name + ", " + second.Name))
+}
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -290,7 +290,8 @@
 // target is certain not to have started the call and another owner may be able to make it;
 // see tryNextOwner.
 func (r *Router) callTarget(ctx context.Context, name string, call func(hop.Leaves) error) error {
-	owners, local := r.resolve(name)
+	trail := target.TrailOf(ctx)
+	owners, local := r.resolve(name, trail)
 	if local != nil {
 		r.directCalls.Inc()
 		return call(local)
@@ -307,6 +308,7 @@
 			continue
 		}
 		r.ownerCallsByDistance[c.distance].Inc()
+		trail.Add(c.vm.Name)
 		lastErr = conn.call(ctx, name, call)
 		if !tryNextOwner(lastErr) {
 			return lastErr
@@ -329,8 +331,9 @@
 // resolve decides how the named target is called. If this VM has connections to it, or if
 // the bundle in force doesn't have the target, local is set: the Leaves that call it over
 // this VM's own connections. Otherwise owners holds the live owners of the target, including
-// leaving ones, in the order in which this VM tries them.
-func (r *Router) resolve(name string) (owners []candidate, local hop.Leaves) {
+// leaving ones, in the order in which this VM tries them. trail holds the owners through
+// which earlier attempts went; it may be nil.
+func (r *Router) resolve(name string, trail *target.Trail) (owners []candidate, local hop.Leaves) {
 	r.mu.Lock()
 	rt := r.targets[name]
 	isOwner := rt != nil && rt.connections > 0
@@ -346,7 +349,7 @@
 	r.mu.Lock()
 	for _, place := range rt.owners {
 		if vm, live := vmByPlace[place]; live {
-			owners = append(owners, r.newCandidate(name, vm, now))
+			owners = append(owners, r.newCandidate(name, vm, trail, now))
 		}
 	}
 	r.mu.Unlock()
@@ -355,12 +358,14 @@
 }
 
 // newCandidate returns the VM vm, an owner of the named target, as a candidate for the
-// next call. The caller must hold mu.
-func (r *Router) newCandidate(name string, vm objstore.VM, now time.Time) candidate {
+// next call. trail holds the owners through which earlier attempts went. The caller must
+// hold mu.
+func (r *Router) newCandidate(name string, vm objstore.VM, trail *target.Trail, now time.Time) candidate {
 	conn := r.ownerConns[vm.Address]
 	return candidate{
 		vm:         vm,
 		distance:   r.topology.distance(vm.Zone),
+		tried:      trail.Contains(vm.Name),
 		inCooldown: conn != nil && conn.inCooldown(name, now),
 		weight:     rendezvousWeight(r.opts.Place.VM, name, vm.Name),
 	}
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -139,12 +139,16 @@
 // search searches leaf 1 of the target through the VM within one second.
 func (vm *testVM) search(f *testFleet) error { return vm.searchWithin(f, time.Second) }
 
-// searchWithin searches leaf 1 of the target through the VM. It returns the error of the
-// search, or an error if the answer is incomplete or belongs to another search. limit is
-// the time limit of the search.
+// searchWithin is searchWith with a time limit.
 func (vm *testVM) searchWithin(f *testFleet, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	return vm.searchWith(ctx, f)
+}
+
+// searchWith searches leaf 1 of the target through the VM. It returns the error of the
+// search, or an error if the answer is incomplete or belongs to another search.
+func (vm *testVM) searchWith(ctx context.Context, f *testFleet) error {
 	holding := f.target.Status().Leaves[1].Holdings[0]
 	echo := target.Echo{Request: "r", Attempt: 1, Shard: holding.Shard, Snapshot: holding.Snapshot}
 	answer, err := vm.router.Search(ctx, "target-0", 1, target.LeafRequest{Echo: echo, Kind: target.KindSearch, Query: "q", Limit: 5})
@@ -248,7 +252,7 @@
 		}
 	}
 	staying := func() (names []string) {
-		list, _ := other.router.resolve("target-0")
+		list, _ := other.router.resolve("target-0", nil)
 		for _, c := range list {
 			if !c.vm.Leaving {
 				names = append(names, c.vm.Name)
@@ -258,7 +262,7 @@
 	}
 	owners[0].peers.AnnounceLeaving()
 	f.Eventually(staying).WithTimeout(testLimit).Should(Equal([]string{owners[1].name}))
-	list, _ := other.router.resolve("target-0")
+	list, _ := other.router.resolve("target-0", nil)
 	f.Expect(list[0].vm.Name).To(Equal(owners[1].name), "an owner that stays must be tried first")
 	owners[1].peers.AnnounceLeaving()
 	f.Eventually(staying).WithTimeout(testLimit).Should(BeEmpty())
--- a/query/failed.go
+++ b/query/failed.go
@@ -36,9 +36,18 @@
 		f.send.Shard, f.send.Replica.Leaf, kind, f.took.Milliseconds(), f.send.Timeout.Milliseconds(), f.err)
 }
 
+// describeTrail lists the VMs through which the attempts on a shard were made, for the log. It
+// returns "" if the targets were called directly.
+func (r *runner) describeTrail(shard int) string {
+	if vms := r.trails[shard].String(); vms != "" {
+		return " via " + vms
+	}
+	return ""
+}
+
 // logFailure logs a query that sent attempts and ended with neither a complete nor a
-// sufficient answer: the shards without an answer, and the failed attempts on them in the
-// order in which they ended.
+// sufficient answer: the shards without an answer, the VMs through which their attempts
+// were made, and the failed ones of these attempts in the order in which they ended.
 func (r *runner) logFailure(code result.Code, out *policy.Outcome) {
 	if out.Sent == 0 || code == result.Complete || code == result.Partial {
 		return
@@ -47,7 +56,7 @@
 	unanswered := map[int]bool{}
 	for _, gap := range out.Coverage.Gaps {
 		unanswered[gap.Shard] = true
-		missing = append(missing, fmt.Sprintf("%d %s", gap.Shard, gap.Reason))
+		missing = append(missing, fmt.Sprintf("%d %s%s", gap.Shard, gap.Reason, r.describeTrail(gap.Shard)))
 	}
 	failed := slices.DeleteFunc(r.failed, func(f failedAttempt) bool { return !unanswered[f.send.Shard] })
 	var attempts []string
--- a/query/run.go
+++ b/query/run.go
@@ -45,6 +45,7 @@
 		req:     req,
 		events:  make(chan event, eventBuffer),
 		cancels: make(map[policy.AttemptID]context.CancelFunc),
+		trails:  make(map[int]*target.Trail),
 	}
 }
 
@@ -71,6 +72,7 @@
 	events  chan event                              // ends of attempts, for loop
 	cancels map[policy.AttemptID]context.CancelFunc // cancel the calls of the attempts
 	query   *policy.Query                           // the policy's state of this query; guarded by svc.mu
+	trails  map[int]*target.Trail                   // by shard: the VMs through which its attempts are made
 	failed  []failedAttempt                         // for the log
 }
 
@@ -189,7 +191,7 @@
 // send passes an attempt to the workers, which call the leaf. If their queue is full, the
 // attempt ends as refused because this VM is busy.
 func (r *runner) send(s policy.Send) {
-	ctx, cancel := context.WithTimeout(r.ctx, s.Timeout)
+	ctx, cancel := context.WithTimeout(target.WithTrail(r.ctx, r.trail(s.Shard)), s.Timeout)
 	r.cancels[s.Attempt] = cancel
 	job := func() {
 		defer cancel()
@@ -206,6 +208,16 @@
 	}
 }
 
+// trail returns the trail of a shard's attempts.
+func (r *runner) trail(shard int) *target.Trail {
+	t := r.trails[shard]
+	if t == nil {
+		t = &target.Trail{}
+		r.trails[shard] = t
+	}
+	return t
+}
+
 // post sends an event to the loop, and drops it if the query has ended.
 func (r *runner) post(ev event) {
 	select {
