Calls cancelled early don't put an owner into cooldown

Calls went to owners in other zones, and a frozen owner was called again, since healthy owners counted as silent for 2 s.

Cause: each call that ended without an answer counted as unanswered, three in a row start the cooldown. A hedge that another attempt makes superfluous is cancelled after a fraction of a millisecond to some milliseconds, and the calls of one search are cancelled together.

A call now counts only if it waited at least the mean time until an answer, and calls that were in flight at the same time count once. An owner that hasn't answered yet has the mean of the other owners. An owner that is silent while calls are in flight counts as before.

Test: three cases of peer/route TestOwnerHealth; the first two were red before, the third, calls that wait long, must go on starting a cooldown.

--- a/peer/route/order_test.go
+++ b/peer/route/order_test.go
@@ -86,6 +86,27 @@
 				call(h, liveCtx, nil, false, 10*i+1, 10*i+2)
 			}
 		}, map[int]bool{50: false}},
+		"hedges cancelled before an answer was due": {func(h *ownerHealth) {
+			h.meanLatency = 8 * time.Millisecond
+			for i := range 2 * maxUnanswered {
+				call(h, endedCtx, cancelled, false, 10*i, 10*i+5)
+			}
+		}, map[int]bool{60: false}},
+		"a short pause fails the calls of a search": {func(h *ownerHealth) {
+			h.meanLatency = 8 * time.Millisecond
+			for range 2 * maxUnanswered {
+				h.sent(at(0))
+			}
+			for i := range 2 * maxUnanswered {
+				h.record(endedCtx, "t", cancelled, false, at(10+i).Sub(at(0)), at(10+i))
+			}
+		}, map[int]bool{19: false}},
+		"long calls unanswered": {func(h *ownerHealth) {
+			h.meanLatency = 8 * time.Millisecond
+			for i := range maxUnanswered {
+				call(h, endedCtx, cancelled, false, 20*i, 20*i+10)
+			}
+		}, map[int]bool{51: true, 2051: false}},
 		"no slot":                        {func(h *ownerHealth) { call(h, liveCtx, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
 		"connection to the owner broke":  {func(h *ownerHealth) { call(h, liveCtx, cancelled, true, 0, 1) }, map[int]bool{2: false}},
 		"owner unreachable":              {func(h *ownerHealth) { h.markUnreachable(at(0)) }, map[int]bool{1: true, 2001: false}},
--- a/peer/route/owner_conn.go
+++ b/peer/route/owner_conn.go
@@ -225,12 +225,32 @@
 		c = &ownerConn{dial: func(ctx context.Context) (*hop.Caller, error) {
 			return hop.Dial(ctx, vm.Address, r.fleet.WireOptions(), &wire.Counters{})
 		}}
+		c.health.meanLatency = r.meanOwnerLatency()
 		r.ownerConns[vm.Address] = c
 	}
 	c.acquire()
 	return c
 }
 
+// meanOwnerLatency returns the mean over the owners with a connection of the time until an
+// answer; 0 if none has answered. It stands for the latency of an owner that has not
+// answered yet. The caller must hold mu.
+func (r *Router) meanOwnerLatency() time.Duration {
+	var sum, n time.Duration
+	for _, c := range r.ownerConns {
+		c.mu.Lock()
+		if c.health.meanLatency > 0 {
+			sum += c.health.meanLatency
+			n++
+		}
+		c.mu.Unlock()
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
 // closeIdle closes connections that no call has used for IdleAfter, until the router stops.
 // Otherwise a VM would keep connections to nearly every other VM and ping them. A call
 // can't use a connection that is being closed: reserving a connection, and detecting and
--- a/peer/route/owner_health.go
+++ b/peer/route/owner_health.go
@@ -19,7 +19,7 @@
 	minSilence    = 20 * time.Millisecond
 	silenceFactor = 4
 	// maxUnanswered is the number of consecutive calls through an owner without an answer
-	// after which the owner's cooldown starts.
+	// after which the owner's cooldown starts. abandoned says which calls count.
 	maxUnanswered = 3
 	// minRefusalCooldown and maxRefusalCooldown bound the cooldown of an owner for one
 	// target after it has refused a call to that target. Between them it is the time that
@@ -41,7 +41,8 @@
 	inFlight      int                  // number of calls in flight
 	waitingSince  time.Time            // the later of the last answer and the last start of a call while no other was in flight
 	meanLatency   time.Duration        // moving average of the time until an answer
-	unanswered    int                  // number of calls that ended without an answer since the last answer or the start of the last cooldown
+	unanswered    int                  // number of calls that count as unanswered since the last answer or the start of the last cooldown
+	unansweredAt  time.Time            // when a call last counted as unanswered
 	cooldownUntil time.Time            // end of the cooldown for all targets
 	refusedUntil  map[string]time.Time // end of the cooldown after a refusal, by target
 }
@@ -64,11 +65,20 @@
 }
 
 // abandoned records a call that was cancelled or timed out without an answer. It starts
-// a cooldown if the owner is silent or maxUnanswered is reached.
-func (h *ownerHealth) abandoned(now time.Time) {
+// a cooldown if the owner is silent or maxUnanswered is reached. took is the time since the
+// start of the call.
+//
+// A call that was cancelled before an answer was due, like a hedge that another attempt
+// made superfluous, shows nothing and doesn't count as unanswered. Calls that were in
+// flight at the same time count once: a short pause of the owner or of this VM delays all of
+// them.
+func (h *ownerHealth) abandoned(took time.Duration, now time.Time) {
 	silent := h.silent(now)
 	h.inFlight--
-	h.unanswered++
+	if sentAt := now.Add(-took); took >= h.meanLatency && !sentAt.Before(h.unansweredAt) {
+		h.unanswered++
+		h.unansweredAt = now
+	}
 	if silent || h.unanswered >= maxUnanswered {
 		h.markUnreachable(now)
 	}
@@ -82,7 +92,7 @@
 	call, _ := err.(*target.CallError)
 	switch {
 	case call != nil && ctx.Err() != nil:
-		h.abandoned(now)
+		h.abandoned(took, now)
 		return
 	case call != nil && connEnded:
 		h.connectionLost()
