Searches of a VM that knows no latencies yet survive a lost attempt

Cause: until 50 attempts have been answered no latency is known. An attempt then had the whole time left as its timeout, and no hedge was due. Nor did the query look again: other searches made the latencies known meanwhile, but a query without further events sleeps until its deadline.

While latencies are unknown, an attempt has half of the time left, as one that is lost while targets have no queues, and a query that may hedge looks every 100 ms whether the delay of its hedges has become known.

Tests, both red before: policy TestLostAttemptTimesOutWhileLatenciesAreUnknown (5 s where 2.5 are expected), TestHedgeIsSentOnceLatenciesAreKnown (no hedge).

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -79,9 +79,10 @@
 )
 
 // attemptTimeout returns the timeout of an attempt that is sent now. It is never longer
-// than the time left for the query. It equals that time while the latency of attempts is
-// not known, and if last is set, which says that the shard can't get a further attempt:
-// cutting the attempt off would then only lose its answer.
+// than the time left for the query. It equals that time if last is set, which says that the
+// shard can't get a further attempt: cutting the attempt off would then only lose its
+// answer. While the latency of attempts is not known, as after the start of this VM, it is
+// half of the time left, so that a lost attempt leaves time for another one.
 func (q *Query) attemptTimeout(now time.Time, last bool) time.Duration {
 	timeLeft := q.spec.Deadline.Sub(now)
 	if last {
@@ -89,7 +90,7 @@
 	}
 	slow, ok := q.table.Latency.Quantile(now, attemptTimeoutQuantile)
 	if !ok {
-		return timeLeft
+		return max(timeLeft/2, min(attemptTimeoutMin, timeLeft))
 	}
 	limit := max(slow*attemptTimeoutFactor, attemptTimeoutMin)
 	if q.table.Median.NearBaseline() {
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -36,11 +36,14 @@
 	return q.send(now, shard, true)
 }
 
+// mayHedge reports whether the query may send hedges. It sends none with Spec.Plain or a
+// HedgeQuantile of 0.
+func (q *Query) mayHedge() bool { return !q.spec.Plain && q.spec.HedgeQuantile > 0 }
+
 // hedgeDelay returns how long an attempt runs before a hedge is sent. It returns false if
-// the query sends no hedges, with Spec.Plain or a HedgeQuantile of 0, and while the latency
-// of attempts is not known.
+// the query sends no hedges, and while the latency of attempts is not known.
 func (q *Query) hedgeDelay(now time.Time) (time.Duration, bool) {
-	if q.spec.Plain || q.spec.HedgeQuantile <= 0 {
+	if !q.mayHedge() {
 		return 0, false
 	}
 	d, ok := q.table.Latency.Quantile(now, q.spec.HedgeQuantile)
--- a/policy/query.go
+++ b/policy/query.go
@@ -202,6 +202,10 @@
 // lack of an idle replica or of budget, is tried again.
 const hedgeRetryInterval = 5 * time.Millisecond
 
+// latencyRecheckInterval is the time after which a query whose hedges wait for the latency of
+// attempts to become known checks that again.
+const latencyRecheckInterval = 100 * time.Millisecond
+
 // NextTick returns when Tick must be called next if no other event occurs. The time
 // may be earlier than needed.
 func (q *Query) NextTick() time.Time {
@@ -211,16 +215,21 @@
 	return earlier(q.wakeAt, q.sufficientAt.Add(q.spec.Grace))
 }
 
-// scheduleWake moves wakeAt to an earlier time if the timeout of an attempt, or its hedge,
-// is due before wakeAt.
+// scheduleWake moves wakeAt to an earlier time if the timeout of an attempt, its hedge, or a
+// check whether the delay of hedges has become known is due before wakeAt.
 func (q *Query) scheduleWake(now time.Time, a *attempt) {
 	q.wakeAt = earlier(q.wakeAt, a.expiresAt)
-	delay, hedging := q.hedgeDelay(now)
-	if hedging && !q.shards[a.shard].hedged {
-		// The hedge may be overdue because it could not be sent. It is then tried again only
-		// after hedgeRetryInterval.
-		q.wakeAt = earlier(q.wakeAt, later(a.sentAt.Add(delay), now.Add(hedgeRetryInterval)))
+	if !q.mayHedge() || q.shards[a.shard].hedged {
+		return
+	}
+	delay, known := q.hedgeDelay(now)
+	if !known {
+		q.wakeAt = earlier(q.wakeAt, now.Add(latencyRecheckInterval))
+		return
 	}
+	// The hedge may be overdue because it could not be sent. It is then tried again only
+	// after hedgeRetryInterval.
+	q.wakeAt = earlier(q.wakeAt, later(a.sentAt.Add(delay), now.Add(hedgeRetryInterval)))
 }
 
 // recomputeWake sets wakeAt to the earliest time at which Tick has work, and returns that
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -516,6 +516,45 @@
 	g.Expect(out.End).To(Equal(EndComplete))
 }
 
+// Guards against a search that waits for a lost attempt until its deadline because its VM has
+// just started and knows no latencies yet. The attempt must time out while there is time for
+// another one.
+func TestLostAttemptTimesOutWhileLatenciesAreUnknown(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2, 1)
+	sp := spec()
+	sp.Deadline = at(5000)
+	q := NewQuery(sp, f.table)
+	first := sends(q.Start(at(0)))
+	g.Expect(first).To(HaveLen(1))
+	g.Expect(first[0].Timeout).To(Equal(2500 * time.Millisecond))
+	again := sends(q.Tick(at(2500)))
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Replica).NotTo(Equal(first[0].Replica))
+}
+
+// Guards against a search that sends no hedge because no latencies were known when it began,
+// although other searches of its VM were answered meanwhile.
+func TestHedgeIsSentOnceLatenciesAreKnown(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 2, 1)
+	sp := spec()
+	sp.Deadline = at(5000)
+	q := NewQuery(sp, f.table)
+	s := sends(q.Start(at(0)))
+	q.HandleAnswer(at(5), s[0].Attempt, answer(s[0]))
+	for range 200 {
+		f.table.Latency.Add(at(10), 5*time.Millisecond)
+	}
+	var hedges []Send
+	for next := q.NextTick(); len(hedges) == 0 && next.Before(at(500)); next = q.NextTick() {
+		hedges = sends(q.Tick(next))
+	}
+	g.Expect(hedges).To(HaveLen(1))
+	g.Expect(hedges[0].Hedge).To(BeTrue())
+	g.Expect(hedges[0].Shard).To(Equal(s[1].Shard))
+}
+
 // Guards against giving up attempts that only wait in a target's queue. If an attempt is
 // given up after half of its query's time, its slot is wasted and the next attempt waits
 // as long: at a load of twice the capacity a tenth less is served. Such an attempt must
