A VM joins the exchange once it has read the list of VMs

VMs that have just started, and the places they hold, stayed unknown to others for a second. Searches that needed an owner of a target then knew the old owners only: with these frozen they ended 503 although new owners held connections (TestNearOwnerFrozenAndKilledInMidQuery with the trail of owners in the log: owner tried again, candidates=" vm-0", places of three VMs of six known, 0.7 s after the other three had acquired theirs).

Cause: the exchange looks for VMs to dial at its start and then each interval of 1 s. The platform's list is read at the same time and arrives just after the first look, so the second look, an interval later, is the first that finds anybody.

The exchange now looks again as soon as the list was first read.

Test: peer TestVMDialsOthersOnceTheListIsRead, red before (no peer after 20 s with an interval of 40 s).

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -127,6 +127,7 @@
 	startTime    time.Time     // when New was called; taken as the start of this process
 	startNanos   int64         // startTime by the wall clock, in Unix nanoseconds; orders incarnations
 	pullWake     chan struct{} // wakes pullHeads; buffers one signal
+	listRead     chan struct{} // closed when the platform's list of VMs was first read
 
 	healthChanged chan struct{} // signals that changedTargets isn't empty; buffers one signal
 
@@ -160,6 +161,7 @@
 		opts:           o.withDefaults(),
 		startTime:      time.Now(),
 		pullWake:       make(chan struct{}, 1),
+		listRead:       make(chan struct{}),
 		table:          facts.NewTable(),
 		links:          map[*link]struct{}{},
 		dialing:        map[string]bool{},
@@ -202,18 +204,22 @@
 }
 
 // run starts the goroutines of the exchange and calls tick at Options.Interval until
-// the exchange stops.
+// the exchange stops. It also calls tick once the list of VMs was first read: a VM that
+// started would otherwise not dial others for an interval, in which they don't know it.
 func (x *Exchange) run() error {
 	x.tomb.Go(x.readVMList)
 	x.tomb.Go(x.announceRevisions)
 	x.tomb.Go(x.pullHeads)
 	ticker := time.NewTicker(x.opts.Interval)
 	defer ticker.Stop()
+	listRead := x.listRead
 	for {
 		x.tick(time.Now())
 		select {
 		case <-x.tomb.Dying():
 			return nil
+		case <-listRead:
+			listRead = nil
 		case <-ticker.C:
 		}
 	}
@@ -377,6 +383,7 @@
 // nonWatcherListFactor times as long on the others. Each wait is drawn at random
 // between half the mean interval and one and a half of it.
 func (x *Exchange) readVMList() error {
+	first := true
 	for {
 		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), x.opts.ListInterval)
 		vms, err := x.opts.Store.VMs(ctx)
@@ -386,6 +393,10 @@
 			x.listedVMs = vms
 			x.invalidateCaches()
 			x.mu.Unlock()
+			if first {
+				close(x.listRead)
+				first = false
+			}
 		} else {
 			x.opts.Log.Debug("could not read the platform's list of VMs", "error", err)
 		}
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"slices"
@@ -391,3 +392,29 @@
 	g.Expect(x.Ended("vm-1", "b")).To(BeFalse(), "states that it is alive")
 	g.Expect(x.Ended("vm-1", "a")).To(BeTrue(), "an earlier incarnation")
 }
+
+// slowList is a store whose list of VMs takes a while to read.
+type slowList struct {
+	objstore.Store
+	delay time.Duration
+}
+
+// VMs reads the list after the delay.
+func (s slowList) VMs(ctx context.Context) ([]objstore.VM, error) {
+	time.Sleep(s.delay)
+	return s.Store.VMs(ctx)
+}
+
+// Guards against a VM that starts and stays unknown to the others for a whole interval, since it
+// reads the platform's list of VMs just after it looked for VMs to dial.
+func TestVMDialsOthersOnceTheListIsRead(t *testing.T) {
+	f := newFleet(t, 0)
+	never := func(o *Options) { o.Interval, o.ListInterval = 2*testTimeout, 2*testTimeout }
+	f.start("vm-000", never)
+	fresh := f.start("vm-001", func(o *Options) {
+		never(o)
+		o.Store = slowList{Store: f.list, delay: 100 * time.Millisecond}
+	})
+	f.waitForAll(func(vm *testVM) bool { return vm.Peers() == 1 })
+	f.waitForAll(func(vm *testVM) bool { return len(vm.Live()) == 2 }, fresh)
+}
