Near owners: calls count while the zone has an owner to call

Traced: the test draws six places. Each target has four owners, so two VMs own it not.

The check stays, sum against sum: calls of a VM whose zone loses its last owner of a target count up to that fault instead of to the end. In all other draws it is the same as before. All searches must be complete, as before.

--- a/integration/hop_test.go
+++ b/integration/hop_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleybarrow/bramleybarrow/bundle"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/fleet"
+	"github.com/bramleybarrow/bramleybarrow/peer/share"
 )
 
 // daemonsWithoutPlace returns the daemons that hold no place. The places decide which VMs
@@ -89,8 +90,13 @@
 
 // VMs call owners in their own zone. One of these owners is frozen in the middle of
 // queries, and then one in the other zone is killed. Until the fault of an owner is
-// detected, each VM in its zone could wait for its answers or lose them. Owners in the
-// other zone must take over at once, and all searches must stay complete.
+// detected, each VM in its zone could wait for its answers or lose them. Other owners must
+// take over at once, those in the other zone if there is none left in this one, and all
+// searches must stay complete.
+//
+// Which VMs own a target is drawn anew in each run. If a fault leaves a zone without an owner
+// of some target, the VMs there have to call owners in the other zone, so their calls are
+// counted up to the fault only.
 func TestNearOwnerFrozenAndKilledInMidQuery(t *testing.T) {
 	// Each target accepts five connections. It has four owners with one connection each;
 	// the fifth is reserved for a frozen owner.
@@ -105,7 +111,9 @@
 	c.addSecondZone()
 	c.Eventually(c.vmsWithPlace, waitTimeout, "100ms").Should(gomega.HaveLen(2 * vmsPerZone))
 	c.waitOwners(owners)
+	owns := c.ownership(connections)
 	all := slices.Clone(c.Daemons)
+	calls := &ownerCallCount{}
 	for _, fault := range []struct {
 		victim *fleet.Daemon
 		inject func() error
@@ -118,25 +126,74 @@
 		rotation.setVMs(c.Daemons...)
 		stop := c.startSearches(rotation)
 		c.Eventually(rotation.answered, waitTimeout, "10ms").Should(gomega.BeNumerically(">", 100))
+		for _, d := range c.Daemons {
+			if !c.hasNearOwners(d, owns) {
+				c.countOwnerCalls(calls, d)
+			}
+		}
 		c.ok(fault.inject())
 		before := rotation.answered()
 		c.Eventually(rotation.answered, waitTimeout, "10ms").Should(gomega.BeNumerically(">", before+200))
 		_, failures := stop()
 		c.Expect(failures).To(gomega.BeEmpty(), fault.victim.Name)
 	}
-	c.Expect(c.ownerCallsWithin("zone")).To(gomega.BeNumerically(">", c.ownerCallsWithin("region")))
+	for _, d := range c.Daemons {
+		c.countOwnerCalls(calls, d)
+	}
+	c.t.Logf("%d calls to owners within the zone, %d within the region", calls.inZone, calls.inRegion)
+	c.Expect(calls.inZone).To(gomega.BeNumerically(">", calls.inRegion))
 	c.expectWithinLimit(connections)
 }
 
-// ownerCallsWithin returns how many calls all VMs together made to owners at this
-// distance: "zone" for the same zone, "region" for another zone of the same region.
-func (c *cluster) ownerCallsWithin(distance string) (sum int) {
-	line := regexp.MustCompile(`bramley_route_owner_calls_total\{within="` + distance + `"\} (\d+)`)
-	for _, d := range c.Daemons {
-		match := line.FindStringSubmatch(c.metrics(d))
-		c.Expect(match).To(gomega.HaveLen(2), d.Name)
-		sum += must[int](c)(strconv.Atoi(match[1]))
+// ownership returns a function that reports whether a daemon owns connections to a target,
+// by the places that the daemons hold now. connections is the connection limit of each
+// target.
+func (c *cluster) ownership(connections int) func(*fleet.Daemon, *fleet.Target) bool {
+	c.t.Helper()
+	plan := share.NewPlan(connections, c.Bundle.Fleet.MaxVMs)
+	places := map[string]int{}
+	for number, claim := range c.placeClaims() {
+		places[claim.VM] = number
+	}
+	c.t.Logf("places: %v", places)
+	return func(d *fleet.Daemon, t *fleet.Target) bool {
+		number, held := places[d.Name]
+		return held && plan.Connections(t.Name, number) > 0
 	}
-	c.t.Logf("%d calls to owners within the %s", sum, distance)
-	return sum
+}
+
+// hasNearOwners reports whether each target has an owner among the daemons in the zone of d.
+// Otherwise d has to call owners in another zone.
+func (c *cluster) hasNearOwners(d *fleet.Daemon, owns func(*fleet.Daemon, *fleet.Target) bool) bool {
+	return !slices.ContainsFunc(c.Targets, func(t *fleet.Target) bool {
+		return !slices.ContainsFunc(c.Daemons, func(o *fleet.Daemon) bool { return o.Zone == d.Zone && owns(o, t) })
+	})
+}
+
+// ownerCallCount counts the calls of daemons to owners.
+type ownerCallCount struct {
+	counted          []*fleet.Daemon // daemons whose calls are counted
+	inZone, inRegion int             // calls to owners in the same zone, and in another zone of the region
+}
+
+// countOwnerCalls adds the calls that a daemon has made so far, unless they are counted
+// already.
+func (c *cluster) countOwnerCalls(count *ownerCallCount, d *fleet.Daemon) {
+	c.t.Helper()
+	if slices.Contains(count.counted, d) {
+		return
+	}
+	count.counted = append(count.counted, d)
+	count.inZone += c.ownerCallsWithin(d, "zone")
+	count.inRegion += c.ownerCallsWithin(d, "region")
+}
+
+// ownerCallsWithin returns how many calls a daemon made to owners at this distance: "zone"
+// for the same zone, "region" for another zone of the same region.
+func (c *cluster) ownerCallsWithin(d *fleet.Daemon, distance string) int {
+	c.t.Helper()
+	line := regexp.MustCompile(`bramley_route_owner_calls_total\{within="` + distance + `"\} (\d+)`)
+	match := line.FindStringSubmatch(c.metrics(d))
+	c.Expect(match).To(gomega.HaveLen(2), d.Name)
+	return must[int](c)(strconv.Atoi(match[1]))
 }
--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,12 +159,23 @@
 
 // vmsWithPlace returns the names of the VMs that have claimed a place.
 func (c *cluster) vmsWithPlace() (holders []string) {
+	for _, claim := range c.placeClaims() {
+		holders = append(holders, claim.VM)
+	}
+	return holders
+}
+
+// placeClaims returns the claims to places, by the number of the place.
+func (c *cluster) placeClaims() map[int]place.Claim {
 	page, err := objstore.NewClient(c.Platform.Address, objstore.ClientOptions{}).List(c.ctx, place.Kind, "", 100)
 	c.ok(err)
+	claims := map[int]place.Claim{}
 	for _, object := range page.Objects {
 		var claim place.Claim
 		c.ok(json.Unmarshal(object.Value, &claim))
-		holders = append(holders, claim.VM)
+		number, found := strings.CutPrefix(object.Name, deployment+"-")
+		c.Expect(found).To(gomega.BeTrue(), object.Name)
+		claims[must[int](c)(strconv.Atoi(number))] = claim
 	}
-	return holders
+	return claims
 }
