An owner whose place was given away gives up its connections

The third is reserved for one owner that is replaced while it is frozen; the next such case makes the target refuse connections, and callers lose searches.

Cause: a VM verifies its place only if it finds that it was frozen for more than 5 s. In any other way in which it counts as lost, its place is taken, and nothing makes it ask: it keeps its connections for good.

An owner now asks the platform whose its place is while another live VM states to hold it, at most each 5 s, and gives the place up if it was lost. The connections stay until the answer is there: one of the two is the holder, and the reserved connection covers the other. VMs that leave or are lost contest nothing, so no call is added to an ordinary replacement.

Ruled out for TestFrozenOwnerComesBack: a freeze shorter than 5 s from which the place is taken by the usual way: a hello takes 2 s to fail and a suspicion 3 s to end, and the last check lies before the freeze.

--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -157,6 +157,40 @@
 	c.expectWithinLimit(connections)
 }
 
+// An owner is cut off from the other VMs, but neither from the platform nor from targets,
+// until it counts as lost and its place is given to another VM. It was never frozen. Once the
+// VMs are connected again, it must detect that it no longer holds the place and close its
+// connections: the connection that is reserved for such an owner may be needed again.
+func TestOwnerCutOffFromOtherVMsGivesUpItsPlace(t *testing.T) {
+	t.Parallel() // it mostly waits
+	const daemons, places, connections = 3, 4, 3
+	const owned = 2 // connections to each target; the third is reserved for the owner that is cut off
+	cfg := fewConnections(daemons, places, connections)
+	cfg.ProxyPeers = true
+	c := start(t, cfg)
+	cutOff := c.Daemons[0]
+	c.Eventually(c.vmsWithPlace, waitTimeout, "100ms").Should(gomega.HaveLen(daemons))
+	c.split([]string{cutOff.Name}, []string{"vm-1", "vm-2", "vm-3", "vm-4"})
+	for i := daemons; i < daemons+2; i++ {
+		c.startDaemon(i)
+		c.waitInForce(c.Daemons[i], 1)
+	}
+	c.Eventually(c.vmsWithPlace, waitTimeout, "100ms").Should(gomega.And(
+		gomega.HaveLen(places), gomega.Not(gomega.ContainElement(cutOff.Name))))
+	c.endSplit()
+	for _, target := range c.Targets {
+		c.Eventually(func() (int, error) {
+			counters, err := target.Counters()
+			return counters.Connections.Current, err
+		}, waitTimeout, "100ms").Should(gomega.Equal(owned), target.Name)
+	}
+	for _, d := range c.Daemons {
+		c.waitComplete(d)
+	}
+	c.Expect(c.vmsWithPlace()).NotTo(gomega.ContainElement(cutOff.Name))
+	c.expectWithinLimit(connections)
+}
+
 // vmsWithPlace returns the names of the VMs that have claimed a place.
 func (c *cluster) vmsWithPlace() (holders []string) {
 	for _, claim := range c.placeClaims() {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -138,6 +138,7 @@
 	listedVMs         []objstore.VM        // the platform's list of VMs, as last read; nil before the first read
 	liveCache         []objstore.VM        // result of Live; nil if it has to be recomputed
 	placeCache        map[int]objstore.VM  // result of Places; nil if it has to be recomputed
+	placeContested    bool                 // result of PlaceContested; valid if placeCache isn't nil
 	links             map[*link]struct{}   // connections to other VMs for the exchange
 	dialing           map[string]bool      // addresses of VMs to which a dial is in progress
 	suspectedSince    map[string]time.Time // by VM name: when the suspicion was first merged here
@@ -321,12 +322,34 @@
 func (x *Exchange) Places() map[int]objstore.VM {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.placeCache == nil {
-		x.placeCache = vmsByPlace(x.table.Members())
-	}
+	x.fillPlaceCache()
 	return x.placeCache
 }
 
+// PlaceContested reports whether another VM states that it holds the place of this VM. VMs
+// that are lost or leaving don't count: a leaving VM closes its connections to targets
+// before it releases its place.
+//
+// It happens after this VM counted as lost, so that its place was given away, although it
+// was running: for example, while it was cut off from the other VMs.
+func (x *Exchange) PlaceContested() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fillPlaceCache()
+	return x.placeContested
+}
+
+// fillPlaceCache recomputes placeCache and placeContested if necessary. The caller must hold
+// mu.
+func (x *Exchange) fillPlaceCache() {
+	if x.placeCache != nil {
+		return
+	}
+	members := x.table.Members()
+	x.placeCache = vmsByPlace(members)
+	x.placeContested = contested(x.self, members)
+}
+
 // invalidateCaches discards what was computed from the known members and the
 // platform's list, after either has changed. The caller must hold mu.
 func (x *Exchange) invalidateCaches() { x.liveCache, x.placeCache = nil, nil }
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -393,6 +393,38 @@
 	g.Expect(x.Ended("vm-1", "a")).To(BeTrue(), "an earlier incarnation")
 }
 
+// Guards against a VM that doesn't find out that its place was given to another one while it
+// counted as lost, and against reads of the platform for VMs that have left or are lost.
+func TestPlaceContestedByAnotherVM(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other facts.Member
+		want  bool
+	}{
+		{"another place", facts.Member{Place: 3}, false},
+		{"the same place", facts.Member{Place: 2}, true},
+		{"suspected", facts.Member{Place: 2, State: facts.Suspect}, true},
+		{"leaving", facts.Member{Place: 2, State: facts.Leaving}, false},
+		{"lost", facts.Member{Place: 2, State: facts.Lost}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, err := New(Options{VM: objstore.VM{Name: "vm-0"}, Incarnation: "a", Deployment: "d"})
+			g.Expect(err).NotTo(HaveOccurred())
+			x.self.Name, x.self.Incarnation = "vm-0", "a"
+			x.SetPlace(1)
+			g.Expect(x.PlaceContested()).To(BeFalse(), "by itself")
+			c.other.Name, c.other.Incarnation, c.other.Started = "vm-1", "b", 1
+			x.mu.Lock()
+			x.merge(facts.Fact{Member: &c.other}, nil, time.Now())
+			x.mu.Unlock()
+			g.Expect(x.PlaceContested()).To(Equal(c.want))
+			x.SetPlace(-1)
+			g.Expect(x.PlaceContested()).To(BeFalse(), "without a place")
+		})
+	}
+}
+
 // slowList is a store whose list of VMs takes a while to read.
 type slowList struct {
 	objstore.Store
--- a/peer/live.go
+++ b/peer/live.go
@@ -113,6 +113,14 @@
 	return places
 }
 
+// contested reports whether one of the members, other than self, states that it holds the
+// place of self. Members that are lost or leaving don't count.
+func contested(self facts.Member, members []facts.Member) bool {
+	return self.Place != 0 && slices.ContainsFunc(members, func(m facts.Member) bool {
+		return m.Name != self.Name && m.Place == self.Place && m.State != facts.Lost && m.State != facts.Leaving
+	})
+}
+
 // winsPlace reports whether m, and not other, holds a place that both claim. The holder
 // is the one that isn't leaving. If both or neither are leaving, it is the one that
 // started later.
--- a/peer/route/hold_place.go
+++ b/peer/route/hold_place.go
@@ -20,19 +20,24 @@
 	// is assumed to have been frozen. Another VM may have acquired this VM's place in the
 	// meantime.
 	frozenAfter = 5 * time.Second
+	// contestInterval is the minimum time between two reads of the platform that verify a
+	// place which another VM states to hold too.
+	contestInterval = 5 * time.Second
 )
 
 // heldPlace is this VM's place, if it has one, as maintainPlace knows it. A place is a number
 // that no other VM holds; it decides to which targets this VM owns connections.
 type heldPlace struct {
 	held       *place.Held // the claim; nil if this process has no place
-	unverified bool        // another VM may have acquired the place; the platform has to be asked
+	unverified bool        // another VM may have acquired the place; the platform has to be asked before the place is used
+	verifiedAt time.Time   // when the platform last confirmed a contested place; zero if it never did
 }
 
 // maintainPlace acquires a place for this VM once some target doesn't accept connections
 // of all VMs. After a time in which the process seems to have been frozen, the place is
-// verified before this VM uses it again. maintainPlace releases the place when the router
-// stops.
+// verified before this VM uses it again. It is also verified while another VM states that it
+// holds the place: this VM may have counted as lost without being frozen. maintainPlace
+// releases the place when the router stops.
 func (r *Router) maintainPlace() error {
 	ticker := time.NewTicker(placeCheckInterval)
 	defer ticker.Stop()
@@ -55,9 +60,9 @@
 }
 
 // updatePlace verifies, releases or acquires this VM's place, as needed, and returns the new
-// state. It asks the platform whether this VM still holds an unverified place. It releases
-// a place that the fleet no longer has under the bundle in force. It acquires a place if
-// this VM needs one and holds none.
+// state. It asks the platform whether this VM still holds an unverified or contested place.
+// It releases a place that the fleet no longer has under the bundle in force. It acquires a
+// place if this VM needs one and holds none.
 func (r *Router) updatePlace(h heldPlace) heldPlace {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), placeTimeout)
 	defer cancel()
@@ -73,6 +78,9 @@
 			h.held = nil
 		}
 	}
+	if h.held != nil && r.fleet.PlaceContested() && time.Since(h.verifiedAt) >= contestInterval {
+		h = r.verifyContested(ctx, h)
+	}
 	r.mu.Lock()
 	placeCount, needed := r.placeCount, r.hasSharedTargets
 	r.mu.Unlock()
@@ -87,7 +95,26 @@
 	if h.held != nil {
 		r.setPlace(h.held.Place)
 	}
-	return heldPlace{held: h.held}
+	return heldPlace{held: h.held, verifiedAt: h.verifiedAt}
+}
+
+// verifyContested asks the platform whether this VM still holds a place that another VM
+// states to hold too, and returns the new state. Until the platform has answered, this VM
+// keeps its connections: one of the two VMs is the holder, and each target has a connection
+// reserved for the other one.
+func (r *Router) verifyContested(ctx context.Context, h heldPlace) heldPlace {
+	lost, err := h.held.Lost(ctx)
+	switch {
+	case err != nil:
+		r.opts.Log.Debug("contested place not verified", "place", h.held.Place, "error", errors.Cause(err))
+	case lost:
+		r.opts.Log.Warn("place lost to another VM", "place", h.held.Place)
+		r.setPlace(noPlace)
+		h.held = nil
+	default:
+		h.verifiedAt = time.Now()
+	}
+	return h
 }
 
 // acquirePlace claims one of the places 0 to placeCount-1 for this VM. It returns nil if
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -35,6 +35,9 @@
 	Places() map[int]objstore.VM
 	// SetPlace publishes the place of this VM; a negative number means that it holds none.
 	SetPlace(place int)
+	// PlaceContested reports whether another live VM states that it holds the place of
+	// this one.
+	PlaceContested() bool
 	// Ended reports whether an incarnation of a VM, one run of its process, is known to
 	// have ended or to have been replaced.
 	Ended(vm, incarnation string) bool
