Small fleets: a round of liveness checks covers the other VMs of a zone

The zone's other VMs become suspect by calls that fail up to 200 ms later, but the next round may start only a second after the first. So no VM ever tells another: vm-a-00 calls the zone at 961 ms for its first request and at 1,027 ms for its second.

A round now also checks other VMs of a zone of which fewer than two can be checked on open connections, by connecting to them, up to four VMs a zone; and a zone that is newly found lost is told even if one VM was silent in that round. In zones of up to four VMs all are checked, so that a live one keeps the zone from counting as lost. Where a VM calls two VMs of a zone or more nothing changes.

Tried before and not enough: telling of zones in which all called VMs were silent (the told VM calls one VM as well).

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -19,6 +19,8 @@
 	// connect opens a connection if there is none, and reports whether it did. A new
 	// connection proves that the VM is alive.
 	connect(ctx context.Context, vm scatter.VM) (opened bool, err error)
+	// connected reports whether there is an open connection to a VM. It doesn't block.
+	connected(vm scatter.VM) bool
 	// ping checks that a VM is alive, on the connection to it. If the check fails, the
 	// connection is closed. Without a connection, ping returns errNotConnected.
 	ping(ctx context.Context, vm scatter.VM) error
@@ -56,6 +58,9 @@
 // connect implements peerClient. It always fails: no connection is opened.
 func (noPeerClient) connect(context.Context, scatter.VM) (bool, error) { return false, errNotJoined }
 
+// connected implements peerClient. There are no connections.
+func (noPeerClient) connected(scatter.VM) bool { return false }
+
 // ping implements peerClient. It always fails.
 func (noPeerClient) ping(context.Context, scatter.VM) error { return errNotJoined }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -244,6 +244,11 @@
 	return err == nil, err
 }
 
+// connected implements peerClient. A connection that is being dialled is not open yet.
+func (p *peerTransport) connected(vm scatter.VM) bool {
+	return p.link(vm).currentUnlessDialing() != nil
+}
+
 // ping implements peerClient. It checks that vm is alive, on the connection to it, and closes the
 // connection if the check fails. Without a connection it returns errNotConnected.
 func (p *peerTransport) ping(ctx context.Context, vm scatter.VM) error {
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,15 +82,21 @@
 // call that fails, so next is always zero.
 func (n *Node) checkVMs(ctx context.Context) (probed bool, next time.Time) {
 	n.engine.mu.Lock()
-	due := n.engine.table.StartLivenessRound(time.Now())
 	client := n.engine.peerClient
-	n.engine.mu.Unlock()
-	forEachLimited(due, func(vm scatter.VM) { n.checkVM(ctx, client, vm) })
-	if len(due) == 0 {
+	called := n.engine.table.StartLivenessRound(time.Now())
+	if len(called) == 0 {
+		n.engine.mu.Unlock()
 		return false, time.Time{}
 	}
+	called = slices.DeleteFunc(called, func(vm scatter.VM) bool { return !client.connected(vm) })
+	witnesses := n.engine.table.LivenessWitnesses(called)
+	n.engine.mu.Unlock()
+	var checks sync.WaitGroup
+	checks.Go(func() { forEachLimited(called, func(vm scatter.VM) { n.checkVM(ctx, client, vm) }) })
+	checks.Go(func() { forEachLimited(witnesses, func(vm scatter.VM) { n.checkWitness(ctx, client, vm) }) })
+	checks.Wait()
 	if found := n.engine.endLivenessRound(); found.Report {
-		n.log.Info("several VMs are lost; telling the others", "checked", len(due), "silent", found.Silent, "lost_zones", found.LostZones)
+		n.log.Info("several VMs are lost; telling the others", "checked", len(called)+len(witnesses), "silent", found.Silent, "lost_zones", found.LostZones)
 		client.reportLoss()
 	}
 	return true, time.Time{}
@@ -120,7 +127,7 @@
 }
 
 // checkVM pings one VM. If the check fails, the VM is not called until it can be reached on a
-// new connection. A VM without a connection is not checked.
+// new connection. A VM whose connection has ended meanwhile is not checked.
 func (n *Node) checkVM(ctx context.Context, client peerClient, vm scatter.VM) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -128,6 +135,23 @@
 	if errors.Is(err, errNotConnected) {
 		return
 	}
+	n.recordLivenessCheck(vm, err)
+}
+
+// checkWitness checks one VM with a ping, or if there is no connection to it, by opening one.
+func (n *Node) checkWitness(ctx context.Context, client peerClient, vm scatter.VM) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	opened, err := client.connect(ctx, vm)
+	if err == nil && !opened {
+		err = client.ping(ctx, vm)
+	}
+	n.recordLivenessCheck(vm, err)
+}
+
+// recordLivenessCheck records the result of a liveness check of one VM. err is nil if the VM is
+// alive.
+func (n *Node) recordLivenessCheck(vm scatter.VM, err error) {
 	n.engine.mu.Lock()
 	n.engine.table.RecordLivenessCheck(time.Now(), vm.Name, err == nil)
 	n.engine.mu.Unlock()
--- a/edge/probe_test.go
+++ b/edge/probe_test.go
@@ -21,6 +21,9 @@
 	silentVM string
 }
 
+// connected says that there are connections to all VMs.
+func (*silentPeerClient) connected(scatter.VM) bool { return true }
+
 // ping fails for silentVM and succeeds for every other VM.
 func (c *silentPeerClient) ping(_ context.Context, vm scatter.VM) error {
 	if vm.Name == c.silentVM {
@@ -103,3 +106,55 @@
 	}()
 	g.Eventually(done, "10s").Should(gomega.Receive(gomega.MatchError(errNotConnected)))
 }
+
+// lostZonePeerClient is a peerClient in which no VM of the lost zone answers, on a connection or on a
+// new one.
+type lostZonePeerClient struct {
+	noPeerClient
+	lost    string
+	reports int
+}
+
+// connected says that there are connections to the strong VMs only.
+func (*lostZonePeerClient) connected(vm scatter.VM) bool { return vm.Power == 1 }
+
+// ping fails for VMs of the lost zone.
+func (c *lostZonePeerClient) ping(_ context.Context, vm scatter.VM) error { return c.answer(vm) }
+
+// connect fails for VMs of the lost zone.
+func (c *lostZonePeerClient) connect(_ context.Context, vm scatter.VM) (bool, error) {
+	return true, c.answer(vm)
+}
+
+func (c *lostZonePeerClient) reportLoss() { c.reports++ }
+
+// answer returns an error for VMs of the lost zone.
+func (c *lostZonePeerClient) answer(vm scatter.VM) error {
+	if vm.Zone == c.lost {
+		return errors.New("silent")
+	}
+	return nil
+}
+
+// Guards against a lost zone of which the other VMs are not told because this VM has a connection
+// to one of its VMs only.
+func TestLossOfASmallZoneIsReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	table := scatter.NewTable(scatter.VM{Name: "vm-a", Zone: "a"}, scatter.BudgetConfig{}, now, rand.New(rand.NewPCG(1, 2)))
+	table.SetVMs(now, []scatter.VM{
+		{Name: "vm-b", Zone: "b", Power: 1}, {Name: "weak-b", Zone: "b", Power: 0.1},
+		{Name: "vm-c", Zone: "c", Power: 1}, {Name: "weak-c", Zone: "c", Power: 0.1},
+	})
+	table.SetServiceConfig(now, "shard", scatter.ServiceConfig{Shard: true})
+	for _, zone := range []string{"b", "c"} {
+		table.Apply(now, registry.Change{Leaf: registry.Leaf{ID: "leaf-" + zone, Service: "shard", Zone: zone}})
+	}
+	client := &lostZonePeerClient{lost: "b"}
+	n := &Node{log: logging.Discard(), engine: &Engine{table: table, peerClient: client, suspectVMs: newWakeup()}}
+	table.CallEnded(now, "vm-b", scatter.EndSilent)
+	probed, _ := n.checkVMs(t.Context())
+	g.Expect(probed).To(gomega.BeTrue())
+	g.Expect(client.reports).To(gomega.Equal(1))
+	g.Expect(table.Delegates(now)).To(gomega.ConsistOf(gomega.HaveField("Name", "vm-c")))
+}
--- a/internal/lab/model/query.go
+++ b/internal/lab/model/query.go
@@ -35,6 +35,7 @@
 	silentAfter   = 300 * time.Millisecond // time after which an attempt at a leaf that gives no answer ends
 	callLinger    = 100 * time.Millisecond // time after its answer was due when a call to a lost VM ends
 	livenessAfter = 150 * time.Millisecond // time after which a liveness check has failed
+	dialTimeout   = 300 * time.Millisecond // time after which a liveness check over a new connection has failed
 )
 
 // start starts a request at a VM. second is the account of a caller's request, nil for a call of
@@ -192,8 +193,11 @@
 	if !v.table.LivenessCheckRequested() {
 		return
 	}
-	due := v.table.StartLivenessRound(m.now)
-	m.after(livenessAfter, func() {
+	due, takes := v.table.StartLivenessRound(m.now), livenessAfter
+	if witnesses := v.table.LivenessWitnesses(due); len(witnesses) > 0 {
+		due, takes = append(due, witnesses...), dialTimeout
+	}
+	m.after(takes, func() {
 		for _, other := range due {
 			v.table.RecordLivenessCheck(m.now, other.Name, !m.vms[other.Name].lost)
 		}
--- a/scatter/liveness.go
+++ b/scatter/liveness.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -13,7 +14,7 @@
 // is lost may get no answers for the shards of that call. Since a VM calls many others, this would
 // happen to many requests. The check finds the other lost VMs before requests do.
 //
-// If a round finds several silent VMs, this VM tells the others, which then make a round of their
+// If a round finds several silent VMs, or a lost zone, this VM tells the others, which then make a round of their
 // own and pass the report on. Otherwise each of hundreds of VMs would lose a request before it
 // knows of the loss of a zone: with a request every few seconds at each VM, that takes as long.
 type livenessRound struct {
@@ -35,6 +36,10 @@
 	// silent VM among others that answer is not reported, since its shards are queried through
 	// another owner.
 	minLostVMs = 2
+	// maxChecksPerZone bounds the VMs that a round checks in a zone where this VM calls fewer
+	// than minLostVMs. All VMs of a small zone are checked, so that it doesn't count as lost
+	// while one of them is alive.
+	maxChecksPerZone = 4
 )
 
 // newLivenessRound returns a round that has found nothing.
@@ -70,6 +75,37 @@
 	return t.Delegates(now)
 }
 
+// LivenessWitnesses returns the VMs that a round has to check besides those in called, over a new
+// connection if there is none. called are the VMs of StartLivenessRound that can be checked on an
+// open connection. In a small fleet this VM calls a single VM of a zone, whose silence doesn't show
+// whether the zone is lost.
+func (t *Table) LivenessWitnesses(called []VM) []VM {
+	checked := make(map[string]int) // by zone: VMs that are checked, or suspect already
+	for _, v := range called {
+		checked[v.Zone]++
+	}
+	var candidates []VM
+	for _, v := range t.vms {
+		switch {
+		case v.suspicion.raised:
+			checked[v.Zone]++
+		case !slices.Contains(called, v.VM):
+			candidates = append(candidates, v.VM)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b VM) int { return cmp.Compare(rank(t.self, a.Name), rank(t.self, b.Name)) })
+	zones := t.shardZones()
+	var witnesses []VM
+	added := make(map[string]int)
+	for _, v := range candidates {
+		if zones[v.Zone] && checked[v.Zone] < minLostVMs && checked[v.Zone]+added[v.Zone] < maxChecksPerZone {
+			added[v.Zone]++
+			witnesses = append(witnesses, v)
+		}
+	}
+	return witnesses
+}
+
 // RecordLivenessCheck records whether a VM answered a liveness check. A silent one becomes suspect.
 func (t *Table) RecordLivenessCheck(now time.Time, name string, alive bool) {
 	v := t.vms[name]
@@ -95,9 +131,11 @@
 // which several VMs are suspect and none answered count as lost.
 func (t *Table) EndLivenessRound(now time.Time) RoundResult {
 	var result RoundResult
+	zoneLost := false // a zone was found to be lost that did not count as lost before
 	for zone, n := range t.liveness.silent {
 		result.Silent += n
 		if t.liveness.answered[zone] == 0 && t.suspectsIn(zone) >= min(minLostVMs, t.vmsIn(zone)) {
+			zoneLost = zoneLost || !t.lostZones[zone]
 			t.lostZones[zone] = true
 		}
 	}
@@ -105,7 +143,7 @@
 		t.isolatedSince = now
 	}
 	result.LostZones = slices.Sorted(maps.Keys(t.lostZones))
-	result.Report = result.Silent >= minLostVMs && t.liveness.passOn(now)
+	result.Report = (result.Silent >= minLostVMs || zoneLost) && t.liveness.passOn(now)
 	return result
 }
 
--- a/scatter/liveness_test.go
+++ b/scatter/liveness_test.go
@@ -131,3 +131,44 @@
 		w.Expect(w.table.Isolated(w.now)).To(gomega.BeFalse(), "reaches a VM of another zone")
 	}
 }
+
+// Guards against zones whose loss stays unknown in a small fleet, where each VM calls a single VM of
+// the zone: the other VMs of the zone must be checked too, and the loss must be told. While one of
+// them is alive, the zone must not count as lost.
+func TestSmallZoneIsCheckedWhole(t *testing.T) {
+	for _, alive := range []string{"", "weak-other-2"} {
+		w := newWorld(t)
+		w.gatheredShards("other", "third")
+		var vms []VM
+		for _, zone := range []string{"other", "third"} {
+			vms = append(vms, VM{Name: "strong-" + zone, Zone: zone, Power: 1},
+				VM{Name: "weak-" + zone + "-1", Zone: zone, Power: 0.1}, VM{Name: "weak-" + zone + "-2", Zone: zone, Power: 0.1})
+		}
+		w.table.SetVMs(w.now, vms)
+		w.table.liveness.request(w.now)
+		called := w.table.StartLivenessRound(w.now)
+		w.Expect(called).To(gomega.ConsistOf(vms[0], vms[3]))
+		witnesses := w.table.LivenessWitnesses(called)
+		w.Expect(witnesses).To(gomega.ConsistOf(vms[1], vms[2], vms[4], vms[5]))
+		for _, v := range append(called, witnesses...) {
+			w.table.RecordLivenessCheck(w.now, v.Name, v.Zone == "third" || v.Name == alive)
+		}
+		found := w.table.EndLivenessRound(w.now)
+		w.Expect(found.Report).To(gomega.BeTrue())
+		if alive == "" {
+			w.Expect(found.LostZones).To(gomega.Equal([]string{"other"}))
+		} else {
+			w.Expect(found.LostZones).To(gomega.BeEmpty())
+		}
+	}
+}
+
+// Guards against liveness rounds that open connections to more and more VMs as the fleet grows: where
+// this VM calls several VMs of a zone, these are enough.
+func TestLargeZonesNeedNoWitnesses(t *testing.T) {
+	w := newWorld(t)
+	w.gatheredShards("other", "third")
+	w.table.SetVMs(w.now, fleetOf(8, "other", "third"))
+	w.table.liveness.request(w.now)
+	w.Expect(w.table.LivenessWitnesses(w.table.StartLivenessRound(w.now))).To(gomega.BeEmpty())
+}
