A shard's further attempt goes to a target that answers

Among tried replicas those come first whose target has answered an attempt of this VM since the shard's first attempt was sent.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -15,6 +15,9 @@
 		}
 		return nil
 	}
+	if s.sent == 0 {
+		s.firstSentAt = now
+	}
 	s.retryAt = time.Time{}
 	s.tried = append(s.tried, id)
 	s.sent++
@@ -47,7 +50,7 @@
 	id, ok := q.table.Pick(now, q.snapshot.Name, shard, s.tried, hedge)
 	if !ok && !hedge && s.inFlight == 0 {
 		// No untried replica can take the attempt, but a tried one may have recovered.
-		id, ok = q.table.Pick(now, q.snapshot.Name, shard, nil, false)
+		id, ok = q.table.PickAgain(now, q.snapshot.Name, shard, s.firstSentAt)
 	}
 	return id, ok
 }
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -139,17 +139,33 @@
 // are excluded too, for attempts that should not wait in a queue. It returns false if no
 // replica remains.
 func (t *Table) Pick(now time.Time, snapshot string, shard int, tried []ReplicaID, idleOnly bool) (ReplicaID, bool) {
+	return t.pick(now, snapshot, shard, idleOnly, func(r *replica) bool { return !slices.Contains(tried, r.id) })
+}
+
+// PickAgain chooses the replica for an attempt on a shard of which all replicas have been
+// tried since the given time. It prefers those whose target has answered since then: the
+// others may be frozen.
+func (t *Table) PickAgain(now time.Time, snapshot string, shard int, since time.Time) (ReplicaID, bool) {
+	id, ok := t.pick(now, snapshot, shard, false, func(r *replica) bool { return r.target.answeredAt.After(since) })
+	if ok {
+		return id, true
+	}
+	return t.pick(now, snapshot, shard, false, func(*replica) bool { return true })
+}
+
+// pick is Pick among the replicas for which eligible returns true.
+func (t *Table) pick(now time.Time, snapshot string, shard int, idleOnly bool, eligible func(*replica) bool) (ReplicaID, bool) {
 	s := t.snapshots[snapshot]
 	if s == nil {
 		return ReplicaID{}, false
 	}
-	usable := t.usableReplicas(s.holders[shard], tried, func(r *replica) bool {
-		return !r.inCooldown(now) && t.hasCapacity(r, now, idleOnly)
+	usable := t.usableReplicas(s.holders[shard], func(r *replica) bool {
+		return eligible(r) && !r.inCooldown(now) && t.hasCapacity(r, now, idleOnly)
 	})
 	if len(usable) == 0 && !idleOnly {
 		// All replicas are in cooldown after failures. Trying one is better than waiting.
-		usable = t.usableReplicas(s.holders[shard], tried, func(r *replica) bool {
-			return !r.refusing(now) && t.hasCapacity(r, now, idleOnly)
+		usable = t.usableReplicas(s.holders[shard], func(r *replica) bool {
+			return eligible(r) && !r.refusing(now) && t.hasCapacity(r, now, idleOnly)
 		})
 	}
 	if len(usable) == 0 {
@@ -182,12 +198,12 @@
 	return usable[t.rng.IntN(len(usable))].id, true
 }
 
-// usableReplicas returns those of holders whose target is usable, for which match returns
-// true, and which are not in tried. The slice is valid until the next call.
-func (t *Table) usableReplicas(holders []*replica, tried []ReplicaID, match func(*replica) bool) []*replica {
+// usableReplicas returns those of holders whose target is usable and for which match returns
+// true. The slice is valid until the next call.
+func (t *Table) usableReplicas(holders []*replica, match func(*replica) bool) []*replica {
 	t.scratch = t.scratch[:0]
 	for _, r := range holders {
-		if r.target.usable() && match(r) && !slices.Contains(tried, r.id) {
+		if r.target.usable() && match(r) {
 			t.scratch = append(t.scratch, r)
 		}
 	}
--- a/policy/load.go
+++ b/policy/load.go
@@ -41,6 +41,7 @@
 	r.outstanding = max(r.outstanding-1, 0)
 	switch {
 	case end.Answered:
+		r.target.answeredAt = now
 		r.recordAnswer()
 		r.recordLatency(end.Took)
 	case end.Cancelled:
--- a/policy/query_test.go
+++ b/policy/query_test.go
@@ -516,6 +516,33 @@
 	g.Expect(out.End).To(Equal(EndComplete))
 }
 
+// Guards against a last attempt that goes to a frozen target although the other replica's target
+// answers: both replicas have had an attempt that was cut off, the live one since the machine is
+// busy.
+func TestLastAttemptGoesToATargetThatAnswers(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		f := newFleet(1, 2, seed)
+		for range 200 {
+			f.table.EndAttempt(ReplicaID{Target: targetName(0, 0)}, AttemptEnd{Answered: true, Took: 5 * time.Millisecond}, at(0))
+			f.table.EndAttempt(ReplicaID{Target: targetName(0, 1)}, AttemptEnd{Answered: true, Took: 5 * time.Millisecond}, at(0))
+		}
+		f.table.Median.UpdateBaseline(at(0), false)
+		sp := spec()
+		sp.HedgeQuantile = 0
+		sp.Deadline = at(5000)
+		q := NewQuery(sp, f.table)
+		frozen := sends(q.Start(at(1)))[0].Replica
+		live := sends(q.Tick(at(51)))[0].Replica
+		g.Expect(live).NotTo(Equal(frozen))
+		f.table.BeginAttempt(live)
+		f.table.EndAttempt(live, AttemptEnd{Answered: true, Took: 30 * time.Millisecond}, at(90)) // of another search
+		last := sends(q.Tick(at(101)))
+		g.Expect(last).To(HaveLen(1))
+		g.Expect(last[0].Replica).To(Equal(live), "seed %d", seed)
+	}
+}
+
 // Guards against a search that waits for a lost attempt until its deadline because its VM has
 // just started and knows no latencies yet. The attempt must time out while there is time for
 // another one.
--- a/policy/shard.go
+++ b/policy/shard.go
@@ -12,6 +12,7 @@
 	tried       []ReplicaID        // replicas that got an attempt
 	inFlight    int                // attempts in flight
 	sent        int                // attempts, hedges and retries included
+	firstSentAt time.Time          // when the first attempt was sent; zero before
 	refused     int                // attempts counted in sent that targets refused without starting them
 	budgetWaits int                // how often a retry found the retry budget empty
 	hedged      bool               // a hedge was sent
--- a/policy/table.go
+++ b/policy/table.go
@@ -49,6 +49,7 @@
 	failedReads        int          // status reads that failed in a row
 	drainedIncarnation string       // incarnation that is known to be draining
 	servingSince       time.Time    // when it last began to serve; its warm-up counts from here
+	answeredAt         time.Time    // when one of its leaves last answered an attempt of this VM
 	cooldown           cooldown     // of all leaves together, since they share the target's connections
 	replicas           []*replica
 }
