Overdue attempts go on until their shard is answered

Cause: an attempt was cancelled when its timeout passed, also if no other one could take its place. Three cancelled attempts exhaust a shard, and those of a few searches empty the retry budget.

An attempt whose timeout has passed is now overdue. Another one is sent as before, within the same number of attempts and the same budget; the overdue one is not cancelled, and whichever is answered first counts. While one is overdue, the shard waits for the retry budget. Hedges are sent for attempts that are not overdue only, as before.

The line "search failed" lists attempts that were still in flight, too.

--- a/integration/query_test.go
+++ b/integration/query_test.go
@@ -167,6 +167,32 @@
 	c.Expect(l.answered(result.TimedOut, result.CoverageTooLow)).To(gomega.BeZero())
 }
 
+// A target's process is frozen, and all others pause for a moment, as on a machine that is
+// busy: longer than the timeout of a shard's three attempts together. A search must still be
+// completed in the seconds that it has left, also if one of its attempts was lost on the
+// frozen target.
+func TestShortPauseWhileATargetIsFrozenCostsNoAnswer(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	c := start(t, clusterConfig{Targets: 4, Replicas: 2})
+	l := c.startLoad(1, 5000, truthOf(c.Index).check)
+	c.Eventually(func() int { return l.answered(result.Complete) }, waitTimeout).Should(gomega.BeNumerically(">", 100))
+	for _, target := range c.Targets {
+		c.ok(target.Pause())
+	}
+	time.Sleep(pause)
+	frozen := c.Targets[1]
+	for _, target := range c.Targets {
+		if target != frozen {
+			c.ok(target.Resume())
+		}
+	}
+	before := l.answered(result.Complete)
+	c.Eventually(func() int { return l.answered(result.Complete) }, waitTimeout).Should(gomega.BeNumerically(">", before+500))
+	c.ok(frozen.Resume())
+	c.Expect(l.stop()).To(gomega.BeEmpty())
+	c.Expect(l.answered(result.TimedOut, result.CoverageTooLow)).To(gomega.BeZero(), l.lastIncomplete)
+}
+
 // All targets refuse all requests to shed load. Each answer must say "not run", and the
 // targets' own records must confirm it.
 func TestShedIsNotRun(t *testing.T) {
--- a/policy/action.go
+++ b/policy/action.go
@@ -27,7 +27,7 @@
 	Shard    int           // number of the shard, from 0
 	Snapshot string        // name of the snapshot to read
 	Hedge    bool          // sent because an earlier attempt on the shard is slow
-	Timeout  time.Duration // of this attempt; 0 from a Submission
+	Timeout  time.Duration // until the query's deadline; 0 from a Submission
 }
 
 // Cancel cancels an attempt whose answer is no longer needed. An answer that
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -25,7 +25,7 @@
 	q.lastAttempt++
 	q.sent++
 	a := &attempt{id: q.lastAttempt, shard: shard, replica: id, sentAt: now}
-	a.expiresAt = now.Add(q.attemptTimeout(now, q.exhausted(s)))
+	a.expiresAt = now.Add(q.attemptTimeout(now))
 	q.attempts[a.id] = a
 	q.updatePhase(shard)
 	q.scheduleWake(now, a)
@@ -36,7 +36,7 @@
 		Shard:    shard,
 		Snapshot: q.snapshot.Name,
 		Hedge:    hedge,
-		Timeout:  a.expiresAt.Sub(now),
+		Timeout:  q.spec.Deadline.Sub(now),
 	}}
 }
 
@@ -73,8 +73,10 @@
 	q.wakeAt = earlier(q.wakeAt, readyAt)
 }
 
-// Parameters of the timeout of one attempt. Each attempt but a shard's last one has its own
-// timeout, so that a connection that went silent takes only part of the query's time limit.
+// Parameters of the timeout of one attempt: the time after which another attempt is made,
+// so that a connection that went silent takes only part of the query's time limit. The
+// overdue attempt goes on: if this VM or all targets were slow for a moment, it is answered
+// first, and there may be no other attempt left.
 const (
 	attemptTimeoutQuantile = 0.99                  // quantile of the latency of answered attempts from which the timeout is calculated
 	attemptTimeoutFactor   = 4                     // timeout as a multiple of the latency at attemptTimeoutQuantile
@@ -82,13 +84,13 @@
 )
 
 // attemptTimeout returns the timeout of an attempt that is sent now. It is never longer
-// than the time left for the query. It equals that time if last is set, which says that the
-// shard can't get a further attempt: cutting the attempt off would then only lose its
-// answer. While the latency of attempts is not known, as after the start of this VM, it is
-// half of the time left, so that a lost attempt leaves time for another one.
-func (q *Query) attemptTimeout(now time.Time, last bool) time.Duration {
+// than the time left for the query. It equals that time with Spec.Plain: a shard then gets
+// one attempt and no retry. While the latency of attempts is not known, as after the start
+// of this VM, it is half of the time left, so that a lost attempt leaves time for another
+// one.
+func (q *Query) attemptTimeout(now time.Time) time.Duration {
 	timeLeft := q.spec.Deadline.Sub(now)
-	if last {
+	if q.spec.Plain {
 		return timeLeft
 	}
 	slow, ok := q.table.Latency.Quantile(now, attemptTimeoutQuantile)
@@ -107,8 +109,9 @@
 	return min(timeLeft, limit)
 }
 
-// afterFailure records the reason for the failure of an attempt, and retries the shard
-// unless it has an answer or another attempt on it is in flight.
+// afterFailure records the reason for the failure of an attempt, or for its being overdue,
+// and retries the shard unless it has an answer, another attempt on it is in flight and not
+// overdue, or it waits to be retried.
 func (q *Query) afterFailure(now time.Time, a *attempt, reason Reason) []Action {
 	s := &q.shards[a.shard]
 	if s.answer != nil {
@@ -116,16 +119,16 @@
 	}
 	s.reason = reason
 	q.updatePhase(a.shard)
-	if s.inFlight > 0 {
-		return nil // the other attempt may still answer
+	if s.inFlight > 0 || !s.retryAt.IsZero() {
+		return nil
 	}
 	return q.retry(now, a.shard)
 }
 
 // retry sends a further attempt on a shard. If the retry budget is empty, the shard waits
-// briefly until it refills: a shard given up at once could make the coverage too low, and
-// then the answers of all other shards are lost too. The wait is short, since a query in
-// progress keeps others from being admitted.
+// until it refills: a shard given up at once could make the coverage too low, and then the
+// answers of all other shards are lost too. Unless an overdue attempt may still be answered,
+// the wait is short, since a query in progress keeps others from being admitted.
 func (q *Query) retry(now time.Time, shard int) []Action {
 	s := &q.shards[shard]
 	if q.exhausted(s) {
@@ -139,7 +142,7 @@
 		return nil
 	}
 	if !q.table.Retries.Take() {
-		if s.budgetWaits++; s.budgetWaits > maxBudgetWaits {
+		if s.budgetWaits++; s.budgetWaits > maxBudgetWaits && s.overdue == 0 {
 			s.retryAt = time.Time{}
 			q.updatePhase(shard)
 			return nil
@@ -157,8 +160,8 @@
 // tried again.
 const budgetRetryDelay = 10 * time.Millisecond
 
-// maxBudgetWaits bounds how often a shard may wait for the retry budget in one pass of
-// the query. A pass queries all shards of one snapshot.
+// maxBudgetWaits bounds how often a shard without an attempt in flight may wait for the
+// retry budget in one pass of the query. A pass queries all shards of one snapshot.
 const maxBudgetWaits = 2
 
 // maxRefusedFactor bounds the attempts on a shard, those included that a target refused to
@@ -190,14 +193,18 @@
 	}
 	end.Took = now.Sub(a.sentAt)
 	q.table.EndAttempt(a.replica, end, now)
-	q.shards[a.shard].inFlight--
+	if a.overdue {
+		q.shards[a.shard].overdue--
+	} else {
+		q.shards[a.shard].inFlight--
+	}
 	q.updatePhase(a.shard)
 	return a
 }
 
 // cancelShard cancels the attempts that are still in flight on a shard.
 func (q *Query) cancelShard(now time.Time, shard int) []Action {
-	if q.shards[shard].inFlight == 0 {
+	if q.shards[shard].inFlight+q.shards[shard].overdue == 0 {
 		return nil
 	}
 	return q.cancelWhere(now, func(a *attempt) bool { return a.shard == shard })
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -14,7 +14,7 @@
 	for _, id := range sortedKeys(q.attempts) {
 		a := q.attempts[id]
 		s := &q.shards[a.shard]
-		if s.hedged || now.Sub(a.sentAt) < delay || q.exhausted(s) {
+		if a.overdue || s.hedged || now.Sub(a.sentAt) < delay || q.exhausted(s) {
 			continue
 		}
 		acts = append(acts, q.tryHedge(now, a.shard)...)
--- a/policy/load.go
+++ b/policy/load.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// AttemptOverdue records that the timeout of an attempt that was sent at sentAt has passed. The
+// attempt is still in flight.
+func (t *Table) AttemptOverdue(id ReplicaID, sentAt, now time.Time) {
+	if r := t.replica(id); r != nil {
+		r.recordFailure(sentAt, now)
+	}
+}
+
 // stallLatencyQuantile is a quantile of the latency of answered attempts. A cancelled
 // attempt that took at least that long counts as failed.
 const stallLatencyQuantile = 0.99
--- a/policy/query.go
+++ b/policy/query.go
@@ -160,16 +160,19 @@
 	return q.finishOrRestart(now, acts)
 }
 
-// expireAttempts cancels the attempts whose timeout has passed, and retries their shards.
+// expireAttempts marks the attempts whose timeout has passed as overdue, and retries their
+// shards.
 func (q *Query) expireAttempts(now time.Time) []Action {
 	var acts []Action
 	for _, id := range sortedKeys(q.attempts) {
 		a := q.attempts[id]
-		if now.Before(a.expiresAt) {
+		if a.overdue || now.Before(a.expiresAt) {
 			continue
 		}
-		q.endAttempt(now, id, AttemptEnd{})
-		acts = append(acts, Cancel{Attempt: id})
+		a.overdue = true
+		q.shards[a.shard].inFlight--
+		q.shards[a.shard].overdue++
+		q.table.AttemptOverdue(a.replica, a.sentAt, now)
 		acts = append(acts, q.afterFailure(now, a, ReasonTimeout)...)
 	}
 	return acts
@@ -218,6 +221,9 @@
 // scheduleWake moves wakeAt to an earlier time if the timeout of an attempt, its hedge, or a
 // check whether the delay of hedges has become known is due before wakeAt.
 func (q *Query) scheduleWake(now time.Time, a *attempt) {
+	if a.overdue {
+		return
+	}
 	q.wakeAt = earlier(q.wakeAt, a.expiresAt)
 	if !q.mayHedge() || q.shards[a.shard].hedged {
 		return
--- a/policy/shard.go
+++ b/policy/shard.go
@@ -10,7 +10,8 @@
 type shardState struct {
 	answer      *target.LeafAnswer // nil before the shard has answered
 	tried       []ReplicaID        // replicas that got an attempt
-	inFlight    int                // attempts in flight
+	inFlight    int                // attempts in flight whose timeout hasn't passed
+	overdue     int                // attempts in flight whose timeout has passed; they may still be answered
 	sent        int                // attempts, hedges and retries included
 	firstSentAt time.Time          // when the first attempt was sent; zero before
 	refused     int                // attempts counted in sent that targets refused without starting them
@@ -28,6 +29,7 @@
 	replica   ReplicaID
 	sentAt    time.Time
 	expiresAt time.Time // when its timeout ends
+	overdue   bool      // its timeout has passed
 }
 
 // phase is the progress of a shard in one pass of a query.
@@ -42,12 +44,12 @@
 )
 
 // currentPhase derives the phase from the other fields. A shard without an answer is open
-// while an attempt is in flight or it waits to send one.
+// while an attempt is in flight, overdue or not, or it waits to send one.
 func (s *shardState) currentPhase() phase {
 	switch {
 	case s.answer != nil:
 		return phaseAnswered
-	case s.inFlight > 0 || !s.retryAt.IsZero():
+	case s.inFlight > 0 || s.overdue > 0 || !s.retryAt.IsZero():
 		return phaseOpen
 	case s.reason == ReasonSnapshotGone || s.reason == ReasonNoReplica:
 		return phaseNoHolder
--- a/query/failed.go
+++ b/query/failed.go
@@ -15,9 +15,11 @@
 // maxLoggedAttempts bounds the failed attempts that the log line of one query lists.
 const maxLoggedAttempts = 24
 
-// errNoWorker is the error of an attempt that was not sent because the queue of the workers
-// was full.
-var errNoWorker = errors.New("no worker is free")
+// Errors of attempts in the log.
+var (
+	errNoWorker  = errors.New("no worker is free") // not sent: the queue of the workers was full
+	errCancelled = errors.New("cancelled")         // the query ended, or another attempt was answered
+)
 
 // failedAttempt is an attempt that ended without an answer.
 type failedAttempt struct {
@@ -32,8 +34,8 @@
 	if f.send.Hedge {
 		kind = " hedge"
 	}
-	return fmt.Sprintf("shard %d leaf %d%s after %d of %d ms: %v",
-		f.send.Shard, f.send.Replica.Leaf, kind, f.took.Milliseconds(), f.send.Timeout.Milliseconds(), f.err)
+	return fmt.Sprintf("shard %d target %s leaf %d%s after %d ms: %v",
+		f.send.Shard, f.send.Replica.Target, f.send.Replica.Leaf, kind, f.took.Milliseconds(), f.err)
 }
 
 // describeTrail lists the VMs through which the attempts on a shard were made, for the log. It
--- a/query/run.go
+++ b/query/run.go
@@ -40,12 +40,12 @@
 // newRunner returns a query that has not begun.
 func (e *Engine) newRunner(svc *service, req *Request) *runner {
 	return &runner{
-		engine:  e,
-		svc:     svc,
-		req:     req,
-		events:  make(chan event, eventBuffer),
-		cancels: make(map[policy.AttemptID]context.CancelFunc),
-		trails:  make(map[int]*target.Trail),
+		engine: e,
+		svc:    svc,
+		req:    req,
+		events: make(chan event, eventBuffer),
+		calls:  make(map[policy.AttemptID]call),
+		trails: make(map[int]*target.Trail),
 	}
 }
 
@@ -65,15 +65,22 @@
 // runner is one query in progress. Only the goroutine that runs loop uses its
 // changing fields; attempts send their results to events.
 type runner struct {
-	engine  *Engine
-	svc     *service
-	req     *Request
-	ctx     context.Context                         // ends when the query ends or the caller disconnects
-	events  chan event                              // ends of attempts, for loop
-	cancels map[policy.AttemptID]context.CancelFunc // cancel the calls of the attempts
-	query   *policy.Query                           // the policy's state of this query; guarded by svc.mu
-	trails  map[int]*target.Trail                   // by shard: the VMs through which its attempts are made
-	failed  []failedAttempt                         // for the log
+	engine *Engine
+	svc    *service
+	req    *Request
+	ctx    context.Context           // ends when the query ends or the caller disconnects
+	events chan event                // ends of attempts, for loop
+	calls  map[policy.AttemptID]call // in flight
+	query  *policy.Query             // the policy's state of this query; guarded by svc.mu
+	trails map[int]*target.Trail     // by shard: the VMs through which its attempts are made
+	failed []failedAttempt           // for the log
+}
+
+// call is the call of an attempt in flight.
+type call struct {
+	send   policy.Send
+	sentAt time.Time
+	cancel context.CancelFunc
 }
 
 // event is the end of an attempt; answer is nil if it failed.
@@ -139,10 +146,14 @@
 // handleEvent passes an event to the policy and returns the actions to execute. The caller
 // must hold svc.mu.
 func (r *runner) handleEvent(now time.Time, ev event) []policy.Action {
+	_, inFlight := r.calls[ev.attempt]
+	delete(r.calls, ev.attempt)
 	if ev.answer != nil {
 		return r.query.HandleAnswer(now, ev.attempt, ev.answer)
 	}
-	r.failed = append(r.failed, ev.details)
+	if inFlight {
+		r.failed = append(r.failed, ev.details)
+	}
 	return r.query.HandleFailure(now, ev.attempt, ev.failure)
 }
 
@@ -180,11 +191,12 @@
 	return nil
 }
 
-// cancelAttempt cancels the call of an attempt.
+// cancelAttempt cancels the call of an attempt that is in flight.
 func (r *runner) cancelAttempt(id policy.AttemptID) {
-	if cancel := r.cancels[id]; cancel != nil {
-		cancel()
-		delete(r.cancels, id)
+	if c, inFlight := r.calls[id]; inFlight {
+		c.cancel()
+		delete(r.calls, id)
+		r.failed = append(r.failed, failedAttempt{send: c.send, took: time.Since(c.sentAt), err: errCancelled})
 	}
 }
 
@@ -192,7 +204,7 @@
 // attempt ends as refused because this VM is busy.
 func (r *runner) send(s policy.Send) {
 	ctx, cancel := context.WithTimeout(target.WithTrail(r.ctx, r.trail(s.Shard)), s.Timeout)
-	r.cancels[s.Attempt] = cancel
+	r.calls[s.Attempt] = call{send: s, sentAt: time.Now(), cancel: cancel}
 	job := func() {
 		defer cancel()
 		r.post(r.call(ctx, s))
