A contested place is verified at most each five seconds, also while the platform is down

Found by reading the diff: a VM whose place another one states to hold asked the platform each second if the platform didn't answer, where its page and constant say each five seconds. The time of the last question counts now, not of the last answer.

edge: the interface says that connected may be called with Engine.mu held.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -19,7 +19,8 @@
 	// connect opens a connection if there is none, and reports whether it did. A new
 	// connection proves that the VM is alive.
 	connect(ctx context.Context, vm scatter.VM) (opened bool, err error)
-	// connected reports whether there is an open connection to a VM. It doesn't block.
+	// connected reports whether there is an open connection to a VM. It doesn't block, and may
+	// be called with Engine.mu held.
 	connected(vm scatter.VM) bool
 	// ping checks that a VM is alive, on the connection to it. If the check fails, the
 	// connection is closed. Without a connection, ping returns errNotConnected.
--- a/peer/route/hold_place.go
+++ b/peer/route/hold_place.go
@@ -28,9 +28,9 @@
 // heldPlace is this VM's place, if it has one, as maintainPlace knows it. A place is a number
 // that no other VM holds; it decides to which targets this VM owns connections.
 type heldPlace struct {
-	held       *place.Held // the claim; nil if this process has no place
-	unverified bool        // another VM may have acquired the place; the platform has to be asked before the place is used
-	verifiedAt time.Time   // when the platform last confirmed a contested place; zero if it never did
+	held        *place.Held // the claim; nil if this process has no place
+	unverified  bool        // another VM may have acquired the place; the platform has to be asked before the place is used
+	contestedAt time.Time   // when the platform was last asked because the place was contested; zero if it never was
 }
 
 // maintainPlace acquires a place for this VM once some target doesn't accept connections
@@ -78,7 +78,7 @@
 			h.held = nil
 		}
 	}
-	if h.held != nil && r.fleet.PlaceContested() && time.Since(h.verifiedAt) >= contestInterval {
+	if h.held != nil && r.fleet.PlaceContested() && time.Since(h.contestedAt) >= contestInterval {
 		h = r.verifyContested(ctx, h)
 	}
 	r.mu.Lock()
@@ -95,7 +95,7 @@
 	if h.held != nil {
 		r.setPlace(h.held.Place)
 	}
-	return heldPlace{held: h.held, verifiedAt: h.verifiedAt}
+	return heldPlace{held: h.held, contestedAt: h.contestedAt}
 }
 
 // verifyContested asks the platform whether this VM still holds a place that another VM
@@ -104,6 +104,7 @@
 // reserved for the other one.
 func (r *Router) verifyContested(ctx context.Context, h heldPlace) heldPlace {
 	lost, err := h.held.Lost(ctx)
+	h.contestedAt = time.Now()
 	switch {
 	case err != nil:
 		r.opts.Log.Debug("contested place not verified", "place", h.held.Place, "error", errors.Cause(err))
@@ -111,8 +112,6 @@
 		r.opts.Log.Warn("place lost to another VM", "place", h.held.Place)
 		r.setPlace(noPlace)
 		h.held = nil
-	default:
-		h.verifiedAt = time.Now()
 	}
 	return h
 }
--- a/peer/route/hold_place_test.go
+++ b/peer/route/hold_place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 
@@ -28,11 +29,27 @@
 func (f *contestedFleet) Ended(string, string) bool   { return false }
 func (f *contestedFleet) WireOptions() wire.Options   { return wire.Options{} }
 
+// countingStore counts the reads of single objects, which fail while down is set.
+type countingStore struct {
+	objstore.Store
+	reads int
+	down  bool
+}
+
+// Get reads an object.
+func (s *countingStore) Get(ctx context.Context, kind, name string) (objstore.Object, error) {
+	s.reads++
+	if s.down {
+		return objstore.Object{}, errors.New("platform down")
+	}
+	return s.Store.Get(ctx, kind, name)
+}
+
 // newContestedRouter returns a router of a fleet with two places, one of which owns each target,
 // with the platform's store and the fleet.
-func newContestedRouter(t *testing.T) (*Router, *platformsim.Store, *contestedFleet) {
+func newContestedRouter(t *testing.T) (*Router, *countingStore, *contestedFleet) {
 	g := NewWithT(t)
-	store, fleet := platformsim.NewStore(), &contestedFleet{}
+	store, fleet := &countingStore{Store: platformsim.NewStore()}, &contestedFleet{}
 	r := New(Options{
 		Local: target.NewClient(target.Options{}),
 		Place: place.Options{Store: store, Deployment: "d", VM: "vm-0", Incarnation: "a", Ended: fleet.Ended},
@@ -51,7 +68,7 @@
 }
 
 // claimAll gives both places to other VMs, as happens after this VM counted as lost.
-func claimAll(t *testing.T, store *platformsim.Store) {
+func claimAll(t *testing.T, store objstore.Store) {
 	g := NewWithT(t)
 	for _, vm := range []string{"vm-1", "vm-2"} {
 		_, err := place.Acquire(context.Background(), place.Options{
@@ -96,7 +113,23 @@
 	changed := r.Changed()
 	again := r.updatePlace(h)
 	g.Expect(again.held).To(Equal(h.held))
-	g.Expect(again.verifiedAt).NotTo(BeZero())
+	g.Expect(again.contestedAt).NotTo(BeZero())
 	g.Expect(changed).NotTo(BeClosed())
-	g.Expect(r.updatePlace(again).verifiedAt).To(Equal(again.verifiedAt), "the platform is not asked again at once")
+	g.Expect(r.updatePlace(again).contestedAt).To(Equal(again.contestedAt), "the platform is not asked again at once")
+}
+
+// Guards against a holder that gives up its place, or asks the platform again and again, while
+// the platform is down.
+func TestContestedPlaceIsKeptWhileThePlatformIsDown(t *testing.T) {
+	g := NewWithT(t)
+	r, store, fleet := newContestedRouter(t)
+	h := r.updatePlace(heldPlace{})
+	claimAll(t, store)
+	fleet.contested.Store(true)
+	store.down = true
+	again := r.updatePlace(h)
+	g.Expect(again.held).To(Equal(h.held))
+	g.Expect(store.reads).To(Equal(1))
+	r.updatePlace(again)
+	g.Expect(store.reads).To(Equal(1))
 }
