A VM without a peer reads the list of VMs again soon

Cause: a VM reads the platform's list at its start and then at intervals of 5 s. The list lags; at the first read it may name no other VM. A starved test writes the list only after the first daemons have read it.

A VM without a peer now reads the list again after half a second, doubling up to the usual interval, and looks for VMs to dial after each such read.

Test: peer TestVMWithoutPeersReadsTheListAgainSoon, red before (no peer after 20 s).

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -127,7 +127,7 @@
 	startTime    time.Time     // when New was called; taken as the start of this process
 	startNanos   int64         // startTime by the wall clock, in Unix nanoseconds; orders incarnations
 	pullWake     chan struct{} // wakes pullHeads; buffers one signal
-	listRead     chan struct{} // closed when the platform's list of VMs was first read
+	listRead     chan struct{} // signals run that an isolated VM has read the platform's list of VMs; buffers one signal
 
 	healthChanged chan struct{} // signals that changedTargets isn't empty; buffers one signal
 
@@ -162,7 +162,7 @@
 		opts:           o.withDefaults(),
 		startTime:      time.Now(),
 		pullWake:       make(chan struct{}, 1),
-		listRead:       make(chan struct{}),
+		listRead:       make(chan struct{}, 1),
 		table:          facts.NewTable(),
 		links:          map[*link]struct{}{},
 		dialing:        map[string]bool{},
@@ -205,22 +205,21 @@
 }
 
 // run starts the goroutines of the exchange and calls tick at Options.Interval until
-// the exchange stops. It also calls tick once the list of VMs was first read: a VM that
-// started would otherwise not dial others for an interval, in which they don't know it.
+// the exchange stops. It also calls tick when this VM has read the list of VMs and has no
+// peer: a VM that started would otherwise not dial others for an interval, in which they
+// don't know it.
 func (x *Exchange) run() error {
 	x.tomb.Go(x.readVMList)
 	x.tomb.Go(x.announceRevisions)
 	x.tomb.Go(x.pullHeads)
 	ticker := time.NewTicker(x.opts.Interval)
 	defer ticker.Stop()
-	listRead := x.listRead
 	for {
 		x.tick(time.Now())
 		select {
 		case <-x.tomb.Dying():
 			return nil
-		case <-listRead:
-			listRead = nil
+		case <-x.listRead:
 		case <-ticker.C:
 		}
 	}
@@ -401,12 +400,17 @@
 	return len(x.links)
 }
 
+// isolatedListInterval is the mean time until a VM without a peer reads the platform's list of
+// VMs for the second time. It doubles with each further read.
+const isolatedListInterval = 500 * time.Millisecond
+
 // readVMList reads the platform's list of VMs at intervals until the exchange stops. The
-// mean interval is ListInterval on VMs that watch the platform or have no peer, and
-// nonWatcherListFactor times as long on the others. Each wait is drawn at random
-// between half the mean interval and one and a half of it.
+// mean interval is ListInterval on VMs that watch the platform, and nonWatcherListFactor
+// times as long on the others. On a VM without a peer it begins with isolatedListInterval:
+// the list lags, so that a VM which has just started may not find others in it. Each wait is
+// drawn at random between half the mean interval and one and a half of it.
 func (x *Exchange) readVMList() error {
-	first := true
+	isolatedWait := isolatedListInterval
 	for {
 		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), x.opts.ListInterval)
 		vms, err := x.opts.Store.VMs(ctx)
@@ -416,15 +420,22 @@
 			x.listedVMs = vms
 			x.invalidateCaches()
 			x.mu.Unlock()
-			if first {
-				close(x.listRead)
-				first = false
-			}
 		} else {
 			x.opts.Log.Debug("could not read the platform's list of VMs", "error", err)
 		}
 		wait := x.opts.ListInterval
-		if !x.Watching() {
+		switch {
+		case x.Peers() == 0:
+			select {
+			case x.listRead <- struct{}{}:
+			default:
+			}
+			wait = min(wait, isolatedWait)
+			isolatedWait = min(2*isolatedWait, x.opts.ListInterval)
+		case x.Watching():
+			isolatedWait = isolatedListInterval
+		default:
+			isolatedWait = isolatedListInterval
 			wait *= nonWatcherListFactor
 		}
 		wait = wait/2 + rand.N(wait)
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -450,3 +451,32 @@
 	f.waitForAll(func(vm *testVM) bool { return vm.Peers() == 1 })
 	f.waitForAll(func(vm *testVM) bool { return len(vm.Live()) == 2 }, fresh)
 }
+
+// laggingList is a store whose list of VMs is empty in the first reads.
+type laggingList struct {
+	objstore.Store
+	emptyReads atomic.Int32 // number of further reads that return an empty list
+}
+
+// VMs reads the list.
+func (s *laggingList) VMs(ctx context.Context) ([]objstore.VM, error) {
+	if s.emptyReads.Add(-1) >= 0 {
+		return nil, nil
+	}
+	return s.Store.VMs(ctx)
+}
+
+// Guards against VMs that stay isolated for the interval of their reads, or for good if they are
+// cut off from the platform meanwhile, since they started before the platform listed any VM.
+func TestVMWithoutPeersReadsTheListAgainSoon(t *testing.T) {
+	f := newFleet(t, 0)
+	for i := range 2 {
+		list := &laggingList{Store: f.list}
+		list.emptyReads.Store(2)
+		f.start(fmt.Sprintf("vm-%03d", i), func(o *Options) {
+			o.Interval, o.ListInterval = 2*testTimeout, 2*testTimeout
+			o.Store = list
+		})
+	}
+	f.waitForAll(func(vm *testVM) bool { return vm.Peers() == 1 && len(vm.Live()) == 2 })
+}
