--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -191,6 +191,29 @@
 	c.expectWithinLimit(connections)
 }
 
+// A target is paused under load for longer than it takes to find a connection silent, as on a
+// machine that stalls. The owners replace their connections, while the target hasn't closed
+// the old ones. It must not see more connections than it accepts.
+func TestPausedTargetSeesNoMoreConnectionsThanItAccepts(t *testing.T) {
+	const daemons, connections, pauses = 5, 3, 5
+	const pause = 700 * time.Millisecond
+	c := start(t, fewConnections(daemons, daemons, connections))
+	rotation := &searchRotation{}
+	rotation.setVMs(c.Daemons...)
+	stop := c.startSearches(rotation)
+	for range pauses {
+		for _, target := range c.Targets {
+			before := rotation.answered()
+			c.Eventually(rotation.answered, waitTimeout, "10ms").Should(gomega.BeNumerically(">", before+20))
+			c.ok(target.Pause())
+			time.Sleep(pause)
+			c.ok(target.Resume())
+		}
+	}
+	stop()
+	c.expectWithinLimit(connections)
+}
+
 // vmsWithPlace returns the names of the VMs that have claimed a place.
 func (c *cluster) vmsWithPlace() (holders []string) {
 	for _, claim := range c.placeClaims() {
