TestOperatorStoppedAtEachWrite: the platform holds the write until its operator is stopped

Seen: one run of the whole suite was red after 30 s with "Expected 17 to equal 16".

Cause: the test watched the platform's count of writes, once per millisecond, for the exact number at which it stops the operator. The operator's next write follows 50 ms later (its calls take that long). Once a read of the count was answered later than that, the count had passed the number and never came back. Nothing was wrong with the rollout: the VMs' logs show revisions 2 and 3 in force, 3 by the operator that was to be stopped.

Ruled out: writes by VMs (none in the log while operators write); a write tried twice (each object once).

Change: the stand-in for the platform can hold a write of one kind (Faults.HoldWrites) until the faults are replaced. The test waits for the held write, stops the operator, and only then lets the write take effect. The assertions stay as they were. The old test let the write take effect whether or not its operator was stopped by then; now it always is. The field that limits faults of writes to one kind is named WriteKind.

--- a/integration/committer_test.go
+++ b/integration/committer_test.go
@@ -78,7 +78,7 @@
 func (c *cluster) claimWithoutAnswer(key string) <-chan gateway.Answer {
 	c.t.Helper()
 	c.ok(c.PlatformProxies[committer].SetFaults(faultproxy.Faults{DelayMS: 100}))
-	c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 1, LoseKind: once.Kind}))
+	c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 1, WriteKind: once.Kind}))
 	answer := c.sendAsync(c.Daemons[0], key)
 	c.waitClaim(key)
 	c.ok(c.Platform.SetFaults(platformsim.Faults{}))
@@ -206,7 +206,7 @@
 	c := startRelayingCluster(t)
 	for i := range 8 {
 		if i%2 == 1 {
-			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, LoseKind: once.Kind}))
+			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, WriteKind: once.Kind}))
 		}
 		key := c.committerKey(fmt.Sprint("both", i))
 		pending := []<-chan gateway.Answer{
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -109,7 +109,7 @@
 	c := start(t, clusterConfig{})
 	for i := range 12 {
 		if i%2 == 1 {
-			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, LoseKind: once.Kind}))
+			c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 2, WriteKind: once.Kind}))
 		}
 		key := newKey(fmt.Sprint("both", i))
 		pending := []<-chan gateway.Answer{
@@ -211,7 +211,7 @@
 	// The first VM commits the claims of these keys itself. Otherwise the other VM would
 	// commit them and could answer the first despite the fault.
 	for _, key := range c.keysCommittedBy(c.Daemons[0], "unheard", tries) {
-		c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 1000, LoseKind: once.Kind}))
+		c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 1000, WriteKind: once.Kind}))
 		c.ok(c.PlatformProxies[0].SetFaults(faultproxy.Faults{DelayMS: 400}))
 		answer := c.sendAsync(c.Daemons[0], key)
 		c.waitClaim(key)
@@ -333,9 +333,9 @@
 			case 0:
 				c.ok(c.Platform.SetFaults(platformsim.Faults{Outage: true}))
 			case 1:
-				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 3, LoseKind: once.Kind}))
+				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseAnswers: 3, WriteKind: once.Kind}))
 			case 2:
-				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseWrites: 3, LoseKind: once.Kind}))
+				c.ok(c.Platform.SetFaults(platformsim.Faults{LoseWrites: 3, WriteKind: once.Kind}))
 			case 3:
 				c.ok(c.PlatformProxies[randomDaemon()].Silence())
 			case 4:
--- a/integration/rollout_test.go
+++ b/integration/rollout_test.go
@@ -58,7 +58,7 @@
 		racing.Go(func() {
 			for range changes {
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-				faults := platformsim.Faults{LoseAnswers: 1 + rng.IntN(2), LoseWrites: rng.IntN(2), LoseKind: rollout.KindHead}
+				faults := platformsim.Faults{LoseAnswers: 1 + rng.IntN(2), LoseWrites: rng.IntN(2), WriteKind: rollout.KindHead}
 				if err := c.Platform.SetFaults(faults); err != nil {
 					t.Error(err)
 				}
--- a/integration/stopped_operator_test.go
+++ b/integration/stopped_operator_test.go
@@ -12,6 +12,7 @@
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/platformsim"
 	"github.com/bramleybarrow/bramleybarrow/operator"
 	"github.com/bramleybarrow/bramleybarrow/result"
+	"github.com/bramleybarrow/bramleybarrow/rollout"
 )
 
 // An operator's program is stopped by SIGSTOP while one of its writes is in progress, for
@@ -19,20 +20,24 @@
 // change must not replace the newer one, and it must not report a change as refused
 // although it is in force. The audit trail must be complete.
 func TestOperatorStoppedAtEachWrite(t *testing.T) {
-	t.Parallel()                 // it mostly waits
-	const slowMS, writes = 50, 2 // the entry of the old head to the audit trail, and the new head
+	t.Parallel() // it mostly waits
+	slow := platformsim.Faults{SlowMS: 50}
 	c := start(t, clusterConfig{Daemons: 2})
 	first, second := c.pushSignedBundle("one"), c.pushSignedBundle("two")
-	c.ok(c.Platform.SetFaults(platformsim.Faults{SlowMS: slowMS}))
 	stop := c.watchRevisions()
-	for write := 1; write <= writes; write++ {
+	// The first write adds the entry of the old head to the audit trail, the second writes the new head.
+	for i, kind := range []string{rollout.KindAudit, rollout.KindHead} {
+		write := i + 1
 		stopped, other := c.ctl(fleet.Signer), c.ctl(fleet.Signer)
-		puts := func() int { return must[platformsim.Counters](c)(c.Platform.Counters()).Put }
-		before := puts()
+		hold := slow
+		hold.HoldWrites, hold.WriteKind = 1, kind
+		c.ok(c.Platform.SetFaults(hold))
+		held := func() int { return must[platformsim.Counters](c)(c.Platform.Counters()).Held }
 		var otherAnswer operator.ChangeOutput
 		stopped.onStart = func(p *os.Process) {
-			c.Eventually(puts, waitTimeout, "1ms").Should(gomega.Equal(before + write))
+			c.Eventually(held, waitTimeout, "1ms").Should(gomega.Equal(write))
 			_ = p.Signal(syscall.SIGSTOP)
+			c.ok(c.Platform.SetFaults(slow)) // the write takes effect while its operator is stopped
 			other.must(&otherAnswer, "rollout", second, "--reason", "meanwhile")
 			_ = p.Signal(syscall.SIGCONT)
 		}
--- a/internal/lab/platformsim/faults.go
+++ b/internal/lab/platformsim/faults.go
@@ -31,9 +31,12 @@
 	// LateMS later, if the object has the version that the write expects then.
 	LateWrites int `json:"late_writes"`
 	LateMS     int `json:"late_ms"`
-	// LoseKind limits LoseAnswers, LoseWrites and LateWrites to writes of objects of one
-	// kind; empty means all kinds.
-	LoseKind string `json:"lose_kind"`
+	// HoldWrites is how many of the next writes wait, before they take effect, until the
+	// faults are replaced or their caller gives up.
+	HoldWrites int `json:"hold_writes"`
+	// WriteKind limits LoseAnswers, LoseWrites, LateWrites and HoldWrites to writes of objects
+	// of one kind; empty means all kinds.
+	WriteKind string `json:"write_kind"`
 	// WritesPerSecond and ReadsPerSecond limit the rates of calls; calls above them are
 	// refused, and 0 means no limit. A watch counts as a read.
 	WritesPerSecond float64 `json:"writes_per_second"`
@@ -49,6 +52,7 @@
 	Watch   int `json:"watch"`
 	VMs     int `json:"vms"`     // reads of the list of VMs
 	Refused int `json:"refused"` // calls that a rate limit refused; each is also counted in the field of its type
+	Held    int `json:"held"`    // writes that Faults.HoldWrites made wait; each is also counted in the field of its type
 }
 
 // call is a type of call to the platform.
@@ -80,16 +84,20 @@
 	counters     Counters
 	writeLimiter *rate.Limiter // limits puts and deletes; nil means no limit
 	readLimiter  *rate.Limiter // limits all other calls; nil means no limit
+	replaced     chan struct{} // closed when the faults are replaced
 }
 
-// SetFaults replaces the faults. Of these, only WatchesSilent applies to a watch that is waiting
-// already, and only from the next change of the watch's kind on.
+// SetFaults replaces the faults and lets the writes that HoldWrites made wait take effect. Of the
+// new faults, only WatchesSilent applies to a watch that is waiting already, and only from the next
+// change of the watch's kind on.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults.Faults = f
 	s.faults.writeLimiter = newLimiter(f.WritesPerSecond)
 	s.faults.readLimiter = newLimiter(f.ReadsPerSecond)
+	close(s.faults.replaced)
+	s.faults.replaced = make(chan struct{})
 }
 
 // Faults returns the current faults, with the numbers of writes and answers that are still to be
@@ -135,9 +143,36 @@
 	if !c.isWrite() {
 		return outcomeAnswered, nil
 	}
+	if err := s.holdWrite(ctx, kind); err != nil {
+		return outcomeAnswered, err
+	}
 	return s.consumeWriteFault(kind)
 }
 
+// holdWrite makes a write of that kind wait if HoldWrites asks for it. It returns an error if the
+// caller gave up meanwhile.
+func (s *Store) holdWrite(ctx context.Context, kind string) error {
+	s.mu.Lock()
+	f := &s.faults
+	if f.HoldWrites == 0 || !f.affects(kind) {
+		s.mu.Unlock()
+		return nil
+	}
+	f.HoldWrites--
+	f.counters.Held++
+	replaced := f.replaced
+	s.mu.Unlock()
+	select {
+	case <-replaced:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+// affects reports whether the faults of writes affect those of that kind.
+func (f *Faults) affects(kind string) bool { return f.WriteKind == "" || f.WriteKind == kind }
+
 // admit counts a call and returns the delay before its execution, or an error if an outage or a
 // rate limit makes it fail.
 func (s *Store) admit(c call) (delay time.Duration, err error) {
@@ -165,7 +200,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := &s.faults
-	if f.LoseKind != "" && f.LoseKind != kind {
+	if !f.affects(kind) {
 		return outcomeAnswered, nil
 	}
 	if f.LoseWrites > 0 {
--- a/internal/lab/platformsim/store.go
+++ b/internal/lab/platformsim/store.go
@@ -55,7 +55,10 @@
 
 // NewStore returns an empty store without faults.
 func NewStore() *Store {
-	return &Store{kinds: make(map[string]*kindObjects), watchWait: defaultWatchWait}
+	return &Store{
+		kinds: make(map[string]*kindObjects), watchWait: defaultWatchWait,
+		faults: faultState{replaced: make(chan struct{})},
+	}
 }
 
 // SetWatchWait sets how long a watch waits for a change before it returns without events.
--- a/internal/lab/platformsim/store_test.go
+++ b/internal/lab/platformsim/store_test.go
@@ -52,6 +52,31 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+// Tests hold a write to stop its writer before the write takes effect. If the write did not wait,
+// or another kind's did, these tests would stop the writer at another point.
+func TestHeldWriteTakesEffectWhenFaultsAreReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewStore()
+	s.SetFaults(Faults{HoldWrites: 1, WriteKind: "k"})
+	_, err := s.Put(t.Context(), "other", "a", 0, []byte(`1`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	put := make(chan error, 1)
+	go func() {
+		_, err := s.Put(t.Context(), "k", "a", 0, []byte(`1`))
+		put <- err
+	}()
+	g.Eventually(func() int { return s.Counters().Held }).Should(gomega.Equal(1))
+	_, err = s.Get(t.Context(), "k", "a")
+	g.Expect(err).To(gomega.MatchError(objstore.ErrNotFound))
+
+	s.SetFaults(Faults{})
+
+	g.Eventually(put).Should(gomega.Receive(gomega.BeNil()))
+	_, err = s.Get(t.Context(), "k", "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Counters().Held).To(gomega.Equal(1))
+}
+
 // Tests use LateWrites for writes that take effect after the writer received an error. If such a
 // write did not take effect, these tests would pass without testing that case.
 func TestLateWriteTakesEffectAfterError(t *testing.T) {
--- a/internal/lab/rolloutbench/scenario.go
+++ b/internal/lab/rolloutbench/scenario.go
@@ -58,7 +58,7 @@
 	{name: "healthy"},
 	{name: "watches silent", begin: setPlatformFaults(platformsim.Faults{WatchesSilent: true}), end: clearPlatformFaults},
 	{name: "platform slow, 200 ms each call", begin: setPlatformFaults(platformsim.Faults{SlowMS: 200}), end: clearPlatformFaults},
-	{name: "answer to the head's write lost", beforeEach: setPlatformFaults(platformsim.Faults{LoseAnswers: 1, LoseKind: rollout.KindHead}), end: clearPlatformFaults},
+	{name: "answer to the head's write lost", beforeEach: setPlatformFaults(platformsim.Faults{LoseAnswers: 1, WriteKind: rollout.KindHead}), end: clearPlatformFaults},
 	{name: "all open connections silent", beforeEach: func(b *bench) error {
 		for _, p := range b.proxies {
 			if err := p.Silence(); err != nil {
