A paused target refuses no connections: one owner goes beyond the share

Cause: connections count as silent after 0.1 s and a probe of 0.5 s. Each owner closed its own and, with a share of one, opened another at once, since one connection was always allowed. A paused target neither accepts nor closes anything, so that it finds two connections of each owner when it resumes; its spare share bears one. A silent connection counted for 2 min by the clock, whether or not the target had closed its end.

Ruled out: a second connection of one owner by another way: with one owner that may go beyond the share the peak is 3 in all runs.

Change: a silent connection counts against the share until the target has closed its end, for at most 2 min. While all of the share are silent, only the first live owner opens one beyond it (Options.MayExceedShare, Ownership.Leads). Calls of the others fail at once with nothing started and go through another owner, those of the owner itself too; VMs try an owner without a connection to the target after the others.

New tests: an owner without a connection calls through another one (red with the former end of callTarget), one live owner leads, a silent connection holds the share until the target closes it, is replaced beyond it by the VM that may.

--- a/node/node.go
+++ b/node/node.go
@@ -143,9 +143,10 @@
 func (n *Node) buildTargets() {
 	clientSink := &deferredSink{}
 	n.client = target.NewClient(target.Options{
-		Log:     logging.Component(n.log, "target"),
-		Sink:    clientSink,
-		Metrics: n.metrics,
+		Log:            logging.Component(n.log, "target"),
+		Sink:           clientSink,
+		Metrics:        n.metrics,
+		MayExceedShare: func(name string) bool { return n.router.Ownership(name).Leads() },
 	})
 	n.router = route.New(route.Options{
 		Local: n.client,
--- a/peer/route/order_test.go
+++ b/peer/route/order_test.go
@@ -108,6 +108,9 @@
 			}
 		}, map[int]bool{51: true, 2051: false}},
 		"no slot":                        {func(h *ownerHealth) { call(h, liveCtx, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
+		"owner without a connection to the target": {func(h *ownerHealth) {
+			call(h, liveCtx, &target.CallError{Kind: target.ErrorUnreachable}, false, 0, 1)
+		}, map[int]bool{2: true, 100: true, 102: false}},
 		"connection to the owner broke":  {func(h *ownerHealth) { call(h, liveCtx, cancelled, true, 0, 1) }, map[int]bool{2: false}},
 		"owner unreachable":              {func(h *ownerHealth) { h.markUnreachable(at(0)) }, map[int]bool{1: true, 2001: false}},
 		"connection to the target broke": {func(h *ownerHealth) { call(h, liveCtx, &target.CallError{Kind: target.ErrorBroken}, false, 0, 1) }, map[int]bool{2: false}},
--- a/peer/route/owner_conn_test.go
+++ b/peer/route/owner_conn_test.go
@@ -154,7 +154,7 @@
 func TestFrozenOwnerIsTriedLast(t *testing.T) {
 	f := newFleet(t, 5, 3)
 	vm, _, _ := f.ownerBehindProxy()
-	owners, _ := vm.router.resolve("target-0", nil)
+	owners := vm.router.otherOwners("target-0", nil)
 	f.Expect(owners).To(HaveLen(2))
 	preferred := owners[0].vm
 	proxy, err := faultproxy.Start(faultproxy.Options{Target: preferred.Address})
@@ -170,7 +170,7 @@
 	f.Expect(vm.search(f)).To(Succeed())
 	proxy.SetFaults(faultproxy.Faults{Frozen: true})
 	triedLast := func() bool {
-		owners, _ := vm.router.resolve("target-0", nil)
+		owners := vm.router.otherOwners("target-0", nil)
 		return owners[1].vm == preferred && owners[1].inCooldown
 	}
 	lost := 0
@@ -189,7 +189,7 @@
 func TestFurtherAttemptGoesThroughAnotherOwner(t *testing.T) {
 	f := newFleet(t, 5, 3)
 	vm, _, _ := f.ownerBehindProxy()
-	owners, _ := vm.router.resolve("target-0", nil)
+	owners := vm.router.otherOwners("target-0", nil)
 	f.Expect(owners).To(HaveLen(2))
 	first, second := owners[0].vm, owners[1].vm
 	proxy, err := faultproxy.Start(faultproxy.Options{Target: first.Address})
@@ -208,7 +208,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- vm.searchWith(ctx, f) }()
 	f.Eventually(trail.String).WithTimeout(testLimit).Should(Equal(first.Name))
-	next, _ := vm.router.resolve("target-0", trail)
+	next := vm.router.otherOwners("target-0", trail)
 	f.Expect(next[0].vm).To(Equal(second), "the first attempt is not answered yet")
 	cancel()
 	f.Expect(<-ended).To(HaveOccurred())
--- a/peer/route/owner_health.go
+++ b/peer/route/owner_health.go
@@ -102,10 +102,14 @@
 	if call == nil {
 		return
 	}
-	// The owner itself is at its limit, or no slot of the leaf was free in time.
-	if call.Kind == target.ErrorBusy || call.Kind == target.ErrorRefused && call.Reason == target.ReasonShed {
-		h.markRefused(name, call.RetryAfter, now)
+	switch {
+	case call.Kind == target.ErrorBusy: // the owner itself is at its limit
+	case call.Kind == target.ErrorRefused && call.Reason == target.ReasonShed: // no slot of the leaf was free in time
+	case call.Kind == target.ErrorUnreachable: // the owner has no connection to the target
+	default:
+		return
 	}
+	h.markRefused(name, call.RetryAfter, now)
 }
 
 // connectionLost records a call whose connection ended before the answer. It starts no
@@ -119,8 +123,8 @@
 }
 
 // markRefused starts a cooldown of the owner for one target after it has refused a call
-// because no slot was free. Other targets of the owner may have free slots. retryAfter is
-// the time that the refusal asks to wait.
+// because no slot was free or it has no connection to the target. That says nothing about
+// other targets. retryAfter is the time that the refusal asks to wait.
 func (h *ownerHealth) markRefused(name string, retryAfter time.Duration, now time.Time) {
 	if h.refusedUntil == nil {
 		h.refusedUntil = map[string]time.Time{}
--- a/peer/route/ownership.go
+++ b/peer/route/ownership.go
@@ -12,6 +12,14 @@
 	LiveOwners []int // places of the owners that are live and not leaving, in the order of share.Plan.OwnerPlaces
 }
 
+// Leads reports whether this VM is the one of a target's owners that may hold a connection
+// beyond its share while those of the share are silent: the first live one. Without shared
+// connections, or without a live owner, each VM with connections is. The spare shares of the
+// target, see share.NewPlan, allow it one connection.
+func (o Ownership) Leads() bool {
+	return !o.Shared || o.Owner && (len(o.LiveOwners) == 0 || o.LiveOwners[0] == o.Place)
+}
+
 // Ownership returns the ownership of a target of the bundle in force. For a target that
 // isn't in the bundle, Shared is false.
 func (r *Router) Ownership(name string) Ownership {
--- a/peer/route/route.go
+++ b/peer/route/route.go
@@ -287,21 +287,24 @@
 	return s, err
 }
 
-// callTarget makes a call to the named target over this VM's own connections, or through
-// one of the target's owners. call makes the call with the Leaves that it is given. Owners
-// are tried one after another: after a failure, callTarget tries the next owner only if the
-// target is certain not to have started the call and another owner may be able to make it;
-// see tryNextOwner.
+// callTarget makes a call to the named target over this VM's own connections if it has any,
+// or through one of the target's owners. call makes the call with the Leaves that it is
+// given. Owners are tried one after another, this VM first if it is one: after a failure,
+// callTarget tries the next owner only if the target is certain not to have started the call
+// and another owner may be able to make it; see tryNextOwner.
 func (r *Router) callTarget(ctx context.Context, name string, call func(hop.Leaves) error) error {
-	trail := target.TrailOf(ctx)
-	owners, local := r.resolve(name, trail)
+	local, shared := r.local(name)
+	var lastErr error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
 	if local != nil {
 		r.directCalls.Inc()
-		return call(local)
+		lastErr = call(local)
+		if !shared || !tryNextOwner(lastErr) {
+			return lastErr
+		}
 	}
 	r.ownerCalls.Inc()
-	var lastErr error = &target.CallError{Kind: target.ErrorUnreachable, Target: name, NotStarted: true}
-	for _, c := range owners {
+	trail := target.TrailOf(ctx)
+	for _, c := range r.otherOwners(name, trail) {
 		conn, err := r.acquireConn(ctx, c.vm)
 		if ctx.Err() != nil {
 			return hop.ContextError(ctx, name, true)
@@ -331,33 +334,40 @@
 		(call.Kind == target.ErrorUnreachable || call.Kind == target.ErrorUnknownTarget || call.Kind == target.ErrorBroken)
 }
 
-// resolve decides how the named target is called. If this VM has connections to it, or if
-// the bundle in force doesn't have the target, local is set: the Leaves that call it over
-// this VM's own connections. Otherwise owners holds the live owners of the target, including
-// leaving ones, in the order in which this VM tries them. trail holds the owners through
-// which earlier attempts went; it may be nil.
-func (r *Router) resolve(name string, trail *target.Trail) (owners []candidate, local hop.Leaves) {
+// local returns the Leaves that call the named target over this VM's own connections, nil if
+// it has none to that target and must call through an owner. shared says that only some VMs
+// own connections to the target. For a target that the bundle in force doesn't have, local
+// returns Leaves whose calls fail.
+func (r *Router) local(name string) (leaves hop.Leaves, shared bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	rt := r.targets[name]
-	isOwner := rt != nil && rt.connections > 0
-	r.mu.Unlock()
 	switch {
 	case rt == nil || rt.plan.Direct():
-		return nil, r.opts.Local
-	case isOwner:
-		return nil, r.owner.QueuedLeaves() // shares the slots with the calls of other VMs
+		return r.opts.Local, false
+	case rt.connections > 0:
+		return r.owner.QueuedLeaves(), true // shares the slots with the calls of other VMs
 	}
+	return nil, true
+}
+
+// otherOwners returns the other live VMs that own connections to the named target, including
+// leaving ones, in the order in which this VM tries them. trail holds the owners through
+// which earlier attempts went; it may be nil.
+func (r *Router) otherOwners(name string, trail *target.Trail) (owners []candidate) {
 	vmByPlace := r.fleet.Places()
 	now := time.Now()
 	r.mu.Lock()
-	for _, place := range rt.owners {
-		if vm, live := vmByPlace[place]; live {
-			owners = append(owners, r.newCandidate(name, vm, trail, now))
+	if rt := r.targets[name]; rt != nil {
+		for _, place := range rt.owners {
+			if vm, live := vmByPlace[place]; live && place != r.ownPlace {
+				owners = append(owners, r.newCandidate(name, vm, trail, now))
+			}
 		}
 	}
 	r.mu.Unlock()
 	sortCandidates(owners)
-	return owners, nil
+	return owners
 }
 
 // newCandidate returns the VM vm, an owner of the named target, as a candidate for the
--- a/peer/route/route_test.go
+++ b/peer/route/route_test.go
@@ -252,7 +252,7 @@
 		}
 	}
 	staying := func() (names []string) {
-		list, _ := other.router.resolve("target-0", nil)
+		list := other.router.otherOwners("target-0", nil)
 		for _, c := range list {
 			if !c.vm.Leaving {
 				names = append(names, c.vm.Name)
@@ -262,7 +262,7 @@
 	}
 	owners[0].peers.AnnounceLeaving()
 	f.Eventually(staying).WithTimeout(testLimit).Should(Equal([]string{owners[1].name}))
-	list, _ := other.router.resolve("target-0", nil)
+	list := other.router.otherOwners("target-0", nil)
 	f.Expect(list[0].vm.Name).To(Equal(owners[1].name), "an owner that stays must be tried first")
 	owners[1].peers.AnnounceLeaving()
 	f.Eventually(staying).WithTimeout(testLimit).Should(BeEmpty())
--- a/target/conn.go
+++ b/target/conn.go
@@ -76,9 +76,18 @@
 }
 
 // awaitRemoteClose reads until the other end has closed the connection, for at
-// most limit.
-func (w *wireConn) awaitRemoteClose(limit time.Duration) {
+// most limit, or until stop is closed.
+func (w *wireConn) awaitRemoteClose(stop <-chan struct{}, limit time.Duration) {
 	_ = w.Conn.SetReadDeadline(time.Now().Add(limit))
+	closed := make(chan struct{})
+	defer close(closed)
+	go func() {
+		select {
+		case <-stop:
+			_ = w.Conn.SetReadDeadline(time.Now())
+		case <-closed:
+		}
+	}()
 	_, _ = io.Copy(io.Discard, w.Conn)
 }
 
@@ -127,17 +136,16 @@
 	}
 }
 
-// maxCloseWait bounds the wait for the other end to close a connection.
+// maxCloseWait bounds the wait for the other end to close a connection that is not silent.
 const maxCloseWait = 200 * time.Millisecond
 
-// shutdown closes the connection; calls that still use it fail. Unless immediately
-// is true, shutdown waits up to maxCloseWait until the target has closed its end.
-// Until then the target counts the connection, and a replacement could exceed
-// the target's limit.
-func (c *conn) shutdown(immediately bool) {
+// shutdown closes the connection; calls that still use it fail. It waits until the target has
+// closed its end, for at most wait, or until stop is closed. Until then the target counts the
+// connection, and a replacement could exceed the target's limit.
+func (c *conn) shutdown(stop <-chan struct{}, wait time.Duration) {
 	_ = c.http.Close()
-	if !immediately {
-		c.wire.awaitRemoteClose(maxCloseWait)
+	if wait > 0 {
+		c.wire.awaitRemoteClose(stop, wait)
 	}
 	_ = c.wire.Conn.Close()
 }
--- a/target/maintain.go
+++ b/target/maintain.go
@@ -13,6 +13,10 @@
 // nothing to do, unless it is woken earlier.
 const idleInterval = time.Minute
 
+// exceedCheckInterval is the time between two checks of whether this VM may exceed its share
+// of a target's connections, while all of them are silent.
+const exceedCheckInterval = 250 * time.Millisecond
+
 // maintain is the maintainer: the goroutine that opens the pool's connections up to the
 // share, one at a time and with pauses, replaces lost ones and closes idle retiring ones.
 // Connections are opened and closed only from here, so that the share is never exceeded.
@@ -22,7 +26,8 @@
 	for {
 		p.sweep()
 		p.probeSuspects(time.Now())
-		due, done := p.plan(time.Now())
+		mayExceed := p.allSilent() && p.client.opts.MayExceedShare(p.name)
+		due, done := p.plan(time.Now(), mayExceed)
 		if done {
 			return nil
 		}
@@ -45,8 +50,9 @@
 
 // plan returns the time until the maintainer has to act (due), and whether it can return
 // because the pool is retired and empty (done). If due is 0 or less, a connection is to be
-// opened.
-func (p *pool) plan(now time.Time) (due time.Duration, done bool) {
+// opened. mayExceed says that one beyond the share may be. If none may be opened until a
+// silent one has been closed, plan fails the waiting calls.
+func (p *pool) plan(now time.Time, mayExceed bool) (due time.Duration, done bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	due = p.nextSuspectCheck(now)
@@ -54,12 +60,36 @@
 		p.stopped = len(p.conns) == 0
 		return due, p.stopped
 	}
-	if p.needsConn(now) {
+	needsConn := p.needsConn(mayExceed)
+	p.shareHeld = !needsConn && len(p.conns) > 0 && p.countHeard() == 0
+	switch {
+	case needsConn:
 		due = min(due, p.pacer.notBefore.Sub(now))
+	case p.shareHeld:
+		due = min(due, exceedCheckInterval)
+		p.failWaiters()
 	}
 	return due, false
 }
 
+// allSilent reports whether the pool has connections and all of them were found silent.
+func (p *pool) allSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0 && p.countHeard() == 0
+}
+
+// countHeard returns the number of connections that were not found silent. p.mu must be held.
+func (p *pool) countHeard() int {
+	count := 0
+	for _, cn := range p.conns {
+		if !cn.silent {
+			count++
+		}
+	}
+	return count
+}
+
 // nextSuspectCheck returns the time until the connections have to be checked for suspect
 // ones: until the first that awaits data becomes suspect, and at most SuspectAfter. It
 // returns idleInterval if no check is needed. p.mu must be held.
@@ -77,15 +107,14 @@
 	return max(due, time.Millisecond)
 }
 
-// needsConn reports whether a connection is to be opened. Each connection that was found
-// silent counts against this VM's share of the target's connections for SilentHold, but one
-// connection is always allowed: most targets soon drop their side of a silent connection,
-// and such a target must not be left without calls. p.mu must be held.
-func (p *pool) needsConn(now time.Time) bool {
-	for len(p.silentTimes) > 0 && now.Sub(p.silentTimes[0]) > p.client.opts.SilentHold {
-		p.silentTimes = p.silentTimes[1:]
-	}
-	if len(p.conns) >= max(p.endpoint.Connections-len(p.silentTimes), 1) {
+// needsConn reports whether a connection is to be opened. A connection that was found silent
+// counts against this VM's share of the target's connections until the target has closed its
+// end, for at most SilentHold. While all of the share are silent, one beyond it is allowed if
+// mayExceed is set: most targets soon drop their side of a silent connection, and such a
+// target must not be left without calls. p.mu must be held.
+func (p *pool) needsConn(mayExceed bool) bool {
+	heard := p.countHeard()
+	if len(p.conns) >= p.endpoint.Connections && !(heard == 0 && mayExceed) {
 		return false
 	}
 	// HTTP/1.1 connections carry one call each, so the whole share is opened. Over
@@ -138,27 +167,37 @@
 }
 
 // retireSurplus retires the connections that exceed this VM's share of the target's
-// connections, and all of them if the pool is retired. p.mu must be held.
+// connections, and all of them if the pool is retired. Those found silent are closing
+// already. p.mu must be held.
 func (p *pool) retireSurplus() {
 	share := p.endpoint.Connections
 	if p.retired {
 		share = 0
 	}
-	for i, cn := range p.conns {
-		if i >= share {
+	for _, cn := range p.conns {
+		if cn.silent {
+			continue
+		}
+		if share--; share < 0 {
 			cn.retiring = true
 		}
 	}
 }
 
-// close closes a connection. It waits for the target to close its end too, unless
-// immediately is true or the connection is silent. On a silent connection the target's
-// close would never arrive.
+// close closes a connection and waits until the target has closed its end too: for at most
+// SilentHold if the connection is silent, else maxCloseWait, or not at all if immediately is
+// true. It doesn't wait once the client is closed.
 func (p *pool) close(cn *conn, immediately bool) {
 	p.mu.Lock()
-	immediately = immediately || cn.silent
+	wait := maxCloseWait
+	if cn.silent {
+		wait = p.client.opts.SilentHold
+	}
 	p.mu.Unlock()
-	cn.shutdown(immediately)
+	if immediately {
+		wait = 0
+	}
+	cn.shutdown(p.client.tomb.Dying(), wait)
 	p.client.metrics.closed.Inc()
 }
 
@@ -193,7 +232,7 @@
 	if err != nil {
 		p.client.metrics.dialErrors.Inc()
 		p.pacer.failed(time.Now())
-		if len(p.conns) == 0 {
+		if p.countHeard() == 0 {
 			p.failWaiters()
 		}
 		return
--- a/target/options.go
+++ b/target/options.go
@@ -44,9 +44,15 @@
 	// replacement of silent connections (see SuspectAfter): a target never sees the
 	// close of a silent connection, so it counts the old and the new one.
 	MaxOpen int
-	// SilentHold is the time for which a connection that was found silent counts against
-	// this VM's share of the target's connections (default 2 min).
+	// SilentHold is the longest time for which a connection that was found silent counts
+	// against this VM's share of the target's connections (default 2 min). It counts for
+	// less if the target closes its end before.
 	SilentHold time.Duration
+	// MayExceedShare reports whether this VM may hold one connection beyond its share of
+	// a target's connections while those of the share are silent. It should be so for one
+	// of the VMs that have a share: the target may still count the silent connections of
+	// all of them. It is called without locks; nil means always.
+	MayExceedShare func(target string) bool
 
 	MaxStreams int           // limit of concurrent calls on one HTTP/2 connection; default 100
 	MaxWaiters int           // limit of calls that wait for a connection to one target; default 64
@@ -99,6 +105,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.GetDefaultSet()
 	}
+	if o.MayExceedShare == nil {
+		o.MayExceedShare = func(string) bool { return true }
+	}
 	defaults.SetIfZero(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
 	defaults.SetIfZero(&o.MaxOpen, defaultMaxOpen)
 	defaults.SetIfZero(&o.SilentHold, defaultSilentHold)
--- a/target/pool.go
+++ b/target/pool.go
@@ -18,10 +18,9 @@
 	wakeup     chan struct{} // wakes the maintainer
 	numWaiting atomic.Int32  // len(waiters), readable without mu
 
-	mu          sync.Mutex  // guards the fields below, and the fields of each conn except http and wire
-	endpoint    Endpoint    // the settings in force
-	conns       []*conn     // open connections, including retiring and closing ones
-	silentTimes []time.Time // when connections were found silent, oldest first; those older than SilentHold are dropped
+	mu       sync.Mutex // guards the fields below, and the fields of each conn except http and wire
+	endpoint Endpoint   // the settings in force
+	conns    []*conn    // open connections, including retiring and closing ones
 	// suspicionTime is the latest time at which a connection was found silent or a
 	// suspect connection began to wait for data. Connections that have received
 	// nothing since then are probed.
@@ -32,6 +31,7 @@
 	watching      bool         // the maintainer checks for suspect connections every SuspectAfter
 	pacer         pacer        // determines when the next connection may be opened
 	lastDialErr   error        // error of the last try to open a connection; nil if it succeeded
+	shareHeld     bool         // only silent connections are left, and none may be opened until one of them has been closed
 }
 
 // newPool returns an empty pool for an endpoint. The caller must call update with the
@@ -122,7 +122,7 @@
 	switch {
 	case p.retired:
 		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
-	case len(p.conns) == 0 && p.lastDialErr != nil:
+	case p.shareHeld, p.countHeard() == 0 && p.lastDialErr != nil:
 		return p.unreachableError(now)
 	case len(p.waiters) >= p.client.opts.MaxWaiters:
 		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("too many calls wait for a connection")}
@@ -133,10 +133,16 @@
 // unreachableError returns the error for a target to which no connection could be
 // opened. p.mu must be held.
 func (p *pool) unreachableError(now time.Time) *CallError {
-	retryAfter := p.pacer.notBefore.Sub(now)
-	return &CallError{Kind: ErrorUnreachable, NotStarted: true, RetryAfter: max(retryAfter, 0), cause: p.lastDialErr}
+	retryAfter, cause := p.pacer.notBefore.Sub(now), p.lastDialErr
+	if p.shareHeld {
+		cause = errShareHeld
+	}
+	return &CallError{Kind: ErrorUnreachable, NotStarted: true, RetryAfter: max(retryAfter, 0), cause: cause}
 }
 
+// errShareHeld is the cause of calls that fail because silent connections take up the share.
+var errShareHeld = errors.New("all connections are silent, and the target may still count them")
+
 // awaitTurn waits until waiter, which is in the queue of waiting calls, receives a
 // connection. It fails after MaxWait, and when ctx ends or the client is closed.
 func (p *pool) awaitTurn(ctx context.Context, waiter chan *conn) (*conn, *CallError) {
--- a/target/probe.go
+++ b/target/probe.go
@@ -83,7 +83,6 @@
 	if first {
 		cn.silent = true
 		p.suspicionTime = now
-		p.silentTimes = append(p.silentTimes, now)
 	}
 	p.mu.Unlock()
 	if first {
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,50 @@
 	g.Consistently(func() int { _, _, maxOpen, _ := s.counts(); return maxOpen }, "200ms").Should(Equal(5))
 }
 
+// A target's process is paused, so that this VM's only connection to it goes silent, and then
+// resumes. While the target may count the silent connection, this VM must open none unless it
+// may exceed its share, and calls must fail at once, so that they are made through another
+// owner. When the target has closed its end, calls must work again.
+func TestSilentConnectionHoldsShareUntilTargetClosesIt(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, MaxWait: testTimeout,
+		MayExceedShare: func(string) bool { return false },
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	s.forEachConn(silence)
+	_, err := searchWithin(200*time.Millisecond, c, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(1)); return err }, testTimeout).
+		Should(And(HaveField("Kind", ErrorUnreachable), HaveField("NotStarted", true)))
+	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "300ms").Should(Equal(1))
+	s.forEachConn(breakConn)
+	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(2)); return err }, testTimeout).Should(Succeed())
+}
+
+// All VMs that own connections to a target have lost them to silence at the same time. The
+// one that may exceed its share must replace its connection although the target may still
+// count the old one, also if it may do so only later.
+func TestSilentConnectionIsReplacedBeyondShare(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	var mayExceed atomic.Bool
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond,
+		MayExceedShare: func(string) bool { return mayExceed.Load() },
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	s.forEachConn(silence)
+	search := func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }
+	g.Expect(search()).To(HaveOccurred())
+	g.Eventually(search, testTimeout).Should(HaveField("Kind", ErrorUnreachable))
+	mayExceed.Store(true)
+	g.Eventually(search, testTimeout).Should(Succeed())
+	_, _, maxOpen, _ := s.counts()
+	g.Expect(maxOpen).To(Equal(2))
+}
+
 // Guards against a Monitor that no longer gets a target's status, so that the
 // target's drain is not noticed. Its only connection has gone silent while idle. A
 // read that times out must close the connection, so that the next read uses a new
