--- a/peer/route/order_test.go
+++ b/peer/route/order_test.go
@@ -107,7 +107,7 @@
 				call(h, endedCtx, cancelled, false, 20*i, 20*i+10)
 			}
 		}, map[int]bool{51: true, 2051: false}},
-		"no slot":                        {func(h *ownerHealth) { call(h, liveCtx, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
+		"no slot": {func(h *ownerHealth) { call(h, liveCtx, shed, false, 0, 1) }, map[int]bool{2: true, 300: true, 302: false}},
 		"owner without a connection to the target": {func(h *ownerHealth) {
 			call(h, liveCtx, &target.CallError{Kind: target.ErrorUnreachable}, false, 0, 1)
 		}, map[int]bool{2: true, 100: true, 102: false}},
