Calls on a silent connection are answered after a pause of their target

Seen: on a machine that stalled, searches ended 503 with attempts that broke ("http2: client connection force closed via ClientConn.Close"; TestFrozenTargetCostsNoAnswer and TestShortPauseWhileATargetIsFrozenCostsNoAnswer).

Cause: a connection without a byte for 0.6 s was closed, and the calls on it broke, although a paused target answers them when it resumes. A new connection on which the target didn't answer within a second was closed and another one opened; the paused target counts all of them.

Change: a silent connection, and a new one without an answer, stays open for up to 10 s (Options.SilentWait). No call is started on it, and status reads wait for data. It serves calls again once anything arrives, and one that was opened beside it is retired. It is closed if the target answers on another connection during two reads in a row. Over HTTP/1.1 nothing changes: a call that is given up ends its connection there.

--- a/target/conn.go
+++ b/target/conn.go
@@ -19,7 +19,9 @@
 	calls        int       // calls and probes in progress on this connection
 	retiring     bool      // accepts no new call and is closed once no call uses it
 	probing      bool      // a status read that tests whether the connection is silent is in progress
-	silent       bool      // a probe received nothing at all; the connection is closed at once
+	silent       bool      // a status read received nothing at all, and nothing has been received since; no call is started
+	awaited      bool      // silent and kept open: status reads on it wait for data
+	lost         bool      // silent, and no answer is awaited any more; it is closed at once
 	closing      bool      // being closed; counts against this VM's share of connections until the target has closed its end
 	waitingSince time.Time // start of the first call since the last byte was received
 }
--- a/target/fake_target_test.go
+++ b/target/fake_target_test.go
@@ -16,6 +16,8 @@
 	server  *http.Server
 	address string
 
+	running sync.RWMutex // locked while the target is paused; each read and write of a connection holds it for reading
+
 	closeDelay time.Duration // wait before the target closes its end of a connection; set before the first connection
 
 	mu            sync.Mutex // guards the fields below
@@ -44,6 +46,7 @@
 // drops the data and blocks until Close is called.
 func (sc *serverConn) Read(p []byte) (int, error) {
 	n, err := sc.Conn.Read(p)
+	sc.target.awaitRunning()
 	if !sc.silent.Load() {
 		return n, err
 	}
@@ -54,6 +57,7 @@
 // Write sends data to the client. It drops the data if the connection is silent, and sends
 // it twice if duplicateWrites is set.
 func (sc *serverConn) Write(p []byte) (int, error) {
+	sc.target.awaitRunning()
 	if sc.silent.Load() {
 		return len(p), nil
 	}
@@ -115,6 +119,19 @@
 	}
 }
 
+// pause makes the target neither read nor write until the returned function is called, as if its
+// process were paused. Connections are still accepted, as by the queue of its listener.
+func (s *fakeTarget) pause() (resume func()) {
+	s.running.Lock()
+	return sync.OnceFunc(s.running.Unlock)
+}
+
+// awaitRunning returns once the target is not paused.
+func (s *fakeTarget) awaitRunning() {
+	s.running.RLock()
+	defer s.running.RUnlock()
+}
+
 // silence makes a connection lose all data from now on, in both directions, while it stays open.
 func silence(sc *serverConn) { sc.silent.Store(true) }
 
--- a/target/maintain.go
+++ b/target/maintain.go
@@ -113,8 +113,8 @@
 // mayExceed is set: most targets soon drop their side of a silent connection, and such a
 // target must not be left without calls. p.mu must be held.
 func (p *pool) needsConn(mayExceed bool) bool {
-	heard := p.countHeard()
-	if len(p.conns) >= p.endpoint.Connections && !(heard == 0 && mayExceed) {
+	exceed := mayExceed && p.countHeard() == 0 && p.countOpen() <= p.endpoint.Connections
+	if len(p.conns) >= p.endpoint.Connections && !exceed {
 		return false
 	}
 	// HTTP/1.1 connections carry one call each, so the whole share is opened. Over
@@ -122,6 +122,17 @@
 	return p.client.opts.Protocol == HTTP1 || p.countUsable() < p.client.opts.MaxOpen
 }
 
+// countOpen returns the number of connections that are not being closed. p.mu must be held.
+func (p *pool) countOpen() int {
+	count := 0
+	for _, cn := range p.conns {
+		if !cn.closing {
+			count++
+		}
+	}
+	return count
+}
+
 // countUsable returns the number of connections that accept calls. Those that are retiring
 // or full are not counted and need a replacement. p.mu must be held.
 func (p *pool) countUsable() int {
@@ -134,16 +145,21 @@
 	return count
 }
 
-// sweep starts to close the connections that failed, went silent, or are retiring and have
-// no call left. It assigns free connections to waiting calls.
+// sweep starts to close the connections that failed, are lost, or are retiring and have no
+// call left, and to await data on those that were found silent. It assigns free connections
+// to waiting calls.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retireSurplus()
 	for _, cn := range p.conns {
-		lost := cn.silent || cn.http.Err() != nil
+		lost := cn.lost || cn.http.Err() != nil
 		done := cn.calls == 0 && cn.retiring
-		if cn.closing || !(lost || done) {
+		if cn.closing {
+			continue
+		}
+		if !lost && !done {
+			p.await(cn)
 			continue
 		}
 		cn.closing = true
@@ -156,6 +172,19 @@
 	p.serveWaiters()
 }
 
+// await starts to await data on a connection if it is silent. p.mu must be held.
+func (p *pool) await(cn *conn) {
+	if !cn.silent || cn.awaited {
+		return
+	}
+	cn.awaited = true
+	cn.calls++
+	p.client.tomb.Go(func() error {
+		p.awaitAnswer(cn)
+		return nil
+	})
+}
+
 // remove removes a closed connection from the pool, so that it no longer counts
 // against this VM's share of the target's connections.
 func (p *pool) remove(cn *conn) {
@@ -167,8 +196,8 @@
 }
 
 // retireSurplus retires the connections that exceed this VM's share of the target's
-// connections, and all of them if the pool is retired. Those found silent are closing
-// already. p.mu must be held.
+// connections, and all of them if the pool is retired. A silent connection is not retired: if
+// it answers again, one that was opened beside it is. p.mu must be held.
 func (p *pool) retireSurplus() {
 	share := p.endpoint.Connections
 	if p.retired {
@@ -229,22 +258,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastDialErr = err
-	if err != nil {
-		p.client.metrics.dialErrors.Inc()
-		p.pacer.failed(time.Now())
-		if p.countHeard() == 0 {
-			p.failWaiters()
-		}
+	if cn != nil {
+		p.conns = append(p.conns, cn)
+	}
+	if err == nil {
+		p.pacer.opened(time.Now())
+		p.serveWaiters()
 		return
 	}
-	p.pacer.opened(time.Now())
-	p.conns = append(p.conns, cn)
-	p.serveWaiters()
+	p.client.metrics.dialErrors.Inc()
+	p.pacer.failed(time.Now())
+	if cn != nil {
+		p.markSilent(cn, time.Now())
+	}
+	if p.countHeard() == 0 {
+		p.failWaiters()
+	}
 }
 
 // dial opens a connection and warms it up with a status read. No query is delayed
 // by the time that the target spends on a new connection, and a port that accepts
-// but never answers does not count as a connection.
+// but never answers does not count as a connection. If the target doesn't answer in time,
+// dial returns an error and the open connection: the target counts it.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.client.opts.DialTimeout)
 	defer cancel()
@@ -260,11 +295,15 @@
 	cn.http = cc
 	p.client.metrics.opened.Inc()
 	var status Status
-	if callErr := p.client.roundTrip(ctx, cn, statusCall(p.name, &status)); callErr != nil {
-		p.close(cn, callErr.Kind == ErrorDeadline)
+	callErr := p.client.roundTrip(ctx, cn, statusCall(p.name, &status))
+	if callErr != nil && callErr.Kind != ErrorDeadline {
+		p.close(cn, false)
 		return nil, errors.Annotatef(callErr, "warming up a connection to %s", p.address)
 	}
 	cc.SetStateHook(p.stateChanged)
+	if callErr != nil {
+		return cn, errors.Annotatef(callErr, "warming up a connection to %s", p.address)
+	}
 	return cn, nil
 }
 
--- a/target/options.go
+++ b/target/options.go
@@ -69,9 +69,13 @@
 	// it is probed with a status read.
 	SuspectAfter time.Duration
 	// ProbeTimeout (default 500 ms) is the time after which the probe of a connection
-	// fails. If nothing at all was received until then, the connection is silent and is
-	// closed.
+	// fails. If nothing at all was received until then, the connection is silent: no call
+	// is started on it.
 	ProbeTimeout time.Duration
+	// SilentWait (default 10 s) is the longest time for which a silent HTTP/2 connection
+	// stays open, so that its calls are answered if the target was only paused. It is closed
+	// before if the target answers on another connection and not on this one.
+	SilentWait time.Duration
 
 	// PingAfter is the time without a received frame after which HTTP/2 pings are
 	// sent on idle connections. 0 means no pings: each status read of a Monitor
@@ -94,6 +98,7 @@
 	defaultMinPace        = 5 * time.Millisecond   // lower bound of the pause between new connections to a target
 	defaultMaxBackoff     = time.Second            // upper bound of the pause after repeated failures to connect to a target
 	defaultSuspectAfter   = 100 * time.Millisecond // wait of a call without any data after which its connection is suspect
+	defaultSilentWait     = 10 * time.Second       // longest time for which a silent connection stays open
 	defaultProbeTimeout   = 500 * time.Millisecond // time after which the probe of a connection fails; if nothing was received, the connection is silent
 )
 
@@ -121,5 +126,6 @@
 	defaults.SetIfZero(&o.MaxBackoff, defaultMaxBackoff)
 	defaults.SetIfZero(&o.SuspectAfter, defaultSuspectAfter)
 	defaults.SetIfZero(&o.ProbeTimeout, defaultProbeTimeout)
+	defaults.SetIfZero(&o.SilentWait, defaultSilentWait)
 	return o
 }
--- a/target/probe.go
+++ b/target/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -57,11 +58,7 @@
 // probe reads the target's status on a connection and releases the connection.
 func (p *pool) probe(cn *conn) {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(p.client.tomb.Context(context.Background()), p.client.opts.ProbeTimeout)
-	defer cancel()
-	var status Status
-	err := p.client.roundTrip(ctx, cn, statusCall(p.name, &status))
-	if err != nil && err.Kind == ErrorDeadline {
+	if err := p.readStatus(cn); err != nil && err.Kind == ErrorDeadline {
 		p.probeTimedOut(cn, start)
 	}
 	p.mu.Lock()
@@ -70,19 +67,24 @@
 	p.release(cn)
 }
 
+// readStatus reads the target's status on a connection, within ProbeTimeout.
+func (p *pool) readStatus(cn *conn) *CallError {
+	ctx, cancel := context.WithTimeout(p.client.tomb.Context(context.Background()), p.client.opts.ProbeTimeout)
+	defer cancel()
+	var status Status
+	return p.client.roundTrip(ctx, cn, statusCall(p.name, &status))
+}
+
 // probeTimedOut handles the timeout of a status read that began at start. If the connection
-// has received nothing at all since then, it is silent. It is closed even if calls still
-// wait on it, because none of them would ever be answered.
+// has received nothing at all since then, it is silent.
 func (p *pool) probeTimedOut(cn *conn, start time.Time) {
 	if cn.wire.lastRead().After(start) {
 		return
 	}
-	now := time.Now()
 	p.mu.Lock()
 	first := !cn.silent
 	if first {
-		cn.silent = true
-		p.suspicionTime = now
+		p.markSilent(cn, time.Now())
 	}
 	p.mu.Unlock()
 	if first {
@@ -91,3 +93,66 @@
 	}
 	p.wake()
 }
+
+// markSilent records that a connection was found silent. Over HTTP/1.1 it is lost, because
+// its only call has ended. p.mu must be held.
+func (p *pool) markSilent(cn *conn, now time.Time) {
+	cn.silent = true
+	cn.lost = p.client.opts.Protocol == HTTP1
+	p.suspicionTime = now
+}
+
+// awaitAnswer reads the target's status on a silent connection again and again, until
+// anything is received on it, or until it is lost: after SilentWait, or after two reads in a
+// row during which the target answered on another connection. A target that is paused answers
+// the calls on its connections when it resumes, not all at the same instant; a silent path
+// never does.
+func (p *pool) awaitAnswer(cn *conn) {
+	limit := time.Now().Add(p.client.opts.SilentWait)
+	answersElsewhere := false
+	for {
+		start := time.Now()
+		_ = p.readStatus(cn) // what has been received tells the outcome
+		before := answersElsewhere
+		answersElsewhere = p.heardSince(start)
+		if p.endAwait(cn, start, time.Now().After(limit) || before && answersElsewhere) {
+			break
+		}
+		// A read that failed early is not repeated at once.
+		timer := time.NewTimer(time.Until(start.Add(p.client.opts.ProbeTimeout)))
+		select {
+		case <-timer.C:
+		case <-p.client.tomb.Dying():
+		}
+		timer.Stop()
+	}
+	p.release(cn)
+	p.wake()
+}
+
+// endAwait ends the wait for an answer and returns true if anything was received since start,
+// if the connection has failed, or if giveUp is set. In the latter two cases it is lost.
+func (p *pool) endAwait(cn *conn, start time.Time, giveUp bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case cn.wire.lastRead().After(start):
+		cn.silent = false
+		p.client.opts.Log.Info("connection answers again", "target", p.name)
+	case giveUp, cn.http.Err() != nil, !p.client.tomb.Alive():
+		cn.lost = true
+	default:
+		return false
+	}
+	cn.awaited = false
+	return true
+}
+
+// heardSince reports whether a connection that is not silent has received data since then.
+func (p *pool) heardSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.conns, func(cn *conn) bool {
+		return !cn.silent && cn.wire.lastRead().After(since)
+	})
+}
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -88,6 +88,52 @@
 	g.Expect(maxOpen).To(Equal(2))
 }
 
+// A target's process is paused for longer than it takes to find a connection silent. The call
+// on that connection must be answered when the process resumes, and later calls must work,
+// all over the same connection.
+func TestCallIsAnsweredAfterPauseOfTarget(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond,
+		MayExceedShare: func(string) bool { return false },
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	resume := s.pause()
+	defer resume()
+	answered := make(chan error, 1)
+	go func() { _, err := c.Search(testContext(t), "a", 0, request(1)); answered <- err }()
+	g.Eventually(counter(c, "silent_connections_total"), testTimeout).Should(BeEquivalentTo(1))
+	_, err := c.Search(testContext(t), "a", 0, request(2))
+	g.Expect(err).To(And(HaveField("Kind", ErrorUnreachable), HaveField("NotStarted", true)))
+	g.Consistently(answered, "300ms").ShouldNot(Receive())
+	resume()
+	g.Eventually(answered, testTimeout).Should(Receive(BeNil()))
+	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(3)); return err }, testTimeout).Should(Succeed())
+	accepts, _, _, _ := s.counts()
+	g.Expect(accepts).To(Equal(1))
+}
+
+// A target's process is paused while a VM opens a connection beyond its share, which the
+// target counts as soon as it resumes. The VM must not open one after another.
+func TestUnansweredConnectionIsNotReplaced(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, DialTimeout: 50 * time.Millisecond,
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	resume := s.pause()
+	defer resume()
+	_, err := searchWithin(200*time.Millisecond, c, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(func() int { accepts, _, _, _ := s.counts(); return accepts }, testTimeout).Should(Equal(2))
+	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "500ms").Should(Equal(2))
+	resume()
+	g.Eventually(func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }, testTimeout).Should(Succeed())
+	g.Eventually(func() int { _, open, _, _ := s.counts(); return open }, testTimeout).Should(Equal(1))
+}
+
 // Guards against a Monitor that no longer gets a target's status, so that the
 // target's drain is not noticed. Its only connection has gone silent while idle. A
 // read that times out must close the connection, so that the next read uses a new
