No further connection is opened while a new one is unanswered

Cause: keeps a new connection open on which the target has not answered yet. In the split an owner on each side is the first live one and opens such a connection beyond its share. The target closes the silent ones as idle; then the unanswered one takes up the share, all connections are silent, and the owner opens another beyond the share.

Ruled out: connections that the target has closed and the owner still counts: these can only keep it from opening others.

Change: while an answer is awaited on a connection that never had one, none is opened beyond the share.

New test: TestUnansweredConnectionTakesPlaceOfClosedOne, red in 3 of 3 runs before (3 connections where 2 may be), without processes.

--- a/target/conn.go
+++ b/target/conn.go
@@ -20,6 +20,7 @@
 	retiring     bool      // accepts no new call and is closed once no call uses it
 	probing      bool      // a status read that tests whether the connection is silent is in progress
 	silent       bool      // a status read received nothing at all, and nothing has been received since; no call is started
+	unanswered   bool      // nothing has been answered on it since it was opened
 	awaited      bool      // silent and kept open: status reads on it wait for data
 	lost         bool      // silent, and no answer is awaited any more; it is closed at once
 	closing      bool      // being closed; counts against this VM's share of connections until the target has closed its end
--- a/target/maintain.go
+++ b/target/maintain.go
@@ -111,9 +111,10 @@
 // counts against this VM's share of the target's connections until the target has closed its
 // end, for at most SilentHold. While all of the share are silent, one beyond it is allowed if
 // mayExceed is set: most targets soon drop their side of a silent connection, and such a
-// target must not be left without calls. p.mu must be held.
+// target must not be left without calls. While the target doesn't answer on that one either,
+// no further one is: it would not be answered. p.mu must be held.
 func (p *pool) needsConn(mayExceed bool) bool {
-	exceed := mayExceed && p.countHeard() == 0 && p.countOpen() <= p.endpoint.Connections
+	exceed := mayExceed && p.countHeard() == 0 && p.countOpen() <= p.endpoint.Connections && !p.awaitsFirstAnswer()
 	if len(p.conns) >= p.endpoint.Connections && !exceed {
 		return false
 	}
@@ -133,6 +134,12 @@
 	return count
 }
 
+// awaitsFirstAnswer reports whether an answer is awaited on a connection that never had one.
+// p.mu must be held.
+func (p *pool) awaitsFirstAnswer() bool {
+	return slices.ContainsFunc(p.conns, func(cn *conn) bool { return cn.unanswered && !cn.lost && !cn.closing })
+}
+
 // countUsable returns the number of connections that accept calls. Those that are retiring
 // or full are not counted and need a replacement. p.mu must be held.
 func (p *pool) countUsable() int {
@@ -269,6 +276,7 @@
 	p.client.metrics.dialErrors.Inc()
 	p.pacer.failed(time.Now())
 	if cn != nil {
+		cn.unanswered = true
 		p.markSilent(cn, time.Now())
 	}
 	if p.countHeard() == 0 {
--- a/target/probe.go
+++ b/target/probe.go
@@ -137,7 +137,7 @@
 	defer p.mu.Unlock()
 	switch {
 	case cn.wire.lastRead().After(start):
-		cn.silent = false
+		cn.silent, cn.unanswered = false, false
 		p.client.opts.Log.Info("connection answers again", "target", p.name)
 	case giveUp, cn.http.Err() != nil, !p.client.tomb.Alive():
 		cn.lost = true
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -134,6 +134,32 @@
 	g.Eventually(func() int { _, open, _, _ := s.counts(); return open }, testTimeout).Should(Equal(1))
 }
 
+// While a target doesn't answer, it closes its end of the connection that was found silent. The
+// connection that was opened beyond the share then takes its place, although the target has not
+// answered on it yet. The VM must not open another one beside it.
+func TestUnansweredConnectionTakesPlaceOfClosedOne(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, DialTimeout: 50 * time.Millisecond,
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	resume := s.pause()
+	defer resume()
+	_, err := searchWithin(200*time.Millisecond, c, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(counter(c, "dial_errors_total"), testTimeout).Should(BeEquivalentTo(1))
+	s.mu.Lock()
+	breakConn(s.conns[0])
+	s.mu.Unlock()
+	g.Eventually(counter(c, "connections_closed_total"), testTimeout).Should(BeEquivalentTo(1))
+	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "500ms").Should(Equal(2))
+	resume()
+	g.Eventually(func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }, testTimeout).Should(Succeed())
+	accepts, _, _, _ := s.counts()
+	g.Expect(accepts).To(Equal(2))
+}
+
 // Guards against a Monitor that no longer gets a target's status, so that the
 // target's drain is not noticed. Its only connection has gone silent while idle. A
 // read that times out must close the connection, so that the next read uses a new
