--- a/target/conn.go
+++ b/target/conn.go
@@ -44,6 +44,15 @@
 	return c.waitingSince.After(c.wire.lastRead())
 }
 
+// isHeard reports whether the connection was not found silent.
+func (c *conn) isHeard() bool { return !c.silent }
+
+// isOpen reports whether the connection is not being closed.
+func (c *conn) isOpen() bool { return !c.closing }
+
+// awaitsFirstAnswer reports whether an answer is awaited on the connection, which never had one.
+func (c *conn) awaitsFirstAnswer() bool { return c.unanswered && !c.lost && !c.closing }
+
 // wireConn is a net.Conn that records when it last received data.
 type wireConn struct {
 	net.Conn
--- a/target/maintain.go
+++ b/target/maintain.go
@@ -61,7 +61,7 @@
 		return due, p.stopped
 	}
 	needsConn := p.needsConn(mayExceed)
-	p.shareHeld = !needsConn && len(p.conns) > 0 && p.countHeard() == 0
+	p.shareHeld = !needsConn && len(p.conns) > 0 && p.count((*conn).isHeard) == 0
 	switch {
 	case needsConn:
 		due = min(due, p.pacer.notBefore.Sub(now))
@@ -72,24 +72,6 @@
 	return due, false
 }
 
-// allSilent reports whether the pool has connections and all of them were found silent.
-func (p *pool) allSilent() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.conns) > 0 && p.countHeard() == 0
-}
-
-// countHeard returns the number of connections that were not found silent. p.mu must be held.
-func (p *pool) countHeard() int {
-	count := 0
-	for _, cn := range p.conns {
-		if !cn.silent {
-			count++
-		}
-	}
-	return count
-}
-
 // nextSuspectCheck returns the time until the connections have to be checked for suspect
 // ones: until the first that awaits data becomes suspect, and at most SuspectAfter. It
 // returns idleInterval if no check is needed. p.mu must be held.
@@ -107,51 +89,6 @@
 	return max(due, time.Millisecond)
 }
 
-// needsConn reports whether a connection is to be opened. A connection that was found silent
-// counts against this VM's share of the target's connections until the target has closed its
-// end, for at most SilentHold. While all of the share are silent, one beyond it is allowed if
-// mayExceed is set: most targets soon drop their side of a silent connection, and such a
-// target must not be left without calls. While the target doesn't answer on that one either,
-// no further one is: it would not be answered. p.mu must be held.
-func (p *pool) needsConn(mayExceed bool) bool {
-	exceed := mayExceed && p.countHeard() == 0 && p.countOpen() <= p.endpoint.Connections && !p.awaitsFirstAnswer()
-	if len(p.conns) >= p.endpoint.Connections && !exceed {
-		return false
-	}
-	// HTTP/1.1 connections carry one call each, so the whole share is opened. Over
-	// HTTP/2, MaxOpen connections that accept calls are enough.
-	return p.client.opts.Protocol == HTTP1 || p.countUsable() < p.client.opts.MaxOpen
-}
-
-// countOpen returns the number of connections that are not being closed. p.mu must be held.
-func (p *pool) countOpen() int {
-	count := 0
-	for _, cn := range p.conns {
-		if !cn.closing {
-			count++
-		}
-	}
-	return count
-}
-
-// awaitsFirstAnswer reports whether an answer is awaited on a connection that never had one.
-// p.mu must be held.
-func (p *pool) awaitsFirstAnswer() bool {
-	return slices.ContainsFunc(p.conns, func(cn *conn) bool { return cn.unanswered && !cn.lost && !cn.closing })
-}
-
-// countUsable returns the number of connections that accept calls. Those that are retiring
-// or full are not counted and need a replacement. p.mu must be held.
-func (p *pool) countUsable() int {
-	count := 0
-	for _, cn := range p.conns {
-		if p.hasCapacity(cn) {
-			count++
-		}
-	}
-	return count
-}
-
 // sweep starts to close the connections that failed, are lost, or are retiring and have no
 // call left, and to await data on those that were found silent. It assigns free connections
 // to waiting calls.
@@ -202,24 +139,6 @@
 	p.wake()
 }
 
-// retireSurplus retires the connections that exceed this VM's share of the target's
-// connections, and all of them if the pool is retired. A silent connection is not retired: if
-// it answers again, one that was opened beside it is. p.mu must be held.
-func (p *pool) retireSurplus() {
-	share := p.endpoint.Connections
-	if p.retired {
-		share = 0
-	}
-	for _, cn := range p.conns {
-		if cn.silent {
-			continue
-		}
-		if share--; share < 0 {
-			cn.retiring = true
-		}
-	}
-}
-
 // close closes a connection and waits until the target has closed its end too: for at most
 // SilentHold if the connection is silent, else maxCloseWait, or not at all if immediately is
 // true. It doesn't wait once the client is closed.
@@ -279,7 +198,7 @@
 		cn.unanswered = true
 		p.markSilent(cn, time.Now())
 	}
-	if p.countHeard() == 0 {
+	if p.count((*conn).isHeard) == 0 {
 		p.failWaiters()
 	}
 }
--- a/target/pool.go
+++ b/target/pool.go
@@ -122,7 +122,7 @@
 	switch {
 	case p.retired:
 		return &CallError{Kind: ErrorUnknownTarget, NotStarted: true}
-	case p.shareHeld, p.countHeard() == 0 && p.lastDialErr != nil:
+	case p.shareHeld, p.count((*conn).isHeard) == 0 && p.lastDialErr != nil:
 		return p.unreachableError(now)
 	case len(p.waiters) >= p.client.opts.MaxWaiters:
 		return &CallError{Kind: ErrorBusy, NotStarted: true, cause: errors.New("too many calls wait for a connection")}
