A VM without a share closes its silent connections at once

Seen: nothing by callers; found by reading. A VM that loses its place while its connection to a target is silent kept it open for up to 10 s, so that the target could count it together with those of the VM that takes the place.

Cause: silent connections stay open for an answer, and those of a pool without a share were only closed once they had answered or the wait was over.

--- a/target/maintain.go
+++ b/target/maintain.go
@@ -90,14 +90,15 @@
 }
 
 // sweep starts to close the connections that failed, are lost, or are retiring and have no
-// call left, and to await data on those that were found silent. It assigns free connections
-// to waiting calls.
+// call left, and to await data on those that were found silent. In a retired pool it closes
+// silent ones, because another VM may be about to open connections in their place. It assigns
+// free connections to waiting calls.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retireSurplus()
 	for _, cn := range p.conns {
-		lost := cn.lost || cn.http.Err() != nil
+		lost := cn.lost || cn.http.Err() != nil || p.retired && cn.silent
 		done := cn.calls == 0 && cn.retiring
 		if cn.closing {
 			continue
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -160,6 +160,30 @@
 	g.Expect(accepts).To(Equal(2))
 }
 
+// A VM loses its place, and with it its share of a target's connections, while its connection to
+// that target is silent. It must close it at once: its successor opens another one.
+func TestSilentConnectionIsClosedWithoutShare(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeTarget(t, "a", 0)
+	c := newTestClient(t, Options{
+		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, SilentWait: time.Hour,
+		MayExceedShare: func(string) bool { return false },
+	}, s.endpoint(1))
+	waitOpen(c, 1)
+	p := c.pool("a")
+	s.forEachConn(silence)
+	_, err := searchWithin(200*time.Millisecond, c, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(p.allSilent, testTimeout).Should(BeTrue())
+	c.Apply([]Endpoint{s.endpoint(0)})
+	closing := func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.conns[0].closing
+	}
+	g.Eventually(closing, testTimeout).Should(BeTrue())
+}
+
 // Guards against a Monitor that no longer gets a target's status, so that the
 // target's drain is not noticed. Its only connection has gone silent while idle. A
 // read that times out must close the connection, so that the next read uses a new
