--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -29,10 +30,13 @@
 // problemList is an error that lists all problems of a file.
 type problemList []problem
 
-// Error returns one line of text for each problem, in the order of the file's lines.
+// Error returns one line of text for each problem, in the order of the file's lines and then of the
+// fields' paths.
 func (l problemList) Error() string {
 	sorted := slices.Clone(l)
-	slices.SortStableFunc(sorted, func(a, b problem) int { return a.line - b.line })
+	slices.SortStableFunc(sorted, func(a, b problem) int {
+		return cmp.Or(cmp.Compare(a.line, b.line), cmp.Compare(a.path, b.path))
+	})
 	var texts []string
 	for _, p := range sorted {
 		texts = append(texts, fmt.Sprintf("line %d: %s: %s", p.line, p.path, p.text))
@@ -177,6 +181,13 @@
 	}
 }
 
+// fieldsOf holds the fields of a fault that its kind needs. The others must not be set.
+var fieldsOf = map[Kind][]string{
+	LoseZone:     {"zone"},
+	SlowLeafs:    {"share", "factor"},
+	ReplaceLeafs: {"share", "drain_s"},
+}
+
 // fault checks a fault of a run of the given length.
 func (c *checker) fault(path string, f *Fault, length float64) {
 	c.number(path+".at_s", f.AtS, 0, length)
@@ -184,29 +195,17 @@
 	c.number(path+".until_s", f.UntilS, 0, length)
 	c.expect(f.UntilS == 0 || f.EveryS > 0, path+".until_s", "needs every_s")
 	c.expect(f.UntilS == 0 || f.UntilS > f.AtS, path+".until_s", "must be after at_s")
-	share, factor, drain, zone := false, false, false, false
-	switch f.Kind {
-	case LoseZone:
-		zone = true
-	case SlowLeafs:
-		share, factor = true, true
-	case ReplaceLeafs:
-		share, drain = true, true
-	default:
+	fields, known := fieldsOf[f.Kind]
+	if !known {
 		c.expect(false, path+".kind", "found %q, allowed are %s, %s and %s", f.Kind, LoseZone, SlowLeafs, ReplaceLeafs)
 		return
 	}
-	c.ofKind(path+".zone", zone, f.Zone != "", f.Kind)
-	c.ofKind(path+".share", share, f.Share != 0, f.Kind)
-	c.ofKind(path+".factor", factor, f.Factor != 0, f.Kind)
-	c.ofKind(path+".drain_s", drain, f.DrainS != 0, f.Kind)
+	for name, isSet := range map[string]bool{"zone": f.Zone != "", "share": f.Share != 0, "factor": f.Factor != 0, "drain_s": f.DrainS != 0} {
+		has := slices.Contains(fields, name)
+		c.expect(isSet || !has, path+"."+name, "must be set for %s", f.Kind)
+		c.expect(has || !isSet, path+"."+name, "has no meaning for %s", f.Kind)
+	}
 	c.number(path+".share", f.Share, 0, 1)
 	c.number(path+".factor", f.Factor, 0, 1000)
 	c.number(path+".drain_s", f.DrainS, 0, length)
 }
-
-// ofKind expects that a field is set if and only if the kind of the fault has it.
-func (c *checker) ofKind(path string, has, isSet bool, kind Kind) {
-	c.expect(isSet || !has, path, "must be set for %s", kind)
-	c.expect(has || !isSet, path, "has no meaning for %s", kind)
-}
