target: a silent connection that answers is logged outside the pool's lock

Found by reading; nothing was seen by callers. The line was written while the pool's lock was held, and it said "answers again" also of a new connection that had never answered; it is "silent connection answers" now. The decision and the order of events are as before. The tests of silent connections share the client with one connection; their checks are as they were, and the comment of TestMonitorRecoversFromSilentConnection says what is so since silent connections stay open: the read takes the connection out of use.

--- a/target/fake_target_test.go
+++ b/target/fake_target_test.go
@@ -169,6 +169,12 @@
 	return s.accepts, s.open, s.maxOpen, s.submits
 }
 
+// accepted returns the number of connections accepted so far.
+func (s *fakeTarget) accepted() int {
+	accepts, _, _, _ := s.counts()
+	return accepts
+}
+
 // setSearchHandler sets the function that answers further searches.
 func (s *fakeTarget) setSearchHandler(f func(http.ResponseWriter, *http.Request, LeafRequest)) {
 	s.mu.Lock()
--- a/target/probe.go
+++ b/target/probe.go
@@ -133,18 +133,21 @@
 // endAwait ends the wait for an answer and returns true if anything was received since start,
 // if the connection has failed, or if giveUp is set. In the latter two cases it is lost.
 func (p *pool) endAwait(cn *conn, start time.Time, giveUp bool) bool {
+	heard := cn.wire.lastRead().After(start)
+	if !heard && !giveUp && cn.http.Err() == nil && p.client.tomb.Alive() {
+		return false
+	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case cn.wire.lastRead().After(start):
+	cn.awaited = false
+	if heard {
 		cn.silent, cn.unanswered = false, false
-		p.client.opts.Log.Info("connection answers again", "target", p.name)
-	case giveUp, cn.http.Err() != nil, !p.client.tomb.Alive():
+	} else {
 		cn.lost = true
-	default:
-		return false
 	}
-	cn.awaited = false
+	p.mu.Unlock()
+	if heard {
+		p.client.opts.Log.Info("silent connection answers", "target", p.name)
+	}
 	return true
 }
 
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -44,6 +44,18 @@
 	g.Consistently(func() int { _, _, maxOpen, _ := s.counts(); return maxOpen }, "200ms").Should(Equal(5))
 }
 
+// newClientWithOneConn returns a client with a share of one connection to the target, which is open. It
+// finds silence within 70 ms.
+func newClientWithOneConn(t *testing.T, s *fakeTarget, o Options) *Client {
+	o.SuspectAfter, o.ProbeTimeout = 20*time.Millisecond, 50*time.Millisecond
+	c := newTestClient(t, o, s.endpoint(1))
+	waitOpen(c, 1)
+	return c
+}
+
+// never is an Options.MayExceedShare.
+func never(string) bool { return false }
+
 // A target's process is paused, so that this VM's only connection to it goes silent, and then
 // resumes. While the target may count the silent connection, this VM must open none unless it
 // may exceed its share, and calls must fail at once, so that they are made through another
@@ -51,17 +63,13 @@
 func TestSilentConnectionHoldsShareUntilTargetClosesIt(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, MaxWait: testTimeout,
-		MayExceedShare: func(string) bool { return false },
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{MaxWait: testTimeout, MayExceedShare: never})
 	s.forEachConn(silence)
 	_, err := searchWithin(200*time.Millisecond, c, 0)
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(1)); return err }, testTimeout).
 		Should(And(HaveField("Kind", ErrorUnreachable), HaveField("NotStarted", true)))
-	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "300ms").Should(Equal(1))
+	g.Consistently(s.accepted, "300ms").Should(Equal(1))
 	s.forEachConn(breakConn)
 	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(2)); return err }, testTimeout).Should(Succeed())
 }
@@ -73,11 +81,7 @@
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
 	var mayExceed atomic.Bool
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond,
-		MayExceedShare: func(string) bool { return mayExceed.Load() },
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{MayExceedShare: func(string) bool { return mayExceed.Load() }})
 	s.forEachConn(silence)
 	search := func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }
 	g.Expect(search()).To(HaveOccurred())
@@ -94,11 +98,7 @@
 func TestCallIsAnsweredAfterPauseOfTarget(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond,
-		MayExceedShare: func(string) bool { return false },
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{MayExceedShare: never})
 	resume := s.pause()
 	defer resume()
 	answered := make(chan error, 1)
@@ -110,8 +110,7 @@
 	resume()
 	g.Eventually(answered, testTimeout).Should(Receive(BeNil()))
 	g.Eventually(func() error { _, err := c.Search(testContext(t), "a", 0, request(3)); return err }, testTimeout).Should(Succeed())
-	accepts, _, _, _ := s.counts()
-	g.Expect(accepts).To(Equal(1))
+	g.Expect(s.accepted()).To(Equal(1))
 }
 
 // A target's process is paused while a VM opens a connection beyond its share, which the
@@ -119,16 +118,13 @@
 func TestUnansweredConnectionIsNotReplaced(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, DialTimeout: 50 * time.Millisecond,
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{DialTimeout: 50 * time.Millisecond})
 	resume := s.pause()
 	defer resume()
 	_, err := searchWithin(200*time.Millisecond, c, 0)
 	g.Expect(err).To(HaveOccurred())
-	g.Eventually(func() int { accepts, _, _, _ := s.counts(); return accepts }, testTimeout).Should(Equal(2))
-	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "500ms").Should(Equal(2))
+	g.Eventually(s.accepted, testTimeout).Should(Equal(2))
+	g.Consistently(s.accepted, "500ms").Should(Equal(2))
 	resume()
 	g.Eventually(func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }, testTimeout).Should(Succeed())
 	g.Eventually(func() int { _, open, _, _ := s.counts(); return open }, testTimeout).Should(Equal(1))
@@ -140,10 +136,7 @@
 func TestUnansweredConnectionTakesPlaceOfClosedOne(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, DialTimeout: 50 * time.Millisecond,
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{DialTimeout: 50 * time.Millisecond})
 	resume := s.pause()
 	defer resume()
 	_, err := searchWithin(200*time.Millisecond, c, 0)
@@ -153,11 +146,10 @@
 	breakConn(s.conns[0])
 	s.mu.Unlock()
 	g.Eventually(counter(c, "connections_closed_total"), testTimeout).Should(BeEquivalentTo(1))
-	g.Consistently(func() int { accepts, _, _, _ := s.counts(); return accepts }, "500ms").Should(Equal(2))
+	g.Consistently(s.accepted, "500ms").Should(Equal(2))
 	resume()
 	g.Eventually(func() error { _, err := searchWithin(200*time.Millisecond, c, 0); return err }, testTimeout).Should(Succeed())
-	accepts, _, _, _ := s.counts()
-	g.Expect(accepts).To(Equal(2))
+	g.Expect(s.accepted()).To(Equal(2))
 }
 
 // A VM loses its place, and with it its share of a target's connections, while its connection to
@@ -165,11 +157,7 @@
 func TestSilentConnectionIsClosedWithoutShare(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeTarget(t, "a", 0)
-	c := newTestClient(t, Options{
-		SuspectAfter: 20 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond, SilentWait: time.Hour,
-		MayExceedShare: func(string) bool { return false },
-	}, s.endpoint(1))
-	waitOpen(c, 1)
+	c := newClientWithOneConn(t, s, Options{SilentWait: time.Hour, MayExceedShare: never})
 	p := c.pool("a")
 	s.forEachConn(silence)
 	_, err := searchWithin(200*time.Millisecond, c, 0)
@@ -186,8 +174,8 @@
 
 // Guards against a Monitor that no longer gets a target's status, so that the
 // target's drain is not noticed. Its only connection has gone silent while idle. A
-// read that times out must close the connection, so that the next read uses a new
-// one.
+// read that times out must take the connection out of use, so that the next read
+// uses a new one.
 func TestMonitorRecoversFromSilentConnection(t *testing.T) {
 	forProtocols(t, 1, Options{}, func(g *WithT, s *fakeTarget, c *Client) {
 		s.forEachConn(silence)
