--- a/cmd/bramley-lab/main.go
+++ b/cmd/bramley-lab/main.go
@@ -38,6 +38,7 @@
 			benchCommand(),
 			benchRolloutCommand(),
 			fleetBenchCommand(),
+			modelCommand(),
 			demoCommand(),
 		},
 	}
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -38,22 +38,27 @@
 
 // Result is what callers got, and what it took.
 type Result struct {
-	Asked, InTime, Late, Refused, Failed int
+	Asked   int `json:"asked"` // requests of callers
+	InTime  int `json:"in_time"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
 	// Credit is the mean over requests of the square of the share of shards in answers in time.
-	Credit   float64
-	Attempts int // requests to leafs
-	Extra    int // hedges and retries among them
-	Direct   int // attempts of weak VMs for their own callers
-	Calls    int // calls between VMs
-	Declined int // shards that a called VM declined
+	Credit   float64 `json:"credit"`
+	Attempts int     `json:"attempts"` // requests to leafs
+	Extra    int     `json:"extra"`    // hedges and retries among them
+	Direct   int     `json:"direct"`   // attempts of weak VMs for their own callers
+	Calls    int     `json:"calls"`    // calls between VMs
+	Declined int     `json:"declined"` // shards that a called VM declined
 	// PerSecond holds the requests that came in each second.
-	PerSecond []Second
+	PerSecond []Second `json:"per_second"`
 }
 
 // Second says what became of the requests that came in one second.
 type Second struct {
-	Asked, InTime int
-	CalledLost    int // requests for which a lost VM was called
+	Asked      int `json:"asked"`
+	InTime     int `json:"in_time"`
+	CalledLost int `json:"called_lost"` // requests for which a lost VM was called
 }
 
 // Model plays one run. Faults are added with At before Run.
