Interfaces of tenants, ranks and allotments

The manifest's tenants, keys and anonymous routes are decoded, keys as digests only. A request carries its rank and its tenant to the VMs that it is delegated to. The handler asks authenticate and takeToken before anything is read or sent; both accept everything so far, so nothing changes for callers yet. Settings name the tolerances of limits and the bounds of a key that was taken away, from the template.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -125,6 +125,8 @@
 		Views:              call.Views,
 		Required:           call.Required,
 		Redelegated:        call.Redelegated,
+		Rank:               r.spec.Rank,
+		Tenant:             r.spec.Tenant,
 		Top:                r.req.Top,
 		MaxAttempts:        r.spec.MaxAttempts,
 		LatencyObjectiveUS: r.spec.LatencyObjective.Microseconds(),
@@ -222,6 +224,8 @@
 		Required:         call.Required,
 		Redelegated:      call.Redelegated,
 		BudgetWeight:     scatter.DelegateWeight,
+		Rank:             call.Rank,
+		Tenant:           call.Tenant,
 	}
 	if call.Redelegated {
 		spec.BudgetWeight = 0 // the VM that was called first has counted the request in its budget
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -45,6 +45,9 @@
 	// Redelegated is true if another VM was called for the same shards before and did not
 	// answer.
 	Redelegated bool `cbor:"16,keyasint,omitempty"`
+	// Rank and Tenant are those of the caller's request, see scatter.Spec.
+	Rank   int    `cbor:"17,keyasint,omitempty"`
+	Tenant string `cbor:"18,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -48,13 +48,24 @@
 		e.replyUnavailable(w, r, "no_leafs", m.Version, retryAfterStart)
 		return
 	}
+	who, rejected := e.authenticate(r, m, route)
+	if rejected == nil {
+		rejected = e.takeToken(r.Context(), arrived, who)
+	}
+	if rejected != nil {
+		e.reject(w, r, rejected, m.Version)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
 	req := e.newRequest(r, target, body, arrived, route)
-	res := e.serve(r, req, route)
+	res := e.serve(r, req, route, who)
+	if res.Outcome.Verdict == scatter.NotRun {
+		e.returnToken(time.Now(), who)
+	}
 	e.logRequest(req, route, m.Version, res, time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
 		return
@@ -62,6 +73,27 @@
 	writeResult(w, res)
 }
 
+// rejection is the answer to a request that is not run: its key is not valid, or its tenant has used
+// up its limit.
+type rejection struct {
+	status     int
+	why        string        // reason for the log and the metrics
+	retryAfter time.Duration // when the caller should come back; 0 if it should not
+	header     http.Header   // further headers, may be nil
+}
+
+// reject sends a rejection. version is that of the manifest in force.
+func (e *Engine) reject(w http.ResponseWriter, r *http.Request, rejected *rejection, version int64) {
+	e.logRefusal(r, rejected.status, rejected.why, version)
+	for name, values := range rejected.header {
+		w.Header()[name] = values
+	}
+	if rejected.retryAfter > 0 {
+		w.Header().Set("Retry-After", formatSeconds(rejected.retryAfter))
+	}
+	w.WriteHeader(rejected.status)
+}
+
 // defaultBodyLimit bounds the size of a request body if the manifest states no limit, in
 // bytes.
 const defaultBodyLimit = 1 << 20
@@ -170,7 +202,7 @@
 
 // serve runs a caller's request on a leaf of one service, or of each service of a gathered
 // route, and returns its result.
-func (e *Engine) serve(r *http.Request, req *Request, route *routing.Route) *Result {
+func (e *Engine) serve(r *http.Request, req *Request, route *routing.Route, who origin) *Result {
 	spec := scatter.Spec{
 		Services:         route.Gather,
 		Gathered:         route.Gathered(),
@@ -183,6 +215,8 @@
 		MayDelegate:      route.Gathered(),
 		RequestID:        req.ID,
 		BudgetWeight:     1,
+		Rank:             who.rank,
+		Tenant:           who.name(),
 	}
 	if !spec.Gathered {
 		spec.Services = []string{e.splitter.Next(route)}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -20,11 +20,12 @@
 	Store  string         `json:"store"` // IP and port of the platform's store
 	// FirstStart is true if the whole system starts for the first time, so that the store
 	// lists no VM yet.
-	FirstStart bool           `json:"first_start"`
-	GraceS     float64        `json:"grace_s"` // time from SIGTERM until the process is killed, in seconds
-	Bounds     BoundSettings  `json:"bounds"`
-	Budget     BudgetSettings `json:"budget"`
-	Cold       ColdSettings   `json:"cold,omitempty"`
+	FirstStart bool              `json:"first_start"`
+	GraceS     float64           `json:"grace_s"` // time from SIGTERM until the process is killed, in seconds
+	Bounds     BoundSettings     `json:"bounds"`
+	Budget     BudgetSettings    `json:"budget"`
+	Cold       ColdSettings      `json:"cold,omitempty"`
+	Allotment  AllotmentSettings `json:"allotment,omitempty"` // tolerances of tenants' limits
 	// Power is the CPU capacity of this VM, in cores. VMs with more capacity get more calls.
 	Power float64 `json:"power"`
 	// MemoryMB is the memory limit of the process, in MiB. The platform kills a process that
@@ -50,7 +51,12 @@
 	// requests, in milliseconds. 0 means that the platform evacuates no zones; evacuations are
 	// then not followed.
 	EvacuateMS float64 `json:"evacuate_ms,omitempty"`
-	DrainMS    float64 `json:"drain_ms"` // time after which a leaf that drains or has left must get no more requests, in milliseconds
+	// RevokeMS is the time after which a key that was taken away must not be served, in
+	// milliseconds, by VMs that are cut off too if StrictRevoke is set. 0 means that ManifestMS
+	// applies.
+	RevokeMS     float64 `json:"revoke_ms,omitempty"`
+	StrictRevoke bool    `json:"strict_revoke,omitempty"`
+	DrainMS      float64 `json:"drain_ms"` // time after which a leaf that drains or has left must get no more requests, in milliseconds
 }
 
 // drainBound returns the time within which a leaf that drains or has left must get no more
@@ -76,6 +82,15 @@
 	}
 }
 
+// AllotmentSettings says how far all VMs together may exceed a tenant's limit: in any window of
+// WindowS seconds, by Excess times what the limit allows in the window, plus Slack requests. If
+// WindowS is 0, tenants are not limited.
+type AllotmentSettings struct {
+	WindowS float64 `json:"window_s"`
+	Excess  float64 `json:"excess"`
+	Slack   float64 `json:"slack"`
+}
+
 // ColdSettings bounds the requests per second that all VMs together send to one cold leaf: Excess
 // times the number that its service states in the manifest, plus Slack. If both are 0, the number
 // itself is the limit.
@@ -141,7 +156,8 @@
 	}
 	for path, value := range map[string]float64{
 		"$.budget.ratio": s.Budget.Ratio, "$.budget.floor": s.Budget.Floor, "$.bounds.evacuate_ms": s.Bounds.EvacuateMS,
-		"$.cold.excess": s.Cold.Excess, "$.cold.slack": s.Cold.Slack,
+		"$.cold.excess": s.Cold.Excess, "$.cold.slack": s.Cold.Slack, "$.bounds.revoke_ms": s.Bounds.RevokeMS,
+		"$.allotment.window_s": s.Allotment.WindowS, "$.allotment.excess": s.Allotment.Excess, "$.allotment.slack": s.Allotment.Slack,
 	} {
 		if value < 0 {
 			add(path, value, "a number from 0")
--- a/routing/manifest.go
+++ b/routing/manifest.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/tenant"
 )
 
 // Kind says whether a request may run more than once.
@@ -42,6 +44,7 @@
 	Aim         time.Duration // latency objective: an answer within it is worth most
 	MaxAttempts int           // upper bound of the leafs that may run a request, for each service
 	Priority    int           // 0 is the most urgent
+	Anonymous   bool          // requests need no API key
 
 	Service string            // service that serves all requests
 	Split   []WeightedService // services that share the requests by weight
@@ -93,17 +96,22 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// KeysRequired says that the manifest names tenants, so that a request needs an API key
+	// unless its route is anonymous. It may be set without any tenant.
+	KeysRequired bool            `json:",omitempty"`
+	Tenants      []tenant.Tenant `json:",omitempty"`
 }
 
 // Manifest is a Document indexed for matching. It is immutable.
 type Manifest struct {
 	Document
-	byHost map[string][]*Route // by host in lower case; longest prefix first
+	byHost  map[string][]*Route // by host in lower case; longest prefix first
+	tenants *tenant.Index       // finds Tenants by key
 }
 
 // NewManifest indexes a document, which must not change afterwards.
 func NewManifest(doc Document) *Manifest {
-	m := &Manifest{Document: doc, byHost: make(map[string][]*Route)}
+	m := &Manifest{Document: doc, byHost: make(map[string][]*Route), tenants: tenant.NewIndex(doc.Tenants)}
 	for _, r := range doc.Routes {
 		host := strings.ToLower(r.Host)
 		m.byHost[host] = append(m.byHost[host], r)
@@ -156,6 +164,9 @@
 	return nil
 }
 
+// Tenant returns the tenant that holds an API key, nil if there is none.
+func (m *Manifest) Tenant(key string) *tenant.Tenant { return m.tenants.Find(key) }
+
 // hostName returns a host in lower case, without its port.
 func hostName(host string) string {
 	name, _, _ := strings.Cut(host, ":")
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -38,6 +38,10 @@
 	// The budget allows hedges and retries in proportion to requests. For a delegated
 	// request, the calling VM counts the remainder.
 	BudgetWeight float64
+	// Rank is the urgency of the request; 0 is the most urgent.
+	Rank int
+	// Tenant is the name of the tenant on whose behalf the request runs, empty if there is none.
+	Tenant string
 }
 
 // AttemptID numbers the requests to leafs of one query, from 1.
