A forecast tells the leafs' time from this VM's own, and is probed

Cause: a weak VM that takes over the partition of a strong one measures durations that hold its own lateness in sending and reading tens of requests at once. They left hardly any slack, and were multiplied by the leafs' slowdown, so sound leafs seemed to have a queue. What was refused was not measured, so it went on.

Leaf time is the least of what was measured without own time and what other VMs told; waits are counted in it. Own time is compared once with the time left and halves while nothing is measured. After several refusals without a measurement one request is admitted.

Ruled out: probing a VM that has never had an answer, which has measured nothing that could be wrong.

--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -28,21 +28,26 @@
 // Other VMs that it calls decide about theirs.
 //
 // AnswerBy is the time at which the request is answered with the parts received so far. The slack
-// of a request is the time until AnswerBy less its typical duration. The wait at a shard is the
-// expected time until its answer less the typical duration. The request is refused if the wait at
-// a shard that it can't leave out exceeds maxWaitShare of the slack. If the request is admitted,
-// shards whose wait exceeds the whole slack are closed: nothing is sent for them.
+// of a request is the time until AnswerBy less its leaf time. The wait at a shard is the expected
+// time until its answer less the leaf time, and contains no time that passes in this VM (see
+// forecast). The request is refused if the wait at a shard that it can't leave out exceeds
+// maxWaitShare of the slack, or if the time that passes in this VM leaves no time for a leaf. If the
+// request is admitted, shards whose wait exceeds the whole slack are closed: nothing is sent for
+// them.
 func (q *Query) admit(now time.Time, ownShards []int) bool {
 	q.omissionsLeft = q.omissionsAllowed(len(ownShards))
 	if !q.spec.Gathered || q.table.admitAll {
 		return true
 	}
 	typical, _ := q.table.typicalDuration(now, q.durationKey())
-	slack := max(q.spec.AnswerBy.Sub(now)-typical, 0)
+	f := q.table.forecastOf(q.durationKey())
+	leafTime, ownTime := f.split(now, typical)
+	timeLeft := q.spec.AnswerBy.Sub(now)
+	slack := max(timeLeft-leafTime, 0)
 	var waits []time.Duration
 	var late []int
 	for _, i := range ownShards {
-		wait := q.eta(now, &q.shards[i]) - typical
+		wait := q.eta(now, &q.shards[i], typical, leafTime) - leafTime
 		waits = append(waits, wait)
 		if wait > slack {
 			late = append(late, i)
@@ -52,9 +57,18 @@
 	maxWait := time.Duration(maxWaitShare * float64(slack))
 	// The shards with the longest waits are left out, as many as allowed. The n others are
 	// needed, and waits[n-1] is the longest wait at one of them.
-	if n := len(waits) - q.omissionsLeft; n > 0 && waits[n-1] > maxWait {
-		q.refuse(now, Refusal{Wait: waits[n-1], Limit: maxWait})
-		return false
+	if n := len(waits) - q.omissionsLeft; n > 0 {
+		refusal := Refusal{Wait: waits[n-1], Limit: maxWait}
+		// Where a leaf is idle, a late VM is still of use.
+		if ownTime+leafTime > timeLeft && refusal.Wait > 0 && !q.spec.Final {
+			refusal.OwnTime = ownTime
+		}
+		// Where no leaf may be used, nothing is left to find out.
+		known := refusal.Wait+leafTime >= never
+		if (refusal.Wait > refusal.Limit || refusal.OwnTime > 0) && (known || !f.probes(now)) {
+			q.refuse(now, refusal)
+			return false
+		}
 	}
 	for _, i := range late {
 		q.omitShard(now, &q.shards[i])
@@ -140,6 +154,8 @@
 type Refusal struct {
 	Wait  time.Duration // longest expected wait at a shard that the answer can't leave out
 	Limit time.Duration // longest wait that would have been accepted
+	// OwnTime is the time that passes in this VM, if it leaves no time for a leaf; 0 otherwise.
+	OwnTime time.Duration
 }
 
 // refuse closes all shards and sets the delay after which the caller should retry. The delay is
@@ -183,9 +199,10 @@
 // eta returns the expected time from now until a shard answers. It is the time until the answer of
 // the leaf that is expected to answer first, plus the time for this VM's queries that already wait
 // for a leaf of the shard. Suspect leafs and those too cold for another request don't count. If no
-// other leaf may be used, the result is the constant never.
-func (q *Query) eta(now time.Time, s *shard) time.Duration {
-	typical, _ := q.table.typicalDuration(now, q.durationKey())
+// other leaf may be used, the result is the constant never. The result contains only leaf time:
+// leafTime is that part of the typical duration of the request.
+func (q *Query) eta(now time.Time, s *shard, typical, leafTime time.Duration) time.Duration {
+	leafShare := float64(leafTime) / float64(max(typical, 1))
 	best := time.Duration(never)
 	slots := 0.0           // of all leafs, where a slot of a leaf that is twice as slow counts half
 	var work time.Duration // longest typical duration of the recent requests to one leaf
@@ -193,7 +210,7 @@
 		if l.suspicion.raised || !q.table.admitsCold(now, l) {
 			continue
 		}
-		best = min(best, l.eta(now, typical))
+		best = min(best, l.etaOfLeaf(now, leafTime, leafShare))
 		slots += float64(l.Slots) / l.slowdown.factor(now)
 		work = max(work, l.typicalWork)
 	}
@@ -202,14 +219,20 @@
 	}
 	// The queries that already wait are assumed to be served first, by all slots in parallel.
 	ahead := float64(q.table.services[s.service].waiting)
-	return best + time.Duration(ahead/slots*float64(work))
+	return best + time.Duration(ahead/slots*leafShare*float64(work))
 }
 
 // eta returns the expected time from now until the leaf answers one more request, where
 // typical is the duration of such a request at a leaf of usual speed. It includes the queue,
 // the remaining cooldown, and a surcharge if the leaf is stalled.
 func (l *leaf) eta(now time.Time, typical time.Duration) time.Duration {
-	d := l.expected(now, typical) + l.backlog(now)
+	return l.etaOfLeaf(now, typical, 1)
+}
+
+// etaOfLeaf is eta in the leaf's time only. leafTime is the leaf's part of the duration of such a
+// request, and leafShare its share of that duration, from 0 to 1.
+func (l *leaf) etaOfLeaf(now time.Time, leafTime time.Duration, leafShare float64) time.Duration {
+	d := l.expected(now, leafTime) + l.backlog(now, leafShare)
 	if l.cooldown.active(now) {
 		d += l.cooldown.until.Sub(now)
 	}
@@ -219,27 +242,29 @@
 	return d
 }
 
-// backlog returns the expected time until the leaf has a free slot for one more request.
-func (l *leaf) backlog(now time.Time) time.Duration {
+// backlog returns the expected time until the leaf has a free slot for one more request. leafShare is
+// the leaf's share of the typical duration of requests, from 0 to 1.
+func (l *leaf) backlog(now time.Time, leafShare float64) time.Duration {
+	work := l.expected(now, time.Duration(leafShare*float64(l.typicalWork)))
 	// ahead is the number of requests that have to end first: those of this VM and of other
 	// VMs, plus the new one, less those that run at the same time.
-	ahead := float64(len(l.inFlight)) + l.othersRemaining(now) + 1 - float64(l.Slots)
+	ahead := float64(len(l.inFlight)) + l.othersRemaining(now, work) + 1 - float64(l.Slots)
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / float64(l.Slots) * float64(l.expected(now, l.typicalWork)))
+	return time.Duration(ahead / float64(l.Slots) * float64(work))
 }
 
 // othersRemaining returns the estimated number of requests of other VMs at the leaf: those in its
 // last load report, less those that it is assumed to have completed since. It is 0 if the report
 // is older than reportedLoadLifetime. Forecasts use it; the choice between leafs uses
-// othersEstimate.
-func (l *leaf) othersRemaining(now time.Time) float64 {
+// othersEstimate. work is the expected time of a typical request.
+func (l *leaf) othersRemaining(now time.Time, work time.Duration) float64 {
 	age := now.Sub(l.reportedAt)
 	if age >= reportedLoadLifetime || l.othersReported == 0 {
 		return 0
 	}
 	// Each slot completes one request in the expected time of a typical one, at least 1 ms.
-	done := queueDrainShare * float64(l.Slots) * float64(age) / float64(max(l.expected(now, l.typicalWork), time.Millisecond))
+	done := queueDrainShare * float64(l.Slots) * float64(age) / float64(max(work, time.Millisecond))
 	return max(l.othersReported-done, 0)
 }
--- a/scatter/load_test.go
+++ b/scatter/load_test.go
@@ -16,6 +16,7 @@
 	leafs  map[LeafID]*simulatedLeaf
 	events simulatedEvents // queue, ordered by time
 	serial int             // number of events scheduled so far
+	slow   map[*Table]*slowReader
 
 	// Numbers of callers: all, and those whose request was answered within the latency
 	// objective, was answered later, was refused, or failed in another way.
@@ -34,9 +35,16 @@
 	queue     []simulatedPart // attempts that wait for a slot
 }
 
+// slowReader makes a VM late: it reads one answer at a time.
+type slowReader struct {
+	perAnswer time.Duration
+	until     time.Time // when the latest answer that has arrived is read
+}
+
 // simulatedPart is an attempt at a simulated leaf.
 type simulatedPart struct {
 	send   Send
+	table  *Table    // of the VM that sent it
 	finish func(End) // passes the end of the attempt to the VM that sent it
 }
 
@@ -169,7 +177,7 @@
 // send queues an attempt at its leaf, which may refuse it.
 func (sim *simulation) send(q *Query, s Send) {
 	l := sim.leafs[s.Leaf]
-	part := simulatedPart{send: s, finish: func(end End) {
+	part := simulatedPart{send: s, table: q.table, finish: func(end End) {
 		q.table.RecordLoad(sim.now, s.Leaf, Load{Running: l.running, Waiting: len(l.queue), Slots: l.slots, Slowdown: l.slowdown})
 		q.table.AttemptEnded(sim.now, s.Leaf, s.SentAt, end)
 		if end == EndAnswered {
@@ -204,8 +212,19 @@
 		l.running++
 		sim.after(took, func() {
 			l.running--
-			part.finish(end)
+			sim.read(part, end)
 			sim.start(l)
 		})
 	}
 }
+
+// read passes the end of an attempt to its VM, once a slow VM has read the answers before.
+func (sim *simulation) read(part simulatedPart, end End) {
+	r := sim.slow[part.table]
+	if r == nil {
+		part.finish(end)
+		return
+	}
+	r.until = later(r.until, sim.now).Add(r.perAnswer)
+	sim.after(r.until.Sub(sim.now), func() { part.finish(end) })
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -34,6 +34,9 @@
 	// other VM may have sent one. Only leafs are used that both the calling and each called
 	// VM may use.
 	Redelegated bool
+	// Final says, for a delegated request, that no other VM would be called if this one refused.
+	// Its own lateness is then no reason to refuse.
+	Final bool
 	// BudgetWeight is the part of the request, from 0 to 1, that counts in this VM's budget.
 	// The budget allows hedges and retries in proportion to requests. For a delegated
 	// request, the calling VM counts the remainder.
@@ -207,6 +210,9 @@
 	shard  int // index of the shard in the query
 	leaf   LeafID
 	sentAt time.Time
+	// writtenAt is when it was written to its connection, and readAt when its answer was read.
+	// They are zero while they are not known.
+	writtenAt, readAt time.Time
 }
 
 // call is a call to another VM, which queries some shards for this one.
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -29,6 +29,7 @@
 	liveness      livenessRound                     // schedules a check of all VMs that this one calls, after one was silent
 	startedAt     time.Time                         // when this VM's process started
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
+	forecasts     map[durationKey]*forecast         // by kind of request to leafs
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
 	lostZones       map[string]bool    // zones of which all VMs that this one calls are silent
@@ -74,6 +75,7 @@
 		vms:          make(map[string]*vm),
 		members:      make(map[string]memberInfo),
 		durations:    make(map[durationKey]*latency.Recorder),
+		forecasts:    make(map[durationKey]*forecast),
 		ackTimes:     make(map[string]ackTime),
 		lostZones:    make(map[string]bool),
 		liveness:     newLivenessRound(),
@@ -304,10 +306,14 @@
 // does not depend on how slow the leafs are that answer it.
 func (t *Table) recordDuration(now time.Time, kind durationKey, a *attempt) {
 	took := now.Sub(a.sentAt)
+	leafTime := took - a.ownTime(now)
 	if l := t.findLeaf(a.leaf); l != nil {
-		took = time.Duration(float64(took) / l.slowdown.reportedFactor(now))
+		factor := l.slowdown.reportedFactor(now)
+		took = time.Duration(float64(took) / factor)
+		leafTime = time.Duration(float64(leafTime) / factor)
 	}
 	t.durationsOf(kind).Add(now, took)
+	t.forecastOf(kind).recordAnswer(now, leafTime)
 }
 
 // Parameters of the typical duration of one kind of request at a leaf.
