A refusal of one owner isn't final, and calls are refused by their sum

Cause: a refused call closed its shards, so one weak owner ended requests whose other shards leafs worked on, though another owner and other zones had room. Each called VM may leave out what the whole answer may, so two together left out too much, which was known only when the calls ended.

A VM that refused by its forecast has sent nothing: another owner of the partition is called for its shards, then owners in another zone, each once and while there is time. The last such call is final and isn't refused for the called VM's own lateness. Shards that a called VM leaves out are counted over all calls at once. A late owner hands the shards of its own callers to an owner with at least its power. A delegated request that is refused counts in no budget there, since the next VM counts it.

--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -23,8 +23,8 @@
 // shards that would be too late. A request that would lack too many shards is refused at once:
 // it has not run, and its caller gets a delay after which to retry.
 
-// admit decides whether to start the request. It returns true if the request is admitted, and
-// false after refusing it. ownShards are the indexes of the shards that this VM queries itself.
+// admit decides whether to start the request. It returns nil if the request is admitted, and
+// otherwise the forecast by which it has to be refused. ownShards are the indexes of the shards that this VM queries itself.
 // Other VMs that it calls decide about theirs.
 //
 // AnswerBy is the time at which the request is answered with the parts received so far. The slack
@@ -34,10 +34,10 @@
 // maxWaitShare of the slack, or if the time that passes in this VM leaves no time for a leaf. If the
 // request is admitted, shards whose wait exceeds the whole slack are closed: nothing is sent for
 // them.
-func (q *Query) admit(now time.Time, ownShards []int) bool {
+func (q *Query) admit(now time.Time, ownShards []int) *Refusal {
 	q.omissionsLeft = q.omissionsAllowed(len(ownShards))
 	if !q.spec.Gathered || q.table.admitAll {
-		return true
+		return nil
 	}
 	typical, _ := q.table.typicalDuration(now, q.durationKey())
 	f := q.table.forecastOf(q.durationKey())
@@ -59,22 +59,30 @@
 	// needed, and waits[n-1] is the longest wait at one of them.
 	if n := len(waits) - q.omissionsLeft; n > 0 {
 		refusal := Refusal{Wait: waits[n-1], Limit: maxWait}
-		// Where a leaf is idle, a late VM is still of use.
-		if ownTime+leafTime > timeLeft && refusal.Wait > 0 && !q.spec.Final {
+		if ownTime+leafTime > timeLeft && q.yieldsIfLate(now, ownShards, refusal.Wait) {
 			refusal.OwnTime = ownTime
 		}
 		// Where no leaf may be used, nothing is left to find out.
 		known := refusal.Wait+leafTime >= never
 		if (refusal.Wait > refusal.Limit || refusal.OwnTime > 0) && (known || !f.probes(now)) {
-			q.refuse(now, refusal)
-			return false
+			return &refusal
 		}
 	}
 	for _, i := range late {
 		q.omitShard(now, &q.shards[i])
 	}
 	q.omissionsLeft = max(q.omissionsLeft-len(late), 0)
-	return true
+	return nil
+}
+
+// yieldsIfLate reports whether a request is refused where the time that passes in this VM leaves no
+// time for a leaf. wait is the longest wait at a shard that the answer can't leave out. Where nobody
+// else can be asked and leafs are idle, a late VM is still of use.
+func (q *Query) yieldsIfLate(now time.Time, ownShards []int, wait time.Duration) bool {
+	if q.spec.Delegated {
+		return !q.spec.Final
+	}
+	return wait > 0 || q.spec.MayDelegate && len(q.delegateOwnShards(now, ownShards)) > 0
 }
 
 // A request's own shards are those that this VM queries itself, while other VMs that it calls
@@ -165,7 +173,10 @@
 func (q *Query) refuse(now time.Time, refusal Refusal) {
 	q.refusal = &refusal
 	for i := range q.shards {
-		if s := &q.shards[i]; !s.declined {
+		s := &q.shards[i]
+		// The VM that is called next for a delegated request counts it in its budget.
+		s.budgetCounted = s.budgetCounted || q.spec.Delegated
+		if !s.declined {
 			q.omitShard(now, s)
 		}
 	}
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -65,6 +65,7 @@
 	vm        *vm           // the VM to call
 	partition zonePartition // leaf partition of the shards; the VM is one of its owners
 	shards    []int         // indexes of the shards that the VM is to query
+	step      refusalStep
 }
 
 // delegations returns the calls to make for shards that this VM does not query itself. For
@@ -189,11 +190,12 @@
 		}
 	}
 	timeLeft := q.spec.AnswerBy.Sub(now)
+	final := q.isFinal(now, d)
 	interimBy := now.Add(time.Duration(interimAnswerShare * float64(timeLeft)))
 	failoverAt := q.failoverTime(now, interimBy)
 	q.calls[id] = &call{
 		vm: v.Name, partition: d.partition, redelegated: redelegated, shards: shards, sentAt: now,
-		failoverAt: failoverAt,
+		failoverAt: failoverAt, step: d.step,
 	}
 	// The called VM need not answer the shards that the whole answer may leave out. For its
 	// answer it gets the time until AnswerBy less callRoundTrip, but no less than
@@ -206,6 +208,7 @@
 		Views:       views,
 		Required:    max(len(shards)-q.omissionsLeft, 0),
 		Redelegated: redelegated,
+		Final:       final,
 		InterimBy:   interimBy,
 		AnswerBy:    now.Add(max(time.Duration(minDelegateTimeShare*float64(timeLeft)), timeLeft-callRoundTrip)),
 	}
@@ -253,6 +256,10 @@
 	// ends the call.
 	Refused    bool
 	RetryAfter time.Duration // if Refused: delay after which the caller should retry
+	NotSent    bool          // if Refused: nothing was sent to a leaf
+	// LeftOut are the indexes of the shards for which the VM sends nothing by its forecast.
+	LeftOut  []int
+	LeafTime time.Duration // leaf time of such attempts, as the VM has measured it; 0 if not stated
 }
 
 // CallReply handles an answer of another VM and returns the actions that follow from it. For a
@@ -265,8 +272,9 @@
 	}
 	q.includeAnswer(ans.Included)
 	q.recordAck(now, c)
+	q.table.forecastOf(q.durationKey()).recordTold(now, ans.LeafTime)
 	if ans.Refused {
-		return q.callRefused(now, c, id, ans.RetryAfter)
+		return q.callRefused(now, c, id, ans)
 	}
 	answered := len(ans.Included) > 0 || ans.Last // an answer that only declines shards does not count
 	if answered && !c.answered {
@@ -274,7 +282,7 @@
 	}
 	c.answered = c.answered || answered
 	c.finished = c.finished || ans.Last
-	acts := q.reclaim(now, id, ans.Declined)
+	acts := append(q.reclaim(now, id, ans.Declined), q.recordLeftOut(now, c, id, ans.LeftOut)...)
 	if c.resolved {
 		return q.conclude(now, acts)
 	}
@@ -291,29 +299,6 @@
 	return q.conclude(now, append(acts, q.sendDirectly(now, id)...))
 }
 
-// callRefused handles the refusal of call c, which has the given id: no leaf has run any of its
-// shards for the called VM, and none will. retryAfter is the delay after which the caller should
-// retry. The shards of the call are closed: the called VM refuses if too few of them could be
-// answered in time, and the request's other shards can't make up for them. Shards that this VM has
-// meanwhile sent to a leaf itself stay open.
-func (q *Query) callRefused(now time.Time, c *call, id CallID, retryAfter time.Duration) []Action {
-	c.finished, c.resolved = true, true
-	q.table.callRefusalRate.add(now, 1)
-	q.retryAfter = max(q.retryAfter, retryAfter)
-	for _, i := range c.shards {
-		s := &q.shards[i]
-		if s.call != id {
-			continue
-		}
-		s.call = 0
-		s.arrived = true // leafs may have received and refused it
-		if s.sends == 0 {
-			s.close(GapForecast)
-		}
-	}
-	return q.conclude(now, nil)
-}
-
 // CallFail handles a call that ended without its last answer, and returns the actions that
 // follow. neverSent says that the called VM did not receive the call and so queries none of its
 // shards. This VM then queries them alone, unless another VM was called for them too.
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -128,7 +128,7 @@
 	}
 	switch {
 	case v != nil:
-		return []Action{q.callVM(now, delegation{vm: v, partition: c.partition, shards: open}, redelegated)}
+		return []Action{q.callVM(now, delegation{vm: v, partition: c.partition, shards: open, step: c.step}, redelegated)}
 	case redelegated:
 		return q.sendDirectly(now, id)
 	}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -79,6 +79,7 @@
 	Views       []View    // for each of Shards, a hash of the common leafs that the calling VM has computed
 	Required    int       // how many of Shards have to be answered so that the whole answer is sufficient
 	Redelegated bool      // another VM was called for the shards before and may have queried them
+	Final       bool      // no other VM would be called if this one refused
 	// InterimBy is when the called VM sends a first answer with the shards answered so far.
 	InterimBy time.Time
 	// AnswerBy is when the called VM stops waiting for the other shards and sends its last
@@ -222,6 +223,7 @@
 	redelegated bool          // another VM was called for the shards before and may have queried them
 	shards      []int         // indexes of the shards in the query
 	sentAt      time.Time     // when the query decided to make the call
+	step        refusalStep   // how far the calls for the shards have come
 	acked       bool          // the VM has sent any message on the call
 	failoverAt  time.Time     // when the call fails over if it has no answer
 	// writtenAt is when the call was written to its connection, zero before. ackDue is the
@@ -272,7 +274,15 @@
 	if q.spec.Delegated {
 		q.decline()
 	}
-	if !q.admit(now, q.ownShards(calls)) {
+	refusal := q.admit(now, q.ownShards(calls))
+	if refusal != nil && refusal.OwnTime > 0 && q.spec.MayDelegate {
+		if moved := q.delegateOwnShards(now, q.ownShards(calls)); len(moved) > 0 {
+			calls = append(calls, moved...)
+			refusal = q.admit(now, q.ownShards(calls))
+		}
+	}
+	if refusal != nil {
+		q.refuse(now, *refusal)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
 	var acts []Action
