Calls and answers carry what refusals and forecasts need

gatherCall says whether nobody else would be called (final, field 23); answers say whether a refusing VM has sent nothing (10), which shards it leaves out (11, with the declined ones, at once) and its leaf time (12). VMs of earlier releases ignore the fields, and their answers mean what they did. The times at which a request was written and its answer read are passed to the query, so that they count as own time. Request lines name own_ms and reasked, and bramley_edge_calls_after_refusal_total counts the calls.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -125,6 +125,7 @@
 		Views:              call.Views,
 		Required:           call.Required,
 		Redelegated:        call.Redelegated,
+		Final:              call.Final,
 		Rank:               r.spec.Rank,
 		Tenant:             r.spec.Tenant,
 		Top:                r.req.Top,
@@ -164,6 +165,10 @@
 	if err != nil {
 		return nil, err
 	}
+	leftOut, err := mapShards(call, ans.LeftOut)
+	if err != nil {
+		return nil, err
+	}
 	return &ShardsAnswer{
 		Included:   included,
 		Receipts:   ans.Receipts,
@@ -172,6 +177,9 @@
 		last:       ans.Last,
 		refused:    ans.Refused,
 		retryAfter: time.Duration(ans.RetryAfterUS) * time.Microsecond,
+		notSent:    ans.NotSent,
+		leftOut:    leftOut,
+		leafTime:   time.Duration(ans.LeafTimeUS) * time.Microsecond,
 	}, nil
 }
 
@@ -190,7 +198,8 @@
 
 // serveGather serves another VM's call, and sends each answer to that VM by calling answer. It
 // acknowledges the call at once, and never calls a third VM, so that no two VMs wait for each
-// other. Shards for which this VM and the calling VM know different leafs are declined at once.
+// other. Shards for which this VM and the calling VM know different leafs are declined at once, and
+// those that are forecast to be late are reported at once.
 //
 // At the interim time, which the call states, serveGather sends the results of the shards that
 // have answered so far. The calling VM then knows that this one is alive, and has the results
@@ -223,6 +232,7 @@
 		Views:            call.Views,
 		Required:         call.Required,
 		Redelegated:      call.Redelegated,
+		Final:            call.Final,
 		BudgetWeight:     scatter.DelegateWeight,
 		Rank:             call.Rank,
 		Tenant:           call.Tenant,
@@ -239,13 +249,17 @@
 			answer(ans)
 		}
 	}
-	r.onDeclined = func(shards []int) { answer(&gatherAnswer{Key: call.Key, Declined: shards}) }
+	r.onStarted = func(declined, leftOut []int) {
+		answer(&gatherAnswer{Key: call.Key, Declined: declined, LeftOut: leftOut})
+	}
 	outcome := r.run(ctx)
 	final := r.partialAnswer(outcome.Parts, reported)
 	final.Key, final.Last = call.Key, true
 	if outcome.Verdict == scatter.NotRun {
 		final.Refused, final.RetryAfterUS = true, outcome.RetryAfter.Microseconds()
+		final.NotSent = outcome.Sent == 0
 	}
+	final.LeafTimeUS = r.leafTime().Microseconds()
 	answer(final)
 	e.logGather(req, spec, outcome, time.Since(now))
 }
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -48,6 +48,8 @@
 	// Rank and Tenant are those of the caller's request, see scatter.Spec.
 	Rank   int    `cbor:"17,keyasint,omitempty"`
 	Tenant string `cbor:"18,keyasint,omitempty"`
+	// Final is true if no other VM would be called for the shards if this call were refused.
+	Final bool `cbor:"23,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
@@ -66,6 +68,14 @@
 	// only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
+	// NotSent is true, with Refused, if nothing was sent to a leaf for the call.
+	NotSent bool `cbor:"10,keyasint,omitempty"`
+	// LeftOut holds the shards for which nothing is sent since they are forecast to be late, as
+	// indexes into gatherCall.Services.
+	LeftOut []int `cbor:"11,keyasint,omitempty"`
+	// LeafTimeUS is how long a leaf of usual speed takes for such a request, in microseconds, as
+	// this VM has measured it; 0 if not known.
+	LeafTimeUS int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // decodeBody decodes the body of a message into a *gatherCall or a *gatherAnswer. The sender may
--- a/edge/log.go
+++ b/edge/log.go
@@ -29,6 +29,7 @@
 		"hedges", out.Hedges,
 		"retries", out.Retries,
 		"calls", out.Called,
+		"reasked", out.Reasked,
 		"ms", took.Milliseconds(),
 		"left_ms", time.Until(req.Deadline).Milliseconds(),
 		"late_ms", max(time.Since(req.DueAt), 0).Milliseconds(),
@@ -44,6 +45,7 @@
 	return []any{
 		"wait_ms", out.Refusal.Wait.Milliseconds(),
 		"wait_limit_ms", out.Refusal.Limit.Milliseconds(),
+		"own_ms", out.Refusal.OwnTime.Milliseconds(),
 		"retry_after_ms", out.RetryAfter.Milliseconds(),
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -176,7 +176,7 @@
 }
 
 // maxAnswersPerCall is the maximum number of messages that answer a call: the acknowledgement,
-// the declined shards, the interim answer and the last one.
+// the declined and left-out shards, the interim answer and the last one.
 const maxAnswersPerCall = 4
 
 // registerCall returns the key of a new call, and a channel that receives its answers.
--- a/edge/run.go
+++ b/edge/run.go
@@ -29,9 +29,11 @@
 	callAnswers []*ShardsAnswer              // in the order in which they were passed to the query
 
 	// Set for a query on behalf of another VM, zero for a caller's query.
-	interimAt  time.Time                 // when to pass the results so far to onInterim; zero after that
-	onInterim  func([]scatter.AttemptID) // receives the attempts that leafs have answered so far
-	onDeclined func(shards []int)        // receives the shards that this VM does not query, since it knows other leafs than the calling VM
+	interimAt time.Time                 // when to pass the results so far to onInterim; zero after that
+	onInterim func([]scatter.AttemptID) // receives the attempts that leafs have answered so far
+	// onStarted receives the shards that this VM does not query, unless there are none. It knows
+	// other leafs than the calling VM for declined ones, and forecasts leftOut ones to be late.
+	onStarted func(declined, leftOut []int)
 }
 
 // event reports the progress or the end of an attempt or of a call to another VM.
@@ -118,8 +120,8 @@
 func (r *runner) loop(ctx context.Context) scatter.Outcome {
 	r.query = scatter.NewQuery(r.spec, r.e.table)
 	acts, wake := r.step(r.query.Start)
-	if declined := r.query.Declined(); len(declined) > 0 {
-		r.onDeclined(declined)
+	if r.onStarted != nil {
+		r.reportStart(acts)
 	}
 
 	timer := time.NewTimer(time.Until(wake))
@@ -144,6 +146,28 @@
 	}
 }
 
+// reportStart passes the shards that are not queried to onStarted. acts are the first actions of the
+// query. If they end it, its answer says whether it was refused.
+func (r *runner) reportStart(acts []scatter.Action) {
+	declined, leftOut := r.query.Declined(), r.query.LeftOut()
+	for _, act := range acts {
+		if _, ended := act.(scatter.Finish); ended {
+			leftOut = nil
+		}
+	}
+	if len(declined)+len(leftOut) > 0 {
+		r.onStarted(declined, leftOut)
+	}
+}
+
+// leafTime returns how long a leaf of usual speed takes for an attempt of the query, as this VM has
+// measured it; 0 if it is not known.
+func (r *runner) leafTime() time.Duration {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	return r.query.LeafTime(time.Now())
+}
+
 // tick is called when loop's timer expires. It processes a pending event if there is one. So an
 // answer that arrived while this VM was short of CPU time is not treated as missing. Otherwise
 // tick lets the query act on the time that has passed. The results are those of step.
@@ -192,11 +216,15 @@
 
 				Refused:    ev.callAnswer.refused,
 				RetryAfter: ev.callAnswer.retryAfter,
+				NotSent:    ev.callAnswer.notSent,
+				LeftOut:    ev.callAnswer.leftOut,
+				LeafTime:   ev.callAnswer.leafTime,
 			})
 		case ev.call != 0:
 			return r.query.CallFail(now, ev.call, ev.neverSent)
 		case ev.reply != nil:
 			r.replies[ev.attempt] = ev.reply
+			r.query.Timed(ev.attempt, ev.reply.WrittenAt, ev.reply.ReadAt)
 			return r.query.Reply(now, ev.attempt, r.answerFailed(ev.reply))
 		default:
 			return r.query.Fail(now, ev.attempt, ev.end)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -77,6 +77,7 @@
 func (s *stats) request(kind string, out scatter.Outcome, took time.Duration) {
 	s.count(`bramley_edge_requests_total{kind=%q,verdict=%q}`, kind, out.Verdict)
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`bramley_edge_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+	s.set.GetOrCreateCounter(`bramley_edge_calls_after_refusal_total`).Add(out.Reasked)
 	if out.Missing > 0 {
 		s.set.GetOrCreateCounter(`bramley_edge_missing_shards_total`).Add(out.Missing)
 	}
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -118,10 +118,12 @@
 func roundTrip(c *conn, req *Request, extra http.Header) (ans *Answer, idleTimeout time.Duration, err error) {
 	head := req.head(extra)
 	written := make(chan error, 1)
+	var writtenAt time.Time
 	if len(req.Body) < concurrentWriteSize {
 		if _, err := c.Write(append(head, req.Body...)); err != nil {
 			return nil, 0, err
 		}
+		writtenAt = time.Now()
 		written <- nil
 	} else {
 		go func() {
@@ -133,6 +135,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	ans.WrittenAt, ans.ReadAt = writtenAt, time.Now()
 	select {
 	case err := <-written:
 		if err != nil {
--- a/leafhttp/request.go
+++ b/leafhttp/request.go
@@ -29,6 +29,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	// WrittenAt is when the request was written, zero if the answer was read meanwhile. ReadAt is
+	// when the answer was read.
+	WrittenAt, ReadAt time.Time
 }
 
 // head returns the request up to its body, with extra headers that differ from one
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -27,6 +27,11 @@
 	}
 	out.Refusal = q.refusal
 	out.Sent, out.Hedges, out.Retries, out.Called = q.sent, q.hedges, q.retries, len(q.calls)
+	for _, c := range q.calls {
+		if c.step != firstOwner {
+			out.Reasked++
+		}
+	}
 	return []Action{Finish{Outcome: out}}
 }
 
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -146,6 +146,7 @@
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
 	Called                int // number of calls to other VMs
+	Reasked               int // number of calls made since another VM refused the shards or left them out
 }
 
 // Query is one request in progress. Call Start once, then pass in the events, and carry out
