Design note and decisions: handing a leaf partition over

Cause: when the strong owner of a partition is told to stop, callers go to owners with a fifth of its power, without connections and knowledge.

The leaving VM names a successor if the owners that are left are much weaker: a VM with half its power at least, of its zone first. The successor takes over what the owner knows of the leafs, and serves the partition until the owner is listed again. Callers that were told call it. Partitions are not divided anew. One line each in vm.go: delegates asks ownersOrStandIn, SetVMs calls endHandovers.

Seen red with the part in question taken out: TestPartitionGoesToItsSuccessorAndBack (callers not told; not handed back), TestKilledSuccessorLeavesTheOwners (its silence ignored), TestLostMessageLeavesTheOtherOwners (owners only where a successor is known), TestHandoverOfAnOwnerThatStaysEnds (no expiry), TestSuccessorIsNamedOnlyIfNeeded (always; leaving VMs named), TestSuccessorAdoptsWhatItDoesNotKnow (nothing, everything adopted), TestHandoverIsChecked (number of partitions, values not checked).

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -105,16 +105,15 @@
 }
 
 // assignToPartitions adds the given shards, which have leafs in the zone, to byPartition under
-// their leaf partition. Shards in partitions that this VM owns are left out.
+// their leaf partition. Shards in partitions that this VM serves are left out.
 func (q *Query) assignToPartitions(byPartition map[zonePartition][]int, zone string, shards []int) {
 	z := q.table.zones[zone]
 	if z == nil {
 		return
 	}
 	for _, i := range shards {
-		partition := z.partitionOf(q.shards[i].service)
-		if !z.owns(partition) {
-			p := zonePartition{zone: zone, partition: partition}
+		p := zonePartition{zone: zone, partition: z.partitionOf(q.shards[i].service)}
+		if !q.table.serves(p) {
 			byPartition[p] = append(byPartition[p], i)
 		}
 	}
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -53,7 +53,10 @@
 		return
 	}
 	c.acked = true
-	q.table.zoneFound(c.partition.zone)
+	// A VM that stands in for an owner may be in another zone than the partition.
+	if v := q.table.vms[c.vm]; v != nil {
+		q.table.zoneFound(v.Zone)
+	}
 	c.ackDue = time.Time{}
 	if c.writtenAt.IsZero() {
 		return
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -30,6 +30,8 @@
 	startedAt     time.Time                         // when this VM's process started
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
 	forecasts     map[durationKey]*forecast         // by kind of request to leafs
+	standIns      map[zonePartition]*standIn        // partitions that a VM serves in place of an owner
+	handBack      []handBack                        // partitions whose owner has returned and is not told yet
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
 	lostZones       map[string]bool    // zones of which all VMs that this one calls are silent
@@ -76,6 +78,7 @@
 		members:      make(map[string]memberInfo),
 		durations:    make(map[durationKey]*latency.Recorder),
 		forecasts:    make(map[durationKey]*forecast),
+		standIns:     make(map[zonePartition]*standIn),
 		ackTimes:     make(map[string]ackTime),
 		lostZones:    make(map[string]bool),
 		liveness:     newLivenessRound(),
@@ -185,7 +188,7 @@
 		return math.Inf(1)
 	}
 	vms := len(t.members) + 1
-	if s.gatheredOnly && t.ownsService(s.name) {
+	if s.gatheredOnly && t.servesService(s.name) {
 		vms = t.leafOwners
 	}
 	return float64(s.maxConnections) * usableConnectionShare / (float64(vms) * vmHeadroom)
@@ -337,15 +340,13 @@
 	return d, known
 }
 
-// UnusedLeafs returns leafs of this VM's zone to which connections can be opened before they are
-// needed. These are the leafs of the partition that this VM owns, to which it normally sends
-// requests. Leafs with a request of this VM in flight, unusable ones and suspect ones are left
+// UnusedLeafs returns leafs to which connections can be opened before they are needed. These are the
+// leafs of the partitions that this VM serves, to which it normally sends requests. Leafs with a request of this VM in flight, unusable ones and suspect ones are left
 // out.
 func (t *Table) UnusedLeafs() []registry.Leaf {
-	z := t.zones[t.zone]
 	var list []registry.Leaf
 	for _, l := range t.leafs {
-		if l.sameZone && l.usable() && !l.suspicion.raised && len(l.inFlight) == 0 && z.owns(z.partitionOf(l.Service)) {
+		if l.usable() && !l.suspicion.raised && len(l.inFlight) == 0 && t.servesLeaf(l) {
 			list = append(list, l.Leaf)
 		}
 	}
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -48,6 +48,7 @@
 	t.vms = next
 	t.forgetLostZones()
 	t.partitionZones(now)
+	t.endHandovers(now)
 	t.vmsKnown = true
 }
 
@@ -83,7 +84,7 @@
 		return nil
 	}
 	var list []*vm
-	for _, owner := range z.ownersOf(p.partition) {
+	for _, owner := range t.ownersOrStandIn(now, p) {
 		v := t.vms[owner.name]
 		if v == nil || slices.Contains(except, owner.name) || !v.available(now) {
 			continue
