An owner that is told to stop hands its partition over before it goes

The VM asks up to three candidates to stand in, waits for the answer of the one that has taken over and opened its connections, tells the VMs that have a connection to it, and only then takes itself off the list. The search is bounded by a quarter of the grace period. A returning owner that is missed opens its connections before it announces itself, for 1.5 s at most; its stand-in tells it what it learned. Where VMs have similar power nothing is sent or delayed. New methods on connections between VMs: handover, successor; a VM of an earlier release refuses them, and the owner leaves as before.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -30,6 +30,8 @@
 	// follow sends a call to a VM that reads the store for others, and stores the decoded answer
 	// in into. method is one of those by which a VM follows another one.
 	follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error
+	// handOver hands partitions over to a VM, which answers within limit if it serves them.
+	handOver(ctx context.Context, vm scatter.VM, handover scatter.Handover, limit time.Duration) error
 }
 
 // neverSentError reports that no part of a call to another VM was sent.
@@ -73,6 +75,11 @@
 	return errNotJoined
 }
 
+// handOver implements peerClient. It always fails: nothing is sent.
+func (noPeerClient) handOver(context.Context, scatter.VM, scatter.Handover, time.Duration) error {
+	return errNotJoined
+}
+
 // peerCallLinger is how long a call to another VM stays open after its answer was due. A late
 // answer still shows that the VM is alive.
 const peerCallLinger = 100 * time.Millisecond
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
@@ -22,11 +23,12 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats // counters and histograms
-	feed             *feed  // read by the VMs that follow this one
-	livenessCheckDue wakeup // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup // wakes probeLeafs after a leaf did not answer or could not be reached
+	stats            *stats      // counters and histograms
+	feed             *feed       // read by the VMs that follow this one
+	livenessCheckDue wakeup      // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup      // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup      // wakes probeLeafs after a leaf did not answer or could not be reached
+	leaving          atomic.Bool // this VM was told to stop, and stands in for no other one
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
@@ -121,11 +123,12 @@
 	return e.registry.Len()
 }
 
-// setVMs replaces the list of the other VMs.
+// setVMs replaces the list of the other VMs. Owners that have returned are told what this VM knows.
 func (e *Engine) setVMs(others []scatter.VM) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.table.SetVMs(time.Now(), others)
+	e.mu.Unlock()
+	e.handBack()
 }
 
 // Request is a caller's request in the form that is sent to leafs.
--- a/edge/node.go
+++ b/edge/node.go
@@ -35,6 +35,7 @@
 	tomb        tomb.Tomb                     // runs the servers and the background loops
 	leaving     atomic.Bool                   // Leave was called
 	leafsListed atomic.Bool                   // the leafs have been listed at least once
+	warmed      atomic.Bool                   // the other VMs may call this one (see warmBeforeAnnouncing)
 	transport   atomic.Pointer[peerTransport] // nil until this VM has joined the other VMs
 
 	callerServer *http.Server
@@ -214,7 +215,7 @@
 		self:        n.self,
 		log:         n.log,
 		leafsListed: make(chan struct{}, 1),
-		ready:       n.isReady,
+		ready:       func() bool { return n.isReady() && n.warmed.Load() },
 		announcer:   &announcer{store: n.store, self: n.self, log: n.log},
 	}
 	n.tomb.Go(func() error {
@@ -225,6 +226,7 @@
 		select {
 		case <-f.leafsListed:
 			n.leafsListed.Store(true)
+			n.warmBeforeAnnouncing(ctx)
 			f.announce(ctx)
 		case <-ctx.Done():
 		}
@@ -306,12 +308,15 @@
 	drainGraceShare = 0.18
 )
 
-// Leave marks this VM as not ready, continues to serve while the load balancer moves callers
-// to other VMs, waits for requests in flight, and stops.
+// Leave marks this VM as not ready, hands its leaf partitions over if it is needed for them, continues
+// to serve while the load balancer moves callers to other VMs, waits for requests in flight, and
+// stops.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
+	n.engine.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.graceShare(lameDuckGraceShare))
 	defer cancel()
+	n.handOver(ctx)
 	if err := n.store.Withdraw(ctx, n.self.Name); err != nil {
 		n.log.Warn("removing this VM from the list of VMs failed", "error", err)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -104,6 +104,10 @@
 			p.reportLoss()
 		}
 		return nil, nil
+	case methodHandOver:
+		return nil, e.serveHandOver(ctx, conn, params)
+	case methodSuccessor:
+		return nil, e.recordSuccessor(conn, params)
 	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations:
 		call, err := decodeFollow(params)
 		if err != nil {
--- a/edge/warm.go
+++ b/edge/warm.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
-	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
 // Parameters of opening connections before they are needed. Opening a connection occupies a
@@ -39,12 +38,7 @@
 func (e *Engine) unusedLeafEndpoints() []leafhttp.Endpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var endpoints []leafhttp.Endpoint
-	for _, l := range e.table.UnusedLeafs() {
-		key := poolKey(scatter.LeafID{ID: l.ID, Born: l.Born})
-		endpoints = append(endpoints, leafhttp.Endpoint{Key: key, Address: l.Address})
-	}
-	return endpoints
+	return endpointsOf(e.table.UnusedLeafs())
 }
 
 // warmDelegates opens a connection to each VM that this one calls, unless there is one.
--- a/scatter/handover.go
+++ b/scatter/handover.go
@@ -164,6 +164,11 @@
 	})
 }
 
+// IsServedByOthers reports whether other VMs can be called for each partition that this VM serves.
+func (t *Table) IsServedByOthers(now time.Time) bool {
+	return !slices.ContainsFunc(t.servedPartitions(), func(p zonePartition) bool { return t.strongestOther(now, p) == 0 })
+}
+
 // Successors returns the VMs to ask in turn to stand in for this one when it stops. There are none
 // if it is not needed.
 func (t *Table) Successors(now time.Time) []VM {
--- a/scatter/handover_test.go
+++ b/scatter/handover_test.go
@@ -184,3 +184,15 @@
 		w.Expect(l.failures.current(w.now)).To(gomega.BeNumerically("<=", 1))
 	}
 }
+
+// Guards against a restarted owner that gets calls before it has connections, and against one that
+// delays its return although nobody serves in its place, or as well as it would.
+func TestReturningOwnerConnectsFirstIfOthersServe(t *testing.T) {
+	for name, connects := range map[string]bool{"aa": true, "ac": false} {
+		w := tableIn(t, name)
+		w.Expect(w.table.IsNeeded(w.now) && w.table.IsServedByOthers(w.now)).To(gomega.Equal(connects), name)
+	}
+	w := tableIn(t, "aa")
+	w.table.SetVMs(w.now, nil)
+	w.Expect(w.table.IsServedByOthers(w.now)).To(gomega.BeFalse(), "the first VM to return")
+}
