--- a/explain/explain.go
+++ b/explain/explain.go
@@ -131,6 +131,9 @@
 	text += fmt.Sprintf(" after %v ms", line.Fields["ms"])
 	if wait, ok := line.Fields["wait_ms"]; ok {
 		text += fmt.Sprintf("; a shard that it needed was expected to wait %v ms, %v at most were allowed", wait, line.Fields["wait_limit_ms"])
+		if own, _ := line.Fields["own_ms"].(float64); own > 0 {
+			text += fmt.Sprintf("; the VM itself was expected to take %v ms, which left no time for a leaf", own)
+		}
 	}
 	if gaps := r.gapSummary(); gaps != "" {
 		text += "; " + gaps
