A small zone hands no partition over

All VMs of a small zone own its leafs and have connections to them. A stand-in in another zone would only add traffic between zones.

Seen red: TestSmallZoneHandsNothingOver without the condition.

--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 	"github.com/bramleybarrow/bramleybarrow/wire"
 )
 
-// handoverVM is a VM of the handover tests, the only one of its zone.
+// handoverVM is a VM of the handover tests, the only strong one of its zone.
 type handoverVM struct {
 	engine *Engine
 	peers  *peerTransport
@@ -45,9 +46,13 @@
 	return list
 }
 
-// list sets the VMs that v knows: all but itself and the one that left.
+// list sets the VMs that v knows: all but itself and the one that left, and weak ones that make the
+// owner's zone so large that its leafs are divided.
 func (v *handoverVM) list(all []scatter.VM, left string) {
 	var others []scatter.VM
+	for i := range 8 {
+		others = append(others, scatter.VM{Name: fmt.Sprintf("weak-%d", i), Zone: "owner", Power: 0.1})
+	}
 	for _, o := range all {
 		if o.Name != v.vm.Name && o.Name != left {
 			others = append(others, o)
--- a/scatter/handover.go
+++ b/scatter/handover.go
@@ -156,11 +156,12 @@
 	return power
 }
 
-// IsNeeded reports whether a partition that this VM serves would be left to much weaker VMs
-// without it, or to none.
+// IsNeeded reports whether a partition that this VM serves would be left to much weaker VMs without
+// it. In a small zone, all VMs own its leafs, and none is needed.
 func (t *Table) IsNeeded(now time.Time) bool {
 	return slices.ContainsFunc(t.servedPartitions(), func(p zonePartition) bool {
-		return t.strongestOther(now, p) < minSuccessorShare*t.power
+		z := t.zones[p.zone]
+		return z.owners < len(z.ranked) && t.strongestOther(now, p) < minSuccessorShare*t.power
 	})
 }
 
--- a/scatter/handover_test.go
+++ b/scatter/handover_test.go
@@ -142,6 +142,14 @@
 	owner.Expect(owner.table.Successors(owner.now)[0].Zone).To(gomega.Equal("b"))
 }
 
+// Guards against calls to another zone where all VMs of a small zone own its leafs and have connections.
+func TestSmallZoneHandsNothingOver(t *testing.T) {
+	w := newWorld(t)
+	w.shards(20, homeZone, "other")
+	w.table.SetVMs(w.now, []VM{{Name: "vm-weak", Zone: homeZone, Power: 0.1}, {Name: "vm-far", Zone: "other", Power: 1}})
+	w.Expect(w.table.Successors(w.now)).To(gomega.BeEmpty())
+}
+
 // Guards against a successor that starts without knowledge of the leafs, and against one that
 // believes what another VM says more than its own answers.
 func TestSuccessorAdoptsWhatItDoesNotKnow(t *testing.T) {
