Refusals for short leafs are doubted rarely

Cause: asking other VMs after each refusal let leafs that are short of slots work for requests that failed elsewhere.

A refusing VM now states its cause (field 10 of the answer, in place of a flag that said that nothing was sent).

Changed test: TestRefusedShardsAreAskedForOnlyIfThatIsOfUse and the answer that the refusal tests share state a cause instead of the flag. Seen red: TestRefusalsForLeafsAreDoubtedRarely with every one doubted; the others as before.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -184,7 +184,7 @@
 		last:       ans.Last,
 		refused:    ans.Refused,
 		retryAfter: time.Duration(ans.RetryAfterUS) * time.Microsecond,
-		notSent:    ans.NotSent,
+		cause:      ans.Cause,
 		leftOut:    leftOut,
 		leafTime:   time.Duration(ans.LeafTimeUS) * time.Microsecond,
 	}, nil
@@ -264,7 +264,7 @@
 	final.Key, final.Last = call.Key, true
 	if outcome.Verdict == scatter.NotRun {
 		final.Refused, final.RetryAfterUS = true, outcome.RetryAfter.Microseconds()
-		final.NotSent = outcome.Sent == 0
+		final.Cause = outcome.RefusalCause()
 	}
 	final.LeafTimeUS = r.leafTime().Microseconds()
 	answer(final)
--- a/edge/delegate_test.go
+++ b/edge/delegate_test.go
@@ -15,14 +15,14 @@
 func TestRefusalKeepsItsFieldsOnTheWay(t *testing.T) {
 	g := gomega.NewWithT(t)
 	call := scatter.CallVM{Shards: []int{4, 7, 9}}
-	body, err := cbor.Marshal(&gatherAnswer{Last: true, Refused: true, NotSent: true, LeftOut: []int{0, 2}, LeafTimeUS: 6000})
+	body, err := cbor.Marshal(&gatherAnswer{Last: true, Refused: true, Cause: scatter.RefusedForSelf, LeftOut: []int{0, 2}, LeafTimeUS: 6000})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	var ans gatherAnswer
 	g.Expect(decodeBody(body, &ans)).To(gomega.Succeed())
 	got, err := toShardsAnswer(call, &ans)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got.leftOut).To(gomega.Equal([]int{4, 9}))
-	g.Expect(got.notSent).To(gomega.BeTrue())
+	g.Expect(got.cause).To(gomega.Equal(scatter.RefusedForSelf))
 	g.Expect(got.leafTime).To(gomega.Equal(6 * time.Millisecond))
 
 	ans.LeftOut = []int{3}
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -68,8 +68,8 @@
 	// only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
-	// NotSent is true, with Refused, if nothing was sent to a leaf for the call.
-	NotSent bool `cbor:"10,keyasint,omitempty"`
+	// Cause says, with Refused, why the call was refused.
+	Cause scatter.RefusalCause `cbor:"10,keyasint,omitempty"`
 	// LeftOut holds the shards for which nothing is sent since they are forecast to be late, as
 	// indexes into gatherCall.Services.
 	LeftOut []int `cbor:"11,keyasint,omitempty"`
--- a/edge/merge.go
+++ b/edge/merge.go
@@ -18,10 +18,10 @@
 	leftOut  []int // shards for which the called VM sends nothing, since they are forecast to be late
 	last     bool  // no further answer to the call follows
 
-	refused    bool          // no leaf has run the request for any shard, and none will
-	retryAfter time.Duration // with refused: delay after which the caller of the request should retry
-	notSent    bool          // with refused: nothing was sent to a leaf
-	leafTime   time.Duration // how long a leaf of usual speed takes, as the called VM has measured it; 0 if not stated
+	refused    bool                 // no leaf has run the request for any shard, and none will
+	retryAfter time.Duration        // with refused: delay after which the caller of the request should retry
+	cause      scatter.RefusalCause // with refused
+	leafTime   time.Duration        // how long a leaf of usual speed takes, as the called VM has measured it; 0 if not stated
 }
 
 // mergedResult returns the result of a gathered request, merged from the shards that out
--- a/edge/run.go
+++ b/edge/run.go
@@ -216,7 +216,7 @@
 
 				Refused:    ev.callAnswer.refused,
 				RetryAfter: ev.callAnswer.retryAfter,
-				NotSent:    ev.callAnswer.notSent,
+				Cause:      ev.callAnswer.cause,
 				LeftOut:    ev.callAnswer.leftOut,
 				LeafTime:   ev.callAnswer.leafTime,
 			})
--- a/internal/lab/model/query.go
+++ b/internal/lab/model/query.go
@@ -187,7 +187,7 @@
 		}
 		reply(scatter.CallAnswer{
 			Included: included(out.Parts), Last: true, Refused: out.Verdict == scatter.NotRun, RetryAfter: out.RetryAfter,
-			NotSent: out.Sent == 0, LeafTime: q.query.LeafTime(m.now),
+			Cause: out.RefusalCause(), LeafTime: q.query.LeafTime(m.now),
 		})
 	}
 	q = m.start(v, spec, nil, finish)
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -176,6 +176,7 @@
 	id := CallID(len(q.calls) + 1)
 	v, shards := d.vm, d.shards
 	v.inFlight++
+	q.table.earnDoubt()
 	views := make([]View, len(shards))
 	for n, i := range shards {
 		s := &q.shards[i]
@@ -255,7 +256,7 @@
 	// ends the call.
 	Refused    bool
 	RetryAfter time.Duration // if Refused: delay after which the caller should retry
-	NotSent    bool          // if Refused: nothing was sent to a leaf
+	Cause      RefusalCause  // if Refused
 	// LeftOut are the indexes of the shards for which the VM sends nothing by its forecast.
 	LeftOut  []int
 	LeafTime time.Duration // leaf time of such attempts, as the VM has measured it; 0 if not stated
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -22,6 +22,53 @@
 	anotherZone                     // owners in another zone were called; nobody is left
 )
 
+// RefusalCause says why a VM refused a call.
+type RefusalCause int
+
+// The causes of a refusal.
+const (
+	RefusedBySome   RefusalCause = iota // leafs may have received requests; also the cause that a VM of an earlier release states
+	RefusedForLeafs                     // leafs would answer too late; nothing was sent to them
+	RefusedForSelf                      // the VM itself would be too late; nothing was sent to a leaf
+)
+
+// RefusalCause returns why a delegated request was refused; the outcome has the verdict NotRun.
+func (out Outcome) RefusalCause() RefusalCause {
+	switch {
+	case out.Sent > 0:
+		return RefusedBySome
+	case out.Refusal != nil && out.Refusal.OwnTime == 0:
+		return RefusedForLeafs
+	}
+	// A VM that has just started may know no leafs.
+	return RefusedForSelf
+}
+
+// A refusal for the leafs holds for other VMs too, unless the VM that refused is wrong: they query the
+// same leafs, or others that are as short of slots. If every such refusal were doubted, leafs that are
+// short of slots would work for requests that fail at other shards. So a VM doubts some of them only.
+const (
+	// doubtsPerCall is how many refusals for the leafs are doubted for each call, on average.
+	doubtsPerCall = 1.0 / 16
+	// maxDoubts bounds the doubts that are saved up.
+	maxDoubts = 1
+)
+
+// earnDoubt counts a call to another VM.
+func (t *Table) earnDoubt() { t.doubts = min(t.doubts+doubtsPerCall, maxDoubts) }
+
+// doubtsRefusal reports whether other VMs are called for shards that one has refused for the given cause.
+func (t *Table) doubtsRefusal(cause RefusalCause) bool {
+	switch {
+	case cause == RefusedForSelf:
+		return true
+	case cause != RefusedForLeafs || t.doubts < 1:
+		return false
+	}
+	t.doubts--
+	return true
+}
+
 // minReaskTime returns the shortest time until AnswerBy with which another VM is called for shards
 // that one has refused: enough for the call and for a leaf.
 func (q *Query) minReaskTime(now time.Time) time.Duration {
@@ -138,15 +185,15 @@
 
 // callRefused handles the refusal of call c, which has the given id: no leaf has run any of its
 // shards for the called VM, and none will. Other VMs are called for the shards if the refusing one
-// has sent nothing. If nobody is left, the shards are closed. Shards that this VM has meanwhile sent to
+// was itself too late, or may be wrong about the leafs. If nobody is left, the shards are closed. Shards that this VM has meanwhile sent to
 // a leaf itself stay open.
 func (q *Query) callRefused(now time.Time, c *call, id CallID, ans CallAnswer) []Action {
 	c.finished, c.resolved = true, true
 	q.table.callRefusalRate.add(now, 1)
 	q.retryAfter = max(q.retryAfter, ans.RetryAfter)
-	open := q.release(id, c.shards, !ans.NotSent)
+	open := q.release(id, c.shards, ans.Cause == RefusedBySome)
 	var acts []Action
-	if ans.NotSent {
+	if q.table.doubtsRefusal(ans.Cause) {
 		acts = q.askElsewhere(now, c, open)
 	}
 	q.closeUncalled(open)
@@ -154,7 +201,7 @@
 }
 
 // recordLeftOut handles those shards of a call that the called VM leaves out by its forecast. It has
-// sent nothing for them, and never will. Other VMs are called for them only if the answer would not
+// sent nothing for them, and never will. Other VMs may be called for them only if the answer would not
 // suffice without them: an answer may leave out some shards. Otherwise they are closed. So a request
 // whose calls together leave out too many shards ends at once.
 func (q *Query) recordLeftOut(now time.Time, c *call, id CallID, shards []int) []Action {
@@ -171,7 +218,7 @@
 		}
 	}
 	var acts []Action
-	if !q.enough(len(q.shards) - missing) {
+	if !q.enough(len(q.shards)-missing) && q.table.doubtsRefusal(RefusedForLeafs) {
 		acts = q.askElsewhere(now, c, open)
 	}
 	q.closeUncalled(open)
--- a/scatter/refusal_test.go
+++ b/scatter/refusal_test.go
@@ -8,8 +8,8 @@
 	"github.com/onsi/gomega"
 )
 
-// refusedBy is the answer of a VM that refuses a call by its forecast.
-var refusedBy = CallAnswer{Last: true, Refused: true, NotSent: true, RetryAfter: 250 * time.Millisecond}
+// refusedBy is the answer of a VM that refuses a call since it would itself be too late.
+var refusedBy = CallAnswer{Last: true, Refused: true, Cause: RefusedForSelf, RetryAfter: 250 * time.Millisecond}
 
 // Guards against a refusal of one overloaded owner that ends the request: another owner and another
 // zone have time and room. The shards are refused everywhere in the end, and the request ends at
@@ -67,18 +67,18 @@
 // although leafs may have received requests of the first.
 func TestRefusedShardsAreAskedForOnlyIfThatIsOfUse(t *testing.T) {
 	for name, test := range map[string]struct {
-		wait    time.Duration
-		notSent bool
+		wait  time.Duration
+		cause RefusalCause
 	}{
-		"no time left":   {85 * time.Millisecond, true},
-		"leafs received": {0, false},
+		"no time left":   {85 * time.Millisecond, RefusedForSelf},
+		"leafs received": {0, RefusedBySome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t)
 			q, call := newQueryWithTwoOwners(w, 10)
 			w.wait(test.wait)
 			refusal := refusedBy
-			refusal.NotSent = test.notSent
+			refusal.Cause = test.cause
 			acts := q.CallReply(w.now, call.Call, refusal)
 			w.Expect(vmCalls(acts)).To(gomega.BeEmpty())
 			w.Expect(outcome(acts)).NotTo(gomega.BeNil())
@@ -86,6 +86,28 @@
 	}
 }
 
+// Guards against leafs that are short of slots and work for requests that fail anyway, since every
+// refusal by an owner is doubted.
+func TestRefusalsForLeafsAreDoubtedRarely(t *testing.T) {
+	w := newWorld(t)
+	names := w.shards(10, "other", "third")
+	w.table.SetVMs(w.now, fleetOf(2, "other", "third"))
+	const requests = 100
+	asked := 0
+	for range requests {
+		spec := w.gathered(names)
+		spec.MayDelegate = true
+		q := NewQuery(spec, w.table)
+		calls := vmCalls(q.Start(w.now))
+		for len(calls) > 0 {
+			calls = vmCalls(q.CallReply(w.now, calls[0].Call, CallAnswer{Last: true, Refused: true, Cause: RefusedForLeafs}))
+			asked += len(calls)
+		}
+	}
+	w.Expect(asked).To(gomega.BeNumerically(">", 0))
+	w.Expect(asked).To(gomega.BeNumerically("<=", maxDoubts+requests/8))
+}
+
 // Guards against a request that ends only when its calls do although it is known that it fails: two
 // owners each leave out no more shards than an answer may, and together more.
 func TestRequestEndsOnceOwnersTogetherLeaveOutTooMuch(t *testing.T) {
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -31,6 +31,7 @@
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
 	forecasts     map[durationKey]*forecast         // by kind of request to leafs
 	standIns      map[zonePartition]*standIn        // partitions that a VM serves in place of an owner
+	doubts        float64                           // refusals for leafs that may be doubted
 	handBack      []handBack                        // partitions whose owner has returned and is not told yet
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
