--- a/edge/peers.go
+++ b/edge/peers.go
@@ -104,6 +104,10 @@
 			p.reportLoss()
 		}
 		return nil, nil
+	case methodHandOver:
+		return nil, e.serveHandOver(ctx, conn, params)
+	case methodSuccessor:
+		return nil, e.recordSuccessor(conn, params)
 	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations:
 		call, err := decodeFollow(params)
 		if err != nil {
@@ -176,7 +180,7 @@
 }
 
 // maxAnswersPerCall is the maximum number of messages that answer a call: the acknowledgement,
-// the declined shards, the interim answer and the last one.
+// the declined and left-out shards, the interim answer and the last one.
 const maxAnswersPerCall = 4
 
 // registerCall returns the key of a new call, and a channel that receives its answers.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -34,6 +34,9 @@
 	// other VM may have sent one. Only leafs are used that both the calling and each called
 	// VM may use.
 	Redelegated bool
+	// Final says, for a delegated request, that no other VM would be called if this one refused.
+	// Its own lateness is then no reason to refuse.
+	Final bool
 	// BudgetWeight is the part of the request, from 0 to 1, that counts in this VM's budget.
 	// The budget allows hedges and retries in proportion to requests. For a delegated
 	// request, the calling VM counts the remainder.
@@ -76,6 +79,7 @@
 	Views       []View    // for each of Shards, a hash of the common leafs that the calling VM has computed
 	Required    int       // how many of Shards have to be answered so that the whole answer is sufficient
 	Redelegated bool      // another VM was called for the shards before and may have queried them
+	Final       bool      // no other VM would be called if this one refused
 	// InterimBy is when the called VM sends a first answer with the shards answered so far.
 	InterimBy time.Time
 	// AnswerBy is when the called VM stops waiting for the other shards and sends its last
@@ -142,6 +146,7 @@
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
 	Called                int // number of calls to other VMs
+	Reasked               int // number of calls made since another VM refused the shards or left them out
 }
 
 // Query is one request in progress. Call Start once, then pass in the events, and carry out
@@ -207,6 +212,9 @@
 	shard  int // index of the shard in the query
 	leaf   LeafID
 	sentAt time.Time
+	// writtenAt is when it was written to its connection, and readAt when its answer was read.
+	// They are zero while they are not known.
+	writtenAt, readAt time.Time
 }
 
 // call is a call to another VM, which queries some shards for this one.
@@ -216,6 +224,7 @@
 	redelegated bool          // another VM was called for the shards before and may have queried them
 	shards      []int         // indexes of the shards in the query
 	sentAt      time.Time     // when the query decided to make the call
+	step        refusalStep   // how far the calls for the shards have come
 	acked       bool          // the VM has sent any message on the call
 	failoverAt  time.Time     // when the call fails over if it has no answer
 	// writtenAt is when the call was written to its connection, zero before. ackDue is the
@@ -266,7 +275,15 @@
 	if q.spec.Delegated {
 		q.decline()
 	}
-	if !q.admit(now, q.ownShards(calls)) {
+	refusal := q.admit(now, q.ownShards(calls))
+	if refusal != nil && refusal.OwnTime > 0 && q.spec.MayDelegate {
+		if moved := q.delegateOwnShards(now, q.ownShards(calls)); len(moved) > 0 {
+			calls = append(calls, moved...)
+			refusal = q.admit(now, q.ownShards(calls))
+		}
+	}
+	if refusal != nil {
+		q.refuse(now, *refusal)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
 	var acts []Action
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -29,6 +29,10 @@
 	liveness      livenessRound                     // schedules a check of all VMs that this one calls, after one was silent
 	startedAt     time.Time                         // when this VM's process started
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
+	forecasts     map[durationKey]*forecast         // by kind of request to leafs
+	standIns      map[zonePartition]*standIn        // partitions that a VM serves in place of an owner
+	doubts        float64                           // refusals for leafs that may be doubted
+	handBack      []handBack                        // partitions whose owner has returned and is not told yet
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
 	lostZones       map[string]bool    // zones of which all VMs that this one calls are silent
@@ -74,6 +78,8 @@
 		vms:          make(map[string]*vm),
 		members:      make(map[string]memberInfo),
 		durations:    make(map[durationKey]*latency.Recorder),
+		forecasts:    make(map[durationKey]*forecast),
+		standIns:     make(map[zonePartition]*standIn),
 		ackTimes:     make(map[string]ackTime),
 		lostZones:    make(map[string]bool),
 		liveness:     newLivenessRound(),
@@ -183,7 +189,7 @@
 		return math.Inf(1)
 	}
 	vms := len(t.members) + 1
-	if s.gatheredOnly && t.ownsService(s.name) {
+	if s.gatheredOnly && t.servesService(s.name) {
 		vms = t.leafOwners
 	}
 	return float64(s.maxConnections) * usableConnectionShare / (float64(vms) * vmHeadroom)
@@ -304,10 +310,14 @@
 // does not depend on how slow the leafs are that answer it.
 func (t *Table) recordDuration(now time.Time, kind durationKey, a *attempt) {
 	took := now.Sub(a.sentAt)
+	leafTime := took - a.ownTime(now)
 	if l := t.findLeaf(a.leaf); l != nil {
-		took = time.Duration(float64(took) / l.slowdown.reportedFactor(now))
+		factor := l.slowdown.reportedFactor(now)
+		took = time.Duration(float64(took) / factor)
+		leafTime = time.Duration(float64(leafTime) / factor)
 	}
 	t.durationsOf(kind).Add(now, took)
+	t.forecastOf(kind).recordAnswer(now, leafTime)
 }
 
 // Parameters of the typical duration of one kind of request at a leaf.
@@ -331,15 +341,13 @@
 	return d, known
 }
 
-// UnusedLeafs returns leafs of this VM's zone to which connections can be opened before they are
-// needed. These are the leafs of the partition that this VM owns, to which it normally sends
-// requests. Leafs with a request of this VM in flight, unusable ones and suspect ones are left
+// UnusedLeafs returns leafs to which connections can be opened before they are needed. These are the
+// leafs of the partitions that this VM serves, to which it normally sends requests. Leafs with a request of this VM in flight, unusable ones and suspect ones are left
 // out.
 func (t *Table) UnusedLeafs() []registry.Leaf {
-	z := t.zones[t.zone]
 	var list []registry.Leaf
 	for _, l := range t.leafs {
-		if l.sameZone && l.usable() && !l.suspicion.raised && len(l.inFlight) == 0 && z.owns(z.partitionOf(l.Service)) {
+		if l.usable() && !l.suspicion.raised && len(l.inFlight) == 0 && t.servesLeaf(l) {
 			list = append(list, l.Leaf)
 		}
 	}
