Requests need a tenant's key where the manifest names tenants

Cause: keys went on to leafs and no tenant was named there; keys that were taken away were served by VMs that the store turns away; a manifest that can't be decoded counted as a loss of the store.

Keys are judged by the manifest in force for each request; leafs get the tenant's name only. The manifest also travels between any two VMs (newer_manifest), and a confirmation says how current it is. Bad manifests are a typed error; the version before stays in force.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -84,6 +84,7 @@
 	defer cancel()
 	onSent := func() { r.post(event{call: call.Call, sent: true}) }
 	err := r.e.currentPeerClient().gather(ctx, call.VM, r.newGatherCall(call), onSent, func(ans *gatherAnswer) {
+		r.e.hearVersion(call.VM.Name, ans.ManifestVersion)
 		callAnswer, err := toShardsAnswer(call, ans)
 		if err != nil {
 			r.e.log.Error("invalid answer of a VM dropped", "request", r.req.ID, "vm", call.VM.Name, "error", err)
@@ -127,6 +128,7 @@
 		Redelegated:        call.Redelegated,
 		Rank:               r.spec.Rank,
 		Tenant:             r.spec.Tenant,
+		ManifestVersion:    r.e.toldVersion(),
 		Top:                r.req.Top,
 		MaxAttempts:        r.spec.MaxAttempts,
 		LatencyObjectiveUS: r.spec.LatencyObjective.Microseconds(),
@@ -196,7 +198,10 @@
 // have answered so far. The calling VM then knows that this one is alive, and has the results
 // of most shards even if this VM fails later.
 func (e *Engine) serveGather(ctx context.Context, call *gatherCall, answer func(*gatherAnswer)) {
-	answer(&gatherAnswer{Key: call.Key}) // acknowledges the call
+	answer(&gatherAnswer{Key: call.Key, ManifestVersion: e.toldVersion()}) // acknowledges the call
+	if e.toldVersion() > 0 {
+		call.Header.Del(headerAuthorization) // a VM with an older manifest may pass it on
+	}
 	now := time.Now()
 	fromNow := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	req := &Request{
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -22,11 +22,17 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats // counters and histograms
-	feed             *feed  // read by the VMs that follow this one
-	livenessCheckDue wakeup // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup // wakes probeLeafs after a leaf did not answer or could not be reached
+	stats            *stats   // counters and histograms
+	feed             *feed    // read by the VMs that follow this one
+	livenessCheckDue wakeup   // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup   // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup   // wakes probeLeafs after a leaf did not answer or could not be reached
+	zone             string   // availability zone of this VM
+	currency         currency // says how current the manifest in force is
+	sourceFailed     wakeup   // wakes pollManifests after the source of the manifest failed
+	manifestSource   Store    // read for unknown keys if this VM reads the store for others; nil before the daemon has started
+
+	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
@@ -44,6 +50,7 @@
 	Cold        scatter.ColdConfig   // bounds the requests to cold leafs
 	Budget      scatter.BudgetConfig // bounds the extra load that retries and hedges put on leafs
 	Seed        uint64               // seed of random choices
+	Bounds      BoundSettings        // times within which changes in the store must be known
 	Log         *slog.Logger
 }
 
@@ -52,7 +59,7 @@
 	rng := rand.New(rand.NewPCG(opt.Seed, opt.Seed>>1))
 	table := scatter.NewTable(scatter.VM{Name: opt.Self, Zone: opt.Zone, Power: opt.Power}, opt.Budget, time.Now(), rng)
 	table.SetColdConfig(opt.Cold)
-	return &Engine{
+	e := &Engine{
 		headerCodec:      opt.HeaderCodec,
 		answerWriteTime:  answerWriteTime(opt.Power),
 		pool:             leafhttp.NewPool(),
@@ -67,12 +74,18 @@
 		peerClient:       noPeerClient{},
 		table:            table,
 		registry:         registry.New(),
+		zone:             opt.Zone,
+		sourceFailed:     newWakeup(),
 	}
+	e.currency.setBounds(opt.Bounds)
+	return e
 }
 
 // Offer puts a manifest in force if it is newer than the present one, and reports whether it
 // did. The manifest in force applies to all new requests.
 func (e *Engine) Offer(m *routing.Manifest) bool {
+	e.offerMu.Lock()
+	defer e.offerMu.Unlock()
 	if !e.inForce.Offer(m) {
 		return false
 	}
@@ -123,6 +136,7 @@
 
 // setVMs replaces the list of the other VMs.
 func (e *Engine) setVMs(others []scatter.VM) {
+	e.currency.setVMs(others)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.SetVMs(time.Now(), others)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -179,23 +179,45 @@
 
 // manifests returns the resource of the manifest.
 func (f *follower) manifests() resource {
-	// apply puts a manifest in force if it is newer than the present one; m may be nil.
-	apply := func(m *routing.Manifest) {
+	var reported Revision // of the latest invalid manifest that was reported
+	// apply puts a manifest in force if it is newer than the present one; m may be nil. err is the
+	// error of the call that returned it. An invalid manifest is only reported: the store has
+	// answered, and the manifest before stays in force. apply returns all other errors.
+	apply := func(m *routing.Manifest, err error) error {
 		if m != nil && f.e.Offer(m) {
 			f.log.Info("manifest in force", "manifest", m.Version, "routes", len(m.Routes), "services", len(m.Services))
 		}
+		invalid := routing.AsInvalid(err)
+		if (invalid != nil || m != nil) && f.e.currency.setSourceValid(invalid == nil) {
+			f.e.sourceFailed.notify()
+		}
+		if invalid != nil && Revision(invalid.Revision) != reported {
+			reported = Revision(invalid.Revision)
+			f.e.stats.count(`bramley_edge_bad_manifests_total`)
+			f.log.Error("bad manifest ignored", "manifest", invalid.Version, "in_force", f.e.manifestVersion(), "revision", invalid.Revision, "error", invalid.Cause)
+		}
+		err = storeFailure(err)
+		if r, ok := f.store.(*relay); ok && err == nil {
+			f.e.currency.confirm(r.confirmedAt)
+		}
+		return err
 	}
 	return resource{
 		name: followedManifest,
 		read: func(ctx context.Context) (Revision, error) {
 			m, revision, err := f.store.Manifest(ctx)
-			apply(m)
+			err = apply(m, err)
+			// A failed watch does not count: the read that follows at once shows whether the
+			// source is lost.
+			if f.e.currency.setSource(err == nil) {
+				f.e.sourceFailed.notify()
+			}
 			return revision, err
 		},
 		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
-			m, revision, err := f.store.WatchManifest(ctx, since, f.watchTimeout(f.settings.Bounds.ManifestMS))
-			apply(m)
-			return revision, m != nil, err
+			m, revision, err := f.store.WatchManifest(ctx, since, f.watchTimeout(f.settings.Bounds.manifestWatchMS()))
+			changed := m != nil || routing.AsInvalid(err) != nil
+			return revision, changed, apply(m, err)
 		},
 		pause: manifestChangePause,
 	}
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -48,6 +48,8 @@
 	// Rank and Tenant are those of the caller's request, see scatter.Spec.
 	Rank   int    `cbor:"17,keyasint,omitempty"`
 	Tenant string `cbor:"18,keyasint,omitempty"`
+	// ManifestVersion is that of the calling VM's manifest if it names tenants, else 0.
+	ManifestVersion int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
@@ -66,6 +68,9 @@
 	// only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
+	// ManifestVersion is that of the called VM's manifest if it names tenants, else 0. Only the
+	// acknowledgement states it.
+	ManifestVersion int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // decodeBody decodes the body of a message into a *gatherCall or a *gatherAnswer. The sender may
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -32,6 +32,11 @@
 		e.replyUnavailable(w, r, "no_manifest", 0, retryAfterStart)
 		return
 	}
+	e.serveBy(w, r, arrived, m)
+}
+
+// serveBy serves a caller's request by manifest m, which is in force.
+func (e *Engine) serveBy(w http.ResponseWriter, r *http.Request, arrived time.Time, m *routing.Manifest) {
 	if limit := m.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		e.rejectAndClose(w, r, http.StatusRequestHeaderFieldsTooLarge, "header", m.Version)
 		return
@@ -49,6 +54,10 @@
 		return
 	}
 	who, rejected := e.authenticate(r, m, route)
+	if newer := e.inForce.Get(); rejected != nil && newer.Version > m.Version {
+		e.serveBy(w, r, arrived, newer)
+		return
+	}
 	if rejected == nil {
 		rejected = e.takeToken(r.Context(), arrived, who)
 	}
@@ -61,12 +70,12 @@
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
-	req := e.newRequest(r, target, body, arrived, route)
+	req := e.newRequest(r, target, body, arrived, route, e.withheldHeaders(m))
 	res := e.serve(r, req, route, who)
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
-	e.logRequest(req, route, m.Version, res, time.Since(arrived))
+	e.logRequest(req, route, m.Version, who, res, time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
 		return
 	}
@@ -150,8 +159,8 @@
 }
 
 // newRequest returns the request to send to leafs for a caller's request that arrived at
-// arrived. target is its path and query.
-func (e *Engine) newRequest(r *http.Request, target string, body []byte, arrived time.Time, route *routing.Route) *Request {
+// arrived. target is its path and query, and withheld names the headers that are not forwarded.
+func (e *Engine) newRequest(r *http.Request, target string, body []byte, arrived time.Time, route *routing.Route, withheld []string) *Request {
 	timeout := route.Timeout
 	var shortfall time.Duration // how much less remaining time the caller states than others of the route
 	if stated, ok := e.headerCodec.CallerTimeout(r.Header); ok {
@@ -172,7 +181,7 @@
 			Method:  r.Method,
 			Target:  target,
 			Host:    r.Host,
-			Header:  forwardedHeaders(r.Header, e.headerCodec.ReplacedHeaders()),
+			Header:  forwardedHeaders(r.Header, withheld),
 			Body:    body,
 			HasBody: len(body) > 0 || r.ContentLength > 0 || r.Header.Get("Content-Length") != "",
 		},
@@ -186,17 +195,23 @@
 }
 
 // forwardedHeaders returns the headers to forward, in either direction: h without hop-by-hop
-// headers and without those in replaced.
-func forwardedHeaders(h http.Header, replaced []string) http.Header {
+// headers and without those in withheld, also if they are spelled with underscores, which some
+// servers take for hyphens.
+func forwardedHeaders(h http.Header, withheld []string) http.Header {
 	out := h.Clone()
 	for _, field := range h.Values("Connection") {
 		for _, name := range strings.Split(field, ",") {
 			out.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range slices.Concat(hopByHopHeaders, replaced) {
+	for _, name := range slices.Concat(hopByHopHeaders, withheld) {
 		out.Del(name)
 	}
+	for name := range out {
+		if spelled := strings.ReplaceAll(name, "_", "-"); spelled != name && slices.ContainsFunc(withheld, func(w string) bool { return strings.EqualFold(w, spelled) }) {
+			delete(out, name)
+		}
+	}
 	return out
 }
 
--- a/edge/log.go
+++ b/edge/log.go
@@ -11,11 +11,12 @@
 )
 
 // logRequest counts an answered or abandoned request and writes the log line that summarizes
-// it. version is that of the manifest in force, and took is the time since the request arrived.
-func (e *Engine) logRequest(req *Request, route *routing.Route, version int64, res *Result, took time.Duration) {
+// it. version is that of the manifest in force, who says on whose behalf the request ran, and took is
+// the time since the request arrived.
+func (e *Engine) logRequest(req *Request, route *routing.Route, version int64, who origin, res *Result, took time.Duration) {
 	out := res.Outcome
 	e.stats.request(route.Kind.String(), out, took)
-	e.log.Info("request", append(refusalFields(out),
+	e.log.Info("request", append(append(refusalFields(out), who.logFields()...),
 		"request", req.ID,
 		"route", route.Name,
 		"kind", route.Kind.String(),
--- /dev/null
+++ b/edge/manifest_exchange.go
@@ -0,0 +1,279 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/routing"
+	"github.com/bramleybarrow/bramleybarrow/scatter"
+)
+
+// Beside the usual way (see relay), the manifest travels between any two VMs, so that it also
+// reaches VMs that the store and the readers of their zone don't serve. Versions only rise, so a
+// VM may pass on a manifest however old it is.
+
+// Parameters of the exchange.
+const (
+	// manifestPollInterval is the interval at which a VM whose own source fails asks other VMs.
+	manifestPollInterval = time.Second
+	// polledVMs is how many VMs are asked in a round at most. The second one is asked if the first
+	// one did not answer, or could not confirm the manifest.
+	polledVMs = 2
+	// heardVersionDelay is the time between hearing of a newer manifest and fetching it. Mostly it
+	// arrives by the usual way before that.
+	heardVersionDelay = 300 * time.Millisecond
+	// askTimeout bounds a question to another VM.
+	askTimeout = 400 * time.Millisecond
+	// refreshTimeout bounds a refresh.
+	refreshTimeout = time.Second
+)
+
+// toldVersion returns the version to tell other VMs, 0 if the manifest in force names no tenants.
+func (e *Engine) toldVersion() int64 {
+	if m := e.inForce.Get(); m != nil && m.KeysRequired {
+		return m.Version
+	}
+	return 0
+}
+
+// manifestVersion returns the version of the manifest in force, 0 if there is none.
+func (e *Engine) manifestVersion() int64 {
+	if m := e.inForce.Get(); m != nil {
+		return m.Version
+	}
+	return 0
+}
+
+// hearVersion is called with the version that another VM told, 0 if it told none. If it is newer
+// than that of this VM, it is fetched, unless it has arrived otherwise by then.
+func (e *Engine) hearVersion(vm string, version int64) {
+	if version > e.manifestVersion() && e.currency.setHeardFrom(vm) {
+		time.AfterFunc(heardVersionDelay, func() { e.fetchHeard(version) })
+	}
+}
+
+// setHeardFrom records the latest VM from which a newer manifest can be fetched. It reports whether
+// the fetch has to be scheduled, which it has been otherwise.
+func (c *currency) setHeardFrom(vm string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.heardFrom == ""
+	c.heardFrom = vm
+	return first
+}
+
+// takeHeardFrom returns the VM from which a newer manifest can be fetched, and false if it is not
+// known, and allows further fetches to be scheduled.
+func (c *currency) takeHeardFrom() (scatter.VM, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := c.heardFrom
+	c.heardFrom = ""
+	for _, vm := range c.others {
+		if vm.Name == name {
+			return vm, true
+		}
+	}
+	return scatter.VM{}, false
+}
+
+// fetchHeard fetches the manifest from the VM that told a newer version, unless that version is
+// in force.
+func (e *Engine) fetchHeard(version int64) {
+	vm, known := e.currency.takeHeardFrom()
+	if !known || version <= e.manifestVersion() {
+		return
+	}
+	// A failure is counted and logged; the next message of a VM with a newer version tries again.
+	_, _ = e.askVM(context.Background(), vm)
+}
+
+// errUnconfirmed means that a VM could not confirm its manifest.
+var errUnconfirmed = errors.New("edge: the VM can't confirm its manifest")
+
+// askVM asks another VM for a newer manifest, and puts it in force. It returns how long ago the
+// manifest in force was confirmed, and errUnconfirmed if that VM does not know it.
+func (e *Engine) askVM(ctx context.Context, vm scatter.VM) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	began := time.Now()
+	var ans manifestAnswer
+	err := e.currentPeerClient().follow(ctx, vm, methodNewerManifest, &followCall{Position: e.manifestVersion()}, &ans)
+	var m *routing.Manifest
+	if err == nil {
+		m, err = ans.manifest()
+	}
+	outcome := "none_newer"
+	switch {
+	case err != nil:
+		outcome = "failed"
+		e.log.Debug("asking a VM for the manifest failed", "vm", vm.Name, "error", err)
+	case m != nil && e.Offer(m):
+		outcome = "newer"
+		e.log.Info("manifest in force", "manifest", m.Version, "routes", len(m.Routes), "services", len(m.Services), "vm", vm.Name)
+	}
+	e.stats.count(`bramley_edge_manifests_from_vms_total{outcome=%q}`, outcome)
+	switch {
+	case err != nil:
+		return 0, err
+	case ans.AgeMS == nil:
+		return 0, errUnconfirmed
+	}
+	age := time.Duration(*ans.AgeMS) * time.Millisecond
+	e.currency.confirm(began.Add(-age))
+	return age, nil
+}
+
+// serveNewerManifest serves a VM that asks for a newer manifest than its own. It answers at once,
+// and whether the source of this VM works or not.
+func (e *Engine) serveNewerManifest(call *followCall) (*manifestAnswer, error) {
+	ans := &manifestAnswer{AgeMS: e.confirmationAgeMS()}
+	if m, _ := e.feed.current(); m != nil && m.Version > call.Position {
+		doc, err := e.feed.document()
+		if err != nil {
+			return nil, err
+		}
+		ans.Document = doc
+	}
+	return ans, nil
+}
+
+// confirmationAgeMS returns how long ago the manifest in force was confirmed, in milliseconds, nil
+// if it never was. It must be called before the manifest to which it refers is read.
+func (e *Engine) confirmationAgeMS() *int64 {
+	age, confirmed := e.currency.age(time.Now())
+	if !confirmed {
+		return nil
+	}
+	ms := age.Milliseconds() + 1 // rounded up
+	return &ms
+}
+
+// pollManifests asks other VMs for the manifest, each manifestPollInterval, while that is due (see
+// currency.pollDue), until ctx ends.
+func (e *Engine) pollManifests(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := max(e.currency.bound/2, manifestPollInterval)
+		if m := e.inForce.Get(); e.currency.pollDue(time.Now(), m != nil && m.KeysRequired, m == nil) {
+			e.askOtherVMs(ctx)
+			pause = manifestPollInterval
+		}
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-timer.C:
+		case <-e.sourceFailed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// askOtherVMs asks up to polledVMs random VMs for the manifest, until one confirms it within the
+// bound. It reports whether one did.
+func (e *Engine) askOtherVMs(ctx context.Context) bool {
+	for _, vm := range e.currency.drawVMs(e.zone, polledVMs) {
+		if age, err := e.askVM(ctx, vm); err == nil && age <= e.currency.bound {
+			return true
+		}
+	}
+	return false
+}
+
+// drawVMs returns up to n random VMs, those of other zones than this one first.
+func (c *currency) drawVMs(zone string, n int) []scatter.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var drawn, near []scatter.VM
+	for _, i := range rand.Perm(len(c.others)) {
+		switch vm := c.others[i]; {
+		case len(drawn) == n:
+			return drawn
+		case vm.Zone == zone:
+			near = append(near, vm)
+		default:
+			drawn = append(drawn, vm)
+		}
+	}
+	return append(drawn, near[:min(len(near), n-len(drawn))]...)
+}
+
+// refreshManifest asks for the newest manifest because of an unknown key, once for all requests that
+// wait, and waits for the answer for up to the time wait. It reports whether the answer is still
+// missing then. It returns false at once if the manifest was asked for recently.
+func (e *Engine) refreshManifest(ctx context.Context, wait time.Duration) (waiting bool) {
+	flight, run := e.currency.startRefresh(time.Now())
+	if flight == nil {
+		return false
+	}
+	if run {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+			defer cancel()
+			outcome := "failed"
+			if e.askForNewest(ctx) {
+				outcome = "ok"
+			}
+			e.stats.count(`bramley_edge_manifest_refreshes_total{outcome=%q}`, outcome)
+			e.currency.endRefresh()
+		}()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-flight:
+		return false
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// askForNewest asks the source of this VM for the manifest: the store if this VM reads it, else the
+// first VM that reads it for others. If that fails, it asks other VMs. It reports whether the
+// manifest in force was confirmed.
+func (e *Engine) askForNewest(ctx context.Context) bool {
+	e.mu.Lock()
+	readers := e.table.StoreReaders(time.Now())
+	e.mu.Unlock()
+	switch {
+	case readers.Self && e.manifestSource != nil:
+		if e.readManifest(ctx) {
+			return true
+		}
+	case len(readers.Others) > 0:
+		if age, err := e.askVM(ctx, readers.Others[0]); err == nil && age <= e.currency.bound {
+			return true
+		}
+	}
+	return e.askOtherVMs(ctx)
+}
+
+// readManifest reads the manifest from the store and puts it in force. It reports whether the store
+// has answered.
+func (e *Engine) readManifest(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	began := time.Now()
+	m, _, err := e.manifestSource.Manifest(ctx)
+	err = storeFailure(err) // the follower reports an invalid manifest
+	e.stats.store("refresh_manifest", err)
+	if err != nil {
+		return false
+	}
+	if m != nil {
+		e.Offer(m)
+	}
+	e.currency.confirm(began)
+	return true
+}
+
+// storeFailure returns nil for an InvalidManifestError, with which the store has answered, and
+// otherwise err.
+func storeFailure(err error) error {
+	if routing.AsInvalid(err) != nil {
+		return nil
+	}
+	return err
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -81,6 +81,7 @@
 			Cold:        opt.Settings.Cold.config(),
 			Budget:      opt.Settings.Budget.config(),
 			Seed:        uint64(time.Now().UnixNano()),
+			Bounds:      opt.Settings.Bounds,
 			Log:         opt.Log,
 		}),
 	}
@@ -207,6 +208,7 @@
 // maintaining connections, and probing.
 func (n *Node) startLoops(ctx context.Context) {
 	r := newRelay(n.store, n.engine, n.maxStaleness())
+	n.engine.manifestSource = n.store
 	f := &follower{
 		e:           n.engine,
 		store:       r,
@@ -230,6 +232,7 @@
 		}
 		return nil
 	})
+	n.tomb.Go(func() error { n.engine.pollManifests(ctx); return nil })
 	n.tomb.Go(func() error { n.sweepIdleConns(ctx); return nil })
 	n.tomb.Go(func() error { n.warmConns(ctx); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.livenessCheckDue, n.checkVMs); return nil })
@@ -244,7 +247,7 @@
 // maxStaleness returns how old the latest answer from the store may be at a VM that reads the
 // store for others. If it is older, this VM no longer follows the reader.
 func (n *Node) maxStaleness() time.Duration {
-	bound := min(n.settings.Bounds.ManifestMS, n.settings.Bounds.DrainMS)
+	bound := min(n.settings.Bounds.manifestBoundMS(), n.settings.Bounds.DrainMS)
 	if evacuate := n.settings.Bounds.EvacuateMS; evacuate > 0 {
 		bound = min(bound, evacuate)
 	}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -1,16 +1,12 @@
 package edge
 
-import (
-	"net/http"
-
-	"github.com/bramleybarrow/bramleybarrow/routing"
-	"github.com/bramleybarrow/bramleybarrow/tenant"
-)
+import "github.com/bramleybarrow/bramleybarrow/tenant"
 
 // origin says on whose behalf a request runs, and how urgent it is.
 type origin struct {
 	tenant *tenant.Tenant // nil if the manifest names no tenants or the route is anonymous
 	rank   int            // 0 is the most urgent
+	keyed  bool           // the manifest names tenants, so that requests need keys
 }
 
 // name returns the tenant's name, empty if there is none.
@@ -21,7 +17,11 @@
 	return o.tenant.Name
 }
 
-// authenticate returns on whose behalf a request on a route runs by manifest m, or a rejection.
-func (e *Engine) authenticate(_ *http.Request, _ *routing.Manifest, route *routing.Route) (origin, *rejection) {
-	return origin{rank: route.Priority}, nil
+// logFields returns the fields of the origin for the log line of a request, none if the manifest
+// names no tenants.
+func (o origin) logFields() []any {
+	if !o.keyed {
+		return nil
+	}
+	return []any{"tenant", o.name(), "rank", o.rank}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -90,6 +90,7 @@
 		if len(call.Views) != len(call.Services) {
 			return nil, result.Errorf(result.BadMessage, "%d services and %d views", len(call.Services), len(call.Views))
 		}
+		e.hearVersion(conn.Peer().VM, call.ManifestVersion)
 		e.serveGather(ctx, &call, func(ans *gatherAnswer) { p.sendAnswer(conn, ans) })
 		return nil, nil
 	case methodGathered:
@@ -104,7 +105,7 @@
 			p.reportLoss()
 		}
 		return nil, nil
-	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations:
+	case methodFollowLeafs, methodFollowManifest, methodFollowEvacuations, methodNewerManifest:
 		call, err := decodeFollow(params)
 		if err != nil {
 			return nil, err
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -30,6 +30,9 @@
 	// incarnation is that of the followed VM when it returned the list of leafs. Positions in
 	// that VM's sequence of changes are valid within this incarnation only.
 	incarnation string
+	// confirmedAt is when the manifest that the latest call of Manifest or WatchManifest returned,
+	// or the one before if it returned none, was confirmed to be the newest.
+	confirmedAt time.Time
 
 	mu          sync.Mutex           // guards the fields below
 	avoidUntil  map[string]time.Time // by name of a VM that failed: until when it is not followed
@@ -174,8 +177,9 @@
 		return errReadDeferred
 	}
 	err := fromStore()
-	r.recordListing(resource, err)
-	if err == nil {
+	failure := storeFailure(err)
+	r.recordListing(resource, failure)
+	if failure == nil {
 		*up = upstream{}
 	}
 	return err
@@ -230,6 +234,7 @@
 // no VM can be followed. It returns errReadDeferred if this VM may not read the store now. The
 // revision is 0 if a VM is followed.
 func (r *relay) Manifest(ctx context.Context) (*routing.Manifest, Revision, error) {
+	began := time.Now()
 	var m *routing.Manifest
 	var revision Revision
 	err := r.read(followedManifest, &r.manifestUpstream, func(vm scatter.VM) error {
@@ -239,9 +244,11 @@
 		}
 		newer, err := ans.manifest()
 		m = newer
+		r.confirmedAt = began.Add(-r.ageOf(&ans))
 		return err
 	}, func() (err error) {
 		m, revision, err = r.Store.Manifest(ctx)
+		r.confirmedAt = began
 		return err
 	})
 	return m, revision, err
@@ -258,7 +265,8 @@
 	}
 	if r.manifestUpstream.vm == "" {
 		m, revision, err := r.Store.WatchManifest(ctx, since, wait)
-		r.recordWatch(followedManifest, err)
+		r.recordWatch(followedManifest, storeFailure(err))
+		r.confirmedAt = time.Now()
 		return m, revision, err
 	}
 	call := &followCall{WaitMS: wait.Milliseconds()}
@@ -269,10 +277,19 @@
 	if err := r.callReader(ctx, vm, methodFollowManifest, call, &ans); err != nil {
 		return nil, 0, err
 	}
+	r.confirmedAt = time.Now().Add(-r.ageOf(&ans))
 	m, err := ans.manifest()
 	return m, 0, err
 }
 
+// ageOf returns how long ago the manifest was confirmed by which a VM has answered.
+func (r *relay) ageOf(ans *manifestAnswer) time.Duration {
+	if ans.AgeMS == nil {
+		return r.maxStaleness // a VM whose latest answer from the store is older does not answer
+	}
+	return time.Duration(*ans.AgeMS) * time.Millisecond
+}
+
 // Evacuations implements Store. It returns the set of evacuated zones of the VM to follow, or that
 // of the store if no VM can be followed. It returns errReadDeferred if this VM may not read the
 // store now.
--- a/edge/relay_serve.go
+++ b/edge/relay_serve.go
@@ -14,6 +14,7 @@
 	methodFollowLeafs       = "follow_leafs"       // returns the list of leafs, or its changes
 	methodFollowManifest    = "follow_manifest"    // returns a newer manifest
 	methodFollowEvacuations = "follow_evacuations" // returns a newer set of evacuated zones
+	methodNewerManifest     = "newer_manifest"     // returns a newer manifest at once, also from a VM that does not read the store
 )
 
 // followCall requests what another VM has read from the store: the list of leafs or its
@@ -21,7 +22,7 @@
 // it received them; a position is the number of a change.
 type followCall struct {
 	Incarnation    string `json:"life"`      // incarnation of the called VM in which Position is valid
-	Position       int64  `json:"position"`  // return the changes after this one; for methodFollowManifest, the version of the manifest that the calling VM has; for methodFollowEvacuations, the revision of its set
+	Position       int64  `json:"position"`  // return the changes after this one; for methodFollowManifest and methodNewerManifest, the version of the manifest that the calling VM has; for methodFollowEvacuations, the revision of its set
 	List           bool   `json:"list"`      // return all leafs, the manifest if it is newer, or the set of evacuated zones, at once
 	WaitMS         int64  `json:"wait_ms"`   // without List: longest wait for a change, in milliseconds
 	MaxStalenessMS int64  `json:"within_ms"` // the call fails if the store last answered the called VM longer ago than this, in milliseconds
@@ -35,10 +36,11 @@
 	Changes     []registry.Change `json:"changes,omitempty"` // if List was not set: the changes after the position of the call
 }
 
-// manifestAnswer is the result of methodFollowManifest, for which followCall.Position is a
-// manifest version.
+// manifestAnswer is the result of methodFollowManifest and methodNewerManifest, for which
+// followCall.Position is a manifest version.
 type manifestAnswer struct {
 	Document []byte `json:"document,omitempty"` // a routing.Document encoded by pack; absent if there is no newer one
+	AgeMS    *int64 `json:"age_ms,omitempty"`   // how long ago the called VM's manifest was confirmed to be the newest, in milliseconds; absent if that is not known
 }
 
 // evacuationsAnswer is the result of methodFollowEvacuations. It is empty if the set of evacuated
@@ -67,6 +69,8 @@
 		return e.serveFollowLeafs(ctx, call)
 	case methodFollowManifest:
 		return e.serveFollowManifest(ctx, call)
+	case methodNewerManifest:
+		return e.serveNewerManifest(call)
 	default:
 		return e.serveFollowEvacuations(ctx, call)
 	}
@@ -124,9 +128,11 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.WaitMS)*time.Millisecond)
 	defer cancel()
 	newer := false
+	var age *int64 // of the confirmation; must be read before the manifest
 	// The wait ends when there is a newer manifest, at once if List is set, or when the store
 	// has not answered this VM recently.
 	e.feed.waitFor(ctx, func() bool {
+		age = e.confirmationAgeMS()
 		m, _ := e.feed.current()
 		newer = m != nil && m.Version > call.Position
 		return newer || call.List || !fresh()
@@ -135,13 +141,13 @@
 		if !fresh() {
 			return nil, errStoreStale
 		}
-		return &manifestAnswer{}, nil
+		return &manifestAnswer{AgeMS: age}, nil
 	}
 	doc, err := e.feed.document()
 	if err != nil {
 		return nil, err
 	}
-	return &manifestAnswer{Document: doc}, nil
+	return &manifestAnswer{Document: doc, AgeMS: age}, nil
 }
 
 // serveFollowEvacuations serves a VM that reads the set of evacuated zones from this VM instead of
--- a/edge/run.go
+++ b/edge/run.go
@@ -244,7 +244,7 @@
 		metadata = r.e.headerCodec.ParseLeafHeaders(ans.Status, ans.Header)
 		return metadata.RequestID == "" || metadata.RequestID == r.req.ID
 	}
-	ans, err := r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until)), matches)
+	ans, err := r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until), r.spec.Tenant), matches)
 	ev := event{attempt: s.Attempt}
 	if err == nil {
 		ev.reply, ev.end = r.classifyAnswer(s, ans, metadata)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -101,5 +101,8 @@
 	}
 	if m := e.inForce.Get(); m != nil {
 		fmt.Fprintf(w, "bramley_edge_manifest_version %d\n", m.Version)
+		if age, confirmed := e.currency.age(time.Now()); confirmed && m.KeysRequired {
+			fmt.Fprintf(w, "bramley_edge_manifest_age_seconds %.3f\n", age.Seconds())
+		}
 	}
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -50,10 +50,12 @@
 	// It returns no changes if there are none.
 	WatchLeafs(ctx context.Context, since Revision, wait time.Duration) (LeafChanges, error)
 	// Manifest returns the manifest, nil if there is none yet, and the revision to watch from
-	// next.
+	// next. The revision is valid too if the error is a *routing.InvalidManifestError, which says
+	// that the store has answered.
 	Manifest(ctx context.Context) (*routing.Manifest, Revision, error)
 	// WatchManifest waits for a new manifest after a revision, at most for the time wait. It
-	// returns the manifest, nil if none appears, and the revision to watch from next.
+	// returns the manifest, nil if none appears, and the revision to watch from next. Both are
+	// valid too if the error is a *routing.InvalidManifestError, for a manifest that appeared.
 	WatchManifest(ctx context.Context, since Revision, wait time.Duration) (*routing.Manifest, Revision, error)
 	// Evacuations returns the set of evacuated zones.
 	Evacuations(ctx context.Context) (Evacuations, error)
@@ -93,9 +95,11 @@
 	// state it.
 	CallerTimeout(h http.Header) (time.Duration, bool)
 	// AttemptHeaders returns the headers that differ from one attempt to the next.
-	// remaining is the time that remains for the attempt.
-	AttemptHeaders(leaf scatter.LeafID, remaining time.Duration) http.Header
-	// ReplacedHeaders returns the names of those caller headers that AttemptHeaders replaces.
+	// remaining is the time that remains for the attempt, and tenant the name of the tenant on
+	// whose behalf the request runs, empty if none is known.
+	AttemptHeaders(leaf scatter.LeafID, remaining time.Duration, tenant string) http.Header
+	// ReplacedHeaders returns the names of those headers that only AttemptHeaders sets: a
+	// caller's are not forwarded.
 	ReplacedHeaders() []string
 	// ParseLeafHeaders parses the status and the headers of a leaf's answer.
 	ParseLeafHeaders(status int, h http.Header) LeafMetadata
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -13,8 +13,14 @@
 // a message between VMs, a log or a memory dump.
 type Digest [sha256.Size]byte
 
+// maxStackKey is the length of a key, in bytes, up to which DigestOf does not allocate.
+const maxStackKey = 256
+
 // DigestOf returns the digest of an API key.
-func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+func DigestOf(key string) Digest {
+	var buf [maxStackKey]byte
+	return sha256.Sum256(append(buf[:0], key...))
+}
 
 // MarshalText implements encoding.TextMarshaler with base64.
 func (d Digest) MarshalText() ([]byte, error) {
@@ -82,5 +88,5 @@
 	return index
 }
 
-// Find returns the tenant that holds an API key, nil if there is none.
+// Find returns the tenant that holds an API key, nil if there is none. It does not allocate.
 func (x *Index) Find(key string) *Tenant { return x.byKey[DigestOf(key)] }
