--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -1,6 +1,11 @@
 package edge
 
 import (
+	"cmp"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,11 +20,11 @@
 	// minRefreshInterval is the shortest time between two requests for the newest manifest because
 	// of unknown keys. Callers may send such keys at any rate.
 	minRefreshInterval = time.Second
-	// maxLostAge is how old the confirmation may be on which a VM whose own source fails calls a
-	// key unknown. It is two rounds of asking other VMs.
-	maxLostAge = 2 * manifestPollInterval
-	// maxUsualAge is how old the confirmation may become while all sources work, as a multiple of
-	// the bound: the wait of a reader's watch and that of the VM that follows it, with their pauses.
+	// maxUntouched is how long ago a VM whose own source fails may have been in touch, by another
+	// VM whose source works, for calling a key unknown. It is two rounds of asking other VMs.
+	maxUntouched = 2 * manifestPollInterval
+	// maxUsualAge is how old the confirmation may be while all sources work, as a multiple of the
+	// bound: the wait of a reader's watch and that of the VM that follows it, with their pauses.
 	maxUsualAge = 1.5
 )
 
@@ -31,9 +36,11 @@
 
 	mu          sync.Mutex
 	confirmedAt time.Time     // latest confirmation; zero if there was none
+	touchedAt   time.Time     // when the source of this VM, or a VM whose source works, last answered
 	lost        bool          // the source of this VM, the store or a VM that it follows, fails
 	invalid     bool          // the source has a manifest that can't be put in force
 	others      []scatter.VM  // the other VMs
+	neighbours  []scatter.VM  // those of the other VMs that this one asks for the manifest
 	flight      chan struct{} // closed at the end of the refresh in progress; nil if there is none
 	refreshedAt time.Time     // when the latest refresh began
 	heardFrom   string        // name of the latest VM that has a newer manifest, which will be fetched; empty if there is none
@@ -70,13 +77,17 @@
 	return b.manifestBoundMS()
 }
 
-// confirm records that the manifest in force was confirmed at a time.
-func (c *currency) confirm(at time.Time) {
+// confirm records that the manifest in force was confirmed at a time. inTouch says that the answer
+// came from the store, or from a VM whose source works.
+func (c *currency) confirm(now, at time.Time, inTouch bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.After(c.confirmedAt) {
 		c.confirmedAt = at
 	}
+	if inTouch {
+		c.touchedAt = now
+	}
 }
 
 // age returns the time since the latest confirmation, and false if there was none.
@@ -92,6 +103,9 @@
 	return !confirmed || age > limit
 }
 
+// usualAge returns how old the confirmation may be while all sources work.
+func (c *currency) usualAge() time.Duration { return time.Duration(maxUsualAge * float64(c.bound)) }
+
 // setSource records whether the source of this VM works. It reports whether the source began to fail.
 func (c *currency) setSource(works bool) bool {
 	c.mu.Lock()
@@ -118,6 +132,14 @@
 	return c.lost
 }
 
+// outOfTouch reports whether the source of this VM fails and no VM whose source works has answered
+// recently.
+func (c *currency) outOfTouch(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost && now.Sub(c.touchedAt) > maxUntouched
+}
+
 // mayServeKeys reports whether requests with a valid key may be served. With strict revocation that
 // is so only while the confirmation is recent.
 func (c *currency) mayServeKeys(now time.Time) bool {
@@ -127,11 +149,7 @@
 // mayBeBehind reports whether a key that the manifest in force doesn't hold may be in a newer one
 // that this VM should know.
 func (c *currency) mayBeBehind(now time.Time) bool {
-	limit := c.bound
-	if c.sourceLost() {
-		limit = min(limit, maxLostAge)
-	}
-	return c.olderThan(now, limit)
+	return c.olderThan(now, c.bound) || c.outOfTouch(now)
 }
 
 // pollDue reports whether other VMs should be asked for the manifest. keyed says that the manifest
@@ -146,7 +164,7 @@
 	case !keyed:
 		return false
 	}
-	return lost || c.olderThan(now, time.Duration(maxUsualAge*float64(c.bound))) || !c.mayServeKeys(now)
+	return lost || c.olderThan(now, c.usualAge()) || !c.mayServeKeys(now)
 }
 
 // startRefresh begins a refresh unless one is in progress or began recently. It returns the channel
@@ -169,9 +187,37 @@
 	c.flight = nil
 }
 
-// setVMs replaces the list of the other VMs.
-func (c *currency) setVMs(others []scatter.VM) {
+// setVMs replaces the list of the other VMs. self is this VM. Its neighbours are those of the other
+// VMs that come first in an order of its own, VMs of other zones before those of its zone. So the
+// connections of all VMs to their neighbours are no more than maxNeighbours times the VMs.
+func (c *currency) setVMs(self scatter.VM, others []scatter.VM) {
+	order := func(vm scatter.VM) uint64 {
+		h := fnv.New64a()
+		_, _ = io.WriteString(h, self.Name+"/"+vm.Name) // never fails
+		return h.Sum64()
+	}
+	neighbours := slices.SortedFunc(slices.Values(others), func(a, b scatter.VM) int {
+		if aNear := a.Zone == self.Zone; aNear != (b.Zone == self.Zone) {
+			if aNear {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(order(a), order(b))
+	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.others = others
+	c.neighbours = neighbours[:min(len(neighbours), maxNeighbours)]
+}
+
+// drawNeighbours returns up to n random neighbours.
+func (c *currency) drawNeighbours(n int) []scatter.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var drawn []scatter.VM
+	for _, i := range rand.Perm(len(c.neighbours))[:min(len(c.neighbours), n)] {
+		drawn = append(drawn, c.neighbours[i])
+	}
+	return drawn
 }
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -22,15 +22,15 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats   // counters and histograms
-	feed             *feed    // read by the VMs that follow this one
-	livenessCheckDue wakeup   // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup   // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup   // wakes probeLeafs after a leaf did not answer or could not be reached
-	zone             string   // availability zone of this VM
-	currency         currency // says how current the manifest in force is
-	sourceFailed     wakeup   // wakes pollManifests after the source of the manifest failed
-	manifestSource   Store    // read for unknown keys if this VM reads the store for others; nil before the daemon has started
+	stats            *stats     // counters and histograms
+	feed             *feed      // read by the VMs that follow this one
+	livenessCheckDue wakeup     // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup     // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup     // wakes probeLeafs after a leaf did not answer or could not be reached
+	self             scatter.VM // name and zone of this VM
+	currency         currency   // says how current the manifest in force is
+	sourceFailed     wakeup     // wakes pollManifests after the source of the manifest failed
+	manifestSource   Store      // read for unknown keys if this VM reads the store for others; nil before the daemon has started
 
 	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
@@ -74,7 +74,7 @@
 		peerClient:       noPeerClient{},
 		table:            table,
 		registry:         registry.New(),
-		zone:             opt.Zone,
+		self:             scatter.VM{Name: opt.Self, Zone: opt.Zone},
 		sourceFailed:     newWakeup(),
 	}
 	e.currency.setBounds(opt.Bounds)
@@ -136,7 +136,7 @@
 
 // setVMs replaces the list of the other VMs.
 func (e *Engine) setVMs(others []scatter.VM) {
-	e.currency.setVMs(others)
+	e.currency.setVMs(e.self, others)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.SetVMs(time.Now(), others)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -198,7 +198,7 @@
 		}
 		err = storeFailure(err)
 		if r, ok := f.store.(*relay); ok && err == nil {
-			f.e.currency.confirm(r.confirmedAt)
+			f.e.currency.confirm(time.Now(), r.confirmedAt, true)
 		}
 		return err
 	}
--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -18,9 +17,12 @@
 const (
 	// manifestPollInterval is the interval at which a VM whose own source fails asks other VMs.
 	manifestPollInterval = time.Second
-	// polledVMs is how many VMs are asked in a round at most. The second one is asked if the first
-	// one did not answer, or could not confirm the manifest.
-	polledVMs = 2
+	// maxNeighbours is how many VMs a VM asks at all. While a third of the VMs is out of touch, one
+	// VM in 6,561 has no neighbour that is in touch.
+	maxNeighbours = 8
+	// polledNeighbours is how many neighbours are asked in a round at most, one after the other
+	// until one is in touch.
+	polledNeighbours = 3
 	// heardVersionDelay is the time between hearing of a newer manifest and fetching it. Mostly it
 	// arrives by the usual way before that.
 	heardVersionDelay = 300 * time.Millisecond
@@ -87,15 +89,12 @@
 		return
 	}
 	// A failure is counted and logged; the next message of a VM with a newer version tries again.
-	_, _ = e.askVM(context.Background(), vm)
+	e.askVM(context.Background(), vm)
 }
 
-// errUnconfirmed means that a VM could not confirm its manifest.
-var errUnconfirmed = errors.New("edge: the VM can't confirm its manifest")
-
-// askVM asks another VM for a newer manifest, and puts it in force. It returns how long ago the
-// manifest in force was confirmed, and errUnconfirmed if that VM does not know it.
-func (e *Engine) askVM(ctx context.Context, vm scatter.VM) (time.Duration, error) {
+// askVM asks another VM for a newer manifest, and puts it in force. It reports whether that VM is in
+// touch: it answered, its source works, and its manifest was confirmed as recently as usual.
+func (e *Engine) askVM(ctx context.Context, vm scatter.VM) (inTouch bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	began := time.Now()
@@ -115,21 +114,19 @@
 		e.log.Info("manifest in force", "manifest", m.Version, "routes", len(m.Routes), "services", len(m.Services), "vm", vm.Name)
 	}
 	e.stats.count(`bramley_edge_manifests_from_vms_total{outcome=%q}`, outcome)
-	switch {
-	case err != nil:
-		return 0, err
-	case ans.AgeMS == nil:
-		return 0, errUnconfirmed
+	if err != nil || ans.AgeMS == nil {
+		return false
 	}
 	age := time.Duration(*ans.AgeMS) * time.Millisecond
-	e.currency.confirm(began.Add(-age))
-	return age, nil
+	inTouch = !ans.SourceLost && age <= e.currency.usualAge()
+	e.currency.confirm(began, began.Add(-age), inTouch)
+	return inTouch
 }
 
 // serveNewerManifest serves a VM that asks for a newer manifest than its own. It answers at once,
 // and whether the source of this VM works or not.
 func (e *Engine) serveNewerManifest(call *followCall) (*manifestAnswer, error) {
-	ans := &manifestAnswer{AgeMS: e.confirmationAgeMS()}
+	ans := &manifestAnswer{AgeMS: e.confirmationAgeMS(), SourceLost: e.currency.sourceLost()}
 	if m, _ := e.feed.current(); m != nil && m.Version > call.Position {
 		doc, err := e.feed.document()
 		if err != nil {
@@ -157,10 +154,10 @@
 	for ctx.Err() == nil {
 		pause := max(e.currency.bound/2, manifestPollInterval)
 		if m := e.inForce.Get(); e.currency.pollDue(time.Now(), m != nil && m.KeysRequired, m == nil) {
-			e.askOtherVMs(ctx)
+			e.askNeighbours(ctx)
 			pause = manifestPollInterval
 		}
-		timer := time.NewTimer(pause/2 + rand.N(pause))
+		timer := time.NewTimer(pause*3/4 + rand.N(pause/2))
 		select {
 		case <-timer.C:
 		case <-e.sourceFailed:
@@ -170,35 +167,17 @@
 	}
 }
 
-// askOtherVMs asks up to polledVMs random VMs for the manifest, until one confirms it within the
-// bound. It reports whether one did.
-func (e *Engine) askOtherVMs(ctx context.Context) bool {
-	for _, vm := range e.currency.drawVMs(e.zone, polledVMs) {
-		if age, err := e.askVM(ctx, vm); err == nil && age <= e.currency.bound {
+// askNeighbours asks up to polledNeighbours random neighbours for the manifest, until one is in
+// touch. It reports whether one was.
+func (e *Engine) askNeighbours(ctx context.Context) bool {
+	for _, vm := range e.currency.drawNeighbours(polledNeighbours) {
+		if e.askVM(ctx, vm) {
 			return true
 		}
 	}
 	return false
 }
 
-// drawVMs returns up to n random VMs, those of other zones than this one first.
-func (c *currency) drawVMs(zone string, n int) []scatter.VM {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var drawn, near []scatter.VM
-	for _, i := range rand.Perm(len(c.others)) {
-		switch vm := c.others[i]; {
-		case len(drawn) == n:
-			return drawn
-		case vm.Zone == zone:
-			near = append(near, vm)
-		default:
-			drawn = append(drawn, vm)
-		}
-	}
-	return append(drawn, near[:min(len(near), n-len(drawn))]...)
-}
-
 // refreshManifest asks for the newest manifest because of an unknown key, once for all requests that
 // wait, and waits for the answer for up to the time wait. It reports whether the answer is still
 // missing then. It returns false at once if the manifest was asked for recently.
@@ -231,8 +210,8 @@
 }
 
 // askForNewest asks the source of this VM for the manifest: the store if this VM reads it, else the
-// first VM that reads it for others. If that fails, it asks other VMs. It reports whether the
-// manifest in force was confirmed.
+// first VM that reads it for others. If that fails, it asks its neighbours. It reports whether the
+// store or a VM that is in touch has answered.
 func (e *Engine) askForNewest(ctx context.Context) bool {
 	e.mu.Lock()
 	readers := e.table.StoreReaders(time.Now())
@@ -243,11 +222,11 @@
 			return true
 		}
 	case len(readers.Others) > 0:
-		if age, err := e.askVM(ctx, readers.Others[0]); err == nil && age <= e.currency.bound {
+		if e.askVM(ctx, readers.Others[0]) {
 			return true
 		}
 	}
-	return e.askOtherVMs(ctx)
+	return e.askNeighbours(ctx)
 }
 
 // readManifest reads the manifest from the store and puts it in force. It reports whether the store
@@ -265,7 +244,7 @@
 	if m != nil {
 		e.Offer(m)
 	}
-	e.currency.confirm(began)
+	e.currency.confirm(began, began, true)
 	return true
 }
 
--- a/edge/relay_serve.go
+++ b/edge/relay_serve.go
@@ -41,6 +41,9 @@
 type manifestAnswer struct {
 	Document []byte `json:"document,omitempty"` // a routing.Document encoded by pack; absent if there is no newer one
 	AgeMS    *int64 `json:"age_ms,omitempty"`   // how long ago the called VM's manifest was confirmed to be the newest, in milliseconds; absent if that is not known
+	// SourceLost says that the called VM gets no manifests from the store or the VMs that it
+	// follows. Only methodNewerManifest is answered then.
+	SourceLost bool `json:"source_lost,omitempty"`
 }
 
 // evacuationsAnswer is the result of methodFollowEvacuations. It is empty if the set of evacuated
