--- a/edge/authenticate.go
+++ b/edge/authenticate.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -52,7 +53,7 @@
 )
 
 // refreshShare is how long a request with an unknown key waits for the newest manifest, as a share
-// of its route's latency objective.
+// of its route's latency objective, or of its timeout if it has none.
 const refreshShare = 0.25
 
 // authenticate returns on whose behalf a request on a route runs by manifest m, or a rejection. It
@@ -92,7 +93,7 @@
 	if strings.ContainsAny(key, " \t,") {
 		return keyMalformed
 	}
-	waiting := e.refreshManifest(r.Context(), time.Duration(refreshShare*float64(route.Aim)))
+	waiting := e.refreshManifest(r.Context(), time.Duration(refreshShare*float64(cmp.Or(route.Aim, route.Timeout))))
 	if waiting || e.currency.mayBeBehind(time.Now()) {
 		return keyBehind
 	}
--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -23,6 +23,9 @@
 	// polledNeighbours is how many neighbours are asked in a round at most, one after the other
 	// until one is in touch.
 	polledNeighbours = 3
+	// askedReaders is the number of VMs that read the store among which the one is drawn that is
+	// asked because of an unknown key.
+	askedReaders = 2
 	// heardVersionDelay is the time between hearing of a newer manifest and fetching it. Mostly it
 	// arrives by the usual way before that.
 	heardVersionDelay = 300 * time.Millisecond
@@ -209,24 +212,18 @@
 	return true
 }
 
-// askForNewest asks the source of this VM for the manifest: the store if this VM reads it, else the
-// first VM that reads it for others. If that fails, it asks its neighbours. It reports whether the
-// store or a VM that is in touch has answered.
+// askForNewest asks a VM that reads the store for the manifest. A VM that reads it itself, and has a
+// watch of it, asks its neighbours, which costs no store call, in case that its watch hangs. If no
+// VM is in touch, it reads the store. askForNewest reports whether the store or a VM that is in
+// touch has answered.
 func (e *Engine) askForNewest(ctx context.Context) bool {
 	e.mu.Lock()
 	readers := e.table.StoreReaders(time.Now())
 	e.mu.Unlock()
-	switch {
-	case readers.Self && e.manifestSource != nil:
-		if e.readManifest(ctx) {
-			return true
-		}
-	case len(readers.Others) > 0:
-		if e.askVM(ctx, readers.Others[0]) {
-			return true
-		}
+	if n := min(len(readers.Others), askedReaders); n > 0 && e.askVM(ctx, readers.Others[rand.N(n)]) {
+		return true
 	}
-	return e.askNeighbours(ctx)
+	return e.askNeighbours(ctx) || readers.Self && e.manifestSource != nil && e.readManifest(ctx)
 }
 
 // readManifest reads the manifest from the store and puts it in force. It reports whether the store
