--- a/edge/authenticate_test.go
+++ b/edge/authenticate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -11,8 +12,11 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
+	"github.com/bramleybarrow/bramleybarrow/scatter"
+	"github.com/bramleybarrow/bramleybarrow/tenant"
 )
 
 // plainCodec is a HeaderCodec that reads no headers.
@@ -204,3 +208,22 @@
 	g.Expect(forwardedHeaders(h, []string{"X-Tenant", headerAuthorization})).To(gomega.Equal(http.Header{"X-Other": {"c"}, "X_other": {"d"}}))
 	g.Expect(forwardedHeaders(h, nil)).To(gomega.Equal(h))
 }
+
+// BenchmarkAuthenticate judges a request by a key that one of 10,000 tenants holds.
+func BenchmarkAuthenticate(b *testing.B) {
+	tenants := make([]tenant.Tenant, 10000)
+	for i := range tenants {
+		name := fmt.Sprint("tenant-", i)
+		tenants[i] = tenant.Tenant{Name: name, Keys: []tenant.Digest{tenant.DigestOf("key-of-" + name)}}
+	}
+	e := NewEngine(EngineOptions{Self: "vm", Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	m := routing.NewManifest(routing.Document{Version: 1, KeysRequired: true, Tenants: tenants})
+	route := &routing.Route{Priority: 1}
+	r := requestWith("/x", "Bearer key-of-tenant-9999")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, rejected := e.authenticate(r, m, route); rejected != nil {
+			b.Fatal(rejected.why)
+		}
+	}
+}
--- a/explain/day.go
+++ b/explain/day.go
@@ -143,7 +143,7 @@
 	req.route, _ = line["route"].(string)
 	switch line[slog.MessageKey] {
 	case messageRefused:
-		if line["status"] == float64(http.StatusNotFound) {
+		if line["status"] == float64(http.StatusNotFound) || line["status"] == float64(http.StatusUnauthorized) {
 			return // the manifest does not allow the request
 		}
 		req.outcome, req.cause = refused, fmt.Sprintf("refused: %v", line["why"])
--- a/explain/day_test.go
+++ b/explain/day_test.go
@@ -20,6 +20,7 @@
 2.9 vm-b {"msg":"request","time":"2026-01-01T00:00:04Z","route":"sweep","verdict":"abandoned","shards":10,"gaps":""}
 2.9 vm-b {"msg":"request refused","time":"2026-01-01T00:00:04Z","why":"no_manifest","status":503}
 2.9 vm-b {"msg":"request refused","time":"2026-01-01T00:00:04Z","why":"no_route","status":404}
+2.9 vm-b {"msg":"request refused","time":"2026-01-01T00:00:04Z","why":"key_unknown","status":401}
 2.9 vm-b {"msg":"request","time":"2026-01-01T00:00:04Z","route":"probe","verdict":"short","shards":10,"gaps":""}
 not a line of ours
 `
