Each VM is asked for the manifest by about as many as it asks

Change: order by xxhash, and neighbours take turns.

Evidence: TestVersionReachesVMsThatTheStoreTurnsAway was red with an order that is the same on all VMs, and with all VMs as neighbours.

--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -2,13 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"io"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -41,6 +40,7 @@
 	invalid     bool          // the source has a manifest that can't be put in force
 	others      []scatter.VM  // the other VMs
 	neighbours  []scatter.VM  // those of the other VMs that this one asks for the manifest
+	turn        int           // of the neighbour that is asked next; counted on beyond their number
 	flight      chan struct{} // closed at the end of the refresh in progress; nil if there is none
 	refreshedAt time.Time     // when the latest refresh began
 	heardFrom   string        // name of the latest VM that has a newer manifest, which will be fetched; empty if there is none
@@ -191,33 +191,40 @@
 // VMs that come first in an order of its own, VMs of other zones before those of its zone. So the
 // connections of all VMs to their neighbours are no more than maxNeighbours times the VMs.
 func (c *currency) setVMs(self scatter.VM, others []scatter.VM) {
-	order := func(vm scatter.VM) uint64 {
-		h := fnv.New64a()
-		_, _ = io.WriteString(h, self.Name+"/"+vm.Name) // never fails
-		return h.Sum64()
+	type candidate struct {
+		vm    scatter.VM
+		near  int // 1 if it is in the zone of this VM, else 0
+		order uint64
 	}
-	neighbours := slices.SortedFunc(slices.Values(others), func(a, b scatter.VM) int {
-		if aNear := a.Zone == self.Zone; aNear != (b.Zone == self.Zone) {
-			if aNear {
-				return 1
-			}
-			return -1
+	candidates := make([]candidate, len(others))
+	for i, vm := range others {
+		candidates[i] = candidate{vm: vm, order: xxhash.Sum64String(self.Name + "/" + vm.Name)}
+		if vm.Zone == self.Zone {
+			candidates[i].near = 1
 		}
-		return cmp.Compare(order(a), order(b))
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.near, b.near), cmp.Compare(a.order, b.order))
 	})
+	var neighbours []scatter.VM
+	for _, n := range candidates[:min(len(candidates), maxNeighbours)] {
+		neighbours = append(neighbours, n.vm)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.others = others
-	c.neighbours = neighbours[:min(len(neighbours), maxNeighbours)]
+	c.neighbours = neighbours
 }
 
-// drawNeighbours returns up to n random neighbours.
-func (c *currency) drawNeighbours(n int) []scatter.VM {
+// nextNeighbours returns the n neighbours whose turn it is.
+func (c *currency) nextNeighbours(n int) []scatter.VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var drawn []scatter.VM
-	for _, i := range rand.Perm(len(c.neighbours))[:min(len(c.neighbours), n)] {
-		drawn = append(drawn, c.neighbours[i])
+	n = min(n, len(c.neighbours))
+	var next []scatter.VM
+	for i := range n {
+		next = append(next, c.neighbours[(c.turn+i)%len(c.neighbours)])
 	}
-	return drawn
+	c.turn += n
+	return next
 }
--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -20,8 +20,8 @@
 	// maxNeighbours is how many VMs a VM asks at all. While a third of the VMs is out of touch, one
 	// VM in 6,561 has no neighbour that is in touch.
 	maxNeighbours = 8
-	// polledNeighbours is how many neighbours are asked in a round at most, one after the other
-	// until one is in touch.
+	// polledNeighbours is how many neighbours are asked in a round at most. All have had their turn
+	// after three rounds.
 	polledNeighbours = 3
 	// askedReaders is the number of VMs that read the store among which the one is drawn that is
 	// asked because of an unknown key.
@@ -170,10 +170,10 @@
 	}
 }
 
-// askNeighbours asks up to polledNeighbours random neighbours for the manifest, until one is in
-// touch. It reports whether one was.
+// askNeighbours asks the next polledNeighbours neighbours for the manifest, one after the other until
+// one is in touch. It reports whether one was.
 func (e *Engine) askNeighbours(ctx context.Context) bool {
-	for _, vm := range e.currency.drawNeighbours(polledNeighbours) {
+	for _, vm := range e.currency.nextNeighbours(polledNeighbours) {
 		if e.askVM(ctx, vm) {
 			return true
 		}
--- a/edge/manifest_exchange_test.go
+++ b/edge/manifest_exchange_test.go
@@ -129,9 +129,16 @@
 		longestPause := manifestPollInterval * 5 / 4
 		g.Expect(time.Duration(rounds)*longestPause).To(gomega.BeNumerically("<=", 5*time.Second), "%d VMs", n)
 		g.Expect(v.calls()).To(gomega.BeNumerically("<=", lost*polledNeighbours*rounds))
-		g.Expect(len(engines[0].currency.neighbours)).To(gomega.Equal(maxNeighbours))
+		asking := make(map[string]int) // VMs that ask a VM, by its name
 		for _, e := range engines {
 			g.Expect(e.inForce.Get().Tenant("old")).To(gomega.BeNil())
+			for _, vm := range e.currency.neighbours {
+				asking[vm.Name]++
+				g.Expect(vm.Zone).NotTo(gomega.Equal(e.self.Zone))
+			}
+		}
+		for _, vms := range asking {
+			g.Expect(vms).To(gomega.BeNumerically("<=", 3*maxNeighbours), "%d VMs", n)
 		}
 		g.Expect(engines[0].currency.mayBeBehind(time.Now())).To(gomega.BeFalse(), "in touch through other VMs")
 	}
