--- a/edge/authenticate_test.go
+++ b/edge/authenticate_test.go
@@ -196,6 +196,9 @@
 		g.Expect(rejected.status).To(gomega.Equal(http.StatusServiceUnavailable))
 		g.Expect(rejected.retryAfter).To(gomega.BeNumerically(">", 0))
 		g.Expect(rejected.header.Get("Connection")).To(gomega.Equal("close"))
+		e.currency.setBounds(BoundSettings{ManifestMS: 5000, RevokeMS: 8000, StrictRevoke: true})
+		_, rejected = e.authenticate(requestWith("/x", "Bearer key"), m, m.Match("h", "/x"))
+		g.Expect(rejected).To(gomega.BeNil(), "confirmed within the longer bound of keys")
 		watch := 2 * watchWaitShare * bounds.manifestWatchMS()
 		g.Expect(watch).To(gomega.BeNumerically("<", bounds.RevokeMS), "two watches fit in the bound")
 	}
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -51,7 +51,7 @@
 func (c *currency) setBounds(bounds BoundSettings) {
 	c.bound = time.Duration(bounds.manifestBoundMS() * float64(time.Millisecond))
 	if bounds.StrictRevoke {
-		c.strict = c.bound
+		c.strict = max(c.bound, time.Duration(bounds.RevokeMS*float64(time.Millisecond)))
 	}
 }
 
