--- a/edge/engine.go
+++ b/edge/engine.go
@@ -29,6 +29,12 @@
 	suspectVMs       wakeup      // wakes probeVMs after a failed call to another VM or a failed liveness check
 	suspectLeafs     wakeup      // wakes probeLeafs after a leaf did not answer or could not be reached
 	leaving          atomic.Bool // this VM was told to stop, and stands in for no other one
+	self             scatter.VM  // name and zone of this VM
+	currency         currency    // says how current the manifest in force is
+	sourceFailed     wakeup      // wakes pollManifests after the source of the manifest failed
+	manifestSource   Store       // read for unknown keys if this VM reads the store for others; nil before the daemon has started
+
+	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
@@ -46,6 +52,7 @@
 	Cold        scatter.ColdConfig   // bounds the requests to cold leafs
 	Budget      scatter.BudgetConfig // bounds the extra load that retries and hedges put on leafs
 	Seed        uint64               // seed of random choices
+	Bounds      BoundSettings        // times within which changes in the store must be known
 	Log         *slog.Logger
 }
 
@@ -54,7 +61,7 @@
 	rng := rand.New(rand.NewPCG(opt.Seed, opt.Seed>>1))
 	table := scatter.NewTable(scatter.VM{Name: opt.Self, Zone: opt.Zone, Power: opt.Power}, opt.Budget, time.Now(), rng)
 	table.SetColdConfig(opt.Cold)
-	return &Engine{
+	e := &Engine{
 		headerCodec:      opt.HeaderCodec,
 		answerWriteTime:  answerWriteTime(opt.Power),
 		pool:             leafhttp.NewPool(),
@@ -69,12 +76,18 @@
 		peerClient:       noPeerClient{},
 		table:            table,
 		registry:         registry.New(),
+		self:             scatter.VM{Name: opt.Self, Zone: opt.Zone},
+		sourceFailed:     newWakeup(),
 	}
+	e.currency.setBounds(opt.Bounds)
+	return e
 }
 
 // Offer puts a manifest in force if it is newer than the present one, and reports whether it
 // did. The manifest in force applies to all new requests.
 func (e *Engine) Offer(m *routing.Manifest) bool {
+	e.offerMu.Lock()
+	defer e.offerMu.Unlock()
 	if !e.inForce.Offer(m) {
 		return false
 	}
@@ -125,6 +138,7 @@
 
 // setVMs replaces the list of the other VMs. Owners that have returned are told what this VM knows.
 func (e *Engine) setVMs(others []scatter.VM) {
+	e.currency.setVMs(e.self, others)
 	e.mu.Lock()
 	e.table.SetVMs(time.Now(), others)
 	e.mu.Unlock()
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -50,6 +50,8 @@
 	Tenant string `cbor:"18,keyasint,omitempty"`
 	// Final is true if no other VM would be called for the shards if this call were refused.
 	Final bool `cbor:"23,keyasint,omitempty"`
+	// ManifestVersion is that of the calling VM's manifest if it names tenants, else 0.
+	ManifestVersion int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
@@ -76,6 +78,9 @@
 	// LeafTimeUS is how long a leaf of usual speed takes for such a request, in microseconds, as
 	// this VM has measured it; 0 if not known.
 	LeafTimeUS int64 `cbor:"12,keyasint,omitempty"`
+	// ManifestVersion is that of the called VM's manifest if it names tenants, else 0. Only the
+	// acknowledgement states it.
+	ManifestVersion int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // decodeBody decodes the body of a message into a *gatherCall or a *gatherAnswer. The sender may
