fairshare: urgent ranks first, max-min between tenants where room is short

Cause: nothing read a rank.

Change: package fairshare keeps the recent demand of ranks and tenants and gives each request a position among it; a level, which follows the pressure at the shards, says up to which position requests are served. A request yields before anything is sent. Waiting shards have turns; less urgent hedges and the rest of the budget yield. Off unless Table.SetTenants switches it on.

--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -49,7 +49,7 @@
 		}
 	}
 	slices.Sort(waits)
-	maxWait := time.Duration(maxWaitShare * float64(slack))
+	maxWait := time.Duration(q.maxWaitShare(now) * float64(slack))
 	// The shards with the longest waits are left out, as many as allowed. The n others are
 	// needed, and waits[n-1] is the longest wait at one of them.
 	if n := len(waits) - q.omissionsLeft; n > 0 && waits[n-1] > maxWait {
@@ -201,7 +201,7 @@
 		return never
 	}
 	// The queries that already wait are assumed to be served first, by all slots in parallel.
-	ahead := float64(q.table.services[s.service].waiting)
+	ahead := float64(q.waitersAhead(now, s))
 	return best + time.Duration(ahead/slots*float64(work))
 }
 
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -41,6 +41,10 @@
 		}
 		filter.idleOnly = filter.idleOnly || late
 	}
+	if reason != Hedge && s.inFlight == 0 && !q.inTurn(now, s, leafs) {
+		q.waitForLeaf(now, s, reason, true)
+		return nil
+	}
 	l := q.table.pickLeaf(now, q.durationKey(), leafs, filter)
 	if l == nil && reason != Hedge && s.inFlight == 0 {
 		// No available leaf takes the attempt. A leaf in cooldown or a suspect one is
@@ -54,7 +58,8 @@
 		}
 	}
 	if l == nil {
-		q.waitForLeaf(now, s, reason)
+		suits := reason == Hedge || q.table.urgency == nil || q.table.room(now, leafs) == 0
+		q.waitForLeaf(now, s, reason, suits)
 		return nil
 	}
 	if !q.spendBudget(now, s, reason) {
@@ -86,7 +91,14 @@
 	if reason == Hedge {
 		reserve = hedgeBudgetReserve
 	}
-	return b.spend(now, reserve)
+	reserveShare := q.budgetReserveShare(now)
+	if b.spendAbove(now, reserve, reserveShare) {
+		return true
+	}
+	if reason == Retry && reserveShare > 0 {
+		q.yielded.retries++
+	}
+	return false
 }
 
 // send records an attempt on the shard with index i at leaf l, and returns the action that
@@ -109,6 +121,7 @@
 	s.possibleRuns++
 	s.hedgeAt = now.Add(q.hedgeDelay(now, l))
 	q.setPollAt(s, time.Time{})
+	s.waitsSince = time.Time{}
 	typical, known := q.table.typicalDuration(now, q.durationKey())
 	l.recordSent(pendingRequest{sentAt: now, typical: typical, known: known})
 	q.table.recordIfLimited(now, l)
@@ -158,12 +171,15 @@
 // another check of the shard. It closes the shard instead if the time for waiting is over, or if
 // the service has no usable leaf and the caller can turn elsewhere. It does nothing for a hedge,
 // or if an attempt on the shard is in flight.
-func (q *Query) waitForLeaf(now time.Time, s *shard, reason AttemptReason) {
+//
+// suits is false if leafs have room for the shard, but none of them suits it.
+func (q *Query) waitForLeaf(now time.Time, s *shard, reason AttemptReason, suits bool) {
 	if reason == Hedge {
 		return
 	}
 	if s.inFlight > 0 || !now.Before(q.waitUntil()) {
 		if s.inFlight == 0 {
+			q.table.recordShortage(now)
 			s.close(GapNoCapacity)
 		}
 		return
@@ -176,6 +192,7 @@
 		return
 	}
 	q.setPollAt(s, now.Add(leafPollInterval))
+	s.pollAt = now.Add(q.joinLine(now, s, suits))
 }
 
 // setPollAt sets when this query checks again for a leaf of a shard; a zero time means never. It
@@ -183,6 +200,7 @@
 func (q *Query) setPollAt(s *shard, at time.Time) {
 	if s.waitingOn != nil {
 		s.waitingOn.waiting--
+		s.waitingOn.leaveLine(s)
 		s.waitingOn = nil
 	}
 	s.pollAt = at
--- a/scatter/budget.go
+++ b/scatter/budget.go
@@ -57,7 +57,12 @@
 // spend takes one extra arrival, such as a hedge or a retry, from the budget and returns true. If
 // fewer than reserve extra arrivals would then be left, it takes nothing and returns false. The
 // reserve keeps hedges from using up what retries need.
-func (b *budget) spend(now time.Time, reserve float64) bool {
+func (b *budget) spend(now time.Time, reserve float64) bool { return b.spendAbove(now, reserve, 0) }
+
+// spendAbove does the same as spend, but also takes nothing if less than reserveShare of what the
+// budget allows would then be left, from 0 to 1. It keeps less urgent requests from using up what
+// more urgent ones need.
+func (b *budget) spendAbove(now time.Time, reserve, reserveShare float64) bool {
 	step := b.advance(now)
 	var requests, extra float64
 	for i := range b.steps {
@@ -70,7 +75,7 @@
 	// The window allows the usable part of the ratio for each request, plus this VM's share
 	// of the floor.
 	allowed := b.config.Ratio*usableRatio*(requests-oldest) + b.floor
-	if extra+1+reserve > allowed {
+	if extra+1+max(reserve, reserveShare*allowed) > allowed {
 		return false
 	}
 	step.extra++
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -82,6 +82,11 @@
 		if !q.mayHedge(s) || now.Before(s.hedgeAt) {
 			continue
 		}
+		if q.yieldsHedge(now) {
+			q.yielded.hedges++
+			q.hedgeRetryAt = now.Add(hedgeRetryPause)
+			break
+		}
 		sent := q.trySend(now, i, Hedge)
 		if len(sent) == 0 {
 			q.hedgeRetryAt = now.Add(hedgeRetryPause)
--- a/scatter/load_test.go
+++ b/scatter/load_test.go
@@ -22,6 +22,8 @@
 	callers, inTime, late, refused, failed int
 	credit                                 float64       // sum over answers in time: share of answered shards, squared
 	longestRefusal                         time.Duration // longest time until a request was refused
+
+	ended func(q *Query, out *Outcome) // called with each outcome; may be nil
 }
 
 // simulatedLeaf is a leaf that takes work times slowdown on average to finish an attempt.
@@ -151,6 +153,9 @@
 // recordOutcome counts the outcome of a query.
 func (sim *simulation) recordOutcome(q *Query, out *Outcome) {
 	took := sim.now.Sub(q.startedAt)
+	if sim.ended != nil {
+		sim.ended(q, out)
+	}
 	switch {
 	case out.Verdict == NotRun:
 		sim.refused++
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -171,7 +171,8 @@
 	refusal       *Refusal      // nil if this VM did not refuse
 	retryAfter    time.Duration // delay after which a refused caller should retry; 0 if no VM refused
 
-	sent, hedges, retries int // numbers of attempts, and of hedges and retries among them
+	sent, hedges, retries int    // numbers of attempts, and of hedges and retries among them
+	yielded               yields // what was left to others while room was short
 }
 
 // shard is the state of one service's part of a query.
@@ -186,6 +187,7 @@
 	hedged         bool      // a hedge was sent
 	hedgeAt        time.Time // when the latest attempt is slow enough for a hedge
 	pollAt         time.Time // when to look for a leaf again; zero if the shard does not wait for one
+	waitsSince     time.Time // when it began to wait for a leaf; zero if no turn was taken for it
 	waitingOn      *service  // the service, while it counts the shard as waiting for a leaf; nil otherwise
 	closed         bool      // no further attempt will be made
 	gap            GapCause  // if closed: why
@@ -266,7 +268,12 @@
 	if q.spec.Delegated {
 		q.decline()
 	}
-	if !q.admit(now, q.ownShards(calls)) {
+	ownShards := q.ownShards(calls)
+	if acts := q.yield(now, ownShards); acts != nil {
+		return acts
+	}
+	if !q.admit(now, ownShards) {
+		q.table.recordShortage(now)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
 	var acts []Action
--- /dev/null
+++ b/scatter/urgency.go
@@ -0,0 +1,226 @@
+package scatter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/fairshare"
+)
+
+// Urgency and fair shares.
+//
+// The problem: where the leafs have room for only some of the requests, who comes first decides who
+// is served. A burst of requests that can wait then fills the queues in front of those that can't,
+// and one tenant that sends many times its usual takes the room of all others.
+//
+// The VM that sends requests to the leafs therefore decides by rank and tenant, as package fairshare
+// orders them, while room is short: which requests to refuse at once, which waiting shard gets the
+// next leaf, and who yields hedges and the rest of the budget. A request yields before anything was
+// sent for it, never after. Nothing changes while no request is refused or left short for room.
+
+// Parameters of decisions by rank and tenant.
+const (
+	// shortageMemory is the time for which room counts as short after a request was refused or
+	// left short for want of room.
+	shortageMemory = 2 * time.Second
+	// rankLimitMemory is the time after which the wait limit of a rank without requests no
+	// longer bounds less urgent ones.
+	rankLimitMemory = 2 * time.Second
+	// rankLimitWeight is the weight of a new request in the smoothed wait limit of its rank.
+	rankLimitWeight = 0.1
+	// minWaitLimit is the shortest limit of an expected wait that bounds less urgent requests.
+	minWaitLimit = 4 * time.Millisecond
+	// entitledWaitShare is what the longest wait with which the forecast admits a request grows
+	// by while room is short, as a share of the slack, for the most entitled request.
+	entitledWaitShare = 0.3
+	// hedgeCut is the position above which a request sends no hedges while room is short.
+	hedgeCut = 0.5
+	// typicalDraw is the draw of a request that stands for all of its tenant's requests.
+	typicalDraw = 0.5
+	// budgetReserveShare is the share of a service's budget of extra arrivals that is kept for
+	// more urgent ranks, if there are any.
+	budgetReserveShare = 0.25
+	// minMoreUrgent is the share of the demand that has to be more urgent for that.
+	minMoreUrgent = 0.02
+	// firstPollInterval is the time between two checks of the shard that comes first among
+	// those that wait for a leaf of a service.
+	firstPollInterval = 2 * time.Millisecond
+)
+
+// urgency is what decisions by rank and tenant are based on.
+type urgency struct {
+	shares     *fairshare.Shares
+	shortUntil time.Time // room counts as short until then
+	limits     [fairshare.Ranks]rankLimit
+	gathered   fairshare.Level // up to which gathered requests are served
+}
+
+// rankLimit is the wait after which requests of one rank are refused by the forecast.
+type rankLimit struct {
+	wait time.Duration // smoothed; 0 if there was no request
+	at   time.Time     // time of the latest request
+}
+
+// SetTenants switches decisions by rank and tenant on or off. weights are the tenants' shares of the
+// room within a rank, for instance the rates that they may use. A tenant without a weight has the
+// mean of the others.
+func (t *Table) SetTenants(on bool, weights map[string]float64) {
+	switch {
+	case !on:
+		t.urgency = nil
+	case t.urgency == nil:
+		t.urgency = &urgency{shares: fairshare.New()}
+		fallthrough
+	default:
+		t.urgency.shares.SetWeights(weights)
+	}
+}
+
+// short reports whether room is short.
+func (u *urgency) short(now time.Time) bool { return now.Before(u.shortUntil) }
+
+// recordShortage records that a request was refused or left short for want of room.
+func (t *Table) recordShortage(now time.Time) {
+	if t.urgency != nil {
+		t.urgency.shortUntil = now.Add(shortageMemory)
+	}
+}
+
+// recordLimit records the wait limit of a request.
+func (u *urgency) recordLimit(now time.Time, rank int, wait time.Duration) {
+	l := &u.limits[min(max(rank, 0), fairshare.Ranks-1)]
+	if l.wait == 0 || now.Sub(l.at) > rankLimitMemory {
+		l.wait = wait
+	}
+	l.wait += time.Duration(rankLimitWeight * float64(wait-l.wait))
+	l.at = now
+}
+
+// tightest returns the smallest of limit and the limits of the more urgent ranks. Less urgent
+// requests often have more time. If they were refused only once the wait is too long for
+// themselves, they would fill the queues beyond what more urgent ones can wait.
+func (u *urgency) tightest(now time.Time, rank int, limit time.Duration) time.Duration {
+	for _, l := range u.limits[:min(max(rank, 0), fairshare.Ranks-1)] {
+		if l.wait > 0 && now.Sub(l.at) <= rankLimitMemory {
+			limit = min(limit, l.wait)
+		}
+	}
+	return max(limit, minWaitLimit)
+}
+
+// waitLimit returns the longest expected wait at a shard with which the request is worth starting.
+func (q *Query) waitLimit(now time.Time) time.Duration {
+	if !q.spec.Gathered {
+		return time.Duration(leafWaitShare * float64(q.spec.LatencyObjective))
+	}
+	typical, _ := q.table.typicalDuration(now, q.durationKey())
+	return time.Duration(maxWaitShare * float64(max(q.spec.AnswerBy.Sub(now)-typical, 0)))
+}
+
+// neededWait returns the longest expected wait at a shard that the request can't leave out, among
+// those with the given indexes.
+func (q *Query) neededWait(now time.Time, shards []int) time.Duration {
+	typical, _ := q.table.typicalDuration(now, q.durationKey())
+	waits := make([]time.Duration, 0, len(shards))
+	for _, i := range shards {
+		waits = append(waits, q.eta(now, &q.shards[i])-typical)
+	}
+	slices.Sort(waits)
+	n := len(waits) - q.omissionsAllowed(len(shards))
+	if !q.spec.Gathered {
+		n = len(waits)
+	}
+	if n <= 0 {
+		return 0
+	}
+	return max(waits[n-1], 0)
+}
+
+// position returns the position of the request among the recent demand, from 0 to 1, the lowest
+// first. draw is that of the request, or typicalDraw.
+func (q *Query) position(now time.Time, draw float64) float64 {
+	return q.table.urgency.shares.Position(now, q.spec.Rank, q.spec.Tenant, draw)
+}
+
+// level returns the level up to which requests like this one are served.
+func (q *Query) level() *fairshare.Level {
+	if q.spec.Gathered {
+		return &q.table.urgency.gathered
+	}
+	return &q.table.service(q.startedAt, q.shards[0].service).level
+}
+
+// yield refuses the request if room is short and others come before it. It returns the actions that
+// end the query, nil if the request goes on. ownShards are the indexes of the shards that this VM
+// queries itself. A request that another VM may have started does not yield.
+func (q *Query) yield(now time.Time, ownShards []int) []Action {
+	u := q.table.urgency
+	if u == nil || len(ownShards) == 0 || q.spec.Redelegated {
+		return nil
+	}
+	u.shares.Ask(now, q.spec.Rank, q.spec.Tenant, float64(len(ownShards)))
+	limit := q.waitLimit(now)
+	u.recordLimit(now, q.spec.Rank, limit)
+	if !u.short(now) {
+		return nil
+	}
+	limit = u.tightest(now, q.spec.Rank, limit)
+	wait := q.neededWait(now, ownShards)
+	position := q.position(now, fairshare.Draw(q.spec.RequestID, now))
+	pressure := float64(wait) / float64(limit)
+	if q.level().Admits(now, pressure, position) {
+		return nil
+	}
+	q.yielded.request = true
+	if pressure > fairshare.TargetPressure {
+		q.table.recordShortage(now)
+	}
+	q.refuse(now, Refusal{Wait: wait, Limit: min(limit, wait)})
+	return q.finish(q.failureOutcome(TooFewShards))
+}
+
+// Yields are what a request left to others while room was short.
+type Yields struct {
+	Request bool // the request was refused, although the forecast would have admitted it
+	Hedges  int  // hedges that were due and not sent
+	Retries int  // retries for which the rest of the budget was kept for more urgent requests
+}
+
+// yields counts what a query left to others.
+type yields struct {
+	request         bool
+	hedges, retries int
+}
+
+// Yields returns what the query left to others so far.
+func (q *Query) Yields() Yields {
+	return Yields{Request: q.yielded.request, Hedges: q.yielded.hedges, Retries: q.yielded.retries}
+}
+
+// yieldsHedge reports whether the query sends no hedges, since room is short and others come before
+// it.
+func (q *Query) yieldsHedge(now time.Time) bool {
+	u := q.table.urgency
+	return u != nil && u.short(now) && q.position(now, typicalDraw) > hedgeCut
+}
+
+// budgetReserveShare returns the share of the budget of extra arrivals that the query leaves to more
+// urgent ones.
+func (q *Query) budgetReserveShare(now time.Time) float64 {
+	u := q.table.urgency
+	if u == nil || u.shares.MoreUrgent(now, q.spec.Rank) < minMoreUrgent {
+		return 0
+	}
+	return budgetReserveShare
+}
+
+// maxWaitShare returns the longest expected wait with which the forecast admits the request, as a
+// share of the slack. Less urgent requests yield before that while room is short, so that the reserve
+// for other requests may be smaller.
+func (q *Query) maxWaitShare(now time.Time) float64 {
+	u := q.table.urgency
+	if u == nil || !u.short(now) {
+		return maxWaitShare
+	}
+	return maxWaitShare + entitledWaitShare*(1-q.position(now, typicalDraw))
+}
