--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -34,6 +34,25 @@
 	MaxAttempts   int
 	ListLag       time.Duration // each VM learns of a change of leafs after a random time up to this
 	Budget        scatter.BudgetConfig
+	Kinds         []Kind // kinds of callers; all are equal if there are none
+	Ranked        bool   // VMs decide by rank and tenant
+}
+
+// Kind is a kind of callers.
+type Kind struct {
+	Name      string
+	Share     float64 // its share of all callers, in any unit
+	Rank      int
+	Tenant    string
+	Objective time.Duration // latency objective, in place of that of the Config
+	Deadline  time.Duration // time that a caller waits, in place of that of the Config
+}
+
+// KindResult is what the callers of one kind got.
+type KindResult struct {
+	Asked   int `json:"asked"`
+	InTime  int `json:"in_time"`
+	Refused int `json:"refused"`
 }
 
 // Result is what callers got, and what it took.
@@ -52,6 +71,8 @@
 	Declined int     `json:"declined"` // shards that a called VM declined
 	// PerSecond holds the requests that came in each second.
 	PerSecond []Second `json:"per_second"`
+	// Kinds holds what each kind of callers got, by name.
+	Kinds map[string]*KindResult `json:"kinds,omitempty"`
 }
 
 // Second says what became of the requests that came in one second.
@@ -107,6 +128,7 @@
 		m.vms[self.Name], m.vmNames = v, append(m.vmNames, self.Name)
 		others := append([]scatter.VM(nil), all[:i]...)
 		v.table.SetVMs(m.now, append(others, all[i+1:]...))
+		v.table.SetTenants(config.Ranked, nil)
 		for _, service := range m.services {
 			v.table.SetServiceConfig(m.now, service, scatter.ServiceConfig{Shard: true})
 		}
@@ -215,31 +237,65 @@
 	second := m.second()
 	second.Asked++
 	began := m.now.Add(-m.config.ToCaller)
+	kind, account := m.kind()
+	account.Asked++
 	m.start(v, scatter.Spec{
 		Services: m.services, Gathered: true, Idempotent: true, MaxAttempts: m.config.MaxAttempts, MinShare: m.config.MinShare,
-		LatencyObjective: m.config.Objective, AnswerBy: began.Add(m.config.Objective - m.config.ToCaller - answerMargin),
-		Deadline: began.Add(m.config.Deadline), MayDelegate: true, RequestID: fmt.Sprintf("%016x", m.rng.Uint64()), BudgetWeight: 1,
+		LatencyObjective: kind.Objective, AnswerBy: began.Add(kind.Objective - m.config.ToCaller - answerMargin),
+		Deadline: began.Add(kind.Deadline), MayDelegate: true, RequestID: fmt.Sprintf("%016x", m.rng.Uint64()), BudgetWeight: 1,
+		Rank: kind.Rank, Tenant: kind.Tenant,
 	}, second, func(out scatter.Outcome) {
-		if m.record(out, m.now.Add(m.config.ToCaller).Sub(began)) {
+		if out.Verdict == scatter.NotRun {
+			account.Refused++
+		}
+		if m.record(out, m.now.Add(m.config.ToCaller).Sub(began), kind.Objective) {
 			second.InTime++
+			account.InTime++
 		}
 	})
 }
 
+// kind returns the kind of the next caller, and the account of that kind.
+func (m *Model) kind() (Kind, *KindResult) {
+	if len(m.config.Kinds) == 0 {
+		return Kind{Objective: m.config.Objective, Deadline: m.config.Deadline}, &KindResult{}
+	}
+	total := 0.0
+	for _, k := range m.config.Kinds {
+		total += k.Share
+	}
+	x := m.rng.Float64() * total
+	kind := m.config.Kinds[0]
+	for _, kind = range m.config.Kinds {
+		if x -= kind.Share; x < 0 {
+			break
+		}
+	}
+	if m.result.Kinds == nil {
+		m.result.Kinds = make(map[string]*KindResult)
+	}
+	account := m.result.Kinds[kind.Name]
+	if account == nil {
+		account = &KindResult{}
+		m.result.Kinds[kind.Name] = account
+	}
+	return kind, account
+}
+
 // second returns the account of the present second.
 func (m *Model) second() *Second {
 	return &m.result.PerSecond[m.now.Sub(m.startedAt)/time.Second]
 }
 
 // record counts the outcome of a caller's request that took a time, and reports whether it was answered
-// in time.
-func (m *Model) record(out scatter.Outcome, took time.Duration) (inTime bool) {
+// in time by its latency objective.
+func (m *Model) record(out scatter.Outcome, took, objective time.Duration) (inTime bool) {
 	switch {
 	case out.Verdict == scatter.NotRun:
 		m.result.Refused++
 	case out.Verdict != scatter.Answered:
 		m.result.Failed++
-	case took > m.config.Objective:
+	case took > objective:
 		m.result.Late++
 	default:
 		m.result.InTime++
