--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -71,3 +71,13 @@
 	g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("expected to wait 90 ms, 62 at most"))
 }
+
+// Guards against a request that yielded to others and is explained by its own wait, which may be below
+// the limit.
+func TestYieldIsExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewReader("ff")
+	line := `{"msg":"request","time":"2026-01-01T00:00:02Z","request":"ff","position":0.84,"level":0.6,"wait_ms":30,"wait_limit_ms":62,"ms":0,"status":503,"verdict":"not_run"}`
+	g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
+	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("0.84 of the demand came before it, where up to 0.6 is served"))
+}
