--- a/edge/urgency.go
+++ b/edge/urgency.go
@@ -30,7 +30,7 @@
 	if refusal.Level == 0 {
 		return nil
 	}
-	return []any{"position", hundredths(refusal.Position), "level", hundredths(refusal.Level)}
+	return []any{"position", hundredths(refusal.Position), "served_to", hundredths(refusal.Level)}
 }
 
 // ranked counts a query by the rank of its request, and what it left to others while room was short.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -129,8 +129,8 @@
 		text += fmt.Sprintf(", without %v shards", missing)
 	}
 	text += fmt.Sprintf(" after %v ms", line.Fields["ms"])
-	if level, ok := line.Fields["level"]; ok {
-		text += fmt.Sprintf("; room was short, and %v of the demand came before it, where up to %v is served", line.Fields["position"], level)
+	if servedTo, ok := line.Fields["served_to"]; ok {
+		text += fmt.Sprintf("; room was short, and %v of the demand came before it, where up to %v is served", line.Fields["position"], servedTo)
 	} else if wait, ok := line.Fields["wait_ms"]; ok {
 		text += fmt.Sprintf("; a shard that it needed was expected to wait %v ms, %v at most were allowed", wait, line.Fields["wait_limit_ms"])
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -77,7 +77,7 @@
 func TestYieldIsExplained(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := NewReader("ff")
-	line := `{"msg":"request","time":"2026-01-01T00:00:02Z","request":"ff","position":0.84,"level":0.6,"wait_ms":30,"wait_limit_ms":62,"ms":0,"status":503,"verdict":"not_run"}`
+	line := `{"msg":"request","time":"2026-01-01T00:00:02Z","request":"ff","position":0.84,"served_to":0.6,"wait_ms":30,"wait_limit_ms":62,"ms":0,"status":503,"verdict":"not_run"}`
 	g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("0.84 of the demand came before it, where up to 0.6 is served"))
 }
