--- a/scatter/urgency_test.go
+++ b/scatter/urgency_test.go
@@ -24,7 +24,8 @@
 	share     float64       // its share of all callers, in any unit
 	objective time.Duration // latency objective; the answer is due 14 ms before
 	services  []string
-	repeats   int // how often a refused caller repeats its request at once
+	repeats   int  // how often a refused caller repeats its request at once
+	single    bool // its requests go to a single service, at most once
 }
 
 // playCount counts the callers of one kind: all, those answered in time, and those of which the
@@ -87,6 +88,13 @@
 
 // request returns the request of a caller.
 func (p *play) request(k kind, id string) Spec {
+	if k.single {
+		return Spec{
+			Services: k.services, MaxAttempts: 1, RequestID: id, LatencyObjective: k.objective,
+			AnswerBy: p.now.Add(k.objective - 14*time.Millisecond), Deadline: p.now.Add(10 * k.objective),
+			BudgetWeight: 1, Rank: k.rank, Tenant: k.tenant,
+		}
+	}
 	return Spec{
 		Services: k.services, Gathered: true, Idempotent: true, MaxAttempts: 2, MinShare: 0.89, RequestID: id,
 		LatencyObjective: k.objective, AnswerBy: p.now.Add(k.objective - 14*time.Millisecond),
@@ -244,3 +252,21 @@
 	}
 	newWorld(t).Expect(served[1]).To(gomega.Equal(served[0]))
 }
+
+// Guards against less urgent requests in front of urgent ones at a single service of few slots and long
+// work, which has room for two thirds of the requests.
+func TestUrgentAreServedFirstAtASingleService(t *testing.T) {
+	sim := newSimulation(newWorld(t), 1)
+	const work = 90 * time.Millisecond
+	sim.shards(1, work, homeZone, "b", "c", "d", "e", "f")
+	service := []string{"shard-00"}
+	p := newPlay(sim, true,
+		kind{name: "urgent", rank: 0, share: 1, objective: 4 * work, services: service, single: true},
+		kind{name: "least", rank: 2, share: 2, objective: 10 * work, services: service, single: true},
+	)
+	p.start(playLength, 200)
+	p.log(t)
+	p.Expect(p.inTimeShare("urgent")).To(gomega.BeNumerically(">", 0.9))
+	p.Expect(p.inTimeShare("least")).To(gomega.BeNumerically(">", p.allInTime()/4))
+	p.Expect(p.allInTime()).To(gomega.BeNumerically(">", 0.55))
+}
