Room is shared apart for gathered requests and for each service

One demand for all kinds of room put all requests to a service behind the gathered ones (TestRoomOfAServiceIsSharedApart, seen red with one pool: position 0.99 in place of 0.5).

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -179,7 +179,7 @@
 	}
 	if s.inFlight > 0 || !now.Before(q.waitUntil()) {
 		if s.inFlight == 0 {
-			q.table.recordShortage(now)
+			q.recordShortage(now)
 			s.close(GapNoCapacity)
 		}
 		return
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -273,7 +273,7 @@
 		return acts
 	}
 	if !q.admit(now, ownShards) {
-		q.table.recordShortage(now)
+		q.recordShortage(now)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
 	var acts []Action
--- a/scatter/query_bench_test.go
+++ b/scatter/query_bench_test.go
@@ -86,12 +86,13 @@
 	w := newWorld(b)
 	names := w.shards(135, homeZone, "other", "third")
 	w.table.SetTenants(true, nil)
+	room := w.table.urgency.gathered
 	for range 100 {
 		w.wait(100 * time.Millisecond)
-		w.table.urgency.gathered.Admits(w.now, 2, 1)
+		room.level.Admits(w.now, 2, 1)
 	}
 	for i := range 78 {
-		w.table.urgency.shares.Ask(w.now, i%4, fmt.Sprint("tenant-", i), float64(len(names)))
+		room.shares.Ask(w.now, i%4, fmt.Sprint("tenant-", i), float64(len(names)))
 	}
 	spec := w.gathered(names)
 	spec.Rank, spec.Tenant = 2, "flood"
@@ -99,7 +100,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		if i%1000 == 0 {
-			w.table.recordShortage(w.now)
+			room.shortUntil = w.now.Add(shortageMemory)
 			for _, l := range w.table.leafs {
 				l.typicalWork = 10 * time.Millisecond
 				l.recordLoad(w.now, Load{Running: l.Slots, Waiting: 100, Slots: l.Slots, Slowdown: 1})
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/bramleybarrow/bramleybarrow/fairshare"
 	"github.com/bramleybarrow/bramleybarrow/latency"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 )
@@ -45,14 +44,14 @@
 type service struct {
 	name           string
 	leafs          []*leaf
-	budget         *budget         // bounds the hedges, retries and other extra arrivals that this VM causes
-	maxConnections int             // connections that a leaf accepts from all VMs together; 0 for no limit
-	coldPerSecond  float64         // requests per second that a cold leaf tolerates from all VMs together; 0 for no limit
-	coldFor        time.Duration   // how long a leaf is cold after a start or an evacuation
-	waiting        int             // shards of this VM's queries that wait for a leaf of the service with capacity
-	level          fairshare.Level // up to which requests to this single service are served
-	line           []waiter        // the shards among them whose turn depends on rank and tenant
-	gatheredOnly   bool            // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
+	budget         *budget       // bounds the hedges, retries and other extra arrivals that this VM causes
+	maxConnections int           // connections that a leaf accepts from all VMs together; 0 for no limit
+	coldPerSecond  float64       // requests per second that a cold leaf tolerates from all VMs together; 0 for no limit
+	coldFor        time.Duration // how long a leaf is cold after a start or an evacuation
+	waiting        int           // shards of this VM's queries that wait for a leaf of the service with capacity
+	pool           *pool         // the room of requests that are not gathered; nil before the first one, and if all requests are equal
+	line           []waiter      // the shards among them whose turn depends on rank and tenant
+	gatheredOnly   bool          // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
 }
 
 // durationKey identifies a kind of request. The durations of requests of one kind are comparable
--- a/scatter/turns_test.go
+++ b/scatter/turns_test.go
@@ -11,8 +11,10 @@
 func rankedWorld(t *testing.T) *world {
 	w := newWorld(t)
 	w.table.SetTenants(true, nil)
-	w.table.urgency.shares.Ask(w.now, 0, "", 100)
-	w.table.urgency.shares.Ask(w.now, 2, "", 300)
+	for _, p := range []*pool{w.table.urgency.gathered, w.ranked("ledger", 0).pool()} {
+		p.shares.Ask(w.now, 0, "", 100)
+		p.shares.Ask(w.now, 2, "", 300)
+	}
 	return w
 }
 
@@ -66,10 +68,10 @@
 		w := rankedWorld(t)
 		w.leaf("ledger", homeZone)
 		w.leaf("ledger", "other")
+		q := w.ranked("ledger", rank)
 		if short {
-			w.table.recordShortage(w.now)
+			q.recordShortage(w.now)
 		}
-		q := w.ranked("ledger", rank)
 		q.Start(w.now)
 		w.wait(35 * time.Millisecond)
 		n := len(sends(q.Tick(w.now)))
@@ -108,12 +110,12 @@
 func TestStartedRequestDoesNotYield(t *testing.T) {
 	w := rankedWorld(t)
 	names := w.shards(4, homeZone)
-	w.table.recordShortage(w.now)
+	room := w.table.urgency.gathered
 	for range 200 {
 		w.wait(50 * time.Millisecond)
-		w.table.urgency.gathered.Admits(w.now, 2, 1)
+		room.level.Admits(w.now, 2, 1)
 	}
-	w.table.recordShortage(w.now)
+	room.shortUntil = w.now.Add(shortageMemory)
 	for _, l := range w.table.leafs {
 		l.typicalWork = 20 * time.Millisecond
 		l.recordLoad(w.now, Load{Running: 2, Waiting: 2, Slots: 2, Slowdown: 1})
--- a/scatter/urgency.go
+++ b/scatter/urgency.go
@@ -47,13 +47,27 @@
 	firstPollInterval = 2 * time.Millisecond
 )
 
-// urgency is what decisions by rank and tenant are based on.
+// urgency holds what decisions by rank and tenant are based on.
 type urgency struct {
-	shares     *fairshare.Shares
-	shortUntil time.Time // room counts as short until then
+	weights  map[string]float64 // shares of tenants, see Table.SetTenants
+	gathered *pool              // of gathered requests; the pool of a single service is held there
+}
+
+// pool is a kind of room for which requests compete: that of all gathered requests, or that of the
+// other requests to one service.
+type pool struct {
+	shares     *fairshare.Shares // recent demand
+	level      fairshare.Level   // up to which requests are served
+	shortUntil time.Time         // room counts as short until then
 	limits     [fairshare.Ranks]rankLimit
-	gathered   fairshare.Level // up to which gathered requests are served
-	yielded    recentYield     // the zero value if none did lately
+	yielded    recentYield // the zero value if none did lately
+}
+
+// newPool returns the pool of a kind of room that nobody has asked for.
+func newPool(weights map[string]float64) *pool {
+	p := &pool{shares: fairshare.New()}
+	p.shares.SetWeights(weights)
+	return p
 }
 
 // recentYield is the latest request that yielded. It answers for others that come just after it, need
@@ -79,30 +93,54 @@
 // room within a rank, for instance the rates that they may use. A tenant without a weight has the
 // mean of the others.
 func (t *Table) SetTenants(on bool, weights map[string]float64) {
-	switch {
-	case !on:
+	if !on {
 		t.urgency = nil
-	case t.urgency == nil:
-		t.urgency = &urgency{shares: fairshare.New()}
-		fallthrough
-	default:
-		t.urgency.shares.SetWeights(weights)
+		for _, s := range t.services {
+			s.pool = nil
+		}
+		return
+	}
+	if t.urgency == nil {
+		t.urgency = &urgency{gathered: newPool(weights)}
+	}
+	t.urgency.weights = weights
+	t.urgency.gathered.shares.SetWeights(weights)
+	for _, s := range t.services {
+		if s.pool != nil {
+			s.pool.shares.SetWeights(weights)
+		}
+	}
+}
+
+// pool returns the pool of the room that the query needs, nil if all requests are equal.
+func (q *Query) pool() *pool {
+	u := q.table.urgency
+	if u == nil {
+		return nil
+	}
+	if q.spec.Gathered {
+		return u.gathered
 	}
+	s := q.table.service(q.startedAt, q.shards[0].service)
+	if s.pool == nil {
+		s.pool = newPool(u.weights)
+	}
+	return s.pool
 }
 
 // short reports whether room is short.
-func (u *urgency) short(now time.Time) bool { return now.Before(u.shortUntil) }
+func (p *pool) short(now time.Time) bool { return now.Before(p.shortUntil) }
 
-// recordShortage records that a request was refused or left short for want of room.
-func (t *Table) recordShortage(now time.Time) {
-	if t.urgency != nil {
-		t.urgency.shortUntil = now.Add(shortageMemory)
+// recordShortage records that the request was refused or left short for want of room.
+func (q *Query) recordShortage(now time.Time) {
+	if p := q.pool(); p != nil {
+		p.shortUntil = now.Add(shortageMemory)
 	}
 }
 
 // recordLimit records the wait limit of a request.
-func (u *urgency) recordLimit(now time.Time, rank int, wait time.Duration) {
-	l := &u.limits[min(max(rank, 0), fairshare.Ranks-1)]
+func (p *pool) recordLimit(now time.Time, rank int, wait time.Duration) {
+	l := &p.limits[min(max(rank, 0), fairshare.Ranks-1)]
 	if l.wait == 0 || now.Sub(l.at) > rankLimitMemory {
 		l.wait = wait
 	}
@@ -113,8 +151,8 @@
 // tightest returns the smallest of limit and the limits of the more urgent ranks. Less urgent
 // requests often have more time. If they were refused only once the wait is too long for
 // themselves, they would fill the queues beyond what more urgent ones can wait.
-func (u *urgency) tightest(now time.Time, rank int, limit time.Duration) time.Duration {
-	for _, l := range u.limits[:min(max(rank, 0), fairshare.Ranks-1)] {
+func (p *pool) tightest(now time.Time, rank int, limit time.Duration) time.Duration {
+	for _, l := range p.limits[:min(max(rank, 0), fairshare.Ranks-1)] {
 		if l.wait > 0 && now.Sub(l.at) <= rankLimitMemory {
 			limit = min(limit, l.wait)
 		}
@@ -151,56 +189,48 @@
 }
 
 // position returns the position of the request among the recent demand, from 0 to 1, the lowest
-// first. draw is that of the request, or typicalDraw.
+// first. draw is that of the request, or typicalDraw. There has to be a pool.
 func (q *Query) position(now time.Time, draw float64) float64 {
-	return q.table.urgency.shares.Position(now, q.spec.Rank, q.spec.Tenant, draw)
-}
-
-// level returns the level up to which requests like this one are served.
-func (q *Query) level() *fairshare.Level {
-	if q.spec.Gathered {
-		return &q.table.urgency.gathered
-	}
-	return &q.table.service(q.startedAt, q.shards[0].service).level
+	return q.pool().shares.Position(now, q.spec.Rank, q.spec.Tenant, draw)
 }
 
 // yield refuses the request if room is short and others come before it. It returns the actions that
 // end the query, nil if the request goes on. ownShards are the indexes of the shards that this VM
 // queries itself. A request that another VM may have started does not yield.
 func (q *Query) yield(now time.Time, ownShards []int) []Action {
-	u := q.table.urgency
-	q.yielded.Ranked = u != nil
-	if u == nil || len(ownShards) == 0 || q.spec.Redelegated {
+	p := q.pool()
+	q.yielded.Ranked = p != nil
+	if p == nil || len(ownShards) == 0 || q.spec.Redelegated {
 		return nil
 	}
-	u.shares.Ask(now, q.spec.Rank, q.spec.Tenant, float64(len(ownShards)))
+	p.shares.Ask(now, q.spec.Rank, q.spec.Tenant, float64(len(ownShards)))
 	limit := q.waitLimit(now)
-	u.recordLimit(now, q.spec.Rank, limit)
-	if !u.short(now) {
+	p.recordLimit(now, q.spec.Rank, limit)
+	if !p.short(now) {
 		return nil
 	}
-	limit = u.tightest(now, q.spec.Rank, limit)
+	limit = p.tightest(now, q.spec.Rank, limit)
 	position := q.position(now, fairshare.Draw(q.spec.RequestID, now))
 	first := q.shards[ownShards[0]].service
-	recent := u.yielded.first == first && u.yielded.shards == len(ownShards) &&
-		now.Sub(u.yielded.at) < recentYieldLifetime && position >= u.yielded.position
-	wait := u.yielded.wait
+	recent := p.yielded.first == first && p.yielded.shards == len(ownShards) &&
+		now.Sub(p.yielded.at) < recentYieldLifetime && position >= p.yielded.position
+	wait := p.yielded.wait
 	if !recent {
 		wait = q.neededWait(now, ownShards)
 	}
 	pressure := float64(wait) / float64(limit)
-	if q.level().Admits(now, pressure, position) {
-		u.yielded = recentYield{}
+	if p.level.Admits(now, pressure, position) {
+		p.yielded = recentYield{}
 		return nil
 	}
 	if !recent {
-		u.yielded = recentYield{at: now, first: first, shards: len(ownShards), position: position, wait: wait}
+		p.yielded = recentYield{at: now, first: first, shards: len(ownShards), position: position, wait: wait}
 	}
 	q.yielded.Request = true
 	if pressure > fairshare.TargetPressure {
-		q.table.recordShortage(now)
+		q.recordShortage(now)
 	}
-	q.refusal = &Refusal{Wait: wait, Limit: limit, Position: position, Level: q.level().Now()}
+	q.refusal = &Refusal{Wait: wait, Limit: limit, Position: position, Level: p.level.Now()}
 	q.retryAfter = q.yieldDelay(now, wait, limit)
 	for i := range q.shards {
 		if s := &q.shards[i]; !s.declined {
@@ -234,15 +264,15 @@
 // yieldsHedge reports whether the query sends no hedges, since room is short and others come before
 // it.
 func (q *Query) yieldsHedge(now time.Time) bool {
-	u := q.table.urgency
-	return u != nil && u.short(now) && q.position(now, typicalDraw) > hedgeCut
+	p := q.pool()
+	return p != nil && p.short(now) && q.position(now, typicalDraw) > hedgeCut
 }
 
 // budgetReserveShare returns the share of the budget of extra arrivals that the query leaves to more
 // urgent ones.
 func (q *Query) budgetReserveShare(now time.Time) float64 {
-	u := q.table.urgency
-	if u == nil || u.shares.MoreUrgent(now, q.spec.Rank) < minMoreUrgent {
+	p := q.pool()
+	if p == nil || p.shares.MoreUrgent(now, q.spec.Rank) < minMoreUrgent {
 		return 0
 	}
 	return budgetReserveShare
@@ -252,8 +282,8 @@
 // share of the slack. Less urgent requests yield before that while room is short, so that the reserve
 // for other requests may be smaller.
 func (q *Query) maxWaitShare(now time.Time) float64 {
-	u := q.table.urgency
-	if u == nil || !u.short(now) {
+	p := q.pool()
+	if p == nil || !p.short(now) {
 		return maxWaitShare
 	}
 	return maxWaitShare + entitledWaitShare*(1-q.position(now, typicalDraw))
--- a/scatter/urgency_test.go
+++ b/scatter/urgency_test.go
@@ -270,3 +270,24 @@
 	p.Expect(p.inTimeShare("least")).To(gomega.BeNumerically(">", p.allInTime()/4))
 	p.Expect(p.allInTime()).To(gomega.BeNumerically(">", 0.55))
 }
+
+// Guards against a tenant, or a kind, that is refused first at a service because it asks for much that
+// does not touch the service's leafs.
+func TestRoomOfAServiceIsSharedApart(t *testing.T) {
+	w := newWorld(t)
+	w.table.SetTenants(true, nil)
+	query := func(gathered bool, rank int, tenant string) *Query {
+		spec := w.single("ledger", false)
+		spec.Gathered, spec.Rank, spec.Tenant = gathered, rank, tenant
+		q := NewQuery(spec, w.table)
+		q.startedAt = w.now
+		return q
+	}
+	query(true, 0, "searches").pool().shares.Ask(w.now, 0, "searches", 100)
+	for _, tenant := range []string{"searches", "other"} {
+		query(false, 1, tenant).pool().shares.Ask(w.now, 1, tenant, 1)
+	}
+	for _, tenant := range []string{"searches", "other"} {
+		w.Expect(query(false, 1, tenant).position(w.now, typicalDraw)).To(gomega.BeNumerically("~", 0.5, 0.001))
+	}
+}
