--- a/scatter/urgency_test.go
+++ b/scatter/urgency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,7 +36,8 @@
 // newPlay returns a play on the simulation. on switches decisions by rank and tenant on at all VMs.
 func newPlay(sim *simulation, on bool, kinds ...kind) *play {
 	p := &play{simulation: sim, kinds: kinds, counts: make(map[string]*playCount)}
-	for _, table := range sim.tables {
+	for i, table := range sim.tables {
+		table.rng = rand.New(rand.NewPCG(1, uint64(2+i)))
 		table.SetTenants(on, nil)
 	}
 	for _, k := range kinds {
