Leafs out of reach are no lack of room

A request to a service whose leafs are all suspect was refused at once while room was short, where it tries one of them otherwise (TestLeafsOutOfReachAreNoLackOfRoom, seen red).

--- a/scatter/turns_test.go
+++ b/scatter/turns_test.go
@@ -134,3 +134,22 @@
 	w.Expect(out.RetryAfter).To(gomega.BeNumerically(">=", minRetryAfter))
 	w.Expect(out.Refusal.Position).To(gomega.BeNumerically(">", out.Refusal.Level))
 }
+
+// Guards against refusing requests at once, for want of room, whose leafs are all out of reach for a
+// moment and may be back.
+func TestLeafsOutOfReachAreNoLackOfRoom(t *testing.T) {
+	w := rankedWorld(t)
+	id := w.leaf("ledger", homeZone)
+	w.table.findLeaf(id).suspicion.raise(w.now)
+	q := w.ranked("ledger", 2)
+	room := q.pool()
+	for range 200 {
+		w.wait(50 * time.Millisecond)
+		room.level.Admits(w.now, 2, 1)
+	}
+	room.shortUntil = w.now.Add(shortageMemory)
+	q.spec = w.single("ledger", true)
+	q.spec.Rank = 2
+	w.Expect(sends(q.Start(w.now))).To(gomega.HaveLen(1))
+	w.Expect(q.Yields().Request).To(gomega.BeFalse())
+}
--- a/scatter/urgency.go
+++ b/scatter/urgency.go
@@ -50,7 +50,7 @@
 // urgency holds what decisions by rank and tenant are based on.
 type urgency struct {
 	weights  map[string]float64 // shares of tenants, see Table.SetTenants
-	gathered *pool              // of gathered requests; the pool of a single service is held there
+	gathered *pool              // of gathered requests; the pools of other requests are held by their services
 }
 
 // pool is a kind of room for which requests compete: that of all gathered requests, or that of the
@@ -218,6 +218,10 @@
 	if !recent {
 		wait = q.neededWait(now, ownShards)
 	}
+	if wait > never/2 {
+		// A shard has no leaf that could be reached, which is no lack of room.
+		return nil
+	}
 	pressure := float64(wait) / float64(limit)
 	if p.level.Admits(now, pressure, position) {
 		p.yielded = recentYield{}
