Merge urgency and fair shares

Joined with the forecast: a request yields by the same slack and waits as it is refused by, in the leafs' time alone (Query.leafTime).

The aims are that a tenant within its rate is not served 5 in 100 less often than all, and that who sends many times its usual is cut off first.

--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -54,7 +54,7 @@
 		}
 	}
 	slices.Sort(waits)
-	maxWait := time.Duration(maxWaitShare * float64(slack))
+	maxWait := time.Duration(q.maxWaitShare(now) * float64(slack))
 	// The shards with the longest waits are left out, as many as allowed. The n others are
 	// needed, and waits[n-1] is the longest wait at one of them.
 	if n := len(waits) - q.omissionsLeft; n > 0 {
@@ -164,6 +164,10 @@
 	Limit time.Duration // longest wait that would have been accepted
 	// OwnTime is the time that passes in this VM, if it leaves no time for a leaf; 0 otherwise.
 	OwnTime time.Duration
+	// Position and Level are set if the request yielded to others while room was short: its
+	// position among the recent demand, and up to which position requests are served, from 0
+	// to 1. Otherwise they are 0, and the forecast alone refused the request.
+	Position, Level float64
 }
 
 // refuse closes all shards and sets the delay after which the caller should retry. The delay is
@@ -229,7 +233,7 @@
 		return never
 	}
 	// The queries that already wait are assumed to be served first, by all slots in parallel.
-	ahead := float64(q.table.services[s.service].waiting)
+	ahead := float64(q.waitersAhead(now, s))
 	return best + time.Duration(ahead/slots*leafShare*float64(work))
 }
 
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -41,6 +41,7 @@
 	coldConfig      ColdConfig         // limits of requests to cold leafs
 	callRefusalRate failureRate        // share of calls that other VMs refuse
 	admitAll        bool               // for tests: the forecast refuses no request
+	urgency         *urgency           // decides by rank and tenant; nil if all requests are equal
 }
 
 // service holds the leafs and the budget of one service.
@@ -52,6 +53,8 @@
 	coldPerSecond  float64       // requests per second that a cold leaf tolerates from all VMs together; 0 for no limit
 	coldFor        time.Duration // how long a leaf is cold after a start or an evacuation
 	waiting        int           // shards of this VM's queries that wait for a leaf of the service with capacity
+	pool           *pool         // the room of requests that are not gathered; nil before the first one, and if all requests are equal
+	line           []waiter      // the shards among them whose turn depends on rank and tenant
 	gatheredOnly   bool          // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
 }
 
