Allotments: limits of tenants over all VMs, as pure code

A limit holds over all VMs together, and most tenants have less than a request a second over many VMs, so shares of a limit round to nothing. An accountant for each group of tenants holds token buckets; VMs admit at once far from the limit and tell it afterwards, and ask near it. An accountant fills buckets at the share of the fleet that follows it, so accountants of parts that can't reach each other keep the limit together.

--- /dev/null
+++ b/allotment/accountant.go
@@ -0,0 +1,379 @@
+package allotment
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/tenant"
+)
+
+// Parameters of an accountant's decisions.
+const (
+	wholeShare = 0.9 // share of all VMs that follow an accountant, from which it speaks for the fleet
+	// nearCapacityShare is the share of a bucket's capacity below which the tenant is near its limit.
+	// In a fleet of few VMs it is less: one token for each VM.
+	nearCapacityShare = 1.0 / 3
+	farFactor         = 1.5 // a tenant is far from its limit again with this many times the tokens
+	freeShare         = 0.5 // of the tokens of a tenant far from its limit: what all VMs may use before they tell
+	returnShare       = 0.5 // of the rate: what is left to callers that were asked to come back later
+	maxNear           = 256 // tenants that are named as near their limit; if there are more, VMs ask for every tenant
+)
+
+// Accountant keeps the limits of a group of tenants for the VMs that follow it. It fills their buckets
+// at a share of the rate: the share of all VMs that follow it. So several accountants, in parts of a
+// fleet that can't reach each other, together keep the limit.
+type Accountant struct {
+	config    Config
+	group     int
+	members   int // number of VMs of the fleet
+	followers map[string]*follower
+	buckets   map[string]*bucket // by tenant
+	near      []string           // tenants near their limit
+
+	share      float64 // part of all VMs that follow
+	countedAt  time.Time
+	filledAt   time.Time
+	filled     float64   // integral of share over time, in seconds
+	wholeSince time.Time // zero unless share has reached wholeShare
+	fresh      int       // followers that joined since countedAt and bring initial tokens
+	joined     int       // followers that joined since countedAt
+}
+
+// follower is a VM that follows an accountant.
+type follower struct {
+	serial, count int64  // of its latest call
+	seen          uint64 // bit i: call number count-i was heard
+	heard         time.Time
+	lapsed        bool // it has not been heard for a while, and does not count
+}
+
+// bucket holds the tokens of one tenant.
+type bucket struct {
+	limit   tenant.Limit
+	version int64     // of the manifest that states limit
+	level   float64   // tokens; below 0 if more requests ran than there were tokens
+	filled  float64   // Accountant.filled when level was computed
+	granted float64   // requests since Accountant.wholeSince
+	booked  time.Time // up to this time, tokens are left to callers that were asked to come back
+	crowd   int       // callers that were refused without a booking
+	near    bool
+}
+
+// NewAccountant returns an accountant of a group that nobody follows yet. members is the number of VMs
+// of the fleet.
+func NewAccountant(config Config, group, members int, now time.Time) *Accountant {
+	return &Accountant{
+		config: config, group: group, members: max(members, 1),
+		followers: make(map[string]*follower), buckets: make(map[string]*bucket),
+		countedAt: now, filledAt: now,
+	}
+}
+
+// SetMembers sets the number of VMs of the fleet.
+func (a *Accountant) SetMembers(now time.Time, members int) {
+	if members = max(members, 1); members != a.members {
+		a.members = members
+		a.recount(now)
+	}
+}
+
+// SetLimits replaces the limits by those of a manifest. Tenants of other groups are passed over.
+func (a *Accountant) SetLimits(now time.Time, version int64, tenants []tenant.Tenant) {
+	a.fill(now)
+	named := make(map[string]bool)
+	for i := range tenants {
+		if t := &tenants[i]; t.Limit.Limited() && GroupOf(t.Name) == a.group {
+			named[t.Name] = true
+			a.bucket(t.Name, version, t.Limit)
+		}
+	}
+	for name, b := range a.buckets {
+		if !named[name] && b.version < version {
+			delete(a.buckets, name)
+		}
+	}
+	a.listNear()
+}
+
+// Followers returns the number of VMs that follow, and of all VMs.
+func (a *Accountant) Followers() (following, members int) {
+	for _, f := range a.followers {
+		if !f.lapsed {
+			following++
+		}
+	}
+	return following, a.members
+}
+
+// Near returns the number of tenants near their limit.
+func (a *Accountant) Near() int { return len(a.near) }
+
+// Idle reports whether nobody follows any more, so that the accountant may be dropped.
+func (a *Accountant) Idle(now time.Time) bool {
+	a.recountIfDue(now)
+	return len(a.followers) == 0
+}
+
+// Serve answers a call.
+func (a *Accountant) Serve(now time.Time, call *Call) Answer {
+	known := a.hear(now, call)
+	a.recountIfDue(now)
+	a.fill(now)
+	var ans Answer
+	for i, u := range call.Usage {
+		b := a.bucket(u.Tenant, u.Version, u.Limit)
+		ans.Flipped = a.record(b, u, known) || ans.Flipped
+		if u.Ask {
+			ans.Asked = true
+			a.ask(now, b, known, &ans)
+			ans.Flipped = a.judge(b) || ans.Flipped
+		}
+		if i == 0 && !b.near {
+			ans.Free = a.free(b)
+		}
+	}
+	if ans.Flipped {
+		a.listNear()
+	}
+	a.word(&ans)
+	return ans
+}
+
+// Word returns what all followers should know: the tenants near their limit.
+func (a *Accountant) Word() Answer {
+	var ans Answer
+	a.word(&ans)
+	return ans
+}
+
+// word sets the tenants near their limit in an answer.
+func (a *Accountant) word(ans *Answer) {
+	if ans.AllNear = len(a.near) > maxNear || a.share == 0; !ans.AllNear {
+		ans.Near = a.near
+	}
+}
+
+// hearing is what an accountant makes of a call.
+type hearing int
+
+const (
+	ignored  hearing = iota // of an earlier following, or a probe
+	repeated                // the call was heard before
+	heard
+)
+
+// hear records a sign of life of a follower. Calls may overtake each other.
+func (a *Accountant) hear(now time.Time, call *Call) hearing {
+	if call.Serial == 0 {
+		return ignored
+	}
+	f := a.followers[call.From]
+	if f == nil {
+		f = &follower{}
+		a.followers[call.From] = f
+	}
+	if call.Serial < f.serial {
+		return ignored
+	}
+	if call.Serial > f.serial {
+		f.serial, f.count, f.seen = call.Serial, call.Count, 0
+		a.joined++
+		if call.Fresh {
+			a.fresh++
+		}
+	}
+	if ahead := call.Count - f.count; ahead > 0 {
+		f.count, f.seen = call.Count, f.seen<<uint64(ahead)
+	}
+	behind := f.count - call.Count
+	if behind >= seenCalls {
+		return ignored
+	}
+	if bit := uint64(1) << uint64(behind); f.seen&bit == 0 {
+		f.seen |= bit
+		f.heard = now
+		return heard
+	}
+	return repeated
+}
+
+// seenCalls is how many of the latest calls of a follower are told from repeated ones.
+const seenCalls = 64
+
+// recountIfDue counts the followers from time to time.
+func (a *Accountant) recountIfDue(now time.Time) {
+	if now.Sub(a.countedAt) >= shareStep || a.share == 0 && a.joined > 0 {
+		a.recount(now)
+	}
+}
+
+// recount counts the followers. If their share has changed, the buckets hold and get tokens by the new
+// one. A VM that joins may be counted by its former accountant for a while; that is taken from the
+// buckets, and it brings a part of the initial tokens.
+func (a *Accountant) recount(now time.Time) {
+	a.fill(now)
+	a.countedAt = now
+	silence := lapse(a.members)
+	following := 0
+	for name, f := range a.followers {
+		quiet := now.Sub(f.heard)
+		if f.lapsed = quiet >= silence; !f.lapsed {
+			following++
+		} else if quiet >= silence+a.config.Window {
+			delete(a.followers, name)
+		}
+	}
+	share := min(1, float64(following)/float64(a.members))
+	if share != a.share || a.joined > 0 {
+		joined, fresh := float64(a.joined)/float64(a.members), float64(a.fresh)/float64(a.members)
+		for _, b := range a.buckets {
+			a.settle(b)
+			b.level += fresh*a.config.spare(b.limit)*initialShare - joined*a.config.rate(b.limit)*overlap(a.members).Seconds()
+			b.level = min(b.level, a.config.capacity(b.limit)*share)
+		}
+		a.share, a.joined, a.fresh = share, 0, 0
+	}
+	switch {
+	case share < wholeShare:
+		a.wholeSince = time.Time{}
+	case a.wholeSince.IsZero():
+		a.wholeSince = now
+		for _, b := range a.buckets {
+			b.granted = 0
+		}
+	}
+	a.judgeAll()
+}
+
+// fill advances the integral of the share, by which buckets fill.
+func (a *Accountant) fill(now time.Time) {
+	a.filled += a.share * max(0, now.Sub(a.filledAt).Seconds())
+	a.filledAt = now
+}
+
+// settle brings a bucket's level up to date.
+func (a *Accountant) settle(b *bucket) {
+	b.level = min(a.config.capacity(b.limit)*a.share, b.level+a.config.rate(b.limit)*(a.filled-b.filled))
+	b.filled = a.filled
+}
+
+// bucket returns the up to date bucket of a tenant, with the limit of the latest manifest.
+func (a *Accountant) bucket(name string, version int64, limit tenant.Limit) *bucket {
+	b := a.buckets[name]
+	if b == nil {
+		b = &bucket{limit: limit, version: version, filled: a.filled}
+		b.level = min(a.config.spare(limit)*initialShare, a.config.capacity(limit)) * a.share
+		a.buckets[name] = b
+	}
+	a.settle(b)
+	if version > b.version {
+		b.limit, b.version = limit, version
+		b.level = min(b.level, a.config.capacity(limit)*a.share)
+	}
+	return b
+}
+
+// record takes from a bucket what a VM tells. It reports whether the tenant has come near its limit. Of
+// a call that may have been heard before, only what was used counts.
+func (a *Accountant) record(b *bucket, u Usage, known hearing) bool {
+	if known == repeated {
+		return false
+	}
+	b.level -= float64(u.Used)
+	b.granted += float64(u.Used)
+	if known == heard {
+		b.level = min(b.level+float64(u.Back), a.config.capacity(b.limit)*a.share)
+		b.granted -= float64(u.Back)
+	}
+	return a.judge(b)
+}
+
+// ask answers whether a request may run.
+func (a *Accountant) ask(now time.Time, b *bucket, known hearing, ans *Answer) {
+	if known != heard || a.share == 0 {
+		ans.Unsure, ans.RetryMS = true, milliseconds(retryPause)
+		return
+	}
+	if b.level >= 1 {
+		b.level--
+		b.granted++
+		ans.Granted = true
+		return
+	}
+	rate := a.config.rate(b.limit) * a.share
+	room := min(maxRetryAfter, seconds((1-b.level)/rate))
+	due := now.Add(room)
+	if b.booked.After(due) {
+		due = b.booked
+	}
+	if latest := now.Add(maxRetryAfter); due.After(latest) {
+		// More callers than can be served until then: spread them without a promise.
+		b.crowd++
+		_, part := math.Modf(float64(b.crowd) * math.Phi)
+		due = latest.Add(-time.Duration(part * float64(maxRetryAfter/2)))
+	} else {
+		b.booked = due.Add(seconds(1 / (rate * returnShare)))
+	}
+	ans.RoomMS, ans.RetryMS = milliseconds(room), milliseconds(due.Sub(now))
+	ans.Unsure = !a.sure(now, b)
+}
+
+// sure reports whether a tenant without tokens has used up its limit, rather than this accountant
+// having taken over lately or being followed by a part of the VMs.
+func (a *Accountant) sure(now time.Time, b *bucket) bool {
+	if a.wholeSince.IsZero() {
+		return false
+	}
+	age := now.Sub(a.wholeSince)
+	return age >= a.config.Window || b.granted >= b.limit.Burst+b.limit.RatePerS*age.Seconds()
+}
+
+// margin returns the level of a bucket below which the tenant is near its limit.
+func (a *Accountant) margin(b *bucket) float64 {
+	return a.share * min(float64(a.members), a.config.capacity(b.limit)*nearCapacityShare)
+}
+
+// judge decides whether a tenant is near its limit, and reports whether it has come near.
+func (a *Accountant) judge(b *bucket) bool {
+	was := b.near
+	margin := a.margin(b)
+	if was {
+		margin *= farFactor
+	}
+	b.near = b.level < margin
+	return b.near && !was
+}
+
+// judgeAll decides for all tenants near their limit whether they still are, and after a change of the
+// share for all others too.
+func (a *Accountant) judgeAll() {
+	for _, b := range a.buckets {
+		if b.near || b.level < a.margin(b) {
+			a.settle(b)
+			a.judge(b)
+		}
+	}
+	a.listNear()
+}
+
+// listNear lists the tenants near their limit.
+func (a *Accountant) listNear() {
+	a.near = nil
+	for name, b := range a.buckets {
+		if b.near {
+			a.near = append(a.near, name)
+		}
+	}
+	slices.Sort(a.near)
+}
+
+// free returns how many requests of a tenant far from its limit a VM may admit before it tells.
+func (a *Accountant) free(b *bucket) int {
+	return int(max(1, (b.level-a.margin(b))*freeShare/float64(a.members)))
+}
+
+// seconds converts a time in seconds, which may be infinite.
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s*float64(time.Second), float64(maxRetryAfter)))
+}
--- /dev/null
+++ b/allotment/allotment_test.go
@@ -0,0 +1,274 @@
+package allotment
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleybarrow/bramleybarrow/tenant"
+)
+
+const name = "tenant"
+
+var large = tenant.Limit{RatePerS: 19, Burst: 19}
+
+// settled returns a fleet of n VMs that follow their accountants, with the large tenant.
+func settled(n int) *fleet {
+	f := newFleet(n, 7)
+	f.limits[name] = large
+	f.run(8*time.Second, f.load(name, 12))
+	clear(f.refused)
+	return f
+}
+
+// accountant returns the VM that most VMs follow for the tenant.
+func (f *fleet) accountant() *fleetVM {
+	votes := map[string]int{}
+	best := ""
+	for _, v := range f.vms {
+		who := v.member.Accountant(GroupOf(name))
+		if votes[who]++; votes[who] > votes[best] {
+			best = who
+		}
+	}
+	return f.vm(best)
+}
+
+// wants checks the bound.
+func (f *fleet) wants(t interface{ Fatalf(string, ...any) }, limit tenant.Limit) {
+	gomega.NewGomega(func(message string, _ ...int) { t.Fatalf("%s", message) }).Expect(f.most(name)).To(gomega.BeNumerically("<=", testConfig.Bound(limit)))
+}
+
+// Guards against refusals below the limit, and calls that ask far from it.
+func TestNobodyBelowTheLimitIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(72)
+	tokens, asks := 0.9*large.Burst, f.asks
+	f.run(60*time.Second, func() {
+		tokens = min(tokens+0.9*large.RatePerS*fleetStep.Seconds(), 0.9*large.Burst)
+		if f.rng.Float64() < 0.3 && tokens >= 1 {
+			tokens--
+			f.request(f.rng.IntN(72), name)
+		}
+	})
+	g.Expect(f.refused).To(gomega.BeEmpty())
+	g.Expect(f.ran[name]).ToNot(gomega.BeEmpty())
+	t.Log("asked", f.asks-asks, "ran", len(f.ran[name]))
+}
+
+// Guards against small tenants that are refused because shares of their limit round to nothing.
+func TestSmallTenantIsServedAnywhereWithoutAsking(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(72, 3)
+	f.limits[name] = tenant.Limit{RatePerS: 0.5, Burst: 1}
+	f.run(3*time.Second, nil)
+	f.run(60*time.Second, f.load(name, 0.3))
+	g.Expect(f.refused).To(gomega.BeEmpty())
+	g.Expect(f.asks).To(gomega.BeZero())
+}
+
+// Guards against a tenant at eight times its usual, and refusals that name no time, or the same to all.
+func TestHotTenantIsHeldToItsLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(72)
+	before := len(f.ran[name])
+	f.run(9*time.Second, f.load(name, 96))
+	f.wants(t, large)
+	g.Expect(len(f.ran[name])-before).To(gomega.BeNumerically(">=", 9*large.RatePerS), "it gets its limit")
+	g.Expect(f.refused[OverLimit]).To(gomega.BeNumerically(">", 0))
+	together, per := 0, map[int64]int{}
+	for _, at := range f.retry {
+		per[at.UnixMilli()/100]++
+		together = max(together, per[at.UnixMilli()/100])
+	}
+	g.Expect(together).To(gomega.BeNumerically("<", len(f.retry)/10), "spread")
+}
+
+// Guards against each failure of an accountant and of links, while a tenant is hot.
+func TestFailuresKeepTheBound(t *testing.T) {
+	for failure, fail := range map[string]func(f *fleet){
+		"killed":            func(f *fleet) { f.accountant().down = true },
+		"frozen":            func(f *fleet) { f.accountant().frozen = true },
+		"cut one way":       func(f *fleet) { a := f.accountant().index; f.cut = func(from, _ int) bool { return from == a } },
+		"cut the other way": func(f *fleet) { a := f.accountant().index; f.cut = func(_, to int) bool { return to == a } },
+		"slow":              func(f *fleet) { f.delay = 200 * time.Millisecond },
+		"two accountants": func(f *fleet) {
+			a := f.accountant().index
+			f.cut = func(from, to int) bool { return to == a && from%2 == 0 }
+		},
+		"halves":          func(f *fleet) { f.cut = func(from, to int) bool { return from%2 != to%2 } },
+		"a third cut off": func(f *fleet) { f.cut = func(from, to int) bool { return (from%3 == 0) != (to%3 == 0) } },
+		"half killed": func(f *fleet) {
+			for _, v := range f.vms {
+				v.down = v.index%2 == 0
+			}
+		},
+		"all restarted": func(f *fleet) {
+			for _, v := range f.vms {
+				f.start(v)
+			}
+		},
+		"all alone": func(f *fleet) { f.cut = func(int, int) bool { return true } },
+		"repeated":  func(f *fleet) { f.repeat = true },
+	} {
+		t.Run(failure, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := settled(24)
+			hot := f.load(name, 96)
+			f.run(2*time.Second, hot)
+			fail(f)
+			before := len(f.ran[name])
+			f.run(12*time.Second, hot)
+			f.cut, f.delay = func(int, int) bool { return false }, 5*time.Millisecond
+			for _, v := range f.vms {
+				v.frozen = false
+			}
+			f.run(12*time.Second, hot)
+			f.wants(t, large)
+			g.Expect(len(f.ran[name])-before).To(gomega.BeNumerically(">", 24*large.RatePerS/3), "not silenced")
+		})
+	}
+}
+
+// Guards against a tenant below its limit that is refused when its accountant is killed.
+func TestKilledAccountantSilencesNobodyForLong(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(24)
+	f.accountant().down = true
+	f.run(10*time.Second, f.load(name, 12))
+	g.Expect(f.refused[OverLimit]).To(gomega.BeZero(), "the limit is not used up")
+	t.Log("refused", f.refused)
+	clear(f.refused)
+	f.run(10*time.Second, f.load(name, 12))
+	g.Expect(f.refused).To(gomega.BeEmpty())
+}
+
+// Guards against a limit that is lowered, raised, taken away or new.
+func TestChangedLimits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(24)
+	hot := f.load(name, 60)
+	f.version, f.limits[name] = 2, tenant.Limit{RatePerS: 2, Burst: 2}
+	f.run(testConfig.Window, hot)
+	f.ran[name] = nil
+	f.run(10*time.Second, hot)
+	f.wants(t, f.limits[name])
+	f.version, f.limits[name] = 3, large
+	f.run(testConfig.Window, hot)
+	f.ran[name] = nil
+	f.run(10*time.Second, hot)
+	g.Expect(len(f.ran[name])).To(gomega.BeNumerically(">=", 10*large.RatePerS*0.95))
+	delete(f.limits, name)
+	f.version = 4
+	f.run(2*time.Second, f.load("other", 5))
+	f.version, f.limits[name] = 5, large
+	clear(f.refused)
+	f.run(5*time.Second, f.load(name, 12))
+	g.Expect(f.refused[OverLimit]).To(gomega.BeZero())
+}
+
+// Guards against tokens that are lost with requests that did not run.
+func TestTokensOfRequestsThatDidNotRunComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(24)
+	f.notRun = 0.8
+	f.run(20*time.Second, f.load(name, 60))
+	g.Expect(f.refused[OverLimit]).To(gomega.BeNumerically("<", 60), "of 1200")
+	f.wants(t, large)
+}
+
+// Guards against a Retry-After that does not hold for callers that honour it.
+func TestRetryAfterHolds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(24)
+	f.run(4*time.Second, f.load(name, 96))
+	back := f.retry
+	f.retry = nil
+	clear(f.refused)
+	back = slices.DeleteFunc(back, func(at time.Time) bool { return at.Before(f.now) })
+	for _, at := range back {
+		f.mail = append(f.mail, letter{at: at, run: func() { f.request(f.rng.IntN(24), name) }})
+	}
+	f.run(40*time.Second, nil)
+	g.Expect(f.refused[OverLimit]).To(gomega.BeNumerically("<=", len(back)/20))
+}
+
+// Guards against any interleaving of failures that breaks the bound.
+func TestAnyInterleavingKeepsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := tenant.Limit{RatePerS: rapid.Float64Range(0.2, 30).Draw(t, "rate"), Burst: rapid.Float64Range(0, 30).Draw(t, "burst")}
+		f := newFleet(rapid.IntRange(1, 10).Draw(t, "vms"), rapid.Uint64().Draw(t, "seed"))
+		f.limits[name] = limit
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+			a := f.accountantOr(v)
+			part := rapid.IntRange(1, 1<<len(f.vms)-1).Draw(t, "part")
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			case 0:
+				a.down = true
+			case 1:
+				a.frozen = true
+			case 2:
+				f.start(a)
+			case 3:
+				f.cut = func(from, to int) bool { return part>>from&1 != part>>to&1 }
+			case 4:
+				f.cut = func(from, _ int) bool { return part>>from&1 == 0 }
+			case 5:
+				f.cut = func(int, int) bool { return f.rng.IntN(3) == 0 }
+			case 6:
+				f.cut = func(int, int) bool { return false }
+			case 7:
+				f.delay = time.Duration(rapid.IntRange(0, 250).Draw(t, "delay")) * time.Millisecond
+			case 8:
+				f.repeat = !f.repeat
+			case 9:
+				for _, v := range f.vms {
+					f.start(v)
+				}
+			case 10:
+				v.down, v.frozen = false, false
+			case 11:
+				for i := range rapid.IntRange(1, 200).Draw(t, "burst") {
+					f.request(i, name)
+				}
+			case 12:
+				before := limit
+				limit = tenant.Limit{RatePerS: limit.RatePerS * 0.3, Burst: limit.Burst * 0.3}
+				f.version++
+				f.limits[name] = limit
+				f.run(testConfig.Window, f.load(name, 8*limit.RatePerS)) // the lower limit binds after a window
+				f.wants(t, before)
+				f.ran[name] = nil
+			}
+			f.notRun = rapid.Float64Range(0, 0.5).Draw(t, "not run")
+			f.run(time.Duration(rapid.IntRange(100, 7000).Draw(t, "ms"))*time.Millisecond, f.load(name, rapid.Float64Range(0, 8).Draw(t, "load")*limit.RatePerS))
+		}
+		f.wants(t, limit)
+	})
+}
+
+// accountantOr returns the accountant of the tenant, or v if there is none.
+func (f *fleet) accountantOr(v *fleetVM) *fleetVM {
+	if who := v.member.Accountant(GroupOf(name)); who != "" {
+		return f.vm(who)
+	}
+	return v
+}
+
+// BenchmarkTakeFar measures the decision on a request of a tenant far from its limit.
+func BenchmarkTakeFar(b *testing.B) {
+	now := time.Now()
+	m := NewMember(testConfig, VM{Name: "vm", Power: 1}, 1)
+	f := &m.groups[GroupOf(name)]
+	f.name, f.heard, f.beatAt = "vm", now, now
+	u := m.usage(name, 1, large)
+	u.free, u.freeUntil = 1<<60, now.Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Take(now, name, 1, large)
+	}
+}
--- /dev/null
+++ b/allotment/member.go
@@ -0,0 +1,478 @@
+package allotment
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/tenant"
+)
+
+// Parameters of a VM's part.
+const (
+	// candidates is how many VMs, in their order, may become accountant of a group.
+	candidates = 8
+	// memberRetention is how long a VM that is no longer listed counts as a member of the fleet. A VM
+	// that was lost may still run, and use its share.
+	memberRetention = 30 * time.Second
+	idleWindows     = 2 // what a VM knows of a tenant without requests is forgotten after this many windows
+)
+
+// Verdict is the decision on a request.
+type Verdict int
+
+// Verdicts.
+const (
+	Admitted  Verdict = iota
+	Asking            // send Decision.Call; Answered or Failed decides
+	OverLimit         // the tenant has used up its limit
+	Unknown           // no accountant says whether the limit is used up
+)
+
+// Decision is the decision on a request.
+type Decision struct {
+	Verdict    Verdict
+	RetryAfter time.Duration // of OverLimit and Unknown
+	Call       *Outgoing     // of Asking
+	TellNow    bool          // Next has a call to send
+}
+
+// Outgoing is a call to send to an accountant, which may be this VM itself.
+type Outgoing struct {
+	To     string // name of the VM
+	Call   *Call
+	SentAt time.Time
+	late   bool // the request waits no longer
+}
+
+// Member decides on the requests that arrive at one VM.
+type Member struct {
+	config  Config
+	self    string
+	rng     *rand.Rand
+	vms     []VM                 // the fleet, this VM included
+	left    map[string]time.Time // VMs that are no longer listed, by the time up to which they count
+	groups  [Groups]following
+	tenants map[string]*usage
+	sweepAt time.Time // when idle tenants are to be forgotten
+}
+
+// following is what a VM knows of the accountant of a group.
+type following struct {
+	order     []string // candidates, the best first
+	cooldowns map[string]cooldown
+	name      string // accountant, empty if there is none
+	serial    int64
+	count     int64
+	fresh     bool      // see Call.Fresh
+	since     time.Time // when the accountant was chosen
+	heard     time.Time // when the latest answered call was sent; zero if none was
+	near      map[string]bool
+	allNear   bool
+	beatAt    time.Time // when the next call is due
+	pending   []string  // tenants of which there is something to tell
+	probing   bool      // a probe of a better candidate is under way
+}
+
+// cooldown keeps a VM that did not answer from being chosen.
+type cooldown struct {
+	until time.Time
+	next  time.Duration // the next one's length
+}
+
+// usage is what a VM knows of one tenant.
+type usage struct {
+	version   int64
+	limit     tenant.Limit
+	untold    int       // requests admitted without asking, of which the accountant was not told
+	sent      int       // likewise, of which a call under way tells
+	back      int       // tokens that were not used, of which the accountant was not told
+	pending   bool      // listed in following.pending
+	free      int       // requests that may be admitted before the accountant has been told
+	freeUntil time.Time // end of the validity of free
+	spent     []time.Time
+	fullUntil time.Time // the accountant has said that there is no room until then
+	retryAt   time.Time // when the latest refused caller was asked to come back
+	usedAt    time.Time // time of the latest request
+}
+
+// NewMember returns the part of the VM self, which knows no other VM yet.
+func NewMember(config Config, self VM, seed uint64) *Member {
+	m := &Member{config: config, self: self.Name, rng: rand.New(rand.NewPCG(seed, seed>>1)), left: make(map[string]time.Time), tenants: make(map[string]*usage)}
+	for i := range m.groups {
+		m.groups[i].cooldowns = make(map[string]cooldown)
+	}
+	m.SetVMs(time.Time{}, []VM{self})
+	return m
+}
+
+// SetVMs replaces the list of VMs of the fleet, this one included.
+func (m *Member) SetVMs(now time.Time, vms []VM) {
+	for _, vm := range m.vms {
+		if !slices.ContainsFunc(vms, func(v VM) bool { return v.Name == vm.Name }) {
+			m.left[vm.Name] = now.Add(memberRetention)
+		}
+	}
+	for _, vm := range vms {
+		delete(m.left, vm.Name)
+	}
+	m.vms = slices.Clone(vms)
+	for group := range m.groups {
+		f := &m.groups[group]
+		f.order = order(m.vms, group)
+		f.order = f.order[:min(len(f.order), candidates)]
+		for name := range f.cooldowns {
+			if !slices.Contains(f.order, name) {
+				delete(f.cooldowns, name)
+			}
+		}
+	}
+}
+
+// Members returns the number of VMs of the fleet. VMs that are no longer listed count for a while.
+func (m *Member) Members(now time.Time) int {
+	for name, until := range m.left {
+		if !now.Before(until) {
+			delete(m.left, name)
+		}
+	}
+	return max(1, len(m.vms)+len(m.left))
+}
+
+// Accountant returns the name of the VM that this one follows in a group, empty if there is none.
+func (m *Member) Accountant(group int) string { return m.groups[group].name }
+
+// Take decides on a request of a tenant, whose limit a manifest of the given version states.
+func (m *Member) Take(now time.Time, name string, version int64, limit tenant.Limit) Decision {
+	if !limit.Limited() {
+		return Decision{}
+	}
+	u := m.usage(name, version, limit)
+	u.usedAt = now
+	f := &m.groups[GroupOf(name)]
+	if m.far(now, f, name) {
+		free := 1
+		if now.Before(u.freeUntil) {
+			free = u.free
+		}
+		if u.untold+u.sent < free {
+			u.untold++
+			tell := u.untold+u.sent >= free
+			m.pend(now, f, name, u, tell)
+			return Decision{TellNow: tell}
+		}
+	}
+	if now.Before(u.fullUntil) {
+		return m.refuse(now, u)
+	}
+	if f.name == "" {
+		return m.unanswered(now, name, u)
+	}
+	return Decision{Verdict: Asking, Call: m.call(now, f, GroupOf(name), name)}
+}
+
+// far reports whether a tenant is far from its limit by a recent word of the accountant.
+func (m *Member) far(now time.Time, f *following, name string) bool {
+	return !f.heard.IsZero() && now.Sub(f.heard) < lapse(len(m.vms)) && !f.allNear && !f.near[name]
+}
+
+// usage returns what is known of a tenant.
+func (m *Member) usage(name string, version int64, limit tenant.Limit) *usage {
+	u := m.tenants[name]
+	if u == nil {
+		u = &usage{}
+		m.tenants[name] = u
+	}
+	if version != u.version || limit != u.limit {
+		u.version, u.limit, u.fullUntil, u.freeUntil = version, limit, time.Time{}, time.Time{}
+	}
+	return u
+}
+
+// pend notes that there is something to tell of a tenant, at once or soon.
+func (m *Member) pend(now time.Time, f *following, name string, u *usage, atOnce bool) {
+	if !u.pending {
+		u.pending = true
+		f.pending = append(f.pending, name)
+	}
+	due := now
+	if !atOnce {
+		due = now.Add(tellDelay)
+	}
+	if due.Before(f.beatAt) {
+		f.beatAt = due
+	}
+}
+
+// call returns a call to the accountant with all that there is to tell. If ask is not empty, the call
+// asks for a token of that tenant.
+func (m *Member) call(now time.Time, f *following, group int, ask string) *Outgoing {
+	f.count++
+	f.beatAt = now.Add(beat(len(m.vms)))
+	c := &Call{From: m.self, Group: group, Serial: f.serial, Fresh: f.fresh, Count: f.count}
+	add := func(name string, asks bool) {
+		u := m.tenants[name]
+		c.Usage = append(c.Usage, Usage{Tenant: name, Version: u.version, Limit: u.limit, Used: u.untold, Back: u.back, Ask: asks})
+		u.sent += u.untold
+		u.untold, u.back, u.pending = 0, 0, false
+	}
+	if ask != "" {
+		add(ask, true)
+	}
+	for _, name := range f.pending {
+		if name != ask {
+			add(name, false)
+		}
+	}
+	f.pending = f.pending[:0]
+	return &Outgoing{To: f.name, Call: c, SentAt: now}
+}
+
+// Next returns the calls that are due, and when it should be called next.
+func (m *Member) Next(now time.Time) (calls []*Outgoing, next time.Time) {
+	m.sweep(now)
+	next = now.Add(beat(len(m.vms)))
+	for group := range m.groups {
+		f := &m.groups[group]
+		m.choose(now, f)
+		if f.name == "" {
+			continue
+		}
+		if !now.Before(f.beatAt) {
+			calls = append(calls, m.call(now, f, group, ""))
+		}
+		if better := m.best(now, f); better != f.name && better != "" && !f.probing {
+			f.probing = true
+			calls = append(calls, &Outgoing{To: better, Call: &Call{From: m.self, Group: group}, SentAt: now})
+		}
+		if f.beatAt.Before(next) {
+			next = f.beatAt
+		}
+	}
+	return calls, next
+}
+
+// best returns the best candidate that is not in cooldown, empty if there is none.
+func (m *Member) best(now time.Time, f *following) string {
+	for _, name := range f.order {
+		if !now.Before(f.cooldowns[name].until) {
+			return name
+		}
+	}
+	return ""
+}
+
+// choose chooses an accountant if there is none, or if it is no longer a candidate.
+func (m *Member) choose(now time.Time, f *following) {
+	if f.name == "" || !slices.Contains(f.order, f.name) {
+		m.follow(now, f, m.best(now, f))
+	}
+}
+
+// follow changes the accountant of a group. What was told to the former one is kept.
+func (m *Member) follow(now time.Time, f *following, name string) {
+	if f.name == name {
+		return
+	}
+	f.fresh = f.since.IsZero() || now.Sub(f.since) >= m.config.Window
+	f.name, f.since, f.beatAt, f.count = name, now, now, 0
+	f.serial = max(f.serial+1, now.UnixNano())
+}
+
+// Answered records the answer to a call. If the call asked for a token, it returns the decision on the
+// request.
+func (m *Member) Answered(now time.Time, out *Outgoing, ans *Answer) Decision {
+	f := &m.groups[out.Call.Group]
+	if out.Call.Serial == 0 {
+		f.probing = false
+		delete(f.cooldowns, out.To)
+		if out.To == m.best(now, f) {
+			m.follow(now, f, out.To)
+		}
+		return Decision{}
+	}
+	current := out.Call.Serial == f.serial
+	if current {
+		delete(f.cooldowns, out.To)
+		if out.SentAt.After(f.heard) {
+			f.heard = out.SentAt
+		}
+		m.learn(f, ans)
+	}
+	var d Decision
+	for i, told := range out.Call.Usage {
+		u := m.tenants[told.Tenant]
+		if u == nil {
+			continue
+		}
+		u.sent -= told.Used
+		if i == 0 && current {
+			u.free, u.freeUntil = ans.Free, out.SentAt.Add(lapse(len(m.vms)))
+		}
+		if told.Ask {
+			d = m.decide(now, f, out, told.Tenant, u, ans)
+		}
+	}
+	return d
+}
+
+// decide returns the decision on a request for which a token was asked.
+func (m *Member) decide(now time.Time, f *following, out *Outgoing, name string, u *usage, ans *Answer) Decision {
+	if ans.Granted && (out.late || now.Sub(out.SentAt) > m.config.tokenLife()) {
+		u.back++
+		m.pend(now, f, name, u, false)
+	}
+	switch {
+	case out.late:
+		return Decision{}
+	case !ans.Asked, ans.Granted && now.Sub(out.SentAt) > m.config.tokenLife():
+		return m.unanswered(now, name, u)
+	case ans.Granted:
+		return Decision{}
+	case ans.Unsure:
+		return m.unanswered(now, name, u)
+	}
+	u.fullUntil = now.Add(time.Duration(ans.RoomMS) * time.Millisecond)
+	u.retryAt = now.Add(time.Duration(ans.RetryMS) * time.Millisecond)
+	return Decision{Verdict: OverLimit, RetryAfter: u.retryAt.Sub(now)}
+}
+
+// Failed records that a call was not answered. If the call asked for a token, it returns the decision
+// on the request.
+func (m *Member) Failed(now time.Time, out *Outgoing) Decision {
+	f := &m.groups[out.Call.Group]
+	if out.Call.Serial == 0 {
+		f.probing = false
+	}
+	c := f.cooldowns[out.To]
+	if out.Call.Serial == 0 || out.Call.Serial == f.serial && f.name == out.To {
+		c.next = min(maxCooldown, max(firstCooldown, 2*c.next))
+		c.until = now.Add(c.next)
+		f.cooldowns[out.To] = c
+	}
+	if out.Call.Serial == f.serial && f.name == out.To {
+		m.follow(now, f, m.best(now, f))
+	}
+	var d Decision
+	for _, told := range out.Call.Usage {
+		u := m.tenants[told.Tenant]
+		if u == nil {
+			continue
+		}
+		u.sent -= told.Used
+		if told.Used > 0 {
+			u.untold += told.Used
+			m.pend(now, f, told.Tenant, u, false)
+		}
+		if told.Ask && !out.late {
+			d = m.unanswered(now, told.Tenant, u)
+		}
+	}
+	return d
+}
+
+// Late decides on the request for which a call asks for a token, when it may wait no longer. The call
+// remains under way. A token that it gets is given back.
+func (m *Member) Late(now time.Time, out *Outgoing) Decision {
+	out.late = true
+	name := out.Call.Usage[0].Tenant
+	if u := m.tenants[name]; u != nil {
+		return m.unanswered(now, name, u)
+	}
+	return Decision{Verdict: Unknown, RetryAfter: retryPause}
+}
+
+// Hear records what an accountant tells all its followers.
+func (m *Member) Hear(from string, group int, ans *Answer) {
+	if group < 0 || group >= Groups {
+		return
+	}
+	if f := &m.groups[group]; f.name == from {
+		m.learn(f, ans)
+	}
+}
+
+// learn records which tenants are near their limit.
+func (m *Member) learn(f *following, ans *Answer) {
+	f.allNear = ans.AllNear
+	if len(ans.Near) == 0 {
+		f.near = nil
+		return
+	}
+	f.near = make(map[string]bool, len(ans.Near))
+	for _, name := range ans.Near {
+		f.near[name] = true
+	}
+}
+
+// Unused gives back what Take took, for a request that has not run.
+func (m *Member) Unused(now time.Time, name string) {
+	u := m.tenants[name]
+	switch {
+	case u == nil:
+	case u.untold > 0:
+		u.untold--
+	case len(u.spent) > 0:
+		u.spent = u.spent[:len(u.spent)-1]
+	default:
+		u.back++
+		m.pend(now, &m.groups[GroupOf(name)], name, u, false)
+	}
+}
+
+// refuse refuses a request of a tenant that has used up its limit. Callers are asked to come back one
+// after the other.
+func (m *Member) refuse(now time.Time, u *usage) Decision {
+	if u.retryAt.Before(u.fullUntil) {
+		u.retryAt = u.fullUntil
+	}
+	u.retryAt = u.retryAt.Add(seconds(1 / (m.config.rate(u.limit) * returnShare)))
+	if latest := now.Add(maxRetryAfter); u.retryAt.After(latest) {
+		u.retryAt = latest.Add(-time.Duration(m.rng.Int64N(int64(maxRetryAfter / 2))))
+	}
+	return Decision{Verdict: OverLimit, RetryAfter: u.retryAt.Sub(now)}
+}
+
+// unanswered decides on a request while no accountant says whether the limit is used up: some VMs hold
+// a spare token of the tenant, which they may use once in a window.
+func (m *Member) unanswered(now time.Time, name string, u *usage) Decision {
+	u.spent = slices.DeleteFunc(u.spent, func(t time.Time) bool { return now.Sub(t) > m.config.Window })
+	if len(u.spent) < m.spare(now, name, u.limit) {
+		u.spent = append(u.spent, now)
+		return Decision{}
+	}
+	return Decision{Verdict: Unknown, RetryAfter: retryPause + time.Duration(m.rng.Int64N(int64(retryPause)))}
+}
+
+// spare returns the number of spare tokens of a tenant that this VM holds. They are whole, and divided
+// by rank of a hash.
+func (m *Member) spare(now time.Time, name string, limit tenant.Limit) int {
+	total := int(math.Floor(m.config.spare(limit) * (1 - initialShare)))
+	rank, own := 0, hash(name, m.self)
+	for _, vm := range m.vms {
+		if vm.Name != m.self && hash(name, vm.Name) < own {
+			rank++
+		}
+	}
+	members := m.Members(now)
+	tokens := total / members
+	if rank < total%members {
+		tokens++
+	}
+	return tokens
+}
+
+// sweep forgets tenants without requests, once in a window.
+func (m *Member) sweep(now time.Time) {
+	if now.Before(m.sweepAt) {
+		return
+	}
+	m.sweepAt = now.Add(m.config.Window)
+	for name, u := range m.tenants {
+		idle := now.Sub(u.usedAt) > idleWindows*m.config.Window
+		if idle && u.untold+u.sent+u.back == 0 && !u.pending {
+			delete(m.tenants, name)
+		}
+	}
+}
