Allotments at the daemon: requests ask their accountant near the limit

takeToken and returnToken use package allotment over the connections between VMs (methods allot and allot_near). A request of a tenant near its limit waits for the accountant at most a quarter of its route's latency objective. 429 is sent only if the limit is used up, 503 if that is not known. Without allotment.window_s in the settings nothing starts; a request without a limited tenant allocates nothing.

--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -109,6 +109,9 @@
 // Near returns the number of tenants near their limit.
 func (a *Accountant) Near() int { return len(a.near) }
 
+// NearTenants returns the tenants near their limit, sorted. The list must not be changed.
+func (a *Accountant) NearTenants() []string { return a.near }
+
 // Idle reports whether nobody follows any more, so that the accountant may be dropped.
 func (a *Accountant) Idle(now time.Time) bool {
 	a.recountIfDue(now)
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -251,6 +251,16 @@
 	})
 }
 
+// Guards against a VM that takes itself for the whole fleet while it has not read the list of VMs.
+func TestVMWithoutAListAdmitsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	m := NewMember(testConfig, "vm", 1)
+	calls, _ := m.Next(now)
+	g.Expect(calls).To(gomega.BeEmpty())
+	g.Expect(m.Take(now, name, 1, large).Verdict).To(gomega.Equal(Unknown))
+}
+
 // accountantOr returns the accountant of the tenant, or v if there is none.
 func (f *fleet) accountantOr(v *fleetVM) *fleetVM {
 	if who := v.member.Accountant(GroupOf(name)); who != "" {
@@ -262,7 +272,7 @@
 // BenchmarkTakeFar measures the decision on a request of a tenant far from its limit.
 func BenchmarkTakeFar(b *testing.B) {
 	now := time.Now()
-	m := NewMember(testConfig, VM{Name: "vm", Power: 1}, 1)
+	m := NewMember(testConfig, "vm", 1)
 	f := &m.groups[GroupOf(name)]
 	f.name, f.heard, f.beatAt = "vm", now, now
 	u := m.usage(name, 1, large)
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -71,7 +71,7 @@
 // start starts a VM, or starts it anew.
 func (f *fleet) start(v *fleetVM) {
 	v.down, v.frozen, v.accountants, v.nextAt = false, false, map[int]*Accountant{}, time.Time{}
-	v.member = NewMember(testConfig, VM{Name: v.name, Power: 1}, f.rng.Uint64())
+	v.member = NewMember(testConfig, v.name, f.rng.Uint64())
 	v.member.SetVMs(f.clock(v), f.list)
 }
 
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -97,13 +97,13 @@
 	usedAt    time.Time // time of the latest request
 }
 
-// NewMember returns the part of the VM self, which knows no other VM yet.
-func NewMember(config Config, self VM, seed uint64) *Member {
-	m := &Member{config: config, self: self.Name, rng: rand.New(rand.NewPCG(seed, seed>>1)), left: make(map[string]time.Time), tenants: make(map[string]*usage)}
+// NewMember returns the part of the VM self. It knows no accountant and holds no token until SetVMs is
+// called: a VM that doesn't know the fleet doesn't know its share.
+func NewMember(config Config, self string, seed uint64) *Member {
+	m := &Member{config: config, self: self, rng: rand.New(rand.NewPCG(seed, seed>>1)), left: make(map[string]time.Time), tenants: make(map[string]*usage)}
 	for i := range m.groups {
 		m.groups[i].cooldowns = make(map[string]cooldown)
 	}
-	m.SetVMs(time.Time{}, []VM{self})
 	return m
 }
 
@@ -455,6 +455,9 @@
 			rank++
 		}
 	}
+	if len(m.vms) == 0 {
+		return 0
+	}
 	members := m.Members(now)
 	tokens := total / members
 	if rank < total%members {
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -2,12 +2,356 @@
 
 import (
 	"context"
+	"log/slog"
+	"math"
+	"net/http"
+	"slices"
+	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bramleybarrow/bramleybarrow/allotment"
+	"github.com/bramleybarrow/bramleybarrow/logging"
+	"github.com/bramleybarrow/bramleybarrow/routing"
+	"github.com/bramleybarrow/bramleybarrow/scatter"
+)
+
+// Bounds of the wait for an accountant's answer to a request of a tenant near its limit.
+const (
+	askWaitShare = 0.25 // of the route's latency objective
+	minAskWait   = 5 * time.Millisecond
+	maxAskWait   = 100 * time.Millisecond
 )
 
+// idleAllotmentPeriod is the interval at which a VM looks for limits while its manifest states none.
+const idleAllotmentPeriod = time.Second
+
+// config returns the tolerances in the form that package allotment uses.
+func (s AllotmentSettings) config() allotment.Config {
+	return allotment.Config{Window: time.Duration(s.WindowS * float64(time.Second)), Excess: s.Excess, Slack: s.Slack}
+}
+
+// allotments keeps the limits of tenants: this VM's part, and that of an accountant where other VMs
+// follow this one. It is safe for concurrent use.
+type allotments struct {
+	e      *Engine
+	self   scatter.VM
+	config allotment.Config
+	log    *slog.Logger
+	wake   wakeup // wakes the loop that sends calls
+
+	mu          sync.Mutex // guards the fields below
+	member      *allotment.Member
+	accountants [allotment.Groups]*allotment.Accountant // nil for groups in which no VM follows this one
+	near        [allotment.Groups][]string              // tenants near their limit, as last logged
+	over        map[string]time.Time                    // tenants near their limit, by when it was last logged that they have used it up
+	followed    [allotment.Groups]string                // accountants, as last logged
+	vms         map[string]scatter.VM                   // the other VMs, by name
+	version     int64                                   // manifest whose limits the accountants have
+	limited     bool                                    // that manifest states limits
+
+	admitted, asked, overLimit, unknown, late, returned, changes *metrics.Counter
+}
+
+// newAllotments returns the limits of tenants at the VM self, with their metrics.
+func newAllotments(e *Engine, self scatter.VM, config allotment.Config, seed uint64) *allotments {
+	a := &allotments{
+		e: e, self: self, config: config, log: logging.Component(e.log, "allotments"), wake: newWakeup(),
+		member: allotment.NewMember(config, self.Name, seed),
+		vms:    make(map[string]scatter.VM), over: make(map[string]time.Time),
+	}
+	set := e.stats.set
+	a.admitted = set.NewCounter(`bramley_edge_allotment_requests_total{decision="admitted"}`)
+	a.overLimit = set.NewCounter(`bramley_edge_allotment_requests_total{decision="over_limit"}`)
+	a.unknown = set.NewCounter(`bramley_edge_allotment_requests_total{decision="unknown"}`)
+	a.asked = set.NewCounter(`bramley_edge_allotment_asked_total`)
+	a.late = set.NewCounter(`bramley_edge_allotment_late_total`)
+	a.returned = set.NewCounter(`bramley_edge_allotment_returned_total`)
+	a.changes = set.NewCounter(`bramley_edge_allotment_accountant_changes_total`)
+	set.NewGauge(`bramley_edge_allotment_near_tenants`, func() float64 { return a.sum(func(c *allotment.Accountant) int { return c.Near() }) })
+	set.NewGauge(`bramley_edge_allotment_followers`, func() float64 {
+		return a.sum(func(c *allotment.Accountant) int { following, _ := c.Followers(); return following })
+	})
+	return a
+}
+
+// sum adds up a number over this VM's groups as accountant.
+func (a *allotments) sum(of func(*allotment.Accountant) int) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	total := 0
+	for _, c := range a.accountants {
+		if c != nil {
+			total += of(c)
+		}
+	}
+	return float64(total)
+}
+
+// startAllotments keeps the limits of tenants until ctx ends, if the settings say how far they may be
+// exceeded.
+func (n *Node) startAllotments(ctx context.Context) {
+	if n.settings.Allotment.WindowS <= 0 {
+		return
+	}
+	a := newAllotments(n.engine, n.self, n.settings.Allotment.config(), uint64(time.Now().UnixNano()))
+	n.engine.allotments.Store(a)
+	n.tomb.Go(func() error {
+		probeLoop(ctx, a.wake, func(ctx context.Context) (bool, time.Time) { return false, a.round(ctx, time.Now()) })
+		return nil
+	})
+}
+
 // takeToken takes one request from the limit of its tenant, and returns a rejection if the limit is
-// used up.
-func (e *Engine) takeToken(_ context.Context, _ time.Time, _ origin) *rejection { return nil }
+// used up, or if it is not known whether it is.
+func (e *Engine) takeToken(ctx context.Context, now time.Time, who origin, route *routing.Route) *rejection {
+	a := e.allotments.Load()
+	if a == nil || who.tenant == nil || !who.tenant.Limit.Limited() {
+		return nil
+	}
+	version := int64(0)
+	if m := e.inForce.Get(); m != nil {
+		version = m.Version
+	}
+	a.mu.Lock()
+	d := a.member.Take(now, who.tenant.Name, version, who.tenant.Limit)
+	a.mu.Unlock()
+	if d.TellNow {
+		a.wake.notify()
+	}
+	if d.Verdict == allotment.Asking {
+		a.asked.Inc()
+		d = a.ask(ctx, d.Call, askWait(route))
+	}
+	switch d.Verdict {
+	case allotment.OverLimit:
+		a.overLimit.Inc()
+		return &rejection{status: http.StatusTooManyRequests, why: "over_limit", retryAfter: d.RetryAfter}
+	case allotment.Unknown:
+		a.unknown.Inc()
+		return &rejection{status: http.StatusServiceUnavailable, why: "limit_unknown", retryAfter: d.RetryAfter}
+	default:
+		a.admitted.Inc()
+		return nil
+	}
+}
+
+// askWait returns how long a request of a route may wait for an accountant.
+func askWait(route *routing.Route) time.Duration {
+	wait := time.Duration(askWaitShare * float64(route.Aim))
+	return min(max(wait, minAskWait), maxAskWait)
+}
 
 // returnToken gives back what takeToken took, for a request that has not run.
-func (e *Engine) returnToken(_ time.Time, _ origin) {}
+func (e *Engine) returnToken(now time.Time, who origin) {
+	a := e.allotments.Load()
+	if a == nil || who.tenant == nil || !who.tenant.Limit.Limited() {
+		return
+	}
+	a.returned.Inc()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.member.Unused(now, who.tenant.Name)
+}
+
+// ask asks an accountant for a token, and decides after wait without its answer. The call continues, so
+// that an accountant that does not answer is found out.
+func (a *allotments) ask(ctx context.Context, out *allotment.Outgoing, wait time.Duration) allotment.Decision {
+	decided := make(chan allotment.Decision, 1)
+	go a.send(out, decided)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case d := <-decided:
+		return d
+	default:
+		a.late.Inc()
+		return a.member.Late(time.Now(), out)
+	}
+}
+
+// send sends a call to an accountant and records the answer. decided, which may be nil, receives the
+// decision on the request for which the call asks.
+func (a *allotments) send(out *allotment.Outgoing, decided chan<- allotment.Decision) {
+	ans, err := a.call(out)
+	if err != nil {
+		a.log.Debug("call to an accountant failed", "vm", out.To, "group", out.Call.Group, "error", err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var d allotment.Decision
+	if err != nil {
+		d = a.member.Failed(time.Now(), out)
+		a.wake.notify() // the next candidate is told at once
+	} else {
+		d = a.member.Answered(time.Now(), out, ans)
+	}
+	if out.Call.Serial == 0 {
+		a.wake.notify() // the better candidate may be followed now
+	}
+	if decided != nil {
+		decided <- d
+	}
+}
+
+// call sends a call to an accountant, which may be this VM.
+func (a *allotments) call(out *allotment.Outgoing) (*allotment.Answer, error) {
+	if out.To == a.self.Name {
+		return a.serve(out.Call), nil
+	}
+	a.mu.Lock()
+	vm, known := a.vms[out.To]
+	a.mu.Unlock()
+	if !known {
+		return nil, errNotConnected
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), allotment.CallTimeout)
+	defer cancel()
+	ans := new(allotment.Answer)
+	return ans, a.e.currentPeerClient().allot(ctx, vm, out.Call, ans)
+}
+
+// serve answers a call of a VM, and tells all followers if a tenant has come near its limit.
+func (a *allotments) serve(call *allotment.Call) *allotment.Answer {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.applyManifest(now)
+	c := a.accountants[call.Group]
+	if c == nil {
+		c = allotment.NewAccountant(a.config, call.Group, a.member.Members(now), now)
+		if m := a.e.inForce.Get(); m != nil {
+			c.SetLimits(now, m.Version, m.Tenants)
+		}
+		a.accountants[call.Group] = c
+	}
+	ans := c.Serve(now, call)
+	if ans.Asked && !ans.Granted && !ans.Unsure {
+		a.logOver(now, call.Usage[0].Tenant)
+	}
+	if ans.Flipped {
+		word := &allotmentWord{Group: call.Group, Answer: c.Word()}
+		client := a.e.currentPeerClient()
+		go client.tellNear(word)
+	}
+	a.logNear(call.Group)
+	return &ans
+}
+
+// hear records what an accountant tells its followers.
+func (a *allotments) hear(from string, word *allotmentWord) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.member.Hear(from, word.Group, &word.Answer)
+}
+
+// setVMs sets the list of the other VMs. a may be nil.
+func (a *allotments) setVMs(others []scatter.VM) {
+	if a == nil {
+		return
+	}
+	list := []allotment.VM{{Name: a.self.Name, Power: a.self.Power}}
+	vms := make(map[string]scatter.VM, len(others))
+	for _, vm := range others {
+		list = append(list, allotment.VM{Name: vm.Name, Power: vm.Power})
+		vms[vm.Name] = vm
+	}
+	a.mu.Lock()
+	a.vms = vms
+	a.member.SetVMs(time.Now(), list)
+	a.mu.Unlock()
+	a.wake.notify()
+}
+
+// applyManifest gives the limits of the manifest in force to the accountants, if it is a new one. The
+// caller must hold a.mu.
+func (a *allotments) applyManifest(now time.Time) {
+	m := a.e.inForce.Get()
+	if m == nil || m.Version == a.version {
+		return
+	}
+	a.version, a.limited = m.Version, false
+	for i := range m.Tenants {
+		a.limited = a.limited || m.Tenants[i].Limit.Limited()
+	}
+	for _, c := range a.accountants {
+		if c != nil {
+			c.SetLimits(now, m.Version, m.Tenants)
+		}
+	}
+}
+
+// round sends the calls that are due, and returns when the next one is.
+func (a *allotments) round(_ context.Context, now time.Time) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.applyManifest(now)
+	for group, c := range a.accountants {
+		if c == nil {
+			continue
+		}
+		c.SetMembers(now, a.member.Members(now))
+		if c.Idle(now) {
+			a.accountants[group] = nil
+		}
+		a.logNear(group)
+	}
+	if !a.limited {
+		return now.Add(idleAllotmentPeriod)
+	}
+	calls, next := a.member.Next(now)
+	for _, out := range calls {
+		go a.send(out, nil)
+	}
+	for group := range allotment.Groups {
+		if name := a.member.Accountant(group); name != a.followed[group] {
+			a.changes.Inc()
+			a.log.Info("accountant changed", "group", group, "vm", name, "before", a.followed[group])
+			a.followed[group] = name
+		}
+	}
+	return next
+}
+
+// logNear logs which tenants have come near their limit or are far from it again. The caller must hold
+// a.mu.
+func (a *allotments) logNear(group int) {
+	var near []string
+	following, members := 0, 0
+	if c := a.accountants[group]; c != nil {
+		near = c.NearTenants()
+		following, members = c.Followers()
+	}
+	before := a.near[group]
+	if slices.Equal(near, before) {
+		return
+	}
+	a.near[group] = near
+	a.log.Info("tenants near their limit", "group", group, "near", len(near), "first", near[:min(len(near), loggedTenants)], "before", len(before), "followers", following, "vms", members)
+	for _, name := range before {
+		if _, found := slices.BinarySearch(near, name); !found {
+			delete(a.over, name)
+		}
+	}
+}
+
+// loggedTenants bounds the tenants that a log line names.
+const loggedTenants = 8
+
+// logOver logs that a tenant has used up its limit, once in a window. The caller must hold a.mu.
+func (a *allotments) logOver(now time.Time, name string) {
+	if last, known := a.over[name]; known && now.Sub(last) < a.config.Window {
+		return
+	}
+	a.over[name] = now
+	a.log.Info("tenant has used up its limit", "tenant", name, "window_s", math.Round(a.config.Window.Seconds()))
+}
--- /dev/null
+++ b/edge/allotments_test.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/allotment"
+	"github.com/bramleybarrow/bramleybarrow/logging"
+	"github.com/bramleybarrow/bramleybarrow/routing"
+	"github.com/bramleybarrow/bramleybarrow/scatter"
+	"github.com/bramleybarrow/bramleybarrow/tenant"
+	"github.com/bramleybarrow/bramleybarrow/wire"
+)
+
+// limitedSite returns VMs with the given names that call each other over loopback, and their
+// transports. Their manifest limits a tenant to 2 requests a second.
+func limitedSite(t *testing.T, names ...string) (engines []*Engine, transports []*peerTransport) {
+	g := gomega.NewWithT(t)
+	var vms []scatter.VM
+	for _, name := range names {
+		e := NewEngine(EngineOptions{Self: name, Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+		key := make([]byte, 32)
+		p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: name, Incarnation: name}, "127.0.0.1:0", key, logging.Discard())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(p.close)
+		e.setPeerClient(p)
+		e.inForce.Offer(routing.NewManifest(routing.Document{Version: 1, Tenants: []tenant.Tenant{limitedTenant}}))
+		engines, transports = append(engines, e), append(transports, p)
+		vms = append(vms, scatter.VM{Name: name, Zone: "z", Power: 1, Address: p.server.Addr().String(), Key: string(key)})
+	}
+	for i, e := range engines {
+		n := &Node{engine: e, self: vms[i], settings: &Settings{Allotment: AllotmentSettings{WindowS: 5, Excess: 0.1, Slack: 4}}}
+		n.startAllotments(t.Context())
+		e.setVMs(append(append([]scatter.VM{}, vms[:i]...), vms[i+1:]...))
+	}
+	return engines, transports
+}
+
+var (
+	limitedTenant = tenant.Tenant{Name: "tenant", Limit: tenant.Limit{RatePerS: 2, Burst: 2}}
+	limitedRoute  = &routing.Route{Aim: 400 * time.Millisecond}
+)
+
+// Guards against VMs that each keep a limit of their own, and a 429 that names no time.
+func TestVMsKeepALimitTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, _ := limitedSite(t, "a", "b", "c")
+	who := origin{tenant: &limitedTenant}
+	var over *rejection
+	admitted := 0
+	g.Eventually(func() bool {
+		for _, e := range engines {
+			switch rejected := e.takeToken(t.Context(), time.Now(), who, limitedRoute); {
+			case rejected == nil:
+				admitted++
+			case rejected.status == http.StatusTooManyRequests:
+				over = rejected
+			}
+		}
+		return over != nil
+	}, "20s", "1ms").Should(gomega.BeTrue())
+	g.Expect(over.retryAfter).To(gomega.BeNumerically(">", 0))
+	config := (AllotmentSettings{WindowS: 5, Excess: 0.1, Slack: 4}).config()
+	g.Expect(admitted).To(gomega.BeNumerically("<=", 4*config.Bound(limitedTenant.Limit)), "20 s at most are 4 windows")
+}
+
+// Guards against a request that waits for an accountant that is gone, or is told that it is over the
+// limit.
+func TestRequestIsDecidedWithoutItsAccountant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, transports := limitedSite(t, "a", "b", "c")
+	var follower *Engine
+	g.Eventually(func() *Engine {
+		for i, e := range engines {
+			a := e.allotments.Load()
+			a.mu.Lock()
+			accountant := a.member.Accountant(allotment.GroupOf(limitedTenant.Name))
+			a.mu.Unlock()
+			if accountant != "" && accountant != a.self.Name {
+				follower = engines[i]
+			}
+		}
+		return follower
+	}, "10s").ShouldNot(gomega.BeNil())
+	for i, p := range transports {
+		if engines[i] != follower {
+			p.close()
+		}
+	}
+	for range 50 {
+		rejected := follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute)
+		if rejected != nil {
+			g.Expect(rejected.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(rejected.retryAfter).To(gomega.BeNumerically(">", 0))
+			return
+		}
+	}
+	g.Expect("50 requests admitted").To(gomega.BeEmpty())
+}
+
+// Guards against costs and refusals where nothing is limited.
+func TestRequestsWithoutALimitAreNotCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, _ := limitedSite(t, "a")
+	off := NewEngine(EngineOptions{Self: "a", Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	for _, e := range []*Engine{engines[0], off} {
+		for _, who := range []origin{{}, {tenant: &tenant.Tenant{Name: "unlimited"}}} {
+			g.Expect(testing.AllocsPerRun(100, func() {
+				if e.takeToken(t.Context(), time.Time{}, who, limitedRoute) != nil {
+					t.Error("refused")
+				}
+				e.returnToken(time.Time{}, who)
+			})).To(gomega.BeZero())
+		}
+	}
+}
--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/bramleybarrow/bramleybarrow/allotment"
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/topk"
@@ -30,6 +31,10 @@
 	// follow sends a call to a VM that reads the store for others, and stores the decoded answer
 	// in into. method is one of those by which a VM follows another one.
 	follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error
+	// allot sends a call to the accountant of a group of tenants, and stores the answer in into.
+	allot(ctx context.Context, vm scatter.VM, call *allotment.Call, into *allotment.Answer) error
+	// tellNear tells the VMs that follow this one as accountant which tenants are near their limit.
+	tellNear(word *allotmentWord)
 }
 
 // neverSentError reports that no part of a call to another VM was sent.
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
@@ -22,11 +23,12 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats // counters and histograms
-	feed             *feed  // read by the VMs that follow this one
-	livenessCheckDue wakeup // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup // wakes probeLeafs after a leaf did not answer or could not be reached
+	stats            *stats                     // counters and histograms
+	feed             *feed                      // read by the VMs that follow this one
+	allotments       atomic.Pointer[allotments] // limits of tenants; nil if the settings have none
+	livenessCheckDue wakeup                     // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup                     // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
@@ -123,6 +125,7 @@
 
 // setVMs replaces the list of the other VMs.
 func (e *Engine) setVMs(others []scatter.VM) {
+	e.allotments.Load().setVMs(others)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.SetVMs(time.Now(), others)
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -50,7 +50,7 @@
 	}
 	who, rejected := e.authenticate(r, m, route)
 	if rejected == nil {
-		rejected = e.takeToken(r.Context(), arrived, who)
+		rejected = e.takeToken(r.Context(), arrived, who, route)
 	}
 	if rejected != nil {
 		e.reject(w, r, rejected, m.Version)
@@ -58,6 +58,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
+		e.returnToken(time.Now(), who)
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -206,6 +206,7 @@
 // startLoops starts the background loops: following the store, announcing this VM,
 // maintaining connections, and probing.
 func (n *Node) startLoops(ctx context.Context) {
+	n.startAllotments(ctx)
 	r := newRelay(n.store, n.engine, n.maxStaleness())
 	f := &follower{
 		e:           n.engine,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -110,6 +110,8 @@
 			return nil, err
 		}
 		return e.serveFollow(ctx, method, call)
+	case methodAllot, methodAllotNear:
+		return e.serveAllotment(conn.Peer().VM, method, params)
 	default:
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
