Allotments: VMs that don't run keep no share of a limit

A VM that was killed remains in the list of VMs, so limits would stay lowered by its share while it is down. The accountant dials VMs that don't follow it; one that refuses connections doesn't run and counts no more. One that doesn't answer may be cut off, and keeps its share.

An accountant is given up after two unanswered calls, of which the second was sent after the first had failed, since the calling VM may have been paused itself.

Seen red: TestVMsThatDoNotRunKeepNoShareOfALimit without the count of such VMs; TestRequestsWithoutALimitAreNotCounted now looks at the counter (it had passed with unlimited tenants counted).

--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// SetMembers sets the number of VMs of the fleet.
+// SetMembers sets the number of VMs of the fleet, less those that are known not to run.
 func (a *Accountant) SetMembers(now time.Time, members int) {
 	if members = max(members, 1); members != a.members {
 		a.members = members
@@ -106,6 +106,12 @@
 	return following, a.members
 }
 
+// Follows reports whether a VM follows the accountant.
+func (a *Accountant) Follows(vm string) bool {
+	f := a.followers[vm]
+	return f != nil && !f.lapsed
+}
+
 // Near returns the number of tenants near their limit.
 func (a *Accountant) Near() int { return len(a.near) }
 
--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -36,9 +36,10 @@
 // rate returns the rate at which a tenant's bucket fills, in tokens per second.
 func (c Config) rate(l tenant.Limit) float64 { return l.RatePerS * (1 + c.Excess*bucketExcessShare) }
 
-// capacity returns how many tokens a tenant's bucket holds.
+// capacity returns how many tokens a tenant's bucket holds: one at least, without which no request
+// could run.
 func (c Config) capacity(l tenant.Limit) float64 {
-	return l.Burst*(1+c.Excess*bucketExcessShare) + c.Slack*bucketSlackShare
+	return max(1, l.Burst*(1+c.Excess*bucketExcessShare)+c.Slack*bucketSlackShare)
 }
 
 // spare returns how many tokens there are beside the bucket in a window.
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -14,8 +14,8 @@
 	// candidates is how many VMs, in their order, may become accountant of a group.
 	candidates = 8
 	// memberRetention is how long a VM that is no longer listed counts as a member of the fleet. A VM
-	// that was lost may still run, and use its share.
-	memberRetention = 30 * time.Second
+	// that is told to stop still serves callers for some seconds.
+	memberRetention = 10 * time.Second
 	idleWindows     = 2 // what a VM knows of a tenant without requests is forgotten after this many windows
 )
 
@@ -73,12 +73,13 @@
 	beatAt    time.Time // when the next call is due
 	pending   []string  // tenants of which there is something to tell
 	probing   bool      // a probe of a better candidate is under way
+	failedAt  time.Time // when a call was not answered, zero if the latest one was
 }
 
 // cooldown keeps a VM that did not answer from being chosen.
 type cooldown struct {
-	until time.Time
-	next  time.Duration // the next one's length
+	until  time.Time
+	length time.Duration
 }
 
 // usage is what a VM knows of one tenant.
@@ -276,7 +277,7 @@
 		return
 	}
 	f.fresh = f.since.IsZero() || now.Sub(f.since) >= m.config.Window
-	f.name, f.since, f.beatAt, f.count = name, now, now, 0
+	f.name, f.since, f.beatAt, f.count, f.failedAt = name, now, now, 0, time.Time{}
 	f.serial = max(f.serial+1, now.UnixNano())
 }
 
@@ -295,6 +296,7 @@
 	current := out.Call.Serial == f.serial
 	if current {
 		delete(f.cooldowns, out.To)
+		f.failedAt = time.Time{}
 		if out.SentAt.After(f.heard) {
 			f.heard = out.SentAt
 		}
@@ -345,14 +347,16 @@
 	if out.Call.Serial == 0 {
 		f.probing = false
 	}
-	c := f.cooldowns[out.To]
-	if out.Call.Serial == 0 || out.Call.Serial == f.serial && f.name == out.To {
-		c.next = min(maxCooldown, max(firstCooldown, 2*c.next))
-		c.until = now.Add(c.next)
-		f.cooldowns[out.To] = c
-	}
-	if out.Call.Serial == f.serial && f.name == out.To {
+	switch followed := out.Call.Serial == f.serial && f.name == out.To; {
+	case followed && f.failedAt.IsZero():
+		// This VM may have been paused itself, so a second call has to fail.
+		f.failedAt, f.beatAt = now, now
+	case followed && out.SentAt.Before(f.failedAt):
+	case followed:
+		m.exclude(now, f, out.To)
 		m.follow(now, f, m.best(now, f))
+	case out.Call.Serial == 0:
+		m.exclude(now, f, out.To)
 	}
 	var d Decision
 	for _, told := range out.Call.Usage {
@@ -372,6 +376,12 @@
 	return d
 }
 
+// exclude keeps a VM that does not answer from being chosen as accountant for a while.
+func (m *Member) exclude(now time.Time, f *following, name string) {
+	next := min(maxCooldown, max(firstCooldown, 2*f.cooldowns[name].length))
+	f.cooldowns[name] = cooldown{until: now.Add(next), length: next}
+}
+
 // Late decides on the request for which a call asks for a token, when it may wait no longer. The call
 // remains under way. A token that it gets is given back.
 func (m *Member) Late(now time.Time, out *Outgoing) Decision {
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -48,6 +51,8 @@
 	over        map[string]time.Time                    // tenants near their limit, by when it was last logged that they have used it up
 	followed    [allotment.Groups]string                // accountants, as last logged
 	vms         map[string]scatter.VM                   // the other VMs, by name
+	gone        map[string]time.Time                    // VMs that don't run, by when that was last seen
+	goneCheckAt time.Time                               // when VMs that don't follow this one are to be checked
 	version     int64                                   // manifest whose limits the accountants have
 	limited     bool                                    // that manifest states limits
 
@@ -59,7 +64,7 @@
 	a := &allotments{
 		e: e, self: self, config: config, log: logging.Component(e.log, "allotments"), wake: newWakeup(),
 		member: allotment.NewMember(config, self.Name, seed),
-		vms:    make(map[string]scatter.VM), over: make(map[string]time.Time),
+		vms:    make(map[string]scatter.VM), over: make(map[string]time.Time), gone: make(map[string]time.Time),
 	}
 	set := e.stats.set
 	a.admitted = set.NewCounter(`bramley_edge_allotment_requests_total{decision="admitted"}`)
@@ -229,6 +234,7 @@
 	c := a.accountants[call.Group]
 	if c == nil {
 		c = allotment.NewAccountant(a.config, call.Group, a.member.Members(now), now)
+		a.goneCheckAt = now.Add(goneCheckDelay)
 		if m := a.e.inForce.Get(); m != nil {
 			c.SetLimits(now, m.Version, m.Tenants)
 		}
@@ -267,6 +273,7 @@
 	}
 	a.mu.Lock()
 	a.vms = vms
+	maps.DeleteFunc(a.gone, func(name string, _ time.Time) bool { _, listed := vms[name]; return !listed })
 	a.member.SetVMs(time.Now(), list)
 	a.mu.Unlock()
 	a.wake.notify()
@@ -299,7 +306,7 @@
 		if c == nil {
 			continue
 		}
-		c.SetMembers(now, a.member.Members(now))
+		c.SetMembers(now, a.member.Members(now)-a.goneFrom(now, c))
 		if c.Idle(now) {
 			a.accountants[group] = nil
 		}
@@ -308,6 +315,7 @@
 	if !a.limited {
 		return now.Add(idleAllotmentPeriod)
 	}
+	a.checkGone(now)
 	calls, next := a.member.Next(now)
 	for _, out := range calls {
 		go a.send(out, nil)
@@ -322,6 +330,57 @@
 	return next
 }
 
+// Parameters of the search for VMs that don't run.
+const (
+	goneCheckPeriod = 2 * time.Second
+	goneCheckDelay  = time.Second     // from this VM's becoming accountant to the first check: VMs that run follow it by then
+	goneLife        = 5 * time.Second // how long after the latest check a VM counts as not running
+)
+
+// goneFrom returns how many of the VMs that don't follow an accountant don't run. They use nothing of a
+// limit. A VM that is only cut off is not among them: it may use its share. The caller must hold a.mu.
+func (a *allotments) goneFrom(now time.Time, c *allotment.Accountant) int {
+	gone := 0
+	for name, seen := range a.gone {
+		if _, listed := a.vms[name]; listed && now.Sub(seen) < goneLife && !c.Follows(name) {
+			gone++
+		}
+	}
+	return gone
+}
+
+// checkGone starts checks of the VMs that don't follow this one as accountant. The caller must hold a.mu.
+func (a *allotments) checkGone(now time.Time) {
+	if now.Before(a.goneCheckAt) {
+		return
+	}
+	a.goneCheckAt = now.Add(goneCheckPeriod)
+	missing := make(map[string]scatter.VM)
+	for _, c := range a.accountants {
+		for name, vm := range a.vms {
+			if c != nil && !c.Follows(name) {
+				missing[name] = vm
+			}
+		}
+	}
+	if len(missing) == 0 {
+		return
+	}
+	client := a.e.currentPeerClient()
+	go forEachLimited(slices.Collect(maps.Values(missing)), func(vm scatter.VM) {
+		ctx, cancel := context.WithTimeout(context.Background(), peerDialTimeout)
+		defer cancel()
+		_, err := client.connect(ctx, vm)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.gone[vm.Name] = time.Now()
+		} else {
+			delete(a.gone, vm.Name)
+		}
+	})
+}
+
 // logNear logs which tenants have come near their limit or are far from it again. The caller must hold
 // a.mu.
 func (a *allotments) logNear(group int) {
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,8 +17,9 @@
 )
 
 // limitedSite returns VMs with the given names that call each other over loopback, and their
-// transports. Their manifest limits a tenant to 2 requests a second.
-func limitedSite(t *testing.T, names ...string) (engines []*Engine, transports []*peerTransport) {
+// transports. Their list also holds VMs that don't run. Their manifest limits a tenant to 2 requests a
+// second.
+func limitedSite(t *testing.T, lost []scatter.VM, names ...string) (engines []*Engine, transports []*peerTransport) {
 	g := gomega.NewWithT(t)
 	var vms []scatter.VM
 	for _, name := range names {
@@ -34,7 +36,7 @@
 	for i, e := range engines {
 		n := &Node{engine: e, self: vms[i], settings: &Settings{Allotment: AllotmentSettings{WindowS: 5, Excess: 0.1, Slack: 4}}}
 		n.startAllotments(t.Context())
-		e.setVMs(append(append([]scatter.VM{}, vms[:i]...), vms[i+1:]...))
+		e.setVMs(slices.Concat(vms[:i], vms[i+1:], lost))
 	}
 	return engines, transports
 }
@@ -47,7 +49,7 @@
 // Guards against VMs that each keep a limit of their own, and a 429 that names no time.
 func TestVMsKeepALimitTogether(t *testing.T) {
 	g := gomega.NewWithT(t)
-	engines, _ := limitedSite(t, "a", "b", "c")
+	engines, _ := limitedSite(t, nil, "a", "b", "c")
 	who := origin{tenant: &limitedTenant}
 	var over *rejection
 	admitted := 0
@@ -71,7 +73,7 @@
 // limit.
 func TestRequestIsDecidedWithoutItsAccountant(t *testing.T) {
 	g := gomega.NewWithT(t)
-	engines, transports := limitedSite(t, "a", "b", "c")
+	engines, transports := limitedSite(t, nil, "a", "b", "c")
 	var follower *Engine
 	g.Eventually(func() *Engine {
 		for i, e := range engines {
@@ -101,10 +103,31 @@
 	g.Expect("50 requests admitted").To(gomega.BeEmpty())
 }
 
+// Guards against limits that shrink while VMs are down: those that were killed remain listed.
+func TestVMsThatDoNotRunKeepNoShareOfALimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lost := scatter.VM{Name: "lost", Zone: "z", Power: 0.1, Address: "127.0.0.1:1"}
+	engines, _ := limitedSite(t, []scatter.VM{lost}, "a", "b", "c")
+	g.Eventually(func() (list [][2]int) {
+		for _, e := range engines {
+			a := e.allotments.Load()
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			for _, c := range a.accountants {
+				if c != nil {
+					following, members := c.Followers()
+					list = append(list, [2]int{following, members})
+				}
+			}
+		}
+		return list
+	}, "20s").Should(gomega.Equal([][2]int{{3, 3}, {3, 3}}), "the followers of each group's accountant, and all VMs")
+}
+
 // Guards against costs and refusals where nothing is limited.
 func TestRequestsWithoutALimitAreNotCounted(t *testing.T) {
 	g := gomega.NewWithT(t)
-	engines, _ := limitedSite(t, "a")
+	engines, _ := limitedSite(t, nil, "a")
 	off := NewEngine(EngineOptions{Self: "a", Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
 	for _, e := range []*Engine{engines[0], off} {
 		for _, who := range []origin{{}, {tenant: &tenant.Tenant{Name: "unlimited"}}} {
@@ -116,4 +139,5 @@
 			})).To(gomega.BeZero())
 		}
 	}
+	g.Expect(engines[0].allotments.Load().admitted.Get()).To(gomega.BeZero())
 }
