--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -145,7 +145,8 @@
 		f.refused[d.Verdict]++
 		f.retry = append(f.retry, f.now.Add(d.RetryAfter))
 	case f.rng.Float64() < f.notRun:
-		v.member.Unused(f.clock(v), name)
+		member := v.member
+		f.mail = append(f.mail, letter{at: f.now.Add(20 * fleetStep), run: func() { member.Unused(f.clock(v), name) }})
 	default:
 		f.ran[name] = append(f.ran[name], f.now)
 	}
