--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
@@ -69,24 +70,77 @@
 	g.Expect(admitted).To(gomega.BeNumerically("<=", 4*config.Bound(limitedTenant.Limit)), "20 s at most are 4 windows")
 }
 
-// Guards against a request that waits for an accountant that is gone, or is told that it is over the
-// limit.
-func TestRequestIsDecidedWithoutItsAccountant(t *testing.T) {
-	g := gomega.NewWithT(t)
-	engines, transports := limitedSite(t, nil, "a", "b", "c")
-	var follower *Engine
-	g.Eventually(func() *Engine {
-		for i, e := range engines {
+// follows returns a VM that follows another one for the tenant, and that one's name.
+func follows(t *testing.T, engines []*Engine) (follower *Engine, accountant string) {
+	gomega.NewWithT(t).Eventually(func() *Engine {
+		for _, e := range engines {
 			a := e.allotments.Load()
 			a.mu.Lock()
-			accountant := a.member.Accountant(allotment.GroupOf(limitedTenant.Name))
+			name := a.member.Accountant(allotment.GroupOf(limitedTenant.Name))
 			a.mu.Unlock()
-			if accountant != "" && accountant != a.self.Name {
-				follower = engines[i]
+			if name != "" && name != a.self.Name {
+				follower, accountant = e, name
 			}
 		}
 		return follower
 	}, "10s").ShouldNot(gomega.BeNil())
+	return follower, accountant
+}
+
+// Guards against VMs that go on admitting without asking when a tenant has come near its limit.
+func TestFollowersHearWhoIsNearItsLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, transports := limitedSite(t, nil, "a", "b", "c")
+	follower, accountant := follows(t, engines)
+	large := origin{tenant: &tenant.Tenant{Name: limitedTenant.Name, Limit: tenant.Limit{RatePerS: 1e6, Burst: 1e6}}}
+	asks := func() bool {
+		before := follower.allotments.Load().asked.Get()
+		_ = follower.takeToken(t.Context(), time.Now(), large, limitedRoute) // may be refused
+		return follower.allotments.Load().asked.Get() > before
+	}
+	follower.inForce.Offer(routing.NewManifest(routing.Document{Version: 2, Tenants: []tenant.Tenant{*large.tenant}}))
+	g.Eventually(asks, "10s", "10ms").Should(gomega.BeFalse(), "far from the limit")
+	g.Eventually(func() bool {
+		for i, e := range engines {
+			if e.allotments.Load().self.Name == accountant {
+				transports[i].tellNear(&allotmentWord{Group: allotment.GroupOf(limitedTenant.Name), Answer: allotment.Answer{AllNear: true}})
+			}
+		}
+		return asks()
+	}, "10s", "10ms").Should(gomega.BeTrue())
+}
+
+// stuckPeerClient is a peerClient whose accountants don't answer before the test ends.
+type stuckPeerClient struct {
+	noPeerClient
+	ended <-chan struct{}
+}
+
+// allot waits for the end of the test.
+func (c stuckPeerClient) allot(context.Context, scatter.VM, *allotment.Call, *allotment.Answer) error {
+	<-c.ended
+	return errNotConnected
+}
+
+// Guards against a request that waits for an accountant that does not answer.
+func TestRequestDoesNotWaitForASilentAccountant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, _ := limitedSite(t, nil, "a", "b", "c")
+	follower, _ := follows(t, engines)
+	follower.setPeerClient(stuckPeerClient{ended: t.Context().Done()})
+	late := follower.allotments.Load().late
+	g.Eventually(func() uint64 {
+		_ = follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute) // may be refused
+		return late.Get()
+	}, "10s", "1ms").ShouldNot(gomega.BeZero())
+}
+
+// Guards against a request that waits for an accountant that is gone, or is told that it is over the
+// limit.
+func TestRequestIsDecidedWithoutItsAccountant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, transports := limitedSite(t, nil, "a", "b", "c")
+	follower, _ := follows(t, engines)
 	for i, p := range transports {
 		if engines[i] != follower {
 			p.close()
