--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -170,6 +170,22 @@
 	g.Expect(f.refused).To(gomega.BeEmpty())
 }
 
+// Guards against a burst after silence, which all VMs would admit as far from the limit.
+func TestBurstAfterSilenceKeepsTheBound(t *testing.T) {
+	for _, limit := range []tenant.Limit{large, {RatePerS: 0.5, Burst: 1}} {
+		f := newFleet(72, 5)
+		f.limits[name] = limit
+		f.run(30*time.Second, nil)
+		f.run(200*time.Millisecond, func() {
+			for range 4 {
+				f.request(f.rng.IntN(72), name)
+			}
+		})
+		f.run(time.Second, nil)
+		f.wants(t, limit)
+	}
+}
+
 // Guards against a limit that is lowered, raised, taken away or new.
 func TestChangedLimits(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -145,6 +145,9 @@
 
 // askWait returns how long a request of a route may wait for an accountant.
 func askWait(route *routing.Route) time.Duration {
+	if route.Aim <= 0 {
+		return maxAskWait
+	}
 	wait := time.Duration(askWaitShare * float64(route.Aim))
 	return min(max(wait, minAskWait), maxAskWait)
 }
@@ -233,6 +236,9 @@
 	defer a.mu.Unlock()
 	a.applyManifest(now)
 	c := a.accountants[call.Group]
+	if c == nil && call.Serial == 0 {
+		return &allotment.Answer{} // a probe: this VM could be an accountant
+	}
 	if c == nil {
 		c = allotment.NewAccountant(a.config, call.Group, a.member.Members(now), now)
 		a.goneCheckAt = now.Add(goneCheckDelay)
