Allotments: VMs return to a better accountant together, and tell the former one

A VM that changes its accountant may be counted by both for a while, so the new one starts with less; the largest tenants got 503 for about a second at each return of the accountant that all had followed before. A VM now tells the former accountant first, and the accountant tells all followers to change at once.

--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -38,7 +38,8 @@
 	filled     float64   // integral of share over time, in seconds
 	wholeSince time.Time // zero unless share has reached wholeShare
 	fresh      int       // followers that joined since countedAt and bring initial tokens
-	joined     int       // followers that joined since countedAt
+	joined     int       // followers that joined since countedAt, and that another accountant may still count
+	clean      int       // followers that joined since countedAt, and that no other accountant counts
 }
 
 // follower is a VM that follows an accountant.
@@ -46,7 +47,8 @@
 	serial, count int64  // of its latest call
 	seen          uint64 // bit i: call number count-i was heard
 	heard         time.Time
-	lapsed        bool // it has not been heard for a while, and does not count
+	lapsed        bool // it has not been heard for a while, or has left, and does not count
+	left          bool
 }
 
 // bucket holds the tokens of one tenant.
@@ -161,6 +163,7 @@
 
 // word sets the tenants near their limit in an answer.
 func (a *Accountant) word(ans *Answer) {
+	ans.Whole = a.share >= wholeShare
 	if ans.AllNear = len(a.near) > maxNear || a.share == 0; !ans.AllNear {
 		ans.Near = a.near
 	}
@@ -189,12 +192,22 @@
 		return ignored
 	}
 	if call.Serial > f.serial {
-		f.serial, f.count, f.seen = call.Serial, call.Count, 0
-		a.joined++
+		f.serial, f.count, f.seen, f.left = call.Serial, call.Count, 0, false
+		if call.Clean {
+			a.clean++
+		} else {
+			a.joined++
+		}
 		if call.Fresh {
 			a.fresh++
 		}
 	}
+	if f.left {
+		return ignored
+	}
+	if call.Leave {
+		f.left, f.lapsed = true, true
+	}
 	if ahead := call.Count - f.count; ahead > 0 {
 		f.count, f.seen = call.Count, f.seen<<uint64(ahead)
 	}
@@ -215,7 +228,7 @@
 
 // recountIfDue counts the followers from time to time.
 func (a *Accountant) recountIfDue(now time.Time) {
-	if now.Sub(a.countedAt) >= shareStep || a.share == 0 && a.joined > 0 {
+	if now.Sub(a.countedAt) >= shareStep || a.share == 0 && a.joined+a.clean > 0 {
 		a.recount(now)
 	}
 }
@@ -230,21 +243,22 @@
 	following := 0
 	for name, f := range a.followers {
 		quiet := now.Sub(f.heard)
-		if f.lapsed = quiet >= silence; !f.lapsed {
+		if f.lapsed = f.left || quiet >= silence; !f.lapsed {
 			following++
 		} else if quiet >= silence+a.config.Window {
 			delete(a.followers, name)
 		}
 	}
 	share := min(1, float64(following)/float64(a.members))
-	if share != a.share || a.joined > 0 {
-		joined, fresh := float64(a.joined)/float64(a.members), float64(a.fresh)/float64(a.members)
+	if share != a.share || a.joined+a.clean > 0 {
+		fresh := float64(a.fresh) / float64(a.members)
+		twice := (float64(a.joined)*overlap(a.members).Seconds() + float64(a.clean)*shareStep.Seconds()) / float64(a.members)
 		for _, b := range a.buckets {
 			a.settle(b)
-			b.level += fresh*a.config.spare(b.limit)*initialShare - joined*a.config.rate(b.limit)*overlap(a.members).Seconds()
+			b.level += fresh*a.config.spare(b.limit)*initialShare - twice*a.config.rate(b.limit)
 			b.level = min(b.level, a.config.capacity(b.limit)*share)
 		}
-		a.share, a.joined, a.fresh = share, 0, 0
+		a.share, a.joined, a.clean, a.fresh = share, 0, 0, 0
 	}
 	switch {
 	case share < wholeShare:
--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -99,6 +99,8 @@
 	Group  int     `json:"group"`
 	Serial int64   `json:"serial,omitempty"` // number of the present following, rises with each change; 0 for a probe by a VM that follows another one
 	Fresh  bool    `json:"fresh,omitempty"`  // the VM has changed its accountant at most once within the last window
+	Clean  bool    `json:"clean,omitempty"`  // the former accountant knows that the VM follows it no longer
+	Leave  bool    `json:"leave,omitempty"`  // the VM is about to follow another one
 	Count  int64   `json:"count,omitempty"`  // number of the call, rises within the following
 	Usage  []Usage `json:"usage,omitempty"`
 }
@@ -117,6 +119,8 @@
 type Answer struct {
 	Near    []string `json:"near,omitempty"`     // tenants near their limit: VMs have to ask
 	AllNear bool     `json:"all_near,omitempty"` // VMs have to ask for every tenant
+	Whole   bool     `json:"whole,omitempty"`    // nearly all VMs follow the accountant
+	Move    string   `json:"move,omitempty"`     // VM to follow from now on, which is a better accountant
 	Free    int      `json:"free,omitempty"`     // requests of the tenant of the first Usage that the VM may admit before it tells
 	Asked   bool     `json:"asked,omitempty"`    // the call asked for a token, and the next fields answer that
 	Granted bool     `json:"granted,omitempty"`
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -170,6 +170,20 @@
 	g.Expect(f.refused).To(gomega.BeEmpty())
 }
 
+// Guards against refusals when VMs return to the accountant that they had before.
+func TestReturnOfTheAccountantRefusesNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(72)
+	first, load := f.accountant(), f.load(name, 12)
+	first.down = true
+	f.run(20*time.Second, load)
+	clear(f.refused)
+	f.start(first)
+	f.run(40*time.Second, load)
+	g.Expect(f.accountant()).To(gomega.BeIdenticalTo(first))
+	g.Expect(f.refused).To(gomega.BeEmpty())
+}
+
 // Guards against a burst after silence, which all VMs would admit as far from the limit.
 func TestBurstAfterSilenceKeepsTheBound(t *testing.T) {
 	for _, limit := range []tenant.Limit{large, {RatePerS: 0.5, Burst: 1}} {
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -106,15 +106,16 @@
 		a.SetLimits(f.clock(to), f.version, f.tenants())
 		ans := a.Serve(f.clock(to), out.Call)
 		if ans.Flipped {
-			word := a.Word()
-			for _, w := range f.vms {
-				f.post(to, w, func() { w.member.Hear(to.name, out.Call.Group, &word) })
-			}
+			f.tell(to, out.Call.Group, a.Word())
 		}
 		f.post(to, v, func() {
 			if !ended && v.member == member {
 				ended = true
-				f.finish(v, out, member.Answered(f.clock(v), out, &ans))
+				d := member.Answered(f.clock(v), out, &ans)
+				if d.Move != "" {
+					f.tell(v, out.Call.Group, Answer{Move: d.Move, Whole: true})
+				}
+				f.finish(v, out, d)
 			}
 		})
 	}
@@ -130,6 +131,16 @@
 	}})
 }
 
+// tell sends an accountant's word to all VMs.
+func (f *fleet) tell(from *fleetVM, group int, word Answer) {
+	for _, v := range f.vms {
+		f.post(from, v, func() {
+			v.member.Hear(from.name, group, &word)
+			v.nextAt = time.Time{}
+		})
+	}
+}
+
 // finish ends the wait of a request.
 func (f *fleet) finish(v *fleetVM, out *Outgoing, d Decision) {
 	if f.waiting[out] == v {
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -37,6 +37,7 @@
 	RetryAfter time.Duration // of OverLimit and Unknown
 	Call       *Outgoing     // of Asking
 	TellNow    bool          // Next has a call to send
+	Move       string        // of Answered: if not empty, the accountant at this VM should tell its followers to follow this VM
 }
 
 // Outgoing is a call to send to an accountant, which may be this VM itself.
@@ -71,9 +72,13 @@
 	heard     time.Time // when the latest answered call was sent; zero if none was
 	near      map[string]bool
 	allNear   bool
+	whole     bool      // see Answer.Whole
 	beatAt    time.Time // when the next call is due
 	pending   []string  // tenants of which there is something to tell
+	clean     bool      // see Call.Clean
 	probing   bool      // a probe of a better candidate is under way
+	next      string    // candidate to follow once the accountant knows that this VM leaves it; empty if there is none
+	leaving   bool      // the call that says so is under way
 	failedAt  time.Time // when a call was not answered, zero if the latest one was
 }
 
@@ -212,7 +217,7 @@
 func (m *Member) call(now time.Time, f *following, group int, ask string) *Outgoing {
 	f.count++
 	f.beatAt = now.Add(beat(len(m.vms)))
-	c := &Call{From: m.self, Group: group, Serial: f.serial, Fresh: f.fresh, Count: f.count}
+	c := &Call{From: m.self, Group: group, Serial: f.serial, Fresh: f.fresh, Clean: f.clean, Count: f.count}
 	add := func(name string, asks bool) {
 		u := m.tenants[name]
 		c.Usage = append(c.Usage, Usage{Tenant: name, Version: u.version, Limit: u.limit, Used: u.untold, Back: u.back, Ask: asks})
@@ -241,10 +246,16 @@
 		if f.name == "" {
 			continue
 		}
+		if f.next != "" && !f.leaving {
+			f.leaving = true
+			leave := m.call(now, f, group, "")
+			leave.Call.Leave = true
+			calls = append(calls, leave)
+		}
 		if !now.Before(f.beatAt) {
 			calls = append(calls, m.call(now, f, group, ""))
 		}
-		if better := m.best(now, f); better != f.name && better != "" && !f.probing {
+		if better := m.best(now, f); better != f.name && better != "" && !f.probing && f.next == "" && (f.name == m.self || !f.whole) {
 			f.probing = true
 			calls = append(calls, &Outgoing{To: better, Call: &Call{From: m.self, Group: group}, SentAt: now})
 		}
@@ -274,8 +285,11 @@
 
 // choose chooses an accountant if there is none, or if it is no longer a candidate.
 func (m *Member) choose(now time.Time, f *following) {
-	if f.name == "" || !slices.Contains(f.order, f.name) {
+	switch {
+	case f.name == "":
 		m.follow(now, f, m.best(now, f))
+	case f.next == "" && !slices.Contains(f.order, f.name):
+		f.next = m.best(now, f)
 	}
 }
 
@@ -286,6 +300,7 @@
 	}
 	f.fresh = f.since.IsZero() || now.Sub(f.since) >= m.config.Window
 	f.name, f.since, f.beatAt, f.count, f.failedAt = name, now, now, 0, time.Time{}
+	f.clean, f.next, f.leaving, f.whole = false, "", false, false
 	f.serial = max(f.serial+1, now.UnixNano())
 }
 
@@ -296,8 +311,12 @@
 	if out.Call.Serial == 0 {
 		f.probing = false
 		delete(f.cooldowns, out.To)
-		if out.To == m.best(now, f) {
-			m.follow(now, f, out.To)
+		if out.To != m.best(now, f) || out.To == f.name {
+			return Decision{}
+		}
+		f.next = out.To
+		if f.name == m.self {
+			return Decision{Move: out.To}
 		}
 		return Decision{}
 	}
@@ -324,6 +343,10 @@
 			d = m.decide(now, f, out, told.Tenant, u, ans)
 		}
 	}
+	if current && out.Call.Leave {
+		m.follow(now, f, f.next)
+		f.clean = true
+	}
 	return d
 }
 
@@ -358,6 +381,8 @@
 		f.probing = false
 	}
 	switch followed := out.Call.Serial == f.serial && f.name == out.To; {
+	case followed && out.Call.Leave:
+		m.follow(now, f, f.next)
 	case followed && f.failedAt.IsZero() && !ignored:
 		// This VM may have been paused itself, so a second call has to fail.
 		f.failedAt, f.beatAt = now, now
@@ -406,19 +431,25 @@
 	return Decision{Verdict: Unknown, RetryAfter: retryPause}
 }
 
-// Hear records what an accountant tells all its followers.
+// Hear records what an accountant tells all its followers. It may be to follow another VM: they change
+// together, so that neither accountant has a small share for long.
 func (m *Member) Hear(from string, group int, ans *Answer) {
 	if group < 0 || group >= Groups {
 		return
 	}
-	if f := &m.groups[group]; f.name == from {
-		m.learn(f, ans)
+	f := &m.groups[group]
+	if f.name != from {
+		return
+	}
+	m.learn(f, ans)
+	if ans.Move != "" && ans.Move != f.name && f.next == "" {
+		f.next = ans.Move
 	}
 }
 
 // learn records which tenants are near their limit.
 func (m *Member) learn(f *following, ans *Answer) {
-	f.allNear = ans.AllNear
+	f.allNear, f.whole = ans.AllNear, ans.Whole
 	if len(ans.Near) == 0 {
 		f.near = nil
 		return
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -204,8 +204,13 @@
 	} else {
 		d = a.member.Answered(time.Now(), out, ans)
 	}
-	if out.Call.Serial == 0 {
-		a.wake.notify() // the better candidate may be followed now
+	if c := a.accountants[out.Call.Group]; d.Move != "" && c != nil {
+		word := &allotmentWord{Group: out.Call.Group, Answer: c.Word()}
+		word.Answer.Move = d.Move
+		go a.e.currentPeerClient().tellNear(word)
+	}
+	if out.Call.Serial == 0 || out.Call.Leave {
+		a.wake.notify() // another accountant is to be told at once
 	}
 	if decided != nil {
 		decided <- d
@@ -265,6 +270,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.member.Hear(from, word.Group, &word.Answer)
+	if word.Answer.Move != "" {
+		a.wake.notify()
+	}
 }
 
 // setVMs sets the list of the other VMs. a may be nil.
