--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -73,7 +73,10 @@
 		tokens, bursts := max(1, 0.9*limit.Burst), rapid.Float64Range(0.001, 1).Draw(t, "bursts")
 		f.run(10*time.Second, func() {
 			tokens = min(tokens+0.9*limit.RatePerS*fleetStep.Seconds(), max(1, 0.9*limit.Burst))
-			for burst := f.rng.Float64() < bursts; burst && tokens >= 1; tokens-- {
+			if f.rng.Float64() >= bursts {
+				return
+			}
+			for ; tokens >= 1; tokens-- {
 				f.request(f.rng.IntN(len(f.vms)), name)
 			}
 		})
