--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/bramleybarrow/bramleybarrow/allotment"
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/topk"
@@ -32,6 +33,10 @@
 	follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error
 	// handOver hands partitions over to a VM, which answers within limit if it serves them.
 	handOver(ctx context.Context, vm scatter.VM, handover scatter.Handover, limit time.Duration) error
+	// allot sends a call to the accountant of a group of tenants, and stores the answer in into.
+	allot(ctx context.Context, vm scatter.VM, call *allotment.Call, into *allotment.Answer) error
+	// tellNear tells the VMs that follow this one as accountant which tenants are near their limit.
+	tellNear(word *allotmentWord)
 }
 
 // neverSentError reports that no part of a call to another VM was sent.
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -23,16 +23,17 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats      // counters and histograms
-	feed             *feed       // read by the VMs that follow this one
-	livenessCheckDue wakeup      // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup      // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup      // wakes probeLeafs after a leaf did not answer or could not be reached
-	leaving          atomic.Bool // this VM was told to stop, and stands in for no other one
-	self             scatter.VM  // name and zone of this VM
-	currency         currency    // says how current the manifest in force is
-	sourceFailed     wakeup      // wakes pollManifests after the source of the manifest failed
-	manifestSource   Store       // read for unknown keys if this VM reads the store for others; nil before the daemon has started
+	stats            *stats                     // counters and histograms
+	feed             *feed                      // read by the VMs that follow this one
+	allotments       atomic.Pointer[allotments] // limits of tenants; nil if the settings have none
+	livenessCheckDue wakeup                     // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup                     // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
+	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
+	self             scatter.VM                 // name and zone of this VM
+	currency         currency                   // says how current the manifest in force is
+	sourceFailed     wakeup                     // wakes pollManifests after the source of the manifest failed
+	manifestSource   Store                      // read for unknown keys if this VM reads the store for others; nil before the daemon has started
 
 	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
@@ -140,6 +141,7 @@
 // setVMs replaces the list of the other VMs. Owners that have returned are told what this VM knows.
 func (e *Engine) setVMs(others []scatter.VM) {
 	e.currency.setVMs(e.self, others)
+	e.allotments.Load().setVMs(others)
 	e.mu.Lock()
 	e.table.SetVMs(time.Now(), others)
 	e.mu.Unlock()
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -59,7 +59,7 @@
 		return
 	}
 	if rejected == nil {
-		rejected = e.takeToken(r.Context(), arrived, who)
+		rejected = e.takeToken(r.Context(), arrived, who, route)
 	}
 	if rejected != nil {
 		e.reject(w, r, rejected, m.Version)
@@ -67,6 +67,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
+		e.returnToken(time.Now(), who)
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
