VMs are chosen by room, if it is used

A VM picked another by nominal power, also while that one was five times slower. Now power counts times believed room. Owners left out for lack of room return at a higher share than they leave at. Without Table.UseRoom nothing changes, and with equal room the choices are the same.

Seen red without the code: TestSlowedVMIsCalledLess, TestWeakOwnerHelpsWhileStrongOnesAreSlow. Seen red with a choice of the VM with the most room: TestIdleVMDrawsNoHerd, TestBusyVMsDoNotSwing, the latter also with a lateness of 10 ms and narrower shares.

--- a/scatter/table.go
+++ b/scatter/table.go
@@ -36,6 +36,7 @@
 	evacuatedZones  []string           // zones whose leafs get no requests
 	coldConfig      ColdConfig         // limits of requests to cold leafs
 	callRefusalRate failureRate        // share of calls that other VMs refuse
+	rooms           *rooms             // room of other VMs; nil if VMs are chosen by nominal power
 	admitAll        bool               // for tests: the forecast refuses no request
 }
 
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/room"
 )
 
 // VM is one of the VMs that serve requests. Other VMs call it to query the leafs near it.
@@ -18,9 +20,11 @@
 // vm is what this VM knows of another VM.
 type vm struct {
 	VM
-	cooldown  cooldown  // after failures, keeps calls away for a while
-	inFlight  int       // calls of this VM to it that have not ended
-	suspicion suspicion // after silence, keeps calls away until a probe shows that the VM is alive
+	cooldown  cooldown     // after failures, keeps calls away for a while
+	inFlight  int          // calls of this VM to it that have not ended
+	suspicion suspicion    // after silence, keeps calls away until a probe shows that the VM is alive
+	belief    *room.Belief // its believed room; nil if nothing was heard of it
+	leftOut   bool         // for lack of room, this VM doesn't call it for a leaf partition that it owns
 }
 
 // available reports whether calls may be sent to the VM: it is neither suspect nor in cooldown.
@@ -76,8 +80,19 @@
 
 // delegates returns the VMs that this one calls for a leaf partition: up to delegatesPerPartition of
 // its owners. There are none in a zone that counts as lost. Owners in cooldown or under suspicion,
-// those named in except, and those with too little power are left out.
+// those named in except, and those with too little power are left out. If room is used, power
+// counts only as far as a VM has room for more work.
 func (t *Table) delegates(now time.Time, p zonePartition, except []string) []*vm {
+	owners := t.availableOwners(now, p, except)
+	if t.rooms != nil {
+		return t.firstRanked(withRoom(now, owners, len(except) == 0))
+	}
+	return t.firstRanked(withPower(owners))
+}
+
+// availableOwners returns the owners of a leaf partition that may be called, in descending order of
+// power, without those named in except.
+func (t *Table) availableOwners(now time.Time, p zonePartition, except []string) []*vm {
 	z := t.zones[p.zone]
 	if z == nil || t.zoneLost(p.zone) {
 		return nil
@@ -85,32 +100,47 @@
 	var list []*vm
 	for _, owner := range z.ownersOf(p.partition) {
 		v := t.vms[owner.name]
-		if v == nil || slices.Contains(except, owner.name) || !v.available(now) {
-			continue
-		}
-		// Owners come in descending order of power, so list[0] is the strongest, and all
-		// further ones are too weak as well.
-		if len(list) > 0 && owner.power < minDelegatePowerShare*list[0].Power {
-			break
+		if v != nil && !slices.Contains(except, owner.name) && v.available(now) {
+			list = append(list, v)
 		}
-		list = append(list, v)
 	}
+	return list
+}
+
+// withPower returns those of the owners of a leaf partition, in descending order of power, that
+// have enough nominal power.
+func withPower(owners []*vm) []*vm {
+	weak := slices.IndexFunc(owners, func(v *vm) bool { return v.Power < minDelegatePowerShare*owners[0].Power })
+	if weak < 0 {
+		return owners
+	}
+	return owners[:weak:weak]
+}
+
+// firstRanked returns up to delegatesPerPartition of the given VMs, those that come first in the
+// order of this VM.
+func (t *Table) firstRanked(list []*vm) []*vm {
+	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b *vm) int { return cmp.Compare(rank(t.self, a.Name), rank(t.self, b.Name)) })
 	return list[:min(len(list), delegatesPerPartition)]
 }
 
 // pickVM returns the VM to call for a leaf partition, or nil if there is none. VMs named in
 // except are left out. Of the VMs that delegates returns, two are drawn at random, possibly the
-// same. The one with fewer of this VM's calls in flight, relative to its power, is picked.
+// same. The one with fewer of this VM's calls in flight, relative to its power and room, is picked.
 func (t *Table) pickVM(now time.Time, p zonePartition, except []string) *vm {
 	list := t.delegates(now, p, except)
 	if len(list) == 0 {
 		return nil
 	}
-	a, b := t.drawByPower(list), t.drawByPower(list)
-	// This compares b.inFlight / b.Power with a.inFlight / a.Power, without a division.
-	if float64(b.inFlight)*a.Power < float64(a.inFlight)*b.Power {
-		return b
+	a, b := t.drawByPower(now, list), t.drawByPower(now, list)
+	// This compares b.inFlight relative to its power with a.inFlight relative to its own, without
+	// a division.
+	if float64(b.inFlight)*a.presentPower(now) < float64(a.inFlight)*b.presentPower(now) {
+		a = b
+	}
+	if t.rooms != nil && !slices.Contains(t.firstRanked(withPower(t.availableOwners(now, p, except))), a) {
+		t.rooms.shifted++
 	}
 	return a
 }
@@ -166,16 +196,17 @@
 	return zones
 }
 
-// drawByPower returns a random VM of the list, with a probability in proportion to its power.
-func (t *Table) drawByPower(list []*vm) *vm {
+// drawByPower returns a random VM of the list, with a probability in proportion to its power and
+// room.
+func (t *Table) drawByPower(now time.Time, list []*vm) *vm {
 	total := 0.0
 	for _, v := range list {
-		total += v.Power
+		total += v.presentPower(now)
 	}
-	// at is a random point in a row of intervals, one for each VM, as long as its power.
+	// at is a random point in a row of intervals, one for each VM, as long as its present power.
 	at := t.rng.Float64() * total
 	for _, v := range list {
-		if at -= v.Power; at < 0 {
+		if at -= v.presentPower(now); at < 0 {
 			return v
 		}
 	}
