Room is measured, told with answers, and heard

Each VM reads its processor time and the lateness of its timer every 200 ms, if room.measure is set, and tells both with every answer to a gather call. The VM that called records it, and how long acknowledgement and first answer took. Metrics bramley_edge_room*, log lines bounded to one in 10 s.

Seen red: TestAnswersTellRoom without tellRoom and without roomObserver, TestRoomLogIsBounded without the bound, TestRoomIsMeasuredIfSet with the setting ignored.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
@@ -22,11 +23,12 @@
 	splitter         *routing.Splitter // chooses the service of each request that is not gathered
 	elapsedTimes     *elapsedTimes     // estimates the time that callers spent before their requests arrived
 	log              *slog.Logger
-	stats            *stats // counters and histograms
-	feed             *feed  // read by the VMs that follow this one
-	livenessCheckDue wakeup // wakes checkVMs after a failed call to another VM
-	suspectVMs       wakeup // wakes probeVMs after a failed call to another VM or a failed liveness check
-	suspectLeafs     wakeup // wakes probeLeafs after a leaf did not answer or could not be reached
+	stats            *stats                  // counters and histograms
+	feed             *feed                   // read by the VMs that follow this one
+	livenessCheckDue wakeup                  // wakes checkVMs after a failed call to another VM
+	suspectVMs       wakeup                  // wakes probeVMs after a failed call to another VM or a failed liveness check
+	suspectLeafs     wakeup                  // wakes probeLeafs after a leaf did not answer or could not be reached
+	room             atomic.Pointer[ownRoom] // room of this VM; nil if it is not measured
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
@@ -158,5 +160,8 @@
 func (e *Engine) currentPeerClient() peerClient {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.room.Load() != nil {
+		return roomObserver{peerClient: e.peerClient, e: e}
+	}
 	return e.peerClient
 }
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -66,6 +66,8 @@
 	// only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
+	// Room is what the called VM tells of its room; nil if it doesn't measure it.
+	Room *roomReport `cbor:"9,keyasint,omitempty"`
 }
 
 // decodeBody decodes the body of a message into a *gatherCall or a *gatherAnswer. The sender may
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -90,7 +90,10 @@
 		if len(call.Views) != len(call.Services) {
 			return nil, result.Errorf(result.BadMessage, "%d services and %d views", len(call.Services), len(call.Views))
 		}
-		e.serveGather(ctx, &call, func(ans *gatherAnswer) { p.sendAnswer(conn, ans) })
+		e.serveGather(ctx, &call, func(ans *gatherAnswer) {
+			e.tellRoom(ans)
+			p.sendAnswer(conn, ans)
+		})
 		return nil, nil
 	case methodGathered:
 		ans := new(gatherAnswer)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -26,6 +26,7 @@
 	Budget     BudgetSettings    `json:"budget"`
 	Cold       ColdSettings      `json:"cold,omitempty"`
 	Allotment  AllotmentSettings `json:"allotment,omitempty"` // tolerances of tenants' limits
+	Room       RoomSettings      `json:"room,omitempty"`      // how work goes to VMs that have room for it
 	// Power is the CPU capacity of this VM, in cores. VMs with more capacity get more calls.
 	Power float64 `json:"power"`
 	// MemoryMB is the memory limit of the process, in MiB. The platform kills a process that
@@ -91,6 +92,11 @@
 	Slack   float64 `json:"slack"`
 }
 
+// RoomSettings says how work goes to VMs that have room for it.
+type RoomSettings struct {
+	Measure bool `json:"measure,omitempty"` // this VM measures and tells its room, and chooses other VMs by theirs
+}
+
 // ColdSettings bounds the requests per second that all VMs together send to one cold leaf: Excess
 // times the number that its service states in the manifest, plus Slack. If both are 0, the number
 // itself is the limit.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -91,6 +91,7 @@
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_dropped_total %d\n", discarded)
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_idle %d\n", e.pool.Idle())
 	fmt.Fprintf(w, "bramley_edge_leafs %d\n", e.Leafs())
+	e.writeRoomMetrics(w)
 	isolated := 0
 	if e.isolated() {
 		isolated = 1
