A VM without room hands requests over

A VM that is five times slower keeps all requests of the callers that the load balancer sends it. With room.hand_over it offers them to a VM of its zone that has room, and sends one once the offer is accepted. The request then runs at that VM only: once, in time, never handed on. If that VM is lost, the outcome is unknown and said so. Ruled out: to run an idempotent request again, which could use a third leaf of a shard.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -29,6 +29,7 @@
 	suspectVMs       wakeup                  // wakes probeVMs after a failed call to another VM or a failed liveness check
 	suspectLeafs     wakeup                  // wakes probeLeafs after a leaf did not answer or could not be reached
 	room             atomic.Pointer[ownRoom] // room of this VM; nil if it is not measured
+	taken            takenRequests           // requests that other VMs have handed over to this one
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
 	table       *scatter.Table     // state of leafs and other VMs, on which decisions about attempts and calls are based
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -62,7 +62,7 @@
 		return
 	}
 	req := e.newRequest(r, target, body, arrived, route)
-	res := e.serve(r, req, route, who)
+	res := e.serveOrHandOver(r, req, route, who, m.Version)
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -113,6 +113,8 @@
 			return nil, err
 		}
 		return e.serveFollow(ctx, method, call)
+	case methodOfferRequest, methodRunRequest, methodDropRequest:
+		return e.serveHandOver(ctx, conn, method, params)
 	default:
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
--- a/edge/room.go
+++ b/edge/room.go
@@ -61,8 +61,12 @@
 // ownRoom measures the room of this VM. It is safe for concurrent use. A nil *ownRoom measures
 // nothing.
 type ownRoom struct {
-	mu    sync.Mutex
-	meter *room.Meter
+	handOver bool        // this VM hands requests over while it is short of room, and takes those of others
+	ready    func() bool // whether callers should send requests to this VM
+
+	mu      sync.Mutex
+	meter   *room.Meter
+	shortOf room.Shortage
 }
 
 // add takes a reading.
@@ -82,9 +86,29 @@
 	return o.meter.State(now)
 }
 
-// useRoom makes this VM measure its room and tell it, and choose other VMs by theirs.
-func (e *Engine) useRoom(power float64) {
-	e.room.Store(&ownRoom{meter: room.NewMeter(power)})
+// shortage returns the share of its nominal power that this VM can give to more work, and whether
+// it is to hand requests over since that is too little.
+func (o *ownRoom) shortage(now time.Time) (factor float64, short bool) {
+	s, _, ok := o.state(now)
+	if !ok || !o.handOver {
+		return 1, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	factor = s.Factor()
+	return factor, o.shortOf.Update(factor)
+}
+
+// mayTake reports whether this VM takes requests of others.
+func (o *ownRoom) mayTake(now time.Time) bool {
+	s, _, ok := o.state(now)
+	return ok && o.handOver && s.Factor() >= room.TakerFactor && o.ready()
+}
+
+// useRoom makes this VM measure its room and tell it, and choose other VMs by theirs. If handOver is
+// set, VMs that are short of room hand requests to others that are ready.
+func (e *Engine) useRoom(power float64, handOver bool, ready func() bool) {
+	e.room.Store(&ownRoom{meter: room.NewMeter(power), handOver: handOver, ready: ready})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.UseRoom()
@@ -149,7 +173,7 @@
 	if !n.settings.Room.Measure {
 		return
 	}
-	n.engine.useRoom(n.settings.Power)
+	n.engine.useRoom(n.settings.Power, n.settings.Room.HandOver, n.isReady)
 	own := n.engine.room.Load()
 	log := roomLog{log: n.log}
 	for ctx.Err() == nil {
--- a/edge/room_test.go
+++ b/edge/room_test.go
@@ -34,9 +34,9 @@
 		caller, _, _ := join("a")
 		called, _, vm := join("b")
 		caller.setVMs([]scatter.VM{vm})
-		caller.useRoom(1)
+		caller.useRoom(1, false, nil)
 		if measured {
-			called.useRoom(1)
+			called.useRoom(1, false, nil)
 			now := time.Now()
 			called.room.Load().add(room.Sample{At: now.Add(-time.Minute)})
 			called.room.Load().add(room.Sample{At: now, Late: 200 * time.Millisecond})
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -94,7 +94,8 @@
 
 // RoomSettings says how work goes to VMs that have room for it.
 type RoomSettings struct {
-	Measure bool `json:"measure,omitempty"` // this VM measures and tells its room, and chooses other VMs by theirs
+	Measure  bool `json:"measure,omitempty"`   // this VM measures and tells its room, and chooses other VMs by theirs
+	HandOver bool `json:"hand_over,omitempty"` // while it is short of room, this VM hands callers' requests to others of its zone; needs Measure
 }
 
 // ColdSettings bounds the requests per second that all VMs together send to one cold leaf: Excess
@@ -157,6 +158,9 @@
 			add(path, value, "a number above 0")
 		}
 	}
+	if s.Room.HandOver && !s.Room.Measure {
+		add("$.room.hand_over", true, "true only with room.measure")
+	}
 	if _, err := logging.ParseLevel(s.LogLevel); err != nil {
 		add("$.log_level", s.LogLevel, logging.Levels)
 	}
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -124,3 +124,17 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(d).To(gomega.Equal(7 * time.Millisecond))
 }
+
+// Guards against requests that are handed over and served by turns, by a VM whose room is near the
+// threshold, and against one that is handed to a VM with hardly more room.
+func TestShortageHasHysteresis(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s Shortage
+	g.Expect(s.Update(shortUntil - 0.01)).To(gomega.BeFalse())
+	g.Expect(s.Update(shortBelow - 0.01)).To(gomega.BeTrue())
+	g.Expect(s.Update(shortUntil - 0.01)).To(gomega.BeTrue())
+	g.Expect(s.Update(shortUntil)).To(gomega.BeFalse())
+	g.Expect(MayTake(1, 0.134, 0.1)).To(gomega.BeFalse())
+	g.Expect(MayTake(TakerFactor-0.01, 0.8, 0.1)).To(gomega.BeFalse())
+	g.Expect(MayTake(1, 0.8, 0.1)).To(gomega.BeTrue())
+}
--- a/scatter/room.go
+++ b/scatter/room.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/room"
@@ -154,3 +155,26 @@
 	}
 	return stats
 }
+
+// PickTaker returns the VM of this VM's zone that a request may be handed over to, if this one is
+// short of room and can give the share factor of its nominal power to more work. Only VMs that this
+// one calls anyway and for which connected is true are considered. One of those with room is drawn
+// by power and room, so that the VMs of a zone that are short of room don't all choose the same.
+func (t *Table) PickTaker(now time.Time, factor float64, connected func(VM) bool) (VM, bool) {
+	z := t.zones[t.zone]
+	if t.rooms == nil || z == nil {
+		return VM{}, false
+	}
+	var list []*vm
+	for partition := range z.partitions {
+		for _, v := range t.delegates(now, zonePartition{zone: t.zone, partition: partition}, nil) {
+			if room.MayTake(v.room(now), v.presentPower(now), factor*t.power) && !slices.Contains(list, v) && connected(v.VM) {
+				list = append(list, v)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return VM{}, false
+	}
+	return t.drawByPower(now, list).VM, true
+}
--- a/scatter/room_test.go
+++ b/scatter/room_test.go
@@ -285,3 +285,36 @@
 		w.Expect(w.table.RoomStats(w.now).Believed).To(gomega.BeZero())
 	}
 }
+
+// Guards against VMs without room that all hand their requests to the same VM, to one of another
+// zone, to one without room, or to one to which there is no connection.
+func TestTakersAreSpread(t *testing.T) {
+	w := newWorld(t)
+	vms := largeFleet("a", "b")
+	taken := make(map[string]int)
+	for i, self := range vms[:33] {
+		if self.Power > 0.5 {
+			continue
+		}
+		w.table = tableOf(vms, self, BudgetConfig{Window: time.Second}, w.now, w.now)
+		w.table.rng = rand.New(rand.NewPCG(uint64(i), 1))
+		_, ok := w.table.PickTaker(w.now, 0.2, func(VM) bool { return true })
+		w.Expect(ok).To(gomega.BeFalse(), "room is not used")
+		w.table.UseRoom()
+		w.table.RoomTold(w.now, "vm-a-05", room.State{Late: 100 * time.Millisecond}, 0)
+		for range 20 {
+			v, ok := w.table.PickTaker(w.now, 0.2, func(VM) bool { return true })
+			w.Expect(ok).To(gomega.BeTrue())
+			w.Expect(v.Zone).To(gomega.Equal("a"))
+			taken[v.Name]++
+		}
+		_, ok = w.table.PickTaker(w.now, 0.2, func(VM) bool { return false })
+		w.Expect(ok).To(gomega.BeFalse())
+	}
+	total, most := 0, 0
+	for _, n := range taken {
+		total, most = total+n, max(most, n)
+	}
+	w.Expect(most).To(gomega.BeNumerically("<", total*3/4))
+	w.Expect(taken).NotTo(gomega.HaveKey("vm-a-05"))
+}
