Requests go to zones that have room

Demand moves between zones: the VMs of one have too much work while those of another are idle, since shards with a leaf in a VM's zone always went through that zone. With room.spill a part of the gathered requests, in proportion to the room that is missing, goes through a zone with room. A caller's request that no VM of the zone takes is offered to VMs of other zones.

--- a/edge/hand_over_test.go
+++ b/edge/hand_over_test.go
@@ -37,7 +37,7 @@
 	e.Offer(routing.NewManifest(routing.Document{Version: 1, Routes: []*routing.Route{{
 		Name: "r", Host: "h", Prefix: "/", Service: "s", Kind: routing.NonIdempotent, MaxAttempts: 1, Aim: time.Second, Timeout: 2 * time.Second,
 	}}}))
-	e.useRoom(1, true, func() bool { return true })
+	e.useRoom(1, RoomSettings{Measure: true, HandOver: true}, func() bool { return true })
 	e.room.Load().add(room.Sample{At: time.Now().Add(-time.Minute)})
 	e.room.Load().add(room.Sample{At: time.Now(), Late: late})
 	return &handOverVM{Engine: e, peers: p, vm: scatter.VM{Name: name, Zone: "z", Power: 1, Address: p.server.Addr().String(), Key: key}}
@@ -93,7 +93,7 @@
 	g.Expect(free.count(takenOver)).To(gomega.BeEquivalentTo(2))
 	g.Expect(slow.count(refused) + free.count(refused)).To(gomega.BeEquivalentTo(offers))
 
-	slow.useRoom(1, false, nil)
+	slow.useRoom(1, RoomSettings{Measure: true}, nil)
 	slow.room.Load().add(room.Sample{At: time.Now().Add(-time.Minute)})
 	slow.room.Load().add(room.Sample{At: time.Now(), Late: time.Second})
 	slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
--- a/edge/room.go
+++ b/edge/room.go
@@ -105,13 +105,16 @@
 	return ok && o.handOver && s.Factor() >= room.TakerFactor && o.ready()
 }
 
-// useRoom makes this VM measure its room and tell it, and choose other VMs by theirs. If handOver is
-// set, VMs that are short of room hand requests to others that are ready.
-func (e *Engine) useRoom(power float64, handOver bool, ready func() bool) {
-	e.room.Store(&ownRoom{meter: room.NewMeter(power), handOver: handOver, ready: ready})
+// useRoom makes this VM measure its room and tell it, and choose other VMs by theirs, as far as the
+// settings say. power is its nominal power in cores; ready reports whether it takes callers.
+func (e *Engine) useRoom(power float64, settings RoomSettings, ready func() bool) {
+	e.room.Store(&ownRoom{meter: room.NewMeter(power), handOver: settings.HandOver, ready: ready})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.UseRoom()
+	if settings.Spill {
+		e.table.AllowSpill()
+	}
 }
 
 // tellRoom adds the room of this VM to an answer to another VM, if it is measured.
@@ -173,7 +176,7 @@
 	if !n.settings.Room.Measure {
 		return
 	}
-	n.engine.useRoom(n.settings.Power, n.settings.Room.HandOver, n.isReady)
+	n.engine.useRoom(n.settings.Power, n.settings.Room, n.isReady)
 	own := n.engine.room.Load()
 	log := roomLog{log: n.log}
 	for ctx.Err() == nil {
@@ -187,6 +190,7 @@
 		}
 		own.add(room.Sample{At: now, CPU: used, Late: now.Sub(due)})
 		if s, _, ok := own.state(now); ok {
+			n.engine.setOwnRoom(s.Factor())
 			log.own(now, s)
 		}
 		if log.othersDue(now) {
@@ -204,6 +208,13 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
 }
 
+// setOwnRoom records the room of this VM.
+func (e *Engine) setOwnRoom(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.SetOwnRoom(factor)
+}
+
 // roomStats returns what this VM believes of the room of others.
 func (e *Engine) roomStats() scatter.RoomStats {
 	e.mu.Lock()
@@ -217,6 +228,7 @@
 	short    bool      // the latest line says that this VM is short of room
 	ownAt    time.Time // when a line about this VM was written
 	othersAt time.Time // when the others were last looked at
+	spilling bool      // the latest line about this VM's zone says that it is short of room
 	leftOut  int       // number of VMs left out in the latest line about others
 }
 
@@ -243,8 +255,17 @@
 	return true
 }
 
-// others logs how many VMs are not called for lack of room, if that has changed.
+// others logs whether requests go through other zones, and how many VMs are not called for lack of
+// room, each if that has changed.
 func (l *roomLog) others(stats scatter.RoomStats) {
+	if stats.Spilling != l.spilling {
+		l.spilling = stats.Spilling
+		msg := "this zone has room again"
+		if l.spilling {
+			msg = "this zone is short of room; some requests go through other zones"
+		}
+		l.log.Info(msg, "room", stats.Home, "spilled", stats.Spilled)
+	}
 	if stats.LeftOut == l.leftOut {
 		return
 	}
@@ -265,6 +286,8 @@
 	fmt.Fprintf(w, "bramley_edge_room_believed_vms %d\n", stats.Believed)
 	fmt.Fprintf(w, "bramley_edge_room_left_out_vms %d\n", stats.LeftOut)
 	fmt.Fprintf(w, "bramley_edge_room_lowest_believed %g\n", stats.Lowest)
+	fmt.Fprintf(w, "bramley_edge_room_home_zone %g\n", stats.Home)
+	fmt.Fprintf(w, "bramley_edge_room_spilled_requests_total %d\n", stats.Spilled)
 	fmt.Fprintf(w, "bramley_edge_room_choices_shifted_total %d\n", stats.Shifted)
 	fmt.Fprintf(w, "bramley_edge_room_rises_damped_total %d\n", stats.Damped)
 }
--- a/edge/room_test.go
+++ b/edge/room_test.go
@@ -34,9 +34,9 @@
 		caller, _, _ := join("a")
 		called, _, vm := join("b")
 		caller.setVMs([]scatter.VM{vm})
-		caller.useRoom(1, false, nil)
+		caller.useRoom(1, RoomSettings{Measure: true}, nil)
 		if measured {
-			called.useRoom(1, false, nil)
+			called.useRoom(1, RoomSettings{Measure: true}, nil)
 			now := time.Now()
 			called.room.Load().add(room.Sample{At: now.Add(-time.Minute)})
 			called.room.Load().add(room.Sample{At: now, Late: 200 * time.Millisecond})
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -95,6 +95,7 @@
 // RoomSettings says how work goes to VMs that have room for it.
 type RoomSettings struct {
 	Measure  bool `json:"measure,omitempty"`   // this VM measures and tells its room, and chooses other VMs by theirs
+	Spill    bool `json:"spill,omitempty"`     // while the VMs of its zone are short of room, some gathered requests go through other zones; needs Measure
 	HandOver bool `json:"hand_over,omitempty"` // while it is short of room, this VM hands callers' requests to others of its zone; needs Measure
 }
 
@@ -158,8 +159,10 @@
 			add(path, value, "a number above 0")
 		}
 	}
-	if s.Room.HandOver && !s.Room.Measure {
-		add("$.room.hand_over", true, "true only with room.measure")
+	for path, value := range map[string]bool{"$.room.hand_over": s.Room.HandOver, "$.room.spill": s.Room.Spill} {
+		if value && !s.Room.Measure {
+			add(path, value, "true only with room.measure")
+		}
 	}
 	if _, err := logging.ParseLevel(s.LogLevel); err != nil {
 		add("$.log_level", s.LogLevel, logging.Levels)
--- a/room/belief.go
+++ b/room/belief.go
@@ -63,6 +63,10 @@
 	return max(min(b.toldFactor(now), 1/b.observedExcess(now)), MinFactor)
 }
 
+// Told returns the share of its nominal power that the VM has told to have for more work, as far as
+// it is still believed. It is 1 if nothing was told.
+func (b *Belief) Told(now time.Time) float64 { return b.toldFactor(now) }
+
 // Expired reports whether nothing was heard of the VM for so long that the belief can be dropped.
 func (b *Belief) Expired(now time.Time) bool {
 	return now.Sub(b.toldAt) > forgetAfter && now.Sub(b.observedAt) > forgetAfter
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -73,6 +73,7 @@
 // chosen first, then the zone with leafs of the most remaining ones, and so on.
 func (q *Query) delegations(now time.Time) []delegation {
 	local, remote := q.splitByProximity(now)
+	local = q.spill(now, local, remote)
 	byPartition := make(map[zonePartition][]int)
 	q.assignToPartitions(byPartition, q.table.zone, local)
 	for len(remote) > 0 {
--- a/scatter/room.go
+++ b/scatter/room.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,12 +21,16 @@
 type rooms struct {
 	ackTimes    room.Usual                    // times until VMs acknowledged a call
 	answerTimes map[time.Duration]*room.Usual // by latency objective: times until VMs first answered a call
-	shifted     int
-	damped      int
+	maySpill    bool                          // requests may go to other zones for lack of room
+	own         float64                       // room of this VM itself
+	spilling    bool                          // this zone is short of room
+	shifted     int                           // see RoomStats
+	damped      int                           // see RoomStats
+	spilled     int                           // see RoomStats
 }
 
 // UseRoom makes this VM choose others by their room instead of their nominal power.
-func (t *Table) UseRoom() { t.rooms = &rooms{answerTimes: make(map[time.Duration]*room.Usual)} }
+func (t *Table) UseRoom() { t.rooms = &rooms{own: 1, answerTimes: make(map[time.Duration]*room.Usual)} }
 
 // RoomTold records what the named VM told of its room, and the age that it states of its reading.
 func (t *Table) RoomTold(now time.Time, name string, s room.State, age time.Duration) {
@@ -86,6 +91,15 @@
 	return v.belief.Factor(now)
 }
 
+// toldRoom returns the share of the VM's nominal power that it has told to have for more work. It is
+// 1 if it has told nothing for long.
+func (v *vm) toldRoom(now time.Time) float64 {
+	if v.belief == nil {
+		return 1
+	}
+	return v.belief.Told(now)
+}
+
 // presentPower returns the VM's nominal power times its believed room, in cores.
 func (v *vm) presentPower(now time.Time) float64 { return v.Power * v.room(now) }
 
@@ -129,6 +143,9 @@
 	Lowest   float64 // lowest believed room, 1 if there is none
 	Shifted  int     // choices so far of a VM that would not have been chosen by nominal power
 	Damped   int     // told states so far that were believed only in part
+	Spilled  int     // gathered requests so far that were served through another zone for lack of room
+	Home     float64 // believed room of this VM's zone
+	Spilling bool    // this VM's zone counts as short of room
 }
 
 // RoomStats returns what this VM believes of the room of others, and drops beliefs that are too
@@ -138,7 +155,9 @@
 	if t.rooms == nil {
 		return stats
 	}
-	stats.Shifted, stats.Damped = t.rooms.shifted, t.rooms.damped
+	stats.Shifted, stats.Damped, stats.Spilled = t.rooms.shifted, t.rooms.damped, t.rooms.spilled
+	stats.Spilling = t.rooms.spilling
+	stats.Home, _ = t.zoneRoom(now, t.zone)
 	for _, v := range t.vms {
 		if v.belief == nil {
 			continue
@@ -156,20 +175,20 @@
 	return stats
 }
 
-// PickTaker returns the VM of this VM's zone that a request may be handed over to, if this one is
-// short of room and can give the share factor of its nominal power to more work. Only VMs that this
-// one calls anyway and for which connected is true are considered. One of those with room is drawn
-// by power and room, so that the VMs of a zone that are short of room don't all choose the same.
+// PickTaker returns the VM that a request may be handed over to, if this one is short of room and can
+// give the share factor of its nominal power to more work. Only VMs that this one calls anyway and for
+// which connected is true are considered, and those of other zones only if there is none in this
+// one. One of those with room is drawn by power and room, so that the VMs of a zone that are short of
+// room don't all choose the same.
 func (t *Table) PickTaker(now time.Time, factor float64, connected func(VM) bool) (VM, bool) {
-	z := t.zones[t.zone]
-	if t.rooms == nil || z == nil {
+	if t.rooms == nil {
 		return VM{}, false
 	}
-	var list []*vm
-	for partition := range z.partitions {
-		for _, v := range t.delegates(now, zonePartition{zone: t.zone, partition: partition}, nil) {
-			if room.MayTake(v.room(now), v.presentPower(now), factor*t.power) && !slices.Contains(list, v) && connected(v.VM) {
-				list = append(list, v)
+	list := t.takers(now, t.zone, factor, connected)
+	if len(list) == 0 {
+		for _, zone := range slices.Sorted(maps.Keys(t.zones)) {
+			if zone != t.zone {
+				list = append(list, t.takers(now, zone, factor, connected)...)
 			}
 		}
 	}
@@ -178,3 +197,16 @@
 	}
 	return t.drawByPower(now, list).VM, true
 }
+
+// takers returns the VMs of a zone that a request may be handed over to, see PickTaker.
+func (t *Table) takers(now time.Time, zone string, factor float64, connected func(VM) bool) []*vm {
+	var list []*vm
+	for partition := range t.zones[zone].partitions {
+		for _, v := range t.delegates(now, zonePartition{zone: zone, partition: partition}, nil) {
+			if room.MayTake(v.room(now), v.presentPower(now), factor*t.power) && connected(v.VM) {
+				list = append(list, v)
+			}
+		}
+	}
+	return list
+}
