A VM that is short of room waits longer for the answer to its offer

It reads the answer late, as it does everything. The wait is now a share of the time until the request's deadline, and an accepted offer is valid for 500 ms. Not measured in the fleet.

--- a/edge/hand_over.go
+++ b/edge/hand_over.go
@@ -32,13 +32,14 @@
 // Parameters of hand-overs.
 const (
 	// offerTimeShare is the longest wait for the answer to an offer, as a share of the time until
-	// the request should be answered. After it, the VM runs the request itself.
+	// the request's deadline. After it, the VM runs the request itself. A VM that is short of room
+	// also reads the answer late.
 	offerTimeShare = 0.15
 	// returnTime is kept of a request's time for the way of its answer between the two VMs.
 	returnTime = 4 * time.Millisecond
 	// offerValidity is how long an accepted offer is valid. A VM that was frozen in between
 	// doesn't run the request, whose caller has waited in vain.
-	offerValidity = 200 * time.Millisecond
+	offerValidity = 500 * time.Millisecond
 	// maxTakenRequests bounds the requests that one VM has accepted from others and not
 	// finished.
 	maxTakenRequests = 8
@@ -147,7 +148,7 @@
 		return nil
 	}
 	sentAt := time.Now()
-	offerCtx, cancel := context.WithTimeout(ctx, time.Duration(offerTimeShare*float64(time.Until(req.AnswerBy))))
+	offerCtx, cancel := context.WithTimeout(ctx, time.Duration(offerTimeShare*float64(time.Until(req.Deadline))))
 	offer, err := client.offerRequest(offerCtx, vm, &offerCall{Manifest: version})
 	cancel()
 	e.mu.Lock()
