--- a/scatter/spill_test.go
+++ b/scatter/spill_test.go
@@ -244,3 +244,26 @@
 		})
 	}
 }
+
+// Guards against work that stays with the leafs of one zone while they run at a quarter of their pace
+// and those of another zone are idle. Owners compare the leafs of both zones; nothing is spilled.
+func TestLeafsOfSlowZoneAreLeft(t *testing.T) {
+	sim := newSimulation(newWorld(t), 4)
+	names := sim.shards(20, 11*time.Millisecond, homeZone, "other")
+	request := func() Spec {
+		spec := sim.gathered(names)
+		spec.LatencyObjective, spec.AnswerBy = 150*time.Millisecond, sim.now.Add(140*time.Millisecond)
+		return spec
+	}
+	sim.run(5*time.Second, 130, request)
+	for id, l := range sim.leafs {
+		if sim.table.findLeaf(id).Zone == homeZone {
+			l.slowdown = 4
+		}
+	}
+	sim.run(time.Second, 130, request) // until it is known
+	sim.callers, sim.inTime = 0, 0
+	sim.run(10*time.Second, 130, request)
+
+	sim.Expect(float64(sim.inTime) / float64(sim.callers)).To(gomega.BeNumerically(">", 0.99))
+}
