--- a/edge/hand_over_test.go
+++ b/edge/hand_over_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/logging"
+	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/room"
 	"github.com/bramleybarrow/bramleybarrow/routing"
@@ -28,7 +31,7 @@
 // newHandOverVM returns a VM that hands requests over, with the given lateness of its timers. Its
 // manifest has one route to a service without leafs.
 func newHandOverVM(t *testing.T, g *gomega.WithT, name string, late time.Duration) *handOverVM {
-	e := NewEngine(EngineOptions{Self: name, Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	e := NewEngine(EngineOptions{HeaderCodec: receiptCodec{}, Self: name, Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
 	key := string(make([]byte, 32))
 	p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: name, Incarnation: name}, "127.0.0.1:0", []byte(key), logging.Discard())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -180,3 +183,63 @@
 	offer, _ = taken.accept(now, "a")
 	g.Expect(taken.begin(now.Add(2*offerValidity), "a", offer, end)).To(gomega.BeFalse())
 }
+
+// receiptCodec is a HeaderCodec for requests to one leaf: an answer proves itself by a header.
+type receiptCodec struct{ HeaderCodec }
+
+// AttemptHeaders implements HeaderCodec.
+func (receiptCodec) AttemptHeaders(scatter.LeafID, time.Duration) http.Header { return nil }
+
+// ParseLeafHeaders implements HeaderCodec.
+func (receiptCodec) ParseLeafHeaders(_ int, h http.Header) LeafMetadata {
+	return LeafMetadata{Receipt: h.Get("Receipt")}
+}
+
+// Guards against a request that runs twice, or is answered wrongly, when the VM that has taken it
+// over dies while the leaf is at work, and against one whose answer is changed on the way.
+func TestRequestOfLostTakerRunsOnce(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		began, finish := make(chan struct{}, 2), make(chan struct{})
+		leaf := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			began <- struct{}{}
+			<-finish
+			w.Header().Set("Receipt", "r")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write([]byte("body"))
+		}))
+		t.Cleanup(leaf.Close)
+		release := sync.OnceFunc(func() { close(finish) })
+		t.Cleanup(release) // before the leaf is closed
+		slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+		slow.joinZone(g, free, false)
+		for _, v := range []*handOverVM{slow, free} {
+			v.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+				return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 2, Address: leaf.Listener.Addr().String()})
+			})
+		}
+		results := make(chan *Result, 1)
+		go func() {
+			req, route := slow.request()
+			results <- slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+		}()
+		g.Eventually(began, "10s").Should(gomega.Receive())
+		if dies {
+			go free.peers.close()
+		} else {
+			release()
+		}
+		var res *Result
+		g.Eventually(results, "10s").Should(gomega.Receive(&res))
+		if dies {
+			g.Expect(res.Status).To(gomega.Equal(http.StatusBadGateway))
+			g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Unknown))
+			release()
+		} else {
+			g.Expect(res.Status).To(gomega.Equal(http.StatusCreated))
+			g.Expect(string(res.Body)).To(gomega.Equal("body"))
+			g.Expect(res.Header.Get("Receipt")).To(gomega.Equal("r"))
+		}
+		g.Consistently(began, "200ms").ShouldNot(gomega.Receive(), "run by one VM, once")
+	}
+}
