--- a/edge/engine.go
+++ b/edge/engine.go
@@ -30,6 +30,8 @@
 	suspectVMs       wakeup                     // wakes probeVMs after a failed call to another VM or a failed liveness check
 	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
 	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
+	room             atomic.Pointer[ownRoom]    // room of this VM; nil if it is not measured
+	taken            takenRequests              // requests that other VMs have handed over to this one
 	self             scatter.VM                 // name and zone of this VM
 	currency         currency                   // says how current the manifest in force is
 	sourceFailed     wakeup                     // wakes pollManifests after the source of the manifest failed
@@ -178,5 +180,8 @@
 func (e *Engine) currentPeerClient() peerClient {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.room.Load() != nil {
+		return roomObserver{peerClient: e.peerClient, e: e}
+	}
 	return e.peerClient
 }
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -70,6 +70,8 @@
 	// only with Last.
 	Refused      bool  `cbor:"7,keyasint,omitempty"`
 	RetryAfterUS int64 `cbor:"8,keyasint,omitempty"`
+	// Room is what the called VM tells of its room; nil if it doesn't measure it.
+	Room *roomReport `cbor:"9,keyasint,omitempty"`
 	// Cause says, with Refused, why the call was refused.
 	Cause scatter.RefusalCause `cbor:"10,keyasint,omitempty"`
 	// LeftOut holds the shards for which nothing is sent since they are forecast to be late, as
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -72,7 +72,7 @@
 		return
 	}
 	req := e.newRequest(r, target, body, arrived, route, e.withheldHeaders(m))
-	res := e.serve(r, req, route, who)
+	res := e.serveOrHandOver(r, req, route, who, m.Version)
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -91,7 +91,10 @@
 			return nil, result.Errorf(result.BadMessage, "%d services and %d views", len(call.Services), len(call.Views))
 		}
 		e.hearVersion(conn.Peer().VM, call.ManifestVersion)
-		e.serveGather(ctx, &call, func(ans *gatherAnswer) { p.sendAnswer(conn, ans) })
+		e.serveGather(ctx, &call, func(ans *gatherAnswer) {
+			e.tellRoom(ans)
+			p.sendAnswer(conn, ans)
+		})
 		return nil, nil
 	case methodGathered:
 		ans := new(gatherAnswer)
@@ -117,6 +120,8 @@
 		return e.serveFollow(ctx, method, call)
 	case methodAllot, methodAllotNear:
 		return e.serveAllotment(conn.Peer().VM, method, params)
+	case methodOfferRequest, methodRunRequest, methodDropRequest:
+		return e.serveRequestOffer(ctx, conn, method, params)
 	default:
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
