--- a/explain/day.go
+++ b/explain/day.go
@@ -26,17 +26,19 @@
 
 // Account says what became of a number of requests. The credit of an answer in time is the square
 // of the share of shards that it holds; that of a late answer is LateCredit times that; a request
-// without an answer earns nothing. All but the counts are weighted by route.
+// without an answer earns nothing. Requests that no one is owed an answer to stand apart, in NotOwed
+// alone. All but the counts are weighted by route.
 type Account struct {
-	Name    string             `json:"name"` // of the window, route or zone
-	Asked   int                `json:"asked"`
+	Name    string             `json:"name"`  // of the window, route, zone, tenant or rank
+	Asked   int                `json:"asked"` // without those that are not owed
 	InTime  int                `json:"in_time"`
 	Late    int                `json:"late"`
 	Refused int                `json:"refused"`
 	Failed  int                `json:"failed"`
-	Owed    float64            `json:"owed"`   // credit if each request were answered in time and whole
-	Earned  float64            `json:"earned"` // credit that was earned
-	Lost    map[string]float64 `json:"lost"`   // credit that was lost, by cause
+	Owed    float64            `json:"owed"`               // credit if each request were answered in time and whole
+	Earned  float64            `json:"earned"`             // credit that was earned
+	Lost    map[string]float64 `json:"lost"`               // credit that was lost, by cause
+	NotOwed map[string]int     `json:"not_owed,omitempty"` // requests to which no answer was owed, by reason
 }
 
 // Share returns a part of the credit, earned or lost, as a share of what was owed, 0 if nothing was.
@@ -47,12 +49,23 @@
 	return credit / a.Owed
 }
 
+// Unowed returns the number of requests to which no answer was owed.
+func (a *Account) Unowed() int {
+	n := 0
+	for _, count := range a.NotOwed {
+		n += count
+	}
+	return n
+}
+
 // Day says where the credit of all requests in the logs of daemons was lost.
 type Day struct {
 	Total   Account   `json:"total"`
 	Windows []Account `json:"windows"` // by time, without those in which nothing was asked
 	Routes  []Account `json:"routes"`  // by name
 	Zones   []Account `json:"zones"`   // by name, of the VMs that the requests came to; empty if the logs don't tell
+	Tenants []Account `json:"tenants"` // by name; empty if the manifest names no tenants
+	Ranks   []Account `json:"ranks"`   // by rank, the most urgent first; empty if the logs don't tell
 	Unread  int       `json:"unread"`  // lines that hold no valid JSON object or no valid time, empty lines excepted
 }
 
@@ -61,6 +74,7 @@
 type DayReader struct {
 	options  DayOptions
 	requests []dayRequest
+	served   map[string]bool // by route: a request was sent to a leaf or to another VM
 	unread   int
 }
 
@@ -69,9 +83,12 @@
 	at      time.Time
 	route   string
 	zone    string
-	outcome string  // inTime, late, refused or failed
+	tenant  string  // empty if there is none
+	rank    int     // noRank if the log doesn't tell
+	outcome string  // inTime, late, refused, failed or notOwed
+	noLeaf  bool    // refused because no leaf of the service was known
 	credit  float64 // earned, from 0 to 1
-	cause   string  // why credit was lost; empty if none was
+	cause   string  // why credit was lost, or why none was owed; empty if none was lost
 }
 
 // The outcomes of a request.
@@ -80,14 +97,33 @@
 	late    = "late"
 	refused = "refused"
 	failed  = "failed"
+	notOwed = "not owed"
+)
+
+// Reasons why no answer is owed to a request.
+const (
+	reasonNoRoute  = "no_route"   // the manifest has no route for it
+	reasonKey      = "key"        // its API key is missing or not valid
+	reasonLimit    = "limit"      // its tenant has used up its limit
+	reasonUnserved = "no_service" // no leaf of the route's service was known, and no request on the route was sent to one
 )
 
+// unowed are the statuses of refusals that are the caller's own doing, with the reason.
+var unowed = map[int]string{
+	http.StatusNotFound:        reasonNoRoute,
+	http.StatusUnauthorized:    reasonKey,
+	http.StatusTooManyRequests: reasonLimit,
+}
+
+// noRank is the rank of a request whose log line has none.
+const noRank = -1
+
 // NewDayReader returns a reader without requests.
 func NewDayReader(options DayOptions) *DayReader {
 	if options.Window <= 0 {
 		options.Window = defaultWindow
 	}
-	return &DayReader{options: options}
+	return &DayReader{options: options, served: make(map[string]bool)}
 }
 
 // Read reads one log. It returns an error if reading fails or a line is longer than maxLineBytes.
@@ -139,12 +175,18 @@
 
 // add adds the request that a line is about, if it is about the end of one.
 func (r *DayReader) add(line map[string]any, zone string) {
-	req := dayRequest{zone: zone}
+	req := dayRequest{zone: zone, rank: noRank}
 	req.route, _ = line["route"].(string)
+	req.tenant, _ = line["tenant"].(string)
+	if rank, ok := line["rank"].(float64); ok {
+		req.rank = int(rank)
+	}
 	switch line[slog.MessageKey] {
 	case messageRefused:
-		if line["status"] == float64(http.StatusNotFound) {
-			return // the manifest does not allow the request
+		status, _ := line["status"].(float64)
+		if reason := unowed[int(status)]; reason != "" {
+			req.outcome, req.cause = notOwed, reason
+			break
 		}
 		req.outcome, req.cause = refused, fmt.Sprintf("refused: %v", line["why"])
 	case messageRequest:
@@ -176,11 +218,14 @@
 	}
 	cause := mainGap(fmt.Sprint(line["gaps"]))
 	verdict := fmt.Sprint(line["verdict"])
+	if verdict == "answered" || number("sent") > 0 || number("calls") > 0 {
+		r.served[req.route] = true
+	}
 	switch {
 	case verdict == "not_run":
-		req.outcome, req.cause = refused, "refused: "+cause
+		req.outcome, req.cause, req.noLeaf = refused, join("refused", cause), cause == gapNoLeaf
 	case verdict != "answered":
-		req.outcome, req.cause = failed, fmt.Sprintf("%s: %s", verdict, cause)
+		req.outcome, req.cause = failed, join(verdict, cause)
 	default:
 		share := 1.0
 		if shards := number("shards"); shards > 0 {
@@ -188,17 +233,28 @@
 		}
 		req.outcome, req.credit = inTime, share*share
 		if share < 1 {
-			req.cause = "left out: " + cause
+			req.cause = join("left out", cause)
 		}
 		if number("late_ms") > 0 {
-			req.outcome, req.credit, req.cause = late, req.credit*r.options.LateCredit, "late: "+cause
+			req.outcome, req.credit, req.cause = late, req.credit*r.options.LateCredit, join("late", cause)
 		}
 	}
 }
 
-// mainGap returns the cause of most gaps in the field gaps of a line, or "other" if it names none.
+// gapNoLeaf is the word that logs use for a shard of which no leaf is known.
+const gapNoLeaf = "no_leaf"
+
+// join returns what became of a request and the cause of most of its gaps, if any is known.
+func join(outcome, cause string) string {
+	if cause == "" {
+		return outcome
+	}
+	return outcome + ": " + cause
+}
+
+// mainGap returns the cause of most gaps in the field gaps of a line, empty if it names none.
 func mainGap(gaps string) string {
-	most, cause := 0, "other"
+	most, cause := 0, ""
 	for part := range strings.SplitSeq(gaps, "; ") {
 		var name string
 		var n int
@@ -218,7 +274,11 @@
 	}
 	first := r.requests[0].at
 	windows, routes, zones := map[int]*Account{}, map[string]*Account{}, map[string]*Account{}
+	tenants, ranks := map[string]*Account{}, map[int]*Account{}
 	for _, req := range r.requests {
+		if req.noLeaf && !r.served[req.route] {
+			req.outcome, req.cause = notOwed, reasonUnserved
+		}
 		n := int(req.at.Sub(first) / r.options.Window)
 		accounts := []*Account{
 			&day.Total,
@@ -228,11 +288,18 @@
 		if req.zone != "" {
 			accounts = append(accounts, accountOf(zones, req.zone, req.zone))
 		}
+		if req.tenant != "" {
+			accounts = append(accounts, accountOf(tenants, req.tenant, req.tenant))
+		}
+		if req.rank != noRank {
+			accounts = append(accounts, accountOf(ranks, req.rank, fmt.Sprintf("rank %d", req.rank)))
+		}
 		for _, a := range accounts {
 			a.add(req, r.weight(req.route))
 		}
 	}
 	day.Windows, day.Routes, day.Zones = sortedAccounts(windows), sortedAccounts(routes), sortedAccounts(zones)
+	day.Tenants, day.Ranks = sortedAccounts(tenants), sortedAccounts(ranks)
 	return day
 }
 
@@ -245,7 +312,9 @@
 }
 
 // newAccount returns an account without requests.
-func newAccount(name string) Account { return Account{Name: name, Lost: make(map[string]float64)} }
+func newAccount(name string) Account {
+	return Account{Name: name, Lost: make(map[string]float64), NotOwed: make(map[string]int)}
+}
 
 // accountOf returns the account with a key, and adds one if there is none.
 func accountOf[K comparable](accounts map[K]*Account, key K, name string) *Account {
@@ -267,6 +336,10 @@
 
 // add adds a request.
 func (a *Account) add(req dayRequest, weight float64) {
+	if req.outcome == notOwed {
+		a.NotOwed[req.cause]++
+		return
+	}
 	a.Asked++
 	switch req.outcome {
 	case inTime:
--- a/explain/day_test.go
+++ b/explain/day_test.go
@@ -39,6 +39,7 @@
 	g.Expect(total.Lost).To(gomega.HaveLen(6))
 	g.Expect(total.Lost["left out: slow"]).To(gomega.BeNumerically("~", 2*0.19))
 	g.Expect(total.Lost["short: silent"]).To(gomega.BeNumerically("~", 2))
+	g.Expect(total.NotOwed).To(gomega.Equal(map[string]int{reasonNoRoute: 1}))
 	for _, group := range [][]Account{{total}, day.Windows, day.Routes, day.Zones} {
 		owed, earned, lost := 0.0, 0.0, 0.0
 		for _, a := range group {
@@ -81,3 +82,29 @@
 	g.Expect((&Account{Owed: 0.5, Earned: 0.25}).Share(0.25)).To(gomega.Equal(0.5))
 	g.Expect((&Account{}).Share(0)).To(gomega.BeZero())
 }
+
+// notOwedLog holds requests that the manifest or the tenant's limit forbids, and checks of a route
+// whose service has no leafs, beside a request that is refused for want of a leaf.
+const notOwedLog = `{"msg":"request refused","time":"2026-01-01T00:00:01Z","why":"unknown_key","status":401}
+{"msg":"request refused","time":"2026-01-01T00:00:01Z","why":"limit","status":429,"tenant":"acme"}
+{"msg":"request","time":"2026-01-01T00:00:01Z","route":"idle","verdict":"not_run","shards":0,"gaps":"no_leaf 1: s","tenant":"acme","rank":2}
+{"msg":"request","time":"2026-01-01T00:00:01Z","route":"one","verdict":"not_run","shards":0,"gaps":"no_leaf 1: s","tenant":"acme","rank":2}
+{"msg":"request","time":"2026-01-01T00:00:01Z","route":"one","verdict":"answered","shards":0,"gaps":"","tenant":"bolt","rank":0}
+{"msg":"request","time":"2026-01-01T00:00:01Z","route":"one","verdict":"timed_out","shards":0,"gaps":"","sent":1,"tenant":"bolt","rank":0}
+`
+
+// Guards against losses that no caller had: requests to which no answer is owed must not count as
+// asked, and an outcome without a gap keeps its own name.
+func TestWhatIsNotOwedStandsApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewDayReader(DayOptions{})
+	g.Expect(r.Read(strings.NewReader(notOwedLog))).To(gomega.Succeed())
+	day := r.Day()
+	g.Expect(day.Total.NotOwed).To(gomega.Equal(map[string]int{reasonKey: 1, reasonLimit: 1, reasonUnserved: 1}))
+	g.Expect(day.Total.Asked).To(gomega.Equal(3))
+	g.Expect(day.Total.Lost).To(gomega.Equal(map[string]float64{"refused: no_leaf": 1, "timed_out": 1}))
+	g.Expect(day.Tenants).To(gomega.HaveLen(2))
+	g.Expect(day.Tenants[0].NotOwed[reasonLimit]).To(gomega.Equal(1))
+	g.Expect(day.Ranks[0].Name).To(gomega.Equal("rank 0"))
+	g.Expect(day.Ranks[0].Asked).To(gomega.Equal(2))
+}
--- a/operator/explain_day.go
+++ b/operator/explain_day.go
@@ -90,13 +90,13 @@
 
 // dayTable returns the text form of day.
 func dayTable(day explain.Day) table {
-	t := table{header: []string{"", "asked", "in time", "late", "refused", "failed", "credit", "lost by cause"}}
+	t := table{header: []string{"", "asked", "in time", "late", "refused", "failed", "not owed", "credit", "lost by cause"}}
 	row := func(a explain.Account) {
 		t.add(a.Name, strconv.Itoa(a.Asked), strconv.Itoa(a.InTime), strconv.Itoa(a.Late), strconv.Itoa(a.Refused),
-			strconv.Itoa(a.Failed), fmt.Sprintf("%.3f", a.Share(a.Earned)), lossText(a))
+			strconv.Itoa(a.Failed), strconv.Itoa(a.Unowed()), fmt.Sprintf("%.3f", a.Share(a.Earned)), lossText(a))
 	}
 	row(day.Total)
-	for _, group := range [][]explain.Account{day.Windows, day.Routes, day.Zones} {
+	for _, group := range [][]explain.Account{day.Windows, day.Routes, day.Zones, day.Ranks, mostLoss(day.Tenants)} {
 		for _, a := range group {
 			row(a)
 		}
@@ -107,6 +107,17 @@
 	return t
 }
 
+// maxTenantRows is the number of tenants that the text form names.
+const maxTenantRows = 10
+
+// mostLoss returns the tenants that lost the most credit, the one with the greatest loss first.
+func mostLoss(tenants []explain.Account) []explain.Account {
+	loss := func(a explain.Account) float64 { return a.Owed - a.Earned }
+	list := slices.Clone(tenants)
+	slices.SortStableFunc(list, func(a, b explain.Account) int { return cmp.Compare(loss(b), loss(a)) })
+	return list[:min(len(list), maxTenantRows)]
+}
+
 // maxLossCauses is the number of causes that a row names.
 const maxLossCauses = 4
 
