Limits: a token goes to a request that can be answered in time first

Cause: while a tenant sends several times its limit, callers that come back after a 429 ask like new ones. They are served after their latency objective, and requests that could be served in time get the 429 in their place.

Change: a request with less than half of its objective left, by the remaining time that its caller states (observed once per request), asks as stale. It gets a token only if it leaves a reserve to others; the reserve is within what the bucket holds beyond the burst, so a tenant within its limit is not refused for it, and it is not kept while a new accountant starts. Retry-After times follow one another at the part of the rate that the demand of the last second leaves (a tenth at least) instead of half of the rate, and a caller that will be stale by then is asked to wait for more than the reserve. VMs refuse stale requests for up to 1 s without asking when the accountant said that there is no room. The log line of a refusal by a limit names tenant, rank, limit, accountant and age of what it said; explain-request says so in a sentence.

Ruled out: tokens held for callers with a time, which a request in time then lacks; no tokens at all for stale requests, which starves them where there is room.

--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -14,11 +14,13 @@
 	// nearCapacityShare is the share of a bucket's capacity below which the tenant is near its limit.
 	// In a fleet of few VMs it is less: one token for each VM.
 	nearCapacityShare = 1.0 / 3
-	sureShare         = 0.9 // of the rate: a tenant that got as much since an accountant took over has used up its limit when there are no tokens
-	farFactor         = 1.5 // a tenant is far from its limit again with this many times the tokens
-	freeShare         = 0.5 // of the tokens of a tenant far from its limit: what all VMs may use before they tell
-	returnShare       = 0.5 // of the rate: what is left to callers that were asked to come back later
-	maxNear           = 256 // tenants that are named as near their limit; if there are more, VMs ask for every tenant
+	sureShare         = 0.9         // of the rate: a tenant that got as much since an accountant took over has used up its limit when there are no tokens
+	farFactor         = 1.5         // a tenant is far from its limit again with this many times the tokens
+	freeShare         = 0.5         // of the tokens of a tenant far from its limit: what all VMs may use before they tell
+	reserveShare      = 0.25        // of a bucket's capacity: tokens that stale requests leave to others, at most
+	minReturnShare    = 0.1         // of the rate: what callers that are asked to come back are counted on to find at least
+	demandPeriod      = time.Second // over which a tenant's demand is averaged
+	maxNear           = 256         // tenants that are named as near their limit; if there are more, VMs ask for every tenant
 )
 
 // Accountant keeps the limits of a group of tenants for the VMs that follow it. It fills their buckets
@@ -53,14 +55,16 @@
 
 // bucket holds the tokens of one tenant.
 type bucket struct {
-	limit   tenant.Limit
-	version int64     // of the manifest that states limit
-	level   float64   // tokens; below 0 if more requests ran than there were tokens
-	filled  float64   // Accountant.filled when level was computed
-	granted float64   // requests since Accountant.wholeSince
-	booked  time.Time // up to this time, tokens are left to callers that were asked to come back
-	crowd   int       // callers that were refused without a booking
-	near    bool
+	limit    tenant.Limit
+	version  int64     // of the manifest that states limit
+	level    float64   // tokens; below 0 if more requests ran than there were tokens
+	filled   float64   // Accountant.filled when level was computed
+	granted  float64   // requests since Accountant.wholeSince
+	booked   time.Time // up to this time, tokens are left to callers that were asked to come back
+	crowd    int       // callers that were refused without a booking
+	demand   float64   // requests that are not stale, each counted less with its age: by 1/e in a demandPeriod
+	demandAt time.Time // when demand was computed
+	near     bool
 	// recovered is set if there were tokens enough since Accountant.wholeSince.
 	recovered bool
 }
@@ -137,10 +141,10 @@
 	var ans Answer
 	for i, u := range call.Usage {
 		b := a.bucket(u.Tenant, u.Version, u.Limit)
-		ans.Flipped = a.record(b, u, known) || ans.Flipped
+		ans.Flipped = a.record(now, b, u, known) || ans.Flipped
 		if u.Ask {
 			ans.Asked = true
-			a.ask(now, b, known, &ans)
+			a.ask(now, b, &u, known, &ans)
 			ans.Flipped = a.judge(b) || ans.Flipped
 		}
 		if i == 0 && !b.near {
@@ -302,10 +306,11 @@
 
 // record takes from a bucket what a VM tells. It reports whether the tenant has come near its limit. Of
 // a call that may have been heard before, only what was used counts.
-func (a *Accountant) record(b *bucket, u Usage, known hearing) bool {
+func (a *Accountant) record(now time.Time, b *bucket, u Usage, known hearing) bool {
 	if known == repeated {
 		return false
 	}
+	b.demanded(now, u.Used)
 	b.level -= float64(u.Used)
 	b.granted += float64(u.Used)
 	if known == heard {
@@ -315,34 +320,66 @@
 	return a.judge(b)
 }
 
-// ask answers whether a request may run.
-func (a *Accountant) ask(now time.Time, b *bucket, known hearing, ans *Answer) {
+// ask answers whether a request may run. A stale request leaves the last tokens to others, if the tenant
+// has surely come near its limit.
+func (a *Accountant) ask(now time.Time, b *bucket, u *Usage, known hearing, ans *Answer) {
 	if known != heard || a.share == 0 {
 		ans.Unsure, ans.RetryMS = true, milliseconds(retryPause)
 		return
 	}
-	if b.level >= 1 {
+	if !u.Stale {
+		b.demanded(now, 1)
+	}
+	sure, reserve := a.sure(now, b), a.config.reserve(b.limit)*a.share
+	if b.level >= 1 && (!u.Stale || !sure || b.level >= 1+reserve) {
 		b.level--
 		b.granted++
 		ans.Granted = true
 		return
 	}
 	rate := a.config.rate(b.limit) * a.share
-	room := min(maxRetryAfter, seconds((1-b.level)/rate))
-	due := now.Add(room)
+	ans.Unsure = !sure
+	ans.RoomMS = milliseconds(seconds(max(0, 1-b.level) / rate))
+	if sure {
+		ans.StaleMS = milliseconds(min(maxStaleKnown, seconds((1+reserve-b.level)/rate)))
+	}
+	ans.RetryMS = milliseconds(a.retryAfter(now, b, u, rate, reserve))
+}
+
+// retryAfter returns when a refused caller should come back. Callers are given times one after the
+// other, at the part of the rate that the demand leaves. One that would be stale by then has to wait
+// until there are more tokens than stale requests leave to others.
+func (a *Accountant) retryAfter(now time.Time, b *bucket, u *Usage, rate, reserve float64) time.Duration {
+	left := max(rate-b.demanded(now, 0), rate*minReturnShare)
+	due := now.Add(seconds(max(0, 1-b.level) / rate))
 	if b.booked.After(due) {
 		due = b.booked
 	}
-	if latest := now.Add(maxRetryAfter); due.After(latest) {
+	fresh := time.Duration(u.FreshMS) * time.Millisecond
+	if u.Stale || fresh > 0 && due.Sub(now) > fresh {
+		if room := now.Add(seconds((1 + reserve - b.level) / left)); room.After(due) {
+			due = room
+		}
+	}
+	if latest := now.Add(maxRetryAfter); !due.Before(latest) {
 		// More callers than can be served until then: spread them without a promise.
 		b.crowd++
 		_, part := math.Modf(float64(b.crowd) * math.Phi)
 		due = latest.Add(-time.Duration(part * float64(maxRetryAfter/2)))
 	} else {
-		b.booked = due.Add(seconds(1 / (rate * returnShare)))
+		b.booked = due.Add(seconds(1 / left))
+	}
+	return due.Sub(now)
+}
+
+// demanded counts requests that are not stale, and returns their present rate per second.
+func (b *bucket) demanded(now time.Time, requests int) float64 {
+	if since := now.Sub(b.demandAt); since > 0 {
+		b.demand *= math.Exp(-since.Seconds() / demandPeriod.Seconds())
+		b.demandAt = now
 	}
-	ans.RoomMS, ans.RetryMS = milliseconds(room), milliseconds(due.Sub(now))
-	ans.Unsure = !a.sure(now, b)
+	b.demand += float64(requests)
+	return b.demand / demandPeriod.Seconds()
 }
 
 // sure reports whether a tenant without tokens has used up its limit, rather than this accountant
--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -42,6 +42,13 @@
 	return max(1, l.Burst*(1+c.Excess*bucketExcessShare)+c.Slack*bucketSlackShare)
 }
 
+// reserve returns how many tokens of a full bucket stale requests leave to others. It is a part of what
+// the bucket holds beyond the limit's burst, which a tenant within its limit never needs.
+func (c Config) reserve(l tenant.Limit) float64 {
+	full := c.capacity(l)
+	return max(0, min(full*reserveShare, full-max(1, l.Burst)))
+}
+
 // spare returns how many tokens there are beside the bucket in a window.
 func (c Config) spare(l tenant.Limit) float64 {
 	return (l.RatePerS*c.Window.Seconds()+l.Burst)*c.Excess*spareExcessShare + c.Slack*spareSlackShare
@@ -73,6 +80,7 @@
 	firstCooldown  = 2 * time.Second        // time for which a VM that did not answer is not chosen as accountant; doubles with each failure
 	maxCooldown    = 30 * time.Second
 	maxRetryAfter  = 30 * time.Second
+	maxStaleKnown  = time.Second // longest time for which a VM refuses stale requests without asking
 )
 
 // beat returns the interval of messages between a follower and its accountant in a fleet of n VMs.
@@ -110,9 +118,11 @@
 	Tenant  string       `json:"tenant"`
 	Version int64        `json:"version"` // of the manifest that states the limit
 	Limit   tenant.Limit `json:"limit"`
-	Used    int          `json:"used,omitempty"` // requests admitted without asking, since the last message
-	Back    int          `json:"back,omitempty"` // tokens that were not used, since the last message
-	Ask     bool         `json:"ask,omitempty"`  // asks for a token
+	Used    int          `json:"used,omitempty"`     // requests admitted without asking, since the last message
+	Back    int          `json:"back,omitempty"`     // tokens that were not used, since the last message
+	Ask     bool         `json:"ask,omitempty"`      // asks for a token
+	Stale   bool         `json:"stale,omitempty"`    // of Ask: the request can't be answered within its latency objective
+	FreshMS int64        `json:"fresh_ms,omitempty"` // of Ask: it becomes stale after this many milliseconds; 0 if it never does
 }
 
 // Answer is an accountant's answer to a Call.
@@ -127,6 +137,7 @@
 	Unsure  bool     `json:"unsure,omitempty"`   // if not granted: whether the limit is used up is not known
 	RetryMS int64    `json:"retry_ms,omitempty"` // if not granted: when the caller should come back, in milliseconds
 	RoomMS  int64    `json:"room_ms,omitempty"`  // if not granted: until then there is no room, in milliseconds
+	StaleMS int64    `json:"stale_ms,omitempty"` // if not granted: until then there is no room for stale requests, in milliseconds
 	Flipped bool     `json:"-"`                  // a tenant has come near its limit; the other followers should be told at once
 }
 
--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -71,13 +71,18 @@
 		f.limits[name] = limit
 		f.run(12*time.Second, nil) // the buckets fill
 		tokens, bursts := max(1, 0.9*limit.Burst), rapid.Float64Range(0.001, 1).Draw(t, "bursts")
+		stale := rapid.Float64Range(0, 1).Draw(t, "stale")
 		f.run(10*time.Second, func() {
 			tokens = min(tokens+0.9*limit.RatePerS*fleetStep.Seconds(), max(1, 0.9*limit.Burst))
 			if f.rng.Float64() >= bursts {
 				return
 			}
 			for ; tokens >= 1; tokens-- {
-				f.request(f.rng.IntN(len(f.vms)), name)
+				freshFor := NoObjective
+				if f.rng.Float64() < stale {
+					freshFor = 0
+				}
+				f.requestFor(f.rng.IntN(len(f.vms)), name, freshFor, nil)
 			}
 		})
 		if len(f.refused) > 0 {
@@ -247,7 +252,7 @@
 	for range 20 { // the spare tokens
 		m.unanswered(now, name, m.usage(name, 1, large))
 	}
-	asked := m.Take(now, name, 1, large)
+	asked := m.Take(now, name, 1, large, NoObjective)
 	g.Expect(asked.Verdict).To(gomega.Equal(Asking))
 	g.Expect(m.Late(now, asked.Call).Verdict).To(gomega.Equal(Unknown))
 	m.Answered(now, asked.Call, &Answer{Asked: true, Granted: true})
@@ -271,6 +276,80 @@
 	g.Expect(f.refused[OverLimit]).To(gomega.BeNumerically("<=", len(back)/20))
 }
 
+// patient is a caller's view of its request.
+type patient struct {
+	objective time.Duration
+	longest   time.Duration // it waits no longer than this before it tries again, once
+}
+
+// call lets a caller's request arrive at a random VM. served is called if it runs, with whether that was
+// within its objective.
+func (f *fleet) call(p patient, served func(inTime bool), refused func()) {
+	began := f.now
+	try := func(ended func(Decision)) {
+		f.requestFor(f.rng.IntN(len(f.vms)), name, p.objective-f.now.Sub(began), ended)
+	}
+	end := func(d Decision) bool {
+		if d.Verdict == Admitted {
+			served(f.now.Sub(began) < p.objective)
+		}
+		return d.Verdict == Admitted
+	}
+	try(func(d Decision) {
+		if end(d) {
+			return
+		}
+		f.mail = append(f.mail, letter{at: f.now.Add(min(d.RetryAfter, p.longest)), run: func() {
+			try(func(d Decision) {
+				if !end(d) {
+					refused()
+				}
+			})
+		}})
+	})
+}
+
+// Guards against tokens that go to callers who come back too late, in place of those that could be
+// served in time.
+func TestOverloadServesThoseInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(72)
+	inTime, late := 0, 0
+	hot := func() {
+		if f.rng.Float64() < 5*large.RatePerS*fleetStep.Seconds() {
+			f.call(patient{objective: 50 * time.Millisecond, longest: 100 * time.Millisecond}, func(in bool) {
+				if in {
+					inTime++
+				} else {
+					late++
+				}
+			}, func() {})
+		}
+	}
+	f.run(4*time.Second, hot)
+	inTime, late = 0, 0
+	f.run(10*time.Second, hot)
+	t.Log("in time", inTime, "late", late)
+	g.Expect(inTime).To(gomega.BeNumerically(">=", 10*large.RatePerS))
+	f.wants(t, large)
+}
+
+// Guards against callers that wait as long as they are asked to and find no room, though their tenant is
+// below its limit again.
+func TestPatientCallersFindRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := settled(72)
+	served, lost := 0, 0
+	usual := f.load(name, 0.8*large.RatePerS)
+	for range 60 { // a burst beyond the bucket
+		f.call(patient{objective: 50 * time.Millisecond, longest: time.Hour}, func(bool) { served++ }, func() { lost++ })
+	}
+	f.run(40*time.Second, usual)
+	t.Log("served", served, "lost", lost)
+	g.Expect(served).To(gomega.BeNumerically(">=", 57), "of 60")
+	g.Expect(f.refused[OverLimit]).To(gomega.BeNumerically("<", 60), "of 660, the burst included")
+}
+
 // Guards against any interleaving of failures that breaks the bound.
 func TestAnyInterleavingKeepsTheBound(t *testing.T) {
 	fixSeed(t)
@@ -334,7 +413,7 @@
 	m := NewMember(testConfig, "vm", 1)
 	calls, _ := m.Next(now)
 	g.Expect(calls).To(gomega.BeEmpty())
-	g.Expect(m.Take(now, name, 1, large).Verdict).To(gomega.Equal(Unknown))
+	g.Expect(m.Take(now, name, 1, large, NoObjective).Verdict).To(gomega.Equal(Unknown))
 }
 
 // Guards against a VM without an accountant among VMs of a release that keeps no limits.
@@ -378,7 +457,7 @@
 	u.free, u.freeUntil = 1<<60, now.Add(time.Hour)
 	b.ReportAllocs()
 	for b.Loop() {
-		m.Take(now, name, 1, large)
+		m.Take(now, name, 1, large, NoObjective)
 	}
 }
 
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -18,17 +18,18 @@
 	vms     []*fleetVM
 	list    []VM
 	mail    []letter
-	delay   time.Duration           // longest delay of a message
-	cut     func(from, to int) bool // whether messages are lost
-	repeat  bool                    // each call is delivered twice
-	version int64                   // of the manifest
-	limits  map[string]tenant.Limit // by tenant
-	ran     map[string][]time.Time  // by tenant: when requests ran
-	refused map[Verdict]int         // requests that did not run
-	retry   []time.Time             // when refused callers were asked to come back
-	asks    int                     // calls that asked for a token
-	notRun  float64                 // share of admitted requests that are given back
-	waiting map[*Outgoing]*fleetVM  // requests that wait for the answer to a call
+	delay   time.Duration                // longest delay of a message
+	cut     func(from, to int) bool      // whether messages are lost
+	repeat  bool                         // each call is delivered twice
+	version int64                        // of the manifest
+	limits  map[string]tenant.Limit      // by tenant
+	ran     map[string][]time.Time       // by tenant: when requests ran
+	refused map[Verdict]int              // requests that did not run
+	retry   []time.Time                  // when refused callers were asked to come back
+	asks    int                          // calls that asked for a token
+	notRun  float64                      // share of admitted requests that are given back
+	waiting map[*Outgoing]*fleetVM       // requests that wait for the answer to a call
+	ended   map[*Outgoing]func(Decision) // their callers, if these want to know
 }
 
 // fleetVM is one VM of a fleet.
@@ -55,7 +56,7 @@
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), delay: 5 * time.Millisecond,
 		limits: map[string]tenant.Limit{}, ran: map[string][]time.Time{}, refused: map[Verdict]int{},
-		cut: func(int, int) bool { return false }, waiting: map[*Outgoing]*fleetVM{}, version: 1,
+		cut: func(int, int) bool { return false }, waiting: map[*Outgoing]*fleetVM{}, ended: map[*Outgoing]func(Decision){}, version: 1,
 	}
 	for i := range n {
 		v := &fleetVM{index: i, name: fmt.Sprintf("vm-%d", i), offset: time.Duration(f.rng.IntN(1e9)) * time.Microsecond}
@@ -144,13 +145,18 @@
 // finish ends the wait of a request.
 func (f *fleet) finish(v *fleetVM, out *Outgoing, d Decision) {
 	if f.waiting[out] == v {
+		ended := f.ended[out]
 		delete(f.waiting, out)
-		f.decide(v, out.Call.Usage[0].Tenant, d)
+		delete(f.ended, out)
+		f.decide(v, out.Call.Usage[0].Tenant, d, ended)
 	}
 }
 
-// decide runs or refuses a request.
-func (f *fleet) decide(v *fleetVM, name string, d Decision) {
+// decide runs or refuses a request. ended may be nil.
+func (f *fleet) decide(v *fleetVM, name string, d Decision, ended func(Decision)) {
+	if ended != nil {
+		ended(d)
+	}
 	switch {
 	case d.Verdict != Admitted:
 		f.refused[d.Verdict]++
@@ -165,16 +171,21 @@
 }
 
 // request lets a request of a tenant arrive at a VM.
-func (f *fleet) request(i int, name string) {
+func (f *fleet) request(i int, name string) { f.requestFor(i, name, NoObjective, nil) }
+
+// requestFor lets a request arrive that can be answered in time for freshFor. ended, which may be nil,
+// is called with the decision.
+func (f *fleet) requestFor(i int, name string, freshFor time.Duration, ended func(Decision)) {
 	v := f.vms[i%len(f.vms)]
 	if v.down || v.frozen {
 		return
 	}
-	d := v.member.Take(f.clock(v), name, f.version, f.limits[name])
+	d := v.member.Take(f.clock(v), name, f.version, f.limits[name], freshFor)
 	if d.Verdict != Asking {
-		f.decide(v, name, d)
+		f.decide(v, name, d, ended)
 		return
 	}
+	f.ended[d.Call] = ended
 	f.asks++
 	f.waiting[d.Call] = v
 	f.send(v, d.Call)
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -37,6 +37,9 @@
 	RetryAfter time.Duration // of OverLimit and Unknown
 	Call       *Outgoing     // of Asking
 	TellNow    bool          // Next has a call to send
+	Accountant string        // of OverLimit and Unknown: the VM that the decision rests on, empty if there is none
+	Known      bool          // of OverLimit and Unknown: Age is known
+	Age        time.Duration // how long ago the accountant was asked for what the decision rests on
 	Move       string        // of Answered: if not empty, the accountant at this VM should tell its followers to follow this VM
 }
 
@@ -91,18 +94,21 @@
 
 // usage is what a VM knows of one tenant.
 type usage struct {
-	version   int64
-	limit     tenant.Limit
-	untold    int       // requests admitted without asking, of which the accountant was not told
-	sent      int       // likewise, of which a call under way tells
-	back      int       // tokens that were not used, of which the accountant was not told
-	pending   bool      // listed in following.pending
-	free      int       // requests that may be admitted before the accountant has been told
-	freeUntil time.Time // end of the validity of free
-	spent     []time.Time
-	fullUntil time.Time // the accountant has said that there is no room until then
-	retryAt   time.Time // when the latest refused caller was asked to come back
-	usedAt    time.Time // time of the latest request
+	version    int64
+	limit      tenant.Limit
+	untold     int       // requests admitted without asking, of which the accountant was not told
+	sent       int       // likewise, of which a call under way tells
+	back       int       // tokens that were not used, of which the accountant was not told
+	pending    bool      // listed in following.pending
+	free       int       // requests that may be admitted before the accountant has been told
+	freeUntil  time.Time // end of the validity of free
+	spent      []time.Time
+	fullUntil  time.Time // the accountant has said that there is no room until then
+	staleUntil time.Time // likewise, for stale requests
+	toldBy     string    // the accountant that said so
+	toldAt     time.Time // when it was asked
+	retryAt    time.Time // when the latest refused caller was asked to come back
+	usedAt     time.Time // time of the latest request
 }
 
 // NewMember returns the part of the VM self. It knows no accountant and holds no token until SetVMs is
@@ -150,8 +156,13 @@
 // Accountant returns the name of the VM that this one follows in a group, empty if there is none.
 func (m *Member) Accountant(group int) string { return m.groups[group].name }
 
-// Take decides on a request of a tenant, whose limit a manifest of the given version states.
-func (m *Member) Take(now time.Time, name string, version int64, limit tenant.Limit) Decision {
+// NoObjective is the freshFor of a request without a latency objective.
+const NoObjective time.Duration = math.MaxInt64
+
+// Take decides on a request of a tenant, whose limit a manifest of the given version states. freshFor is
+// how long the request can still be answered within its latency objective. If that is over, the request
+// is stale: near the limit, others come before it.
+func (m *Member) Take(now time.Time, name string, version int64, limit tenant.Limit, freshFor time.Duration) Decision {
 	if !limit.Limited() {
 		return Decision{}
 	}
@@ -170,13 +181,18 @@
 			return Decision{TellNow: tell}
 		}
 	}
-	if now.Before(u.fullUntil) {
+	if now.Before(u.fullUntil) || freshFor <= 0 && now.Before(u.staleUntil) {
 		return m.refuse(now, u)
 	}
 	if f.name == "" {
 		return m.unanswered(now, name, u)
 	}
-	return Decision{Verdict: Asking, Call: m.call(now, f, GroupOf(name), name)}
+	out := m.call(now, f, GroupOf(name), name)
+	ask := &out.Call.Usage[0]
+	if ask.Stale = freshFor <= 0; !ask.Stale && freshFor != NoObjective {
+		ask.FreshMS = milliseconds(freshFor)
+	}
+	return Decision{Verdict: Asking, Call: out}
 }
 
 // far reports whether a tenant is far from its limit by a recent word of the accountant.
@@ -192,7 +208,7 @@
 		m.tenants[name] = u
 	}
 	if version != u.version || limit != u.limit {
-		u.version, u.limit, u.fullUntil, u.freeUntil = version, limit, time.Time{}, time.Time{}
+		u.version, u.limit, u.fullUntil, u.staleUntil, u.freeUntil = version, limit, time.Time{}, time.Time{}, time.Time{}
 	}
 	return u
 }
@@ -369,8 +385,10 @@
 		return d
 	}
 	u.fullUntil = now.Add(time.Duration(ans.RoomMS) * time.Millisecond)
+	u.staleUntil = now.Add(time.Duration(ans.StaleMS) * time.Millisecond)
+	u.toldBy, u.toldAt = out.To, out.SentAt
 	u.retryAt = now.Add(time.Duration(ans.RetryMS) * time.Millisecond)
-	return Decision{Verdict: OverLimit, RetryAfter: u.retryAt.Sub(now)}
+	return u.overLimit(now)
 }
 
 // Failed records that a call was not answered, or that the called VM ignores such calls since it keeps
@@ -475,17 +493,22 @@
 	}
 }
 
+// overLimit returns the decision that an accountant's answer led to.
+func (u *usage) overLimit(now time.Time) Decision {
+	return Decision{Verdict: OverLimit, RetryAfter: u.retryAt.Sub(now), Accountant: u.toldBy, Known: true, Age: now.Sub(u.toldAt)}
+}
+
 // refuse refuses a request of a tenant that has used up its limit. Callers are asked to come back one
 // after the other.
 func (m *Member) refuse(now time.Time, u *usage) Decision {
 	if u.retryAt.Before(u.fullUntil) {
 		u.retryAt = u.fullUntil
 	}
-	u.retryAt = u.retryAt.Add(seconds(1 / (m.config.rate(u.limit) * returnShare)))
+	u.retryAt = u.retryAt.Add(seconds(1 / (m.config.rate(u.limit) * minReturnShare)))
 	if latest := now.Add(maxRetryAfter); u.retryAt.After(latest) {
 		u.retryAt = latest.Add(-time.Duration(m.rng.Int64N(int64(maxRetryAfter / 2))))
 	}
-	return Decision{Verdict: OverLimit, RetryAfter: u.retryAt.Sub(now)}
+	return u.overLimit(now)
 }
 
 // unanswered decides on a request while no accountant says whether the limit is used up: some VMs hold
@@ -496,7 +519,11 @@
 		u.spent = append(u.spent, now)
 		return Decision{}
 	}
-	return Decision{Verdict: Unknown, RetryAfter: retryPause + time.Duration(m.rng.Int64N(int64(retryPause)))}
+	f := &m.groups[GroupOf(name)]
+	return Decision{
+		Verdict: Unknown, RetryAfter: retryPause + time.Duration(m.rng.Int64N(int64(retryPause))),
+		Accountant: f.name, Known: !f.heard.IsZero(), Age: now.Sub(f.heard),
+	}
 }
 
 // spare returns the number of spare tokens of a tenant that this VM holds. They are whole, and divided
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -57,7 +57,7 @@
 	version     int64                                   // manifest whose limits the accountants have
 	limited     bool                                    // that manifest states limits
 
-	admitted, asked, overLimit, unknown, late, returned, changes *metrics.Counter
+	admitted, asked, overLimit, unknown, stale, late, returned, changes *metrics.Counter
 }
 
 // newAllotments returns the limits of tenants at the VM self, with their metrics.
@@ -72,6 +72,7 @@
 	a.overLimit = set.NewCounter(`bramley_edge_allotment_requests_total{decision="over_limit"}`)
 	a.unknown = set.NewCounter(`bramley_edge_allotment_requests_total{decision="unknown"}`)
 	a.asked = set.NewCounter(`bramley_edge_allotment_asked_total`)
+	a.stale = set.NewCounter(`bramley_edge_allotment_stale_total`)
 	a.late = set.NewCounter(`bramley_edge_allotment_late_total`)
 	a.returned = set.NewCounter(`bramley_edge_allotment_returned_total`)
 	a.changes = set.NewCounter(`bramley_edge_allotment_accountant_changes_total`)
@@ -110,8 +111,8 @@
 }
 
 // takeToken takes one request from the limit of its tenant, and returns a rejection if the limit is
-// used up, or if it is not known whether it is.
-func (e *Engine) takeToken(ctx context.Context, now time.Time, who origin, route *routing.Route) *rejection {
+// used up, or if it is not known whether it is. freshFor is that of allotment.Member.Take.
+func (e *Engine) takeToken(ctx context.Context, now time.Time, who origin, route *routing.Route, freshFor time.Duration) *rejection {
 	a := e.allotments.Load()
 	if a == nil || who.tenant == nil || !who.tenant.Limit.Limited() {
 		return nil
@@ -121,7 +122,7 @@
 		version = m.Version
 	}
 	a.mu.Lock()
-	d := a.member.Take(now, who.tenant.Name, version, who.tenant.Limit)
+	d := a.member.Take(now, who.tenant.Name, version, who.tenant.Limit, freshFor)
 	a.mu.Unlock()
 	if d.TellNow {
 		a.wake.notify()
@@ -130,19 +131,37 @@
 		a.asked.Inc()
 		d = a.ask(ctx, d.Call, askWait(route))
 	}
+	if d.Verdict != allotment.Admitted && freshFor <= 0 {
+		a.stale.Inc()
+	}
 	switch d.Verdict {
 	case allotment.OverLimit:
 		a.overLimit.Inc()
-		return &rejection{status: http.StatusTooManyRequests, why: "over_limit", retryAfter: d.RetryAfter}
+		return &rejection{status: http.StatusTooManyRequests, why: "over_limit", retryAfter: d.RetryAfter, fields: limitFields(who, freshFor, &d)}
 	case allotment.Unknown:
 		a.unknown.Inc()
-		return &rejection{status: http.StatusServiceUnavailable, why: "limit_unknown", retryAfter: d.RetryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, why: "limit_unknown", retryAfter: d.RetryAfter, fields: limitFields(who, freshFor, &d)}
 	default:
 		a.admitted.Inc()
 		return nil
 	}
 }
 
+// limitFields returns the fields for the log line of a request that was refused by its tenant's limit.
+func limitFields(who origin, freshFor time.Duration, d *allotment.Decision) []any {
+	fields := append(who.logFields(),
+		"rate_per_s", who.tenant.Limit.RatePerS,
+		"burst", who.tenant.Limit.Burst,
+		"stale", freshFor <= 0,
+		"accountant", d.Accountant,
+		"retry_ms", d.RetryAfter.Milliseconds(),
+	)
+	if d.Known {
+		fields = append(fields, "age_ms", d.Age.Milliseconds())
+	}
+	return fields
+}
+
 // askWait returns how long a request of a route may wait for an accountant.
 func askWait(route *routing.Route) time.Duration {
 	if route.Aim <= 0 {
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -56,7 +59,7 @@
 	admitted := 0
 	g.Eventually(func() bool {
 		for _, e := range engines {
-			switch rejected := e.takeToken(t.Context(), time.Now(), who, limitedRoute); {
+			switch rejected := e.takeToken(t.Context(), time.Now(), who, limitedRoute, allotment.NoObjective); {
 			case rejected == nil:
 				admitted++
 			case rejected.status == http.StatusTooManyRequests:
@@ -95,7 +98,7 @@
 	large := origin{tenant: &tenant.Tenant{Name: limitedTenant.Name, Limit: tenant.Limit{RatePerS: 1e6, Burst: 1e6}}}
 	asks := func() bool {
 		before := follower.allotments.Load().asked.Get()
-		_ = follower.takeToken(t.Context(), time.Now(), large, limitedRoute) // may be refused
+		_ = follower.takeToken(t.Context(), time.Now(), large, limitedRoute, allotment.NoObjective) // may be refused
 		return follower.allotments.Load().asked.Get() > before
 	}
 	follower.inForce.Offer(routing.NewManifest(routing.Document{Version: 2, Tenants: []tenant.Tenant{*large.tenant}}))
@@ -130,7 +133,7 @@
 	follower.setPeerClient(stuckPeerClient{ended: t.Context().Done()})
 	late := follower.allotments.Load().late
 	g.Eventually(func() uint64 {
-		_ = follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute) // may be refused
+		_ = follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute, allotment.NoObjective) // may be refused
 		return late.Get()
 	}, "10s", "1ms").ShouldNot(gomega.BeZero())
 }
@@ -147,7 +150,7 @@
 		}
 	}
 	for range 50 {
-		rejected := follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute)
+		rejected := follower.takeToken(t.Context(), time.Now(), origin{tenant: &limitedTenant}, limitedRoute, allotment.NoObjective)
 		if rejected != nil {
 			g.Expect(rejected.status).To(gomega.Equal(http.StatusServiceUnavailable))
 			g.Expect(rejected.retryAfter).To(gomega.BeNumerically(">", 0))
@@ -178,6 +181,26 @@
 	}, "20s").Should(gomega.Equal([][2]int{{3, 3}, {3, 3}}), "the followers of each group's accountant, and all VMs")
 }
 
+// Guards against a refusal whose log line does not say by which limit, and on whose knowledge.
+func TestRefusalNamesItsLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines, _ := limitedSite(t, nil, "a")
+	e := engines[0]
+	var logged bytes.Buffer
+	e.log, e.headerCodec = slog.New(slog.NewTextHandler(&logged, nil)), plainCodec{}
+	who := origin{tenant: &limitedTenant, rank: 3, keyed: true}
+	g.Eventually(func() string {
+		rejected := e.takeToken(t.Context(), time.Now(), who, limitedRoute, 0)
+		if rejected == nil || rejected.status != http.StatusTooManyRequests {
+			return ""
+		}
+		e.reject(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), rejected, 1)
+		return logged.String()
+	}, "20s", "1ms").Should(gomega.And(
+		gomega.ContainSubstring("why=over_limit"), gomega.ContainSubstring("tenant=tenant rank=3 rate_per_s=2 burst=2 stale=true accountant=a"),
+		gomega.MatchRegexp(`age_ms=\d`)))
+}
+
 // Guards against costs and refusals where nothing is limited.
 func TestRequestsWithoutALimitAreNotCounted(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -186,7 +209,7 @@
 	for _, e := range []*Engine{engines[0], off} {
 		for _, who := range []origin{{}, {tenant: &tenant.Tenant{Name: "unlimited"}}} {
 			g.Expect(testing.AllocsPerRun(100, func() {
-				if e.takeToken(t.Context(), time.Time{}, who, limitedRoute) != nil {
+				if e.takeToken(t.Context(), time.Time{}, who, limitedRoute, allotment.NoObjective) != nil {
 					t.Error("refused")
 				}
 				e.returnToken(time.Time{}, who)
--- a/edge/elapsed.go
+++ b/edge/elapsed.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleybarrow/bramleybarrow/allotment"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 )
 
@@ -78,6 +79,19 @@
 	return max(shortfall, p.connectTime) + p.oneWay
 }
 
+// minAnswerShare is the part of the latency objective that answering a request takes at least.
+const minAnswerShare = 0.5
+
+// freshFor returns how long after its arrival a request can still be begun so that its answer meets the
+// latency objective; it is 0 or negative if it is too late. Other than elapsed it counts from when the
+// caller first sent the request, so shortfall is taken as it is.
+func (p callerPath) freshFor(shortfall, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return allotment.NoObjective
+	}
+	return time.Duration((1-minAnswerShare)*float64(objective)) - max(shortfall, p.connectTime) - p.oneWay
+}
+
 // Parameters of the time at which a gathered request is answered although shards are missing.
 // Until the latency objective, an answer is worth the square of its share of the shards;
 // afterwards it is worth a tenth of that. So it is sent just early enough to be written and to
--- a/edge/elapsed_test.go
+++ b/edge/elapsed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/allotment"
 )
 
 // Guards against answers that are sent in time by the VM's clock but arrive late for a caller
@@ -28,6 +30,22 @@
 	g.Expect(unknown.elapsed(repeat, objective)).To(gomega.BeZero())
 }
 
+// Guards against requests that are taken for ones that can be answered in time, though they come back too
+// late for that, and the other way round.
+func TestRequestThatComesBackLateIsStale(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const objective = 50 * time.Millisecond
+	var path callerPath
+	times, now := newElapsedTimes(), time.Unix(1_000_000, 0)
+	freshFor := func(stated time.Duration) time.Duration {
+		return path.freshFor(times.observe(now, "check", stated), objective)
+	}
+	g.Expect(freshFor(300 * time.Millisecond)).To(gomega.Equal(objective / 2))
+	g.Expect(freshFor(290*time.Millisecond)).To(gomega.Equal(objective/2-10*time.Millisecond), "it has opened a connection")
+	g.Expect(freshFor(200 * time.Millisecond)).To(gomega.BeNumerically("<", 0))
+	g.Expect(path.freshFor(time.Hour, 0)).To(gomega.Equal(allotment.NoObjective))
+}
+
 // Guards against late answers on a route that has only one caller, so that there is no other
 // stated time to compare with. The time that the caller spent is then derived from the round
 // trip measured on its connection.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -58,8 +58,10 @@
 		e.serveBy(w, r, arrived, newer)
 		return
 	}
+	var caller callerTime
 	if rejected == nil {
-		rejected = e.takeToken(r.Context(), arrived, who, route)
+		caller = e.callerTimeOf(r, arrived, route)
+		rejected = e.takeToken(r.Context(), arrived, who, route, caller.freshFor(route.Aim))
 	}
 	if rejected != nil {
 		e.reject(w, r, rejected, m.Version)
@@ -71,7 +73,7 @@
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
-	req := e.newRequest(r, target, body, arrived, route, e.withheldHeaders(m))
+	req := e.newRequest(r, target, body, arrived, caller, route, e.withheldHeaders(m))
 	res := e.serveOrHandOver(r, req, route, who, m.Version)
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
@@ -90,11 +92,12 @@
 	why        string        // reason for the log and the metrics
 	retryAfter time.Duration // when the caller should come back; 0 if it should not
 	header     http.Header   // further headers, may be nil
+	fields     []any         // further fields of the log line, in pairs; may be nil
 }
 
 // reject sends a rejection. version is that of the manifest in force.
 func (e *Engine) reject(w http.ResponseWriter, r *http.Request, rejected *rejection, version int64) {
-	e.logRefusal(r, rejected.status, rejected.why, version)
+	e.logRefusal(r, rejected.status, rejected.why, version, rejected.fields...)
 	for name, values := range rejected.header {
 		w.Header()[name] = values
 	}
@@ -159,24 +162,39 @@
 	return r.URL.RequestURI()
 }
 
-// newRequest returns the request to send to leafs for a caller's request that arrived at
-// arrived. target is its path and query, and withheld names the headers that are not forwarded.
-func (e *Engine) newRequest(r *http.Request, target string, body []byte, arrived time.Time, route *routing.Route, withheld []string) *Request {
-	timeout := route.Timeout
-	var shortfall time.Duration // how much less remaining time the caller states than others of the route
+// callerTime is what is known about the time that a caller has spent and has left.
+type callerTime struct {
+	path      callerPath
+	timeout   time.Duration // remaining time, at most the route's timeout
+	shortfall time.Duration // how much less remaining time the caller states than others of the route
+}
+
+// callerTimeOf returns the caller's time for a request on a route. It is called once for each request.
+func (e *Engine) callerTimeOf(r *http.Request, arrived time.Time, route *routing.Route) callerTime {
+	c := callerTime{path: callerPathOf(r.Context(), arrived), timeout: route.Timeout}
 	if stated, ok := e.headerCodec.CallerTimeout(r.Header); ok {
-		shortfall = e.elapsedTimes.observe(arrived, route.Name, stated)
-		if stated < timeout || timeout == 0 {
-			timeout = stated
+		c.shortfall = e.elapsedTimes.observe(arrived, route.Name, stated)
+		if stated < c.timeout || c.timeout == 0 {
+			c.timeout = stated
 		}
 	}
-	path := callerPathOf(r.Context(), arrived)
-	start := arrived.Add(-path.elapsed(shortfall, route.Aim))
+	return c
+}
+
+// freshFor is callerPath.freshFor for the caller's shortfall.
+func (c *callerTime) freshFor(objective time.Duration) time.Duration {
+	return c.path.freshFor(c.shortfall, objective)
+}
+
+// newRequest returns the request to send to leafs for a caller's request that arrived at
+// arrived. target is its path and query, and withheld names the headers that are not forwarded.
+func (e *Engine) newRequest(r *http.Request, target string, body []byte, arrived time.Time, caller callerTime, route *routing.Route, withheld []string) *Request {
+	start := arrived.Add(-caller.path.elapsed(caller.shortfall, route.Aim))
 	return &Request{
 		ID:       e.headerCodec.RequestID(r.Header),
-		AnswerBy: path.answerBy(start, route.Aim, e.answerWriteTime),
-		DueAt:    start.Add(route.Aim - path.oneWay),
-		Deadline: arrived.Add(timeout - answerMargin),
+		AnswerBy: caller.path.answerBy(start, route.Aim, e.answerWriteTime),
+		DueAt:    start.Add(route.Aim - caller.path.oneWay),
+		Deadline: arrived.Add(caller.timeout - answerMargin),
 		Top:      route.Top,
 		HTTP: &leafhttp.Request{
 			Method:  r.Method,
--- a/edge/log.go
+++ b/edge/log.go
@@ -54,15 +54,15 @@
 // logRefusal counts and logs a request that was answered without being sent to a leaf. why is
 // the reason, for the log and the metrics. version is that of the manifest in force, 0 if there
 // is none.
-func (e *Engine) logRefusal(r *http.Request, status int, why string, version int64) {
+func (e *Engine) logRefusal(r *http.Request, status int, why string, version int64, fields ...any) {
 	e.stats.count(`bramley_edge_refusals_total{why=%q}`, why)
-	e.log.Info("request refused",
+	e.log.Info("request refused", append([]any{
 		"request", e.headerCodec.RequestID(r.Header),
 		"status", status,
 		"why", why,
 		"manifest", version,
 		"path", r.URL.Path,
-	)
+	}, fields...)...)
 }
 
 // logGather logs the outcome of another VM's call if shards are missing, an attempt was a retry,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -98,7 +98,7 @@
 		line := &r.report.Lines[i]
 		switch line.Message {
 		case messageRefused:
-			return fmt.Sprintf("It was answered with status %v and sent to no leaf: %v.", line.Fields["status"], line.Fields["why"])
+			return fmt.Sprintf("It was answered with status %v and sent to no leaf: %v.", line.Fields["status"], line.Fields["why"]) + limitCause(line)
 		case messageRequest:
 			return r.requestCause(line)
 		}
@@ -109,6 +109,29 @@
 	return "No line speaks of it."
 }
 
+// limitCause returns a sentence that says by which tenant's limit a request was refused, and on whose
+// knowledge. It returns "" if the line speaks of no limit.
+func limitCause(line *Line) string {
+	if _, limited := line.Fields["rate_per_s"]; !limited {
+		return ""
+	}
+	text := fmt.Sprintf(" The limit of tenant %v (rank %v) is %v requests per second and a burst of %v", line.Fields["tenant"], line.Fields["rank"], line.Fields["rate_per_s"], line.Fields["burst"])
+	accountant, _ := line.Fields["accountant"].(string)
+	age, known := line.Fields["age_ms"]
+	switch {
+	case accountant == "":
+		text += "; the VM had no accountant"
+	case !known:
+		text += fmt.Sprintf("; accountant %v had not answered yet", accountant)
+	default:
+		text += fmt.Sprintf("; the decision rests on what accountant %v said %v ms before", accountant, age)
+	}
+	if stale, _ := line.Fields["stale"].(bool); stale {
+		text += "; its latency objective was over, so that others came before it"
+	}
+	return text + "."
+}
+
 // verdictTexts maps the verdict of a request, a field of its log line, to a clause that says
 // what it means.
 var verdictTexts = map[string]string{
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -46,6 +46,21 @@
 	g.Expect(r.Report().Cause).To(gomega.ContainSubstring("no_manifest"))
 }
 
+// Guards against a refusal by a tenant's limit that names neither the limit nor who decided.
+func TestRefusalByALimitIsExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	explained := func(more string) string {
+		r := NewReader("dd")
+		line := `{"msg":"request refused","time":"2026-01-01T00:00:01Z","request":"dd","status":429,"why":"over_limit","tenant":"t","rank":3,"rate_per_s":19,"burst":20,` + more + `}`
+		g.Expect(r.Read("one", strings.NewReader(line))).To(gomega.Succeed())
+		return r.Report().Cause
+	}
+	g.Expect(explained(`"accountant":"vm-2","age_ms":12,"stale":true`)).To(gomega.Equal("It was answered with status 429 and sent to no leaf: over_limit. " +
+		"The limit of tenant t (rank 3) is 19 requests per second and a burst of 20; the decision rests on what accountant vm-2 said 12 ms before; its latency objective was over, so that others came before it."))
+	g.Expect(explained(`"accountant":"vm-2"`)).To(gomega.HaveSuffix("accountant vm-2 had not answered yet."))
+	g.Expect(explained(`"accountant":""`)).To(gomega.HaveSuffix("the VM had no accountant."))
+}
+
 // Guards against a report that lacks missing shards or their causes. Some shards are named
 // in the log line of the VM that received the request, the others in the line of a VM to
 // which the request's shards were delegated.
