Hedges of gathered requests go out early where every open shard decides

A hedge of a gathered part is sent as late as it is still in time, which suits requests that can leave shards out. While shards are lost for seconds, they use up what an answer may leave out, and a late hedge at a slow leaf is no longer in time. The query now counts its spare: the shards that may still be left out less those that are lost. While it is smaller than what pauses usually take, and than the number of open shards, hedges go out after the usual multiple of recent durations, those at the slowest leafs first, and at once where the first leaf is expected near AnswerBy or later.

Ruled out: counting only the open shards against what pauses take. It forgets the ones that are answered, so the rule switched off just as the slow ones were left.

Red without the code: TestShardsThatDecideAreHedgedInTime (50 instead of at most 4 not in time). TestAmpleSpareTakesNoEarlyHedges is red if lost shards are not asked for (69 hedges instead of 0).

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -119,7 +119,8 @@
 	s.sends++
 	s.inFlight++
 	s.possibleRuns++
-	s.hedgeAt = now.Add(q.hedgeDelay(now, l))
+	usual, scarce := q.hedgeDelay(now, l)
+	s.hedgeAt, s.scarceHedgeAt = now.Add(usual), now.Add(scarce)
 	q.setPollAt(s, time.Time{})
 	s.waitsSince = time.Time{}
 	typical, known := q.table.typicalDuration(now, q.durationKey())
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -1,6 +1,11 @@
 package scatter
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
 // hedgeBudgetReserve is the number of extra arrivals that hedges must leave in the budget for
 // retries. An extra arrival is a request that reaches a leaf again, as a hedge or a retry. Retries
@@ -48,22 +53,26 @@
 // quantile. Where many leafs are slow, the quantile may lie beyond AnswerBy, and no hedge would be
 // in time. The upper bound is therefore never less than half of the time from the start to
 // AnswerBy.
-func (q *Query) hedgeDelay(now time.Time, l *leaf) time.Duration {
+//
+// scarce is the delay while every open shard decides whether the answer suffices (see spare.go).
+func (q *Query) hedgeDelay(now time.Time, l *leaf) (usual, scarce time.Duration) {
 	d, known := q.table.durationsOf(q.durationKey()).Quantile(now, hedgeDurationQuantile)
 	if !known {
-		return time.Duration(defaultHedgeDelayShare * float64(q.spec.LatencyObjective))
+		usual = time.Duration(defaultHedgeDelayShare * float64(q.spec.LatencyObjective))
+		return usual, q.scarceHedgeDelay(now, l, usual)
 	}
 	machineSlowdown := max(l.slowdown.reportedFactor(now), 1)
 	delay := max(time.Duration(hedgeDurationFactor*machineSlowdown*float64(d)), minHedgeDelay)
 	if !q.spec.Gathered {
-		return min(delay, time.Duration(maxHedgeDelayShare*float64(q.spec.LatencyObjective)))
+		usual = min(delay, time.Duration(maxHedgeDelayShare*float64(q.spec.LatencyObjective)))
+		return usual, usual
 	}
 	// window is the time from the start of the query within which an answer of a leaf is in
 	// time. If minDelay is above maxDelay, minDelay counts.
 	window := q.spec.AnswerBy.Sub(q.startedAt) - hedgeNetworkTime
 	minDelay := window - time.Duration(hedgeAnswerTimeFactor*float64(d))
 	maxDelay := max(window-d, window/2)
-	return max(min(delay, maxDelay), minDelay, minHedgeDelay)
+	return max(min(delay, maxDelay), minDelay, minHedgeDelay), q.scarceHedgeDelay(now, l, delay)
 }
 
 // hedgeRetryPause is the time for which a query tries no hedge after one was due but could not
@@ -77,11 +86,7 @@
 		return nil
 	}
 	var acts []Action
-	for i := range q.shards {
-		s := &q.shards[i]
-		if !q.mayHedge(s) || now.Before(s.hedgeAt) {
-			continue
-		}
+	for _, i := range q.dueHedges(now) {
 		if q.yieldsHedge(now) {
 			q.yielded.Hedges++
 			q.hedgeRetryAt = now.Add(hedgeRetryPause)
@@ -96,6 +101,31 @@
 	return acts
 }
 
+// dueHedges returns the indexes of the shards whose hedge is due. While every open shard decides, those
+// whose attempt is at the slowest leafs come first: leafs and budget may not suffice for all.
+func (q *Query) dueHedges(now time.Time) []int {
+	scarce := q.scarce()
+	var due []int
+	for i := range q.shards {
+		if s := &q.shards[i]; q.mayHedge(s) && !now.Before(s.hedgeDue(scarce)) {
+			due = append(due, i)
+		}
+	}
+	if scarce {
+		slices.SortStableFunc(due, func(a, b int) int { return cmp.Compare(q.doubt(now, b), q.doubt(now, a)) })
+	}
+	return due
+}
+
+// doubt returns the slowdown of the leaf that the latest attempt on the shard with index i was sent to.
+func (q *Query) doubt(now time.Time, i int) float64 {
+	tried := q.shards[i].tried
+	if l := q.table.findLeaf(tried[len(tried)-1]); l != nil {
+		return l.slowdown.factor(now)
+	}
+	return math.Inf(1)
+}
+
 // hedgingAllowed reports whether the request may run on two leafs at the same time.
 func (q *Query) hedgingAllowed() bool { return q.spec.Idempotent && q.spec.MaxAttempts > 1 }
 
@@ -112,9 +142,10 @@
 		return time.Time{}
 	}
 	var first time.Time
+	scarce := q.scarce()
 	for i := range q.shards {
 		if s := &q.shards[i]; q.mayHedge(s) {
-			first = earlier(first, s.hedgeAt)
+			first = earlier(first, s.hedgeDue(scarce))
 		}
 	}
 	if first.IsZero() {
--- a/scatter/load_test.go
+++ b/scatter/load_test.go
@@ -35,6 +35,19 @@
 	shedShare float64         // share of the attempts that it refuses, from 0 to 1
 	running   int             // attempts that it is running
 	queue     []simulatedPart // attempts that wait for a slot
+	dark      bool            // it answers nothing
+	pauses    pauses          // it starts no work during these
+}
+
+// pauses are pauses of a leaf, one in each period; none if the period is 0.
+type pauses struct{ period, length, offset time.Duration }
+
+// left returns how long the pause at the given time lasts, 0 if there is none.
+func (p pauses) left(now time.Time) time.Duration {
+	if p.period == 0 {
+		return 0
+	}
+	return max(p.length-time.Duration(now.UnixNano()+int64(p.offset))%p.period, 0)
 }
 
 // slowReader makes a VM late: it reads one answer at a time.
@@ -195,6 +208,10 @@
 		sim.after(time.Millisecond, func() { part.finish(EndRefused) })
 		return
 	}
+	if l.dark {
+		sim.after(max(s.Until.Sub(sim.now), 0), func() { part.finish(EndSilent) })
+		return
+	}
 	l.queue = append(l.queue, part)
 	sim.start(l)
 }
@@ -209,7 +226,7 @@
 			sim.after(0, func() { part.finish(EndExpired) })
 			continue
 		}
-		took := time.Duration(float64(l.work) * l.slowdown * (0.7 + 0.6*sim.rng.Float64()))
+		took := time.Duration(float64(l.work)*l.slowdown*(0.7+0.6*sim.rng.Float64())) + l.pauses.left(sim.now)
 		end := EndAnswered
 		if took > timeLeft {
 			took, end = timeLeft, EndExpired
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -191,6 +191,7 @@
 	budgetCounted  bool      // the service's budget has counted the request
 	hedged         bool      // a hedge was sent
 	hedgeAt        time.Time // when the latest attempt is slow enough for a hedge
+	scarceHedgeAt  time.Time // the same while every open shard decides whether the answer suffices
 	pollAt         time.Time // when to look for a leaf again; zero if the shard does not wait for one
 	waitsSince     time.Time // when it began to wait for a leaf; zero if no turn was taken for it
 	waitingOn      *service  // the service, while it counts the shard as waiting for a leaf; nil otherwise
