Requests beyond saving end at once and take no further attempts

A request that can't get enough shards any more stayed open until each silent attempt was given up: 300 ms after its leaf should have stopped, to find out whether the leaf is alive. So a request with 85 of 90 shards at 120 ms ended at 435 ms, and callers had no time left. From AnswerBy on, an attempt whose leaf should have stopped, with time for the way and for this VM to read, counts no more. A late attempt that is still under way is awaited as before, since a late answer is better than a failure.

Late attempts no longer go to suspect leafs whose probe failed too. extraAttemptDecides is now asked before each hedge. It also counted shards that this VM declines as lost, although the calling VM queries them, and those for which only this VM's budget is used up.

Ruled out: no attempt after AnswerBy counts. That turns late answers into failures.

Red without the code: TestLostRequestEndsWithoutWaitingForSilentLeafs, TestLateAttemptsAvoidUnreachableLeafs, TestHedgesAreSentOnlyWhereTheyDecide (lost); its case of a declined shard is red with the earlier count. TestLateAttemptIsAwaited guards the other side and was green before.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -26,13 +26,14 @@
 	s := &q.shards[i]
 	leafs := q.candidates(s)
 	filter := leafFilter{exclude: s.tried, idleOnly: reason == Hedge}
+	late := false
 	if q.spec.Gathered {
 		filter.usefulUntil = q.usefulUntil(now)
 		// An attempt is late if its answer can't be expected before AnswerBy, when the
 		// request is answered with the parts received so far. Its usefulUntil is after
 		// AnswerBy. A late attempt is made only if too few shards are answered so far,
 		// and only at an idle leaf.
-		late := filter.usefulUntil.After(q.spec.AnswerBy)
+		late = filter.usefulUntil.After(q.spec.AnswerBy)
 		if late && q.enough(q.answered()) {
 			if s.inFlight == 0 {
 				s.close(GapLate)
@@ -50,6 +51,9 @@
 		// No available leaf takes the attempt. A leaf in cooldown or a suspect one is
 		// better than none: it may have recovered since it refused or was unreachable.
 		l = q.table.pickUnavailable(now, leafs, s.tried)
+		if late && l != nil && l.suspicion.failedProbes > 0 {
+			l = nil
+		}
 		// Leafs that were tried are used again if no attempt on the shard may have run,
 		// or if another VM may query the shard too.
 		if l == nil && (s.possibleRuns == 0 || s.shared) {
@@ -126,14 +130,15 @@
 	typical, known := q.table.typicalDuration(now, q.durationKey())
 	l.recordSent(pendingRequest{sentAt: now, typical: typical, known: known})
 	q.table.recordIfLimited(now, l)
-	q.attempts[q.lastAttempt] = &attempt{shard: i, leaf: l.id, sentAt: now}
+	until := q.usefulUntil(now)
+	q.attempts[q.lastAttempt] = &attempt{shard: i, leaf: l.id, sentAt: now, until: until}
 	return Send{
 		Attempt:        q.lastAttempt,
 		Shard:          i,
 		Leaf:           l.id,
 		Address:        l.Address,
 		SentAt:         now,
-		Until:          q.usefulUntil(now),
+		Until:          until,
 		OtherZone:      !l.sameZone,
 		KeepConnection: q.table.KeepsConnection(l.id),
 		Reason:         reason,
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -99,16 +99,17 @@
 // decided, and the query ends,
 //   - when all shards are answered;
 //   - when enough shards are answered and no other one can be answered any more;
-//   - when too few shards can be answered, which is a failure;
+//   - when too few shards can be answered, which is a failure (see hopelessAttempts);
 //   - from AnswerBy on, as soon as enough shards are answered.
 func (q *Query) decideGathered(now time.Time) (Outcome, bool) {
 	answered, possible := 0, 0 // possible: shards without an answer that may still get one
+	hopeless := q.hopelessAttempts(now)
 	for i := range q.shards {
 		s := &q.shards[i]
 		switch {
 		case s.answered():
 			answered++
-		case s.inFlight > 0 || !s.pollAt.IsZero() || q.callPending(s):
+		case s.inFlight > hopeless[i] || !s.pollAt.IsZero() || q.callPending(s):
 			possible++
 		}
 	}
@@ -123,6 +124,50 @@
 	return Outcome{}, false
 }
 
+// hopelessAttempts returns how many attempts in flight get no answer any more, by shard. None is counted
+// before AnswerBy: until then another attempt may be made. A leaf stops when the time of an attempt is
+// over. Where it does not say so, the attempt stays in flight for longer, to find out whether the
+// leaf is alive. A request for which too few shards are left ends without waiting for that.
+func (q *Query) hopelessAttempts(now time.Time) map[int]int {
+	if now.Before(q.spec.AnswerBy) {
+		return nil
+	}
+	var list map[int]int
+	transit := q.answerTransit(now)
+	for _, a := range q.attempts {
+		if now.Before(a.until.Add(transit)) {
+			continue
+		}
+		if list == nil {
+			list = make(map[int]int)
+		}
+		list[a.shard]++
+	}
+	return list
+}
+
+// nextHopeless returns when the next attempt in flight becomes hopeless, zero if that is before AnswerBy
+// or never.
+func (q *Query) nextHopeless(now time.Time) time.Time {
+	var next time.Time
+	if !q.spec.Gathered || now.Before(q.spec.AnswerBy) {
+		return next
+	}
+	transit := q.answerTransit(now)
+	for _, a := range q.attempts {
+		if at := a.until.Add(transit); at.After(now) {
+			next = earlier(next, at)
+		}
+	}
+	return next
+}
+
+// answerTransit returns how long an answer may take from a leaf until this VM has read it.
+func (q *Query) answerTransit(now time.Time) time.Duration {
+	leafTime, typical := q.leafTime(now)
+	return callRoundTrip + typical - leafTime
+}
+
 // callPending reports whether the VM that was called for a shard may still answer it. This
 // includes a call that failed over: the called VM may be slow rather than stopped. Its answer may
 // be the only one, since the budget of hedges and retries may not have allowed direct requests to
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -126,8 +126,11 @@
 	return math.Inf(1)
 }
 
-// hedgingAllowed reports whether the request may run on two leafs at the same time.
-func (q *Query) hedgingAllowed() bool { return q.spec.Idempotent && q.spec.MaxAttempts > 1 }
+// hedgingAllowed reports whether the request may run on two leafs at the same time, and a second answer
+// can still matter.
+func (q *Query) hedgingAllowed() bool {
+	return q.spec.Idempotent && q.spec.MaxAttempts > 1 && (!q.spec.Gathered || q.extraAttemptDecides())
+}
 
 // mayHedge reports whether a hedge may be sent for a shard once its hedge delay is over: exactly
 // one attempt is in flight, there was no hedge, and another leaf may run the request.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -215,6 +215,7 @@
 	shard  int // index of the shard in the query
 	leaf   LeafID
 	sentAt time.Time
+	until  time.Time // when the leaf stops its work
 	// writtenAt is when it was written to its connection, and readAt when its answer was read.
 	// They are zero while they are not known.
 	writtenAt, readAt time.Time
@@ -476,7 +477,7 @@
 	for i := range q.shards {
 		wake = earlier(wake, q.shards[i].pollAt)
 	}
-	return earlier(wake, q.nextHedge())
+	return earlier(earlier(wake, q.nextHopeless(now)), q.nextHedge())
 }
 
 // later returns the later of two times.
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -265,11 +265,14 @@
 }
 
 // extraAttemptDecides reports whether a hedge or a second attempt can still matter. It can't at a
-// VM whose calling VM needs more shards than can still be answered.
+// VM whose calling VM needs more shards than can still be answered. The calling VM may answer those
+// that this VM declines, and those for which only this VM's budget is used up.
 func (q *Query) extraAttemptDecides() bool {
 	possible := 0
 	for i := range q.shards {
-		if s := &q.shards[i]; s.answered() || !s.closed || s.inFlight > 0 {
+		s := &q.shards[i]
+		elsewhere := q.spec.Delegated && (s.gap == GapDeclined || s.gap == GapBudget)
+		if s.answered() || !s.closed || s.inFlight > 0 || elsewhere {
 			possible++
 		}
 	}
