Called VMs are told when lost shards elsewhere use up the spare

Each called VM may leave out as many shards as the whole request, so none of them hedges early where the lost shards are another owner's. The calling VM now remembers for 2 s, one time for each service, which shards called VMs have left out, and tells with a call that every shard decides (Scarce, gatherCall 24). A called VM applies that for 1 s to other calls that may leave out as few shards: with many VMs, each starts few requests. It is not passed on.

Weighed: a higher Required says the same, but a called VM refuses by Required at once, and a shard that was left out may answer again. So Required stays what it was, and no call is refused for what is remembered.

--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -50,6 +50,8 @@
 	Tenant string `cbor:"18,keyasint,omitempty"`
 	// Final is true if no other VM would be called for the shards if this call were refused.
 	Final bool `cbor:"23,keyasint,omitempty"`
+	// Scarce is true if each of Services decides, see scatter.Spec.
+	Scarce bool `cbor:"24,keyasint,omitempty"`
 	// ManifestVersion is that of the calling VM's manifest if it names tenants, else 0.
 	ManifestVersion int64 `cbor:"19,keyasint,omitempty"`
 }
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -210,6 +210,7 @@
 		Required:    max(len(shards)-q.omissionsLeft, 0),
 		Redelegated: redelegated,
 		Final:       final,
+		Scarce:      q.scarce(),
 		InterimBy:   interimBy,
 		AnswerBy:    now.Add(max(time.Duration(minDelegateTimeShare*float64(timeLeft)), timeLeft-callRoundTrip)),
 	}
@@ -272,6 +273,7 @@
 		return nil
 	}
 	q.includeAnswer(ans.Included)
+	q.recordLost(time.Time{}, ans.Included)
 	q.recordAck(now, c)
 	q.table.forecastOf(q.durationKey()).recordTold(now, ans.LeafTime)
 	if ans.Refused {
--- a/scatter/load_test.go
+++ b/scatter/load_test.go
@@ -18,9 +18,13 @@
 	serial int             // number of events scheduled so far
 	slow   map[*Table]*slowReader
 
+	served  map[string]*Table         // by name of a VM that takes calls
+	replies map[*Query]func(*Outcome) // by query of a called VM: sends its last answer
+
 	// Numbers of callers: all, and those whose request was answered within the latency
 	// objective, was answered later, was refused, or failed in another way.
 	callers, inTime, late, refused, failed int
+	sent                                   int           // attempts of called VMs
 	credit                                 float64       // sum over answers in time: share of answered shards, squared
 	longestRefusal                         time.Duration // longest time until a request was refused
 
@@ -162,7 +166,14 @@
 	for _, s := range sends(acts) {
 		sim.send(q, s)
 	}
+	for _, c := range vmCalls(acts) {
+		sim.after(time.Millisecond, func() { sim.serve(q, c) })
+	}
 	if out := outcome(acts); out != nil {
+		if reply := sim.replies[q]; reply != nil {
+			reply(out)
+			return
+		}
 		sim.recordOutcome(q, out)
 		return
 	}
@@ -171,6 +182,42 @@
 	}
 }
 
+// serve lets the called VM query the shards of a call. It tells at once what it leaves out, and answers when
+// its query ends.
+func (sim *simulation) serve(q *Query, c CallVM) {
+	spec := q.spec
+	spec.Services, spec.MinShare, spec.MayDelegate, spec.Delegated = nil, 0, false, true
+	for _, i := range c.Shards {
+		spec.Services = append(spec.Services, q.spec.Services[i])
+	}
+	spec.Views, spec.Required, spec.Scarce, spec.Final, spec.AnswerBy = c.Views, c.Required, c.Scarce, c.Final, c.AnswerBy
+	shards := func(list []int) (of []int) {
+		for _, i := range list {
+			of = append(of, c.Shards[i])
+		}
+		return of
+	}
+	called := NewQuery(spec, sim.served[c.VM.Name])
+	answer := func(ans CallAnswer) {
+		sim.after(time.Millisecond, func() { sim.execute(q, q.CallReply(sim.now, c.Call, ans)) })
+	}
+	sim.replies[called] = func(out *Outcome) {
+		var included []int
+		for i := range called.shards {
+			if called.shards[i].answered() {
+				included = append(included, i)
+			}
+		}
+		sim.sent += out.Sent
+		answer(CallAnswer{Included: shards(included), Last: true, Refused: out.Verdict == NotRun, Cause: out.RefusalCause()})
+	}
+	acts := called.Start(sim.now)
+	if len(called.LeftOut()) > 0 && outcome(acts) == nil {
+		answer(CallAnswer{LeftOut: shards(called.LeftOut()), Declined: shards(called.Declined())})
+	}
+	sim.execute(called, acts)
+}
+
 // recordOutcome counts the outcome of a query.
 func (sim *simulation) recordOutcome(q *Query, out *Outcome) {
 	took := sim.now.Sub(q.startedAt)
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -37,6 +37,10 @@
 	// Final says, for a delegated request, that no other VM would be called if this one refused.
 	// Its own lateness is then no reason to refuse.
 	Final bool
+	// Scarce says, for a delegated request, that the calling VM knows of lost shards elsewhere that
+	// use up what its answer may leave out: each of the shards decides. Required does not say so,
+	// since the lost ones may answer after all.
+	Scarce bool
 	// BudgetWeight is the part of the request, from 0 to 1, that counts in this VM's budget.
 	// The budget allows hedges and retries in proportion to requests. For a delegated
 	// request, the calling VM counts the remainder.
@@ -80,6 +84,7 @@
 	Required    int       // how many of Shards have to be answered so that the whole answer is sufficient
 	Redelegated bool      // another VM was called for the shards before and may have queried them
 	Final       bool      // no other VM would be called if this one refused
+	Scarce      bool      // lost shards elsewhere use up what the whole answer may leave out
 	// InterimBy is when the called VM sends a first answer with the shards answered so far.
 	InterimBy time.Time
 	// AnswerBy is when the called VM stops waiting for the other shards and sends its last
@@ -172,6 +177,7 @@
 	failedAttempt AttemptID              // the latest attempt that a leaf answered with a failure; 0 for none
 	hedgeRetryAt  time.Time              // no hedge is sent before this time, since one found no idle leaf or no budget
 
+	toldScarce    bool          // a calling VM has told that every shard decides
 	omissionsLeft int           // number of shards that the answer may leave out, besides those omitted at the start
 	refusal       *Refusal      // nil if this VM did not refuse
 	retryAfter    time.Duration // delay after which a refused caller should retry; 0 if no VM refused
@@ -197,6 +203,7 @@
 	waitingOn      *service  // the service, while it counts the shard as waiting for a leaf; nil otherwise
 	closed         bool      // no further attempt will be made
 	gap            GapCause  // if closed: why
+	likelyLost     bool      // delegated, and lately left out by the VM that was called for it
 	declined       bool      // left to the calling VM, which knows other leafs than this VM
 	answer         AttemptID // the attempt that answered the shard; 0 for none
 	call           CallID    // the latest call for the shard; 0 for none
@@ -272,6 +279,7 @@
 // Finish.
 func (q *Query) Start(now time.Time) []Action {
 	q.startedAt = now
+	q.hearScarce(now)
 	var calls []delegation
 	if q.spec.MayDelegate {
 		calls = q.delegations(now)
@@ -295,6 +303,7 @@
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
 	var acts []Action
+	q.recallLost(now, calls)
 	for _, d := range calls {
 		acts = append(acts, q.callVM(now, d, false))
 	}
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -210,6 +210,7 @@
 	}
 	// Another VM that was called for a shard before may still answer it.
 	shards = slices.DeleteFunc(slices.Clone(shards), func(i int) bool { return q.shards[i].redelegated })
+	q.recordLost(now, shards)
 	open := q.release(id, shards, false)
 	missing := 0
 	for i := range q.shards {
--- a/scatter/spare.go
+++ b/scatter/spare.go
@@ -10,6 +10,10 @@
 // makes it late. So the query counts its spare: the shards that may still be left out, less those that
 // are lost. While it is smaller than what pauses usually take, every open shard decides, and
 // second attempts are made early.
+//
+// Each called VM may leave out as many shards as the whole request, so none of them knows that the spare is
+// used up elsewhere. The calling VM remembers for a short time which shards were left out, and tells with a
+// call that every shard decides. Called VMs refuse no more for it: a shard that was lost may answer.
 
 const (
 	// pausedShare is the share of the leafs that usually pause at any moment, from 0 to 1.
@@ -20,15 +24,61 @@
 	// doubtfulShare is the expected duration of an attempt, as a share of the time until AnswerBy,
 	// above which the second attempt follows at once while every open shard decides.
 	doubtfulShare = 0.8
+	// leftOutMemory is how long a shard counts as lost after a called VM has left it out.
+	leftOutMemory = 2 * time.Second
+	// scarcityMemory is how long a called VM applies what a calling VM told to other calls.
+	scarcityMemory = time.Second
 )
 
-// lostShards returns the number of shards without an answer that get none any more, and the number
-// of those that may still get one.
+// toldScarcity is the latest word of a calling VM that every shard of a kind of request decides. With many
+// VMs, each starts few requests, and few know of the lost shards. The VMs that they call hear it from
+// those that do. It is not passed on.
+type toldScarcity struct {
+	at        time.Time
+	omissions int // number of shards of the call that its answer could leave out, if none were lost
+}
+
+// hearScarce determines whether a calling VM has told, with this call or a recent one, that every shard
+// decides. A recent one counts only for calls that may leave out as few shards.
+func (q *Query) hearScarce(now time.Time) {
+	if !q.spec.Delegated {
+		return
+	}
+	told := &q.table.forecastOf(q.durationKey()).scarce
+	omissions := q.omissionsAllowed(len(q.shards))
+	if q.spec.Scarce {
+		*told = toldScarcity{at: now, omissions: omissions}
+	}
+	q.toldScarce = now.Sub(told.at) < scarcityMemory && omissions <= told.omissions
+}
+
+// recordLost records the time at which a called VM has left out shards, or, with a zero time, that it has
+// answered them. shards are their indexes.
+func (q *Query) recordLost(at time.Time, shards []int) {
+	for _, i := range shards {
+		if s := q.table.services[q.shards[i].service]; s != nil {
+			s.leftOutAt = at
+		}
+	}
+}
+
+// recallLost marks those shards of the given calls as likely lost that called VMs have lately left out.
+func (q *Query) recallLost(now time.Time, calls []delegation) {
+	for _, d := range calls {
+		for _, i := range d.shards {
+			s := q.table.services[q.shards[i].service]
+			q.shards[i].likelyLost = s != nil && now.Sub(s.leftOutAt) < leftOutMemory
+		}
+	}
+}
+
+// lostShards returns the number of shards without an answer that get none any more or are likely to get
+// none, and the number of the others without an answer.
 func (q *Query) lostShards() (lost, open int) {
 	for i := range q.shards {
 		switch s := &q.shards[i]; {
 		case s.answered() || s.declined:
-		case s.closed && s.inFlight == 0:
+		case s.closed && s.inFlight == 0, s.likelyLost:
 			lost++
 		default:
 			open++
@@ -44,6 +94,9 @@
 		return false
 	}
 	lost, open := q.lostShards()
+	if q.toldScarce {
+		return open > 0
+	}
 	spare := q.omissionsAllowed(len(q.shards)) - lost
 	return lost > 0 && spare < open && float64(spare) < pausedShare*float64(len(q.shards)-lost)
 }
