--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -210,6 +210,7 @@
 	}
 	// Another VM that was called for a shard before may still answer it.
 	shards = slices.DeleteFunc(slices.Clone(shards), func(i int) bool { return q.shards[i].redelegated })
+	q.recordLost(now, shards)
 	open := q.release(id, shards, false)
 	missing := 0
 	for i := range q.shards {
@@ -265,11 +266,14 @@
 }
 
 // extraAttemptDecides reports whether a hedge or a second attempt can still matter. It can't at a
-// VM whose calling VM needs more shards than can still be answered.
+// VM whose calling VM needs more shards than can still be answered. The calling VM may answer those
+// that this VM declines, and those for which only this VM's budget is used up.
 func (q *Query) extraAttemptDecides() bool {
 	possible := 0
 	for i := range q.shards {
-		if s := &q.shards[i]; s.answered() || !s.closed || s.inFlight > 0 {
+		s := &q.shards[i]
+		elsewhere := q.spec.Delegated && (s.gap == GapDeclined || s.gap == GapBudget)
+		if s.answered() || !s.closed || s.inFlight > 0 || elsewhere {
 			possible++
 		}
 	}
