Benchmarks of gathered requests at 90 and 135 shards with three leafs each

The decisions of an owner VM that another VM has called were not measured, nor 135 shards. BenchmarkCalledQuery is new; the others run at both sizes, and the benchmark of a delegated request has three leafs for each shard.

--- a/scatter/query_bench_test.go
+++ b/scatter/query_bench_test.go
@@ -7,14 +7,42 @@
 	"time"
 )
 
+// benchmarkShards runs a benchmark of a gathered request at each number of shards.
+func benchmarkShards(b *testing.B, f func(b *testing.B, shards int)) {
+	for _, shards := range []int{90, 135} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) { f(b, shards) })
+	}
+}
+
 // BenchmarkGatheredQuery measures the time and the allocations of the decisions for one request
-// over 90 shards with three leafs each, where all answers arrive one after another. A VM with a
+// with three leafs for each shard, where all answers arrive one after another. A VM with a
 // fifth of a core has about 16 ms of processor time within the latency objective for everything
 // that it does.
 func BenchmarkGatheredQuery(b *testing.B) {
-	w := newWorld(b)
-	names := w.shards(90, homeZone, "other", "third")
-	spec := w.gathered(names)
+	benchmarkShards(b, func(b *testing.B, shards int) {
+		w := newWorld(b)
+		names := w.shards(shards, homeZone, "other", "third")
+		spec := w.gathered(names)
+		benchmarkOwner(b, w, spec)
+	})
+}
+
+// BenchmarkCalledQuery measures the same for a VM that another one has called.
+func BenchmarkCalledQuery(b *testing.B) {
+	benchmarkShards(b, func(b *testing.B, shards int) {
+		w := newWorld(b)
+		names := w.shards(shards, homeZone, "other", "third")
+		spec := w.gathered(names)
+		spec.Delegated, spec.RequestID = true, "9c41d07be2a35f68"
+		for _, name := range names {
+			spec.Views = append(spec.Views, viewOf(w.table.commonLeafs(name, w.table.zone, spec.RequestID, spec.MaxAttempts)))
+		}
+		benchmarkOwner(b, w, spec)
+	})
+}
+
+// benchmarkOwner runs a query whose attempts are all answered, one after another.
+func benchmarkOwner(b *testing.B, w *world, spec Spec) {
 	b.ReportAllocs()
 	for b.Loop() {
 		spec.AnswerBy, spec.Deadline = w.now.Add(90*time.Millisecond), w.now.Add(400*time.Millisecond)
@@ -31,9 +59,13 @@
 }
 
 // BenchmarkDelegatingQuery measures the time and the allocations of the decisions of a weak VM that
-// owns no leafs. Of 90 shards, with leafs in three of four zones, a quarter has none in its zone. All
+// owns no leafs. The shards have leafs in three of four zones, a quarter of them none in its zone. All
 // calls are acknowledged and answered.
 func BenchmarkDelegatingQuery(b *testing.B) {
+	benchmarkShards(b, benchmarkDelegatingQuery)
+}
+
+func benchmarkDelegatingQuery(b *testing.B, shards int) {
 	zones := []string{"a", "b", "c", homeZone}
 	var vms []VM
 	for _, zone := range zones {
@@ -48,7 +80,7 @@
 	w := newWorld(b)
 	w.table = tableOf(vms, vms[len(vms)-1], ampleBudget, w.now, w.now.Add(-time.Minute))
 	w.table.rng = rand.New(rand.NewPCG(1, 2))
-	names := w.shards(90)
+	names := w.shards(shards)
 	for i, name := range names {
 		for n, zone := range zones {
 			if n != i%len(zones) {
