scatter: fewer allocations for the decisions of a request

The lists of usable leafs, the views, the hashes that rank leafs, the zones of shards and the shards of this VM's own were built anew for each shard or request. They are now slices in place, or need no memory. The recorder of durations that was used last is kept, its quantiles are in a slice, and the slowdown of a leaf is computed once for a moment: each shard of a request needed it about eight times for each of its leafs. The values are the same, so no decision changes.

The benchmarks of owners now report the leafs' load with each answer, as the daemon does.

--- a/latency/latency.go
+++ b/latency/latency.go
@@ -24,7 +24,14 @@
 	windowStart time.Time                       // start of the current window; zero before the first call of rotate
 	merged      *hdrhistogram.Histogram         // sum of all windows; nil before the first merge
 	mergedAt    time.Time                       // time of the last merge
-	quantiles   map[float64]time.Duration       // quantiles of merged that were computed, by q between 0 and 1
+	samples     int64                           // number of samples in merged
+	quantiles   []quantile                      // quantiles of merged that were computed
+}
+
+// quantile is one computed quantile.
+type quantile struct {
+	q     float64 // from 0 to 1
+	value time.Duration
 }
 
 // New returns an empty recorder.
@@ -47,14 +54,16 @@
 func (r *Recorder) Quantile(now time.Time, q float64) (time.Duration, bool) {
 	r.rotate(now)
 	r.merge(now)
-	if r.merged.TotalCount() < minSamples {
+	if r.samples < minSamples {
 		return 0, false
 	}
-	if d, ok := r.quantiles[q]; ok {
-		return d, true
+	for _, known := range r.quantiles {
+		if known.q == q {
+			return known.value, true
+		}
 	}
 	d := time.Duration(r.merged.ValueAtQuantile(q*100)) * time.Microsecond
-	r.quantiles[q] = d
+	r.quantiles = append(r.quantiles, quantile{q: q, value: d})
 	return d, true
 }
 
@@ -70,7 +79,7 @@
 // merge updates merged and drops the cached quantiles, at most once per mergeInterval.
 func (r *Recorder) merge(now time.Time) {
 	interval := firstMergeInterval
-	if r.merged != nil && r.merged.TotalCount() >= minSamples {
+	if r.samples >= minSamples {
 		interval = mergeInterval
 	}
 	if r.merged != nil && now.Sub(r.mergedAt) < interval {
@@ -78,7 +87,8 @@
 	}
 	r.merged = r.hist.Merge()
 	r.mergedAt = now
-	r.quantiles = make(map[float64]time.Duration)
+	r.samples = r.merged.TotalCount()
+	r.quantiles = r.quantiles[:0]
 }
 
 // rotate starts a new window for each windowLength that has passed since the current one
@@ -87,6 +97,9 @@
 	if r.windowStart.IsZero() {
 		r.windowStart = now
 	}
+	if now.Sub(r.windowStart) < windowLength {
+		return
+	}
 	for n := 0; n < windowCount && now.Sub(r.windowStart) >= windowLength; n++ {
 		r.hist.Rotate()
 		r.windowStart = r.windowStart.Add(windowLength)
--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -128,8 +128,9 @@
 func (q *Query) splitByProximity(now time.Time) (local []int, remote map[int][]string) {
 	remote = make(map[int][]string)
 	canCall := q.table.callableOwners(now)
+	var zones []string // of one shard
 	for i := range q.shards {
-		var zones []string
+		zones = zones[:0]
 		hasLocal := false
 		for _, l := range q.table.usableLeafs(q.shards[i].service) {
 			if !l.available(now) {
@@ -144,7 +145,7 @@
 		case hasLocal:
 			local = append(local, i)
 		case len(zones) > 0:
-			remote[i] = zones
+			remote[i] = slices.Clone(zones)
 		}
 	}
 	return local, remote
--- a/scatter/handover.go
+++ b/scatter/handover.go
@@ -293,8 +293,7 @@
 	if now.Sub(l.reportedAt) < slowdownHalfLife {
 		return
 	}
-	l.slowdown.reported, l.slowdown.reportedAt = bounded(known.Reported, minReportedSlowdown, maxReportedSlowdown), now
-	l.slowdown.excess, l.slowdown.excessAt = bounded(known.Excess, minReportedSlowdown, maxReportedSlowdown), now
+	l.slowdown.set(now, known.Reported, known.Excess)
 	l.othersReported, l.reportedAt = bounded(known.Others, 0, float64(l.Slots*maxHandedQueue)), now
 	l.failures.rate, l.failures.updatedAt = bounded(known.Failing, 0, 1), now
 }
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -253,12 +253,17 @@
 // NewQuery returns a query that has not started.
 func NewQuery(spec Spec, table *Table) *Query {
 	q := &Query{
-		spec:     spec,
-		table:    table,
-		shards:   make([]shard, len(spec.Services)),
-		attempts: make(map[AttemptID]*attempt),
-		calls:    make(map[CallID]*call),
+		spec:   spec,
+		table:  table,
+		shards: make([]shard, len(spec.Services)),
+		calls:  make(map[CallID]*call),
 	}
+	// A query that may delegate makes few attempts itself.
+	firstAttempts := 0
+	if !spec.MayDelegate {
+		firstAttempts = len(spec.Services)
+	}
+	q.attempts = make(map[AttemptID]*attempt, firstAttempts)
 	for i, name := range spec.Services {
 		q.shards[i].service = name
 	}
@@ -292,7 +297,11 @@
 		q.refuse(now, *refusal)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
-	var acts []Action
+	own := len(q.shards)
+	for _, d := range calls {
+		own -= len(d.shards)
+	}
+	acts := make([]Action, 0, len(calls)+max(own, 0))
 	for _, d := range calls {
 		acts = append(acts, q.callVM(now, d, false))
 	}
@@ -326,13 +335,15 @@
 // ownShards returns the indexes of the shards that this VM queries itself: those that are
 // neither closed nor part of one of the given calls.
 func (q *Query) ownShards(calls []delegation) []int {
-	delegated := make(map[int]bool)
+	delegated := make([]bool, len(q.shards))
+	left := len(q.shards)
 	for _, d := range calls {
 		for _, i := range d.shards {
 			delegated[i] = true
 		}
+		left -= len(d.shards)
 	}
-	var list []int
+	list := make([]int, 0, max(left, 0))
 	for i := range q.shards {
 		if !delegated[i] && !q.shards[i].closed {
 			list = append(list, i)
--- a/scatter/query_bench_test.go
+++ b/scatter/query_bench_test.go
@@ -41,7 +41,8 @@
 	})
 }
 
-// benchmarkOwner runs a query whose attempts are all answered, one after another.
+// benchmarkOwner runs a query whose attempts are all answered, one after another, by leafs that report
+// their load.
 func benchmarkOwner(b *testing.B, w *world, spec Spec) {
 	b.ReportAllocs()
 	for b.Loop() {
@@ -51,6 +52,7 @@
 		q.Wake(w.now)
 		for _, s := range first {
 			w.wait(100 * time.Microsecond)
+			w.table.RecordLoad(w.now, s.Leaf, Load{Running: 1, Slots: 2, Slowdown: 1.2})
 			w.table.AttemptEnded(w.now, s.Leaf, s.SentAt, EndAnswered)
 			q.Reply(w.now, s.Attempt, false)
 			q.Wake(w.now)
--- a/scatter/speed.go
+++ b/scatter/speed.go
@@ -24,6 +24,11 @@
 	excess   float64
 	excessAt time.Time // when excess last changed
 	slowAt   time.Time // when the latest slow request ended: its excess was above slowAnswerThreshold
+
+	// factorNow is the result of factor at factorAt, which is zero after a change. One request
+	// looks at a leaf several times at the same moment.
+	factorNow float64
+	factorAt  time.Time
 }
 
 // Parameters of a leaf's slowdown. The reported slowdown is the duration of work on the leaf's
@@ -71,6 +76,7 @@
 	}
 	s.reported += reportedSlowdownWeight * (factor - s.reported)
 	s.reportedAt = now
+	s.factorAt = time.Time{}
 }
 
 // recordAnswer records that a request that was sent at sentAt is answered now. typical is the
@@ -106,13 +112,26 @@
 	excess := s.excessFactor(now)
 	s.excess = excess + weight*(min(ratio, maxExcessStep*excess)-excess)
 	s.excessAt = now
+	s.factorAt = time.Time{}
+}
+
+// set replaces both factors by those that another VM knows.
+func (s *slowdown) set(now time.Time, reported, excess float64) {
+	s.reported, s.reportedAt = bounded(reported, minReportedSlowdown, maxReportedSlowdown), now
+	s.excess, s.excessAt = bounded(excess, minReportedSlowdown, maxReportedSlowdown), now
+	s.factorAt = time.Time{}
 }
 
 // factor returns the expected duration of the next request as a multiple of its duration at a leaf
 // of usual speed. It is the product of two factors: the slowdown that the leaf reported for its
 // machine, and the excess, the duration of answers as a multiple of the duration that is expected
 // with that slowdown.
-func (s *slowdown) factor(now time.Time) float64 { return s.reportedFactor(now) * s.excessFactor(now) }
+func (s *slowdown) factor(now time.Time) float64 {
+	if s.factorAt != now {
+		s.factorNow, s.factorAt = s.reportedFactor(now)*s.excessFactor(now), now
+	}
+	return s.factorNow
+}
 
 // reportedFactor returns the current slowdown of the leaf's machine, as the leaf reported it: the
 // duration of work as a multiple of the usual. It is 1 if the leaf reported none.
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -30,9 +30,15 @@
 	startedAt     time.Time                         // when this VM's process started
 	durations     map[durationKey]*latency.Recorder // recent durations of requests and calls
 	forecasts     map[durationKey]*forecast         // by kind of request to leafs
-	standIns      map[zonePartition]*standIn        // partitions that a VM serves in place of an owner
-	doubts        float64                           // refusals for leafs that may be doubted
-	handBack      []handBack                        // partitions whose owner has returned and is not told yet
+
+	// lastDurations is the entry of durations that was used last, nil before. A request uses the
+	// same one several times for each shard.
+	lastDurationsKey durationKey
+	lastDurations    *latency.Recorder
+
+	standIns map[zonePartition]*standIn // partitions that a VM serves in place of an owner
+	doubts   float64                    // refusals for leafs that may be doubted
+	handBack []handBack                 // partitions whose owner has returned and is not told yet
 
 	ackTimes        map[string]ackTime // by zone: longest time that VMs recently took to acknowledge a call
 	lostZones       map[string]bool    // zones of which all VMs that this one calls are silent
@@ -217,14 +223,18 @@
 }
 
 // usableLeafs returns the leafs of the named service that take requests, including those in
-// cooldown and suspect ones.
+// cooldown and suspect ones. The result must not be changed, and is valid until the table changes.
 func (t *Table) usableLeafs(name string) []*leaf {
 	s := t.services[name]
 	if s == nil {
 		return nil
 	}
-	var list []*leaf
-	for _, l := range s.leafs {
+	unusable := slices.IndexFunc(s.leafs, func(l *leaf) bool { return !l.usable() })
+	if unusable < 0 {
+		return s.leafs
+	}
+	list := append(make([]*leaf, 0, len(s.leafs)), s.leafs[:unusable]...)
+	for _, l := range s.leafs[unusable:] {
 		if l.usable() {
 			list = append(list, l)
 		}
@@ -233,7 +243,10 @@
 }
 
 // HasUsableLeaf reports whether the named service has a leaf that takes requests.
-func (t *Table) HasUsableLeaf(name string) bool { return len(t.usableLeafs(name)) > 0 }
+func (t *Table) HasUsableLeaf(name string) bool {
+	s := t.services[name]
+	return s != nil && slices.ContainsFunc(s.leafs, (*leaf).usable)
+}
 
 // leafFilter restricts the leafs that may be picked for a request.
 type leafFilter struct {
@@ -301,11 +314,15 @@
 
 // durationsOf returns the recorder of recent durations of one kind of request.
 func (t *Table) durationsOf(key durationKey) *latency.Recorder {
+	if t.lastDurations != nil && t.lastDurationsKey == key {
+		return t.lastDurations
+	}
 	r := t.durations[key]
 	if r == nil {
 		r = latency.New()
 		t.durations[key] = r
 	}
+	t.lastDurationsKey, t.lastDurations = key, r
 	return r
 }
 
--- a/scatter/view.go
+++ b/scatter/view.go
@@ -41,14 +41,12 @@
 // viewOf returns the view of a shard with the given common leafs.
 func viewOf(common []LeafID) View {
 	var sum uint64 = viewVersion
-	var d xxhash.Digest
+	var buf [hashedTextSize]byte
 	for _, id := range common {
-		d.Reset()
-		// Writing to a digest can't fail.
-		_, _ = d.WriteString(id.ID)
-		_, _ = d.Write(strconv.AppendInt([]byte{'/'}, id.Born, 10))
+		text := append(buf[:0], id.ID...)
+		text = strconv.AppendInt(append(text, '/'), id.Born, 10)
 		// A sum does not depend on the order of the leafs.
-		sum += d.Sum64()
+		sum += xxhash.Sum64(text)
 	}
 	return View(sum)
 }
@@ -68,14 +66,14 @@
 	// All shards of a request are ranked, so each leaf is hashed once, and few leafs need no
 	// memory besides the result.
 	type rankedLeaf struct {
-		id     LeafID
+		leaf   *leaf
 		inZone bool
 		rank   uint64
 	}
 	leafs := make([]rankedLeaf, 0, 8)
 	for _, l := range s.leafs {
 		if l.inService() {
-			leafs = append(leafs, rankedLeaf{id: l.id, inZone: l.Zone == zone, rank: rank(request, l.ID)})
+			leafs = append(leafs, rankedLeaf{leaf: l, inZone: l.Zone == zone, rank: rank(request, l.ID)})
 		}
 	}
 	slices.SortFunc(leafs, func(a, b rankedLeaf) int {
@@ -84,7 +82,7 @@
 	n := min(len(leafs), max(attempts-1, 1))
 	ids := make([]LeafID, 0, n)
 	for _, l := range leafs[:n] {
-		ids = append(ids, l.id)
+		ids = append(ids, l.leaf.id)
 	}
 	return ids
 }
@@ -128,7 +126,7 @@
 
 // usableAmong returns those of the given leafs that are still known and take requests.
 func (t *Table) usableAmong(ids []LeafID) []*leaf {
-	var list []*leaf
+	list := make([]*leaf, 0, len(ids))
 	for _, id := range ids {
 		if l := t.findLeaf(id); l != nil && l.usable() {
 			list = append(list, l)
@@ -154,11 +152,10 @@
 // ordered in the same way, with another text in place of the request's id and VM names in place
 // of leaf ids.
 func rank(request, leaf string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// Writing to a digest can't fail.
-	_, _ = d.WriteString(request)
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(leaf)
-	return d.Sum64()
+	var buf [hashedTextSize]byte
+	text := append(append(buf[:0], request...), '/')
+	return xxhash.Sum64(append(text, leaf...))
 }
+
+// hashedTextSize is the length of a text, in bytes, up to which hashing it needs no memory.
+const hashedTextSize = 128
