Pending events are handled in one step; an attempt costs less

Events that are pending when a query's loop runs are passed to the query in one step, under one lock, with one decision and one search for the next wake-up. On a VM that gets no processor time for a while, the first event after AnswerBy ended the query, and answers that had arrived behind it were left out. They count now. This is the only change of a decision.

Attempts that end at the same time share a context, the body of an answer of stated length is read into memory of that size, and the channel for a concurrent write and most growing of maps is gone.

TestAnswersThatArrivedDuringAPauseAllCount was red with the new check in conclude disabled.

--- a/edge/run.go
+++ b/edge/run.go
@@ -24,6 +24,11 @@
 	attemptCtx context.Context    // parent of the contexts of all attempts and calls; may outlive the query (see lingerAbandoned and lingerLate)
 	cancel     context.CancelFunc // cancels attemptCtx
 
+	// sharedCtx is a child of attemptCtx that ends at sharedEnd; nil before the first attempt.
+	sharedCtx    context.Context
+	sharedEnd    time.Time
+	sharedCancel context.CancelFunc
+
 	replies     map[scatter.AttemptID]*reply // usable answers of leafs, and answers that report a failure
 	shards      map[scatter.AttemptID]int    // number of the shard that each attempt queries
 	callAnswers []*ShardsAnswer              // in the order in which they were passed to the query
@@ -81,6 +86,10 @@
 // newRunner returns a runner of the query that spec describes.
 func (e *Engine) newRunner(req *Request, spec scatter.Spec) *runner {
 	ctx, cancel := context.WithDeadline(context.Background(), spec.Deadline.Add(lingerLate))
+	attempts := 0 // that are expected; a query that may delegate makes few itself
+	if !spec.MayDelegate {
+		attempts = len(spec.Services)
+	}
 	return &runner{
 		e:          e,
 		req:        req,
@@ -89,8 +98,8 @@
 		done:       make(chan struct{}),
 		attemptCtx: ctx,
 		cancel:     cancel,
-		replies:    make(map[scatter.AttemptID]*reply),
-		shards:     make(map[scatter.AttemptID]int),
+		replies:    make(map[scatter.AttemptID]*reply, attempts),
+		shards:     make(map[scatter.AttemptID]int, attempts),
 	}
 }
 
@@ -138,7 +147,7 @@
 		timer.Reset(max(time.Until(earlier(wake, r.interimAt)), 0))
 		select {
 		case ev := <-r.events:
-			acts, wake = r.handleEvent(ev)
+			acts, wake = r.handleEvents(ev)
 		case <-timer.C:
 			acts, wake = r.tick()
 		case <-ctx.Done():
@@ -169,13 +178,13 @@
 	return r.query.LeafTime(time.Now())
 }
 
-// tick is called when loop's timer expires. It processes a pending event if there is one. So an
+// tick is called when loop's timer expires. It processes the pending events if there are any. So an
 // answer that arrived while this VM was short of CPU time is not treated as missing. Otherwise
 // tick lets the query act on the time that has passed. The results are those of step.
 func (r *runner) tick() ([]scatter.Action, time.Time) {
 	select {
 	case ev := <-r.events:
-		return r.handleEvent(ev)
+		return r.handleEvents(ev)
 	default:
 		return r.step(func(now time.Time) []scatter.Action { return r.query.Tick(now) })
 	}
@@ -202,37 +211,58 @@
 	return acts, r.query.Wake(now)
 }
 
-// handleEvent passes an event to the query, and returns the results of step.
-func (r *runner) handleEvent(ev event) ([]scatter.Action, time.Time) {
+// maxEventsPerStep bounds the events that are passed to a query while Engine.mu is held.
+const maxEventsPerStep = 64
+
+// handleEvents passes an event and those that are pending after it to the query, and returns the
+// results of step.
+func (r *runner) handleEvents(first event) ([]scatter.Action, time.Time) {
 	return r.step(func(now time.Time) []scatter.Action {
-		switch {
-		case ev.sent:
-			return r.query.CallSent(now, ev.call)
-		case ev.call != 0 && ev.callAnswer != nil:
-			r.callAnswers = append(r.callAnswers, ev.callAnswer)
-			return r.query.CallReply(now, ev.call, scatter.CallAnswer{
-				Included: ev.callAnswer.Included,
-				Declined: ev.callAnswer.declined,
-				Last:     ev.callAnswer.last,
-
-				Refused:    ev.callAnswer.refused,
-				RetryAfter: ev.callAnswer.retryAfter,
-				Cause:      ev.callAnswer.cause,
-				LeftOut:    ev.callAnswer.leftOut,
-				LeafTime:   ev.callAnswer.leafTime,
-			})
-		case ev.call != 0:
-			return r.query.CallFail(now, ev.call, ev.neverSent)
-		case ev.reply != nil:
-			r.replies[ev.attempt] = ev.reply
-			r.query.Timed(ev.attempt, ev.reply.WrittenAt, ev.reply.ReadAt)
-			return r.query.Reply(now, ev.attempt, r.answerFailed(ev.reply))
-		default:
-			return r.query.Fail(now, ev.attempt, ev.end)
+		// No one else receives events, so those that are pending now can be received at once.
+		pending := min(len(r.events), maxEventsPerStep-1)
+		if pending == 0 {
+			return r.handleEvent(now, first)
 		}
+		return r.query.Together(now, func() []scatter.Action {
+			acts := r.handleEvent(now, first)
+			for range pending {
+				acts = append(acts, r.handleEvent(now, <-r.events)...)
+			}
+			return acts
+		})
 	})
 }
 
+// handleEvent passes an event to the query and returns the actions that follow. Engine.mu must be
+// held.
+func (r *runner) handleEvent(now time.Time, ev event) []scatter.Action {
+	switch {
+	case ev.sent:
+		return r.query.CallSent(now, ev.call)
+	case ev.call != 0 && ev.callAnswer != nil:
+		r.callAnswers = append(r.callAnswers, ev.callAnswer)
+		return r.query.CallReply(now, ev.call, scatter.CallAnswer{
+			Included: ev.callAnswer.Included,
+			Declined: ev.callAnswer.declined,
+			Last:     ev.callAnswer.last,
+
+			Refused:    ev.callAnswer.refused,
+			RetryAfter: ev.callAnswer.retryAfter,
+			Cause:      ev.callAnswer.cause,
+			LeftOut:    ev.callAnswer.leftOut,
+			LeafTime:   ev.callAnswer.leafTime,
+		})
+	case ev.call != 0:
+		return r.query.CallFail(now, ev.call, ev.neverSent)
+	case ev.reply != nil:
+		r.replies[ev.attempt] = ev.reply
+		r.query.Timed(ev.attempt, ev.reply.WrittenAt, ev.reply.ReadAt)
+		return r.query.Reply(now, ev.attempt, r.answerFailed(ev.reply))
+	default:
+		return r.query.Fail(now, ev.attempt, ev.end)
+	}
+}
+
 // answerFailed reports whether an answer can't be used. A gathered request needs the result
 // of each shard, so any status outside 2xx is a failure.
 func (r *runner) answerFailed(ans *reply) bool {
@@ -248,7 +278,7 @@
 		switch a := act.(type) {
 		case scatter.Send:
 			r.shards[a.Attempt] = a.Shard
-			go r.send(a)
+			go r.send(r.attemptContext(a.Until.Add(r.linger())), a)
 		case scatter.CallVM:
 			go r.callPeer(a)
 		case scatter.Finish:
@@ -259,13 +289,24 @@
 }
 
 // poolKey returns the key of the connections to one incarnation of a leaf.
-func poolKey(id scatter.LeafID) string { return id.ID + "/" + strconv.FormatInt(id.Born, 10) }
+func poolKey(id scatter.LeafID) string {
+	var buf [64]byte
+	return string(strconv.AppendInt(append(append(buf[:0], id.ID...), '/'), id.Born, 10))
+}
+
+// attemptContext returns the context of an attempt that lasts until end at most. Most attempts of a
+// query end at the same time, and share it. It ends with attemptCtx.
+func (r *runner) attemptContext(end time.Time) context.Context {
+	if r.sharedCtx == nil || !end.Equal(r.sharedEnd) {
+		r.sharedEnd = end
+		r.sharedCtx, r.sharedCancel = context.WithDeadline(r.attemptCtx, end)
+	}
+	return r.sharedCtx
+}
 
 // send makes one attempt and records its end in the table, even if the query has ended long
 // before.
-func (r *runner) send(s scatter.Send) {
-	ctx, cancel := context.WithDeadline(r.attemptCtx, s.Until.Add(r.linger()))
-	defer cancel()
+func (r *runner) send(ctx context.Context, s scatter.Send) {
 	endpoint := leafhttp.Endpoint{Key: poolKey(s.Leaf), Address: s.Address, Transient: !s.KeepConnection}
 	var metadata LeafMetadata
 	// An answer on a reused connection may be a late answer to an earlier request.
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -117,15 +117,15 @@
 // how long the connection may stay idle afterwards; 0 means that it can't be reused.
 func roundTrip(c *conn, req *Request, extra http.Header) (ans *Answer, idleTimeout time.Duration, err error) {
 	head := req.head(extra)
-	written := make(chan error, 1)
+	var written chan error // receives the result of a write that goes on while the answer is read
 	var writtenAt time.Time
 	if len(req.Body) < concurrentWriteSize {
 		if _, err := c.Write(append(head, req.Body...)); err != nil {
 			return nil, 0, err
 		}
 		writtenAt = time.Now()
-		written <- nil
 	} else {
+		written = make(chan error, 1)
 		go func() {
 			_, err := c.Write(append(head, req.Body...))
 			written <- err
@@ -136,6 +136,9 @@
 		return nil, 0, err
 	}
 	ans.WrittenAt, ans.ReadAt = writtenAt, time.Now()
+	if written == nil {
+		return ans, idleTimeoutAfter(resp), nil
+	}
 	select {
 	case err := <-written:
 		if err != nil {
--- a/leafhttp/request.go
+++ b/leafhttp/request.go
@@ -41,7 +41,7 @@
 // 0.92 us).
 func (r *Request) head(extra http.Header) []byte {
 	r.commonOnce.Do(r.writeCommonHead)
-	b := bytes.NewBuffer(make([]byte, 0, len(r.commonHead)+extraHeadSize))
+	b := bytes.NewBuffer(make([]byte, 0, len(r.commonHead)+extraHeadSize+len(r.Body)))
 	b.Write(r.commonHead)
 	// Writes to a buffer don't fail. Header.Write replaces line breaks in values.
 	_ = extra.Write(b)
@@ -83,7 +83,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // informational; the answer follows
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+		body, err := readBody(resp)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -94,6 +94,23 @@
 	}
 }
 
+// maxPreparedBytes is the stated length of a body, in bytes, up to which memory for it is taken before
+// it arrives.
+const maxPreparedBytes = 64 << 10
+
+// readBody reads the body of an answer, and at most a byte more than maxAnswerBytes.
+func readBody(resp *http.Response) ([]byte, error) {
+	// The answer to a HEAD request states a length, but has no body.
+	if resp.Body == http.NoBody || resp.ContentLength < 0 || resp.ContentLength > maxPreparedBytes {
+		return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	}
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
 // idleTimeoutAfter returns how long a connection may stay idle after an answer, or 0 if
 // it can't be reused. It leaves a margin before the leaf's own timeout, because a
 // request that is sent while the leaf closes the connection is lost.
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -8,6 +8,9 @@
 	if q.done {
 		return nil
 	}
+	if q.held {
+		return acts
+	}
 	out, decided := q.decide(now)
 	if !decided {
 		return acts
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -164,6 +164,7 @@
 	shards    []shard
 	startedAt time.Time
 	done      bool
+	held      bool // several events are being handled, after which the outcome is decided
 
 	attempts      map[AttemptID]*attempt // attempts in flight
 	calls         map[CallID]*call       // all calls to other VMs, also those that have ended
@@ -413,6 +414,16 @@
 	return q.conclude(now, q.retryShard(now, a.shard))
 }
 
+// Together handles several events that are there at the same moment. events passes them to the query,
+// all with the time now, and returns the actions that follow. The outcome is decided only after all of
+// them: where this VM comes late, after AnswerBy, an answer that arrived counts, whichever came first.
+func (q *Query) Together(now time.Time, events func() []Action) []Action {
+	q.held = true
+	acts := events()
+	q.held = false
+	return q.conclude(now, acts)
+}
+
 // Tick returns the actions that are due at the current time: hedges, retries, failovers, or the
 // end of the query. It has to be called at the time that Wake returned.
 func (q *Query) Tick(now time.Time) []Action {
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -93,6 +93,26 @@
 	w.Expect(out.Parts).To(gomega.HaveLen(19))
 }
 
+// Guards against leaving out answers that have arrived while this VM got no processor time. It runs
+// again after AnswerBy, with enough answers and one more besides: all of them are included.
+func TestAnswersThatArrivedDuringAPauseAllCount(t *testing.T) {
+	w := newWorld(t)
+	spec := w.gathered(w.shards(20, homeZone))
+	q := NewQuery(spec, w.table)
+	first := sends(q.Start(w.now))
+	w.now = spec.AnswerBy.Add(time.Millisecond)
+	out := outcome(q.Together(w.now, func() []Action {
+		var acts []Action
+		for _, s := range first[1:] {
+			acts = append(acts, q.Reply(w.now, s.Attempt, false)...)
+		}
+		return acts
+	}))
+	w.Expect(out).NotTo(gomega.BeNil())
+	w.Expect(out.Verdict).To(gomega.Equal(Answered))
+	w.Expect(out.Parts).To(gomega.HaveLen(19))
+}
+
 // Guards against a gathered request that waits until its deadline although too many shards are
 // unreachable. It is refused at once, and leafs do no work for it.
 func TestGatheredRequestWithTooFewShardsIsRefusedAtOnce(t *testing.T) {
