--- a/scatter/query.go
+++ b/scatter/query.go
@@ -169,6 +169,7 @@
 	shards    []shard
 	startedAt time.Time
 	done      bool
+	held      bool // several events are being handled, after which the outcome is decided
 
 	attempts      map[AttemptID]*attempt // attempts in flight
 	calls         map[CallID]*call       // all calls to other VMs, also those that have ended
@@ -262,12 +263,17 @@
 // NewQuery returns a query that has not started.
 func NewQuery(spec Spec, table *Table) *Query {
 	q := &Query{
-		spec:     spec,
-		table:    table,
-		shards:   make([]shard, len(spec.Services)),
-		attempts: make(map[AttemptID]*attempt),
-		calls:    make(map[CallID]*call),
+		spec:   spec,
+		table:  table,
+		shards: make([]shard, len(spec.Services)),
+		calls:  make(map[CallID]*call),
 	}
+	// A query that may delegate makes few attempts itself.
+	firstAttempts := 0
+	if !spec.MayDelegate {
+		firstAttempts = len(spec.Services)
+	}
+	q.attempts = make(map[AttemptID]*attempt, firstAttempts)
 	for i, name := range spec.Services {
 		q.shards[i].service = name
 	}
@@ -302,8 +308,12 @@
 		q.refuse(now, *refusal)
 		return q.finish(q.failureOutcome(TooFewShards))
 	}
-	var acts []Action
 	q.recallLost(now, calls)
+	own := len(q.shards)
+	for _, d := range calls {
+		own -= len(d.shards)
+	}
+	acts := make([]Action, 0, len(calls)+max(own, 0))
 	for _, d := range calls {
 		acts = append(acts, q.callVM(now, d, false))
 	}
@@ -337,13 +347,15 @@
 // ownShards returns the indexes of the shards that this VM queries itself: those that are
 // neither closed nor part of one of the given calls.
 func (q *Query) ownShards(calls []delegation) []int {
-	delegated := make(map[int]bool)
+	delegated := make([]bool, len(q.shards))
+	left := len(q.shards)
 	for _, d := range calls {
 		for _, i := range d.shards {
 			delegated[i] = true
 		}
+		left -= len(d.shards)
 	}
-	var list []int
+	list := make([]int, 0, max(left, 0))
 	for i := range q.shards {
 		if !delegated[i] && !q.shards[i].closed {
 			list = append(list, i)
@@ -413,6 +425,16 @@
 	return q.conclude(now, q.retryShard(now, a.shard))
 }
 
+// Together handles several events that are there at the same moment. events passes them to the query,
+// all with the time now, and returns the actions that follow. The outcome is decided only after all of
+// them: where this VM comes late, after AnswerBy, an answer that arrived counts, whichever came first.
+func (q *Query) Together(now time.Time, events func() []Action) []Action {
+	q.held = true
+	acts := events()
+	q.held = false
+	return q.conclude(now, acts)
+}
+
 // Tick returns the actions that are due at the current time: hedges, retries, failovers, or the
 // end of the query. It has to be called at the time that Wake returned.
 func (q *Query) Tick(now time.Time) []Action {
