Soak: tenants, keys, limits and cut-off VMs

The soak played no manifest with tenants, so no fault met keys, limits or room together.

A second kind of run gives the manifest three tenants: one whose key stays, one whose key changes with each version, and one that sends many times its limit, whose rate changes. Callers send right, unknown, missing and revoked keys on the connections that they keep, and state a tenant of their own. Odd seeds keep the faults of the store; even ones cut half of the VMs off from it instead. Two of four seeds have room measured, spill and hand-over. Checked: leafs get the key's tenant and nothing of the key; unknown keys never run; a valid key never gets 401; keys that were taken away end within the bound also at VMs that are cut off from the store only; the limit in any window; at a stop, no request that was read before it is broken off. The last one holds for the runs without tenants too. 401 counts as not run.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -27,6 +27,9 @@
 	served     int            // answers with status 200
 }
 
+// readTime is after what time a request that was sent on an open connection has been read by the VM.
+const readTime = 50 * time.Millisecond
+
 // noAnswer stands for the status of a request whose answer was not received completely.
 const noAnswer = 0
 
@@ -45,15 +48,21 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%02d-%012d", number, n)
 		vm := c.deployment.vms[rng.IntN(len(c.deployment.vms))]
-		c.send(client, vm, id, rng.IntN(3))
+		if tenants := c.deployment.tenants; tenants != nil {
+			kind, key := tenants.choose(number, rng)
+			tenants.check(c, vm, id, key, func() int { return c.send(client, vm, id, kind, key.text) })
+		} else {
+			c.send(client, vm, id, rng.IntN(3), "")
+		}
 		time.Sleep(time.Duration(5+rng.IntN(20)) * time.Millisecond)
 	}
 }
 
 // send sends one request to the VM, records its status and checks the answer if that is
 // 200. kind is the number of the request's route in the manifest: 0 gathers from all
-// shards, 1 asks one leaf, 2 sends a report, which must run at most once, to one leaf.
-func (c *callers) send(client *http.Client, v *vm, id string, kind int) {
+// shards, 1 asks one leaf, 2 sends a report, which must run at most once, to one leaf. key is
+// the caller's API key; if it is empty, none is sent. send returns the status.
+func (c *callers) send(client *http.Client, v *vm, id string, kind int, key string) int {
 	method, path := "GET", [...]string{"/all/x", "/one/x", "/once/x"}[kind]
 	if kind == 2 {
 		method = "POST"
@@ -63,13 +72,21 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.set.Listen.Callers+path, strings.NewReader("report"))
 	if err != nil {
 		c.addViolation("%s: %v", id, err)
-		return
+		return noAnswer
 	}
 	req.GetBody = nil // without it the client can't repeat a report by itself
 	req.Host = "h.example"
 	req.Header.Set("Bramleybarrow-Attempt-Id", id)
 	req.Header.Set("Bramleybarrow-Deadline-Ms", "700")
-	status, header, body := do(client, req)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header["Bramleybarrow-Tenant"], req.Header["Bramleybarrow_tenant"] = []string{forgedName}, []string{forgedName}
+	}
+	sentAt := time.Now()
+	status, header, body, err := do(client, req)
+	if err != nil && ctx.Err() == nil && v.stoppedSince(sentAt.Add(readTime), time.Now()) {
+		c.addViolation("%s: %s was told to stop and broke off the request, which was sent %v before: %v", id, v.set.Name, time.Since(sentAt), err)
+	}
 	c.mu.Lock()
 	if kind == 2 {
 		c.reports[id] = status
@@ -79,28 +96,29 @@
 	}
 	c.mu.Unlock()
 	if status != http.StatusOK {
-		return
+		return status
 	}
 	if kind == 0 {
 		c.checkGathered(id, header, body)
 	} else {
 		c.checkSingle(id, header, body)
 	}
+	return status
 }
 
 // do sends the request and returns the status, header and body of the answer, or noAnswer
-// if the answer was not received completely.
-func do(client *http.Client, req *http.Request) (int, http.Header, []byte) {
+// and an error if the answer was not received completely.
+func do(client *http.Client, req *http.Request) (int, http.Header, []byte, error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		return noAnswer, nil, nil
+		return noAnswer, nil, nil, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return noAnswer, nil, nil
+		return noAnswer, nil, nil, err
 	}
-	return resp.StatusCode, resp.Header, body
+	return resp.StatusCode, resp.Header, body, nil
 }
 
 // checkSingle checks that the receipt names a leaf, and that the body is that leaf's
@@ -147,7 +165,7 @@
 }
 
 // checkReports checks, after all requests have ended, that each report ran at most once,
-// and did not run if its caller was answered 429 or 503.
+// and did not run if its caller was answered 401, 429 or 503.
 func (c *callers) checkReports() {
 	for id, status := range c.reports {
 		runs := 0
@@ -158,7 +176,7 @@
 		if runs > 1 {
 			c.addViolation("%s: a report ran %d times", id, runs)
 		}
-		if runs > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		if runs > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized) {
 			c.addViolation("%s: a report ran, but its caller was answered %d", id, status)
 		}
 	}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,10 +1,12 @@
 // Package soak holds a randomized test of the daemon on the users' platform. Daemons run
 // as real processes, with a simulated store and simulated leafs. Several concurrent series
 // of faults affect the VMs, the leafs and the store. The test checks the daemon's
-// guarantees during the faults, from what callers and leafs observe.
+// guarantees during the faults, from what callers and leafs observe. Runs with tenants also
+// change keys and limits, and switch room on with some seeds.
 //
 //	go test ./soak                          # the fixed seeds, as CI does
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m ./soak   # the 50 seeds from 1000
+//	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -run TestSoak/tenants ./soak   # with tenants only
 //
-// A seed that ever failed is added to fixedSeeds, with a comment on the cause.
+// A seed that ever failed is added to fixedSeeds or fixedTenantSeeds, with a comment on the cause.
 package soak
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -28,12 +28,13 @@
 
 // deployment is a store, leafs and VMs. Each VM runs as a process of its own.
 type deployment struct {
-	t      *testing.T
-	binary string // path of bramleyd
-	dir    string // of the VMs' settings and logs
-	store  *edgesim.Store
-	leafs  map[string]*edgesim.Leaf // by ID
-	vms    []*vm
+	t       *testing.T
+	binary  string // path of bramleyd
+	dir     string // of the VMs' settings and logs
+	store   *edgesim.Store
+	leafs   map[string]*edgesim.Leaf // by ID
+	vms     []*vm
+	tenants *tenants // nil if requests need no API key
 }
 
 // vm is one VM. Its settings and its proxy to the store outlive its processes.
@@ -42,20 +43,20 @@
 	settingsPath string
 	proxy        *edgesim.StoreProxy
 
-	mu      sync.Mutex    // guards the fields below
-	process *exec.Cmd     // the current one, or the last one after its exit
-	exited  chan struct{} // closed when process has exited
+	mu           sync.Mutex    // guards the fields below
+	process      *exec.Cmd     // the current one, or the last one after its exit
+	exited       chan struct{} // closed when process has exited
+	stoppedAt    time.Time     // when a process was last told to stop by SIGTERM; zero if none was
+	faulty       bool          // a fault of the processes is being injected
+	faultEndedAt time.Time     // when the latest such fault ended
 }
 
 // newDeployment starts the store, one leaf of each shard and of the ledger in each zone,
-// and the VMs. They are stopped when the test ends.
-func newDeployment(t *testing.T, binary string) *deployment {
-	d := &deployment{t: t, binary: binary, dir: t.TempDir(), store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf)}
+// and the VMs. They are stopped when the test ends. tenants is nil if requests need no API key.
+func newDeployment(t *testing.T, binary string, tenants *tenants) *deployment {
+	d := &deployment{t: t, binary: binary, dir: t.TempDir(), store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf), tenants: tenants}
 	t.Cleanup(d.close)
-	var shards []string
-	for i := range shardCount {
-		name := fmt.Sprintf("shard-%02d", i)
-		shards = append(shards, name)
+	for _, name := range shards() {
 		for _, zone := range zones {
 			d.addLeaf(name+"-"+zone, name, zone)
 		}
@@ -63,7 +64,10 @@
 	for _, zone := range zones {
 		d.addLeaf("ledger-"+zone, "ledger", zone)
 	}
-	d.putManifest(1, shards)
+	d.putManifest(1, "")
+	if tenants != nil {
+		d.changeTenants(0)
+	}
 	for _, zone := range zones {
 		for i := range vmsPerZone {
 			d.addVM(fmt.Sprintf("vm-%s-%d", zone, i), zone)
@@ -85,19 +89,23 @@
 
 // addLeaf starts a leaf and registers it in the store as ready.
 func (d *deployment) addLeaf(id, service, zone string) {
-	l := (&edgesim.Leaf{ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli()}).Start()
-	d.leafs[id] = l
+	l := &edgesim.Leaf{ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli()}
+	if d.tenants != nil {
+		l.Observe = d.tenants.observe
+	}
+	d.leafs[id] = l.Start()
 	d.store.Put("servers", id, l.RegistryEntry("ready"))
 }
 
 // putManifest stores a manifest with three routes: "all" gathers from all shards, "one"
-// and "once" call a leaf of the ledger. Requests of "once" must not run twice.
-func (d *deployment) putManifest(version int, shards []string) {
+// and "once" call a leaf of the ledger. Requests of "once" must not run twice. more holds further
+// fields of the manifest, each preceded by a comma.
+func (d *deployment) putManifest(version int, more string) {
 	d.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[
 	{"name":"all","host":"h.example","path-prefix":"/all/","kind":"idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"gather":["%s"],"max-attempts":2,"top-k":5,"min-share":0.5},
 	{"name":"one","host":"h.example","path-prefix":"/one/","kind":"idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2},
 	{"name":"once","host":"h.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2}],
-	"services":[{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}}`, version, strings.Join(shards, `","`)))
+	"services":[{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}%s}`, version, strings.Join(shards(), `","`), more))
 }
 
 // addVM writes the settings of a VM and starts it with a proxy to the store.
@@ -109,6 +117,9 @@
 		Bounds: edge.BoundSettings{ManifestMS: 3000, DrainMS: 3000, EvacuateMS: float64(evacuationBound.Milliseconds())},
 		Budget: edge.BudgetSettings{Ratio: 0.2, Floor: 200, WindowS: 10},
 	}}
+	if d.tenants != nil {
+		d.tenants.configure(v.set)
+	}
 	data, err := json.Marshal(v.set)
 	if err == nil {
 		err = os.WriteFile(v.settingsPath, data, 0o600)
@@ -120,6 +131,15 @@
 	v.start(d)
 }
 
+// shards returns the names of the shards of the gathered route.
+func shards() []string {
+	names := make([]string, shardCount)
+	for i := range names {
+		names[i] = fmt.Sprintf("shard-%02d", i)
+	}
+	return names
+}
+
 // freeAddress returns a loopback address with a free port, or fails the test if it finds
 // none.
 func (d *deployment) freeAddress() string {
@@ -161,6 +181,9 @@
 	defer v.mu.Unlock()
 	// The error for a process that has just exited is ignored: every caller can continue.
 	_ = v.process.Process.Signal(sig)
+	if sig == syscall.SIGTERM {
+		v.stoppedAt = time.Now()
+	}
 }
 
 // waitExit waits for the current process to exit. It kills the process after the timeout.
@@ -182,6 +205,31 @@
 	v.waitExit(time.Second)
 }
 
+// stoppedSince reports whether the VM was last told to stop between two times.
+func (v *vm) stoppedSince(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stoppedAt.After(from) && v.stoppedAt.Before(to)
+}
+
+// calmSince returns when the latest fault of the VM's processes ended: now while there is one.
+func (v *vm) calmSince() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.faulty {
+		return time.Now()
+	}
+	return v.faultEndedAt
+}
+
+// setFaulty records that a fault of the VM's processes begins or has ended.
+func (v *vm) setFaulty(faulty bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faulty = faulty
+	v.faultEndedAt = time.Now()
+}
+
 // logTail returns the last 2000 bytes that the VM's processes wrote.
 func (v *vm) logTail() string {
 	const size = 2000
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,12 +28,12 @@
 	evacuationBound  = 3 * time.Second  // time within which the leafs of an evacuated zone must get no more requests
 )
 
-// seeds returns the SOAK_SEEDS seeds from SOAK_FIRST on, or fixedSeeds if SOAK_SEEDS is
-// not a number.
-func seeds(t *testing.T) []uint64 {
+// seeds returns the SOAK_SEEDS seeds from SOAK_FIRST on, or fixed if SOAK_SEEDS is not a
+// number.
+func seeds(t *testing.T, fixed []uint64) []uint64 {
 	count, err := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
 	if err != nil {
-		return fixedSeeds
+		return fixed
 	}
 	first, err := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	if err != nil {
@@ -58,15 +58,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(gexec.CleanupBuildArtifacts)
-	for _, seed := range seeds(t) {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, binary, seed) })
+	for _, seed := range seeds(t, fixedSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, binary, seed, nil) })
+	}
+	for _, seed := range seeds(t, fixedTenantSeeds) {
+		t.Run("tenants-"+strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, binary, seed, newTenants(seed)) })
 	}
 }
 
 // soak tests a new deployment, whose daemons run the program at the path binary, with the
-// faults and requests that the seed determines.
-func soak(t *testing.T, binary string, seed uint64) {
-	d := newDeployment(t, binary)
+// faults and requests that the seed determines. tenants is nil if requests need no API key.
+func soak(t *testing.T, binary string, seed uint64, tenants *tenants) {
+	d := newDeployment(t, binary, tenants)
 	d.waitServing(t)
 	load := &callers{deployment: d, reports: make(map[string]int)}
 	ctx, stop := context.WithTimeout(context.Background(), faultDuration)
@@ -77,13 +80,21 @@
 	}
 	// Each series injects faults into its own kind of component, so that no series ends a
 	// fault of another.
-	for series := range faultSeriesCount {
+	series := faultSeriesCount
+	if tenants != nil {
+		series++
+	}
+	for series := range series {
 		wg.Go(func() { d.injectFaults(ctx, series, rand.New(rand.NewPCG(seed, uint64(100+series)))) })
 	}
 	wg.Wait()
 	d.clearFaults()
 	d.waitServing(t)
 	d.checkEvacuation(t)
+	if tenants != nil {
+		d.checkRevocation(t)
+		tenants.checkLimit(load)
+	}
 	load.checkReports()
 	for _, violation := range load.violations {
 		t.Error(violation)
@@ -121,19 +132,30 @@
 }
 
 // injectFaults injects one fault after another until ctx ends. Series 0 has faults of VMs,
-// series 1 those of leafs, series 2 evacuations, and any other series those of the store.
+// series 1 those of leafs, series 2 evacuations, series 3 those of the store or of links to it, and
+// any other series changes of tenants.
 func (d *deployment) injectFaults(ctx context.Context, series int, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(50+rng.IntN(300)) * time.Millisecond)
 		switch series {
 		case 0:
-			d.injectVMFault(d.vms[rng.IntN(len(d.vms))], rng)
+			v := d.vms[rng.IntN(len(d.vms))]
+			v.setFaulty(true)
+			d.injectVMFault(v, rng)
+			v.setFaulty(false)
 		case 1:
 			d.injectLeafFault(rng)
 		case 2:
 			d.injectEvacuation(rng)
+		case 3:
+			if d.tenants != nil && d.tenants.cutOff {
+				d.injectCutOff(rng)
+			} else {
+				d.injectStoreFault(rng)
+			}
 		default:
-			d.injectStoreFault(rng)
+			d.changeTenants(rng.IntN(2))
+			time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 		}
 	}
 }
@@ -142,7 +164,11 @@
 // returns after it has ended the fault.
 func (d *deployment) injectVMFault(v *vm, rng *rand.Rand) {
 	pause := time.Duration(100+rng.IntN(900)) * time.Millisecond
-	switch rng.IntN(4) {
+	kinds := 4
+	if d.tenants != nil && d.tenants.cutOff {
+		kinds-- // another series rejects the calls
+	}
+	switch rng.IntN(kinds) {
 	case 0:
 		v.signal(syscall.SIGSTOP)
 		time.Sleep(pause)
@@ -239,7 +265,7 @@
 	probe := &callers{deployment: d, reports: make(map[string]int)}
 	for kind := range 3 {
 		client := newClient()
-		probe.send(client, v, "probe-"+v.set.Name+"-"+strconv.Itoa(n)+"-"+strconv.Itoa(kind), kind)
+		probe.send(client, v, "probe-"+v.set.Name+"-"+strconv.Itoa(n)+"-"+strconv.Itoa(kind), kind, d.tenants.probeKey())
 	}
 	return probe.served == 3
 }
