Soak: requests that a VM breaks off at its stop are found more often

Now each request counts that reached a leaf, or was sent 200 ms before, up to the exit of the process.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -27,8 +27,9 @@
 	served     int            // answers with status 200
 }
 
-// readTime is after what time a request that was sent on an open connection has been read by the VM.
-const readTime = 50 * time.Millisecond
+// lossSlack is after what time a VM that is told to stop must not break off a request, whether it has
+// handed it to a leaf or not.
+const lossSlack = 200 * time.Millisecond
 
 // noAnswer stands for the status of a request whose answer was not received completely.
 const noAnswer = 0
@@ -84,7 +85,7 @@
 	}
 	sentAt := time.Now()
 	status, header, body, err := do(client, req)
-	if err != nil && ctx.Err() == nil && v.stoppedSince(sentAt.Add(readTime), time.Now()) {
+	if err != nil && ctx.Err() == nil && v.isStopping() && (time.Since(sentAt) > lossSlack || c.deployment.arrived(id)) {
 		c.addViolation("%s: %s was told to stop and broke off the request, which was sent %v before: %v", id, v.set.Name, time.Since(sentAt), err)
 	}
 	c.mu.Lock()
@@ -106,6 +107,16 @@
 	return status
 }
 
+// arrived reports whether the request with that ID has reached a leaf.
+func (d *deployment) arrived(id string) bool {
+	for _, l := range d.leafs {
+		if n, _ := l.Counts(id); n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // do sends the request and returns the status, header and body of the answer, or noAnswer
 // and an error if the answer was not received completely.
 func do(client *http.Client, req *http.Request) (int, http.Header, []byte, error) {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -46,7 +46,7 @@
 	mu           sync.Mutex    // guards the fields below
 	process      *exec.Cmd     // the current one, or the last one after its exit
 	exited       chan struct{} // closed when process has exited
-	stoppedAt    time.Time     // when a process was last told to stop by SIGTERM; zero if none was
+	stopping     bool          // from SIGTERM until the process has exited
 	faulty       bool          // a fault of the processes is being injected
 	faultEndedAt time.Time     // when the latest such fault ended
 }
@@ -181,9 +181,6 @@
 	defer v.mu.Unlock()
 	// The error for a process that has just exited is ignored: every caller can continue.
 	_ = v.process.Process.Signal(sig)
-	if sig == syscall.SIGTERM {
-		v.stoppedAt = time.Now()
-	}
 }
 
 // waitExit waits for the current process to exit. It kills the process after the timeout.
@@ -205,11 +202,28 @@
 	v.waitExit(time.Second)
 }
 
-// stoppedSince reports whether the VM was last told to stop between two times.
-func (v *vm) stoppedSince(from, to time.Time) bool {
+// stop tells the current process to stop, and waits for its exit.
+func (v *vm) stop() {
+	v.setStopping(true)
+	v.signal(syscall.SIGTERM)
+	v.signal(syscall.SIGHUP)
+	v.waitExit(2 * time.Second)
+	time.Sleep(30 * time.Millisecond) // until callers have noticed that their connections are closed
+	v.setStopping(false)
+}
+
+// setStopping sets whether the current process is told to stop.
+func (v *vm) setStopping(stopping bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stopping = stopping
+}
+
+// isStopping reports whether the current process is told to stop.
+func (v *vm) isStopping() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.stoppedAt.After(from) && v.stoppedAt.Before(to)
+	return v.stopping
 }
 
 // calmSince returns when the latest fault of the VM's processes ended: now while there is one.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -177,9 +177,7 @@
 		v.kill()
 		v.start(d)
 	case 2:
-		v.signal(syscall.SIGTERM)
-		v.signal(syscall.SIGHUP)
-		v.waitExit(2 * time.Second)
+		v.stop()
 		v.start(d)
 	default:
 		v.proxy.Reject(503)
