Metrics of the largest tenants by name, of all others in sum

An operator saw what limits and room refuse in sum only, not whose requests they were. Series by tenant would grow with the number of tenants.

tenant.Largest chooses the eight tenants with the most recent requests out of 64 candidates (Space-Saving), every 30 s; another tenant needs half as many requests again to take a place, so names don't alternate. edge counts each tenant's requests by their end: 54 series at most.

Seen red: with all tenants named; without the margin of a takeover; with unlimited candidates.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -62,12 +62,14 @@
 		rejected = e.takeToken(r.Context(), arrived, who, route)
 	}
 	if rejected != nil {
+		e.stats.tenants.count(time.Now(), who, endOfRejection(rejected))
 		e.reject(w, r, rejected, m.Version)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
 		e.returnToken(time.Now(), who)
+		e.stats.tenants.count(time.Now(), who, tenantFailed)
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
@@ -76,6 +78,7 @@
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
+	e.stats.tenants.count(time.Now(), who, endOfOutcome(res.Outcome.Verdict))
 	e.logRequest(req, route, m.Version, who, res, time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
 		return
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -14,6 +14,7 @@
 type stats struct {
 	set      *metrics.Set                    // all metrics
 	attempts map[attemptEnd]*metrics.Counter // ended attempts; created at the start, because looking up a counter by its text is slow
+	tenants  *tenantStats
 }
 
 // attemptEnd selects the counter of an attempt that has ended.
@@ -24,7 +25,7 @@
 
 // newStats returns metrics that have a counter for each way in which an attempt may end.
 func newStats() *stats {
-	s := &stats{set: metrics.NewSet(), attempts: make(map[attemptEnd]*metrics.Counter)}
+	s := &stats{set: metrics.NewSet(), attempts: make(map[attemptEnd]*metrics.Counter), tenants: newTenantStats()}
 	for _, why := range []scatter.AttemptReason{scatter.FirstAttempt, scatter.Retry, scatter.Hedge} {
 		for end, name := range endNames {
 			text := fmt.Sprintf(`bramley_edge_attempts_total{why=%q,end=%q}`, why, name)
@@ -86,6 +87,7 @@
 // writeMetrics writes all metrics in the Prometheus text format.
 func (e *Engine) writeMetrics(w io.Writer) {
 	e.stats.set.WritePrometheus(w)
+	e.stats.tenants.write(w)
 	dials, reuses, discarded := e.pool.Stats()
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_opened_total %d\n", dials)
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_reused_total %d\n", reuses)
