Limits: a restart of all VMs silences nobody; a VM that returns is not alone

Cause: a new accountant withholds 1.4 s of the rate for what the former one may still grant, also when all VMs have restarted and there is none: large tenants got 503 for 1 to 2 s. VMs that started first followed the second best candidate for 2 s and more, since the best one was not up yet. And the best candidate, when it returned alone, followed itself with 1/72 of each limit until the others tried it again (up to 30 s): requests at it got 503.

Change: VMs tell for 5 s after their start that they are young, and whether they may become accountant. Once all that may (8 at most) follow as young ones, the accountant gives back what it withheld for young followers. Young VMs try VMs that did not answer again after 0.2 s. An accountant counts at once when many have joined, not only each 0.1 s. A VM that follows itself with a small share asks the other candidates whether nearly all VMs follow one of them. A VM that has just changed does not go back before its accountant has answered. The fleet in the tests sends what is due after a probe and a change at once, as package edge does.

--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -19,6 +19,7 @@
 	freeShare         = 0.5         // of the tokens of a tenant far from its limit: what all VMs may use before they tell
 	reserveShare      = 0.25        // of a bucket's capacity: tokens that stale requests leave to others, at most
 	minReturnShare    = 0.1         // of the rate: what callers that are asked to come back are counted on to find at least
+	joinedStep        = 0.25        // of the followers: if as many have joined, they are counted at once
 	demandPeriod      = time.Second // over which a tenant's demand is averaged
 	maxNear           = 256         // tenants that are named as near their limit; if there are more, VMs ask for every tenant
 )
@@ -42,6 +43,8 @@
 	fresh      int       // followers that joined since countedAt and bring initial tokens
 	joined     int       // followers that joined since countedAt, and that another accountant may still count
 	clean      int       // followers that joined since countedAt, and that no other accountant counts
+	young      int       // followers that joined since countedAt just after their start: no other accountant counts them if all VMs have restarted
+	aloneUntil time.Time // until then it is known that all VMs have just restarted, so that there is no former accountant
 }
 
 // follower is a VM that follows an accountant.
@@ -49,6 +52,8 @@
 	serial, count int64  // of its latest call
 	seen          uint64 // bit i: call number count-i was heard
 	heard         time.Time
+	young         bool // see Call.Young
+	able          bool // see Call.Able
 	lapsed        bool // it has not been heard for a while, or has left, and does not count
 	left          bool
 }
@@ -65,6 +70,8 @@
 	demand   float64   // requests that are not stale, each counted less with its age: by 1/e in a demandPeriod
 	demandAt time.Time // when demand was computed
 	near     bool
+	// withheld is what was taken from level for young followers, which a former accountant might count.
+	withheld float64
 	// recovered is set if there were tokens enough since Accountant.wholeSince.
 	recovered bool
 }
@@ -197,9 +204,13 @@
 	}
 	if call.Serial > f.serial {
 		f.serial, f.count, f.seen, f.left = call.Serial, call.Count, 0, false
-		if call.Clean {
+		f.young, f.able = call.Young, call.Able
+		switch {
+		case call.Clean:
 			a.clean++
-		} else {
+		case call.Young:
+			a.young++
+		default:
 			a.joined++
 		}
 		if call.Fresh {
@@ -230,9 +241,10 @@
 // seenCalls is how many of the latest calls of a follower are told from repeated ones.
 const seenCalls = 64
 
-// recountIfDue counts the followers from time to time.
+// recountIfDue counts the followers from time to time, and whenever enough have joined to matter.
 func (a *Accountant) recountIfDue(now time.Time) {
-	if now.Sub(a.countedAt) >= shareStep || a.share == 0 && a.joined+a.clean > 0 {
+	joined := float64(a.joined + a.clean + a.young)
+	if now.Sub(a.countedAt) >= shareStep || joined > 0 && joined >= joinedStep*a.share*float64(a.members) {
 		a.recount(now)
 	}
 }
@@ -244,25 +256,41 @@
 	a.fill(now)
 	a.countedAt = now
 	silence := lapse(a.members)
-	following := 0
+	following, youngAble := 0, 0
 	for name, f := range a.followers {
 		quiet := now.Sub(f.heard)
 		if f.lapsed = f.left || quiet >= silence; !f.lapsed {
 			following++
+			if f.young && f.able {
+				youngAble++
+			}
 		} else if quiet >= silence+a.config.Window {
 			delete(a.followers, name)
 		}
 	}
 	share := min(1, float64(following)/float64(a.members))
-	if share != a.share || a.joined+a.clean > 0 {
-		fresh := float64(a.fresh) / float64(a.members)
-		twice := (float64(a.joined)*overlap(a.members).Seconds() + float64(a.clean)*shareStep.Seconds()) / float64(a.members)
+	proved := youngAble >= min(candidates, a.members) && a.aloneUntil.IsZero()
+	if proved {
+		a.aloneUntil = now.Add(youngFor)
+	}
+	if joined := a.joined + a.clean + a.young; share != a.share || joined > 0 || proved {
+		perVM := 1 / float64(a.members)
+		fresh := float64(a.fresh) * perVM
+		twice := (float64(a.joined)*overlap(a.members).Seconds() + float64(a.clean)*shareStep.Seconds()) * perVM
+		young := float64(a.young) * overlap(a.members).Seconds() * perVM
+		if now.Before(a.aloneUntil) {
+			young = 0
+		}
 		for _, b := range a.buckets {
 			a.settle(b)
-			b.level += fresh*a.config.spare(b.limit)*initialShare - twice*a.config.rate(b.limit)
+			rate := a.config.rate(b.limit)
+			b.level += fresh*a.config.spare(b.limit)*initialShare - (twice+young)*rate
+			if b.withheld += young * rate; proved {
+				b.level, b.withheld = b.level+b.withheld, 0
+			}
 			b.level = min(b.level, a.config.capacity(b.limit)*share)
 		}
-		a.share, a.joined, a.clean, a.fresh = share, 0, 0, 0
+		a.share, a.joined, a.clean, a.young, a.fresh = share, 0, 0, 0, 0
 	}
 	switch {
 	case share < wholeShare:
--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -78,9 +78,12 @@
 	tellDelay      = 100 * time.Millisecond // longest time until the accountant is told of requests that were admitted without asking
 	retryPause     = 200 * time.Millisecond // Retry-After while no accountant answers
 	firstCooldown  = 2 * time.Second        // time for which a VM that did not answer is not chosen as accountant; doubles with each failure
+	youngCooldown  = 200 * time.Millisecond // likewise, at a VM that has just started
 	maxCooldown    = 30 * time.Second
 	maxRetryAfter  = 30 * time.Second
-	maxStaleKnown  = time.Second // longest time for which a VM refuses stale requests without asking
+	youngFor       = 5 * time.Second        // from a VM's start: how long it tells that it is young
+	youngStep      = 100 * time.Millisecond // longest time between looks for a better accountant, at a young VM whose accountant few VMs follow
+	maxStaleKnown  = time.Second            // longest time for which a VM refuses stale requests without asking
 )
 
 // beat returns the interval of messages between a follower and its accountant in a fleet of n VMs.
@@ -108,6 +111,8 @@
 	Serial int64   `json:"serial,omitempty"` // number of the present following, rises with each change; 0 for a probe by a VM that follows another one
 	Fresh  bool    `json:"fresh,omitempty"`  // the VM has changed its accountant at most once within the last window
 	Clean  bool    `json:"clean,omitempty"`  // the former accountant knows that the VM follows it no longer
+	Young  bool    `json:"young,omitempty"`  // the VM has just started, and since then no other accountant has answered it, but for ones that know that it has left them
+	Able   bool    `json:"able,omitempty"`   // the VM is among those that may become accountant
 	Leave  bool    `json:"leave,omitempty"`  // the VM is about to follow another one
 	Count  int64   `json:"count,omitempty"`  // number of the call, rises within the following
 	Usage  []Usage `json:"usage,omitempty"`
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -113,6 +113,9 @@
 			if !ended && v.member == member {
 				ended = true
 				d := member.Answered(f.clock(v), out, &ans)
+				if out.Call.Serial == 0 || out.Call.Leave {
+					v.nextAt = time.Time{}
+				}
 				if d.Move != "" {
 					f.tell(v, out.Call.Group, Answer{Move: d.Move, Whole: true})
 				}
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -53,14 +53,15 @@
 
 // Member decides on the requests that arrive at one VM.
 type Member struct {
-	config  Config
-	self    string
-	rng     *rand.Rand
-	vms     []VM                 // the fleet, this VM included
-	left    map[string]time.Time // VMs that are no longer listed, by the time up to which they count
-	groups  [Groups]following
-	tenants map[string]*usage
-	sweepAt time.Time // when idle tenants are to be forgotten
+	config    Config
+	self      string
+	rng       *rand.Rand
+	vms       []VM                 // the fleet, this VM included
+	left      map[string]time.Time // VMs that are no longer listed, by the time up to which they count
+	groups    [Groups]following
+	tenants   map[string]*usage
+	startedAt time.Time // when the list of VMs was first known
+	sweepAt   time.Time // when idle tenants are to be forgotten
 }
 
 // following is what a VM knows of the accountant of a group.
@@ -71,6 +72,8 @@
 	serial    int64
 	count     int64
 	fresh     bool      // see Call.Fresh
+	first     bool      // see Call.Young: no other accountant counts this VM, unless it was one before the start
+	able      bool      // see Call.Able
 	since     time.Time // when the accountant was chosen
 	heard     time.Time // when the latest answered call was sent; zero if none was
 	near      map[string]bool
@@ -80,6 +83,8 @@
 	pending   []string  // tenants of which there is something to tell
 	clean     bool      // see Call.Clean
 	probing   bool      // a probe of a better candidate is under way
+	lookAt    time.Time // when to ask another candidate next whether VMs follow it
+	looked    int       // number of those questions
 	next      string    // candidate to follow once the accountant knows that this VM leaves it; empty if there is none
 	leaving   bool      // the call that says so is under way
 	failedAt  time.Time // when a call was not answered, zero if the latest one was
@@ -132,9 +137,13 @@
 		delete(m.left, vm.Name)
 	}
 	m.vms = slices.Clone(vms)
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	for group := range m.groups {
 		f := &m.groups[group]
 		f.order = order(m.vms, group)
+		f.able = slices.Contains(f.order[:min(candidates, len(f.order))], m.self)
 		for name := range f.cooldowns {
 			if !slices.Contains(f.order, name) {
 				delete(f.cooldowns, name)
@@ -143,6 +152,9 @@
 	}
 }
 
+// young reports whether this VM has just started.
+func (m *Member) young(now time.Time) bool { return now.Sub(m.startedAt) < youngFor }
+
 // Members returns the number of VMs of the fleet. VMs that are no longer listed count for a while.
 func (m *Member) Members(now time.Time) int {
 	for name, until := range m.left {
@@ -234,6 +246,7 @@
 	f.count++
 	f.beatAt = now.Add(beat(len(m.vms)))
 	c := &Call{From: m.self, Group: group, Serial: f.serial, Fresh: f.fresh, Clean: f.clean, Count: f.count}
+	c.Young, c.Able = f.first && m.young(now), f.able
 	add := func(name string, asks bool) {
 		u := m.tenants[name]
 		c.Usage = append(c.Usage, Usage{Tenant: name, Version: u.version, Limit: u.limit, Used: u.untold, Back: u.back, Ask: asks})
@@ -271,17 +284,39 @@
 		if !now.Before(f.beatAt) {
 			calls = append(calls, m.call(now, f, group, ""))
 		}
-		if better := m.best(now, f); better != f.name && better != "" && !f.probing && f.next == "" && (f.name == m.self || !f.whole) {
+		if better := m.best(now, f); better != f.name && better != "" && !f.probing && f.next == "" && (f.name == m.self || !f.whole && !f.heard.Before(f.since)) {
 			f.probing = true
 			calls = append(calls, &Outgoing{To: better, Call: &Call{From: m.self, Group: group}, SentAt: now})
 		}
+		if other := m.elsewhere(now, f); other != "" {
+			f.probing = true
+			calls = append(calls, &Outgoing{To: other, Call: &Call{From: m.self, Group: group}, SentAt: now})
+		}
 		if f.beatAt.Before(next) {
 			next = f.beatAt
 		}
+		if soon := now.Add(youngStep); !f.whole && m.young(now) && soon.Before(next) {
+			next = soon
+		}
 	}
 	return calls, next
 }
 
+// elsewhere returns a candidate to ask whether nearly all VMs follow it, or "". A VM that returns and is the
+// best candidate would else follow itself alone, until the others try it again.
+func (m *Member) elsewhere(now time.Time, f *following) string {
+	others := f.order[:min(candidates, len(f.order))]
+	if f.name != m.self || f.whole || f.probing || f.next != "" || now.Before(f.lookAt) {
+		return ""
+	}
+	f.lookAt = now.Add(minBeat / 2)
+	f.looked++
+	if name := others[f.looked%len(others)]; name != m.self {
+		return name
+	}
+	return ""
+}
+
 // best returns the best candidate that is not in cooldown, empty if there is none.
 func (m *Member) best(now time.Time, f *following) string {
 	silent := 0
@@ -314,6 +349,7 @@
 	if f.name == name {
 		return
 	}
+	f.first = f.heard.IsZero()
 	f.fresh = f.since.IsZero() || now.Sub(f.since) >= m.config.Window
 	f.name, f.since, f.beatAt, f.count, f.failedAt = name, now, now, 0, time.Time{}
 	f.clean, f.next, f.leaving, f.whole = false, "", false, false
@@ -327,6 +363,10 @@
 	if out.Call.Serial == 0 {
 		f.probing = false
 		delete(f.cooldowns, out.To)
+		if ans.Whole && f.name == m.self && !f.whole {
+			f.next = out.To
+			return Decision{}
+		}
 		if out.To != m.best(now, f) || out.To == f.name {
 			return Decision{}
 		}
@@ -360,8 +400,9 @@
 		}
 	}
 	if current && out.Call.Leave {
+		first := f.first
 		m.follow(now, f, f.next)
-		f.clean = true
+		f.clean, f.first = true, first
 	}
 	return d
 }
@@ -431,7 +472,11 @@
 
 // exclude keeps a VM that does not answer from being chosen as accountant for a while.
 func (m *Member) exclude(now time.Time, f *following, name string, ignores bool) {
-	next := min(maxCooldown, max(firstCooldown, 2*f.cooldowns[name].length))
+	first := firstCooldown
+	if m.young(now) {
+		first = youngCooldown // VMs that are starting too answer soon
+	}
+	next := min(maxCooldown, max(first, 2*f.cooldowns[name].length))
 	if ignores {
 		next = maxCooldown
 	}
