--- a/edge/handler.go
+++ b/edge/handler.go
@@ -86,6 +86,7 @@
 		return
 	}
 	writeResult(w, res)
+	e.lateAnswers.add(time.Now(), res.dueAt)
 }
 
 // rejection is the answer to a request that is not run: its key is not valid, or its tenant has used
@@ -195,7 +196,7 @@
 	start := arrived.Add(-caller.path.elapsed(caller.shortfall, route.Aim))
 	return &Request{
 		ID:       e.headerCodec.RequestID(r.Header),
-		AnswerBy: caller.path.answerBy(start, route.Aim, e.answerWriteTime),
+		AnswerBy: caller.path.answerBy(start, route.Aim, e.lateAnswers.margin(arrived, e.answerWriteTime, route.Aim)),
 		DueAt:    start.Add(route.Aim - caller.path.oneWay),
 		Deadline: arrived.Add(caller.timeout - answerMargin),
 		Top:      route.Top,
