A watch that returns late confirms the manifest at the end of its wait

A watch of the manifest counted as answered when its answer was read. A VM that was frozen beyond the watch, or whose store answers late, then took its manifest for confirmed just now: with strict revocation it served keys for up to the bound after it thawed, without it called keys unknown (401) that were added meanwhile, unless the question to another VM came first.

An answer that arrives after the wait counts from the wait's end; one that comes earlier, as before. Seen red: TestLateAnswerOfAWatchConfirmsNothingLater, without the change.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -263,10 +263,11 @@
 	if !same {
 		return nil, 0, ErrHistoryCompacted
 	}
+	began := time.Now()
 	if r.manifestUpstream.vm == "" {
 		m, revision, err := r.Store.WatchManifest(ctx, since, wait)
 		r.recordWatch(followedManifest, storeFailure(err))
-		r.confirmedAt = time.Now()
+		r.confirmedAt = answeredAt(began, wait)
 		return m, revision, err
 	}
 	call := &followCall{WaitMS: wait.Milliseconds()}
@@ -277,11 +278,22 @@
 	if err := r.callReader(ctx, vm, methodFollowManifest, call, &ans); err != nil {
 		return nil, 0, err
 	}
-	r.confirmedAt = time.Now().Add(-r.ageOf(&ans))
+	r.confirmedAt = answeredAt(began, wait).Add(-r.ageOf(&ans))
 	m, err := ans.manifest()
 	return m, 0, err
 }
 
+// answeredAt returns when a watch that began at a time and has just returned was answered. An answer
+// that arrives after the time wait may have been given at its end, and was late, or found this VM
+// frozen.
+func answeredAt(began time.Time, wait time.Duration) time.Time {
+	end := began.Add(wait)
+	if now := time.Now(); now.Before(end) {
+		return now
+	}
+	return end
+}
+
 // ageOf returns how long ago the manifest was confirmed by which a VM has answered.
 func (r *relay) ageOf(ans *manifestAnswer) time.Duration {
 	if ans.AgeMS == nil {
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -177,3 +177,33 @@
 		})
 	}
 }
+
+// watchStore is a Store whose watch of the manifest returns without a change. It notes when.
+type watchStore struct {
+	Store
+	answeredAt time.Time
+}
+
+// WatchManifest returns no manifest.
+func (s *watchStore) WatchManifest(context.Context, Revision, time.Duration) (*routing.Manifest, Revision, error) {
+	s.answeredAt = time.Now()
+	return nil, 1, nil
+}
+
+// Guards against a VM that was frozen during a watch, or gets its answer late, and takes the manifest
+// for confirmed at the time of arrival. The keys that it then serves, or calls unknown, are judged by
+// a manifest that is older than the bound.
+func TestLateAnswerOfAWatchConfirmsNothingLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := new(watchStore)
+	r := newFollowingRelay(store, &failingPeerClient{err: errStoreStale})
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r.avoidUntil[vm] = time.Now().Add(time.Minute) // the store is watched
+	}
+	_, _, err := r.WatchManifest(t.Context(), 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.confirmedAt).NotTo(gomega.BeTemporally(">", store.answeredAt))
+	_, _, err = r.WatchManifest(t.Context(), 0, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.confirmedAt).NotTo(gomega.BeTemporally("<", store.answeredAt), "answered before its time")
+}
