--- a/edge/partition_handover.go
+++ b/edge/partition_handover.go
@@ -77,7 +77,7 @@
 		outcome = "done"
 		break
 	}
-	n.engine.stats.count(`bramley_edge_handovers_total{outcome=%q}`, outcome)
+	n.engine.stats.count(`bramley_edge_partition_handovers_total{outcome=%q}`, outcome)
 }
 
 // handOver implements peerClient. It returns once the VM has answered that it serves the partitions,
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(msg.ReadyUS)*time.Microsecond)
 	defer cancel()
 	opened := e.warmLeafs(ctx, endpointsOf(leafs), successorDials)
-	e.stats.count(`bramley_edge_handovers_total{outcome="taken"}`)
+	e.stats.count(`bramley_edge_partition_handovers_total{outcome="taken"}`)
 	e.log.Info("partitions taken over", "vm", msg.Handover.From, "partitions", len(msg.Handover.Partitions),
 		"leafs", len(leafs), "connected", opened)
 	return nil
@@ -165,7 +165,7 @@
 	for _, owner := range returned {
 		go func() {
 			err := client.handOver(context.Background(), owner.VM, owner.Handover, maxWarmTime)
-			e.stats.count(`bramley_edge_handovers_total{outcome="back"}`)
+			e.stats.count(`bramley_edge_partition_handovers_total{outcome="back"}`)
 			e.log.Info("partitions handed back", "vm", owner.VM.Name, "leafs", len(owner.Handover.Leafs), "error", err)
 		}()
 	}
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -194,7 +194,7 @@
 
 // countHandOver counts a request that was offered to another VM. end says what became of it.
 func (e *Engine) countHandOver(end string) {
-	e.stats.count(`bramley_edge_hand_overs_total{end=%q}`, end)
+	e.stats.count(`bramley_edge_request_handovers_total{end=%q}`, end)
 }
 
 // pickTaker returns the VM to offer a request to, and the client to call it. factor is the share of
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -60,8 +60,8 @@
 
 const (
 	takenOver = `bramley_edge_requests_taken_over_total{verdict="not_run"}`
-	answered  = `bramley_edge_hand_overs_total{end="answered"}`
-	refused   = `bramley_edge_hand_overs_total{end="not_accepted"}`
+	answered  = `bramley_edge_request_handovers_total{end="answered"}`
+	refused   = `bramley_edge_request_handovers_total{end="not_accepted"}`
 )
 
 // Guards against a VM without room that serves all requests itself, against a request that goes
