A newer manifest is fetched from a VM that isn't listed yet, too

A VM that hears of a newer version from a VM that it doesn't list dropped what it heard. Just after a start the list of VMs lags, by seconds if the store fails then, so a VM that is cut off from the store knew nobody to ask and served keys that had been taken away. It now asks on the connection on which it heard of the version.

Seen red: TestVersionOfAnUnlistedVMIsFetched, without the change.

--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -69,26 +69,26 @@
 	return first
 }
 
-// takeHeardFrom returns the VM from which a newer manifest can be fetched, and false if it is not
-// known, and allows further fetches to be scheduled.
-func (c *currency) takeHeardFrom() (scatter.VM, bool) {
+// takeHeardFrom returns the VM from which a newer manifest can be fetched, and allows further fetches to
+// be scheduled. If the VM is not in the list of VMs, only its name is known.
+func (c *currency) takeHeardFrom() scatter.VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	name := c.heardFrom
 	c.heardFrom = ""
 	for _, vm := range c.others {
 		if vm.Name == name {
-			return vm, true
+			return vm
 		}
 	}
-	return scatter.VM{}, false
+	return scatter.VM{Name: name}
 }
 
 // fetchHeard fetches the manifest from the VM that told a newer version, unless that version is
 // in force.
 func (e *Engine) fetchHeard(version int64) {
-	vm, known := e.currency.takeHeardFrom()
-	if !known || version <= e.manifestVersion() {
+	vm := e.currency.takeHeardFrom()
+	if version <= e.manifestVersion() {
 		return
 	}
 	// A failure is counted and logged; the next message of a VM with a newer version tries again.
--- a/edge/manifest_exchange_test.go
+++ b/edge/manifest_exchange_test.go
@@ -164,34 +164,49 @@
 // manifest that does not arrive whole.
 func TestVersionTravelsWithCallsBetweenVMs(t *testing.T) {
 	g := gomega.NewWithT(t)
-	join := func(name string, m *routing.Manifest) (*Engine, scatter.VM) {
-		e := NewEngine(EngineOptions{Self: name, Zone: name, Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
-		key := make([]byte, 32)
-		p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: name, Incarnation: name}, "127.0.0.1:0", key, logging.Discard())
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		t.Cleanup(p.close)
-		e.setPeerClient(p)
-		e.Offer(m)
-		return e, scatter.VM{Name: name, Zone: name, Address: p.server.Addr().String(), Key: string(key)}
-	}
-	a, vmA := join("a", manifestOf(1, "old"))
-	b, vmB := join("b", manifestOf(2, "new"))
+	a, vmA := joinVM(t, "a", manifestOf(1, "old"))
+	b, vmB := joinVM(t, "b", manifestOf(2, "new"))
 	a.setVMs([]scatter.VM{vmB})
 	b.setVMs([]scatter.VM{vmA})
-	call := func(from *Engine, to scatter.VM) {
-		answerBy := time.Now().Add(time.Minute)
-		r := from.newRunner(&Request{HTTP: &leafhttp.Request{}, Deadline: answerBy}, scatter.Spec{Services: []string{"s"}, Gathered: true, Deadline: answerBy})
-		r.callPeer(scatter.CallVM{VM: to, Shards: []int{0}, Views: make([]scatter.View, 1), AnswerBy: answerBy, InterimBy: answerBy})
-	}
-	call(b, vmA)
+	callVM(b, vmA)
 	g.Eventually(a.manifestVersion, "10s").Should(gomega.BeEquivalentTo(2), "told by the call")
 	g.Expect(a.inForce.Get().Tenant("new").HasPriority).To(gomega.BeTrue())
 	g.Expect(a.inForce.Get().Tenant("old")).To(gomega.BeNil())
 	b.Offer(manifestOf(3))
-	call(a, vmB)
+	callVM(a, vmB)
 	g.Eventually(a.manifestVersion, "10s").Should(gomega.BeEquivalentTo(3), "told by the answer")
 }
 
+// Guards against a VM that has just started, whose list of VMs does not hold the VM that calls it: it
+// has to fetch the newer manifest from that VM all the same.
+func TestVersionOfAnUnlistedVMIsFetched(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, vmA := joinVM(t, "a", manifestOf(1, "old"))
+	b, _ := joinVM(t, "b", manifestOf(2, "new"))
+	b.setVMs([]scatter.VM{vmA})
+	callVM(b, vmA)
+	g.Eventually(a.manifestVersion, "10s").Should(gomega.BeEquivalentTo(2))
+}
+
+// joinVM returns a VM with manifest m in force that other VMs can call, and its entry in their lists.
+func joinVM(t *testing.T, name string, m *routing.Manifest) (*Engine, scatter.VM) {
+	e := NewEngine(EngineOptions{Self: name, Zone: name, Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	key := make([]byte, 32)
+	p, err := joinPeers(e, wire.Identity{Deployment: "d", VM: name, Incarnation: name}, "127.0.0.1:0", key, logging.Discard())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(p.close)
+	e.setPeerClient(p)
+	e.Offer(m)
+	return e, scatter.VM{Name: name, Zone: name, Address: p.server.Addr().String(), Key: string(key)}
+}
+
+// callVM lets a VM call another one for a shard.
+func callVM(from *Engine, to scatter.VM) {
+	answerBy := time.Now().Add(time.Minute)
+	r := from.newRunner(&Request{HTTP: &leafhttp.Request{}, Deadline: answerBy}, scatter.Spec{Services: []string{"s"}, Gathered: true, Deadline: answerBy})
+	r.callPeer(scatter.CallVM{VM: to, Shards: []int{0}, Views: make([]scatter.View, 1), AnswerBy: answerBy, InterimBy: answerBy})
+}
+
 // Guards against an old confirmation that is taken for a new one: the ages of confirmations add up
 // from VM to VM, and a confirmation of a VM whose source fails is not contact.
 func TestConfirmationAgesOnItsWay(t *testing.T) {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -128,8 +128,17 @@
 }
 
 // follow implements peerClient. It sends a call to a VM that reads the store for others, and
-// stores the decoded answer in into. It closes a connection on which the call was not answered.
+// stores the decoded answer in into. It closes a connection on which the call was not answered. A VM
+// whose address is not known is called on a connection that it has opened.
 func (p *peerTransport) follow(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error {
+	if vm.Address == "" {
+		for _, conn := range p.server.Conns() {
+			if conn.Peer().VM == vm.Name {
+				return conn.Call(ctx, method, call, into)
+			}
+		}
+		return errNotConnected
+	}
 	link := p.link(vm)
 	conn, err := link.ensureConn(ctx, vm, p)
 	if err != nil {
