Requests to one service log why they were not answered

Every outcome names its gaps now; explain-request says "no answer of the service".

Seen red: TestRequestToOneServiceNamesWhyItFailed with gaps of gathered requests only.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -167,7 +167,8 @@
 	Header http.Header
 	Body   []byte
 
-	Outcome scatter.Outcome
+	Outcome  scatter.Outcome
+	Services []string // of the shards that Outcome names, by index
 	// dueAt is when the answer was due: when the query was decided, or should have been. Zero if the
 	// answer is not merged here.
 	dueAt time.Time
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -261,10 +261,14 @@
 	}
 	run := e.newRunner(req, spec)
 	out := run.run(r.Context())
+	var res *Result
 	if spec.Gathered && out.Verdict == scatter.Answered {
-		return run.mergedResult(out)
+		res = run.mergedResult(out)
+	} else {
+		res = run.singleResult(out)
 	}
-	return run.singleResult(out)
+	res.Services = spec.Services
+	return res
 }
 
 // singleResult returns the result of a request that was answered by one leaf, or by none.
--- a/edge/log.go
+++ b/edge/log.go
@@ -25,7 +25,7 @@
 		"status", res.Status,
 		"shards", len(route.Gather),
 		"missing", out.Missing,
-		"gaps", formatGaps(out.Gaps, route.Gather),
+		"gaps", formatGaps(out.Gaps, res.Services),
 		"sent", out.Sent,
 		"hedges", out.Hedges,
 		"retries", out.Retries,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -196,8 +196,11 @@
 			continue
 		}
 		where := "shards missing"
-		if line.Message == messageGather {
+		switch shards, stated := line.Fields["shards"].(float64); {
+		case line.Message == messageGather:
 			where = "at a VM that was called"
+		case stated && shards == 0: // a request to a single service
+			where = "no answer of the service"
 		}
 		parts = append(parts, where+": "+describeGaps(text))
 	}
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -22,9 +22,7 @@
 // with the gaps (shards without an answer) and the counters of the query.
 func (q *Query) finish(out Outcome) []Action {
 	q.done = true
-	if q.spec.Gathered {
-		out.Gaps = q.gaps()
-	}
+	out.Gaps = q.gaps()
 	for i := range q.shards {
 		q.setPollAt(&q.shards[i], time.Time{})
 	}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -145,7 +145,7 @@
 	// which CallReply received them. Their shards are not among Parts.
 	CallAnswers []int
 	Missing     int           // number of shards that the answer leaves out
-	Gaps        []Gap         // the shards without an answer, also of a gathered request that failed
+	Gaps        []Gap         // the shards without an answer, also of a request that failed
 	RetryAfter  time.Duration // with NotRun: the delay after which the caller should retry
 	Refusal     *Refusal      // set if this VM's own forecast refused the request
 
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -47,6 +47,19 @@
 	w.Expect(out.RetryAfter).To(gomega.BeNumerically(">", 0))
 }
 
+// Guards against a request to one service that was not answered and whose log line can't say why.
+func TestRequestToOneServiceNamesWhyItFailed(t *testing.T) {
+	w := newWorld(t)
+	out := outcome(NewQuery(w.single("ledger", true), w.table).Start(w.now))
+	w.Expect(out.Gaps).To(gomega.Equal([]Gap{{Cause: GapNoLeaf}}))
+
+	w.leaf("ledger", homeZone)
+	q := NewQuery(w.single("ledger", false), w.table)
+	first := sends(q.Start(w.now))
+	w.table.AttemptEnded(w.now, first[0].Leaf, first[0].SentAt, EndBroken)
+	w.Expect(outcome(q.Fail(w.now, first[0].Attempt, EndBroken)).Gaps).To(gomega.Equal([]Gap{{Cause: GapAttempts}}))
+}
+
 // Guards against the verdict NotRun although a leaf ran the request: a refusal followed an attempt
 // that may have run. The caller would send the request again.
 func TestNotRunIsReportedOnlyIfNothingMayHaveRun(t *testing.T) {
