Limits: a request waits for an accountant that is not known yet

Cause: a VM that has just started refuses a request at once (503) while it has not read the list of VMs, has not chosen an accountant, or the accountant is just beginning, although the answer is known some milliseconds later. The wait of a quarter of the objective also made a refusal arrive after that quarter.

Change: while nobody says whether the limit is used up, a request that is not stale asks up to three times within its wait, which is now a fifth of the objective. A request chooses the accountant itself if none is chosen.

Seen red: TestRequestWaitsForTheListOfVMs without the further tries.

--- a/allotment/member.go
+++ b/allotment/member.go
@@ -196,6 +196,9 @@
 	if now.Before(u.fullUntil) || freshFor <= 0 && now.Before(u.staleUntil) {
 		return m.refuse(now, u)
 	}
+	if f.name == "" {
+		m.choose(now, f)
+	}
 	if f.name == "" {
 		return m.unanswered(now, name, u)
 	}
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -23,9 +23,12 @@
 
 // Bounds of the wait for an accountant's answer to a request of a tenant near its limit.
 const (
-	askWaitShare = 0.25 // of the route's latency objective
+	// askWaitShare is the longest wait as a share of the route's latency objective. A refusal should
+	// reach the caller within a quarter of the objective, so that trying again is still worth it.
+	askWaitShare = 0.2
 	minAskWait   = 5 * time.Millisecond
 	maxAskWait   = 100 * time.Millisecond
+	askTries     = 3 // how often a request asks within the wait, while nobody says whether the limit is used up
 )
 
 // idleAllotmentPeriod is the interval at which a VM looks for limits while its manifest states none.
@@ -57,7 +60,7 @@
 	version     int64                                   // manifest whose limits the accountants have
 	limited     bool                                    // that manifest states limits
 
-	admitted, asked, overLimit, unknown, stale, late, returned, changes *metrics.Counter
+	admitted, asked, overLimit, unknown, stale, again, late, returned, changes *metrics.Counter
 }
 
 // newAllotments returns the limits of tenants at the VM self, with their metrics.
@@ -73,6 +76,7 @@
 	a.unknown = set.NewCounter(`bramley_edge_allotment_requests_total{decision="unknown"}`)
 	a.asked = set.NewCounter(`bramley_edge_allotment_asked_total`)
 	a.stale = set.NewCounter(`bramley_edge_allotment_stale_total`)
+	a.again = set.NewCounter(`bramley_edge_allotment_again_total`)
 	a.late = set.NewCounter(`bramley_edge_allotment_late_total`)
 	a.returned = set.NewCounter(`bramley_edge_allotment_returned_total`)
 	a.changes = set.NewCounter(`bramley_edge_allotment_accountant_changes_total`)
@@ -121,15 +125,17 @@
 	if m := e.inForce.Get(); m != nil {
 		version = m.Version
 	}
-	a.mu.Lock()
-	d := a.member.Take(now, who.tenant.Name, version, who.tenant.Limit, freshFor)
-	a.mu.Unlock()
-	if d.TellNow {
-		a.wake.notify()
-	}
-	if d.Verdict == allotment.Asking {
-		a.asked.Inc()
-		d = a.ask(ctx, d.Call, askWait(route))
+	wait := askWait(route)
+	d := a.take(ctx, now, who, version, freshFor, wait)
+	for tries, pause := 1, wait/askTries; d.Verdict == allotment.Unknown && freshFor > 0 && tries < askTries; tries++ {
+		if wait-time.Since(now) < pause {
+			break
+		}
+		if sleep(ctx, pause); ctx.Err() != nil {
+			break
+		}
+		a.again.Inc()
+		d = a.take(ctx, time.Now(), who, version, freshFor, wait-time.Since(now))
 	}
 	if d.Verdict != allotment.Admitted && freshFor <= 0 {
 		a.stale.Inc()
@@ -147,6 +153,21 @@
 	}
 }
 
+// take decides on a request, and waits for an accountant's answer if it has to ask.
+func (a *allotments) take(ctx context.Context, now time.Time, who origin, version int64, freshFor, wait time.Duration) allotment.Decision {
+	a.mu.Lock()
+	d := a.member.Take(now, who.tenant.Name, version, who.tenant.Limit, freshFor)
+	a.mu.Unlock()
+	if d.TellNow {
+		a.wake.notify()
+	}
+	if d.Verdict == allotment.Asking {
+		a.asked.Inc()
+		d = a.ask(ctx, d.Call, max(wait, minAskWait))
+	}
+	return d
+}
+
 // limitFields returns the fields for the log line of a request that was refused by its tenant's limit.
 func limitFields(who origin, freshFor time.Duration, d *allotment.Decision) []any {
 	fields := append(who.logFields(),
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -181,6 +181,35 @@
 	}, "20s").Should(gomega.Equal([][2]int{{3, 3}, {3, 3}}), "the followers of each group's accountant, and all VMs")
 }
 
+// contextWith is a context that runs a function when it is first waited for.
+type contextWith struct {
+	context.Context
+	waited func()
+}
+
+// Done implements context.Context.
+func (c *contextWith) Done() <-chan struct{} {
+	if c.waited != nil {
+		c.waited()
+		c.waited = nil
+	}
+	return c.Context.Done()
+}
+
+// Guards against refusals by a VM that has just started, and learns in the same moment which VMs there are.
+func TestRequestWaitsForTheListOfVMs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := NewEngine(EngineOptions{Self: "a", Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	n := &Node{engine: e, self: scatter.VM{Name: "a", Power: 1}, settings: &Settings{Allotment: AllotmentSettings{WindowS: 5, Excess: 0.1, Slack: 8}}}
+	n.startAllotments(t.Context())
+	who, slow := origin{tenant: &limitedTenant}, &routing.Route{Aim: time.Minute}
+	rejected := e.takeToken(t.Context(), time.Now(), who, slow, 0)
+	g.Expect(rejected).NotTo(gomega.BeNil(), "a stale request does not wait")
+	g.Expect(rejected.why).To(gomega.Equal("limit_unknown"))
+	listed := &contextWith{Context: t.Context(), waited: func() { e.setVMs(nil) }}
+	g.Expect(e.takeToken(listed, time.Now(), who, slow, allotment.NoObjective)).To(gomega.BeNil())
+}
+
 // Guards against a refusal whose log line does not say by which limit, and on whose knowledge.
 func TestRefusalNamesItsLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
