Log lines state hedges that went out early

early_hedges stands beside hedges in the lines of requests and of calls of other VMs, so that an operator sees where lost shards made the others decide.

--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -26,6 +26,7 @@
 		q.setPollAt(&q.shards[i], time.Time{})
 	}
 	out.Refusal = q.refusal
+	out.EarlyHedges = q.earlyHedges
 	out.Sent, out.Hedges, out.Retries, out.Called = q.sent, q.hedges, q.retries, len(q.calls)
 	for _, c := range q.calls {
 		if c.step != firstOwner {
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -92,7 +92,11 @@
 			q.hedgeRetryAt = now.Add(hedgeRetryPause)
 			break
 		}
+		early := now.Before(q.shards[i].hedgeAt)
 		sent := q.trySend(now, i, Hedge)
+		if early {
+			q.earlyHedges += len(sent)
+		}
 		if len(sent) == 0 {
 			q.hedgeRetryAt = now.Add(hedgeRetryPause)
 		}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -150,6 +150,7 @@
 	Refusal     *Refusal      // set if this VM's own forecast refused the request
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
+	EarlyHedges           int // number of hedges sent earlier than usual, since every open shard decided
 	Called                int // number of calls to other VMs
 	Reasked               int // number of calls made since another VM refused the shards or left them out
 }
@@ -182,6 +183,7 @@
 	refusal       *Refusal      // nil if this VM did not refuse
 	retryAfter    time.Duration // delay after which a refused caller should retry; 0 if no VM refused
 
+	earlyHedges           int    // number of hedges that went out earlier than usual
 	sent, hedges, retries int    // numbers of attempts, and of hedges and retries among them
 	yielded               Yields // what was left to others while room was short
 }
