A doubt is spent only where another VM can be asked

A VM that doubts a refusal for the leafs, which it may for one call in sixteen, spent the doubt before it found that the shards are too few for a call or the time too short. Mostly one or two shards are left out, so the doubt was mostly gone when a whole call was refused.

Red without the code: TestDoubtIsKeptWhereNobodyCanBeAsked.

--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -77,13 +77,16 @@
 	return callRoundTrip + leafTime
 }
 
+// mayAskElsewhere reports whether other VMs may be called for shards that one has refused: they are enough
+// for a call, and there is time.
+func (q *Query) mayAskElsewhere(now time.Time, shards []int) bool {
+	return len(shards) >= minDelegatedShards && q.spec.AnswerBy.Sub(now) >= q.minReaskTime(now)
+}
+
 // askElsewhere calls other VMs for shards that the VM of call c does not query, and returns these
 // calls. It calls another owner of the leaf partition, or else owners in other zones. Shards for which
 // nobody is left, or no time, stay without a call.
 func (q *Query) askElsewhere(now time.Time, c *call, shards []int) []Action {
-	if len(shards) < minDelegatedShards || q.spec.AnswerBy.Sub(now) < q.minReaskTime(now) {
-		return nil
-	}
 	if c.step == firstOwner {
 		if v := q.table.pickVM(now, c.partition, q.vmsCalledFor(c.partition)); v != nil {
 			return []Action{q.callVM(now, delegation{vm: v, partition: c.partition, shards: shards, step: anotherOwner}, c.redelegated)}
@@ -193,7 +196,7 @@
 	q.retryAfter = max(q.retryAfter, ans.RetryAfter)
 	open := q.release(id, c.shards, ans.Cause == RefusedBySome)
 	var acts []Action
-	if q.table.doubtsRefusal(ans.Cause) {
+	if q.mayAskElsewhere(now, open) && q.table.doubtsRefusal(ans.Cause) {
 		acts = q.askElsewhere(now, c, open)
 	}
 	q.closeUncalled(open)
@@ -219,7 +222,7 @@
 		}
 	}
 	var acts []Action
-	if !q.enough(len(q.shards)-missing) && q.table.doubtsRefusal(RefusedForLeafs) {
+	if !q.enough(len(q.shards)-missing) && q.mayAskElsewhere(now, open) && q.table.doubtsRefusal(RefusedForLeafs) {
 		acts = q.askElsewhere(now, c, open)
 	}
 	q.closeUncalled(open)
--- a/scatter/refusal_test.go
+++ b/scatter/refusal_test.go
@@ -108,6 +108,15 @@
 	w.Expect(asked).To(gomega.BeNumerically("<=", maxDoubts+requests/8))
 }
 
+// Guards against a doubt that is spent where nobody can be asked: on too few shards for a call.
+func TestDoubtIsKeptWhereNobodyCanBeAsked(t *testing.T) {
+	w := newWorld(t)
+	q, call := newQueryWithTwoOwners(w, 10)
+	w.table.doubts = maxDoubts
+	w.Expect(outcome(q.CallReply(w.now, call.Call, CallAnswer{LeftOut: call.Shards[:2]}))).NotTo(gomega.BeNil())
+	w.Expect(w.table.doubts).To(gomega.Equal(float64(maxDoubts)))
+}
+
 // Guards against a request that ends only when its calls do although it is known that it fails: two
 // owners each leave out no more shards than an answer may, and together more.
 func TestRequestEndsOnceOwnersTogetherLeaveOutTooMuch(t *testing.T) {
