A VM that was paused reads its answers before it gives a request up

Attempts count as hopeless only a round trip after the query first finds AnswerBy reached. A VM that was paused for longer has answers to read that arrived in time.

Red without the code: TestPausedVMReadsTheAnswersThatHaveArrived.

--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -133,10 +133,13 @@
 	if now.Before(q.spec.AnswerBy) {
 		return nil
 	}
+	if q.dueSince.IsZero() {
+		q.dueSince = now
+	}
 	var list map[int]int
 	transit := q.answerTransit(now)
 	for _, a := range q.attempts {
-		if now.Before(a.until.Add(transit)) {
+		if now.Before(later(a.until, q.dueSince).Add(transit)) {
 			continue
 		}
 		if list == nil {
@@ -156,7 +159,7 @@
 	}
 	transit := q.answerTransit(now)
 	for _, a := range q.attempts {
-		if at := a.until.Add(transit); at.After(now) {
+		if at := later(a.until, q.dueSince).Add(transit); at.After(now) {
 			next = earlier(next, at)
 		}
 	}
--- a/scatter/hopeless_test.go
+++ b/scatter/hopeless_test.go
@@ -38,6 +38,20 @@
 	w.Expect(out.Gaps).To(gomega.HaveLen(3))
 }
 
+// Guards against a failure of a request whose answers have arrived: this VM was paused beyond the time of
+// all attempts, and reads them next.
+func TestPausedVMReadsTheAnswersThatHaveArrived(t *testing.T) {
+	w := newWorld(t)
+	q := NewQuery(w.gathered(w.shards(20, homeZone)), w.table)
+	first := sends(q.Start(w.now))
+	w.wait(300 * time.Millisecond)
+	w.Expect(outcome(q.Tick(w.now))).To(gomega.BeNil())
+	for _, s := range first[:17] {
+		w.Expect(outcome(q.Reply(w.now, s.Attempt, false))).To(gomega.BeNil())
+	}
+	w.Expect(outcome(q.Reply(w.now, first[17].Attempt, false)).Verdict).To(gomega.Equal(Answered))
+}
+
 // Guards against a failure in place of a late answer: a leaf still works on a late attempt.
 func TestLateAttemptIsAwaited(t *testing.T) {
 	w := newWorld(t)
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -176,6 +176,7 @@
 	callAnswers   []callAnswer           // answers of other VMs, in the order of arrival
 	lastAttempt   AttemptID              // the newest attempt; 0 for none
 	failedAttempt AttemptID              // the latest attempt that a leaf answered with a failure; 0 for none
+	dueSince      time.Time              // when the query first found AnswerBy reached; zero before
 	hedgeRetryAt  time.Time              // no hedge is sent before this time, since one found no idle leaf or no budget
 
 	toldScarce    bool          // a calling VM has told that every shard decides
