--- a/scatter/query.go
+++ b/scatter/query.go
@@ -150,6 +150,7 @@
 	Refusal     *Refusal      // set if this VM's own forecast refused the request
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
+	EarlyHedges           int // number of hedges sent earlier than usual, since every open shard decided
 	Called                int // number of calls to other VMs
 	Reasked               int // number of calls made since another VM refused the shards or left them out
 }
@@ -176,6 +177,7 @@
 	callAnswers   []callAnswer           // answers of other VMs, in the order of arrival
 	lastAttempt   AttemptID              // the newest attempt; 0 for none
 	failedAttempt AttemptID              // the latest attempt that a leaf answered with a failure; 0 for none
+	dueSince      time.Time              // when the query first found AnswerBy reached; zero before
 	hedgeRetryAt  time.Time              // no hedge is sent before this time, since one found no idle leaf or no budget
 
 	toldScarce    bool          // a calling VM has told that every shard decides
@@ -183,6 +185,7 @@
 	refusal       *Refusal      // nil if this VM did not refuse
 	retryAfter    time.Duration // delay after which a refused caller should retry; 0 if no VM refused
 
+	earlyHedges           int    // number of hedges that went out earlier than usual
 	sent, hedges, retries int    // numbers of attempts, and of hedges and retries among them
 	yielded               Yields // what was left to others while room was short
 }
