--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -14,8 +14,10 @@
 )
 
 // fixedTenantSeeds are the seeds with tenants that CI runs: one with faults of the store, and one
-// with room switched on in which VMs are cut off from the store instead.
-var fixedTenantSeeds = []uint64{1, 2}
+// with room switched on in which VMs are cut off from the store instead. In 2019, 2035 and 2042 more
+// requests ran than a limit allows: VMs that had just started did not know each other for seconds,
+// since they could not read the store, and took their shares of the limit for larger than they were.
+var fixedTenantSeeds = []uint64{1, 2, 2019, 2035, 2042}
 
 // revokeBound is the time after which a key that was taken away must not be served by VMs that reach
 // a VM in touch.
@@ -55,7 +57,7 @@
 // forgedName is the tenant that callers say they are.
 const forgedName = "forged"
 
-// run is a request that reached a leaf.
+// run is a request that ran on a leaf.
 type run struct{ sentAt, arrivedAt time.Time }
 
 // tenants holds the tenants of a manifest, and what leafs were sent on their behalf.
@@ -68,7 +70,7 @@
 	revokedAt  map[int]time.Time    // when the store had acknowledged a manifest without a key, by generation
 	sent       map[string]key       // by request ID
 	sentAt     map[string]time.Time // by request ID
-	flood      map[string]run       // requests of the tenant "flood" that reached a leaf, by ID
+	flood      map[string]run       // requests of the tenant "flood" that ran, by ID
 	violations map[string]bool      // requests at leafs that broke a guarantee
 }
 
@@ -156,8 +158,8 @@
 	}
 }
 
-// observe checks the headers of a request that has reached a leaf.
-func (n *tenants) observe(header http.Header) {
+// observe checks the headers of a request that has reached a leaf, and records it if it runs.
+func (n *tenants) observe(header http.Header, runs bool) {
 	id := header.Get("Bramleybarrow-Attempt-Id")
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -173,7 +175,7 @@
 			n.violations[fmt.Sprintf("%s: the header %s took a key or the caller's name of a tenant to a leaf", id, name)] = true
 		}
 	}
-	if _, again := n.flood[id]; want == floodKey && !again {
+	if _, again := n.flood[id]; want == floodKey && runs && !again {
 		n.flood[id] = run{n.sentAt[id], time.Now()}
 	}
 }
