One VM names leafs of services with fewer slots than VMs

Cause: VMs that ask a service of few leafs and long work now and then know nothing of each other's requests.

Change: with slots.keep, one VM per service keeps account of its slots (package slotbook); the others ask it for a leaf, send the request themselves, and tell its end in a message that nobody waits for. Its answer is advice: the VM ignores it where it knows better, chooses as before without it, and alone decides whether the request runs. A full service is refused at once with the time until there is a slot. slotbook now lets late-bound requests wait in the order of rank and tenant and answers those that were displaced.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -37,6 +37,15 @@
 	allot(ctx context.Context, vm scatter.VM, call *allotment.Call, into *allotment.Answer) error
 	// tellNear tells the VMs that follow this one as accountant which tenants are near their limit.
 	tellNear(word *allotmentWord)
+	// reserveSlot asks a VM to which there is a connection, and which keeps account of slots, for a
+	// leaf, and stores the answer in into.
+	reserveSlot(ctx context.Context, vm scatter.VM, call *slotCall, into *slotAnswer) error
+	// awaitSlot waits for the leaf of a request that such a VM lets wait, and stores the answer in
+	// into.
+	awaitSlot(ctx context.Context, vm scatter.VM, wait *slotWait, into *slotAnswer) error
+	// endSlot tells a VM that a request for which it has named a leaf has ended. It doesn't wait for
+	// an answer.
+	endSlot(vm scatter.VM, end *slotEnd)
 }
 
 // neverSentError reports that no part of a call to another VM was sent.
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -37,6 +37,8 @@
 	sourceFailed     wakeup                     // wakes pollManifests after the source of the manifest failed
 	manifestSource   Store                      // read for unknown keys if this VM reads the store for others; nil before the daemon has started
 
+	slots atomic.Pointer[slotKeeping] // accounts of leafs' slots; nil if the settings have none
+
 	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -237,8 +237,15 @@
 	if !spec.Gathered {
 		spec.Services = []string{e.splitter.Next(route)}
 	}
+	slot := e.slots.Load().reserve(r.Context(), time.Now(), spec)
+	if res := slot.refusal(spec); res != nil {
+		return res
+	}
+	spec.Advised = slot.advised()
 	run := e.newRunner(req, spec)
+	run.slot = slot
 	out := run.run(r.Context())
+	slot.queryEnded(run.query)
 	if spec.Gathered && out.Verdict == scatter.Answered {
 		return run.mergedResult(out)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -239,6 +239,7 @@
 	n.tomb.Go(func() error { n.sweepIdleConns(ctx); return nil })
 	n.tomb.Go(func() error { n.warmConns(ctx); return nil })
 	n.tomb.Go(func() error { n.measureRoom(ctx); return nil })
+	n.tomb.Go(func() error { n.keepSlots(ctx); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.livenessCheckDue, n.checkVMs); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.suspectVMs, n.probeVMs); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.suspectLeafs, n.probeLeafs); return nil })
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -120,6 +120,8 @@
 		return e.serveFollow(ctx, method, call)
 	case methodAllot, methodAllotNear:
 		return e.serveAllotment(conn.Peer().VM, method, params)
+	case methodReserveSlot, methodAwaitSlot, methodEndSlot:
+		return e.slots.Load().serve(ctx, conn.Peer().VM, method, params)
 	case methodOfferRequest, methodRunRequest, methodDropRequest:
 		return e.serveRequestOffer(ctx, conn, method, params)
 	default:
--- a/edge/run.go
+++ b/edge/run.go
@@ -18,6 +18,7 @@
 	e          *Engine
 	req        *Request
 	spec       scatter.Spec       // requirements and limits of the query
+	slot       *slotGrant         // what a keeper of slots has named for the query; nil for nothing
 	query      *scatter.Query     // decides what to do next; changed only with Engine.mu held
 	events     chan event         // from attempts and calls to loop
 	done       chan struct{}      // closed after loop has returned
@@ -297,6 +298,7 @@
 	r.e.stats.attempt(s.Reason, ev.end)
 	r.logAttemptEnd(s, ev, err)
 	r.post(ev)
+	r.slot.attemptEnded(s.Leaf, ev.end, metadata)
 }
 
 // linger returns how long an attempt continues to wait for an answer after scatter.Send.Until, the
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -27,6 +27,7 @@
 	Cold       ColdSettings      `json:"cold,omitempty"`
 	Allotment  AllotmentSettings `json:"allotment,omitempty"` // tolerances of tenants' limits
 	Room       RoomSettings      `json:"room,omitempty"`      // how work goes to VMs that have room for it
+	Slots      SlotSettings      `json:"slots,omitempty"`     // account of the slots of services that many VMs ask
 	// Power is the CPU capacity of this VM, in cores. VMs with more capacity get more calls.
 	Power float64 `json:"power"`
 	// MemoryMB is the memory limit of the process, in MiB. The platform kills a process that
@@ -99,6 +100,12 @@
 	HandOver bool `json:"hand_over,omitempty"` // while it is short of room, this VM hands callers' requests to others of its zone; needs Measure
 }
 
+// SlotSettings says whether one VM keeps account of the slots of a service that has fewer slots than
+// there are VMs, and the others ask it for a leaf.
+type SlotSettings struct {
+	Keep bool `json:"keep,omitempty"`
+}
+
 // ColdSettings bounds the requests per second that all VMs together send to one cold leaf: Excess
 // times the number that its service states in the manifest, plus Slack. If both are 0, the number
 // itself is the limit.
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -45,7 +45,7 @@
 		q.waitForLeaf(now, s, reason, true)
 		return nil
 	}
-	l := q.table.pickLeaf(now, q.durationKey(), leafs, filter)
+	l := q.pickLeaf(now, s, leafs, filter)
 	if l == nil && reason != Hedge && s.inFlight == 0 {
 		// No available leaf takes the attempt. A leaf in cooldown or a suspect one is
 		// better than none: it may have recovered since it refused or was unreachable.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -45,6 +45,8 @@
 	Rank int
 	// Tenant is the name of the tenant on whose behalf the request runs, empty if there is none.
 	Tenant string
+	// Advised is the leaf that a keeper of slots has named for the first attempt; zero for none.
+	Advised LeafID
 }
 
 // AttemptID numbers the requests to leafs of one query, from 1.
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -56,6 +56,7 @@
 	waiting        int           // shards of this VM's queries that wait for a leaf of the service with capacity
 	pool           *pool         // the room of requests that are not gathered; nil before the first one, and if all requests are equal
 	line           []waiter      // the shards among them whose turn depends on rank and tenant
+	keepers        keepers       // VMs that keep account of its slots; chosen when first asked for
 	gatheredOnly   bool          // only gathered requests use the service; most requests to its leafs then come from the VMs that own them
 }
 
--- a/slotbook/book.go
+++ b/slotbook/book.go
@@ -1,233 +1,331 @@
 // Package slotbook keeps account of the slots of a service's leafs. It is meant for a service of few
 // leafs and long work, which many VMs ask now and then: none of them knows what the others have in
 // flight, and what leafs state with their answers is old by the time of a VM's next request. One VM
-// keeps the book of the service. The others reserve a slot there, send the request to the leaf
-// themselves, and release the slot once it has ended. The package reads no clock and does no I/O.
+// keeps the book of the service. The others ask it for a leaf, send the request to the leaf
+// themselves, and tell it when the leaf has ended the request. The package reads no clock and does no
+// I/O.
 package slotbook
 
 import (
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/fairshare"
 )
 
 // Parameters of a book.
 const (
-	// workWeight is the weight of a released reservation in the smoothed work of its leaf.
+	// workWeight is the weight of a request that has ended in the smoothed work of its leaf.
 	workWeight = 0.1
-	// expiryFactor is the multiple of the usual work of a leaf after which a reservation that
-	// was not released expires.
+	// expiryFactor is the multiple of the usual work of a leaf after which a request whose end
+	// was not told is forgotten.
 	expiryFactor = 4
-	// blockedFor is how long a leaf without room, by its own word, gets no reservations.
+	// overdueShare is the least time for which a request is expected to run on, as a share of
+	// its usual work.
+	overdueShare = 0.1
+	// otherZoneShare is what a leaf in another zone costs more, as a share of its usual work.
+	// With as much wait as this, a leaf of the same zone is left for it.
+	otherZoneShare = 0.1
+	// heldShare is how much longer work is assumed to take at a leaf whose slots are all held, as
+	// a share: work on the slots of one machine slows each other.
+	heldShare = 0.1
+	// blockedFor is how long a leaf that refused a request for want of room gets no other one.
 	blockedFor = 15 * time.Millisecond
-	// maxWaiting bounds the reservations that wait for a slot, per slot.
+	// maxWaiting bounds the requests that wait for a slot, as a multiple of the slots.
 	maxWaiting = 4
+	// maxPromises bounds the refused requests that are expected to come back.
+	maxPromises = 256
+	// minRetryAfter is the shortest time after which a refused request should come back.
+	minRetryAfter = 10 * time.Millisecond
 )
 
-// ID numbers the reservations of one book.
-type ID uint64
+// LeafID identifies one incarnation of a leaf.
+type LeafID struct {
+	ID   string
+	Born int64 // Unix time at which the incarnation started, in milliseconds
+}
+
+// Leaf is a leaf that may be named.
+type Leaf struct {
+	LeafID
+	Zone  string // availability zone
+	Slots int    // requests that it runs at the same time
+}
 
-// Request asks for a slot.
+// ID identifies a request at all VMs.
+type ID struct {
+	VM     string // name of the VM that sends it
+	Number uint64
+}
+
+// Request asks for a leaf.
 type Request struct {
-	ID       ID
-	Position float64       // place among the recent demand, from 0 to 1; the lowest comes first (package fairshare)
-	MaxWait  time.Duration // longest wait for a slot after which the request is still worth starting
-	Exclude  []string      // leafs that it must not get, since it was sent to them before
+	ID      ID
+	Zone    string        // availability zone of the VM that sends it
+	Work    time.Duration // usual work of such a request; used while the book has measured none
+	MaxWait time.Duration // longest wait for a slot after which the request is still worth starting
+	Ranked  bool          // Rank, Tenant and Draw decide who comes first while all slots are held
+	Rank    int           // 0 is the most urgent
+	Tenant  string        // empty if there is none
+	Draw    float64       // see fairshare.Shares.Position
 }
 
-// Grant is the answer to a request.
+// Grant is the answer to a request: a leaf, a place among those that wait for one, or the time after
+// which the request should come back. It has none of them if there are no leafs to name.
 type Grant struct {
-	ID   ID
-	Leaf string // the leaf whose slot was reserved; empty if none
-	// Wait says that the request waits for a slot: a later grant answers it.
-	Wait bool
-	// RetryAfter is set if the request was refused: when a slot is expected to be free for it.
-	RetryAfter time.Duration
+	ID         ID
+	Leaf       LeafID        // the leaf with a slot for the request; zero for none
+	Wait       bool          // the request waits for a slot: a later grant names the leaf
+	RetryAfter time.Duration // if refused: when a slot is expected to be free for it
 }
 
 // Book is the account of the slots of one service. It is not safe for concurrent use.
 type Book struct {
-	defaultWork time.Duration
-	leafs       map[string]*leaf
-	held        map[ID]hold
-	waiting     []waiter // in the order in which they get slots
+	leafs    map[LeafID]*leaf
+	named    []Leaf      // those that may be named
+	waiting  []waiter    // in the order in which they get slots
+	promises []time.Time // when refused requests are expected to come back
+	refused  []Grant     // answers to requests that waited until others were preferred; not returned yet
+	shares   *fairshare.Shares
 }
 
+// leaf is what the book knows of one leaf.
 type leaf struct {
-	id           string
-	slots        int
-	work         time.Duration // smoothed time for which its slots are held
-	held         int           // reservations
+	Leaf
+	work         time.Duration // smoothed time for which a request holds a slot; 0 before the first
+	held         []hold        // requests that hold slots
 	blockedUntil time.Time
+	others       int       // requests at the leaf that the book doesn't know, by its latest statement
+	othersUntil  time.Time // when others are assumed to have ended
 }
 
-// hold is a reserved slot.
+// hold is a request that was granted a slot and has not ended.
 type hold struct {
-	leaf  string
-	since time.Time
+	id   ID
+	from time.Time     // when it was granted
+	work time.Duration // usual work then
 }
 
 // waiter is a request that waits for a slot.
 type waiter struct {
 	Request
-	until time.Time // when the request is no longer worth starting
+	position float64   // among the recent demand, from 0 to 1; the lowest comes first
+	until    time.Time // when it is no longer worth starting
 }
 
-// New returns the book of a service without leafs. work is how long a request is expected to hold a
-// slot while nothing is known.
-func New(work time.Duration) *Book {
-	return &Book{defaultWork: work, leafs: make(map[string]*leaf), held: make(map[ID]hold)}
-}
+// New returns the book of a service without leafs.
+func New() *Book { return &Book{leafs: make(map[LeafID]*leaf), shares: fairshare.New()} }
 
-// SetLeaf adds a leaf, or changes its number of slots.
-func (b *Book) SetLeaf(id string, slots int) {
-	l := b.leafs[id]
-	if l == nil {
-		l = &leaf{id: id, work: b.defaultWork}
-		for _, h := range b.held {
-			if h.leaf == id {
-				l.held++
-			}
+// SetWeights sets the shares of tenants, see fairshare.Shares.SetWeights.
+func (b *Book) SetWeights(weights map[string]float64) { b.shares.SetWeights(weights) }
+
+// SetLeafs sets the leafs that may be named now. What is held at others is kept until it has ended.
+func (b *Book) SetLeafs(leafs []Leaf) {
+	b.named = leafs
+	for _, given := range leafs {
+		l := b.leafs[given.LeafID]
+		if l == nil {
+			l = &leaf{}
+			b.leafs[given.LeafID] = l
 		}
-		b.leafs[id] = l
+		l.Leaf = given
+		l.Slots = max(l.Slots, 1)
 	}
-	l.slots = max(slots, 1)
 }
 
-// RemoveLeaf removes a leaf. What is reserved there stays so until it is released or expires.
-func (b *Book) RemoveLeaf(id string) { delete(b.leafs, id) }
-
-// Reserve answers a request at once with a slot, with a place among those that wait, or with a
-// refusal.
+// Reserve names a leaf with a free slot, the one that is expected to end the request first. Without
+// one, the request waits if it is expected to get a slot in time, and is refused otherwise.
 func (b *Book) Reserve(now time.Time, req Request) Grant {
+	if len(b.named) == 0 {
+		return Grant{ID: req.ID}
+	}
+	b.forget(now)
+	w := waiter{Request: req, until: now.Add(req.MaxWait)}
+	if req.Ranked {
+		b.shares.Ask(now, req.Rank, req.Tenant, 1)
+		w.position = b.shares.Position(now, req.Rank, req.Tenant, req.Draw)
+	}
 	if len(b.waiting) == 0 {
-		if l := b.freeLeaf(now, req.Exclude); l != nil {
-			return b.grant(now, req.ID, l)
+		if l := b.freeLeaf(now, req); l != nil {
+			return b.grant(now, req, l)
 		}
 	}
-	w := waiter{Request: req, until: now.Add(req.MaxWait)}
 	at, _ := slices.BinarySearchFunc(b.waiting, w, func(other, w waiter) int {
-		if other.Position <= w.Position {
+		if other.position <= w.position {
 			return -1 // those that came before stay before
 		}
 		return 1
 	})
-	wait := b.wait(now, at+1)
-	if wait > req.MaxWait || len(b.waiting) >= maxWaiting*b.slots() {
-		return Grant{ID: req.ID, RetryAfter: max(wait, time.Millisecond)}
+	wait, slots := b.wait(now, at, req.Work)
+	if wait > req.MaxWait || len(b.waiting) >= maxWaiting*slots {
+		return Grant{ID: req.ID, RetryAfter: b.promise(now, req.Work)}
 	}
 	b.waiting = slices.Insert(b.waiting, at, w)
+	b.refuseDisplaced(now, at+1)
 	return Grant{ID: req.ID, Wait: true}
 }
 
-// Release ends a reservation whose request has ended. full says that the leaf refused it for want of
-// room, so that others use the leaf too. It returns the answers to requests that waited.
-func (b *Book) Release(now time.Time, id ID, full bool) []Grant {
-	h, ok := b.held[id]
-	if !ok {
-		b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return w.ID == id })
-		return b.Tick(now)
-	}
-	delete(b.held, id)
-	if l := b.leafs[h.leaf]; l != nil {
-		l.held--
-		if full {
-			l.blockedUntil = now.Add(blockedFor)
-		} else {
-			l.work += time.Duration(workWeight * float64(now.Sub(h.since)-l.work))
+// refuseDisplaced refuses those of the waiting requests from an index on that get no slot in time any
+// more, since another was preferred.
+func (b *Book) refuseDisplaced(now time.Time, from int) {
+	for i := len(b.waiting) - 1; i >= from; i-- {
+		w := b.waiting[i]
+		if wait, _ := b.wait(now, i, w.Work); now.Add(wait).After(w.until) {
+			b.waiting = slices.Delete(b.waiting, i, i+1)
+			b.refused = append(b.refused, Grant{ID: w.ID, RetryAfter: b.promise(now, w.Work)})
 		}
 	}
-	return b.Tick(now)
 }
 
-// Tick ends reservations that have expired, and returns the answers to requests that waited: a slot,
-// or a refusal for one whose time is over or to which others were preferred since.
-func (b *Book) Tick(now time.Time) []Grant {
-	for id, h := range b.held {
-		work := b.defaultWork
-		l := b.leafs[h.leaf]
-		if l != nil {
-			work = l.work
-		}
-		if now.Sub(h.since) > expiryFactor*work {
-			delete(b.held, id)
-			if l != nil {
-				l.held--
-			}
-		}
+// promise returns when a refused request should come back: when a slot is free for it, after those
+// that wait, and those that were told to come back before.
+func (b *Book) promise(now time.Time, work time.Duration) time.Duration {
+	b.promises = slices.DeleteFunc(b.promises, func(at time.Time) bool { return !at.After(now) })
+	wait, _ := b.wait(now, len(b.waiting)+len(b.promises), work)
+	wait = max(wait, minRetryAfter)
+	if len(b.promises) < maxPromises {
+		b.promises = append(b.promises, now.Add(wait))
 	}
-	var grants []Grant
-	var still []waiter
-	for _, w := range b.waiting {
-		if l := b.freeLeaf(now, w.Exclude); l != nil {
-			grants = append(grants, b.grant(now, w.ID, l))
-			continue
-		}
-		if wait := b.wait(now, len(still)+1); now.Add(wait).After(w.until) {
-			grants = append(grants, Grant{ID: w.ID, RetryAfter: max(wait, time.Millisecond)})
-			continue
+	return wait
+}
+
+// End is how a granted request ended.
+type End struct {
+	ID      ID
+	Unused  bool // it was not sent to the leaf
+	Full    bool // the leaf refused it for want of room
+	Stated  bool // the leaf stated its load: Running and Waiting are set
+	Running int
+	Waiting int
+}
+
+// End records that a request has ended, also one that waits. It is ignored if the book doesn't know the
+// request. It returns the answers to requests that waited.
+func (b *Book) End(now time.Time, end End) []Grant {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return w.ID == end.ID })
+	for _, l := range b.leafs {
+		if i := slices.IndexFunc(l.held, func(h hold) bool { return h.id == end.ID }); i >= 0 {
+			h := l.held[i]
+			l.held = slices.Delete(l.held, i, i+1)
+			l.ended(now, h, end)
+			break
 		}
-		still = append(still, w)
 	}
-	b.waiting = still
-	return grants
+	return b.Tick(now)
 }
 
-// grant reserves a slot of a leaf.
-func (b *Book) grant(now time.Time, id ID, l *leaf) Grant {
-	l.held++
-	b.held[id] = hold{leaf: l.id, since: now}
-	return Grant{ID: id, Leaf: l.id}
+// ended records that a request has left its slot.
+func (l *leaf) ended(now time.Time, h hold, end End) {
+	switch {
+	case end.Full:
+		l.blockedUntil = now.Add(blockedFor)
+	case !end.Unused:
+		took := max(now.Sub(h.from), 0)
+		l.work = cmp.Or(l.work, took)
+		l.work += time.Duration(workWeight * float64(took-l.work))
+	}
+	if end.Stated {
+		known := len(l.held) + 1 // the leaf counts the request that ends
+		l.others = min(max(end.Running+end.Waiting-known, 0), l.Slots)
+		l.othersUntil = now.Add(l.work)
+	}
 }
 
-// freeLeaf returns the leaf with a free slot that works fastest, of several the one with most of its
-// slots free. It returns nil if there is none.
-func (b *Book) freeLeaf(now time.Time, exclude []string) *leaf {
-	var best *leaf
-	for _, l := range b.leafs {
-		if l.held >= l.slots || now.Before(l.blockedUntil) || slices.Contains(exclude, l.id) {
-			continue
+// Tick returns the answers to requests that waited, and have got a slot or are refused since others
+// were preferred.
+func (b *Book) Tick(now time.Time) []Grant {
+	b.forget(now)
+	grants := b.refused
+	b.refused = nil
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool {
+		l := b.freeLeaf(now, w.Request)
+		if l != nil {
+			grants = append(grants, b.grant(now, w.Request, l))
 		}
-		if best == nil || cmp.Or(cmp.Compare(l.cost(), best.cost()), cmp.Compare(l.id, best.id)) < 0 {
-			best = l
+		return l != nil
+	})
+	return grants
+}
+
+// forget removes requests whose end was not told, those that have waited too long, and leafs that may
+// not be named and hold nothing.
+func (b *Book) forget(now time.Time) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return now.After(w.until) })
+	for id, l := range b.leafs {
+		l.held = slices.DeleteFunc(l.held, func(h hold) bool { return now.Sub(h.from) > expiryFactor*max(h.work, l.work) })
+		if len(l.held) == 0 && !slices.ContainsFunc(b.named, func(o Leaf) bool { return o.LeafID == id }) {
+			delete(b.leafs, id)
 		}
 	}
-	return best
 }
 
-// cost returns the work of a leaf, increased by the share of its slots that are held: work on the
-// slots of one machine slows each other.
-func (l *leaf) cost() float64 {
-	return float64(l.work) * (1 + 0.1*float64(l.held)/float64(l.slots))
+// grant gives a slot of a leaf to a request.
+func (b *Book) grant(now time.Time, req Request, l *leaf) Grant {
+	l.held = append(l.held, hold{id: req.ID, from: now, work: l.usual(req.Work)})
+	return Grant{ID: req.ID, Leaf: l.LeafID}
 }
 
-// slots returns the number of slots of all leafs.
-func (b *Book) slots() int {
-	n := 0
-	for _, l := range b.leafs {
-		n += l.slots
+// usual returns the usual work of the leaf, or fallback while it isn't known.
+func (l *leaf) usual(fallback time.Duration) time.Duration { return cmp.Or(l.work, fallback) }
+
+// remaining returns for how much longer a request is expected to hold its slot of leaf l: for as long
+// as it is overdue, if it is.
+func (h hold) remaining(now time.Time, l *leaf) time.Duration {
+	work := l.usual(h.work)
+	left := h.from.Add(work).Sub(now)
+	return max(left, -left, time.Duration(overdueShare*float64(work)))
+}
+
+// othersNow returns the number of slots that requests hold which the book doesn't know.
+func (l *leaf) othersNow(now time.Time) int {
+	if !now.Before(l.othersUntil) {
+		return 0
 	}
-	return n
+	return l.others
 }
 
-// wait returns the expected time until n more requests have got slots: those that are free now, or
-// become free when what holds them has taken the usual time.
-func (b *Book) wait(now time.Time, n int) time.Duration {
-	var free []time.Duration
-	for _, l := range b.leafs {
-		for range l.slots - l.held {
-			free = append(free, max(l.blockedUntil.Sub(now), 0))
+// freeLeaf returns the leaf with a free slot that is expected to end the request first. It returns nil
+// if there is none.
+func (b *Book) freeLeaf(now time.Time, req Request) (best *leaf) {
+	var bestCost float64
+	for _, given := range b.named {
+		l := b.leafs[given.LeafID]
+		if len(l.held)+l.othersNow(now) >= l.Slots || now.Before(l.blockedUntil) {
+			continue
+		}
+		share := 1 + heldShare*float64(len(l.held))/float64(l.Slots)
+		if given.Zone != req.Zone {
+			share += otherZoneShare
+		}
+		cost := share * float64(l.usual(req.Work))
+		if best == nil || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(l.ID, best.ID)) < 0 {
+			best, bestCost = l, cost
 		}
 	}
-	for _, h := range b.held {
-		if l := b.leafs[h.leaf]; l != nil {
-			free = append(free, max(h.since.Add(l.work).Sub(now), 0))
+	return best
+}
+
+// wait returns the expected time until a request gets a slot which n others come before, and the
+// number of slots.
+func (b *Book) wait(now time.Time, n int, work time.Duration) (wait time.Duration, slots int) {
+	var free []time.Duration // time until each slot is free
+	for _, given := range b.named {
+		l := b.leafs[given.LeafID]
+		work = l.usual(work)
+		for _, h := range l.held {
+			free = append(free, h.remaining(now, l))
+		}
+		for range l.othersNow(now) {
+			free = append(free, l.othersUntil.Sub(now))
+		}
+		for range l.Slots - len(l.held) - l.othersNow(now) {
+			free = append(free, max(l.blockedUntil.Sub(now), 0))
 		}
 	}
-	if len(free) == 0 {
-		return time.Second
+	for range n {
+		slices.Sort(free)
+		free[0] += work
 	}
-	slices.Sort(free)
-	rounds, rest := (n-1)/len(free), (n-1)%len(free)
-	return free[rest] + time.Duration(rounds)*b.defaultWork
+	return slices.Min(free), len(free)
 }
