edge: an answer of another release's VM to a hand-over is checked

Cause: the verdict and the status of a VM that has taken a request over were passed on as they came. A verdict that this release doesn't know indexes the names of verdicts out of range, and a status of 0 panics in net/http: the caller gets no answer. Now the outcome is unknown, as after a lost answer.

Seen red: TestUnknownAnswerOfTakerLeavesTheOutcomeUnknown without the check.

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -85,6 +85,15 @@
 	RetryAfterUS int64       `json:"retry_after_us,omitempty"`
 }
 
+// check returns an error if the answer can't be passed on. A VM of a later release may send other
+// values than this one knows.
+func (a *runAnswer) check() error {
+	if a.Status < http.StatusOK || a.Status > 999 || a.Verdict < 0 || a.Verdict > int(scatter.TooFewShards) {
+		return result.Errorf(result.BadMessage, "answer with status %d and verdict %d", a.Status, a.Verdict)
+	}
+	return nil
+}
+
 // dropCall are the parameters of methodDropRequest.
 type dropCall struct {
 	Offer uint64 `json:"offer"`
@@ -169,6 +178,9 @@
 // may. Otherwise it never does, also if the request is idempotent: the other VM may have sent it to
 // as many leafs as are allowed.
 func (e *Engine) handedOver(ctx context.Context, req *Request, vm scatter.VM, ans *runAnswer, err error) *Result {
+	if err == nil {
+		err = ans.check()
+	}
 	switch {
 	case err == nil:
 		e.countHandOver("answered")
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -144,6 +144,20 @@
 	}
 }
 
+// Guards against a VM that fails on an answer it doesn't understand, as one of a later release may send.
+func TestUnknownAnswerOfTakerLeavesTheOutcomeUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := newHandOverVM(t, g, "a", time.Second)
+	req, route := v.request()
+	for _, ans := range []*runAnswer{{Status: 200, Verdict: 99}, {Status: 200, Verdict: -1}, {Verdict: 0}, {Status: 1000}} {
+		res := v.handedOver(t.Context(), req, scatter.VM{Name: "b"}, ans, nil)
+		g.Expect(res.Status).To(gomega.Equal(http.StatusBadGateway))
+		g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Unknown))
+		v.logRequest(req, route, 1, origin{}, res, time.Second)
+		writeResult(httptest.NewRecorder(), res)
+	}
+}
+
 // Guards against a VM that takes over what it can't serve: it has no room, is about to stop, has
 // another manifest in force, or has taken too many.
 func TestOffersAreRefused(t *testing.T) {
