edge: a request too long for a message is not handed over

Cause: a body of more than 1.5 MB, which a manifest may allow, doesn't fit a message to another VM as JSON. The failed call counted as lost, so that the caller was told that the outcome is unknown although nothing was sent.

Seen red: TestLongRequestIsNotHandedOver without the bound.

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -43,6 +43,9 @@
 	// maxTakenRequests bounds the requests that one VM has accepted from others and not
 	// finished.
 	maxTakenRequests = 8
+	// maxHandedBody is the longest body of a request that is handed over, in bytes. In JSON it
+	// still fits a message between VMs.
+	maxHandedBody = 1 << 20
 )
 
 // offerCall are the parameters of methodOfferRequest.
@@ -149,7 +152,7 @@
 // serve the request itself. ctx ends when the caller disconnects.
 func (e *Engine) handOver(ctx context.Context, req *Request, who origin, version int64) *Result {
 	factor, short := e.room.Load().shortage(time.Now())
-	if !short {
+	if !short || len(req.HTTP.Body) > maxHandedBody {
 		return nil
 	}
 	vm, client, ok := e.pickTaker(factor)
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -103,6 +103,18 @@
 	g.Expect(slow.count(refused)).To(gomega.BeEquivalentTo(1))
 }
 
+// Guards against a request whose outcome is unknown because it is too long for a message to another VM.
+func TestLongRequestIsNotHandedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	slow.joinZone(g, free, false)
+	req, route := slow.request()
+	req.HTTP.Body = make([]byte, 2<<20)
+	res := slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun), "the service has no leafs")
+	g.Expect(free.taken.offers).To(gomega.BeEmpty())
+}
+
 // joinZone makes other a VM that v knows and may offer requests to. Owners of the zone's partitions
 // are not called by each other, so v is made one that owns none unless owner is set.
 func (v *handOverVM) joinZone(g *gomega.WithT, other *handOverVM, owner bool) {
