Bound how often a keeper of slots is asked

Cause: a service of many slots and short work that has fewer slots than there are VMs would send all of its requests past one VM. Slots of services with more than 64 are not kept, and a VM that knows that the work takes less than 20 ms does not ask.

Seen red: TestAllVMsChooseTheSameKeepers without the bound of slots, TestKeepersAreNotAskedForShortWork without that of work.

--- a/edge/slots.go
+++ b/edge/slots.go
@@ -270,9 +270,12 @@
 	}
 	k.e.mu.Lock()
 	keepers := k.e.table.SlotKeepers(now, g.service)
-	req := k.e.table.SlotRequest(now, spec)
+	req, worthwhile := k.e.table.SlotRequest(now, spec)
 	g.client = k.e.peerClient
 	k.e.mu.Unlock()
+	if !worthwhile {
+		return nil
+	}
 	k.mu.Lock()
 	keeper, ok := k.firstAnswering(keepers)
 	k.mu.Unlock()
--- a/scatter/slots.go
+++ b/scatter/slots.go
@@ -24,6 +24,11 @@
 	// maxKeepers is how many VMs may keep account of the slots of a service: a keeper and those
 	// that stand in for it in turn.
 	maxKeepers = 3
+	// maxKeptSlots and minKeptWork bound how often a keeper is asked. Slots are not kept if the
+	// service has more, or if its requests usually take less: what leafs state is then younger, and
+	// a request to the keeper is worth less.
+	maxKeptSlots = 64
+	minKeptWork  = 20 * time.Millisecond
 	// keepersLifetime is the time after which the keepers of a service are chosen again.
 	keepersLifetime = time.Second
 )
@@ -35,7 +40,7 @@
 }
 
 // SlotsShared reports whether the slots of a service are fewer than the VMs that ask for them, so that
-// an account of them is of use.
+// an account of them is of use, and few enough for one VM.
 func (t *Table) SlotsShared(name string) bool {
 	s := t.services[name]
 	if s == nil || s.gatheredOnly {
@@ -47,7 +52,7 @@
 			slots += l.Slots
 		}
 	}
-	return slots > 0 && slots <= len(t.members)
+	return slots > 0 && slots <= min(len(t.members), maxKeptSlots)
 }
 
 // SlotKeepers returns the VMs that keep account of the slots of a service and can be asked, the first
@@ -113,13 +118,14 @@
 	return list
 }
 
-// SlotRequest returns what a keeper has to know of a request, apart from its ID and draw.
-func (t *Table) SlotRequest(now time.Time, spec Spec) slotbook.Request {
-	work, _ := t.typicalDuration(now, durationKey{objective: spec.LatencyObjective})
+// SlotRequest returns what a keeper has to know of a request, apart from its ID and draw. ok is false
+// if the work of such requests is known to be too short for asking.
+func (t *Table) SlotRequest(now time.Time, spec Spec) (req slotbook.Request, ok bool) {
+	work, known := t.typicalDuration(now, durationKey{objective: spec.LatencyObjective})
 	return slotbook.Request{
 		Zone: t.zone, Work: work, MaxWait: time.Duration(leafWaitShare * float64(spec.LatencyObjective)),
 		Ranked: t.urgency != nil, Rank: spec.Rank, Tenant: spec.Tenant,
-	}
+	}, !known || work >= minKeptWork
 }
 
 // pickLeaf returns the leaf for an attempt on a shard: the one with the lowest cost, or for the first
--- a/scatter/slots_test.go
+++ b/scatter/slots_test.go
@@ -148,7 +148,10 @@
 		})
 		return
 	}
-	req := p.tables[vm].SlotRequest(p.clock(), spec)
+	req, ok := p.tables[vm].SlotRequest(p.clock(), spec)
+	if !ok {
+		panic("work of 90 ms is worth asking")
+	}
 	req.ID, req.MaxWait = slotbook.ID{VM: fmt.Sprint("vm-", vm), Number: uint64(n)}, p.patience
 	p.pending[req.ID] = func(grant slotbook.Grant) {
 		delete(p.pending, req.ID)
@@ -413,6 +416,30 @@
 	}
 }
 
+// manyVMs returns n VMs.
+func manyVMs(n int) []VM {
+	var vms []VM
+	for i := range n {
+		vms = append(vms, VM{Name: fmt.Sprint("vm-", i), Zone: homeZone, Power: 1})
+	}
+	return vms
+}
+
+// Guards against a keeper that is asked for short work, of which there may be very much.
+func TestKeepersAreNotAskedForShortWork(t *testing.T) {
+	w := newWorld(t)
+	id := w.leaf("ledger", homeZone)
+	spec := w.single("ledger", false)
+	for _, took := range []time.Duration{minKeptWork / 4, 4 * minKeptWork} {
+		for range 200 {
+			w.table.recordDuration(w.now, durationKey{objective: spec.LatencyObjective}, &attempt{leaf: id, sentAt: w.now.Add(-took)})
+		}
+		_, ok := w.table.SlotRequest(w.now, spec)
+		w.Expect(ok).To(gomega.Equal(took > minKeptWork))
+		w.wait(time.Hour)
+	}
+}
+
 // Guards against VMs that choose different keepers, weak keepers, and keepers that can't be called.
 func TestAllVMsChooseTheSameKeepers(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -446,4 +473,10 @@
 		w.table.SetVMs(w.now, vms[38:39])
 		g.Expect(w.table.SlotsShared("ledger")).To(gomega.BeFalse(), "two VMs share two slots")
 	}
+	w := newWorld(t)
+	for i := range maxKeptSlots {
+		g.Expect(w.table.SlotsShared("archive")).To(gomega.Equal(i > 0 && i <= maxKeptSlots/2))
+		w.leaf("archive", fmt.Sprint("zone-", i))
+		w.table.SetVMs(w.now, manyVMs(2*maxKeptSlots))
+	}
 }
