edge: refusals for want of slots say why, and requests of callers that left don't run

The line of a request that a keeper of slots refused names the wait and its limit. A caller that disconnects while its VM waits for a keeper is abandoned before anything is sent.

--- a/edge/slots.go
+++ b/edge/slots.go
@@ -251,6 +251,8 @@
 	ranked     bool           // requests are refused by rank and tenant
 	leaf       scatter.LeafID // the leaf that was named; zero for none
 	retryAfter time.Duration  // if the service is full: when there is a slot
+	maxWait    time.Duration  // longest wait for a slot after which the request is still worth starting
+	abandoned  bool           // the caller has disconnected meanwhile
 }
 
 // reserve asks the keeper of slots for the leaf of a request. It returns nil if there is no keeper or
@@ -283,7 +285,7 @@
 		k.count("no_keeper")
 		return nil
 	}
-	g.keeper, g.ranked = keeper, req.Ranked
+	g.keeper, g.ranked, g.maxWait = keeper, req.Ranked, req.MaxWait
 	req.ID = slotbook.ID{VM: k.e.self.Name, Number: g.number}
 	req.Draw = fairshare.Draw(spec.RequestID, now)
 	limit := max(time.Duration(askTimeShare*float64(spec.LatencyObjective)), minAskTime)
@@ -292,12 +294,12 @@
 		if ans, err = g.await(ctx, req.ID, req.MaxWait+limit); err != nil || ans == (slotAnswer{}) {
 			k.count("waited_in_vain")
 			g.end(slotEnd{Unused: true})
-			return nil
+			return g.unlessAbandoned(ctx)
 		}
 	}
 	if err != nil {
 		g.failed(ctx, err)
-		return nil
+		return g.unlessAbandoned(ctx)
 	}
 	g.leaf = scatter.LeafID{ID: ans.Leaf, Born: ans.Born}
 	g.retryAfter = time.Duration(ans.RetryAfterUS) * time.Microsecond
@@ -355,13 +357,27 @@
 	k.e.stats.count(`bramley_edge_slot_requests_total{end=%q}`, end)
 }
 
-// refusal returns the result of a request that the keeper refused since the service is full; nil if it
-// was not refused. Nothing was sent for it.
+// unlessAbandoned returns nil, no answer, unless the caller has disconnected.
+func (g *slotGrant) unlessAbandoned(ctx context.Context) *slotGrant {
+	if ctx.Err() == nil {
+		return nil
+	}
+	g.abandoned = true
+	return g
+}
+
+// refusal returns the result of a request that the keeper refused since the service is full, or whose
+// caller has disconnected; nil if it goes on. Nothing was sent for it.
 func (g *slotGrant) refusal(spec scatter.Spec) *Result {
+	if g != nil && g.abandoned {
+		return &Result{Outcome: scatter.Outcome{Verdict: scatter.Abandoned}}
+	}
 	if g == nil || g.leaf.ID != "" || g.retryAfter <= 0 {
 		return nil
 	}
-	out := scatter.Outcome{Verdict: scatter.NotRun, RetryAfter: g.retryAfter}
+	out := scatter.Outcome{
+		Verdict: scatter.NotRun, RetryAfter: g.retryAfter, Refusal: &scatter.Refusal{Wait: g.retryAfter, Limit: g.maxWait},
+	}
 	g.keeping.e.stats.ranked(spec, out, scatter.Yields{Ranked: g.ranked})
 	header := http.Header{"Retry-After": {formatSeconds(g.retryAfter)}}
 	return &Result{Status: http.StatusServiceUnavailable, Header: header, Outcome: out}
