edge: a request whose caller left during an offer is not run

Cause: a caller that disconnects while its VM waits for the answer to an offer ends that wait, and the VM then sent the request to a leaf.

Seen red: TestRequestOfCallerThatLeftDoesNotRun without the change.

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -166,6 +166,9 @@
 	e.mu.Lock()
 	e.table.CallAcknowledged(time.Now(), vm.Name, time.Since(sentAt))
 	e.mu.Unlock()
+	if ctx.Err() != nil {
+		return e.handOverAbandoned()
+	}
 	if err != nil || !offer.Accepted {
 		e.countHandOver("not_accepted")
 		return nil
@@ -195,8 +198,7 @@
 		e.countHandOver("not_started")
 		return nil
 	case ctx.Err() != nil:
-		e.countHandOver("abandoned")
-		return &Result{Outcome: scatter.Outcome{Verdict: scatter.Abandoned}}
+		return e.handOverAbandoned()
 	}
 	e.countHandOver("lost")
 	e.log.Warn("handing a request over failed", "request", req.ID, "vm", vm.Name, "error", err)
@@ -207,6 +209,12 @@
 	return res
 }
 
+// handOverAbandoned returns the result of a request whose caller has disconnected.
+func (e *Engine) handOverAbandoned() *Result {
+	e.countHandOver("abandoned")
+	return &Result{Outcome: scatter.Outcome{Verdict: scatter.Abandoned}}
+}
+
 // countHandOver counts a request that was offered to another VM. end says what became of it.
 func (e *Engine) countHandOver(end string) {
 	e.stats.count(`bramley_edge_hand_overs_total{end=%q}`, end)
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -115,6 +115,22 @@
 	g.Expect(free.taken.offers).To(gomega.BeEmpty())
 }
 
+// Guards against a request that runs although its caller has disconnected while another VM considered it.
+func TestRequestOfCallerThatLeftDoesNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	slow.joinZone(g, free, false)
+	slow.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+		return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 2, Address: "127.0.0.1:1"})
+	})
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	req, route := slow.request()
+	res := slow.serveOrHandOver(newCallerRequest(gone), req, route, origin{}, 1)
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Abandoned))
+	g.Expect(res.Outcome.Sent).To(gomega.BeZero())
+}
+
 // joinZone makes other a VM that v knows and may offer requests to. Owners of the zone's partitions
 // are not called by each other, so v is made one that owns none unless owner is set.
 func (v *handOverVM) joinZone(g *gomega.WithT, other *handOverVM, owner bool) {
