--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -43,6 +43,9 @@
 	// maxTakenRequests bounds the requests that one VM has accepted from others and not
 	// finished.
 	maxTakenRequests = 8
+	// maxHandedBody is the longest body of a request that is handed over, in bytes. In JSON it
+	// still fits a message between VMs.
+	maxHandedBody = 1 << 20
 )
 
 // offerCall are the parameters of methodOfferRequest.
@@ -85,6 +88,15 @@
 	RetryAfterUS int64       `json:"retry_after_us,omitempty"`
 }
 
+// check returns an error if the answer can't be passed on. A VM of a later release may send other
+// values than this one knows.
+func (a *runAnswer) check() error {
+	if a.Status < http.StatusOK || a.Status > 999 || a.Verdict < 0 || a.Verdict > int(scatter.TooFewShards) {
+		return result.Errorf(result.BadMessage, "answer with status %d and verdict %d", a.Status, a.Verdict)
+	}
+	return nil
+}
+
 // dropCall are the parameters of methodDropRequest.
 type dropCall struct {
 	Offer uint64 `json:"offer"`
@@ -140,7 +152,7 @@
 // serve the request itself. ctx ends when the caller disconnects.
 func (e *Engine) handOver(ctx context.Context, req *Request, who origin, version int64) *Result {
 	factor, short := e.room.Load().shortage(time.Now())
-	if !short {
+	if !short || len(req.HTTP.Body) > maxHandedBody {
 		return nil
 	}
 	vm, client, ok := e.pickTaker(factor)
@@ -154,6 +166,9 @@
 	e.mu.Lock()
 	e.table.CallAcknowledged(time.Now(), vm.Name, time.Since(sentAt))
 	e.mu.Unlock()
+	if ctx.Err() != nil {
+		return e.handOverAbandoned()
+	}
 	if err != nil || !offer.Accepted {
 		e.countHandOver("not_accepted")
 		return nil
@@ -169,6 +184,9 @@
 // may. Otherwise it never does, also if the request is idempotent: the other VM may have sent it to
 // as many leafs as are allowed.
 func (e *Engine) handedOver(ctx context.Context, req *Request, vm scatter.VM, ans *runAnswer, err error) *Result {
+	if err == nil {
+		err = ans.check()
+	}
 	switch {
 	case err == nil:
 		e.countHandOver("answered")
@@ -180,8 +198,7 @@
 		e.countHandOver("not_started")
 		return nil
 	case ctx.Err() != nil:
-		e.countHandOver("abandoned")
-		return &Result{Outcome: scatter.Outcome{Verdict: scatter.Abandoned}}
+		return e.handOverAbandoned()
 	}
 	e.countHandOver("lost")
 	e.log.Warn("handing a request over failed", "request", req.ID, "vm", vm.Name, "error", err)
@@ -192,6 +209,12 @@
 	return res
 }
 
+// handOverAbandoned returns the result of a request whose caller has disconnected.
+func (e *Engine) handOverAbandoned() *Result {
+	e.countHandOver("abandoned")
+	return &Result{Outcome: scatter.Outcome{Verdict: scatter.Abandoned}}
+}
+
 // countHandOver counts a request that was offered to another VM. end says what became of it.
 func (e *Engine) countHandOver(end string) {
 	e.stats.count(`bramley_edge_request_handovers_total{end=%q}`, end)
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -103,6 +103,34 @@
 	g.Expect(slow.count(refused)).To(gomega.BeEquivalentTo(1))
 }
 
+// Guards against a request whose outcome is unknown because it is too long for a message to another VM.
+func TestLongRequestIsNotHandedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	slow.joinZone(g, free, false)
+	req, route := slow.request()
+	req.HTTP.Body = make([]byte, 2<<20)
+	res := slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun), "the service has no leafs")
+	g.Expect(free.taken.offers).To(gomega.BeEmpty())
+}
+
+// Guards against a request that runs although its caller has disconnected while another VM considered it.
+func TestRequestOfCallerThatLeftDoesNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	slow.joinZone(g, free, false)
+	slow.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+		return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 2, Address: "127.0.0.1:1"})
+	})
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	req, route := slow.request()
+	res := slow.serveOrHandOver(newCallerRequest(gone), req, route, origin{}, 1)
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Abandoned))
+	g.Expect(res.Outcome.Sent).To(gomega.BeZero())
+}
+
 // joinZone makes other a VM that v knows and may offer requests to. Owners of the zone's partitions
 // are not called by each other, so v is made one that owns none unless owner is set.
 func (v *handOverVM) joinZone(g *gomega.WithT, other *handOverVM, owner bool) {
@@ -144,6 +172,20 @@
 	}
 }
 
+// Guards against a VM that fails on an answer it doesn't understand, as one of a later release may send.
+func TestUnknownAnswerOfTakerLeavesTheOutcomeUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := newHandOverVM(t, g, "a", time.Second)
+	req, route := v.request()
+	for _, ans := range []*runAnswer{{Status: 200, Verdict: 99}, {Status: 200, Verdict: -1}, {Verdict: 0}, {Status: 1000}} {
+		res := v.handedOver(t.Context(), req, scatter.VM{Name: "b"}, ans, nil)
+		g.Expect(res.Status).To(gomega.Equal(http.StatusBadGateway))
+		g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Unknown))
+		v.logRequest(req, route, 1, origin{}, res, time.Second)
+		writeResult(httptest.NewRecorder(), res)
+	}
+}
+
 // Guards against a VM that takes over what it can't serve: it has no room, is about to stop, has
 // another manifest in force, or has taken too many.
 func TestOffersAreRefused(t *testing.T) {
