Limits: an accountant whose process has ended is replaced without a silence

Cause: when the accountant is killed, VMs wait for a second unanswered call, and the new accountant withholds 1.4 s of the rate for what the former one may still grant: large tenants got 503 for about a second.

Change: a refused connection tells that the process has ended and its buckets are lost. One such call is enough to change, and a VM that followed it for 1.4 s or longer joins the next accountant as one that nobody else counts.

Ruled out: the same after calls without an answer, where the former accountant may run and grant. A link that refuses connections for a VM that runs is taken for the same as before by the search for VMs that don't run.

--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -179,6 +179,25 @@
 	g.Expect(f.refused).To(gomega.BeEmpty())
 }
 
+// Guards against a tenant below its limit that is refused when its accountant's process ends: the others see
+// that it is gone.
+func TestEndedAccountantSilencesNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(4) {
+		f := newFleet(72, seed)
+		f.limits[name], f.refuses = large, true
+		load := f.load(name, 12)
+		f.run(8*time.Second, load)
+		f.accountant().down = true
+		clear(f.refused)
+		f.run(10*time.Second, load)
+		t.Log("refused", f.refused)
+		g.Expect(f.refused[Unknown]).To(gomega.BeNumerically("<=", 3))
+		f.run(5*time.Second, f.load(name, 96))
+		f.wants(t, large)
+	}
+}
+
 // Guards against a restart of all VMs after which tenants below their limit are refused.
 func TestRestartOfAllVMsSilencesNobody(t *testing.T) {
 	const spread, seeds = 500 * time.Millisecond, 4 // of the starts
@@ -421,7 +440,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := tenant.Limit{RatePerS: rapid.Float64Range(0.2, 30).Draw(t, "rate"), Burst: rapid.Float64Range(0, 30).Draw(t, "burst")}
 		f := newFleet(rapid.IntRange(1, 10).Draw(t, "vms"), rapid.Uint64().Draw(t, "seed"))
-		f.limits[name] = limit
+		f.limits[name], f.refuses = limit, rapid.Bool().Draw(t, "refuses")
 		for range rapid.IntRange(1, 6).Draw(t, "phases") {
 			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
 			a := f.accountantOr(v)
@@ -450,6 +469,9 @@
 					f.start(v)
 				}
 			case 10:
+				if v.down && f.refuses {
+					f.start(v) // its process has ended
+				}
 				v.down, v.frozen = false, false
 			case 11:
 				for i := range rapid.IntRange(1, 200).Draw(t, "burst") {
@@ -496,7 +518,7 @@
 		calls, _ := v.member.Next(f.now.Add(v.offset))
 		for _, out := range calls {
 			if out.To != v.name {
-				v.member.Failed(f.clock(v), out, true)
+				v.member.Failed(f.clock(v), out, Ignored)
 			}
 		}
 	}
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -20,6 +20,7 @@
 	mail    []letter
 	delay   time.Duration                // longest delay of a message
 	cut     func(from, to int) bool      // whether messages are lost
+	refuses bool                         // VMs that are down refuse connections
 	repeat  bool                         // each call is delivered twice
 	version int64                        // of the manifest
 	limits  map[string]tenant.Limit      // by tenant
@@ -123,6 +124,14 @@
 			}
 		})
 	}
+	if to.down && f.refuses {
+		f.post(to, v, func() {
+			ended = true
+			f.finish(v, out, member.Failed(f.clock(v), out, NotRunning))
+			v.nextAt = time.Time{}
+		})
+		return
+	}
 	f.post(v, to, deliver)
 	if f.repeat {
 		f.post(v, to, deliver)
@@ -130,7 +139,7 @@
 	f.mail = append(f.mail, letter{at: f.now.Add(CallTimeout), run: func() {
 		if !ended && v.member == member && !v.down {
 			ended = true
-			f.finish(v, out, member.Failed(f.clock(v), out, false))
+			f.finish(v, out, member.Failed(f.clock(v), out, NoAnswer))
 		}
 	}})
 }
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -435,16 +435,32 @@
 	return u.overLimit(now)
 }
 
-// Failed records that a call was not answered, or that the called VM ignores such calls since it keeps
-// no limits. If the call asked for a token, it returns the decision on the request.
-func (m *Member) Failed(now time.Time, out *Outgoing, ignored bool) Decision {
-	f := &m.groups[out.Call.Group]
+// Failure is why a call was not answered.
+type Failure int
+
+// Failures.
+const (
+	NoAnswer   Failure = iota // no answer in time, or the link broke
+	NotRunning                // the called VM refuses connections: its process has ended, and its state is lost
+	Ignored                   // the called VM keeps no limits
+)
+
+// Failed records that a call was not answered. If the call asked for a token, it returns the decision on
+// the request.
+func (m *Member) Failed(now time.Time, out *Outgoing, why Failure) Decision {
+	f, ignored := &m.groups[out.Call.Group], why == Ignored
 	if out.Call.Serial == 0 {
 		f.probing = false
 	}
 	switch followed := out.Call.Serial == f.serial && f.name == out.To; {
 	case followed && out.Call.Leave:
 		m.follow(now, f, f.next)
+	case followed && why == NotRunning:
+		// Nobody counts this VM any more, unless it has changed lately.
+		alone, first := now.Sub(f.since) >= overlap(len(m.vms)), f.first
+		m.exclude(now, f, out.To, false)
+		m.follow(now, f, m.best(now, f))
+		f.clean, f.first = alone, f.first || alone && first
 	case followed && f.failedAt.IsZero() && !ignored:
 		// This VM may have been paused itself, so a second call has to fail.
 		f.failedAt, f.beatAt = now, now
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -239,7 +239,7 @@
 	defer a.mu.Unlock()
 	var d allotment.Decision
 	if err != nil {
-		d = a.member.Failed(time.Now(), out, result.CodeOf(err) == result.UnknownMethod)
+		d = a.member.Failed(time.Now(), out, failureOf(err))
 		a.wake.notify() // the next candidate is told at once
 	} else {
 		d = a.member.Answered(time.Now(), out, ans)
@@ -257,6 +257,18 @@
 	}
 }
 
+// failureOf returns why a call to an accountant was not answered.
+func failureOf(err error) allotment.Failure {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return allotment.NotRunning
+	case result.CodeOf(err) == result.UnknownMethod:
+		return allotment.Ignored
+	default:
+		return allotment.NoAnswer
+	}
+}
+
 // call sends a call to an accountant, which may be this VM.
 func (a *allotments) call(out *allotment.Outgoing) (*allotment.Answer, error) {
 	if out.To == a.self.Name {
@@ -428,7 +440,7 @@
 		err := client.allot(ctx, vm, &allotment.Call{From: a.self.Name}, new(allotment.Answer))
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.UnknownMethod {
+		if err != nil && failureOf(err) != allotment.NoAnswer {
 			a.gone[vm.Name] = time.Now()
 		} else {
 			delete(a.gone, vm.Name)
