--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleybarrow/bramleybarrow/allotment"
 	"github.com/bramleybarrow/bramleybarrow/logging"
+	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/tenant"
@@ -230,6 +231,38 @@
 		gomega.MatchRegexp(`age_ms=\d`)))
 }
 
+// statedCodec is a HeaderCodec of callers that state their remaining time.
+type statedCodec struct {
+	plainCodec
+	left time.Duration
+}
+
+// CallerTimeout returns the remaining time.
+func (c *statedCodec) CallerTimeout(http.Header) (time.Duration, bool) { return c.left, true }
+
+// Guards against a request that comes back late and is not told from others where tokens are given out.
+func TestLateRequestAsksAsStale(t *testing.T) {
+	g := gomega.NewWithT(t)
+	document := manifestOf(1, "s3cret").Document
+	document.Tenants[0].Limit = limitedTenant.Limit
+	_, engines := newVMsInProcess(1, routing.NewManifest(document))
+	e, caller := engines[0], &statedCodec{left: 3 * time.Second}
+	e.currency.confirm(time.Now(), time.Now(), true)
+	e.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+		return r.Put(registry.Leaf{ID: "leaf", Service: "other"})
+	})
+	var logged bytes.Buffer
+	e.log, e.headerCodec = slog.New(slog.NewTextHandler(&logged, nil)), caller
+	n := &Node{engine: e, self: scatter.VM{Name: "vm-0"}, settings: &Settings{Allotment: AllotmentSettings{WindowS: 5, Excess: 0.1, Slack: 4}}}
+	n.startAllotments(t.Context())
+	for _, stale := range []string{"stale=false", "stale=true"} {
+		logged.Reset()
+		e.ServeHTTP(httptest.NewRecorder(), requestWith("/x", "Bearer s3cret")) // the VM knows no VMs, so it can't admit
+		g.Expect(logged.String()).To(gomega.ContainSubstring(stale))
+		caller.left -= time.Second // longer than the objective
+	}
+}
+
 // Guards against costs and refusals where nothing is limited.
 func TestRequestsWithoutALimitAreNotCounted(t *testing.T) {
 	g := gomega.NewWithT(t)
