leafhttp: the raw connection is kept for the check before each use

Alternating runs of 1,000 requests, two each: Gather 3,139 -> 3,119 allocs, one for each attempt; the times are within the noise (1.6 and 1.8 before, 2.0 and 2.1 ms after, on a busy machine). A trial of a smaller cache of callable owners in place of a map showed no gain and was dropped.

--- a/leafhttp/conn.go
+++ b/leafhttp/conn.go
@@ -13,6 +13,7 @@
 // conn is a connection to a leaf. It carries one request at a time.
 type conn struct {
 	net.Conn
+	raw           syscall.RawConn // of Conn
 	reader        *bufio.Reader
 	reusableUntil time.Time // end of the idle timeout; set when the connection becomes idle
 }
@@ -40,7 +41,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	control, err := raw.(syscall.Conn).SyscallConn()
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return &conn{Conn: raw, raw: control, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
@@ -62,12 +68,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
 	wouldBlock := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
 		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		wouldBlock = peekErr == unix.EAGAIN
