--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -346,6 +346,13 @@
 	a.wake.notify()
 }
 
+// manifestInForce begins to keep the limits of a new manifest.
+func (a *allotments) manifestInForce() {
+	if a != nil {
+		a.wake.notify()
+	}
+}
+
 // applyManifest gives the limits of the manifest in force to the accountants, if it is a new one. The
 // caller must hold a.mu.
 func (a *allotments) applyManifest(now time.Time) {
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -51,6 +51,22 @@
 	limitedRoute  = &routing.Route{Aim: 400 * time.Millisecond}
 )
 
+// Guards against a VM that follows no accountant for up to a second after its start, since it looked
+// for limits before its first manifest was in force, and turns callers away until then.
+func TestLimitsAreKeptFromTheFirstManifestOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := NewEngine(EngineOptions{Self: "a", Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
+	a := newAllotments(e, scatter.VM{Name: "a", Zone: "z", Power: 1}, allotment.Config{Window: 5 * time.Second, Slack: 4}, 1)
+	e.allotments.Store(a)
+	e.setVMs(nil)
+	g.Expect(a.wake).To(gomega.Receive())
+	a.round(t.Context(), time.Now())
+	e.Offer(routing.NewManifest(routing.Document{Version: 1, Tenants: []tenant.Tenant{limitedTenant}}))
+	g.Expect(a.wake).To(gomega.Receive())
+	a.round(t.Context(), time.Now())
+	g.Expect(a.followed[0]).To(gomega.Equal("a"))
+}
+
 // Guards against VMs that each keep a limit of their own, and a 429 that names no time.
 func TestVMsKeepALimitTogether(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -100,6 +100,7 @@
 	e.splitter.Prune(m)
 	e.elapsedTimes.prune(m)
 	e.feed.setManifest(m)
+	e.allotments.Load().manifestInForce()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
