--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -17,7 +17,7 @@
 // with room switched on in which VMs are cut off from the store instead. In 2019 and 2035 more requests run
 // than a limit allows: VMs that have just started do not know each other for seconds, since they can't read
 // the store, and take their shares of the limit for larger than they are. In 2042 a VM that did not
-// know the others served a key that had been taken away.
+// know the others served a key that had been taken away; the limit failed there too, not traced.
 var fixedTenantSeeds = []uint64{1, 2, 2019, 2035, 2042}
 
 // revokeBound is the time after which a key that was taken away must not be served by VMs that reach
