--- a/allotment/accountant.go
+++ b/allotment/accountant.go
@@ -161,19 +161,19 @@
 	if ans.Flipped {
 		a.listNear()
 	}
-	a.word(&ans)
+	a.fillNotice(&ans)
 	return ans
 }
 
-// Word returns what all followers should know: the tenants near their limit.
-func (a *Accountant) Word() Answer {
+// Notice returns what all followers should know: the tenants near their limit.
+func (a *Accountant) Notice() Answer {
 	var ans Answer
-	a.word(&ans)
+	a.fillNotice(&ans)
 	return ans
 }
 
-// word sets the tenants near their limit in an answer.
-func (a *Accountant) word(ans *Answer) {
+// fillNotice sets the tenants near their limit in an answer.
+func (a *Accountant) fillNotice(ans *Answer) {
 	ans.Whole = a.share >= wholeShare
 	if ans.AllNear = len(a.near) > maxNear || a.share == 0; !ans.AllNear {
 		ans.Near = a.near
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -108,7 +108,7 @@
 		a.SetLimits(f.clock(to), f.version, f.tenants())
 		ans := a.Serve(f.clock(to), out.Call)
 		if ans.Flipped {
-			f.tell(to, out.Call.Group, a.Word())
+			f.tell(to, out.Call.Group, a.Notice())
 		}
 		f.post(to, v, func() {
 			if !ended && v.member == member {
@@ -144,11 +144,11 @@
 	}})
 }
 
-// tell sends an accountant's word to all VMs.
-func (f *fleet) tell(from *fleetVM, group int, word Answer) {
+// tell sends an accountant's notice to all VMs.
+func (f *fleet) tell(from *fleetVM, group int, notice Answer) {
 	for _, v := range f.vms {
 		f.post(from, v, func() {
-			v.member.Hear(from.name, group, &word)
+			v.member.Hear(from.name, group, &notice)
 			v.nextAt = time.Time{}
 		})
 	}
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -210,7 +210,7 @@
 	return Decision{Verdict: Asking, Call: out}
 }
 
-// far reports whether a tenant is far from its limit by a recent word of the accountant.
+// far reports whether a tenant is far from its limit by a recent notice of the accountant.
 func (m *Member) far(now time.Time, f *following, name string) bool {
 	return !f.heard.IsZero() && now.Sub(f.heard) < lapse(len(m.vms)) && !f.allNear && !f.near[name]
 }
--- a/edge/allotment_peers.go
+++ b/edge/allotment_peers.go
@@ -12,11 +12,11 @@
 // Methods between VMs about the limits of tenants.
 const (
 	methodAllot     = "allot"      // tells an accountant of requests, or asks for a token; from allotment.Call to allotment.Answer
-	methodAllotNear = "allot_near" // notifies followers of an accountant that tenants have come near their limit; an allotmentWord
+	methodAllotNear = "allot_near" // notifies followers of an accountant that tenants have come near their limit; an allotmentNotice
 )
 
-// allotmentWord is what an accountant tells all its followers.
-type allotmentWord struct {
+// allotmentNotice is what an accountant tells all its followers.
+type allotmentNotice struct {
 	Group  int              `json:"group"`
 	Answer allotment.Answer `json:"answer"`
 }
@@ -28,11 +28,11 @@
 		return nil, result.Errorf(result.UnknownMethod, "%q: tenants are not limited at this VM", method)
 	}
 	if method == methodAllotNear {
-		var word allotmentWord
-		if err := json.Unmarshal(params, &word); err != nil {
+		var notice allotmentNotice
+		if err := json.Unmarshal(params, &notice); err != nil {
 			return nil, result.Wrap(result.BadMessage, err, method)
 		}
-		a.hear(from, &word)
+		a.hear(from, &notice)
 		return nil, nil
 	}
 	var call allotment.Call
@@ -55,11 +55,11 @@
 	return conn.Call(ctx, methodAllot, call, into)
 }
 
-// tellNear implements peerClient. Followers have opened connections to this VM, so the word goes out
+// notifyNear implements peerClient. Followers have opened connections to this VM, so the notice goes out
 // on those.
-func (p *peerTransport) tellNear(word *allotmentWord) {
+func (p *peerTransport) notifyNear(notice *allotmentNotice) {
 	for _, conn := range p.server.Conns() {
-		if err := conn.Notify(methodAllotNear, word); err != nil {
+		if err := conn.Notify(methodAllotNear, notice); err != nil {
 			p.log.Debug("telling a VM of tenants near their limit failed", "vm", conn.Peer().VM, "error", err)
 		}
 	}
@@ -70,5 +70,5 @@
 	return errNotJoined
 }
 
-// tellNear implements peerClient. It tells nobody.
-func (noPeerClient) tellNear(*allotmentWord) {}
+// notifyNear implements peerClient. It tells nobody.
+func (noPeerClient) notifyNear(*allotmentNotice) {}
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -245,9 +245,9 @@
 		d = a.member.Answered(time.Now(), out, ans)
 	}
 	if c := a.accountants[out.Call.Group]; d.Move != "" && c != nil {
-		word := &allotmentWord{Group: out.Call.Group, Answer: c.Word()}
-		word.Answer.Move = d.Move
-		go a.e.currentPeerClient().tellNear(word)
+		notice := &allotmentNotice{Group: out.Call.Group, Answer: c.Notice()}
+		notice.Answer.Move = d.Move
+		go a.e.currentPeerClient().notifyNear(notice)
 	}
 	if out.Call.Serial == 0 || out.Call.Leave {
 		a.wake.notify() // another accountant is to be told at once
@@ -309,20 +309,20 @@
 		a.logOver(now, call.Usage[0].Tenant)
 	}
 	if ans.Flipped {
-		word := &allotmentWord{Group: call.Group, Answer: c.Word()}
+		notice := &allotmentNotice{Group: call.Group, Answer: c.Notice()}
 		client := a.e.currentPeerClient()
-		go client.tellNear(word)
+		go client.notifyNear(notice)
 	}
 	a.logNear(call.Group)
 	return &ans
 }
 
 // hear records what an accountant tells its followers.
-func (a *allotments) hear(from string, word *allotmentWord) {
+func (a *allotments) hear(from string, notice *allotmentNotice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.member.Hear(from, word.Group, &word.Answer)
-	if word.Answer.Move != "" {
+	a.member.Hear(from, notice.Group, &notice.Answer)
+	if notice.Answer.Move != "" {
 		a.wake.notify()
 	}
 }
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -123,7 +123,7 @@
 	g.Eventually(func() bool {
 		for i, e := range engines {
 			if e.allotments.Load().self.Name == accountant {
-				transports[i].tellNear(&allotmentWord{Group: allotment.GroupOf(limitedTenant.Name), Answer: allotment.Answer{AllNear: true}})
+				transports[i].notifyNear(&allotmentNotice{Group: allotment.GroupOf(limitedTenant.Name), Answer: allotment.Answer{AllNear: true}})
 			}
 		}
 		return asks()
--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -35,8 +35,8 @@
 	handOver(ctx context.Context, vm scatter.VM, handover scatter.Handover, limit time.Duration) error
 	// allot sends a call to the accountant of a group of tenants, and stores the answer in into.
 	allot(ctx context.Context, vm scatter.VM, call *allotment.Call, into *allotment.Answer) error
-	// tellNear tells the VMs that follow this one as accountant which tenants are near their limit.
-	tellNear(word *allotmentWord)
+	// notifyNear tells the VMs that follow this one as accountant which tenants are near their limit.
+	notifyNear(notice *allotmentNotice)
 	// reserveSlot asks a VM to which there is a connection, and which keeps account of slots, for a
 	// leaf, and stores the answer in into.
 	reserveSlot(ctx context.Context, vm scatter.VM, call *slotCall, into *slotAnswer) error
--- a/scatter/forecast.go
+++ b/scatter/forecast.go
@@ -34,7 +34,7 @@
 	probedAt   time.Time     // when a request was last admitted in spite of the forecast
 	told       time.Duration // least leaf time that another VM recently told
 	toldAt     time.Time
-	scarce     toldScarcity
+	scarce     reportedScarcity
 }
 
 // forecastOf returns the forecast of one kind of request.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -78,10 +78,10 @@
 	dueSince      time.Time              // when the query first found AnswerBy reached; zero before
 	hedgeRetryAt  time.Time              // no hedge is sent before this time, since one found no idle leaf or no budget
 
-	toldScarce    bool          // a calling VM has told that every shard decides
-	omissionsLeft int           // number of shards that the answer may leave out, besides those omitted at the start
-	refusal       *Refusal      // nil if this VM did not refuse
-	retryAfter    time.Duration // delay after which a refused caller should retry; 0 if no VM refused
+	reportedScarce bool          // a calling VM has told that every shard decides
+	omissionsLeft  int           // number of shards that the answer may leave out, besides those omitted at the start
+	refusal        *Refusal      // nil if this VM did not refuse
+	retryAfter     time.Duration // delay after which a refused caller should retry; 0 if no VM refused
 
 	earlyHedges           int    // number of hedges that went out earlier than usual
 	sent, hedges, retries int    // numbers of attempts, and of hedges and retries among them
@@ -186,7 +186,7 @@
 // Finish.
 func (q *Query) Start(now time.Time) []Action {
 	q.startedAt = now
-	q.hearScarce(now)
+	q.applyReportedScarcity(now)
 	var calls []delegation
 	if q.spec.MayDelegate {
 		calls = q.delegations(now)
--- a/scatter/spare.go
+++ b/scatter/spare.go
@@ -33,26 +33,26 @@
 	earlyHedgeReserveShare = 0.3
 )
 
-// toldScarcity is the latest word of a calling VM that every shard of a kind of request decides. With many
-// VMs, each starts few requests, and few know of the lost shards. The VMs that they call hear it from
+// reportedScarcity is the latest report of a calling VM that every shard of a kind of request decides. With many
+// VMs, each starts few requests, and few know of the lost shards. The VMs that they call learn it from
 // those that do. It is not passed on.
-type toldScarcity struct {
+type reportedScarcity struct {
 	at        time.Time
 	omissions int // number of shards of the call that its answer could leave out, if none were lost
 }
 
-// hearScarce determines whether a calling VM has told, with this call or a recent one, that every shard
+// applyReportedScarcity determines whether a calling VM has told, with this call or a recent one, that every shard
 // decides. A recent one counts only for calls that may leave out as few shards.
-func (q *Query) hearScarce(now time.Time) {
+func (q *Query) applyReportedScarcity(now time.Time) {
 	if !q.spec.Delegated {
 		return
 	}
 	told := &q.table.forecastOf(q.durationKey()).scarce
 	omissions := q.omissionsAllowed(len(q.shards))
 	if q.spec.Scarce {
-		*told = toldScarcity{at: now, omissions: omissions}
+		*told = reportedScarcity{at: now, omissions: omissions}
 	}
-	q.toldScarce = now.Sub(told.at) < scarcityMemory && omissions <= told.omissions
+	q.reportedScarce = now.Sub(told.at) < scarcityMemory && omissions <= told.omissions
 }
 
 // recordLost records the time at which a called VM has left out shards, or, with a zero time, that it has
@@ -97,7 +97,7 @@
 		return false
 	}
 	lost, open := q.lostShards()
-	if q.toldScarce {
+	if q.reportedScarce {
 		return open > 0
 	}
 	spare := q.omissionsAllowed(len(q.shards)) - lost
--- a/scatter/spare_test.go
+++ b/scatter/spare_test.go
@@ -157,7 +157,7 @@
 		q := NewQuery(spec, w.table)
 		q.Start(w.now)
 		q.Abandon()
-		return q.toldScarce
+		return q.reportedScarce
 	}
 	w.Expect(decides(false, 9)).To(gomega.BeFalse())
 	w.Expect(decides(true, 9)).To(gomega.BeTrue())
