Shards that may have run are not asked for in another zone

An owner is silent and may have sent requests; the call fails over to the next owner, which refuses for its own lateness; since refusals are not final, VMs of another zone are called. The leafs that all VMs called for a shard may use depend on the called VM's zone, so these use another leaf than the silent owner, which has one of its own choice besides. The same holds for a stand-in of another zone after a failover.

A shard that another VM may have queried is called for in the zone of the first call only, or sent to its common leafs directly. Ruled out: hedges and early hedges, which count the leafs that may have run it.

Seen red: TestShardsThatMayHaveRunAreNotAskedForInAnotherZone with the code before.

--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -192,7 +192,7 @@
 		}
 	}
 	timeLeft := q.spec.AnswerBy.Sub(now)
-	final := q.isFinal(now, d)
+	final := q.isFinal(now, d, redelegated)
 	interimBy := now.Add(time.Duration(interimAnswerShare * float64(timeLeft)))
 	failoverAt := q.failoverTime(now, interimBy)
 	q.calls[id] = &call{
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -129,6 +129,9 @@
 	if len(open) >= minDelegatedShards {
 		v = q.table.pickVM(now, c.partition, q.vmsCalledFor(c.partition))
 	}
+	if v != nil && !q.keepsCommonLeafs(v, open, redelegated) {
+		v = nil
+	}
 	switch {
 	case v != nil:
 		return []Action{q.callVM(now, delegation{vm: v, partition: c.partition, shards: open, step: c.step}, redelegated)}
@@ -138,6 +141,16 @@
 	return nil
 }
 
+// keepsCommonLeafs reports whether a call to a VM for the given shards keeps to the leafs that VMs called
+// for them before may have used. These depend on the zone of the called VM. A shard that another VM may
+// have queried must not be queried at further leafs. redelegated says that this holds for all of them.
+func (q *Query) keepsCommonLeafs(v *vm, shards []int, redelegated bool) bool {
+	return !slices.ContainsFunc(shards, func(i int) bool {
+		s := &q.shards[i]
+		return (redelegated || s.redelegated) && s.commonZone != v.Zone
+	})
+}
+
 // vmsCalledFor returns the names of the VMs that this query has called for a leaf partition.
 func (q *Query) vmsCalledFor(p zonePartition) []string {
 	var names []string
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -112,6 +112,7 @@
 	redelegated    bool      // a second VM was called for the shard after a first one that may have queried it
 	shared         bool      // another VM may query it too
 	commonLeafs    []LeafID  // if shared: leafs that either VM may use
+	commonZone     string    // if shared: zone of the called VM, from which commonLeafs were computed
 	ownChoice      LeafID    // if shared: the leaf that only this VM uses; zero for none
 	includedAnswer int       // number, from 1, of the used answer of another VM that includes the shard; 0 for none
 }
@@ -268,7 +269,7 @@
 // shareShard records that another VM may query the shard too, and computes the leafs that either
 // VM may use. Leafs in zone, the zone of the called VM, come first.
 func (q *Query) shareShard(s *shard, zone string) {
-	s.shared = true
+	s.shared, s.commonZone = true, zone
 	s.commonLeafs = q.table.commonLeafs(s.service, zone, q.spec.RequestID, q.spec.MaxAttempts)
 }
 
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -85,19 +85,22 @@
 
 // askElsewhere calls other VMs for shards that the VM of call c does not query, and returns these
 // calls. It calls another owner of the leaf partition, or else owners in other zones. Shards for which
-// nobody is left, or no time, stay without a call.
+// nobody is left, or no time, stay without a call, and so do those that a VM called before may have queried:
+// VMs of another zone would use other leafs.
 func (q *Query) askElsewhere(now time.Time, c *call, shards []int) []Action {
 	if c.step == firstOwner {
-		if v := q.table.pickVM(now, c.partition, q.vmsCalledFor(c.partition)); v != nil {
+		v := q.table.pickVM(now, c.partition, q.vmsCalledFor(c.partition))
+		if v != nil && q.keepsCommonLeafs(v, shards, c.redelegated) {
 			return []Action{q.callVM(now, delegation{vm: v, partition: c.partition, shards: shards, step: anotherOwner}, c.redelegated)}
 		}
 	}
-	if c.step == anotherZone {
+	if c.step == anotherZone || c.redelegated {
 		return nil
 	}
+	shards = slices.DeleteFunc(slices.Clone(shards), func(i int) bool { return q.shards[i].redelegated })
 	var acts []Action
 	for _, d := range q.delegationsElsewhere(now, c.partition.zone, shards) {
-		acts = append(acts, q.callVM(now, d, c.redelegated))
+		acts = append(acts, q.callVM(now, d, false))
 	}
 	return acts
 }
@@ -149,7 +152,8 @@
 }
 
 // isFinal reports whether nobody else could be called for the shards of a call if its VM refused.
-func (q *Query) isFinal(now time.Time, d delegation) bool {
+// redelegated says that another VM may have queried them.
+func (q *Query) isFinal(now time.Time, d delegation, redelegated bool) bool {
 	if d.step == anotherZone {
 		return true
 	}
@@ -157,6 +161,9 @@
 	if d.step == firstOwner && len(q.table.delegates(now, d.partition, called)) > 0 {
 		return false
 	}
+	if redelegated {
+		return true
+	}
 	canCall := q.table.callableOwners(now)
 	return !slices.ContainsFunc(d.shards, func(i int) bool {
 		return len(q.otherZones(now, i, d.partition.zone, canCall)) > 0
--- a/scatter/refusal_test.go
+++ b/scatter/refusal_test.go
@@ -39,6 +39,18 @@
 	w.Expect(out.RetryAfter).To(gomega.Equal(refusedBy.RetryAfter))
 }
 
+// Guards against a shard that runs on more leafs than its route allows: an owner was silent and may have
+// sent requests, the next one refuses, and VMs of another zone would choose other leafs.
+func TestShardsThatMayHaveRunAreNotAskedForInAnotherZone(t *testing.T) {
+	w := newWorld(t)
+	q, first := newQueryWithTwoOwners(w, 10)
+	second := vmCalls(q.CallFail(w.now, first.Call, false))[0]
+	w.Expect(second.Redelegated).To(gomega.BeTrue())
+	w.Expect(second.VM.Zone).To(gomega.Equal(first.VM.Zone))
+	w.Expect(second.Final).To(gomega.BeTrue())
+	w.Expect(vmCalls(q.CallReply(w.now, second.Call, refusedBy))).To(gomega.BeEmpty())
+}
+
 // Guards against 69 shards that leafs work on for nobody, since a weak owner refused the other 66 at
 // once. The other owner answers those.
 func TestRefusalOfOnePartKeepsTheOthers(t *testing.T) {
