--- a/scatter/delegate.go
+++ b/scatter/delegate.go
@@ -77,16 +77,7 @@
 	local = q.spill(now, local, remote)
 	byPartition := make(map[zonePartition][]int)
 	q.assignToPartitions(byPartition, q.table.zone, local)
-	for len(remote) > 0 {
-		zone, shards := q.zoneWithMostShards(remote)
-		if len(shards) < minDelegatedShards {
-			break
-		}
-		for _, i := range shards {
-			delete(remote, i)
-		}
-		q.assignToPartitions(byPartition, zone, shards)
-	}
+	q.assignToZones(byPartition, remote)
 	var calls []delegation
 	for _, p := range slices.SortedFunc(maps.Keys(byPartition), compareZonePartitions) {
 		shards := byPartition[p]
@@ -100,6 +91,22 @@
 	return calls
 }
 
+// assignToZones adds shards to byPartition under a leaf partition of one of their zones, in few zones: the
+// zone with leafs of the most shards is chosen first. remote maps each shard to its zones; the shards that
+// are left in it are too few in any zone.
+func (q *Query) assignToZones(byPartition map[zonePartition][]int, remote map[int][]string) {
+	for len(remote) > 0 {
+		zone, shards := q.zoneWithMostShards(remote)
+		if len(shards) < minDelegatedShards {
+			return
+		}
+		for _, i := range shards {
+			delete(remote, i)
+		}
+		q.assignToPartitions(byPartition, zone, shards)
+	}
+}
+
 // compareZonePartitions orders partitions by zone, then by number.
 func compareZonePartitions(a, b zonePartition) int {
 	return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.partition, b.partition))
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -116,16 +116,7 @@
 		}
 	}
 	byPartition := make(map[zonePartition][]int)
-	for len(remote) > 0 {
-		zone, list := q.zoneWithMostShards(remote)
-		if len(list) < minDelegatedShards {
-			break
-		}
-		for _, i := range list {
-			delete(remote, i)
-		}
-		q.assignToPartitions(byPartition, zone, list)
-	}
+	q.assignToZones(byPartition, remote)
 	var calls []delegation
 	for _, p := range slices.SortedFunc(maps.Keys(byPartition), compareZonePartitions) {
 		list := byPartition[p]
