Logs tell a leaf that ended under a request from a cut connection

What operators could not see: 'attempt failed' says 'broken' for a reset connection, a corrupt answer and a leaf that ended, and nothing says that attempts of different ids ask the same. The hypotheses on requests that end leafs could not be told apart.

Change: after a connection that was lost under a request, a new one shows whether the leaf still listens (leafhttp.Pool.Check). The connection to a leaf that lives is kept for the next request. The result is logged with the fingerprint of the request's content, which the line of the request and the calls between VMs carry too. Decisions are unchanged.

Ruled out: the list of leafs as the sign of an end (entries go seconds later), and the closing of idle connections (a VM without one sees none).

Tests: leafhttp (ended, cut, truncated, silent, refused), new with the code, so not seen red.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -152,6 +152,7 @@
 		Rank:               r.spec.Rank,
 		Tenant:             r.spec.Tenant,
 		ManifestVersion:    r.e.toldVersion(),
+		Content:            r.spec.Content[:],
 		Top:                r.req.Top,
 		MaxAttempts:        r.spec.MaxAttempts,
 		LatencyObjectiveUS: r.spec.LatencyObjective.Microseconds(),
@@ -264,6 +265,7 @@
 		BudgetWeight:     scatter.DelegateWeight,
 		Rank:             call.Rank,
 		Tenant:           call.Tenant,
+		Content:          call.content(),
 	}
 	if call.Redelegated {
 		spec.BudgetWeight = 0 // the VM that was called first has counted the request in its budget
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
@@ -171,7 +172,8 @@
 	Body   []byte
 
 	Outcome  scatter.Outcome
-	Services []string // of the shards that Outcome names, by index
+	Services []string               // of the shards that Outcome names, by index
+	Content  quarantine.Fingerprint // of the request; zero if another VM served it
 	// dueAt is when the answer was due: when the query was decided, or should have been. Zero if the
 	// answer is not merged here.
 	dueAt time.Time
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
@@ -54,6 +55,20 @@
 	Scarce bool `cbor:"24,keyasint,omitempty"`
 	// ManifestVersion is that of the calling VM's manifest if it names tenants, else 0.
 	ManifestVersion int64 `cbor:"19,keyasint,omitempty"`
+	// Content is that of the caller's request, see scatter.Spec; empty from a VM of an earlier
+	// release.
+	Content []byte `cbor:"25,keyasint,omitempty"`
+}
+
+// content returns the fingerprint of the caller's request. A VM of an earlier release does not state
+// it; gathered requests seldom have a body, so that it then follows from the other fields.
+func (c *gatherCall) content() quarantine.Fingerprint {
+	var f quarantine.Fingerprint
+	if len(c.Content) != len(f) {
+		return quarantine.FingerprintOf(c.Tenant, c.Method, c.Host, c.Target, nil)
+	}
+	copy(f[:], c.Content)
+	return f
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
@@ -255,6 +256,7 @@
 		BudgetWeight:     1,
 		Rank:             who.rank,
 		Tenant:           who.name(),
+		Content:          quarantine.FingerprintOf(who.name(), req.HTTP.Method, req.HTTP.Host, req.HTTP.Target, req.HTTP.Body),
 	}
 	if !spec.Gathered {
 		spec.Services = []string{e.splitter.Next(route)}
@@ -274,7 +276,7 @@
 	} else {
 		res = run.singleResult(out)
 	}
-	res.Services = spec.Services
+	res.Services, res.Content = spec.Services, spec.Content
 	return res
 }
 
--- a/edge/log.go
+++ b/edge/log.go
@@ -18,6 +18,7 @@
 	e.stats.request(route.Kind.String(), out, took)
 	e.log.Info("request", append(append(refusalFields(out), who.logFields()...),
 		"request", req.ID,
+		"content", res.Content.String(),
 		"route", route.Name,
 		"kind", route.Kind.String(),
 		"manifest", version,
--- a/edge/run.go
+++ b/edge/run.go
@@ -348,6 +348,22 @@
 	r.logAttemptEnd(s, ev, err)
 	r.post(ev)
 	r.slot.attemptEnded(s.Leaf, ev.end, metadata)
+	if err != nil && leafhttp.ConnectionLost(err) {
+		r.checkLeaf(s, endpoint)
+	}
+}
+
+// checkLeaf finds out whether a leaf has ended while it ran an attempt, whose connection was lost.
+func (r *runner) checkLeaf(s scatter.Send, endpoint leafhttp.Endpoint) {
+	found := r.e.pool.Check(context.Background(), endpoint)
+	r.e.stats.count(`bramley_edge_leaf_checks_total{result=%q}`, found)
+	r.e.log.Info("leaf checked after a lost connection",
+		"request", r.req.ID,
+		"content", r.spec.Content.String(),
+		"service", r.spec.Services[s.Shard],
+		"leaf", s.Leaf.ID,
+		"result", found.String(),
+	)
 }
 
 // linger returns how long an attempt continues to wait for an answer after scatter.Send.Until, the
--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -26,6 +26,9 @@
 	ExtraAnswer     bool          // a second answer follows each one
 	NoReceipt       bool          // answers have no receipt
 	Silent          bool          // requests are counted as run and get no answer until the caller disconnects
+	// EndOn reports whether a request ends the leaf when it begins to run, as a crash of its process
+	// does: all connections are closed, and new ones are refused. Nil means that none does.
+	EndOn func(uri string) bool
 }
 
 // Leaf simulates one incarnation of a leaf. Set the exported fields before Start. Its methods are
@@ -49,6 +52,7 @@
 	lastBody   []byte         // body of the latest request
 	lastURI    string         // path and query of the latest request
 	inFlight   int            // requests that are running
+	ended      bool           // a request has ended the leaf
 }
 
 // Start starts the leaf on a free port of the loopback and returns l.
@@ -72,6 +76,24 @@
 	l.server.Close()
 }
 
+// end ends the leaf like a crash of its process: its listener is closed first, then all connections,
+// with the requests that run.
+func (l *Leaf) end() {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	// An error means that another request has ended the leaf before.
+	_ = l.server.Listener.Close()
+	l.server.CloseClientConnections()
+}
+
+// Ended reports whether a request has ended the leaf.
+func (l *Leaf) Ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
 // DropConnections closes all connections, also those that wait for an answer.
 func (l *Leaf) DropConnections() { l.server.CloseClientConnections() }
 
@@ -185,6 +207,10 @@
 		return
 	}
 	l.doWork(r, f)
+	if f.EndOn != nil && f.EndOn(r.RequestURI) {
+		go l.end() // CloseClientConnections waits for the connection of this request
+		panic(http.ErrAbortHandler)
+	}
 	l.writeAnswer(w, id, f)
 }
 
--- /dev/null
+++ b/leafhttp/ended_test.go
@@ -0,0 +1,63 @@
+package leafhttp_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/bramleybarrow/bramleybarrow/internal/lab/edgesim"
+	"github.com/bramleybarrow/bramleybarrow/leafhttp"
+)
+
+// check checks a leaf after a request whose connection was lost, and returns what it found.
+func check(g *gomega.WithT, pool *leafhttp.Pool, l *edgesim.Leaf) leafhttp.Liveness {
+	_, err := call(pool, l, "lost")
+	g.Expect(leafhttp.ConnectionLost(err)).To(gomega.BeTrue(), "%v", err)
+	return pool.Check(context.Background(), leafhttp.Endpoint{Key: l.ID, Address: l.Address()})
+}
+
+// Guards against a leaf that ended while it ran a request being taken for one that cut a connection.
+func TestEndedLeafIsToldFromCutConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLeaf(t)
+	pool := leafhttp.NewPool()
+	l.SetFaults(edgesim.LeafFaults{LoseAnswers: true})
+	g.Expect(check(g, pool, l)).To(gomega.Equal(leafhttp.Alive))
+	l.SetFaults(edgesim.LeafFaults{TruncateBody: true})
+	g.Expect(check(g, pool, l)).To(gomega.Equal(leafhttp.Alive))
+	l.SetFaults(edgesim.LeafFaults{EndOn: func(string) bool { return true }})
+	g.Expect(check(g, pool, l)).To(gomega.Equal(leafhttp.Ended))
+}
+
+// Guards against a connection for each check of a leaf that lives: the next request takes it.
+func TestConnectionOfACheckIsReused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLeaf(t)
+	pool := leafhttp.NewPool()
+	l.SetFaults(edgesim.LeafFaults{LoseAnswers: true})
+	g.Expect(check(g, pool, l)).To(gomega.Equal(leafhttp.Alive))
+	l.SetFaults(edgesim.LeafFaults{})
+	before, _, _ := pool.Stats()
+	_, err := call(pool, l, "next")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	after, _, _ := pool.Stats()
+	g.Expect(after).To(gomega.Equal(before))
+}
+
+// Guards against a silent leaf, or one that was never reached, being taken for one that ended.
+func TestSilenceIsNoLostConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLeaf(t)
+	pool := leafhttp.NewPool()
+	l.SetFaults(edgesim.LeafFaults{Silent: true})
+	_, err := callWithTimeout(pool, l, "silent", 50*time.Millisecond)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(leafhttp.ConnectionLost(err)).To(gomega.BeFalse())
+	l.Stop()
+	_, err = call(pool, l, "refused")
+	g.Expect(errors.As(err, new(*leafhttp.UnreachableError))).To(gomega.BeTrue())
+	g.Expect(leafhttp.ConnectionLost(err)).To(gomega.BeFalse())
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -1,6 +1,10 @@
 package scatter
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
+)
 
 // Spec describes one request.
 type Spec struct {
@@ -21,6 +25,8 @@
 	MayDelegate bool
 	// RequestID is the id of the caller's request, the same at all VMs that take part.
 	RequestID string
+	// Content identifies what the request asks, the same for each attempt of the caller.
+	Content quarantine.Fingerprint
 	// Delegated says that another VM called this one for the request.
 	Delegated bool
 	// Views holds, for a delegated request, the calling VM's view of each shard: a hash of
