--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -35,6 +35,9 @@
 	handOver(ctx context.Context, vm scatter.VM, handover scatter.Handover, limit time.Duration) error
 	// allot sends a call to the accountant of a group of tenants, and stores the answer in into.
 	allot(ctx context.Context, vm scatter.VM, call *allotment.Call, into *allotment.Answer) error
+	// tellQuarantine tells other VMs of contents that end leafs. all are the other VMs; if they are few,
+	// connections are opened to those that have none.
+	tellQuarantine(ctx context.Context, all []scatter.VM, notices []quarantineNotice)
 	// notifyNear tells the VMs that follow this one as accountant which tenants are near their limit.
 	notifyNear(notice *allotmentNotice)
 	// reserveSlot asks a VM to which there is a connection, and which keeps account of slots, for a
@@ -106,6 +109,7 @@
 	onSent := func() { r.post(event{call: call.Call, sent: true}) }
 	err := r.e.currentPeerClient().gather(ctx, call.VM, r.newGatherCall(call), onSent, func(ans *gatherAnswer) {
 		r.e.hearVersion(call.VM.Name, ans.ManifestVersion)
+		r.e.hearQuarantine(call.VM.Name, ans.Quarantine)
 		callAnswer, err := toShardsAnswer(call, ans)
 		if err != nil {
 			r.e.log.Error("invalid answer of a VM dropped", "request", r.req.ID, "vm", call.VM.Name, "error", err)
@@ -153,6 +157,7 @@
 		Tenant:             r.spec.Tenant,
 		ManifestVersion:    r.e.toldVersion(),
 		Content:            r.spec.Content[:],
+		Quarantine:         r.e.quarantineNoticesOf(r.spec.Content),
 		Top:                r.req.Top,
 		MaxAttempts:        r.spec.MaxAttempts,
 		LatencyObjectiveUS: r.spec.LatencyObjective.Microseconds(),
@@ -234,6 +239,7 @@
 	if e.toldVersion() > 0 {
 		call.Header.Del(headerAuthorization) // a VM with an older manifest may pass it on
 	}
+	e.hearQuarantine("", call.Quarantine)
 	now := time.Now()
 	fromNow := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	req := &Request{
@@ -290,6 +296,7 @@
 		final.Cause = outcome.RefusalCause()
 	}
 	final.LeafTimeUS = r.leafTime().Microseconds()
+	final.Quarantine = e.quarantineNoticesOf(spec.Content)
 	answer(final)
 	e.logGather(req, spec, outcome, time.Since(now))
 }
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -30,6 +30,7 @@
 	allotments       atomic.Pointer[allotments] // limits of tenants; nil if the settings have none
 	livenessCheckDue wakeup                     // wakes checkVMs after a failed call to another VM
 	suspectVMs       wakeup                     // wakes probeVMs after a failed call to another VM or a failed liveness check
+	quarantineNews   wakeup                     // wakes tellQuarantineNews after the guard has learned what other VMs should know
 	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
 	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
 	room             atomic.Pointer[ownRoom]    // room of this VM; nil if it is not measured
@@ -41,6 +42,8 @@
 
 	slots atomic.Pointer[slotKeeping] // accounts of leafs' slots; nil if the settings have none
 
+	quarantineTelling sync.Mutex // held while other VMs are told what the guard has learned; locked before mu
+
 	offerMu sync.Mutex // held while a manifest is put in force; locked before mu
 
 	mu          sync.Mutex         // guards the fields below and the query of each runner
@@ -80,6 +83,7 @@
 		livenessCheckDue: newWakeup(),
 		suspectVMs:       newWakeup(),
 		suspectLeafs:     newWakeup(),
+		quarantineNews:   newWakeup(),
 		peerClient:       noPeerClient{},
 		table:            table,
 		registry:         registry.New(),
@@ -145,6 +149,13 @@
 	return e.registry.Len()
 }
 
+// otherVMs returns the number of other VMs that are listed now.
+func (e *Engine) otherVMs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.table.VMs())
+}
+
 // setVMs replaces the list of the other VMs. Owners that have returned are told what this VM knows.
 func (e *Engine) setVMs(others []scatter.VM) {
 	e.currency.setVMs(e.self, others)
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -58,6 +58,8 @@
 	// Content is that of the caller's request, see scatter.Spec; empty from a VM of an earlier
 	// release.
 	Content []byte `cbor:"25,keyasint,omitempty"`
+	// Quarantine is what the calling VM knows of Content, at most one notice.
+	Quarantine []quarantineNotice `cbor:"26,keyasint,omitempty"`
 }
 
 // content returns the fingerprint of the caller's request. A VM of an earlier release does not state
@@ -100,6 +102,9 @@
 	// ManifestVersion is that of the called VM's manifest if it names tenants, else 0. Only the
 	// acknowledgement states it.
 	ManifestVersion int64 `cbor:"13,keyasint,omitempty"`
+	// Quarantine is what the called VM knows of the content of the call, at most one notice. Only the
+	// last answer states it.
+	Quarantine []quarantineNotice `cbor:"14,keyasint,omitempty"`
 }
 
 // decodeBody decodes the body of a message into a *gatherCall or a *gatherAnswer. The sender may
--- a/edge/log.go
+++ b/edge/log.go
@@ -26,6 +26,7 @@
 		"status", res.Status,
 		"shards", len(route.Gather),
 		"missing", out.Missing,
+		"quarantined", out.Quarantined,
 		"gaps", formatGaps(out.Gaps, res.Services),
 		"sent", out.Sent,
 		"hedges", out.Hedges,
--- a/edge/node.go
+++ b/edge/node.go
@@ -206,6 +206,7 @@
 	mux.HandleFunc(pat.Get("/metrics"), func(w http.ResponseWriter, _ *http.Request) {
 		n.engine.writeMetrics(w)
 	})
+	n.engine.handleQuarantine(mux)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
@@ -247,6 +248,7 @@
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.livenessCheckDue, n.checkVMs); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.suspectVMs, n.probeVMs); return nil })
 	n.tomb.Go(func() error { probeLoop(ctx, n.engine.suspectLeafs, n.probeLeafs); return nil })
+	n.tomb.Go(func() error { n.engine.tellQuarantineNews(ctx); return nil })
 }
 
 // maxStaleShare bounds the age of the latest answer from the store at a VM that others follow,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -35,6 +35,7 @@
 	counters wire.Counters
 	log      *slog.Logger
 	server   *wire.Server
+	greet    func(*wire.Conn) // tells a VM at the other end of a new connection of quarantined contents
 
 	mu      sync.Mutex                      // guards the fields below
 	links   map[string]*peerLink            // by name and address of the VM
@@ -65,12 +66,16 @@
 		MaxCalls:     peerMaxCalls,
 		PingInterval: peerPingInterval,
 		SilentAfter:  peerSilenceTimeout,
-		InOrder:      func(method string) bool { return method == methodGathered },
+		InOrder:      func(method string) bool { return method == methodGathered || method == methodQuarantine },
 		Handler: func(ctx context.Context, conn *wire.Conn, method string, params json.RawMessage) (any, error) {
 			return p.handle(ctx, e, conn, method, params)
 		},
 	}
-	server, err := wire.Listen(listen, p.opts, &p.counters, func(c *wire.Conn) { c.Serve() })
+	p.greet = func(c *wire.Conn) { p.sendQuarantine(c, e.quarantinedContents()) }
+	server, err := wire.Listen(listen, p.opts, &p.counters, func(c *wire.Conn) {
+		c.Serve()
+		p.greet(c)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +113,8 @@
 			p.reportLoss()
 		}
 		return nil, nil
+	case methodQuarantine:
+		return nil, e.serveQuarantine(conn.Peer().VM, params)
 	case methodHandOver:
 		return nil, e.serveHandOver(ctx, conn, params)
 	case methodSuccessor:
@@ -156,6 +163,16 @@
 // reportLoss implements peerClient. It tells all VMs to which there is a connection, dialled or
 // accepted, that VMs were lost.
 func (p *peerTransport) reportLoss() {
+	for _, conn := range p.openConns() {
+		// The VM at the other end may be lost itself, or be told by others.
+		if err := conn.Notify(methodLost, nil); err != nil {
+			p.log.Debug("telling a VM of lost VMs failed", "vm", conn.Peer().VM, "error", err)
+		}
+	}
+}
+
+// openConns returns the open connections to other VMs, dialled or accepted.
+func (p *peerTransport) openConns() []*wire.Conn {
 	p.mu.Lock()
 	links := slices.Collect(maps.Values(p.links))
 	p.mu.Unlock()
@@ -165,12 +182,7 @@
 			conns = append(conns, conn)
 		}
 	}
-	for _, conn := range conns {
-		// The VM at the other end may be lost itself, or be told by others.
-		if err := conn.Notify(methodLost, nil); err != nil {
-			p.log.Debug("telling a VM of lost VMs failed", "vm", conn.Peer().VM, "error", err)
-		}
-	}
+	return conns
 }
 
 // sendAnswer sends an answer to the VM that made the call. If that fails, the failure is only
@@ -315,6 +327,7 @@
 		return nil, err
 	}
 	conn.Serve()
+	p.greet(conn)
 	l.conn = conn
 	return conn, nil
 }
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// notifyIf wakes the loop if there is a reason.
+func (w wakeup) notifyIf(reason bool) {
+	if reason {
+		w.notify()
+	}
+}
+
 // probeLoop runs a round of probes at the start, whenever wake is notified, and whenever a
 // probe is due, until ctx ends. round reports whether it probed anything, and if not, when the
 // next probe is due; the zero time means never. After a round with probes the next round
--- a/edge/run.go
+++ b/edge/run.go
@@ -111,6 +111,9 @@
 func (r *runner) run(ctx context.Context) scatter.Outcome {
 	out := r.loop(ctx)
 	close(r.done)
+	if out.Verdict != scatter.Answered && !r.spec.Delegated && r.e.knowsContent(r.spec.Content) {
+		r.e.tellQuarantine(ctx) // before the caller, whose next attempt comes through another VM
+	}
 	r.e.stats.ranked(r.spec, out, r.query.Yields())
 	// The results of the attempts in flight are not needed any more if the caller has
 	// disconnected, or if a gathered request has its result. A request that is not idempotent
@@ -216,6 +219,7 @@
 	if r.e.table.LivenessCheckRequested() {
 		r.e.livenessCheckDue.notify()
 	}
+	r.e.quarantineNews.notifyIf(r.e.table.Guard().HasNews())
 	return acts, r.query.Wake(now)
 }
 
@@ -340,22 +344,61 @@
 		r.e.table.RecordLoad(now, s.Leaf, metadata.Load)
 	}
 	r.e.table.AttemptEnded(now, s.Leaf, s.SentAt, ev.end)
+	lost := err != nil && ev.end == scatter.EndBroken && leafhttp.ConnectionLost(err)
+	if lost {
+		r.e.table.RecordLost(now, r.spec.Content, s.Leaf, s.SentAt)
+	} else {
+		r.e.table.RecordEnd(now, r.spec.Content, s.Leaf, s.SentAt, ev.end)
+	}
+	r.e.quarantineNews.notifyIf(r.e.table.Guard().HasNews())
 	r.e.mu.Unlock()
 	if ev.end == scatter.EndSilent || ev.end == scatter.EndUnreachable {
 		r.e.suspectLeafs.notify()
 	}
 	r.e.stats.attempt(s.Reason, ev.end)
 	r.logAttemptEnd(s, ev, err)
+	if lost {
+		r.awaitCheck(s, endpoint)
+	}
 	r.post(ev)
 	r.slot.attemptEnded(s.Leaf, ev.end, metadata)
-	if err != nil && leafhttp.ConnectionLost(err) {
+}
+
+// checkWait is how long an attempt that is not gathered waits for the check of its leaf. The query may
+// then end, and other VMs have to know of the leaf by then. A gathered request has other shards to wait
+// for.
+const checkWait = 20 * time.Millisecond
+
+// awaitCheck starts a check of the leaf of an attempt whose connection was lost, and waits for it if the
+// request is not gathered.
+func (r *runner) awaitCheck(s scatter.Send, endpoint leafhttp.Endpoint) {
+	checked := make(chan struct{})
+	go func() {
 		r.checkLeaf(s, endpoint)
+		close(checked)
+	}()
+	if r.spec.Gathered {
+		return
+	}
+	select {
+	case <-checked:
+	case <-time.After(checkWait):
 	}
 }
 
 // checkLeaf finds out whether a leaf has ended while it ran an attempt, whose connection was lost.
 func (r *runner) checkLeaf(s scatter.Send, endpoint leafhttp.Endpoint) {
 	found := r.e.pool.Check(context.Background(), endpoint)
+	r.e.mu.Lock()
+	now := time.Now()
+	r.e.table.RecordChecked(now, r.spec.Content, s.Leaf, found == leafhttp.Ended)
+	if found == leafhttp.Ended && !r.spec.Gathered {
+		// The client's next attempt comes through another VM, before this one can have quarantined
+		// the content.
+		r.e.table.Guard().Tell(now, r.spec.Content)
+	}
+	r.e.quarantineNews.notifyIf(r.e.table.Guard().HasNews())
+	r.e.mu.Unlock()
 	r.e.stats.count(`bramley_edge_leaf_checks_total{result=%q}`, found)
 	r.e.log.Info("leaf checked after a lost connection",
 		"request", r.req.ID,
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -79,6 +79,9 @@
 	s.count(`bramley_edge_requests_total{kind=%q,verdict=%q}`, kind, out.Verdict)
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`bramley_edge_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
 	s.set.GetOrCreateCounter(`bramley_edge_calls_after_refusal_total`).Add(out.Reasked)
+	if out.Quarantined {
+		s.count(`bramley_edge_quarantined_requests_total{verdict=%q}`, out.Verdict)
+	}
 	if out.Missing > 0 {
 		s.set.GetOrCreateCounter(`bramley_edge_missing_shards_total`).Add(out.Missing)
 	}
@@ -94,7 +97,9 @@
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_dropped_total %d\n", discarded)
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_idle %d\n", e.pool.Idle())
 	fmt.Fprintf(w, "bramley_edge_leafs %d\n", e.Leafs())
+	fmt.Fprintf(w, "bramley_edge_other_vms %d\n", e.otherVMs())
 	e.writeRoomMetrics(w)
+	e.writeQuarantineMetrics(w)
 	e.lateAnswers.writeMetrics(w, time.Now())
 	isolated := 0
 	if e.isolated() {
--- a/edge/warm.go
+++ b/edge/warm.go
@@ -29,7 +29,7 @@
 			}
 			sleep(ctx, warmDialPause)
 		}
-		n.engine.warmDelegates(ctx)
+		n.engine.warmVMs(ctx)
 	}
 }
 
@@ -41,13 +41,17 @@
 	return endpointsOf(e.table.UnusedLeafs())
 }
 
-// warmDelegates opens a connection to each VM that this one calls, unless there is one.
-func (e *Engine) warmDelegates(ctx context.Context) {
+// warmVMs opens a connection to each VM that this one calls, and in a small fleet to each VM that it tells
+// of contents that end leafs, unless there is one.
+func (e *Engine) warmVMs(ctx context.Context) {
 	e.mu.Lock()
-	delegates := e.table.Delegates(time.Now())
+	list := e.table.VMs()
+	if len(list) > maxDirectlyTold {
+		list = e.table.Delegates(time.Now())
+	}
 	client := e.peerClient
 	e.mu.Unlock()
-	for _, vm := range delegates {
+	for _, vm := range list {
 		// The error is ignored: an unreachable VM is detected when it is called.
 		if opened, _ := client.connect(ctx, vm); opened {
 			sleep(ctx, warmDialPause)
--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -84,7 +84,7 @@
 	l.mu.Unlock()
 	// An error means that another request has ended the leaf before.
 	_ = l.server.Listener.Close()
-	l.server.CloseClientConnections()
+	go l.server.CloseClientConnections() // it waits for the connection of the request that ends the leaf
 }
 
 // Ended reports whether a request has ended the leaf.
@@ -208,7 +208,7 @@
 	}
 	l.doWork(r, f)
 	if f.EndOn != nil && f.EndOn(r.RequestURI) {
-		go l.end() // CloseClientConnections waits for the connection of this request
+		l.end()
 		panic(http.ErrAbortHandler)
 	}
 	l.writeAnswer(w, id, f)
--- a/leafhttp/ended.go
+++ b/leafhttp/ended.go
@@ -39,11 +39,11 @@
 const (
 	// checkTimeout bounds a check. A machine that lives refuses or accepts within some milliseconds.
 	checkTimeout = 200 * time.Millisecond
-	// checkSettleTime is how long a new connection has to stay open. While a process ends, its
-	// listener may accept a connection that is closed at once.
+	// checkSettleTime is how long the first connection has to stay open. While a process ends, its
+	// listener may accept connections that are closed at once. The time doubles with each.
 	checkSettleTime = 2 * time.Millisecond
 	// maxCheckDials bounds the connections that a check opens.
-	maxCheckDials = 3
+	maxCheckDials = 6
 )
 
 // Check finds out, by a new connection, whether a leaf whose connection was lost has ended. The
@@ -51,7 +51,7 @@
 func (p *Pool) Check(ctx context.Context, leaf Endpoint) Liveness {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	for range maxCheckDials {
+	for n := range maxCheckDials {
 		p.dials.Add(1)
 		c, err := dial(ctx, leaf.Address)
 		switch {
@@ -61,7 +61,7 @@
 			return LivenessUnknown
 		}
 		select {
-		case <-time.After(checkSettleTime):
+		case <-time.After(checkSettleTime << n):
 		case <-ctx.Done():
 		}
 		if c.reusable() {
@@ -72,3 +72,17 @@
 	}
 	return LivenessUnknown
 }
+
+// Recheck is Check for a leaf that a check has found alive a moment ago. It opens a connection only if
+// the one of that check was closed meanwhile.
+func (p *Pool) Recheck(ctx context.Context, leaf Endpoint) Liveness {
+	if c := p.pop(leaf); c != nil {
+		if c.reusable() {
+			p.put(leaf, c, time.Until(c.reusableUntil))
+			return Alive
+		}
+		p.discarded.Add(1)
+		_ = c.Close()
+	}
+	return p.Check(ctx, leaf)
+}
--- a/leafhttp/ended_test.go
+++ b/leafhttp/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -61,3 +62,36 @@
 	g.Expect(errors.As(err, new(*leafhttp.UnreachableError))).To(gomega.BeTrue())
 	g.Expect(leafhttp.ConnectionLost(err)).To(gomega.BeFalse())
 }
+
+// Guards against giving up on a leaf that ends slowly: its listener accepts connections for a while after the
+// request's connection was closed, and closes each at once.
+func TestLeafThatEndsSlowlyHasEnded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() {
+		for range 4 {
+			if conn, err := ln.Accept(); err == nil {
+				_ = conn.Close()
+			}
+		}
+		_ = ln.Close()
+	}()
+	endpoint := leafhttp.Endpoint{Key: "leaf-1", Address: ln.Addr().String()}
+	g.Expect(leafhttp.NewPool().Check(context.Background(), endpoint)).To(gomega.Equal(leafhttp.Ended))
+}
+
+// Guards against a leaf that ends while its check believes it alive, and stays so for good.
+func TestLeafThatEndsAfterItsCheckIsFoundLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLeaf(t)
+	pool := leafhttp.NewPool()
+	endpoint := leafhttp.Endpoint{Key: l.ID, Address: l.Address()}
+	g.Expect(pool.Check(context.Background(), endpoint)).To(gomega.Equal(leafhttp.Alive))
+	before, _, _ := pool.Stats()
+	g.Expect(pool.Recheck(context.Background(), endpoint)).To(gomega.Equal(leafhttp.Alive))
+	after, _, _ := pool.Stats()
+	g.Expect(after).To(gomega.Equal(before))
+	l.Stop()
+	g.Expect(pool.Recheck(context.Background(), endpoint)).To(gomega.Equal(leafhttp.Ended))
+}
--- /dev/null
+++ b/quarantine/guard_test.go
@@ -0,0 +1,319 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// vm is the guard of one VM, and a clock that only the test advances.
+type vm struct {
+	*gomega.WithT
+	*Guard
+	now time.Time
+}
+
+// deadly is a content that ends leafs.
+var deadly = FingerprintOf("", "GET", "h", "/deadly", nil)
+
+// newVM returns a VM that suspects nothing.
+func newVM(t gomega.WithT) *vm { return &vm{WithT: &t, Guard: New(), now: time.Unix(1_000_000, 0)} }
+
+// wait advances the clock.
+func (v *vm) wait(d time.Duration) { v.now = v.now.Add(d) }
+
+// allows returns what is allowed for the deadly content.
+func (v *vm) allows(known Evidence) Decision {
+	d, _ := v.Decide(v.now, deadly, known)
+	return d
+}
+
+// send sends the deadly content to a leaf, and returns when.
+func (v *vm) send(leaf string) time.Time {
+	v.wait(time.Millisecond)
+	v.Sent(v.now, deadly, leaf, true)
+	return v.now
+}
+
+// lose loses the connection of a send, and finds out whether the leaf has ended.
+func (v *vm) lose(leaf string, sentAt time.Time, ended bool) {
+	v.wait(time.Millisecond)
+	v.Lost(v.now, deadly, leaf, sentAt)
+	v.Checked(v.now, deadly, leaf, ended)
+}
+
+// wave sends the deadly content to n leafs at the same time, all of which end.
+func (v *vm) wave(n int) {
+	var sent []time.Time
+	for i := range n {
+		sent = append(sent, v.send(fmt.Sprint("leaf-", i)))
+	}
+	for i := range n {
+		v.lose(fmt.Sprint("leaf-", i), sent[i], true)
+	}
+}
+
+// tellAll tells another VM all news, and returns what that VM tells further VMs.
+func (v *vm) tellAll(other *vm) (passedOn int) {
+	for _, n := range v.TakeNews(v.now, maxContents) {
+		other.Merge(other.now, n)
+	}
+	return len(other.TakeNews(other.now, maxContents))
+}
+
+// Guards against a request that ends one leaf after the other: the fourth leaf must not get it.
+func TestFourthLeafDoesNotGetADeadlyRequest(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	for i := range 3 {
+		v.Expect(v.allows(Evidence{Sent: i > 0})).NotTo(gomega.BeElementOf(Await, Refuse))
+		leaf := fmt.Sprint("leaf-", i)
+		v.lose(leaf, v.send(leaf), true)
+	}
+	v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	v.wait(firstQuarantine / 2)
+	d, left := v.Decide(v.now, deadly, Evidence{})
+	v.Expect(d).To(gomega.Equal(Refuse))
+	v.Expect(left).To(gomega.BeNumerically("~", firstQuarantine/2, time.Second))
+}
+
+// Guards against repeats of a request over many shards that no leaf answers: it is quarantined as soon as
+// nothing is in flight.
+func TestWaveWithoutAnswerIsNotRepeated(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(9)
+	v.Expect(v.allows(Evidence{Sent: true, InFlight: true})).To(gomega.Equal(Await))
+	v.Expect(v.allows(Evidence{Sent: true, Pending: true})).To(gomega.Equal(Await))
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Await), "another query waits for answers to this one")
+	v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Refuse))
+}
+
+// Guards against taking a request for a deadly one since leafs crash under it that others answer: it stays
+// served, first at one leaf, and freely after that leaf has answered.
+func TestAnsweredRequestBesideCrashesStaysServed(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(9)
+	v.Expect(v.allows(Evidence{Sent: true, InFlight: true})).To(gomega.Equal(Await))
+	v.Answered(v.now, deadly, "leaf-20", v.now.Add(-time.Second)) // sent before the first crash
+	v.Expect(v.allows(Evidence{Sent: true, InFlight: true, Answered: true})).To(gomega.Equal(Trial))
+	sent := v.send("leaf-30")
+	v.Expect(v.allows(Evidence{Sent: true, InFlight: true, Answered: true})).To(gomega.Equal(Await))
+	v.wait(time.Millisecond)
+	v.Answered(v.now, deadly, "leaf-30", sent)
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+}
+
+// Guards against a request that ends some leafs and is answered by others: of those that end, one more gets
+// it, and not one for each shard.
+func TestTrialThatEndsItsLeafIsTheLast(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(3)
+	v.Answered(v.now, deadly, "leaf-20", v.now.Add(-time.Second))
+	v.Expect(v.allows(Evidence{Sent: true, Answered: true})).To(gomega.Equal(Trial))
+	sent := v.send("leaf-30")
+	v.wait(time.Millisecond)
+	v.Lost(v.now, deadly, "leaf-30", sent)
+	v.Expect(v.allows(Evidence{Sent: true, Answered: true})).To(gomega.Equal(Await), "its leaf is being checked")
+	v.Checked(v.now, deadly, "leaf-30", true)
+	v.Expect(v.allows(Evidence{Sent: true, Answered: true})).To(gomega.Equal(Refuse))
+}
+
+// Guards against taking cut connections for ended leafs.
+func TestCutConnectionsLeadToNoQuarantine(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	for i := range 20 {
+		leaf := fmt.Sprint("leaf-", i)
+		v.lose(leaf, v.send(leaf), false)
+		v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Free))
+	}
+}
+
+// Guards against one crash that holds up a request which many clients send.
+func TestOneCrashHoldsNothingUp(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(1)
+	for range 50 {
+		v.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+		v.send("leaf-20")
+	}
+}
+
+// Guards against crashes far apart that add up, since answers between them are not counted.
+func TestAnswersBetweenCrashesCount(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	for i := range 10 {
+		leaf := fmt.Sprint("leaf-", i)
+		v.lose(leaf, v.send(leaf), true)
+		sent := v.send("leaf-20")
+		v.wait(time.Millisecond)
+		v.Answered(v.now, deadly, "leaf-20", sent)
+		v.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+	}
+}
+
+// Guards against a quarantine that never ends, and against one after which all shards get the request at
+// once. A further one lasts longer, and an answered trial ends it.
+func TestQuarantineEndsWithTrials(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(4)
+	v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	for n, length := range []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine} {
+		v.wait(length + time.Second)
+		v.Expect(v.allows(Evidence{})).To(gomega.Equal(Trial))
+		leaf := fmt.Sprint("later-", n)
+		sent := v.send(leaf)
+		v.Expect(v.allows(Evidence{})).To(gomega.Equal(Await))
+		v.lose(leaf, sent, true)
+		v.Expect(v.allows(Evidence{})).To(gomega.Equal(Refuse))
+	}
+	v.wait(longestQuarantine)
+	sent := v.send("healthy")
+	v.wait(time.Millisecond)
+	v.Answered(v.now, deadly, "healthy", sent)
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+}
+
+// Guards against a trial at a slow leaf that holds up all others until its time is over.
+func TestSlowTrialDoesNotHoldUpOthers(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(2)
+	v.send("slow")
+	v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Await))
+	v.wait(trialPatience)
+	v.Expect(v.allows(Evidence{Sent: true})).To(gomega.Equal(Trial))
+}
+
+// Guards against a quarantine that holds at one VM only, and against notices that go round for ever.
+func TestOtherVMsKeepAQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two, three := newVM(*g), newVM(*g), newVM(*g)
+	one.wave(5)
+	one.Expect(one.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	news := one.TakeNews(one.now, maxContents)
+	g.Expect(news).To(gomega.HaveLen(1))
+	g.Expect(two.Merge(two.now, news[0])).To(gomega.BeTrue())
+	g.Expect(two.tellAll(three)).To(gomega.Equal(1))
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Refuse))
+	g.Expect(three.allows(Evidence{})).To(gomega.Equal(Refuse))
+	g.Expect(two.Merge(two.now, news[0])).To(gomega.BeFalse())
+	g.Expect(one.Merge(one.now, news[0])).To(gomega.BeFalse())
+}
+
+// Guards against the ends of one content that each VM counts for itself.
+func TestEndsOfAllVMsAddUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newVM(*g), newVM(*g)
+	for _, leaf := range []string{"leaf-0", "leaf-1"} {
+		one.lose(leaf, one.send(leaf), true)
+		one.Tell(one.now, deadly)
+	}
+	one.tellAll(two)
+	two.wait(time.Second)
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Trial))
+	two.lose("leaf-2", two.send("leaf-2"), true)
+	g.Expect(two.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+}
+
+// Guards against a VM with older knowledge that brings a lifted quarantine back.
+func TestLiftedQuarantineStaysLifted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newVM(*g), newVM(*g)
+	one.wave(5)
+	one.allows(Evidence{Sent: true})
+	stale := one.Quarantined(one.now, 10)
+	g.Expect(stale).To(gomega.HaveLen(1))
+	one.tellAll(two)
+	g.Expect(two.Lift(two.now, deadly)).To(gomega.BeTrue())
+	two.tellAll(one)
+	for _, v := range []*vm{one, two} {
+		g.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+		g.Expect(v.Merge(v.now, stale[0])).To(gomega.BeFalse())
+		g.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+	}
+	one.wave(5) // ends leafs again
+	g.Expect(one.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	one.tellAll(two)
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Refuse))
+}
+
+// Guards against a quarantine of an innocent content by a VM that asked few leafs: answers that another
+// VM has end it everywhere.
+func TestAnswersElsewhereEndAQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	called, calling := newVM(*g), newVM(*g)
+	called.wave(3)
+	g.Expect(called.allows(Evidence{Sent: true})).To(gomega.Equal(Refuse))
+	called.tellAll(calling)
+	g.Expect(calling.allows(Evidence{Answered: true})).To(gomega.Equal(Trial))
+	stale := called.Quarantined(called.now, 1)
+	for _, n := range calling.TakeNews(calling.now, maxContents) {
+		called.Merge(called.now, n)
+	}
+	g.Expect(called.allows(Evidence{Sent: true})).To(gomega.Equal(Trial))
+	calling.Merge(calling.now, stale[0])
+	g.Expect(calling.allows(Evidence{})).To(gomega.Equal(Trial))
+}
+
+// Guards against memory that grows with contents that differ, and against forgetting quarantines for those.
+func TestMemoryIsBoundedWhenEveryRequestDiffers(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(5)
+	v.allows(Evidence{Sent: true})
+	for i := range 5 * maxContents {
+		f := FingerprintOf("", "GET", "h", fmt.Sprint("/", i), nil)
+		v.wait(time.Microsecond)
+		v.Lost(v.now, f, "leaf-x", v.now)
+		v.Checked(v.now, f, "leaf-x", true)
+		v.Tell(v.now, f)
+		v.Merge(v.now, Notice{Content: FingerprintOf("", "GET", "h", fmt.Sprint("/told/", i), nil), Epoch: 1, Ended: []string{"leaf-y"}})
+	}
+	v.Expect(len(v.entries)).To(gomega.BeNumerically("<=", maxContents))
+	v.Expect(len(v.news)).To(gomega.BeNumerically("<=", maxContents))
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Refuse))
+	v.wait(suspectMemory + time.Second)
+	suspect, quarantined := v.Sizes(v.now)
+	v.Expect(suspect).To(gomega.Equal(1), "the content that was quarantined is remembered")
+	v.Expect(quarantined).To(gomega.BeZero())
+}
+
+// TestGuardInvariants plays one content at one VM in any order of sends, ends and answers. However they fall,
+// at most one trial that is not slow is in flight, and a content that ends every leaf ends no more than were
+// in flight together, and one for each quarantine.
+func TestGuardInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := New()
+		now := time.Unix(1_000_000, 0)
+		type send struct {
+			leaf   string
+			sentAt time.Time
+		}
+		var inFlight []send
+		ends, mostTogether := 0, 0
+		for n := range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "pause")) * time.Millisecond)
+			known := Evidence{Sent: n > 0, InFlight: len(inFlight) > 0}
+			if rapid.Bool().Draw(t, "send") || len(inFlight) == 0 {
+				d, _ := g.Decide(now, deadly, known)
+				if d == Free || d == Trial {
+					leaf := fmt.Sprint("leaf-", n)
+					g.Sent(now, deadly, leaf, true)
+					inFlight = append(inFlight, send{leaf, now})
+					mostTogether = max(mostTogether, len(inFlight))
+				}
+				continue
+			}
+			s := inFlight[0]
+			inFlight = inFlight[1:]
+			g.Lost(now, deadly, s.leaf, s.sentAt)
+			g.Checked(now, deadly, s.leaf, true)
+			ends++
+		}
+		quarantines := g.Counts().Quarantines
+		if ends > max(mostTogether, endsUntilQuarantine)+quarantines+1 {
+			t.Fatalf("%d leafs ended; %d were asked together at most, %d quarantines", ends, mostTogether, quarantines)
+		}
+	})
+}
--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -24,6 +24,9 @@
 // attempt on the shard is in flight.
 func (q *Query) trySend(now time.Time, i int, reason AttemptReason) []Action {
 	s := &q.shards[i]
+	if q.holdsBack(now, s, reason) {
+		return nil
+	}
 	leafs := q.candidates(s)
 	filter := leafFilter{exclude: s.tried, idleOnly: reason == Hedge}
 	late := false
@@ -137,6 +140,9 @@
 	typical, known := q.table.typicalDuration(now, q.durationKey())
 	l.recordSent(pendingRequest{sentAt: now, typical: typical, known: known})
 	q.table.recordIfLimited(now, l)
+	if q.table.guard.Knows(q.spec.Content) {
+		q.table.guard.Sent(now, q.spec.Content, leafName(l.id), s.sends > 1)
+	}
 	until := q.usefulUntil(now)
 	q.attempts[q.lastAttempt] = &attempt{shard: i, leaf: l.id, sentAt: now, until: until}
 	return Send{
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -27,6 +27,7 @@
 		q.setPollAt(&q.shards[i], time.Time{})
 	}
 	out.Refusal = q.refusal
+	out.Quarantined = q.quarantined()
 	out.EarlyHedges = q.earlyHedges
 	out.Sent, out.Hedges, out.Retries, out.Called = q.sent, q.hedges, q.retries, len(q.calls)
 	for _, c := range q.calls {
@@ -90,8 +91,8 @@
 // retryAfterOrDefault returns the delay after which the caller should retry: the one of the VM
 // that refused the request, or else the default.
 func (q *Query) retryAfterOrDefault() time.Duration {
-	if q.retryAfter > 0 {
-		return q.retryAfter
+	if wait := max(q.retryAfter, q.quarantinedFor); wait > 0 {
+		return wait
 	}
 	d := time.Duration(defaultRetryAfterShare * float64(q.spec.LatencyObjective))
 	return min(max(d, minRetryAfter), maxRetryAfter)
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -126,7 +126,7 @@
 	redelegated := mayHaveSent || c.redelegated
 	open := q.unanswered(id)
 	var v *vm
-	if len(open) >= minDelegatedShards {
+	if len(open) >= minDelegatedShards && q.mayCallVMs(now) {
 		v = q.table.pickVM(now, c.partition, q.vmsCalledFor(c.partition))
 	}
 	if v != nil && !q.keepsCommonLeafs(v, open, redelegated) {
--- a/scatter/gap.go
+++ b/scatter/gap.go
@@ -12,24 +12,25 @@
 // The reasons why a shard had no answer when its query ended, in the order in which they are
 // written out. An attempt is one request to a leaf.
 const (
-	GapSlow       GapCause = iota // an attempt on the shard was still in flight
-	GapNoCapacity                 // no leaf could take an attempt: each was full, in cooldown, suspect or too slow
-	GapBudget                     // the budget, which bounds hedges and retries, did not allow another attempt
-	GapLate                       // it was too late for another attempt
-	GapAttempts                   // all allowed attempts ended without an answer
-	GapNoLeaf                     // no known leaf takes requests
-	GapForecast                   // by the forecast, no leaf could have answered in time
-	GapCall                       // the called VM answered, but not for this shard
-	GapSilent                     // the called VM did not answer
-	GapDeclined                   // the called VM left the shard to the calling VM, since the two know different leafs
-	GapEvacuated                  // all leafs that would take requests are in evacuated zones
-	gapCauses                     // number of the causes above, not a cause itself
+	GapSlow        GapCause = iota // an attempt on the shard was still in flight
+	GapNoCapacity                  // no leaf could take an attempt: each was full, in cooldown, suspect or too slow
+	GapBudget                      // the budget, which bounds hedges and retries, did not allow another attempt
+	GapLate                        // it was too late for another attempt
+	GapAttempts                    // all allowed attempts ended without an answer
+	GapNoLeaf                      // no known leaf takes requests
+	GapForecast                    // by the forecast, no leaf could have answered in time
+	GapCall                        // the called VM answered, but not for this shard
+	GapSilent                      // the called VM did not answer
+	GapDeclined                    // the called VM left the shard to the calling VM, since the two know different leafs
+	GapEvacuated                   // all leafs that would take requests are in evacuated zones
+	GapQuarantined                 // the request ended leafs, or may have, so that no other leaf got it
+	gapCauses                      // number of the causes above, not a cause itself
 )
 
 // String returns the word for the cause that is used in logs and metrics.
 func (c GapCause) String() string {
 	return [...]string{
-		"slow", "room", "budget", "late", "attempts", "no_leaf", "forecast", "call", "silent", "declined", "evacuated",
+		"slow", "room", "budget", "late", "attempts", "no_leaf", "forecast", "call", "silent", "declined", "evacuated", "quarantined",
 	}[c]
 }
 
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -88,6 +88,7 @@
 	omissionsLeft  int           // number of shards that the answer may leave out, besides those omitted at the start
 	refusal        *Refusal      // nil if this VM did not refuse
 	retryAfter     time.Duration // delay after which a refused caller should retry; 0 if no VM refused
+	quarantinedFor time.Duration // how long the request gets to no leaf since it ends them; 0 if it may
 
 	earlyHedges           int    // number of hedges that went out earlier than usual
 	sent, hedges, retries int    // numbers of attempts, and of hedges and retries among them
@@ -193,9 +194,12 @@
 // Finish.
 func (q *Query) Start(now time.Time) []Action {
 	q.startedAt = now
+	if acts := q.refuseQuarantined(now); acts != nil {
+		return acts
+	}
 	q.applyReportedScarcity(now)
 	var calls []delegation
-	if q.spec.MayDelegate {
+	if q.spec.MayDelegate = q.spec.MayDelegate && q.mayCallVMs(now); q.spec.MayDelegate {
 		calls = q.delegations(now)
 	}
 	if q.spec.Delegated {
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -37,7 +37,7 @@
 	switch {
 	case out.Sent > 0:
 		return RefusedBySome
-	case out.Refusal != nil && out.Refusal.OwnTime == 0:
+	case out.Quarantined, out.Refusal != nil && out.Refusal.OwnTime == 0:
 		return RefusedForLeafs
 	}
 	// A VM that has just started may know no leafs.
@@ -80,7 +80,7 @@
 // mayAskElsewhere reports whether other VMs may be called for shards that one has refused: they are enough
 // for a call, and there is time.
 func (q *Query) mayAskElsewhere(now time.Time, shards []int) bool {
-	return len(shards) >= minDelegatedShards && q.spec.AnswerBy.Sub(now) >= q.minReaskTime(now)
+	return len(shards) >= minDelegatedShards && q.mayCallVMs(now) && q.spec.AnswerBy.Sub(now) >= q.minReaskTime(now)
 }
 
 // askElsewhere calls other VMs for shards that the VM of call c does not query, and returns these
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/latency"
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 )
 
@@ -48,6 +49,7 @@
 	callRefusalRate failureRate        // share of calls that other VMs refuse
 	rooms           *rooms             // room of other VMs; nil if VMs are chosen by nominal power
 	admitAll        bool               // for tests: the forecast refuses no request
+	guard           *quarantine.Guard  // keeps requests that end leafs from further ones
 	urgency         *urgency           // decides by rank and tenant; nil if all requests are equal
 }
 
@@ -85,6 +87,7 @@
 		rng:          rng,
 		budgetConfig: budgetConfig,
 		startedAt:    startedAt,
+		guard:        quarantine.New(),
 		leafs:        make(map[string]*leaf),
 		services:     make(map[string]*service),
 		vms:          make(map[string]*vm),
--- a/scatter/vm.go
+++ b/scatter/vm.go
@@ -37,6 +37,15 @@
 // while the zone is short of VMs anyway.
 const memberRetention = 20 * time.Second
 
+// VMs returns the other VMs that are listed now, in no order.
+func (t *Table) VMs() []VM {
+	list := make([]VM, 0, len(t.vms))
+	for _, v := range t.vms {
+		list = append(list, v.VM)
+	}
+	return list
+}
+
 // SetVMs sets the list of the other VMs, and divides the leafs of each zone among its VMs. What
 // is known of VMs that stay unchanged is kept.
 func (t *Table) SetVMs(now time.Time, others []VM) {
