--- a/edge/run.go
+++ b/edge/run.go
@@ -386,9 +386,27 @@
 	}
 }
 
-// checkLeaf finds out whether a leaf has ended while it ran an attempt, whose connection was lost.
+// recheckPause is the time after which a leaf that was alive after a lost connection is checked again. A
+// process that ends slowly may take connections until then.
+const recheckPause = 50 * time.Millisecond
+
+// checkLeaf finds out whether a leaf has ended while it ran an attempt, whose connection was lost. If it
+// is alive, checkLeaf returns, and the leaf is checked again later.
 func (r *runner) checkLeaf(s scatter.Send, endpoint leafhttp.Endpoint) {
 	found := r.e.pool.Check(context.Background(), endpoint)
+	r.recordCheck(s, found)
+	if found != leafhttp.Alive {
+		return
+	}
+	time.AfterFunc(recheckPause, func() {
+		if r.e.pool.Recheck(context.Background(), endpoint) == leafhttp.Ended {
+			r.recordCheck(s, leafhttp.Ended)
+		}
+	})
+}
+
+// recordCheck records and logs what a check of a leaf has found.
+func (r *runner) recordCheck(s scatter.Send, found leafhttp.Liveness) {
 	r.e.mu.Lock()
 	now := time.Now()
 	r.e.table.RecordChecked(now, r.spec.Content, s.Leaf, found == leafhttp.Ended)
