--- a/explain/explain.go
+++ b/explain/explain.go
@@ -172,17 +172,18 @@
 // gapTexts maps the cause of a gap, as log lines name it, to its meaning. A gap is a shard
 // without an answer.
 var gapTexts = map[string]string{
-	"slow":      "asked, and not answered in time",
-	"room":      "not asked, since leafs were full or in cooldown after failures",
-	"budget":    "not asked again, since the budget for that was spent",
-	"late":      "not asked again, since an attempt failed too late for another",
-	"attempts":  "asked as often as allowed, without an answer",
-	"no_leaf":   "without a leaf that accepts requests",
-	"evacuated": "not asked, since all of their leafs are in evacuated zones",
-	"forecast":  "not asked, since no leaf was expected to answer in time",
-	"call":      "without an answer at the VM that was called",
-	"silent":    "delegated to a VM that had not answered",
-	"declined":  "left to the calling VM",
+	"slow":        "asked, and not answered in time",
+	"room":        "not asked, since leafs were full or in cooldown after failures",
+	"budget":      "not asked again, since the budget for that was spent",
+	"late":        "not asked again, since an attempt failed too late for another",
+	"attempts":    "asked as often as allowed, without an answer",
+	"no_leaf":     "without a leaf that accepts requests",
+	"evacuated":   "not asked, since all of their leafs are in evacuated zones",
+	"quarantined": "not asked, or not asked again, since the request ended leafs or may have",
+	"forecast":    "not asked, since no leaf was expected to answer in time",
+	"call":        "without an answer at the VM that was called",
+	"silent":      "delegated to a VM that had not answered",
+	"declined":    "left to the calling VM",
 }
 
 // gapSummary says why shards were missing at the VM that received the request, and at the
