A panic ends a request, not the VM that serves it

A panic in the goroutine of an attempt, or in the handler of a message of another VM, ended the process. The client's next attempt, or the failover of the call, then ended the next VM. No input that panics is known.

Change: attempts, messages of other VMs and callers' requests recover. Each VM recovers for itself, so nothing has to be counted over VMs.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -27,6 +27,7 @@
 // paths or send answers of its own, so only the manifest in force decides how a request is
 // answered.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer e.answerPanic(w, r)
 	arrived := time.Now()
 	m := e.inForce.Get()
 	if m == nil {
@@ -36,6 +37,21 @@
 	e.serveBy(w, r, arrived, m)
 }
 
+// answerPanic recovers from a panic while a request was served. A leaf may have run it, so its outcome
+// is unknown.
+func (e *Engine) answerPanic(w http.ResponseWriter, r *http.Request) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	e.logPanic("serving a request panicked", p, "path", r.URL.Path)
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusBadGateway)
+}
+
 // serveBy serves a caller's request by manifest m, which is in force.
 func (e *Engine) serveBy(w http.ResponseWriter, r *http.Request, arrived time.Time, m *routing.Manifest) {
 	if limit := m.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
--- a/edge/log.go
+++ b/edge/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -90,6 +91,12 @@
 	)...)
 }
 
+// logPanic counts and logs a panic p. It has to be called by the function that recovers.
+func (e *Engine) logPanic(msg string, p any, fields ...any) {
+	e.stats.count(`bramley_edge_panics_total`)
+	e.log.Error(msg, append([]any{"panic", fmt.Sprint(p), "stack", string(debug.Stack())}, fields...)...)
+}
+
 // maxNamedGaps is how many services a log line names for each cause of gaps.
 const maxNamedGaps = 3
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -321,19 +321,7 @@
 // before.
 func (r *runner) send(ctx context.Context, s scatter.Send) {
 	endpoint := leafhttp.Endpoint{Key: poolKey(s.Leaf), Address: s.Address, Transient: !s.KeepConnection}
-	var metadata LeafMetadata
-	// An answer on a reused connection may be a late answer to an earlier request.
-	matches := func(ans *leafhttp.Answer) bool {
-		metadata = r.e.headerCodec.ParseLeafHeaders(ans.Status, ans.Header)
-		return metadata.RequestID == "" || metadata.RequestID == r.req.ID
-	}
-	ans, err := r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until), r.spec.Tenant), matches)
-	ev := event{attempt: s.Attempt}
-	if err == nil {
-		ev.reply, ev.end = r.classifyAnswer(s, ans, metadata)
-	} else {
-		ev.end = endOfAttempt(ctx, err)
-	}
+	ev, metadata, err := r.exchange(ctx, s, endpoint)
 	if ev.end == scatter.EndSilent {
 		// Other connections to this leaf may be dead too.
 		r.e.pool.CloseIdle(endpoint.Key)
@@ -386,6 +374,35 @@
 	}
 }
 
+// exchange sends an attempt to its leaf, and returns the event that says how it ended. A panic, which
+// what the leaf answers may cause, ends the attempt and not this process: the client's next attempt
+// would end that of another VM.
+func (r *runner) exchange(ctx context.Context, s scatter.Send, endpoint leafhttp.Endpoint) (ev event, metadata LeafMetadata, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.e.logPanic("an attempt panicked", p, "request", r.req.ID)
+			ev = event{attempt: s.Attempt, end: scatter.EndBroken}
+			metadata, err = LeafMetadata{}, errPanicked
+		}
+	}()
+	// An answer on a reused connection may be a late answer to an earlier request.
+	matches := func(ans *leafhttp.Answer) bool {
+		metadata = r.e.headerCodec.ParseLeafHeaders(ans.Status, ans.Header)
+		return metadata.RequestID == "" || metadata.RequestID == r.req.ID
+	}
+	ans, err := r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until), r.spec.Tenant), matches)
+	ev = event{attempt: s.Attempt}
+	if err == nil {
+		ev.reply, ev.end = r.classifyAnswer(s, ans, metadata)
+	} else {
+		ev.end = endOfAttempt(ctx, err)
+	}
+	return ev, metadata, err
+}
+
+// errPanicked means that an attempt panicked.
+var errPanicked = errors.New("edge: the attempt panicked")
+
 // recheckPause is the time after which a leaf that was alive after a lost connection is checked again. A
 // process that ends slowly may take connections until then.
 const recheckPause = 50 * time.Millisecond
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -267,11 +268,18 @@
 }
 
 // callHandler returns the result of Options.Handler, or an error with the code UnknownMethod if
-// there is no handler.
-func (c *Conn) callHandler(ctx context.Context, method string, params json.RawMessage) (any, error) {
+// there is no handler. A panic becomes an error: it would end this process, and then that of the VM to
+// which the peer turns next.
+func (c *Conn) callHandler(ctx context.Context, method string, params json.RawMessage) (res any, err error) {
 	if c.opts.Handler == nil {
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
+	defer func() {
+		if p := recover(); p != nil {
+			c.opts.Log.Error("serving a message of a peer panicked", "method", method, "peer", c.remote, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			res, err = nil, result.Errorf(result.Internal, "%s panicked", method)
+		}
+	}()
 	return c.opts.Handler(ctx, c, method, params)
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -276,6 +277,29 @@
 	g.Expect(result.CodeOf(<-blocked)).To(Equal(result.PeerSilent))
 }
 
+// Guards against a message that ends the process which serves it, and then that of the next VM to which it
+// is sent.
+func TestPanicOfAHandlerIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	o := options("a", oldKey)
+	o.InOrder = func(method string) bool { return method == "deadly in order" }
+	o.Handler = func(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error) {
+		if strings.HasPrefix(method, "deadly") {
+			panic("fault on this message")
+		}
+		return echo(ctx, c, method, params)
+	}
+	s := serve(t, o)
+	c, err := dial(s, options("b", oldKey))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Wait()
+	defer c.Close()
+	for _, method := range []string{"deadly", "deadly in order"} {
+		g.Expect(result.CodeOf(call(c, method, nil))).To(Equal(result.Internal))
+	}
+	g.Expect(call(c, "echo", 1)).To(Succeed())
+}
+
 // Guards against reordering: handlers of one connection run concurrently, so the second of
 // two messages could be handled before the first. Methods of InOrder must keep the order.
 func TestInOrderMessagesKeepOrder(t *testing.T) {
