VMs that don't know the fleet keep no limits of tenants

Cause: each VM counts the fleet by its own list. VMs that start together read the list before the others are in it; the four of the trace knew 0, 1, 1 and 2 others for 4 to 6 s, and three or four were accountants of one group with shares that added up to more than 2.

Change: the list of a VM that no earlier process has announced is settled by a reading that holds its own entry, 2 s or more after it was written. Until then the VM is no accountant, refuses calls to it as one, and has no spare tokens; it follows others.

Ruled out: a share by a guessed size of the fleet (wrong for larger ones); the list of a neighbour (a VM that knows nobody and is known by nobody stays alone with it).

--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -576,3 +576,28 @@
 		a.Serve(now, call)
 	}
 }
+
+// Guards against VMs that start together, read the list of VMs before the others are in it, and then lose the
+// store: each would take its share of the limit for larger than it is.
+func TestFleetThatDoesNotKnowItselfKeepsTheLimit(t *testing.T) {
+	for seed := range uint64(20) {
+		g := gomega.NewWithT(t)
+		f := newFleet(4, seed)
+		f.limits["t"] = tenant.Limit{RatePerS: 10, Burst: 5}
+		for i, v := range f.vms {
+			v.member = NewMember(testConfig, v.name, seed)
+			v.member.SetSettled(false)
+			v.member.SetVMs(f.clock(v), slices.Compact([]VM{{Name: f.vms[i/2].name, Power: 1}, {Name: v.name, Power: 1}}))
+		}
+		f.run(6*time.Second, f.load("t", 100))
+		for _, v := range f.vms {
+			v.member.SetSettled(true)
+			v.member.SetVMs(f.clock(v), f.list)
+		}
+		f.run(6*time.Second, f.load("t", 100))
+		before := len(f.ran["t"])
+		f.run(6*time.Second, f.load("t", 100))
+		g.Expect(f.most("t")).To(gomega.BeNumerically("<=", testConfig.Bound(f.limits["t"])), "seed %d", seed)
+		g.Expect(len(f.ran["t"])-before).To(gomega.BeNumerically(">=", 50), "seed %d: the limit is 10 a second", seed)
+	}
+}
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -100,6 +100,16 @@
 func (f *fleet) send(v *fleetVM, out *Outgoing) {
 	to, member, ended := f.vm(out.To), v.member, false
 	deliver := func() {
+		if !to.member.Settled() {
+			f.post(to, v, func() {
+				if !ended && v.member == member {
+					ended = true
+					f.finish(v, out, member.Failed(f.clock(v), out, NoAnswer))
+					v.nextAt = time.Time{}
+				}
+			})
+			return
+		}
 		a := to.accountants[out.Call.Group]
 		if a == nil {
 			a = NewAccountant(testConfig, out.Call.Group, to.member.Members(f.clock(to)), f.clock(to))
--- a/allotment/follow.go
+++ b/allotment/follow.go
@@ -61,6 +61,9 @@
 func (m *Member) best(now time.Time, f *following) string {
 	silent := 0
 	for _, name := range f.order {
+		if name == m.self && m.unsettled {
+			continue
+		}
 		c := f.cooldowns[name]
 		if !now.Before(c.until) {
 			return name
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -58,6 +58,7 @@
 	rng       *rand.Rand
 	vms       []VM                 // the fleet, this VM included
 	left      map[string]time.Time // VMs that are no longer listed, by the time up to which they count
+	unsettled bool                 // vms may lack VMs that started with this one
 	groups    [Groups]following
 	tenants   map[string]*usage
 	startedAt time.Time // when the list of VMs was first known
@@ -152,6 +153,14 @@
 	}
 }
 
+// SetSettled says whether the list of VMs is known to hold all that have started with this one. A new
+// Member takes it for settled. While it is not, this VM doesn't know its share: it is no accountant and
+// has no spare tokens, but follows others.
+func (m *Member) SetSettled(settled bool) { m.unsettled = !settled }
+
+// Settled reports what SetSettled has said.
+func (m *Member) Settled() bool { return !m.unsettled }
+
 // young reports whether this VM has just started.
 func (m *Member) young(now time.Time) bool { return now.Sub(m.startedAt) < youngFor }
 
@@ -509,7 +518,7 @@
 			rank++
 		}
 	}
-	if len(m.vms) == 0 {
+	if len(m.vms) == 0 || m.unsettled {
 		return 0
 	}
 	members := m.Members(now)
--- a/edge/allotment_peers.go
+++ b/edge/allotment_peers.go
@@ -42,7 +42,7 @@
 	if call.Group < 0 || call.Group >= allotment.Groups || call.From != from {
 		return nil, result.Errorf(result.BadMessage, "call of VM %q for group %d from VM %q", call.From, call.Group, from)
 	}
-	return a.serve(&call), nil
+	return a.serve(&call)
 }
 
 // allot implements peerClient. It sends a call to an accountant, and stores the answer in into. A
--- a/edge/allotments.go
+++ b/edge/allotments.go
@@ -272,7 +272,7 @@
 // call sends a call to an accountant, which may be this VM.
 func (a *allotments) call(out *allotment.Outgoing) (*allotment.Answer, error) {
 	if out.To == a.self.Name {
-		return a.serve(out.Call), nil
+		return a.serve(out.Call)
 	}
 	a.mu.Lock()
 	vm, known := a.vms[out.To]
@@ -286,15 +286,19 @@
 	return ans, a.e.currentPeerClient().allot(ctx, vm, out.Call, ans)
 }
 
-// serve answers a call of a VM, and tells all followers if a tenant has come near its limit.
-func (a *allotments) serve(call *allotment.Call) *allotment.Answer {
+// serve answers a call of a VM, and tells all followers if a tenant has come near its limit. It refuses
+// while this VM doesn't know the fleet.
+func (a *allotments) serve(call *allotment.Call) (*allotment.Answer, error) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.member.Settled() {
+		return nil, result.Errorf(result.NotStarted, "the list of VMs is not settled")
+	}
 	a.applyManifest(now)
 	c := a.accountants[call.Group]
 	if c == nil && call.Serial == 0 {
-		return &allotment.Answer{} // a probe: this VM could be an accountant
+		return &allotment.Answer{}, nil // a probe: this VM could be an accountant
 	}
 	if c == nil {
 		c = allotment.NewAccountant(a.config, call.Group, a.member.Members(now), now)
@@ -314,7 +318,7 @@
 		go client.notifyNear(notice)
 	}
 	a.logNear(call.Group)
-	return &ans
+	return &ans, nil
 }
 
 // hear records what an accountant tells its followers.
@@ -346,6 +350,23 @@
 	a.wake.notify()
 }
 
+// setSettled says whether the list of VMs holds all that have started with this one. a may be nil.
+func (a *allotments) setSettled(settled bool) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.member.SetSettled(settled)
+}
+
+// settleVMs replaces the list of the other VMs by one that holds all that have started with this one.
+func (e *Engine) settleVMs(others []scatter.VM) {
+	a := e.allotments.Load()
+	a.setSettled(true)
+	a.setVMs(others)
+}
+
 // manifestInForce begins to keep the limits of a new manifest.
 func (a *allotments) manifestInForce() {
 	if a != nil {
--- a/edge/announce.go
+++ b/edge/announce.go
@@ -16,8 +16,9 @@
 // that wrote it, so a VM that was killed finds its own entry after a restart. An announcer is
 // safe for concurrent use.
 type announcer struct {
-	store Store
-	log   *slog.Logger
+	store     Store
+	log       *slog.Logger
+	announced chan struct{} // closed when this VM has written its entry for the first time
 
 	mu      sync.Mutex // held during a write; guards the fields below
 	self    scatter.VM // this VM's entry; Key is empty until ensureKey
@@ -88,6 +89,9 @@
 	if err := a.store.Announce(ctx, a.self); err != nil {
 		return err
 	}
+	if a.written.IsZero() {
+		close(a.announced)
+	}
 	a.listed, a.written = true, time.Now()
 	a.log.Info("announced to the other VMs", "address", a.self.Address)
 	return nil
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/registry"
@@ -67,6 +68,9 @@
 	// when the list of VMs has been read, or when listen fails. It does nothing after the
 	// first call.
 	followResources func()
+
+	settleOnce sync.Once
+	settled    chan struct{} // closed when the list of VMs is known to hold all that started with this one
 }
 
 // backoff waits before the next try of a store call, or until ctx ends. failures is the number
--- a/edge/follow_vms.go
+++ b/edge/follow_vms.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
@@ -23,6 +25,49 @@
 	}
 }
 
+// settleTime is how long after this VM has announced itself for the first time the list of VMs is
+// expected to hold the others that started with it.
+const settleTime = 2 * time.Second
+
+// awaitSettled reads the list of VMs once it holds those that started with this one, until it succeeds or
+// ctx ends. It is for a VM that no earlier process has announced. The store may fail just after the start,
+// for as long as it likes; what was read before may lack any VM.
+func (f *follower) awaitSettled(ctx context.Context) {
+	select {
+	case <-f.announcer.announced:
+		sleep(ctx, settleTime)
+	case <-f.settled:
+	case <-ctx.Done():
+	}
+	for failures := 0; ctx.Err() == nil && !f.isSettled(); failures++ {
+		vms, _, err := f.store.VMs(ctx)
+		if err == nil && slices.ContainsFunc(vms, func(vm scatter.VM) bool { return vm.Name == f.self.Name }) {
+			f.settle(vms)
+			return
+		}
+		backoff(ctx, failures)
+	}
+}
+
+// settle passes a list of VMs to the limits of tenants that holds all that started with this one.
+func (f *follower) settle(vms []scatter.VM) {
+	f.settleOnce.Do(func() {
+		f.e.settleVMs(slices.DeleteFunc(slices.Clone(vms), func(vm scatter.VM) bool { return vm.Name == f.self.Name }))
+		f.log.Info("the list of VMs is settled", "count", len(vms)-1)
+		close(f.settled)
+	})
+}
+
+// isSettled reports whether settle was called.
+func (f *follower) isSettled() bool {
+	select {
+	case <-f.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // openToPeers starts accepting calls of other VMs. entry is this VM's entry in the list of
 // VMs, empty if there is none. If listening fails, this VM still serves its callers.
 func (f *follower) openToPeers(entry scatter.VM) error {
@@ -43,6 +88,7 @@
 // them if it is ready.
 func (f *follower) vms() resource {
 	known := make(map[string]scatter.VM) // VMs in the list, by name
+	firstRead := true                    // the list has not been read yet
 	announcedEarly := false              // announced before this VM was ready, at the first start of the system
 	// apply passes the other VMs to the engine. revision is for the log.
 	apply := func(revision Revision) {
@@ -72,7 +118,13 @@
 		for _, vm := range vms {
 			known[vm.Name] = vm
 		}
-		return revision, f.openToPeers(known[f.self.Name])
+		entry := known[f.self.Name]
+		if firstRead && entry.Name != "" {
+			// An earlier process of this VM has announced it, as the others were by theirs.
+			f.settle(vms)
+		}
+		firstRead = false
+		return revision, f.openToPeers(entry)
 	}
 	return resource{
 		name: "vms",
--- a/edge/node.go
+++ b/edge/node.go
@@ -224,7 +224,8 @@
 		log:         n.log,
 		leafsListed: make(chan struct{}, 1),
 		ready:       func() bool { return n.isReady() && n.warmed.Load() },
-		announcer:   &announcer{store: n.store, self: n.self, log: n.log},
+		settled:     make(chan struct{}),
+		announcer:   &announcer{store: n.store, self: n.self, log: n.log, announced: make(chan struct{})},
 	}
 	n.tomb.Go(func() error {
 		n.followStore(ctx, f, r)
@@ -240,6 +241,10 @@
 		}
 		return nil
 	})
+	if a := n.engine.allotments.Load(); a != nil {
+		a.setSettled(false)
+		n.tomb.Go(func() error { f.awaitSettled(ctx); return nil })
+	}
 	n.tomb.Go(func() error { n.engine.pollManifests(ctx); return nil })
 	n.tomb.Go(func() error { n.sweepIdleConns(ctx); return nil })
 	n.tomb.Go(func() error { n.warmConns(ctx); return nil })
