--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -70,10 +70,10 @@
 // connection, of what a check of the leaf found, and of each answer.
 //
 // A request that ended three leafs and that none has answered quarantines its content, unless others like
-// it were served shortly before: no leaf gets it for a time. Leafs also crash for other reasons, under requests that others answer. A content under
-// which leafs ended, in whichever requests, is sent to one leaf at a time until it is answered. Only if
-// that leaf ends too, it is quarantined. Leafs that ended under a quarantined content don't count for
-// others.
+// it were served shortly before: no leaf gets it for a time. Leafs also crash for other reasons, under
+// requests that others answer. A content under which leafs ended, in whichever requests, is sent to one
+// leaf at a time until it is answered. Only if that leaf ends too, it is quarantined. Leafs that ended
+// under a quarantined content don't count for others.
 //
 // A Guard is not safe for concurrent use.
 //
@@ -87,7 +87,7 @@
 	counts  Counts
 }
 
-// served says when a request of a content was last answered in full.
+// served says when a request of a content was last answered.
 type served struct {
 	content Fingerprint
 	at      time.Time
@@ -207,6 +207,14 @@
 	return e != nil && !e.cleared && (e.quarantines > 0 || g.unexplainedEnds(e) >= endsUntilTrials)
 }
 
+// liftExplained ends a quarantine if the leafs have ended under other contents. These may have become
+// known later.
+func (g *Guard) liftExplained(e *entry) {
+	if e.quarantines > 0 && g.unexplainedEnds(e) < endsUntilTrials {
+		e.until, e.quarantines = time.Time{}, 0
+	}
+}
+
 // Knows reports whether anything is known of a content. If not, Decide returns Free.
 func (g *Guard) Knows(f Fingerprint) bool { return len(g.entries) > 0 && g.entries[f] != nil }
 
@@ -220,10 +228,8 @@
 	if known.Answered {
 		g.recordAnswered(now, f, e)
 	}
+	g.liftExplained(e)
 	possible := g.unexplainedEnds(e)
-	if possible < endsUntilTrials {
-		e.until, e.quarantines = time.Time{}, 0
-	}
 	suspect := e.quarantines > 0 || possible >= endsUntilTrials
 	switch {
 	case e.quarantined(now):
