quarantine: decisions stay cheap in a storm

Cause: whether another content explains an end was looked up among all remembered contents, under the lock of the engine.

Change: the causes of a leaf's end are kept by leaf, at most four, and go with the contents.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -41,6 +41,8 @@
 	maxContents = 1024
 	// contentsKept is how many contents are remembered when room is made for more.
 	contentsKept = maxContents * 15 / 16
+	// maxCauses bounds the contents that are remembered as the cause of one leaf's end.
+	maxCauses = 4
 	// maxLeafs bounds the leafs of one content that a guard remembers by name.
 	maxLeafs = 16
 )
@@ -82,6 +84,7 @@
 //   - A content is remembered only after a connection was lost under it, or another VM has told of it.
 type Guard struct {
 	entries map[Fingerprint]*entry
+	causes  map[string][]*entry // by leaf: contents that were quarantined and ended it, at most maxCauses each
 	served  [servedSlots]served // by the first bytes of their content
 	news    []Fingerprint       // contents to tell other VMs of, at most maxContents
 	counts  Counts
@@ -131,7 +134,9 @@
 }
 
 // New returns a guard that suspects nothing.
-func New() *Guard { return &Guard{entries: make(map[Fingerprint]*entry)} }
+func New() *Guard {
+	return &Guard{entries: make(map[Fingerprint]*entry), causes: make(map[string][]*entry)}
+}
 
 // possibleEnds returns the number of leafs that ended or may turn out to have ended.
 func (e *entry) possibleEnds() int {
@@ -162,12 +167,38 @@
 // explained reports whether a leaf that ended under e also ended under a quarantined content that has
 // ended others too. Requests that were at work on the leaf at that moment ended with it.
 func (g *Guard) explained(e *entry, leaf string) bool {
-	for _, other := range g.entries {
-		if other != e && other.quarantines > 0 && slices.Contains(other.ended, leaf) && !isSubset(other.ended, e.ended) {
-			return true
+	return slices.ContainsFunc(g.causes[leaf], func(cause *entry) bool {
+		return cause != e && cause.quarantines > 0 && !isSubset(cause.ended, e.ended)
+	})
+}
+
+// addCauses adds a quarantined content to the causes of the ends of its leafs.
+func (g *Guard) addCauses(e *entry) {
+	for _, leaf := range e.ended {
+		list := slices.DeleteFunc(g.causes[leaf], func(cause *entry) bool { return cause.quarantines == 0 })
+		if len(list) < maxCauses && !slices.Contains(list, e) {
+			list = append(list, e)
+		}
+		g.causes[leaf] = list
+	}
+}
+
+// removeCauses is the inverse of addCauses, for a content that is forgotten or cleared.
+func (g *Guard) removeCauses(e *entry) {
+	for _, leaf := range e.ended {
+		list := slices.DeleteFunc(g.causes[leaf], func(cause *entry) bool { return cause == e })
+		if g.causes[leaf] = list; len(list) == 0 {
+			delete(g.causes, leaf)
 		}
 	}
-	return false
+}
+
+// forget removes a content.
+func (g *Guard) forget(f Fingerprint) {
+	if e := g.entries[f]; e != nil {
+		g.removeCauses(e)
+		delete(g.entries, f)
+	}
 }
 
 // isSubset reports whether all of a are in b.
@@ -300,6 +331,9 @@
 	}
 	g.counts.Ended++
 	e.touched = now
+	if e.quarantines > 0 {
+		g.addCauses(e)
+	}
 	if wasTrial && g.unexplainedEnds(e) >= e.limit() && !e.quarantined(now) {
 		g.quarantine(now, f, e, true)
 	}
@@ -346,7 +380,7 @@
 	if e == nil || e.cleared {
 		return false
 	}
-	e.clear(now)
+	g.clearEntry(now, e)
 	g.tell(f, e)
 	return true
 }
@@ -377,6 +411,7 @@
 	e.quarantines++
 	e.until, e.byTrial, e.touched = now.Add(length), byTrial, now
 	g.counts.Quarantines++
+	g.addCauses(e)
 	g.tell(f, e)
 }
 
@@ -410,14 +445,15 @@
 		g.counts.Cleared++
 	}
 	told := e.told || e.toTell
-	e.clear(now)
+	g.clearEntry(now, e)
 	if told {
 		g.tell(f, e) // they don't see the answer
 	}
 }
 
-// clear ends the suspicion of a content, of which only the epoch is kept.
-func (e *entry) clear(now time.Time) {
+// clearEntry ends the suspicion of a content, of which only the epoch is kept.
+func (g *Guard) clearEntry(now time.Time, e *entry) {
+	g.removeCauses(e)
 	*e = entry{epoch: e.epoch, cleared: true, touched: now, toTell: e.toTell}
 }
 
@@ -428,7 +464,7 @@
 	}
 	e := g.entries[f]
 	if e != nil && e.expired(now) {
-		delete(g.entries, f)
+		g.forget(f)
 		return nil
 	}
 	return e
@@ -456,7 +492,11 @@
 	if len(g.entries) < maxContents {
 		return
 	}
-	maps.DeleteFunc(g.entries, func(_ Fingerprint, e *entry) bool { return e.expired(now) })
+	for f, e := range g.entries {
+		if e.expired(now) {
+			g.forget(f)
+		}
+	}
 	if len(g.entries) <= contentsKept {
 		return
 	}
@@ -464,7 +504,7 @@
 		return g.entries[a].compareUse(now, g.entries[b])
 	})
 	for _, f := range order[:len(order)-contentsKept] {
-		delete(g.entries, f)
+		g.forget(f)
 	}
 }
 
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -274,6 +274,7 @@
 		v.Merge(v.now, Notice{Content: FingerprintOf("", "GET", "h", fmt.Sprint("/told/", i), nil), Epoch: 1, Ended: []string{"leaf-y"}})
 	}
 	v.Expect(len(v.entries)).To(gomega.BeNumerically("<=", maxContents))
+	v.Expect(len(v.causes)).To(gomega.BeNumerically("<=", maxContents*maxLeafs))
 	v.Expect(len(v.news)).To(gomega.BeNumerically("<=", maxContents))
 	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Refuse))
 	v.wait(suspectMemory + time.Second)
@@ -282,6 +283,23 @@
 	v.Expect(quarantined).To(gomega.BeZero())
 }
 
+// Guards against leafs that are remembered for ever since a content ended them once.
+func TestForgottenContentsLeaveNoLeafs(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	for range 2 {
+		v.wave(5)
+		v.Expect(v.allows(lostThree)).To(gomega.Equal(Refuse))
+		v.Expect(v.causes).To(gomega.HaveLen(5))
+		v.Lift(v.now, deadly)
+		v.Expect(v.causes).To(gomega.BeEmpty())
+	}
+	v.wave(5)
+	v.allows(lostThree)
+	v.wait(longestQuarantine + quarantineMemory)
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Free))
+	v.Expect(v.causes).To(gomega.BeEmpty())
+}
+
 // TestGuardInvariants plays one content at one VM in any order of sends, ends and answers. However they fall,
 // at most one trial that is not slow is in flight, and a content that ends every leaf ends no more than were
 // in flight together, and one for each quarantine.
--- a/quarantine/notice.go
+++ b/quarantine/notice.go
@@ -101,7 +101,7 @@
 	}
 	e.epoch, e.touched, e.told = n.Epoch, now, true
 	if n.Cleared {
-		e.clear(now)
+		g.clearEntry(now, e)
 		g.tell(n.Content, e)
 		return true
 	}
@@ -130,6 +130,9 @@
 		// The time that the notice took must not lengthen a quarantine that this VM knows.
 		e.until, e.byTrial, e.quarantines, news = now.Add(min(n.Remaining, longestQuarantine)), n.ByTrial, n.Quarantines, true
 	}
+	if e.quarantines > 0 {
+		g.addCauses(e)
+	}
 	if news {
 		g.tell(n.Content, e)
 	}
