--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -1,9 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
 	"encoding/binary"
-	"maps"
 	"slices"
 	"time"
 )
@@ -104,134 +102,11 @@
 	Trials      int // sends of a content after a leaf had ended under it
 }
 
-// entry is what a guard knows of one content.
-type entry struct {
-	// epoch numbers the times that the content became suspect. A notice that clears it holds for its
-	// own epoch and those before.
-	epoch    uint64
-	cleared  bool      // the content is not suspect any more; only epoch is still of use
-	ended    []string  // leafs that ended
-	ends     int       // number of leafs that ended, more than have a name in ended
-	checking []string  // leafs that are being checked, one for each lost connection
-	answered bool      // a leaf has answered the content since it became suspect
-	served   bool      // a request of the content was served shortly before it became suspect
-	trials   []trial   // trials that have not ended
-	lostAt   time.Time // when a connection was last lost
-	touched  time.Time // when something was last learned
-
-	quarantines int       // quarantines in a row
-	until       time.Time // end of the latest quarantine; zero if there was none
-	toTell      bool      // it is among Guard.news
-	told        bool      // other VMs know of it
-	byTrial     bool      // a trial led to the latest quarantine; answers to sends before it don't end it
-}
-
-// trial is a send of a content that is sent to one leaf at a time.
-type trial struct {
-	leaf     string
-	sentAt   time.Time
-	checking bool // its connection was lost, and its leaf is being checked
-}
-
 // New returns a guard that suspects nothing.
 func New() *Guard {
 	return &Guard{entries: make(map[Fingerprint]*entry), causes: make(map[string][]*entry)}
 }
 
-// possibleEnds returns the number of leafs that ended or may turn out to have ended.
-func (e *entry) possibleEnds() int {
-	n := e.ends
-	for i, leaf := range e.checking {
-		if !slices.Contains(e.checking[:i], leaf) && !slices.Contains(e.ended, leaf) {
-			n++
-		}
-	}
-	return n
-}
-
-// unexplainedEnds returns the number of leafs that ended, or may turn out to have ended, and for which
-// no other content is known as the cause.
-func (g *Guard) unexplainedEnds(e *entry) int {
-	n := e.possibleEnds()
-	if e.ends > len(e.ended) {
-		return n // some have no name
-	}
-	for _, leaf := range e.ended {
-		if g.explained(e, leaf) {
-			n--
-		}
-	}
-	return n
-}
-
-// explained reports whether a leaf that ended under e also ended under a quarantined content that has
-// ended others too. Requests that were at work on the leaf at that moment ended with it.
-func (g *Guard) explained(e *entry, leaf string) bool {
-	return slices.ContainsFunc(g.causes[leaf], func(cause *entry) bool {
-		return cause != e && cause.quarantines > 0 && !isSubset(cause.ended, e.ended)
-	})
-}
-
-// addCauses adds a quarantined content to the causes of the ends of its leafs.
-func (g *Guard) addCauses(e *entry) {
-	for _, leaf := range e.ended {
-		list := slices.DeleteFunc(g.causes[leaf], func(cause *entry) bool { return cause.quarantines == 0 })
-		if len(list) < maxCauses && !slices.Contains(list, e) {
-			list = append(list, e)
-		}
-		g.causes[leaf] = list
-	}
-}
-
-// removeCauses is the inverse of addCauses, for a content that is forgotten or cleared.
-func (g *Guard) removeCauses(e *entry) {
-	for _, leaf := range e.ended {
-		list := slices.DeleteFunc(g.causes[leaf], func(cause *entry) bool { return cause == e })
-		if g.causes[leaf] = list; len(list) == 0 {
-			delete(g.causes, leaf)
-		}
-	}
-}
-
-// forget removes a content.
-func (g *Guard) forget(f Fingerprint) {
-	if e := g.entries[f]; e != nil {
-		g.removeCauses(e)
-		delete(g.entries, f)
-	}
-}
-
-// isSubset reports whether all of a are in b.
-func isSubset(a, b []string) bool {
-	return !slices.ContainsFunc(a, func(name string) bool { return !slices.Contains(b, name) })
-}
-
-// limit returns the number of ends that lead to a quarantine.
-func (e *entry) limit() int {
-	if e.served {
-		return endsUntilQuarantineServed
-	}
-	return endsUntilQuarantine
-}
-
-// quarantined reports whether the content is quarantined.
-func (e *entry) quarantined(now time.Time) bool { return now.Before(e.until) }
-
-// underTrial reports whether a trial holds up other sends.
-func (e *entry) underTrial(now time.Time) bool {
-	return slices.ContainsFunc(e.trials, func(t trial) bool { return now.Sub(t.sentAt) < trialPatience })
-}
-
-// expired reports whether the content need not be remembered any more.
-func (e *entry) expired(now time.Time) bool {
-	switch {
-	case e.cleared, e.quarantines > 0:
-		return now.Sub(e.touched) > quarantineMemory && now.Sub(e.until) > quarantineMemory
-	default:
-		return now.Sub(e.touched) > suspectMemory
-	}
-}
-
 // Suspects reports whether a content is quarantined or sent to one leaf at a time.
 func (g *Guard) Suspects(now time.Time, f Fingerprint) bool {
 	e := g.find(now, f)
@@ -385,23 +260,6 @@
 	return true
 }
 
-// trialAt returns the index of the trial that was sent to a leaf at that time, -1 if there is none.
-func (e *entry) trialAt(leaf string, sentAt time.Time) int {
-	return slices.IndexFunc(e.trials, func(t trial) bool { return t.leaf == leaf && t.sentAt.Equal(sentAt) })
-}
-
-// addEnded records that a leaf has ended, and reports whether that was not known.
-func (e *entry) addEnded(leaf string) bool {
-	if slices.Contains(e.ended, leaf) {
-		return false
-	}
-	e.ends++
-	if len(e.ended) < maxLeafs {
-		e.ended = append(e.ended, leaf)
-	}
-	return true
-}
-
 // quarantine begins a quarantine.
 func (g *Guard) quarantine(now time.Time, f Fingerprint, e *entry, byTrial bool) {
 	length := longestQuarantine
@@ -456,69 +314,3 @@
 	g.removeCauses(e)
 	*e = entry{epoch: e.epoch, cleared: true, touched: now, toTell: e.toTell}
 }
-
-// find returns what is known of a content, nil if that is nothing or too old.
-func (g *Guard) find(now time.Time, f Fingerprint) *entry {
-	if len(g.entries) == 0 {
-		return nil
-	}
-	e := g.entries[f]
-	if e != nil && e.expired(now) {
-		g.forget(f)
-		return nil
-	}
-	return e
-}
-
-// suspect returns the entry of a content that is suspect from now on.
-func (g *Guard) suspect(now time.Time, f Fingerprint) *entry {
-	e := g.find(now, f)
-	switch {
-	case e == nil:
-		g.makeRoom(now)
-		e = &entry{epoch: 1}
-		g.entries[f] = e
-	case e.cleared:
-		*e = entry{epoch: e.epoch + 1, toTell: e.toTell}
-	}
-	if s := g.served[f.slot()]; len(e.ended) == 0 && s.content == f && now.Sub(s.at) < servedMemory {
-		e.served = true
-	}
-	return e
-}
-
-// makeRoom makes room for one more content. It forgets expired ones, and then those that are least of use.
-func (g *Guard) makeRoom(now time.Time) {
-	if len(g.entries) < maxContents {
-		return
-	}
-	for f, e := range g.entries {
-		if e.expired(now) {
-			g.forget(f)
-		}
-	}
-	if len(g.entries) <= contentsKept {
-		return
-	}
-	order := slices.SortedFunc(maps.Keys(g.entries), func(a, b Fingerprint) int {
-		return g.entries[a].compareUse(now, g.entries[b])
-	})
-	for _, f := range order[:len(order)-contentsKept] {
-		g.forget(f)
-	}
-}
-
-// compareUse orders entries by their use. The least useful are contents that are not suspect any more,
-// then those that are not quarantined, oldest first, then those whose quarantine ends first.
-func (e *entry) compareUse(now time.Time, other *entry) int {
-	use := func(e *entry) int {
-		switch {
-		case e.cleared:
-			return 0
-		case !e.quarantined(now):
-			return 1
-		}
-		return 2
-	}
-	return cmp.Or(cmp.Compare(use(e), use(other)), e.until.Compare(other.until), e.touched.Compare(other.touched))
-}
