Review: cases end their daemons when they are told to end

A case whose standard output was closed, or that was told to end, left its daemons running (seen once, with the output cut by a pipe).

--- a/review/lab/case.go
+++ b/review/lab/case.go
@@ -4,6 +4,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 )
 
 // Case is one run of a case.
@@ -12,6 +15,9 @@
 	Trouble bool // false with TROUBLE=0: the disruption is left out
 
 	binary string // path of the daemon
+
+	mu          sync.Mutex // guards deployments
+	deployments []*Deployment
 }
 
 // Main plays a case and ends the process: with 1 if play reports that the rule was broken, with 0 if it
@@ -25,7 +31,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	broken, err := play(&Case{Record: record, Trouble: os.Getenv("TROUBLE") != "0", binary: *binary})
+	c := &Case{Record: record, Trouble: os.Getenv("TROUBLE") != "0", binary: *binary}
+	c.endDaemonsOnSignal()
+	broken, err := play(c)
 	record.Close()
 	switch {
 	case err != nil:
@@ -36,6 +44,23 @@
 	}
 }
 
+// endDaemonsOnSignal ends the daemons if this process is told to end before the case is over. A closed
+// standard output does not end it.
+func (c *Case) endDaemonsOnSignal() {
+	signal.Ignore(syscall.SIGPIPE)
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-told
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, d := range c.deployments {
+			d.Close()
+		}
+		os.Exit(2)
+	}()
+}
+
 // Conclude writes the result of the run to the record and to standard output.
 func (c *Case) Conclude(format string, args ...any) {
 	c.Record.Printf(format, args...)
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Deployment{Store: edgesim.NewStore(500), binary: c.binary, dir: dir}, nil
+	d := &Deployment{Store: edgesim.NewStore(500), binary: c.binary, dir: dir}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deployments = append(c.deployments, d)
+	return d, nil
 }
 
 // AddVM starts a daemon with the settings that deploy/settings.json.tmpl makes of the node file of a
