A stopping VM takes only requests that end before it does

Cause: Node.Leave served everything for 0.7 of the grace time, waited 0.18 of it and ended with 0.12 unused; nothing compared a request's time with what was left. Ruled out: the leaf (its run ends with the connection), the caller's time of 15 s, a crossing close (the leaf had the request).

Change: the time at which a VM ends what it serves is an input of its queries. What is not expected to end before (0.95 quantile of its kind, or the leafs' queues) is refused before it is sent, with Retry-After 10 ms; what takes longer than expected is answered as at its deadline at 0.95 of the grace time. The process also waits for its work for other VMs, and takes no more of it once its listener is closed. A VM that stops hands over only what ends in time.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -236,6 +236,12 @@
 // of most shards even if this VM fails later.
 func (e *Engine) serveGather(ctx context.Context, call *gatherCall, answer func(*gatherAnswer)) {
 	answer(&gatherAnswer{Key: call.Key, ManifestVersion: e.toldVersion()}) // acknowledges the call
+	if !e.peerWork.begin() {
+		e.stats.count(`bramley_edge_refusals_total{why="stopping"}`)
+		answer(&gatherAnswer{Key: call.Key, Last: true, Refused: true, Cause: scatter.RefusedForSelf})
+		return
+	}
+	defer e.peerWork.end()
 	if e.toldVersion() > 0 {
 		call.Header.Del(headerAuthorization) // a VM with an older manifest may pass it on
 	}
@@ -261,6 +267,7 @@
 		LatencyObjective: time.Duration(call.LatencyObjectiveUS) * time.Microsecond,
 		AnswerBy:         fromNow(call.AnswerUS),
 		Deadline:         req.Deadline,
+		StopAt:           e.stopping.time(),
 		RequestID:        call.ID,
 		Delegated:        true,
 		Views:            call.Views,
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -33,6 +33,8 @@
 	quarantineNews   wakeup                     // wakes tellQuarantineNews after the guard has learned what other VMs should know
 	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
 	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
+	stopping         *stopClock                 // when this VM ends what it still serves
+	peerWork         peerWork                   // what this VM does for other VMs
 	room             atomic.Pointer[ownRoom]    // room of this VM; nil if it is not measured
 	taken            takenRequests              // requests that other VMs have handed over to this one
 	self             scatter.VM                 // name and zone of this VM
@@ -89,6 +91,7 @@
 		registry:         registry.New(),
 		self:             scatter.VM{Name: opt.Self, Zone: opt.Zone},
 		sourceFailed:     newWakeup(),
+		stopping:         newStopClock(),
 	}
 	e.currency.setBounds(opt.Bounds)
 	return e
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -267,6 +267,7 @@
 		LatencyObjective: route.Aim,
 		AnswerBy:         req.AnswerBy,
 		Deadline:         req.Deadline,
+		StopAt:           e.stopping.time(),
 		MayDelegate:      route.Gathered(),
 		RequestID:        req.ID,
 		BudgetWeight:     1,
--- a/edge/log.go
+++ b/edge/log.go
@@ -28,6 +28,7 @@
 		"shards", len(route.Gather),
 		"missing", out.Missing,
 		"quarantined", out.Quarantined,
+		"stopped", out.Stopped,
 		"gaps", formatGaps(out.Gaps, res.Services),
 		"sent", out.Sent,
 		"hedges", out.Hedges,
@@ -51,6 +52,7 @@
 		"wait_ms", out.Refusal.Wait.Milliseconds(),
 		"wait_limit_ms", out.Refusal.Limit.Milliseconds(),
 		"own_ms", out.Refusal.OwnTime.Milliseconds(),
+		"stopping", out.Refusal.Stopping,
 		"retry_after_ms", out.RetryAfter.Milliseconds(),
 	)
 }
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -152,7 +152,7 @@
 // serve the request itself. ctx ends when the caller disconnects.
 func (e *Engine) handOver(ctx context.Context, req *Request, who origin, version int64) *Result {
 	factor, short := e.room.Load().shortage(time.Now())
-	if !short || len(req.HTTP.Body) > maxHandedBody {
+	if !short || len(req.HTTP.Body) > maxHandedBody || e.mayOutlast(req) {
 		return nil
 	}
 	vm, client, ok := e.pickTaker(factor)
@@ -173,12 +173,19 @@
 		e.countHandOver("not_accepted")
 		return nil
 	}
-	runCtx, cancel := context.WithDeadline(ctx, req.Deadline)
+	runCtx, cancel := e.stopping.bound(ctx, req.Deadline)
 	defer cancel()
 	ans, err := client.runRequest(runCtx, vm, newRunCall(req, who, version, offer.Offer))
 	return e.handedOver(ctx, req, vm, ans, err)
 }
 
+// mayOutlast reports whether a request may still run when this VM ends. Another VM would not know by
+// when its answer is needed.
+func (e *Engine) mayOutlast(req *Request) bool {
+	stop := e.stopping.time()
+	return !stop.IsZero() && req.Deadline.After(stop)
+}
+
 // handedOver returns the result of a request that was sent to a VM, from that VM's answer or the
 // error of the call. It returns nil if that VM has certainly not run the request, so that this VM
 // may. Otherwise it never does, also if the request is idempotent: the other VM may have sent it to
@@ -366,6 +373,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if !e.peerWork.begin() {
+		return nil, result.Errorf(result.NotStarted, "this VM is about to stop")
+	}
+	defer e.peerWork.end()
 	now := time.Now()
 	if route == nil || !e.taken.begin(now, vm, call.Offer, cancel) {
 		return nil, result.Errorf(result.NotStarted, "offer %d is not valid any more", call.Offer)
--- a/edge/run.go
+++ b/edge/run.go
@@ -160,6 +160,8 @@
 			acts, wake = r.handleEvents(ev)
 		case <-timer.C:
 			acts, wake = r.tick()
+		case <-r.e.stopping.over.Done():
+			acts, wake = r.stop()
 		case <-ctx.Done():
 			acts, wake = r.step(func(time.Time) []scatter.Action { return r.query.Abandon() })
 		}
@@ -188,15 +190,26 @@
 	return r.query.LeafTime(time.Now())
 }
 
-// tick is called when loop's timer expires. It processes the pending events if there are any. So an
-// answer that arrived while this VM was short of CPU time is not treated as missing. Otherwise
-// tick lets the query act on the time that has passed. The results are those of step.
+// tick is called when loop's timer expires. It lets the query act on the time that has passed. The
+// results are those of step.
 func (r *runner) tick() ([]scatter.Action, time.Time) {
+	return r.afterEvents(r.query.Tick)
+}
+
+// stop is called when this VM ends what it still serves. The results are those of step.
+func (r *runner) stop() ([]scatter.Action, time.Time) {
+	return r.afterEvents(func(time.Time) []scatter.Action { return r.query.Stop() })
+}
+
+// afterEvents processes the pending events if there are any, so that an answer that arrived while this
+// VM was short of CPU time is not treated as missing. Otherwise it lets f change the query. The results
+// are those of step.
+func (r *runner) afterEvents(f func(now time.Time) []scatter.Action) ([]scatter.Action, time.Time) {
 	select {
 	case ev := <-r.events:
 		return r.handleEvents(ev)
 	default:
-		return r.step(func(now time.Time) []scatter.Action { return r.query.Tick(now) })
+		return r.step(f)
 	}
 }
 
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -82,6 +82,12 @@
 	if out.Quarantined {
 		s.count(`bramley_edge_quarantined_requests_total{verdict=%q}`, out.Verdict)
 	}
+	if out.Refusal != nil && out.Refusal.Stopping {
+		s.count(`bramley_edge_refusals_total{why="stopping"}`)
+	}
+	if out.Stopped {
+		s.count(`bramley_edge_requests_ended_by_stop_total{verdict=%q}`, out.Verdict)
+	}
 	if out.Missing > 0 {
 		s.set.GetOrCreateCounter(`bramley_edge_missing_shards_total`).Add(out.Missing)
 	}
--- a/scatter/action.go
+++ b/scatter/action.go
@@ -99,6 +99,7 @@
 	Gaps        []Gap         // the shards without an answer, also of a request that failed
 	RetryAfter  time.Duration // with NotRun: the delay after which the caller should retry
 	Refusal     *Refusal      // set if this VM's own forecast refused the request
+	Stopped     bool          // this VM stopped before the query was decided
 	Quarantined bool          // a shard got no attempt since the request ends leafs, or may do so
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -164,6 +164,9 @@
 	Limit time.Duration // longest wait that would have been accepted
 	// OwnTime is the time that passes in this VM, if it leaves no time for a leaf; 0 otherwise.
 	OwnTime time.Duration
+	// Stopping is true if this VM stops before the request is expected to end. Wait is then the
+	// expected duration, and Limit the time until the VM stops.
+	Stopping bool
 	// Position and Level are set if the request yielded to others while room was short: its
 	// position among the recent demand, and up to which position requests are served, from 0
 	// to 1. Otherwise they are 0, and the forecast alone refused the request.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -21,6 +21,8 @@
 	// they are enough.
 	AnswerBy time.Time
 	Deadline time.Time // when the query ends at the latest
+	// StopAt is when this VM ends what it still serves, since it was told to stop; zero before.
+	StopAt time.Time
 	// MayDelegate allows calls to other VMs, which then query some of the shards.
 	MayDelegate bool
 	// RequestID is the id of the caller's request, the same at all VMs that take part.
@@ -198,6 +200,9 @@
 	if acts := q.refuseQuarantined(now); acts != nil {
 		return acts
 	}
+	if acts := q.boundByStop(now); acts != nil {
+		return acts
+	}
 	q.applyReportedScarcity(now)
 	var calls []delegation
 	if q.spec.MayDelegate = q.spec.MayDelegate && q.mayCallVMs(now); q.spec.MayDelegate {
--- a/scatter/refusal.go
+++ b/scatter/refusal.go
@@ -37,6 +37,8 @@
 	switch {
 	case out.Sent > 0:
 		return RefusedBySome
+	case out.Refusal != nil && out.Refusal.Stopping:
+		return RefusedForSelf
 	case out.Quarantined, out.Refusal != nil && out.Refusal.OwnTime == 0:
 		return RefusedForLeafs
 	}
--- /dev/null
+++ b/scatter/stopping.go
@@ -0,0 +1,61 @@
+package scatter
+
+import "time"
+
+// Requests at a VM that stops.
+//
+// Whatever a VM still serves when its process ends is cut off, and its caller can't know whether it
+// ran. The caller's connection ends with this VM, so no other VM could deliver the answer. A request
+// is therefore started only if it is expected to end before. Any other one is refused before anything
+// is sent: it has not run, and another VM can serve it at once. A request that takes longer than
+// expected ends at StopAt as it would at its deadline.
+
+// stopQuantile is the quantile of the durations of recent requests, from 0 to 1, that has to fit into
+// the time until this VM stops.
+const stopQuantile = 0.95
+
+// boundByStop bounds the query's times by StopAt, and refuses the request if it is not expected to end
+// before. It returns nil if the request goes on.
+func (q *Query) boundByStop(now time.Time) []Action {
+	stop := q.spec.StopAt
+	if stop.IsZero() || !q.spec.Deadline.After(stop) {
+		return nil
+	}
+	if needed, left := q.expectedDuration(now), stop.Sub(now); needed > left {
+		q.refuse(now, Refusal{Wait: needed, Limit: left, Stopping: true})
+		q.retryAfter = minRetryAfter
+		return q.finish(q.failureOutcome(NotRun))
+	}
+	q.spec.Deadline = stop
+	q.spec.AnswerBy = earlier(q.spec.AnswerBy, stop)
+	return nil
+}
+
+// expectedDuration returns how long the request takes with the leafs' present load, or as most recent
+// ones of its kind took if that is longer. Before there are enough of these, it is the latency
+// objective.
+func (q *Query) expectedDuration(now time.Time) time.Duration {
+	expected, known := q.table.durationsOf(q.durationKey()).Quantile(now, stopQuantile)
+	if !known {
+		expected = q.spec.LatencyObjective
+	}
+	if q.spec.Gathered {
+		// It is answered at AnswerBy with the parts received so far.
+		return min(expected, max(q.spec.AnswerBy.Sub(now), 0))
+	}
+	typical, _ := q.table.typicalDuration(now, q.durationKey())
+	if eta := q.eta(now, &q.shards[0], typical, typical); eta < never {
+		expected = max(expected, eta)
+	}
+	return expected
+}
+
+// Stop ends the query since this VM stops, with the outcome that it would have at its deadline.
+func (q *Query) Stop() []Action {
+	if q.done {
+		return nil
+	}
+	out := q.atDeadline()
+	out.Stopped = true
+	return q.finish(out)
+}
