Requests reach leafs whole through other VMs too

Cause: the call that lets another VM query shards listed parts of the request and left its body out. Ruled out: the direct path, the hand-over of whole requests.

Change: one type carries the whole request in both messages between VMs. Version 3 of the inner protocol says that a VM passes bodies on; a VM that doesn't is not called for a request that has one. A call of an earlier release that lacks the body is told by the fingerprint that it states, and refused. Bodies of calls are bounded, and attempts share a long body. A chunked body of length zero is a body.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/allotment"
-	"github.com/bramleybarrow/bramleybarrow/leafhttp"
+	"github.com/bramleybarrow/bramleybarrow/quarantine"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 	"github.com/bramleybarrow/bramleybarrow/topk"
 )
@@ -67,6 +67,9 @@
 // errNotJoined means that this VM does not accept calls of other VMs yet, and cannot call them.
 var errNotJoined = errors.New("edge: this VM has not joined the other VMs")
 
+// errEarlierRelease means that a VM would query leafs without the body of the caller's request.
+var errEarlierRelease = errors.New("edge: the VM does not take the bodies of requests")
+
 // errNotConnected means that there is no connection to a VM.
 var errNotConnected = errors.New("edge: no connection to the VM")
 
@@ -118,7 +121,11 @@
 		r.post(event{call: call.Call, callAnswer: callAnswer})
 	})
 	end := scatter.EndAnswered
-	if err != nil {
+	if errors.Is(err, errEarlierRelease) {
+		r.e.stats.count(`bramley_edge_calls_not_made_total{why="release"}`)
+		r.e.log.Info("VM of an earlier release is not called for a request with a body", "request", r.req.ID, "vm", call.VM.Name)
+		r.post(event{call: call.Call, end: end, neverSent: true})
+	} else if err != nil {
 		end = endOfCall(ctx)
 		r.e.log.Warn("call to a VM failed", "request", r.req.ID, "vm", call.VM.Name, "zone", call.VM.Zone, "shards", len(call.Shards), "error", err)
 		var neverSent *neverSentError
@@ -143,10 +150,7 @@
 	}
 	return &gatherCall{
 		ID:                 r.req.ID,
-		Method:             r.req.HTTP.Method,
-		Target:             r.req.HTTP.Target,
-		Host:               r.req.HTTP.Host,
-		Header:             r.req.HTTP.Header,
+		peerRequest:        newPeerRequest(r.req.HTTP),
 		Services:           services,
 		Views:              call.Views,
 		Required:           call.Required,
@@ -236,12 +240,12 @@
 // of most shards even if this VM fails later.
 func (e *Engine) serveGather(ctx context.Context, call *gatherCall, answer func(*gatherAnswer)) {
 	answer(&gatherAnswer{Key: call.Key, ManifestVersion: e.toldVersion()}) // acknowledges the call
-	if !e.peerWork.begin() {
-		e.stats.count(`bramley_edge_refusals_total{why="stopping"}`)
+	content, err := e.beginGather(call)
+	if err != nil {
 		answer(&gatherAnswer{Key: call.Key, Last: true, Refused: true, Cause: scatter.RefusedForSelf})
 		return
 	}
-	defer e.peerWork.end()
+	defer e.peerWork.end(len(call.Body))
 	if e.toldVersion() > 0 {
 		call.Header.Del(headerAuthorization) // a VM with an older manifest may pass it on
 	}
@@ -252,12 +256,7 @@
 		ID:       call.ID,
 		Deadline: fromNow(call.DeadlineUS),
 		Top:      call.Top,
-		HTTP: &leafhttp.Request{
-			Method: call.Method,
-			Target: call.Target,
-			Host:   call.Host,
-			Header: call.Header,
-		},
+		HTTP:     call.leafRequest(),
 	}
 	spec := scatter.Spec{
 		Services:         call.Services,
@@ -278,7 +277,7 @@
 		BudgetWeight:     scatter.DelegateWeight,
 		Rank:             call.Rank,
 		Tenant:           call.Tenant,
-		Content:          call.content(),
+		Content:          content,
 	}
 	if call.Redelegated {
 		spec.BudgetWeight = 0 // the VM that was called first has counted the request in its budget
@@ -308,6 +307,32 @@
 	e.logGather(req, spec, outcome, time.Since(now))
 }
 
+// errIncompleteCall means that a call does not hold the whole request of the caller.
+var errIncompleteCall = errors.New("edge: the call lacks a part of the caller's request")
+
+// beginGather reports whether another VM's call is served, and returns the content of its request: it
+// holds the whole request, and this VM has time and memory for it. After a nil error, peerWork.end has
+// to be called. Another error is counted and logged.
+func (e *Engine) beginGather(call *gatherCall) (quarantine.Fingerprint, error) {
+	content, whole := call.content()
+	err := errIncompleteCall
+	if whole {
+		err = e.peerWork.begin(len(call.Body))
+	}
+	if err != nil {
+		e.stats.count(`bramley_edge_refusals_total{why=%q}`, callRefusalNames[err])
+		e.log.Info("call of a VM refused", "request", call.ID, "why", callRefusalNames[err], "shards", len(call.Services), "body", len(call.Body))
+	}
+	return content, err
+}
+
+// callRefusalNames are the values of the label and key why for calls that are not served.
+var callRefusalNames = map[error]string{
+	errIncompleteCall: "incomplete",
+	errStopping:       "stopping",
+	errBodiesFull:     "bodies",
+}
+
 // partialAnswer returns an answer with the results of the given attempts, merged into one list
 // of records. reported holds the attempts whose results were sent before: partialAnswer leaves
 // these out, and adds the others to reported.
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -1,7 +1,7 @@
 package edge
 
 import (
-	"net/http"
+	"bytes"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -23,19 +23,16 @@
 // is given by the service that answers for it. Fields that end in US are in microseconds; all
 // but LatencyObjectiveUS count from the sending of the call.
 type gatherCall struct {
-	Key                uint64      `cbor:"1,keyasint"`  // identifies the call; chosen by the calling VM
-	ID                 string      `cbor:"2,keyasint"`  // id of the caller's request
-	Method             string      `cbor:"3,keyasint"`  // HTTP method of the request to leafs
-	Target             string      `cbor:"4,keyasint"`  // path and query of the request to leafs
-	Host               string      `cbor:"5,keyasint"`  // Host header of the request to leafs
-	Header             http.Header `cbor:"6,keyasint"`  // other headers of the request to leafs
-	Services           []string    `cbor:"7,keyasint"`  // one service for each shard
-	Top                int         `cbor:"8,keyasint"`  // maximum number of records in an answer
-	MaxAttempts        int         `cbor:"9,keyasint"`  // how many leafs of a shard may run the request, as the route states it
-	LatencyObjectiveUS int64       `cbor:"10,keyasint"` // latency objective of the route
-	InterimUS          int64       `cbor:"11,keyasint"` // time until an answer with the results so far must be sent
-	AnswerUS           int64       `cbor:"12,keyasint"` // time until the last answer must be sent
-	DeadlineUS         int64       `cbor:"13,keyasint"` // time until the deadline of the caller's request
+	Key                uint64   `cbor:"1,keyasint"` // identifies the call; chosen by the calling VM
+	ID                 string   `cbor:"2,keyasint"` // id of the caller's request
+	peerRequest                 // fields 3 to 6, 27 and 28
+	Services           []string `cbor:"7,keyasint"`  // one service for each shard
+	Top                int      `cbor:"8,keyasint"`  // maximum number of records in an answer
+	MaxAttempts        int      `cbor:"9,keyasint"`  // how many leafs of a shard may run the request, as the route states it
+	LatencyObjectiveUS int64    `cbor:"10,keyasint"` // latency objective of the route
+	InterimUS          int64    `cbor:"11,keyasint"` // time until an answer with the results so far must be sent
+	AnswerUS           int64    `cbor:"12,keyasint"` // time until the last answer must be sent
+	DeadlineUS         int64    `cbor:"13,keyasint"` // time until the deadline of the caller's request
 	// Views holds one hash for each of Services: of the leafs of the service that both VMs may
 	// use, as the calling VM has computed them. The called VM declines a shard if it computes
 	// other ones.
@@ -62,15 +59,12 @@
 	Quarantine []quarantineNotice `cbor:"26,keyasint,omitempty"`
 }
 
-// content returns the fingerprint of the caller's request. A VM of an earlier release does not state
-// it; gathered requests seldom have a body, so that it then follows from the other fields.
-func (c *gatherCall) content() quarantine.Fingerprint {
-	var f quarantine.Fingerprint
-	if len(c.Content) != len(f) {
-		return quarantine.FingerprintOf(c.Tenant, c.Method, c.Host, c.Target, nil)
-	}
-	copy(f[:], c.Content)
-	return f
+// content returns the fingerprint of the request in the call, and whether the call holds the whole
+// request: the calling VM has stated the same. A VM of an earlier release may leave the body out, and
+// one of a release before that states no fingerprint.
+func (c *gatherCall) content() (f quarantine.Fingerprint, whole bool) {
+	f = quarantine.FingerprintOf(c.Tenant, c.Method, c.Host, c.Target, c.Body)
+	return f, len(c.Content) != len(f) || bytes.Equal(c.Content, f[:])
 }
 
 // gatherAnswer is an answer to a gatherCall. One with only a Key acknowledges the call. Each
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -223,7 +223,7 @@
 			Host:    r.Host,
 			Header:  forwardedHeaders(r.Header, withheld),
 			Body:    body,
-			HasBody: len(body) > 0 || r.ContentLength > 0 || r.Header.Get("Content-Length") != "",
+			HasBody: len(body) > 0 || r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 		},
 	}
 }
@@ -268,7 +268,7 @@
 		AnswerBy:         req.AnswerBy,
 		Deadline:         req.Deadline,
 		StopAt:           e.stopping.time(),
-		MayDelegate:      route.Gathered(),
+		MayDelegate:      route.Gathered() && len(req.HTTP.Body) <= maxDelegatedBody,
 		RequestID:        req.ID,
 		BudgetWeight:     1,
 		Rank:             who.rank,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -233,13 +233,16 @@
 
 // gather implements peerClient. It sets the call's key, sends the call to vm, runs onSent, and
 // passes each answer to onAnswer until the last one or until ctx ends. If no connection could be
-// opened, it returns a neverSentError.
+// opened, or vm would not pass the request's body on, it returns a neverSentError.
 func (p *peerTransport) gather(ctx context.Context, vm scatter.VM, call *gatherCall, onSent func(), onAnswer func(*gatherAnswer)) error {
 	link := p.link(vm)
 	conn, err := link.ensureConn(ctx, vm, p)
 	if err != nil {
 		return &neverSentError{err: err}
 	}
+	if call.HasBody && conn.Version() < wire.VersionRequestBody {
+		return &neverSentError{err: errEarlierRelease}
+	}
 	key, answers := p.registerCall()
 	defer p.unregisterCall(key)
 	call.Key = key
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/routing"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
@@ -62,20 +61,15 @@
 // runCall are the parameters of methodRunRequest. Fields that end in US are in microseconds from
 // the sending of the call.
 type runCall struct {
-	Offer      uint64      `json:"offer"`
-	Manifest   int64       `json:"manifest"`
-	ID         string      `json:"id"`
-	Method     string      `json:"method"`
-	Target     string      `json:"target"`
-	Host       string      `json:"host"`
-	Header     http.Header `json:"header"`
-	Body       []byte      `json:"body,omitempty"`
-	HasBody    bool        `json:"has_body,omitempty"`
-	AnswerByUS int64       `json:"answer_by_us"`
-	DueUS      int64       `json:"due_us"`
-	DeadlineUS int64       `json:"deadline_us"`
-	Rank       int         `json:"rank,omitempty"`
-	Tenant     string      `json:"tenant,omitempty"`
+	Offer    uint64 `json:"offer"`
+	Manifest int64  `json:"manifest"`
+	ID       string `json:"id"`
+	peerRequest
+	AnswerByUS int64  `json:"answer_by_us"`
+	DueUS      int64  `json:"due_us"`
+	DeadlineUS int64  `json:"deadline_us"`
+	Rank       int    `json:"rank,omitempty"`
+	Tenant     string `json:"tenant,omitempty"`
 }
 
 // runAnswer is the result of methodRunRequest.
@@ -243,9 +237,7 @@
 // newRunCall returns the message that hands a request over. Its times count from now.
 func newRunCall(req *Request, who origin, version int64, offer uint64) *runCall {
 	return &runCall{
-		Offer: offer, Manifest: version, ID: req.ID,
-		Method: req.HTTP.Method, Target: req.HTTP.Target, Host: req.HTTP.Host, Header: req.HTTP.Header,
-		Body: req.HTTP.Body, HasBody: req.HTTP.HasBody,
+		Offer: offer, Manifest: version, ID: req.ID, peerRequest: newPeerRequest(req.HTTP),
 		AnswerByUS: (time.Until(req.AnswerBy) - returnTime).Microseconds(),
 		DueUS:      (time.Until(req.DueAt) - returnTime).Microseconds(),
 		DeadlineUS: (time.Until(req.Deadline) - returnTime).Microseconds(),
@@ -373,10 +365,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !e.peerWork.begin() {
-		return nil, result.Errorf(result.NotStarted, "this VM is about to stop")
+	if err := e.peerWork.begin(len(call.Body)); err != nil {
+		return nil, result.Wrap(result.NotStarted, err, "request of another VM")
 	}
-	defer e.peerWork.end()
+	defer e.peerWork.end(len(call.Body))
 	now := time.Now()
 	if route == nil || !e.taken.begin(now, vm, call.Offer, cancel) {
 		return nil, result.Errorf(result.NotStarted, "offer %d is not valid any more", call.Offer)
@@ -385,9 +377,7 @@
 	fromNow := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	req := &Request{
 		ID: call.ID, AnswerBy: fromNow(call.AnswerByUS), DueAt: fromNow(call.DueUS), Deadline: fromNow(call.DeadlineUS), Top: route.Top,
-		HTTP: &leafhttp.Request{
-			Method: call.Method, Target: call.Target, Host: call.Host, Header: call.Header, Body: call.Body, HasBody: call.HasBody,
-		},
+		HTTP: call.leafRequest(),
 	}
 	who := origin{rank: call.Rank}
 	if call.Tenant != "" {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,21 +62,38 @@
 type peerWork struct {
 	mu      sync.Mutex
 	closed  bool
+	bodies  int            // size of the bodies of the requests, in bytes
 	running sync.WaitGroup // Add is called with mu held, and not after closed is set
 }
 
-// begin reports whether work may begin. If so, end has to be called after it.
-func (w *peerWork) begin() bool {
+var (
+	errStopping   = errors.New("edge: this VM is about to stop")
+	errBodiesFull = errors.New("edge: the bodies of requests of other VMs take too much memory")
+)
+
+// begin reports whether work on a request with a body of so many bytes may begin: errStopping after
+// close, errBodiesFull if the bodies would exceed maxPeerBodies. After nil, end has to be called.
+func (w *peerWork) begin(body int) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.closed {
-		w.running.Add(1)
+	switch {
+	case w.closed:
+		return errStopping
+	case body > 0 && w.bodies+body > maxPeerBodies:
+		return errBodiesFull
 	}
-	return !w.closed
+	w.bodies += body
+	w.running.Add(1)
+	return nil
 }
 
-// end records that work has ended.
-func (w *peerWork) end() { w.running.Done() }
+// end records that work has ended on a request with a body of so many bytes.
+func (w *peerWork) end(body int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bodies -= body
+	w.running.Done()
+}
 
 // close lets no more work begin, and waits until all has ended, or ctx.
 func (w *peerWork) close(ctx context.Context) error {
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -22,13 +22,13 @@
 	g.Expect(v.peerWork.close(t.Context())).To(gomega.Succeed())
 
 	var answers []*gatherAnswer
-	v.serveGather(t.Context(), &gatherCall{Key: 7, Header: http.Header{}, Services: []string{"s"}, Views: make([]scatter.View, 1)}, func(ans *gatherAnswer) { answers = append(answers, ans) })
+	v.serveGather(t.Context(), &gatherCall{Key: 7, peerRequest: peerRequest{Header: http.Header{}}, Services: []string{"s"}, Views: make([]scatter.View, 1)}, func(ans *gatherAnswer) { answers = append(answers, ans) })
 	last := answers[len(answers)-1]
 	g.Expect(last.Key).To(gomega.BeEquivalentTo(7))
 	g.Expect(last.Last && last.Refused).To(gomega.BeTrue())
 	g.Expect(last.Cause).To(gomega.Equal(scatter.RefusedForSelf), "another owner is called")
 
-	_, err := v.runTaken(t.Context(), "b", &runCall{Offer: offer.Offer, Manifest: 1, Host: "h", Target: "/x"})
+	_, err := v.runTaken(t.Context(), "b", &runCall{Offer: offer.Offer, Manifest: 1, peerRequest: peerRequest{Host: "h", Target: "/x"}})
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.NotStarted))
 }
 
@@ -37,12 +37,12 @@
 func TestEndingVMWaitsForWorkOfOthers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var w peerWork
-	g.Expect(w.begin()).To(gomega.BeTrue())
+	g.Expect(w.begin(0)).To(gomega.Succeed())
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	g.Expect(w.close(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
-	g.Expect(w.begin()).To(gomega.BeFalse())
-	w.end()
+	g.Expect(w.begin(0)).To(gomega.MatchError(errStopping))
+	w.end(0)
 	g.Expect(w.close(t.Context())).To(gomega.Succeed())
 }
 
--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -50,6 +50,7 @@
 	lastHeader http.Header    // headers of the latest request
 	lastBody   []byte         // body of the latest request
 	lastURI    string         // path and query of the latest request
+	lastMethod string         // HTTP method of the latest request
 	inFlight   int            // requests that are running
 	ended      bool           // a request has ended the leaf
 }
@@ -162,6 +163,13 @@
 	return l.lastURI
 }
 
+// LastMethod returns the HTTP method of the latest request.
+func (l *Leaf) LastMethod() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastMethod
+}
+
 // InFlight returns how many requests are running.
 func (l *Leaf) InFlight() int {
 	l.mu.Lock()
@@ -223,7 +231,7 @@
 	if !f.Refuse {
 		l.runs[id]++
 	}
-	l.lastHeader, l.lastBody, l.lastURI = r.Header.Clone(), body, r.RequestURI
+	l.lastHeader, l.lastBody, l.lastURI, l.lastMethod = r.Header.Clone(), body, r.RequestURI, r.Method
 	l.mu.Unlock()
 	if l.Observe != nil {
 		l.Observe(r.Header, !f.Refuse)
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -127,7 +127,11 @@
 	} else {
 		written = make(chan error, 1)
 		go func() {
-			_, err := c.Write(append(head, req.Body...))
+			// The attempts of a gathered request share its body.
+			_, err := c.Write(head)
+			if err == nil {
+				_, err = c.Write(req.Body)
+			}
 			written <- err
 		}()
 	}
--- a/leafhttp/request.go
+++ b/leafhttp/request.go
@@ -45,7 +45,11 @@
 // 0.92 us).
 func (r *Request) head(extra http.Header) []byte {
 	r.Prepare()
-	b := bytes.NewBuffer(make([]byte, 0, len(r.commonHead)+extraHeadSize+len(r.Body)))
+	size := len(r.commonHead) + extraHeadSize
+	if len(r.Body) < concurrentWriteSize {
+		size += len(r.Body) // it is written together with the head
+	}
+	b := bytes.NewBuffer(make([]byte, 0, size))
 	b.Write(r.commonHead)
 	// Writes to a buffer don't fail. Header.Write replaces line breaks in values.
 	_ = extra.Write(b)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -29,8 +29,11 @@
 const (
 	VersionJSON = 1 // the version in which all messages are JSON, without binary bodies
 	VersionCBOR = 2 // the version in which leaf calls and their answers are sent as binary bodies in CBOR
+	// VersionRequestBody is the version in which a VM that queries shards for another one sends the
+	// body of the caller's request to leafs.
+	VersionRequestBody = 3
 
-	Version = VersionCBOR // the newest version that this code speaks
+	Version = VersionRequestBody // the newest version that this code speaks
 )
 
 // The methods that this package itself serves.
