A repeat of a request takes another connection than the one that rejected it

Cause: answers are matched by an id that all sends of a request share, and the next send took the connection on which the rejection had come. Ruled out: unread bytes before reuse (the copy comes after the send), attempts at two leafs, repeats by net/http.

Change: a connection carries no second send of an id after an answer that may be followed by one. A repeat takes another idle connection, or a new one in place of the oldest. An answer to another request is dropped and the own one read after it, where the outcome became unknown before. Where a leaf states ids, an answer without one proves nothing. Stand-in leafs state the id in rejections too.

--- a/edge/run.go
+++ b/edge/run.go
@@ -376,17 +376,15 @@
 			metadata, err = LeafMetadata{}, errPanicked
 		}
 	}()
-	// An answer on a reused connection may be a late answer to an earlier request.
-	matches := func(ans *leafhttp.Answer) bool {
-		metadata = r.e.headerCodec.ParseLeafHeaders(ans.Status, ans.Header)
-		return metadata.RequestID == "" || metadata.RequestID == r.req.ID
-	}
-	ans, err := r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until), r.spec.Tenant), matches)
 	ev = event{attempt: s.Attempt}
-	if err == nil {
+	read := func(ans *leafhttp.Answer) leafhttp.Reading {
+		metadata = r.e.headerCodec.ParseLeafHeaders(ans.Status, ans.Header)
 		ev.reply, ev.end = r.classifyAnswer(s, ans, metadata)
-	} else {
-		ev.end = endOfAttempt(ctx, err)
+		return leafhttp.Reading{ID: metadata.RequestID, Last: ev.end == scatter.EndAnswered}
+	}
+	_, err = r.e.pool.Do(ctx, endpoint, r.req.HTTP, r.req.ID, r.e.headerCodec.AttemptHeaders(s.Leaf, time.Until(s.Until), r.spec.Tenant), read)
+	if err != nil {
+		ev.reply, ev.end, metadata = nil, endOfAttempt(ctx, err), LeafMetadata{}
 	}
 	return ev, metadata, err
 }
--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -19,6 +19,7 @@
 	Delay           time.Duration // how long a request runs
 	Hold            chan struct{} // if not nil, a request runs on after Delay until this is closed
 	Refuse          bool          // requests are answered with status 503 and not run
+	RefuseTwice     bool          // as Refuse, and the answer is sent again when the next request has arrived on the connection
 	Fail            bool          // requests are run and answered with status 500
 	LoseAnswers     bool          // requests are run, and their connection is closed without an answer
 	TruncateBody    bool          // answers end after half of their body
@@ -220,6 +221,7 @@
 	id := r.Header.Get("Bramleybarrow-Attempt-Id")
 	if want := r.Header.Get("Bramleybarrow-Target-Instance"); want != "" && want != l.ID {
 		w.Header().Set("Bramleybarrow-Instance-Id", l.ID)
+		w.Header().Set("Bramleybarrow-Attempt-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -228,15 +230,20 @@
 	l.mu.Lock()
 	f := l.faults
 	l.arrivals[id]++
-	if !f.Refuse {
+	if !f.refuses() {
 		l.runs[id]++
 	}
 	l.lastHeader, l.lastBody, l.lastURI, l.lastMethod = r.Header.Clone(), body, r.RequestURI, r.Method
 	l.mu.Unlock()
 	if l.Observe != nil {
-		l.Observe(r.Header, !f.Refuse)
+		l.Observe(r.Header, !f.refuses())
 	}
-	if f.Refuse {
+	if hijacker, ok := w.(http.Hijacker); ok && f.RefuseTwice {
+		l.refuseTwice(hijacker, id)
+		return
+	}
+	if f.refuses() {
+		w.Header().Set("Bramleybarrow-Attempt-Id", id)
 		w.Header().Set("Bramleybarrow-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -249,6 +256,34 @@
 	l.writeAnswer(w, id, f)
 }
 
+// refuses reports whether requests are not run.
+func (f *LeafFaults) refuses() bool { return f.Refuse || f.RefuseTwice }
+
+// refuseTwice refuses the request with that id, serves the next one on its connection after a second copy
+// of the refusal, and closes the connection.
+func (l *Leaf) refuseTwice(w http.Hijacker, id string) {
+	conn, buffered, err := w.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nBramleybarrow-Attempt-Id: %s\r\nBramleybarrow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	if _, err := io.WriteString(conn, refusal); err != nil {
+		return
+	}
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
+		return // the connection carries no other request
+	}
+	// The caller sees this one as a connection that ends if it fails.
+	_, _ = io.WriteString(conn, refusal)
+	rec := httptest.NewRecorder()
+	l.serve(rec, next)
+	resp := rec.Result()
+	resp.ContentLength, resp.Close = int64(rec.Body.Len()), true
+	_ = resp.Write(conn)
+}
+
 // doWork blocks for as long as the faults require the request to run, or until its caller
 // disconnects.
 func (l *Leaf) doWork(r *http.Request, f LeafFaults) {
@@ -300,7 +335,11 @@
 // writeRawAnswer writes the answer with the fault TruncateBody, NoContentLength or ExtraAnswer, which
 // net/http's server can't produce, and closes the connection.
 func (l *Leaf) writeRawAnswer(w http.ResponseWriter, id string, body []byte, f LeafFaults) {
-	conn, _, err := w.(http.Hijacker).Hijack()
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := hijacker.Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/leafhttp/conn.go
+++ b/leafhttp/conn.go
@@ -16,8 +16,44 @@
 	raw           syscall.RawConn // of Conn
 	reader        *bufio.Reader
 	reusableUntil time.Time // end of the idle timeout; set when the connection becomes idle
+	statesIDs     bool      // an answer on it has stated the id of its request
+	// repeatable holds the ids of requests that may be sent to the leaf again after an answer on
+	// this connection. A late copy of that answer could be taken for the one to the next send, so
+	// that goes out on another connection. It is nil if there are none.
+	repeatable map[string]struct{}
 }
 
+// maxRepeatable bounds conn.repeatable. The connection is not reused beyond it.
+const maxRepeatable = 64
+
+// mayRepeat reports whether an answer to an earlier send of the request with the given id may still
+// come on the connection. Liveness checks have no id.
+func (c *conn) mayRepeat(id string) bool {
+	_, repeatable := c.repeatable[id]
+	return repeatable
+}
+
+// belongsTo reports whether an answer that states the id stated is the one to the request with the
+// given id. Where a leaf states ids, an answer without one proves nothing.
+func (c *conn) belongsTo(id, stated string) bool {
+	return stated == id || stated == "" && !c.statesIDs
+}
+
+// record records the answer to the request with the given id.
+func (c *conn) record(id string, reading Reading) {
+	c.statesIDs = c.statesIDs || reading.ID != ""
+	if reading.Last || id == "" {
+		return
+	}
+	if c.repeatable == nil {
+		c.repeatable = make(map[string]struct{})
+	}
+	c.repeatable[id] = struct{}{}
+}
+
+// worn reports whether the connection has carried too many requests that may be sent again.
+func (c *conn) worn() bool { return len(c.repeatable) >= maxRepeatable }
+
 // Timeouts and buffer size of a connection.
 const (
 	// dialTimeout bounds the time for opening a connection. A machine without power
--- a/leafhttp/ended.go
+++ b/leafhttp/ended.go
@@ -76,7 +76,7 @@
 // Recheck is Check for a leaf that a check has found alive a moment ago. It opens a connection only if
 // the one of that check was closed meanwhile.
 func (p *Pool) Recheck(ctx context.Context, leaf Endpoint) Liveness {
-	if c := p.pop(leaf); c != nil {
+	if c, _ := p.pop(leaf, ""); c != nil {
 		if c.reusable() {
 			p.put(leaf, c, time.Until(c.reusableUntil))
 			return Alive
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,9 @@
 	idle map[string][]*conn // by Endpoint.Key; the most recently used one is last
 
 	dials, reuses, discarded atomic.Uint64 // numbers of connections dialled, reused, and discarded before reuse; see Stats
+	// repeats and extraAnswers are the numbers of connections that were replaced for a request sent
+	// again, and of answers to other requests that were dropped; see AnswerStats.
+	repeats, extraAnswers atomic.Uint64
 }
 
 // NewPool returns a pool without connections.
@@ -54,6 +58,12 @@
 	return p.dials.Load(), p.reuses.Load(), p.discarded.Load()
 }
 
+// AnswerStats returns how many connections were closed and replaced since a request was sent again on
+// which an answer to it may still have come, and how many answers to other requests were dropped.
+func (p *Pool) AnswerStats() (replaced, dropped uint64) {
+	return p.repeats.Load(), p.extraAnswers.Load()
+}
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
@@ -81,13 +91,21 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
-// Do sends a request to a leaf, once only, and returns the whole answer. The extra
-// headers are added to the request's own. After an error other than an
-// UnreachableError the leaf may or may not have run the request. If ctx ends, reads
-// and writes in progress fail and the connection is closed. accept reports whether an
-// answer belongs to this request; if not, Do returns an error and closes the connection.
-func (p *Pool) Do(ctx context.Context, leaf Endpoint, req *Request, extra http.Header, accept func(*Answer) bool) (*Answer, error) {
-	c, err := p.get(ctx, leaf)
+// Reading says what an answer means for the request that waits for it.
+type Reading struct {
+	ID string // id of the request that the answer states, empty if it states none
+	// Last is true if the request is not sent to this leaf again. Otherwise the next send takes
+	// another connection: a late copy of this answer would state the same id.
+	Last bool
+}
+
+// Do sends a request to a leaf, once only, and returns the whole answer. id is the one that leafs
+// repeat in their answers, and the extra headers are added to the request's own. After an error other
+// than an UnreachableError the leaf may or may not have run the request. If ctx ends, reads and writes
+// in progress fail and the connection is closed. read is called for each answer on the connection. Do
+// drops an answer to another request, reads on, and closes the connection after the request's own.
+func (p *Pool) Do(ctx context.Context, leaf Endpoint, req *Request, id string, extra http.Header, read func(*Answer) Reading) (*Answer, error) {
+	c, err := p.get(ctx, leaf, id)
 	if err != nil {
 		return nil, &UnreachableError{Err: err}
 	}
@@ -95,10 +113,7 @@
 		// Makes reads and writes in progress fail at once.
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
-	ans, idleTimeout, err := roundTrip(c, req, extra)
-	if err == nil && !accept(ans) {
-		ans, err = nil, errMismatchedAnswer
-	}
+	ans, idleTimeout, err := p.roundTrip(c, req, id, extra, read)
 	if !stop() || err != nil || idleTimeout <= 0 {
 		_ = c.Close()
 		return ans, err
@@ -115,7 +130,7 @@
 
 // roundTrip sends a request, with the extra headers, and reads its answer. idleTimeout is
 // how long the connection may stay idle afterwards; 0 means that it can't be reused.
-func roundTrip(c *conn, req *Request, extra http.Header) (ans *Answer, idleTimeout time.Duration, err error) {
+func (p *Pool) roundTrip(c *conn, req *Request, id string, extra http.Header, read func(*Answer) Reading) (ans *Answer, idleTimeout time.Duration, err error) {
 	head := req.head(extra)
 	var written chan error // receives the result of a write that goes on while the answer is read
 	var writtenAt time.Time
@@ -135,13 +150,13 @@
 			written <- err
 		}()
 	}
-	ans, resp, err := readAnswer(c, req.Method)
+	ans, idleTimeout, err = p.readOwnAnswer(c, req.Method, id, read)
 	if err != nil {
 		return nil, 0, err
 	}
 	ans.WrittenAt, ans.ReadAt = writtenAt, time.Now()
 	if written == nil {
-		return ans, idleTimeoutAfter(resp), nil
+		return ans, idleTimeout, nil
 	}
 	select {
 	case err := <-written:
@@ -153,16 +168,49 @@
 		// rest of the body, so it would read the next request as part of it.
 		return ans, 0, nil
 	}
-	return ans, idleTimeoutAfter(resp), nil
+	return ans, idleTimeout, nil
 }
 
-// get returns an idle connection that can be reused, or a new one.
-func (p *Pool) get(ctx context.Context, leaf Endpoint) (*conn, error) {
+// maxDroppedAnswers bounds the answers to other requests that are read before the own one.
+const maxDroppedAnswers = 3
+
+// readOwnAnswer reads answers until that to the request with the given id.
+func (p *Pool) readOwnAnswer(c *conn, method, id string, read func(*Answer) Reading) (*Answer, time.Duration, error) {
+	for dropped := 0; ; dropped++ {
+		ans, resp, err := readAnswer(c, method)
+		if err != nil {
+			return nil, 0, err
+		}
+		reading := read(ans)
+		idleTimeout := idleTimeoutAfter(resp)
+		switch {
+		case c.belongsTo(id, reading.ID):
+			c.record(id, reading)
+			if dropped > 0 || c.worn() {
+				idleTimeout = 0
+			}
+			return ans, idleTimeout, nil
+		case reading.ID == "" || dropped == maxDroppedAnswers || idleTimeout <= 0:
+			// Which request it answers is not known, or the own answer does not follow.
+			return nil, 0, errMismatchedAnswer
+		}
+		p.extraAnswers.Add(1)
+	}
+}
+
+// get returns an idle connection that can be reused for the request with the given id, or a new one.
+func (p *Pool) get(ctx context.Context, leaf Endpoint, id string) (*conn, error) {
 	for {
-		c := p.pop(leaf)
+		c, usable := p.pop(leaf, id)
 		if c == nil {
 			break
 		}
+		if !usable {
+			// The leaf limits its connections, so a new one takes the place of this one.
+			p.repeats.Add(1)
+			_ = c.Close()
+			break
+		}
 		if time.Now().Before(c.reusableUntil) && c.reusable() {
 			p.reuses.Add(1)
 			return c, nil
@@ -175,17 +223,23 @@
 }
 
 // pop removes and returns the idle connection that was used last, or nil. That one is
-// the least likely to have been closed by the leaf or dropped by the network meanwhile.
-func (p *Pool) pop(leaf Endpoint) *conn {
+// the least likely to have been closed by the leaf or dropped by the network meanwhile. Connections on
+// which an answer to the request with the given id may still come are passed over. If there are no
+// others, pop returns one of these, and usable is false.
+func (p *Pool) pop(leaf Endpoint, id string) (c *conn, usable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[leaf.Key]
 	if len(list) == 0 {
-		return nil
+		return nil, false
+	}
+	i := len(list) - 1
+	for i > 0 && list[i].mayRepeat(id) {
+		i--
 	}
-	c := list[len(list)-1]
-	p.idle[leaf.Key] = list[:len(list)-1]
-	return c
+	c = list[i]
+	p.idle[leaf.Key] = slices.Delete(list, i, i+1)
+	return c, !c.mayRepeat(id)
 }
 
 // put keeps an idle connection for at most idleTimeout.
@@ -198,7 +252,7 @@
 
 // Warm makes sure that a leaf has an idle connection, and opens one if needed.
 func (p *Pool) Warm(ctx context.Context, leaf Endpoint) error {
-	if c := p.pop(leaf); c != nil {
+	if c, _ := p.pop(leaf, ""); c != nil {
 		if time.Now().Before(c.reusableUntil) && c.reusable() {
 			p.put(leaf, c, time.Until(c.reusableUntil))
 			return nil
--- a/leafhttp/pool_test.go
+++ b/leafhttp/pool_test.go
@@ -27,9 +27,12 @@
 	endpoint := leafhttp.Endpoint{Key: l.ID, Address: l.Address()}
 	req := &leafhttp.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("report"), HasBody: true}
 	extra := http.Header{"Bramleybarrow-Attempt-Id": {id}}
-	return pool.Do(ctx, endpoint, req, extra, func(ans *leafhttp.Answer) bool {
-		return ans.Header.Get("Bramleybarrow-Attempt-Id") == id
-	})
+	return pool.Do(ctx, endpoint, req, id, extra, readAnswer)
+}
+
+// readAnswer reads the id that an answer states. A request may be sent again after a rejection.
+func readAnswer(ans *leafhttp.Answer) leafhttp.Reading {
+	return leafhttp.Reading{ID: ans.Header.Get("Bramleybarrow-Attempt-Id"), Last: ans.Status < http.StatusInternalServerError}
 }
 
 // newLeaf returns a running leaf that stops at the end of the test.
@@ -145,7 +148,7 @@
 	endpoint := leafhttp.Endpoint{Key: l.ID, Address: l.Address(), Transient: true}
 	g.Expect(pool.Warm(context.Background(), endpoint)).To(gomega.Succeed())
 	req := &leafhttp.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}}
-	_, err := pool.Do(context.Background(), endpoint, req, nil, func(*leafhttp.Answer) bool { return true })
+	_, err := pool.Do(context.Background(), endpoint, req, "", nil, func(*leafhttp.Answer) leafhttp.Reading { return leafhttp.Reading{Last: true} })
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(pool.Idle()).To(gomega.Equal(1), "kept for the next request of a burst")
 	pool.CloseExpired(time.Now().Add(time.Second))
