VMs that follow a cut-off reader learn of changes within the bound

Cause: a reader looked at the age of its latest answer from the store only when a wait of a follower began or ended, so that the age (2.4 s) and the wait (1.8 s) added up; after changes its answers were 2.3 s apart without any fault. Ruled out: the reader's own lateness (out of touch), other readers (read from at once).

Change: a wait ends when the reader's latest answer becomes too old; a watch after a pause waits for less; readers state the age of their answer, and at one of an earlier release followers wait for shorter times. The age of what a VM knows is a metric for each resource.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -38,6 +38,7 @@
 	room             atomic.Pointer[ownRoom]    // room of this VM; nil if it is not measured
 	taken            takenRequests              // requests that other VMs have handed over to this one
 	self             scatter.VM                 // name and zone of this VM
+	known            *knownTimes                // says how old the knowledge of each followed resource is
 	currency         currency                   // says how current the manifest in force is
 	sourceFailed     wakeup                     // wakes pollManifests after the source of the manifest failed
 	manifestSource   Store                      // read for unknown keys if this VM reads the store for others; nil before the daemon has started
@@ -92,6 +93,7 @@
 		self:             scatter.VM{Name: opt.Self, Zone: opt.Zone},
 		sourceFailed:     newWakeup(),
 		stopping:         newStopClock(),
+		known:            newKnownTimes(opt.Bounds),
 	}
 	e.currency.setBounds(opt.Bounds)
 	return e
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -115,8 +115,9 @@
 			apply(&set)
 			return set.Revision, nil
 		},
-		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
-			set, revision, err := f.store.WatchEvacuations(ctx, since, f.watchTimeout(f.settings.Bounds.EvacuateMS))
+		wait: f.watchTimeout(f.settings.Bounds.EvacuateMS),
+		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
+			set, revision, err := f.store.WatchEvacuations(ctx, since, wait)
 			if err != nil {
 				return 0, false, err
 			}
--- a/edge/evacuations_test.go
+++ b/edge/evacuations_test.go
@@ -129,22 +129,75 @@
 	startedAt  time.Time
 	rejected   bool
 	rejectedAt time.Time // when the store last rejected it
+	cutOff     bool      // nothing passes between it and the store
+	cutAt      time.Time // when that last began or ended
+	cutBegins  chan struct{}
 }
 
-var errRejected = errors.New("rejected")
+var (
+	errRejected = errors.New("rejected")
+	errNoAnswer = errors.New("no answer")
+)
+
+// Times after which a VM that is cut off from the store gives a call up, beyond the wait of a watch.
+const (
+	lostReadTimeout  = 1500 * time.Millisecond
+	lostWatchTimeout = 500 * time.Millisecond
+)
 
 func (vm *evacuationVM) Evacuations(ctx context.Context) (Evacuations, error) {
 	if vm.isRejected() {
 		return Evacuations{}, errRejected
 	}
+	if begins, cut := vm.cut(); cut || isClosed(begins) {
+		sleep(ctx, lostReadTimeout)
+		return Evacuations{}, errNoAnswer
+	}
 	return vm.evacuationStore.Evacuations(ctx)
 }
 
+// cut returns a channel that is closed when the VM is cut off, and whether it is cut off.
+func (vm *evacuationVM) cut() (begins <-chan struct{}, cut bool) {
+	vm.site.mu.Lock()
+	defer vm.site.mu.Unlock()
+	return vm.cutBegins, vm.cutOff
+}
+
+// isClosed reports whether a channel is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (vm *evacuationVM) WatchEvacuations(ctx context.Context, since Revision, wait time.Duration) (*Evacuations, Revision, error) {
 	if vm.isRejected() {
 		return nil, 0, errRejected
 	}
-	return vm.evacuationStore.WatchEvacuations(ctx, since, wait)
+	began := time.Now()
+	begins, cut := vm.cut()
+	if !cut {
+		watchCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		lost := make(chan struct{})
+		go func() {
+			select {
+			case <-begins:
+				close(lost)
+				cancel()
+			case <-watchCtx.Done():
+			}
+		}()
+		set, revision, err := vm.evacuationStore.WatchEvacuations(watchCtx, since, wait)
+		if !isClosed(lost) {
+			return set, revision, err
+		}
+	}
+	sleep(ctx, time.Until(began.Add(wait+lostWatchTimeout)))
+	return nil, 0, errNoAnswer
 }
 
 func (vm *evacuationVM) isRejected() bool {
@@ -159,6 +212,7 @@
 	store        *evacuationStore
 	vms          []*evacuationVM
 	zones        map[string]*evacuatedZone // by name; the zones that were ever evacuated
+	boundMS      float64                   // time within which a zone's leafs must get no more requests
 	mu           sync.Mutex                // guards the fields of each VM
 }
 
@@ -188,12 +242,12 @@
 	return nil
 }
 
-// evacuationBoundMS is the time within which a zone's leafs must get no more requests.
+// evacuationBoundMS is the time within which a zone's leafs must get no more requests on drawn days.
 const evacuationBoundMS = 5000
 
 // start starts a VM as a new process that knows nothing.
 func (s *evacuationSite) start(vm *evacuationVM) {
-	settings := &Settings{Name: vm.name, Zone: "z", Bounds: BoundSettings{ManifestMS: 5000, DrainMS: 5000, EvacuateMS: evacuationBoundMS}}
+	settings := &Settings{Name: vm.name, Zone: "z", Bounds: BoundSettings{ManifestMS: s.boundMS, DrainMS: s.boundMS, EvacuateMS: s.boundMS}}
 	engine := NewEngine(EngineOptions{Self: vm.name, Zone: "z", Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
 	engine.setPeerClient(s)
 	var others []scatter.VM
@@ -235,12 +289,13 @@
 	loseHistory     = 2 // the store drops its history, and no watch in progress hears of it
 	toggleRejection = 3 // the store begins or ceases to reject the VM
 	restartVM       = 4
-	eventKinds      = 5
+	toggleCut       = 5 // the VM is cut off from the store, or no more
+	eventKinds      = 6
 )
 
 // Guards against requests to an evacuated zone after the bound, from a VM in touch: one that ran
 // and reached the store for a while. Evacuations, their ends, losses of the store's history, VMs
-// turned away by the store and restarts come in any order. The real loops run in virtual time.
+// turned away by the store or cut off from it, and restarts come in any order. The real loops run in virtual time.
 func TestEvacuationIsKnownWithinTheBound(t *testing.T) {
 	event := rapid.Custom(func(rt *rapid.T) evacuationEvent {
 		return evacuationEvent{
@@ -263,21 +318,75 @@
 // evacuationVMs is the number of VMs of the zone: two that read the store, and others.
 const evacuationVMs = 9
 
-// playEvacuations plays a day and returns what was wrong, empty if nothing was.
-func playEvacuations(day []evacuationEvent) string {
-	const step = 100 * time.Millisecond
-	s := &evacuationSite{store: newEvacuationStore(), zones: map[string]*evacuatedZone{}}
+// newEvacuationSite starts the VMs of a site with the given bound, in milliseconds.
+func newEvacuationSite(boundMS float64) *evacuationSite {
+	s := &evacuationSite{store: newEvacuationStore(), zones: map[string]*evacuatedZone{}, boundMS: boundMS}
 	for i := range evacuationVMs {
-		s.vms = append(s.vms, &evacuationVM{evacuationStore: s.store, site: s, name: fmt.Sprint("vm-", i)})
+		s.vms = append(s.vms, &evacuationVM{evacuationStore: s.store, site: s, name: fmt.Sprint("vm-", i), cutBegins: make(chan struct{})})
 	}
 	for _, vm := range s.vms {
 		s.start(vm)
 	}
-	defer func() {
-		for _, vm := range s.vms {
-			vm.stop()
+	return s
+}
+
+// stop ends all VMs.
+func (s *evacuationSite) stop() {
+	for _, vm := range s.vms {
+		vm.stop()
+	}
+}
+
+// readsStore reports whether the VM reads the store for others.
+func (vm *evacuationVM) readsStore() bool {
+	vm.engine.mu.Lock()
+	defer vm.engine.mu.Unlock()
+	return vm.engine.table.StoreReaders(time.Now()).Self
+}
+
+// Guards against a VM in touch that acts by what it knew before a change for longer than the bound: the
+// VM that it follows was cut off from the store just before the change, and just after another one.
+func TestFollowersOfACutOffReaderLearnOfChangesInTime(t *testing.T) {
+	const bound = 3000
+	readers := 0
+	for reader := range evacuationVMs {
+		for phase := 0; phase < 2000; phase += 250 {
+			var fault string
+			synctest.Test(t, func(*testing.T) {
+				s := newEvacuationSite(bound)
+				defer s.stop()
+				time.Sleep(4*time.Second + time.Duration(phase)*time.Millisecond)
+				if !s.vms[reader].readsStore() {
+					return
+				}
+				readers++
+				s.apply(evacuationEvent{kind: toggleZone, zone: "a"})
+				time.Sleep(120 * time.Millisecond)
+				s.apply(evacuationEvent{kind: toggleCut, vm: reader})
+				time.Sleep(60 * time.Millisecond)
+				s.apply(evacuationEvent{kind: toggleZone, zone: "b"})
+				for range 60 {
+					time.Sleep(100 * time.Millisecond)
+					if fault = s.check(); fault != "" {
+						return
+					}
+				}
+			})
+			if fault != "" {
+				t.Fatalf("reader vm-%d, phase %d ms: %s", reader, phase, fault)
+			}
 		}
-	}()
+	}
+	if readers == 0 {
+		t.Fatal("no VM reads the store for others")
+	}
+}
+
+// playEvacuations plays a day and returns what was wrong, empty if nothing was.
+func playEvacuations(day []evacuationEvent) string {
+	const step = 100 * time.Millisecond
+	s := newEvacuationSite(evacuationBoundMS)
+	defer s.stop()
 	for _, ev := range day {
 		s.apply(ev)
 		for range ev.steps {
@@ -314,15 +423,24 @@
 	case restartVM:
 		vm.stop()
 		s.start(vm)
+	case toggleCut:
+		s.mu.Lock()
+		vm.cutOff, vm.cutAt = !vm.cutOff, time.Now()
+		if vm.cutOff {
+			close(vm.cutBegins)
+		} else {
+			vm.cutBegins = make(chan struct{})
+		}
+		s.mu.Unlock()
 	}
 }
 
 // check returns what a VM in touch does not know although the bound has passed, empty if there is
 // nothing.
 func (s *evacuationSite) check() string {
-	const bound = evacuationBoundMS * time.Millisecond
+	bound := time.Duration(s.boundMS) * time.Millisecond
 	for _, vm := range s.vms {
-		if vm.rejected || time.Since(vm.startedAt) <= bound || time.Since(vm.rejectedAt) <= bound {
+		if vm.rejected || vm.cutOff || min(time.Since(vm.startedAt), time.Since(vm.rejectedAt), time.Since(vm.cutAt)) <= bound {
 			continue // not in touch
 		}
 		for name, zone := range s.zones {
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -194,17 +194,31 @@
 	return f.manifest, f.changed
 }
 
-// waitFor waits until ready returns true or ctx ends. It calls ready at the start and after
-// each change of the feed.
-func (f *feed) waitFor(ctx context.Context, ready func() bool) {
+// freshUntil returns when the store's latest answer about a followed resource becomes older than
+// maxStaleness.
+func (f *feed) freshUntil(resource string, maxStaleness time.Duration) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastSuccess[resource].Add(maxStaleness)
+}
+
+// waitFor waits until ready returns true, until the store has not answered about the resource for
+// maxStaleness, or until ctx ends. It calls ready at the start and after each change of the feed.
+func (f *feed) waitFor(ctx context.Context, resource string, maxStaleness time.Duration, ready func() bool) {
 	for {
 		_, changed := f.current()
-		if ready() {
+		stale := time.NewTimer(time.Until(f.freshUntil(resource, maxStaleness)))
+		if ready() || !f.isFresh(resource, maxStaleness) {
+			stale.Stop()
 			return
 		}
 		select {
 		case <-changed:
+		case <-stale.C: // unless the store has answered since
 		case <-ctx.Done():
+		}
+		stale.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -104,9 +104,11 @@
 	// read reads the resource and applies it to the engine. It returns the revision of the
 	// store from which to watch.
 	read func(ctx context.Context) (Revision, error)
-	// watch waits for changes after a revision and applies them to the engine. It returns the
-	// revision to continue from and whether anything changed.
-	watch func(ctx context.Context, since Revision) (Revision, bool, error)
+	// watch waits for changes after a revision, at most for the time wait, and applies them to the
+	// engine. It returns the revision to continue from and whether anything changed.
+	watch func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error)
+	// wait is the longest time from one answer to a watch to the next one, pauses included.
+	wait time.Duration
 	// pause is the time between two watches if the first one returned changes, or if it took
 	// less than pause and returned none.
 	pause time.Duration
@@ -151,18 +153,22 @@
 
 // watch watches a resource from a revision until a call fails. It pauses after a call that
 // returned changes. It also pauses after a call that ended early without changes, because a
-// store that is failing may end every watch at once.
+// store that is failing may end every watch at once. A watch after a pause waits for less, so that the
+// next answer does not come later: other VMs follow this one only while its latest one is recent.
 func (f *follower) watch(ctx context.Context, res resource, revision Revision) error {
+	wait := res.wait
 	for ctx.Err() == nil {
 		began := time.Now()
-		next, changed, err := res.watch(ctx, revision)
+		next, changed, err := res.watch(ctx, revision, wait)
 		f.e.stats.store("watch_"+res.name, err)
 		if err != nil {
 			return err
 		}
 		revision = max(revision, next)
+		wait = res.wait
 		if pause := f.pauseAfter(res); changed || time.Since(began) < pause {
 			sleep(ctx, pause)
+			wait = max(wait-pause, wait/2)
 		}
 	}
 	return ctx.Err()
@@ -218,8 +224,9 @@
 			}
 			return revision, err
 		},
-		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
-			m, revision, err := f.store.WatchManifest(ctx, since, f.watchTimeout(f.settings.Bounds.manifestWatchMS()))
+		wait: f.watchTimeout(f.settings.Bounds.manifestWatchMS()),
+		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
+			m, revision, err := f.store.WatchManifest(ctx, since, wait)
 			changed := m != nil || routing.AsInvalid(err) != nil
 			return revision, changed, apply(m, err)
 		},
@@ -256,8 +263,9 @@
 			}
 			return list.Revision, nil
 		},
-		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
-			c, err := f.store.WatchLeafs(ctx, since, f.watchTimeout(f.settings.Bounds.DrainMS))
+		wait: f.watchTimeout(f.settings.Bounds.DrainMS),
+		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
+			c, err := f.store.WatchLeafs(ctx, since, wait)
 			if err != nil {
 				return 0, false, err
 			}
--- a/edge/follow_vms.go
+++ b/edge/follow_vms.go
@@ -150,8 +150,9 @@
 			f.followResources()
 			return revision, announce(ctx)
 		},
-		watch: func(ctx context.Context, since Revision) (Revision, bool, error) {
-			c, err := f.store.WatchVMs(ctx, since, vmsWatchTimeout)
+		wait: vmsWatchTimeout,
+		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
+			c, err := f.store.WatchVMs(ctx, since, wait)
 			if err != nil {
 				if !errors.Is(err, ErrHistoryCompacted) {
 					sleep(ctx, vmsRetryPause/2+rand.N(vmsRetryPause/2))
--- a/edge/manifest_exchange_test.go
+++ b/edge/manifest_exchange_test.go
@@ -264,7 +264,7 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(revision).To(gomega.BeEquivalentTo(7))
 		r.recordApplied(followedManifest)
-		_, changed, err := res.watch(t.Context(), revision)
+		_, changed, err := res.watch(t.Context(), revision, res.wait)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(changed).To(gomega.BeTrue(), "the watch pauses")
 	}
@@ -276,7 +276,7 @@
 	g.Expect(ans.manifest()).To(gomega.HaveField("Version", gomega.BeEquivalentTo(1)))
 
 	store.manifest, store.err = manifestOf(3), nil
-	_, _, err = res.watch(t.Context(), 8)
+	_, _, err = res.watch(t.Context(), 8, res.wait)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(e.manifestVersion()).To(gomega.BeEquivalentTo(3))
 
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -44,8 +44,23 @@
 // upstream is where a resource is read from: the store, or a VM that reads the store for others.
 type upstream struct {
 	vm string // name of the VM that is followed; empty for the store
+	// endsWaits is true if that VM ends a wait once its own answer from the store is too old.
+	endsWaits bool
 }
 
+// wait returns how long a watch at the VM may wait for a change, if one of at most d is wanted. A VM of
+// an earlier release looks at the age of its answer only when a wait begins.
+func (u upstream) wait(d, maxStaleness time.Duration) time.Duration {
+	if u.endsWaits {
+		return d
+	}
+	return min(d, time.Duration(earlierReleaseWaitShare*float64(maxStaleness)))
+}
+
+// earlierReleaseWaitShare bounds a wait at a VM of an earlier release, as a share of relay.maxStaleness.
+// What it tells at the end may be older than maxStaleness by as much.
+const earlierReleaseWaitShare = 0.125
+
 // avoidPeriod is how long this VM does not follow a VM after a call to it failed.
 const avoidPeriod = 5 * time.Second
 
@@ -168,10 +183,14 @@
 // read reads a resource as a whole from the VM to follow by fromVM. If there is none or that fails,
 // it reads from the store by fromStore, or returns errReadDeferred if this VM may not read the
 // store now. It records in up which of the two it was.
-func (r *relay) read(resource string, up *upstream, fromVM func(scatter.VM) error, fromStore func() error) error {
-	if vm, ok := r.currentReader(); ok && fromVM(vm) == nil {
-		*up = upstream{vm: vm.Name}
-		return nil
+func (r *relay) read(resource string, up *upstream, fromVM func(scatter.VM) (*storeAge, error), fromStore func() error) error {
+	began := time.Now()
+	if vm, ok := r.currentReader(); ok {
+		if age, err := fromVM(vm); err == nil {
+			*up = upstream{vm: vm.Name, endsWaits: age.StoreAgeMS != nil}
+			r.recordKnown(resource, began.Add(-age.of(r.maxStaleness)))
+			return nil
+		}
 	}
 	if !r.mayReadStore() {
 		return errReadDeferred
@@ -181,22 +200,28 @@
 	r.recordListing(resource, failure)
 	if failure == nil {
 		*up = upstream{}
+		r.recordKnown(resource, began)
 	}
 	return err
 }
 
+// recordKnown records that this VM knows a resource as it was at a time.
+func (r *relay) recordKnown(resource string, at time.Time) {
+	r.e.known.record(time.Now(), resource, at)
+}
+
 // Leafs implements Store. It returns the list of leafs of the VM to follow, or that of the store
 // if no VM can be followed. It returns errReadDeferred if this VM may not read the store now.
 func (r *relay) Leafs(ctx context.Context) (LeafList, error) {
 	var list LeafList
-	err := r.read(followedLeafs, &r.leafsUpstream, func(vm scatter.VM) error {
+	err := r.read(followedLeafs, &r.leafsUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans leafsAnswer
 		if err := r.callReader(ctx, vm, methodFollowLeafs, &followCall{List: true}, &ans); err != nil {
-			return err
+			return nil, err
 		}
 		r.incarnation = ans.Incarnation
 		list.Revision = Revision(ans.Position)
-		return unpack(ans.Leafs, &list.Leafs)
+		return &ans.storeAge, unpack(ans.Leafs, &list.Leafs)
 	}, func() (err error) {
 		list, err = r.Store.Leafs(ctx)
 		return err
@@ -217,16 +242,19 @@
 	if !same {
 		return LeafChanges{}, ErrHistoryCompacted
 	}
+	began := time.Now()
 	if r.leafsUpstream.vm == "" {
 		c, err := r.Store.WatchLeafs(ctx, since, wait)
-		r.recordWatch(followedLeafs, err)
+		r.recordWatch(followedLeafs, answeredAt(began, wait), err)
 		return c, err
 	}
+	wait = r.leafsUpstream.wait(wait, r.maxStaleness)
 	var ans leafsAnswer
 	call := &followCall{Incarnation: r.incarnation, Position: int64(since), WaitMS: wait.Milliseconds()}
 	if err := r.callReader(ctx, vm, methodFollowLeafs, call, &ans); err != nil {
 		return LeafChanges{}, err
 	}
+	r.recordKnown(followedLeafs, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
 	return LeafChanges{Changes: ans.Changes, Revision: Revision(ans.Position)}, nil
 }
 
@@ -237,15 +265,15 @@
 	began := time.Now()
 	var m *routing.Manifest
 	var revision Revision
-	err := r.read(followedManifest, &r.manifestUpstream, func(vm scatter.VM) error {
+	err := r.read(followedManifest, &r.manifestUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans manifestAnswer
 		if err := r.callReader(ctx, vm, methodFollowManifest, &followCall{List: true}, &ans); err != nil {
-			return err
+			return nil, err
 		}
 		newer, err := ans.manifest()
 		m = newer
 		r.confirmedAt = began.Add(-r.ageOf(&ans))
-		return err
+		return &ans.storeAge, err
 	}, func() (err error) {
 		m, revision, err = r.Store.Manifest(ctx)
 		r.confirmedAt = began
@@ -266,10 +294,11 @@
 	began := time.Now()
 	if r.manifestUpstream.vm == "" {
 		m, revision, err := r.Store.WatchManifest(ctx, since, wait)
-		r.recordWatch(followedManifest, storeFailure(err))
+		r.recordWatch(followedManifest, answeredAt(began, wait), storeFailure(err))
 		r.confirmedAt = answeredAt(began, wait)
 		return m, revision, err
 	}
+	wait = r.manifestUpstream.wait(wait, r.maxStaleness)
 	call := &followCall{WaitMS: wait.Milliseconds()}
 	if m := r.e.inForce.Get(); m != nil {
 		call.Position = m.Version
@@ -279,6 +308,7 @@
 		return nil, 0, err
 	}
 	r.confirmedAt = answeredAt(began, wait).Add(-r.ageOf(&ans))
+	r.recordKnown(followedManifest, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
 	m, err := ans.manifest()
 	return m, 0, err
 }
@@ -307,13 +337,13 @@
 // store now.
 func (r *relay) Evacuations(ctx context.Context) (Evacuations, error) {
 	var set Evacuations
-	err := r.read(followedEvacuations, &r.evacuationsUpstream, func(vm scatter.VM) error {
+	err := r.read(followedEvacuations, &r.evacuationsUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans evacuationsAnswer
 		if err := r.callReader(ctx, vm, methodFollowEvacuations, &followCall{List: true}, &ans); err != nil {
-			return err
+			return nil, err
 		}
 		set = ans.set()
-		return nil
+		return &ans.storeAge, nil
 	}, func() (err error) {
 		set, err = r.Store.Evacuations(ctx)
 		return err
@@ -330,16 +360,19 @@
 	if !same {
 		return nil, 0, ErrHistoryCompacted
 	}
+	began := time.Now()
 	if r.evacuationsUpstream.vm == "" {
 		set, revision, err := r.Store.WatchEvacuations(ctx, since, wait)
-		r.recordWatch(followedEvacuations, err)
+		r.recordWatch(followedEvacuations, answeredAt(began, wait), err)
 		return set, revision, err
 	}
+	wait = r.evacuationsUpstream.wait(wait, r.maxStaleness)
 	call := &followCall{Position: int64(r.e.evacuationRevision()), WaitMS: wait.Milliseconds()}
 	var ans evacuationsAnswer
 	if err := r.callReader(ctx, vm, methodFollowEvacuations, call, &ans); err != nil {
 		return nil, 0, err
 	}
+	r.recordKnown(followedEvacuations, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
 	if ans.Revision == 0 {
 		return nil, 0, nil
 	}
@@ -383,13 +416,14 @@
 	return failed
 }
 
-// recordWatch records the result of a watch of a resource in the store. A failed watch is ignored,
+// recordWatch records the result of a watch of a resource in the store, and when it was answered. A failed watch is ignored,
 // because the full read that follows immediately shows whether the store is lost. If a failed watch
 // counted as a loss, all VMs that follow this one would read the store themselves whenever the store
 // ends its watches. This would take as many calls as without a relay.
-func (r *relay) recordWatch(resource string, err error) {
+func (r *relay) recordWatch(resource string, answeredAt time.Time, err error) {
 	if err == nil {
 		r.e.feed.recordSuccess(resource)
+		r.recordKnown(resource, answeredAt)
 	}
 }
 
--- a/edge/relay_serve.go
+++ b/edge/relay_serve.go
@@ -28,8 +28,31 @@
 	MaxStalenessMS int64  `json:"within_ms"` // the call fails if the store last answered the called VM longer ago than this, in milliseconds
 }
 
+// storeAge is a part of the answers to a VM that follows this one.
+type storeAge struct {
+	// StoreAgeMS is how long ago the store last answered the called VM about the resource, in
+	// milliseconds. A VM that states it ends a wait as soon as that exceeds MaxStalenessMS; one of an
+	// earlier release does neither.
+	StoreAgeMS *int64 `json:"store_age_ms,omitempty"`
+}
+
+// storeAge returns how old the store's latest answer about a followed resource is.
+func (f *feed) storeAge(resource string) storeAge {
+	ms := time.Since(f.freshUntil(resource, 0)).Milliseconds()
+	return storeAge{StoreAgeMS: &ms}
+}
+
+// of returns the stated age. A VM that does not state it has checked that it was below maxStaleness.
+func (a *storeAge) of(maxStaleness time.Duration) time.Duration {
+	if a.StoreAgeMS == nil {
+		return maxStaleness
+	}
+	return time.Duration(*a.StoreAgeMS) * time.Millisecond
+}
+
 // leafsAnswer is the result of methodFollowLeafs.
 type leafsAnswer struct {
+	storeAge
 	Incarnation string            `json:"life"`              // of the called VM; Position is valid within it only
 	Position    int64             `json:"position"`          // number of the latest change, in the called VM's sequence of changes
 	Leafs       []byte            `json:"leafs,omitempty"`   // if List was set: all leafs, a []registry.Leaf encoded by pack
@@ -39,6 +62,7 @@
 // manifestAnswer is the result of methodFollowManifest and methodNewerManifest, for which
 // followCall.Position is a manifest version.
 type manifestAnswer struct {
+	storeAge
 	Document []byte `json:"document,omitempty"` // a routing.Document encoded by pack; absent if there is no newer one
 	AgeMS    *int64 `json:"age_ms,omitempty"`   // how long ago the called VM's manifest was confirmed to be the newest, in milliseconds; absent if that is not known
 	// SourceLost says that the called VM gets no manifests from the store or the VMs that it
@@ -46,9 +70,10 @@
 	SourceLost bool `json:"source_lost,omitempty"`
 }
 
-// evacuationsAnswer is the result of methodFollowEvacuations. It is empty if the set of evacuated
+// evacuationsAnswer is the result of methodFollowEvacuations. Revision is 0 if the set of evacuated
 // zones has not changed.
 type evacuationsAnswer struct {
+	storeAge
 	Zones    []string `json:"zones,omitempty"`
 	Revision int64    `json:"revision,omitempty"` // of the store, at which the called VM or its source read the set; 0 if there is no newer set
 }
@@ -93,7 +118,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &leafsAnswer{Incarnation: e.feed.incarnation, Position: position, Leafs: leafs}, nil
+		return &leafsAnswer{storeAge: e.feed.storeAge(followedLeafs), Incarnation: e.feed.incarnation, Position: position, Leafs: leafs}, nil
 	}
 	if call.Incarnation != e.feed.incarnation {
 		return nil, errPositionUnknown
@@ -102,29 +127,27 @@
 	defer cancel()
 	var changes []registry.Change
 	position, kept := call.Position, true // kept: all changes after call.Position are still known
-	fresh := func() bool { return e.feed.isFresh(followedLeafs, maxStaleness) }
 	// The wait ends when there are changes, when some changes are no longer kept, or when the
 	// store has not answered this VM recently.
-	e.feed.waitFor(ctx, func() bool {
+	e.feed.waitFor(ctx, followedLeafs, maxStaleness, func() bool {
 		changes, position, kept = e.feed.changesSince(call.Position)
-		return len(changes) > 0 || !kept || !fresh()
+		return len(changes) > 0 || !kept
 	})
 	if !kept {
 		return nil, errPositionUnknown
 	}
-	if len(changes) == 0 && !fresh() {
+	if len(changes) == 0 && !e.feed.isFresh(followedLeafs, maxStaleness) {
 		return nil, errStoreStale
 	}
-	return &leafsAnswer{Incarnation: e.feed.incarnation, Position: position, Changes: changes}, nil
+	return &leafsAnswer{storeAge: e.feed.storeAge(followedLeafs), Incarnation: e.feed.incarnation, Position: position, Changes: changes}, nil
 }
 
 // serveFollowManifest serves a VM that reads the manifest from this VM instead of from the
 // store. It waits for a newer manifest for up to WaitMS, unless List is set. It returns
 // errStoreStale if the store has not answered this VM recently.
 func (e *Engine) serveFollowManifest(ctx context.Context, call *followCall) (*manifestAnswer, error) {
-	fresh := func() bool {
-		return e.feed.isFresh(followedManifest, time.Duration(call.MaxStalenessMS)*time.Millisecond)
-	}
+	maxStaleness := time.Duration(call.MaxStalenessMS) * time.Millisecond
+	fresh := func() bool { return e.feed.isFresh(followedManifest, maxStaleness) }
 	if !fresh() {
 		return nil, errStoreStale
 	}
@@ -134,32 +157,31 @@
 	var age *int64 // of the confirmation; must be read before the manifest
 	// The wait ends when there is a newer manifest, at once if List is set, or when the store
 	// has not answered this VM recently.
-	e.feed.waitFor(ctx, func() bool {
+	e.feed.waitFor(ctx, followedManifest, maxStaleness, func() bool {
 		age = e.confirmationAgeMS()
 		m, _ := e.feed.current()
 		newer = m != nil && m.Version > call.Position
-		return newer || call.List || !fresh()
+		return newer || call.List
 	})
 	if !newer {
 		if !fresh() {
 			return nil, errStoreStale
 		}
-		return &manifestAnswer{AgeMS: age}, nil
+		return &manifestAnswer{storeAge: e.feed.storeAge(followedManifest), AgeMS: age}, nil
 	}
 	doc, err := e.feed.document()
 	if err != nil {
 		return nil, err
 	}
-	return &manifestAnswer{Document: doc, AgeMS: age}, nil
+	return &manifestAnswer{storeAge: e.feed.storeAge(followedManifest), Document: doc, AgeMS: age}, nil
 }
 
 // serveFollowEvacuations serves a VM that reads the set of evacuated zones from this VM instead of
 // from the store. It waits for a newer set for up to WaitMS, unless List is set. It returns
 // errStoreStale if the store has not answered this VM recently.
 func (e *Engine) serveFollowEvacuations(ctx context.Context, call *followCall) (*evacuationsAnswer, error) {
-	fresh := func() bool {
-		return e.feed.isFresh(followedEvacuations, time.Duration(call.MaxStalenessMS)*time.Millisecond)
-	}
+	maxStaleness := time.Duration(call.MaxStalenessMS) * time.Millisecond
+	fresh := func() bool { return e.feed.isFresh(followedEvacuations, maxStaleness) }
 	if !fresh() {
 		return nil, errStoreStale
 	}
@@ -172,17 +194,17 @@
 	var set *Evacuations
 	// The wait ends when there is a newer set, or when the store has not answered this VM
 	// recently.
-	e.feed.waitFor(ctx, func() bool {
+	e.feed.waitFor(ctx, followedEvacuations, maxStaleness, func() bool {
 		set = e.feed.evacuationsSince(known)
-		return set != nil || call.List || !fresh()
+		return set != nil || call.List
 	})
 	switch {
 	case set != nil:
-		return &evacuationsAnswer{Zones: set.Zones, Revision: int64(set.Revision)}, nil
+		return &evacuationsAnswer{storeAge: e.feed.storeAge(followedEvacuations), Zones: set.Zones, Revision: int64(set.Revision)}, nil
 	case !fresh():
 		return nil, errStoreStale
 	}
-	return &evacuationsAnswer{}, nil
+	return &evacuationsAnswer{storeAge: e.feed.storeAge(followedEvacuations)}, nil
 }
 
 var (
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -40,7 +40,7 @@
 
 // newFollowingRelay returns the relay of a VM that follows others instead of reading the store.
 func newFollowingRelay(store Store, client peerClient) *relay {
-	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), peerClient: client}
+	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), known: newKnownTimes(BoundSettings{}), peerClient: client}
 	for i := range 20 {
 		// The hash of a VM's name determines whether it reads the store.
 		name := string(rune('a' + i))
@@ -115,7 +115,7 @@
 func TestVMThatFollowsAnotherOnePausesBriefly(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newFollowingRelay(&listingStore{}, noPeerClient{})
-	f := &follower{store: r}
+	f := &follower{store: r, settings: new(Settings)}
 	leafs := f.leafs()
 	g.Expect(f.pauseAfter(leafs)).To(gomega.Equal(leafsChangePause), "reads the store")
 	r.leafsUpstream = upstream{vm: "vm-1"}
@@ -141,7 +141,7 @@
 // their leafs, or count as ready without knowing of an evacuation.
 func TestReadThatIsNotInForceYetIsNotPassedOn(t *testing.T) {
 	store := &answeringStore{}
-	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), peerClient: noPeerClient{}}
+	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), known: newKnownTimes(BoundSettings{}), peerClient: noPeerClient{}}
 	e.table = scatter.NewTable(scatter.VM{Name: "vm-1", Zone: "a"}, scatter.BudgetConfig{}, time.Now(), rand.New(rand.NewPCG(1, 2)))
 	r := newRelay(store, e, time.Minute)
 	f := &follower{e: e, store: r, log: logging.Discard()}
@@ -168,7 +168,7 @@
 					g.Expect(serve()).To(gomega.MatchError(errStoreStale), "the store has answered; nothing is in force yet")
 					return 1, nil
 				},
-				watch: func(context.Context, Revision) (Revision, bool, error) {
+				watch: func(context.Context, Revision, time.Duration) (Revision, bool, error) {
 					g.Expect(serve()).To(gomega.Succeed(), "what was read is in force")
 					cancel()
 					return 0, false, ctx.Err()
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -110,6 +110,7 @@
 	e.writeRoomMetrics(w)
 	e.writeQuarantineMetrics(w)
 	e.lateAnswers.writeMetrics(w, time.Now())
+	e.known.writeMetrics(w, time.Now())
 	isolated := 0
 	if e.isolated() {
 		isolated = 1
