Answers of leafs are read within bounds

Seen by the review: a leaf that sent 100 MB without a line end to three requests brought the daemon to 452 MB, above its VM's limit. Cause: http.ReadResponse reads status line and headers without a bound, and nothing bounded the bodies of many answers together.

Change: all bytes of a connection to a leaf pass a reader with a bound for the part that is read next; long bodies reserve their memory from a sum for all. What exceeds a bound is a typed error that names the part, and a counter.

Tests: on the code before, a status line and a header without end were read to the 64 MiB at which the trial stopped; TestEndlessAnswersAreBounded and TestManyEndlessAnswersAreBoundedTogether (50 requests at once) end each with an error now. FuzzAnswer, 291,545 executions in 15 s, found nothing.

--- a/edge/stats.go
+++ b/edge/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/bramleybarrow/bramleybarrow/leafhttp"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -105,6 +106,9 @@
 	replaced, dropped := e.pool.AnswerStats()
 	fmt.Fprintf(w, "bramley_edge_leaf_connections_replaced_total %d\n", replaced)
 	fmt.Fprintf(w, "bramley_edge_extra_answers_total %d\n", dropped)
+	for _, part := range leafhttp.Parts() {
+		fmt.Fprintf(w, "bramley_edge_answers_too_long_total{part=%q} %d\n", part, e.pool.TooLong(part))
+	}
 	fmt.Fprintf(w, "bramley_edge_leafs %d\n", e.Leafs())
 	fmt.Fprintf(w, "bramley_edge_other_vms %d\n", e.otherVMs())
 	e.writeRoomMetrics(w)
--- a/leafhttp/conn.go
+++ b/leafhttp/conn.go
@@ -14,9 +14,10 @@
 type conn struct {
 	net.Conn
 	raw           syscall.RawConn // of Conn
-	reader        *bufio.Reader
-	reusableUntil time.Time // end of the idle timeout; set when the connection becomes idle
-	statesIDs     bool      // an answer on it has stated the id of its request
+	bounded       *boundedReader  // reads from Conn
+	reader        *bufio.Reader   // reads from bounded
+	reusableUntil time.Time       // end of the idle timeout; set when the connection becomes idle
+	statesIDs     bool            // an answer on it has stated the id of its request
 	// repeatable holds the ids of requests that may be sent to the leaf again after an answer on
 	// this connection. A late copy of that answer could be taken for the one to the next send, so
 	// that goes out on another connection. It is nil if there are none.
@@ -82,7 +83,8 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, raw: control, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	bounded := &boundedReader{src: raw}
+	return &conn{Conn: raw, raw: control, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -46,6 +46,8 @@
 	// repeats and extraAnswers are the numbers of connections that were replaced for a request sent
 	// again, and of answers to other requests that were dropped; see AnswerStats.
 	repeats, extraAnswers atomic.Uint64
+	longBodies            longBodies
+	tooLong               [len(partNames)]atomic.Uint64 // by Part: numbers of answers that exceeded its bound; see TooLong
 }
 
 // NewPool returns a pool without connections.
@@ -64,6 +66,9 @@
 	return p.repeats.Load(), p.extraAnswers.Load()
 }
 
+// TooLong returns how many answers exceeded the bound of a part.
+func (p *Pool) TooLong(part Part) uint64 { return p.tooLong[part].Load() }
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
@@ -75,9 +80,6 @@
 	return n
 }
 
-// errAnswerTooLong reports a body of more than maxAnswerBytes.
-var errAnswerTooLong = errors.New("leafhttp: answer too long")
-
 // errMismatchedAnswer reports an answer that belongs to another request.
 var errMismatchedAnswer = errors.New("leafhttp: answer to another request")
 
@@ -177,7 +179,7 @@
 // readOwnAnswer reads answers until that to the request with the given id.
 func (p *Pool) readOwnAnswer(c *conn, method, id string, read func(*Answer) Reading) (*Answer, time.Duration, error) {
 	for dropped := 0; ; dropped++ {
-		ans, resp, err := readAnswer(c, method)
+		ans, resp, err := p.readAnswer(c, method)
 		if err != nil {
 			return nil, 0, err
 		}
--- a/leafhttp/request.go
+++ b/leafhttp/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -75,50 +74,6 @@
 // extraHeadSize is the capacity reserved for the extra headers of an attempt, in bytes.
 const extraHeadSize = 128
 
-// maxAnswerBytes bounds the body of a leaf's answer, so that a faulty leaf can't use up
-// this VM's memory.
-const maxAnswerBytes = 4 << 20
-
-// readAnswer reads the answer to a request with this method. It also returns the response
-// that the answer was read from. A body that ends too early is an error. If only the end
-// of the connection delimits the body, a reset of the connection is an error too.
-func readAnswer(c *conn, method string) (*Answer, *http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // informational; the answer follows
-		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, nil, err
-		}
-		if len(body) > maxAnswerBytes {
-			return nil, nil, errAnswerTooLong
-		}
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp, nil
-	}
-}
-
-// maxPreparedBytes is the stated length of a body, in bytes, up to which memory for it is taken before
-// it arrives.
-const maxPreparedBytes = 64 << 10
-
-// readBody reads the body of an answer, and at most a byte more than maxAnswerBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	// The answer to a HEAD request states a length, but has no body.
-	if resp.Body == http.NoBody || resp.ContentLength < 0 || resp.ContentLength > maxPreparedBytes {
-		return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	}
-	body := make([]byte, resp.ContentLength)
-	if _, err := io.ReadFull(resp.Body, body); err != nil {
-		return nil, err
-	}
-	return body, nil
-}
-
 // idleTimeoutAfter returns how long a connection may stay idle after an answer, or 0 if
 // it can't be reused. It leaves a margin before the leaf's own timeout, because a
 // request that is sent while the leaf closes the connection is lost.
