A request that was given up gets no empty success

A caller that closed only its sending side and went on reading got 200 with an empty body (read by the review). Cause: the query is abandoned when the caller's side closes, the handler returned without writing, and net/http answers 200 by itself. Change: the handler aborts, and the connection closes without an answer.

Test seen red on the code before: TestHalfClosedCallerGetsNoSuccess (HTTP/1.1 200 OK, Content-Length: 0).

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -100,7 +100,9 @@
 	e.stats.tenants.count(time.Now(), who, endOfOutcome(res.Outcome.Verdict))
 	e.logRequest(req, route, m.Version, who, res, time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
-		return
+		// The caller has closed its sending side, and may still read. net/http would answer an
+		// empty 200 for a handler that returns.
+		panic(http.ErrAbortHandler)
 	}
 	writeResult(w, res)
 	e.lateAnswers.add(time.Now(), res.dueAt)
