--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -26,6 +26,7 @@
 	NoContentLength bool          // answers have no Content-Length and end when the connection is closed
 	ExtraAnswer     bool          // a second answer follows each one
 	NoReceipt       bool          // answers have no receipt
+	Endless         bool          // requests are run, and answered with a header that has no end
 	Silent          bool          // requests are counted as run and get no answer until the caller disconnects
 	// EndOn reports whether a request ends the leaf when it begins to run, as a crash of its process
 	// does: all connections are closed, and new ones are refused. Nil means that none does.
@@ -41,6 +42,8 @@
 	// Observe is called with the headers of each request that arrives and is not for another leaf, and
 	// whether it runs, by several goroutines at the same time. It may be nil.
 	Observe func(header http.Header, runs bool)
+	// Inspect is called as Observe, with the request and its body. It may be nil.
+	Inspect func(r *http.Request, body []byte)
 
 	mu         sync.Mutex // guards the fields below, and Born after Start
 	server     *httptest.Server
@@ -235,6 +238,9 @@
 	}
 	l.lastHeader, l.lastBody, l.lastURI, l.lastMethod = r.Header.Clone(), body, r.RequestURI, r.Method
 	l.mu.Unlock()
+	if l.Inspect != nil {
+		l.Inspect(r, body)
+	}
 	if l.Observe != nil {
 		l.Observe(r.Header, !f.refuses())
 	}
@@ -313,6 +319,10 @@
 	if f.LoseAnswers || f.Silent {
 		panic(http.ErrAbortHandler)
 	}
+	if f.Endless {
+		l.writeEndless(w)
+		return
+	}
 	if f.TruncateBody || f.NoContentLength || f.ExtraAnswer {
 		l.writeRawAnswer(w, id, body, f)
 		return
@@ -332,6 +342,23 @@
 	_, _ = w.Write(body)
 }
 
+// writeEndless writes a header until the caller closes the connection.
+func (l *Leaf) writeEndless(w http.ResponseWriter) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Long: ")
+	for line := strings.Repeat("x", 4<<10); err == nil; {
+		_, err = io.WriteString(conn, line)
+	}
+}
+
 // writeRawAnswer writes the answer with the fault TruncateBody, NoContentLength or ExtraAnswer, which
 // net/http's server can't produce, and closes the connection.
 func (l *Leaf) writeRawAnswer(w http.ResponseWriter, id string, body []byte, f LeafFaults) {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -42,6 +42,28 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// callerRequest is what all requests of one kind have in common.
+type callerRequest struct{ method, path, body string }
+
+// requestKinds is the number of kinds of requests. They are numbered as their routes in the manifest: 0
+// gathers from all shards, 1 asks one leaf, 2 sends a report, which must run at most once, to one leaf.
+const requestKinds = 3
+
+// requestOf returns the request of a kind.
+func requestOf(kind int) callerRequest {
+	r := callerRequest{method: "GET", path: [...]string{"/all/x", "/one/x", "/once/x"}[kind], body: "report"}
+	if kind == 2 {
+		r.method = "POST"
+	}
+	return r
+}
+
+// Some callers pause between their requests for longer than a VM that is told to stop goes on taking them.
+const (
+	pausingCallers = 2
+	maxPause       = 900 * time.Millisecond
+)
+
 // run sends requests of random kinds to random VMs until ctx ends. number identifies the
 // caller in request IDs; together with seed it determines the choices.
 func (c *callers) run(ctx context.Context, number int, seed uint64) {
@@ -54,24 +76,24 @@
 			kind, key := tenants.choose(number, rng)
 			tenants.check(c, vm, id, key, func() int { return c.send(client, vm, id, kind, key.text) })
 		} else {
-			c.send(client, vm, id, rng.IntN(3), "")
+			c.send(client, vm, id, rng.IntN(requestKinds), "")
+		}
+		pause := time.Duration(5+rng.IntN(20)) * time.Millisecond
+		if number >= callerCount-pausingCallers {
+			pause = time.Duration(rng.Int64N(int64(maxPause)))
 		}
-		time.Sleep(time.Duration(5+rng.IntN(20)) * time.Millisecond)
+		time.Sleep(pause)
 	}
 }
 
 // send sends one request to the VM, records its status and checks the answer if that is
-// 200. kind is the number of the request's route in the manifest: 0 gathers from all
-// shards, 1 asks one leaf, 2 sends a report, which must run at most once, to one leaf. key is
+// 200. kind is the number of the request's kind. key is
 // the caller's API key; if it is empty, none is sent. send returns the status.
 func (c *callers) send(client *http.Client, v *vm, id string, kind int, key string) int {
-	method, path := "GET", [...]string{"/all/x", "/one/x", "/once/x"}[kind]
-	if kind == 2 {
-		method = "POST"
-	}
+	sent := requestOf(kind)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.set.Listen.Callers+path, strings.NewReader("report"))
+	req, err := http.NewRequestWithContext(ctx, sent.method, "http://"+v.set.Listen.Callers+sent.path, strings.NewReader(sent.body))
 	if err != nil {
 		c.addViolation("%s: %v", id, err)
 		return noAnswer
@@ -91,7 +113,7 @@
 	}
 	// A tenant with a limit may have to wait longer, with status 429 or 503.
 	if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil && c.deployment.tenants == nil && seconds > longestUsualRetry.Seconds() {
-		c.addViolation("%s: %s took a request to %s for one that ends leafs", id, v.set.Name, path)
+		c.addViolation("%s: %s took a request to %s for one that ends leafs", id, v.set.Name, sent.path)
 	}
 	c.mu.Lock()
 	if kind == 2 {
@@ -114,12 +136,14 @@
 
 // checkBrokenOff checks that a request that ended with an error, some time after it was sent, was not
 // broken off by a VM because it was told to stop. A VM may do so only at the end of its grace, while
-// leafs are still at work on the request.
+// leafs are still at work on the request, and if it was sent soon after the VM was told to stop.
 func (c *callers) checkBrokenOff(v *vm, id string, age time.Duration, err error) {
 	stopping, told := v.stoppingFor()
 	arrived := c.deployment.arrived(id)
-	atWork := arrived && stopping > time.Duration(workGraceShare*v.set.GraceS*float64(time.Second))
-	if told && !atWork && (arrived || age > lossSlack) {
+	grace := time.Duration(v.set.GraceS * float64(time.Second))
+	atWork := arrived && stopping > time.Duration(workGraceShare*float64(grace))
+	sentEarly := stopping-age <= time.Duration(earlyGraceShare*float64(grace))
+	if told && !(atWork && sentEarly) && (arrived || age > lossSlack) {
 		c.addViolation("%s: %s broke off the request %v after it was told to stop, and %v after it was sent: %v", id, v.set.Name, stopping, age, err)
 	}
 }
@@ -128,6 +152,9 @@
 // break off requests on which leafs are still at work.
 const workGraceShare = 5.0 / 6
 
+// earlyGraceShare is the share of that time within which such a request was sent.
+const earlyGraceShare = 1.0 / 2
+
 // arrived reports whether the request with that ID has reached a leaf.
 func (d *deployment) arrived(id string) bool {
 	for _, l := range d.leafs {
@@ -197,8 +224,12 @@
 }
 
 // checkReports checks, after all requests have ended, that each report ran at most once,
-// and did not run if its caller was answered 401, 429 or 503.
+// and did not run if its caller was answered 401, 429 or 503. It also adds the requests that leafs got
+// changed.
 func (c *callers) checkReports() {
+	c.deployment.mu.Lock()
+	c.violations = append(c.violations, c.deployment.changed...)
+	c.deployment.mu.Unlock()
 	for id, status := range c.reports {
 		runs := 0
 		for _, l := range c.deployment.leafs {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -35,6 +35,9 @@
 	leafs   map[string]*edgesim.Leaf // by ID
 	vms     []*vm
 	tenants *tenants // nil if requests need no API key
+
+	mu      sync.Mutex // guards changed
+	changed []string   // requests that reached a leaf otherwise than they were sent
 }
 
 // vm is one VM. Its settings and its proxy to the store outlive its processes.
@@ -93,10 +96,28 @@
 	if d.tenants != nil {
 		l.Observe = d.tenants.observe
 	}
+	l.Inspect = d.inspect
 	d.leafs[id] = l.Start()
 	d.store.Put("servers", id, l.RegistryEntry("ready"))
 }
 
+// inspect records a request to a leaf that differs from what its caller sent. Requests that end leafs have no
+// body.
+func (d *deployment) inspect(r *http.Request, body []byte) {
+	want := callerRequest{method: r.Method, path: r.RequestURI}
+	for kind := range requestKinds {
+		if requestOf(kind).path == r.RequestURI {
+			want = requestOf(kind)
+		}
+	}
+	if strings.Contains(r.RequestURI, "deadly") && r.Method == http.MethodGet && len(body) == 0 || r.Host == "h.example" && r.Method == want.method && string(body) == want.body && want.body != "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changed = append(d.changed, fmt.Sprintf("%s: a leaf got %s %s at %q with the body %q", r.Header.Get("Bramleybarrow-Attempt-Id"), r.Method, r.RequestURI, r.Host, body))
+}
+
 // putManifest stores a manifest with three routes: "all" gathers from all shards, "one"
 // and "once" call a leaf of the ledger. Requests of "once" must not run twice. more holds further
 // fields of the manifest, each preceded by a comma.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,7 +51,7 @@
 var fixedDeadlySeeds = []uint64{1, 2}
 
 // Callers send reports and reads while VMs are stopped, frozen, killed and restarted,
-// leafs lose, cut, repeat and refuse answers, zones are evacuated and taken back, and the
+// leafs lose, cut, repeat, refuse and never end answers, zones are evacuated and taken back, and the
 // store is down, silent, serves old listings, or refuses single VMs. In every order of the faults, each answer must be
 // intact and correct, a report must run at most once, a report that was answered as not
 // run must not have run, and all VMs must serve again soon after the last fault. An
@@ -204,6 +204,7 @@
 	faults := []edgesim.LeafFaults{
 		{Delay: 150 * time.Millisecond}, {Refuse: true}, {Fail: true}, {LoseAnswers: true}, {TruncateBody: true},
 		{NoContentLength: true}, {ExtraAnswer: true}, {NoReceipt: true}, {Silent: true},
+		{RefuseTwice: true}, {Endless: true},
 	}
 	id := "ledger-" + zones[rng.IntN(len(zones))]
 	if rng.IntN(2) == 0 {
@@ -273,7 +274,7 @@
 // request IDs contain n, so that they differ between the attempts of one waitServing call.
 func (d *deployment) serves(v *vm, n int) bool {
 	probe := &callers{deployment: d, reports: make(map[string]int)}
-	for kind := range 3 {
+	for kind := range requestKinds {
 		client := newClient()
 		probe.send(client, v, "probe-"+v.set.Name+"-"+strconv.Itoa(n)+"-"+strconv.Itoa(kind), kind, d.tenants.probeKey())
 	}
