--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -45,7 +45,7 @@
 // shards, and of one more, with one trial, at each VM that a fault has kept from learning of it. All other
 // requests must be served again soon after, and none is taken for one that ends leafs.
 func soakDeadly(t *testing.T, binary string, seed uint64) {
-	d := newDeployment(t, binary, nil)
+	d := newDeployment(t, binary, defaultOptions(nil))
 	counts := &deadly{runs: make(map[string]int)}
 	for _, l := range d.leafs {
 		l.SetFaults(edgesim.LeafFaults{EndOn: counts.endsLeaf, Delay: 2 * time.Millisecond})
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -31,6 +31,7 @@
 	t       *testing.T
 	binary  string // path of bramleyd
 	dir     string // of the VMs' settings and logs
+	options deploymentOptions
 	store   *edgesim.Store
 	leafs   map[string]*edgesim.Leaf // by ID
 	vms     []*vm
@@ -40,6 +41,19 @@
 	changed []string   // requests that reached a leaf otherwise than they were sent
 }
 
+// deploymentOptions are the parameters in which deployments differ.
+type deploymentOptions struct {
+	grace     time.Duration // from SIGTERM to SIGKILL
+	timeoutMS int           // of each route
+	logLevel  string        // of the VMs
+	tenants   *tenants      // nil if requests need no API key
+}
+
+// defaultOptions returns the options of most runs. tenants is nil if requests need no API key.
+func defaultOptions(tenants *tenants) deploymentOptions {
+	return deploymentOptions{grace: time.Second, timeoutMS: 800, logLevel: "warn", tenants: tenants}
+}
+
 // vm is one VM. Its settings and its proxy to the store outlive its processes.
 type vm struct {
 	set          *edge.Settings
@@ -55,9 +69,9 @@
 }
 
 // newDeployment starts the store, one leaf of each shard and of the ledger in each zone,
-// and the VMs. They are stopped when the test ends. tenants is nil if requests need no API key.
-func newDeployment(t *testing.T, binary string, tenants *tenants) *deployment {
-	d := &deployment{t: t, binary: binary, dir: t.TempDir(), store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf), tenants: tenants}
+// and the VMs. They are stopped when the test ends.
+func newDeployment(t *testing.T, binary string, options deploymentOptions) *deployment {
+	d := &deployment{t: t, binary: binary, dir: t.TempDir(), options: options, store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf), tenants: options.tenants}
 	t.Cleanup(d.close)
 	for _, name := range shards() {
 		for _, zone := range zones {
@@ -68,7 +82,7 @@
 		d.addLeaf("ledger-"+zone, "ledger", zone)
 	}
 	d.putManifest(1, "")
-	if tenants != nil {
+	if d.tenants != nil {
 		d.changeTenants(0)
 	}
 	for _, zone := range zones {
@@ -122,18 +136,18 @@
 // and "once" call a leaf of the ledger. Requests of "once" must not run twice. more holds further
 // fields of the manifest, each preceded by a comma.
 func (d *deployment) putManifest(version int, more string) {
-	d.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[
-	{"name":"all","host":"h.example","path-prefix":"/all/","kind":"idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"gather":["%s"],"max-attempts":2,"top-k":5,"min-share":0.5},
-	{"name":"one","host":"h.example","path-prefix":"/one/","kind":"idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2},
-	{"name":"once","host":"h.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":800,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2}],
-	"services":[{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}%s}`, version, strings.Join(shards(), `","`), more))
+	d.store.Put("config", "main", fmt.Sprintf(`{"version":%[1]d,"routes":[
+	{"name":"all","host":"h.example","path-prefix":"/all/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"gather":["%[3]s"],"max-attempts":2,"top-k":5,"min-share":0.5},
+	{"name":"one","host":"h.example","path-prefix":"/one/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2},
+	{"name":"once","host":"h.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2}],
+	"services":[{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}%[4]s}`, version, d.options.timeoutMS, strings.Join(shards(), `","`), more))
 }
 
 // addVM writes the settings of a VM and starts it with a proxy to the store.
 func (d *deployment) addVM(name, zone string) {
 	proxy := edgesim.NewStoreProxy(d.store.Address())
 	v := &vm{proxy: proxy, settingsPath: filepath.Join(d.dir, name+".json"), set: &edge.Settings{
-		Name: name, Zone: zone, Store: proxy.Address(), GraceS: 1, Power: 1, MemoryMB: 256, LogLevel: "warn",
+		Name: name, Zone: zone, Store: proxy.Address(), GraceS: d.options.grace.Seconds(), Power: 1, MemoryMB: 256, LogLevel: d.options.logLevel,
 		Listen: edge.ListenSettings{Callers: d.freeAddress(), Ready: d.freeAddress(), VMs: d.freeAddress(), Metrics: d.freeAddress()},
 		Bounds: edge.BoundSettings{ManifestMS: 3000, DrainMS: 3000, EvacuateMS: float64(evacuationBound.Milliseconds())},
 		Budget: edge.BudgetSettings{Ratio: 0.2, Floor: 200, WindowS: 10},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,7 +86,7 @@
 // soak tests a new deployment, whose daemons run the program at the path binary, with the
 // faults and requests that the seed determines. tenants is nil if requests need no API key.
 func soak(t *testing.T, binary string, seed uint64, tenants *tenants) {
-	d := newDeployment(t, binary, tenants)
+	d := newDeployment(t, binary, defaultOptions(tenants))
 	d.waitServing(t)
 	load := &callers{deployment: d, reports: make(map[string]int)}
 	ctx, stop := context.WithTimeout(context.Background(), faultDuration)
