--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +23,7 @@
 	Refuse          bool          // requests are answered with status 503 and not run
 	RefuseTwice     bool          // as Refuse, and the answer is sent again when the next request has arrived on the connection
 	Fail            bool          // requests are run and answered with status 500
+	TimesOut        bool          // a request whose time budget ends while it runs is answered with status 504 then
 	LoseAnswers     bool          // requests are run, and their connection is closed without an answer
 	TruncateBody    bool          // answers end after half of their body
 	NoContentLength bool          // answers have no Content-Length and end when the connection is closed
@@ -254,7 +257,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	l.doWork(r, f)
+	if l.doWork(r, f) {
+		w.Header().Set("Bramleybarrow-Attempt-Id", id)
+		w.Header().Set("Bramleybarrow-Response-Stamp", l.Receipt(id))
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
 	if f.EndOn != nil && f.EndOn(r.RequestURI) {
 		l.end()
 		panic(http.ErrAbortHandler)
@@ -291,25 +299,31 @@
 }
 
 // doWork blocks for as long as the faults require the request to run, or until its caller
-// disconnects.
-func (l *Leaf) doWork(r *http.Request, f LeafFaults) {
+// disconnects. It reports whether the request's time budget ended before, with the fault TimesOut.
+func (l *Leaf) doWork(r *http.Request, f LeafFaults) (timedOut bool) {
 	l.addInFlight(1)
 	defer l.addInFlight(-1)
 	if f.Silent {
 		<-r.Context().Done()
-		return
+		return false
+	}
+	ctx := r.Context()
+	if budget, err := strconv.Atoi(r.Header.Get("Bramleybarrow-Deadline-Ms")); err == nil && f.TimesOut {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(budget)*time.Millisecond)
+		defer cancel()
 	}
 	select {
 	case <-time.After(f.Delay):
-	case <-r.Context().Done():
-	}
-	if f.Hold == nil {
-		return
+	case <-ctx.Done():
 	}
-	select {
-	case <-f.Hold:
-	case <-r.Context().Done():
+	if f.Hold != nil {
+		select {
+		case <-f.Hold:
+		case <-ctx.Done():
+		}
 	}
+	return ctx.Err() != nil && r.Context().Err() == nil
 }
 
 // writeAnswer writes the answer to the request with that id, changed as the faults require. For
