A stopping VM says what became of each request

The record of an incident at stopping VMs names a closed connection and the line 'requests in flight were cut off', but not which requests these were, where they were, or whether there were any: net/http's Shutdown also waits for connections that have carried no request for less than 5 s, and its error means both.

Each caller's request has a stage while it is open, from its header to its answer. A request that the end of the process cuts off is named with it. A request that ends after SIGTERM says when it arrived, what time was left, and, if it was ended by the stop, for how long a leaf had been at work; an abandoned one says whether the caller closed or reset its connection or this VM did. The phases of a stop have lines and a gauge.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -64,7 +65,7 @@
 }
 
 // callerConn is a caller's connection. net/http sets its read deadlines and reports its state
-// changes from the same goroutine, so the fields need no lock.
+// changes from the same goroutine, so the fields but for the atomic ones need no lock.
 type callerConn struct {
 	*net.TCPConn
 	limits     func() routing.Limits // limits of the manifest in force
@@ -74,6 +75,9 @@
 	// set next bounds the wait for another request, and clears idle.
 	idle bool
 	used bool // the connection has carried an earlier request
+
+	request atomic.Pointer[openRequest] // that is served on it; nil for none
+	end     atomic.Int32                // a connEnd
 }
 
 // callerConnKey is the key of a request's *callerConn in its context.
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -35,6 +35,7 @@
 	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
 	stopping         *stopClock                 // when this VM ends what it still serves
 	peerWork         peerWork                   // what this VM does for other VMs
+	callerConns      *callerConns               // open connections of callers
 	room             atomic.Pointer[ownRoom]    // room of this VM; nil if it is not measured
 	taken            takenRequests              // requests that other VMs have handed over to this one
 	self             scatter.VM                 // name and zone of this VM
@@ -93,6 +94,7 @@
 		self:             scatter.VM{Name: opt.Self, Zone: opt.Zone},
 		sourceFailed:     newWakeup(),
 		stopping:         newStopClock(),
+		callerConns:      newCallerConns(),
 		known:            newKnownTimes(opt.Bounds),
 	}
 	e.currency.setBounds(opt.Bounds)
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -29,6 +29,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.answerPanic(w, r)
 	arrived := time.Now()
+	beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived)
 	m := e.inForce.Get()
 	if m == nil {
 		e.replyUnavailable(w, r, "no_manifest", 0, retryAfterStart)
@@ -70,6 +71,7 @@
 		e.replyUnavailable(w, r, "no_leafs", m.Version, retryAfterStart)
 		return
 	}
+	enterStage(r.Context(), stageKey)
 	who, rejected := e.authenticate(r, m, route)
 	if newer := e.inForce.Get(); rejected != nil && newer.Version > m.Version {
 		e.serveBy(w, r, arrived, newer)
@@ -78,6 +80,7 @@
 	var caller callerTime
 	if rejected == nil {
 		caller = e.callerTimeOf(r, arrived, route)
+		enterStage(r.Context(), stageToken)
 		rejected = e.takeToken(r.Context(), arrived, who, route, caller.freshFor(route.Aim))
 	}
 	if rejected != nil {
@@ -85,6 +88,7 @@
 		e.reject(w, r, rejected, m.Version)
 		return
 	}
+	enterStage(r.Context(), stageBody)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
 	if err != nil {
 		e.returnToken(time.Now(), who)
@@ -97,8 +101,9 @@
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
+	enterStage(r.Context(), stageAnswer)
 	e.stats.tenants.count(time.Now(), who, endOfOutcome(res.Outcome.Verdict))
-	e.logRequest(req, route, m.Version, who, res, time.Since(arrived))
+	e.logRequest(req, route, m.Version, who, res, connEndOfRequest(r.Context()), time.Since(arrived))
 	if res.Outcome.Verdict == scatter.Abandoned {
 		// The caller has closed its sending side, and may still read. net/http would answer an
 		// empty 200 for a handler that returns.
@@ -280,11 +285,13 @@
 	if !spec.Gathered {
 		spec.Services = []string{e.splitter.Next(route)}
 	}
+	enterStage(r.Context(), stageSlot)
 	slot := e.slots.Load().reserve(r.Context(), time.Now(), spec)
 	if res := slot.refusal(spec); res != nil {
 		return res
 	}
 	spec.Advised = slot.advised()
+	enterStage(r.Context(), stageLeaf)
 	run := e.newRunner(req, spec)
 	run.slot = slot
 	out := run.run(r.Context())
--- a/edge/log.go
+++ b/edge/log.go
@@ -12,12 +12,17 @@
 )
 
 // logRequest counts an answered or abandoned request and writes the log line that summarizes
-// it. version is that of the manifest in force, who says on whose behalf the request ran, and took is
-// the time since the request arrived.
-func (e *Engine) logRequest(req *Request, route *routing.Route, version int64, who origin, res *Result, took time.Duration) {
+// it. version is that of the manifest in force, who says on whose behalf the request ran, end what ended
+// its connection, and took is the time since the request arrived.
+func (e *Engine) logRequest(req *Request, route *routing.Route, version int64, who origin, res *Result, end connEnd, took time.Duration) {
 	out := res.Outcome
 	e.stats.request(route.Kind.String(), out, took)
-	e.log.Info("request", append(append(refusalFields(out), who.logFields()...),
+	fields := append(append(refusalFields(out), who.logFields()...), e.stopping.logFields(out, took)...)
+	if out.Verdict == scatter.Abandoned {
+		e.stats.count(`bramley_edge_requests_abandoned_total{by=%q}`, connEndNames[end])
+		fields = append(fields, "by", connEndNames[end])
+	}
+	e.log.Info("request", append(fields,
 		"request", req.ID,
 		"content", res.Content.String(),
 		"route", route.Name,
@@ -62,6 +67,9 @@
 // is none.
 func (e *Engine) logRefusal(r *http.Request, status int, why string, version int64, fields ...any) {
 	e.stats.count(`bramley_edge_refusals_total{why=%q}`, why)
+	if !e.stopping.time().IsZero() {
+		e.stopping.ends.refused.Add(1)
+	}
 	e.log.Info("request refused", append([]any{
 		"request", e.headerCodec.RequestID(r.Header),
 		"status", status,
--- a/edge/node.go
+++ b/edge/node.go
@@ -171,7 +171,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         trackCallerState,
+		ConnState:         n.engine.callerConns.track,
 		ConnContext:       withCallerConn,
 		ErrorLog:          logging.StdLogger(n.log),
 	}
--- /dev/null
+++ b/edge/open_requests.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// requestStage says how far this VM has come with a caller's request.
+type requestStage int32
+
+// The stages, in order. A request is still at the last one after its handler has returned, until its
+// answer is written.
+const (
+	stageHead   requestStage = iota // its header was read
+	stageKey                        // its key is checked
+	stageToken                      // its tenant's limit is checked
+	stageBody                       // its body is read
+	stageOffer                      // it is offered to another VM, or runs there
+	stageSlot                       // a keeper of slots is asked
+	stageLeaf                       // leafs and other VMs work on it
+	stageAnswer                     // its answer is written
+	requestStages
+)
+
+// requestStageNames are the values of the label and key stage.
+var requestStageNames = [requestStages]string{"head", "key", "token", "body", "offer", "slot", "leaf", "answer"}
+
+// openRequest is a caller's request that this VM has not answered.
+type openRequest struct {
+	id    string
+	since time.Time    // when its header was read
+	stage atomic.Int32 // a requestStage
+}
+
+// callerConns are the open connections of callers. It is safe for concurrent use.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]http.ConnState
+}
+
+// newCallerConns returns an empty set.
+func newCallerConns() *callerConns {
+	return &callerConns{open: make(map[*callerConn]http.ConnState)}
+}
+
+// track records the state of a connection. It is the server's ConnState hook.
+func (s *callerConns) track(c net.Conn, state http.ConnState) {
+	trackCallerState(c, state)
+	cc, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	if state != http.StateActive {
+		cc.request.Store(nil)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.open, cc)
+	default:
+		s.open[cc] = state
+	}
+}
+
+// connCounts are numbers of connections by what they are used for.
+type connCounts struct {
+	idle   int // wait for a request
+	unused int // have carried none yet
+	active int // carry one
+}
+
+// counts returns the numbers of open connections.
+func (s *callerConns) counts() (n connCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.open {
+		switch state {
+		case http.StateIdle:
+			n.idle++
+		case http.StateNew:
+			n.unused++
+		default:
+			n.active++
+		}
+	}
+	return n
+}
+
+// requests returns the requests that were not answered yet.
+func (s *callerConns) requests() []*openRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var open []*openRequest
+	for c := range s.open {
+		if req := c.request.Load(); req != nil {
+			open = append(open, req)
+		}
+	}
+	return open
+}
+
+// begin records that a request on the connection of ctx is served from now on.
+func beginRequest(ctx context.Context, id string, now time.Time) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		c.request.Store(&openRequest{id: id, since: now})
+	}
+}
+
+// enterStage records how far the request on the connection of ctx has come. It does nothing for a
+// request that another VM has handed over.
+func enterStage(ctx context.Context, stage requestStage) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		if req := c.request.Load(); req != nil {
+			req.stage.Store(int32(stage))
+		}
+	}
+}
+
+// connEnd says what ended the reading from a caller's connection.
+type connEnd int32
+
+// The ends of a connection.
+const (
+	connOpen   connEnd = iota
+	connClosed         // the caller has closed it, or its sending side
+	connReset          // the caller or the network has reset it
+	connOwn            // this VM has closed it
+	connFailed         // any other error
+	connEnds
+)
+
+// connEndNames are the values of the label and key by of abandoned requests.
+var connEndNames = [connEnds]string{"unknown", "closed", "reset", "this_vm", "failed"}
+
+// connEndOf classifies an error of a read. A deadline that has passed ends only the read.
+func connEndOf(err error) connEnd {
+	var timeout net.Error
+	switch {
+	case err == nil, errors.As(err, &timeout) && timeout.Timeout():
+		return connOpen
+	case errors.Is(err, io.EOF):
+		return connClosed
+	case errors.Is(err, syscall.ECONNRESET):
+		return connReset
+	case errors.Is(err, net.ErrClosed):
+		return connOwn
+	}
+	return connFailed
+}
+
+// Read implements net.Conn. It records what ended the reading.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if end := connEndOf(err); end != connOpen {
+		c.end.CompareAndSwap(int32(connOpen), int32(end))
+	}
+	return n, err
+}
+
+// connEndOfRequest returns what ended the connection of the request with ctx.
+func connEndOfRequest(ctx context.Context) connEnd {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		return connEnd(c.end.Load())
+	}
+	return connOpen
+}
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -153,6 +153,7 @@
 	if !ok {
 		return nil
 	}
+	enterStage(ctx, stageOffer)
 	sentAt := time.Now()
 	offerCtx, cancel := context.WithTimeout(ctx, time.Duration(offerTimeShare*float64(time.Until(req.Deadline))))
 	offer, err := client.offerRequest(offerCtx, vm, &offerCall{Manifest: version})
--- a/edge/request_handover_test.go
+++ b/edge/request_handover_test.go
@@ -181,7 +181,7 @@
 		res := v.handedOver(t.Context(), req, scatter.VM{Name: "b"}, ans, nil)
 		g.Expect(res.Status).To(gomega.Equal(http.StatusBadGateway))
 		g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.Unknown))
-		v.logRequest(req, route, 1, origin{}, res, time.Second)
+		v.logRequest(req, route, 1, origin{}, res, connOpen, time.Second)
 		writeResult(httptest.NewRecorder(), res)
 	}
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -198,7 +198,7 @@
 
 // stop is called when this VM ends what it still serves. The results are those of step.
 func (r *runner) stop() ([]scatter.Action, time.Time) {
-	return r.afterEvents(func(time.Time) []scatter.Action { return r.query.Stop() })
+	return r.afterEvents(r.query.Stop)
 }
 
 // afterEvents processes the pending events if there are any, so that an answer that arrived while this
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
 // Shares of the time between SIGTERM and SIGKILL, all counted from SIGTERM.
@@ -21,11 +24,41 @@
 	exitGraceShare = 0.98
 )
 
+// maxNamedCutOff bounds the requests that are named in the log when they are cut off.
+const maxNamedCutOff = 32
+
 // stopClock says when this VM ends what it still serves. It is safe for concurrent use.
 type stopClock struct {
 	at   atomic.Pointer[time.Time] // nil while this VM was not told to stop
+	told atomic.Pointer[time.Time] // when this VM was told to stop; set before at
 	over context.Context           // ends at that time
 	end  context.CancelFunc
+	ends stopEnds
+}
+
+// stopEnds counts callers' requests that ended after this VM was told to stop.
+type stopEnds struct {
+	answered  atomic.Int64
+	refused   atomic.Int64 // by this VM, before they were sent anywhere
+	stopped   atomic.Int64 // answered as at their deadline since this VM ended
+	abandoned atomic.Int64 // the caller disconnected
+	failed    atomic.Int64 // answered with a failure
+}
+
+// count counts a request with this outcome.
+func (s *stopEnds) count(out scatter.Outcome) {
+	switch {
+	case out.Stopped:
+		s.stopped.Add(1)
+	case out.Verdict == scatter.Answered:
+		s.answered.Add(1)
+	case out.Verdict == scatter.NotRun:
+		s.refused.Add(1)
+	case out.Verdict == scatter.Abandoned:
+		s.abandoned.Add(1)
+	default:
+		s.failed.Add(1)
+	}
 }
 
 // newStopClock returns the clock of a VM that was not told to stop.
@@ -35,8 +68,9 @@
 	return c
 }
 
-// set sets the time at which requests end.
-func (c *stopClock) set(at time.Time) {
+// set records when this VM was told to stop, and when requests end.
+func (c *stopClock) set(told, at time.Time) {
+	c.told.Store(&told)
 	c.at.Store(&at)
 	time.AfterFunc(time.Until(at), c.end)
 }
@@ -49,6 +83,22 @@
 	return time.Time{}
 }
 
+// logFields counts a request that has ended, took so long, and had this outcome, and returns the fields
+// for its log line; none before this VM was told to stop.
+func (c *stopClock) logFields(out scatter.Outcome, took time.Duration) []any {
+	stop := c.time()
+	if stop.IsZero() {
+		return nil
+	}
+	c.ends.count(out)
+	arrived := time.Now().Add(-took)
+	return []any{
+		"arrived_after_stop_ms", arrived.Sub(*c.told.Load()).Milliseconds(),
+		"stop_left_ms", time.Until(stop).Milliseconds(),
+		"leaf_ms", out.AtWork.Milliseconds(),
+	}
+}
+
 // bound returns a child of ctx that ends with it, at the given deadline, and when the time of this VM is
 // over.
 func (c *stopClock) bound(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
@@ -63,6 +113,7 @@
 	mu      sync.Mutex
 	closed  bool
 	bodies  int            // size of the bodies of the requests, in bytes
+	open    int            // number of the requests and calls
 	running sync.WaitGroup // Add is called with mu held, and not after closed is set
 }
 
@@ -83,6 +134,7 @@
 		return errBodiesFull
 	}
 	w.bodies += body
+	w.open++
 	w.running.Add(1)
 	return nil
 }
@@ -92,9 +144,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.bodies -= body
+	w.open--
 	w.running.Done()
 }
 
+// number returns how many requests and calls are worked on.
+func (w *peerWork) number() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
 // close lets no more work begin, and waits until all has ended, or ctx.
 func (w *peerWork) close(ctx context.Context) error {
 	w.mu.Lock()
@@ -118,17 +178,20 @@
 // stops. From now on only requests are started that are expected to end before this VM does.
 func (n *Node) Leave() {
 	told := time.Now()
-	n.engine.stopping.set(told.Add(n.graceShare(answerGraceShare)))
+	n.engine.stopping.set(told, told.Add(n.graceShare(answerGraceShare)))
 	n.leaving.Store(true)
 	n.engine.leaving.Store(true)
+	n.logPhase("told", told)
 	ctx, cancel := context.WithDeadline(context.Background(), told.Add(n.graceShare(lameDuckGraceShare)))
 	defer cancel()
 	n.handOver(ctx)
+	n.logPhase("handed_over", told)
 	if err := n.store.Withdraw(ctx, n.self.Name); err != nil {
 		n.log.Warn("removing this VM from the list of VMs failed", "error", err)
 	}
+	n.logPhase("withdrawn", told)
 	<-ctx.Done()
-	n.finishRequests(told.Add(n.graceShare(exitGraceShare)))
+	n.finishRequests(told, told.Add(n.graceShare(exitGraceShare)))
 	n.stop()
 	if p := n.transport.Load(); p != nil {
 		go p.close() // waits for calls in progress, which the process needn't do
@@ -137,25 +200,54 @@
 		// Only readiness checks and metrics requests can be open here.
 		_ = server.Close()
 	}
-	n.log.Info("stopped", "ms", time.Since(told).Milliseconds())
+	ends := &n.engine.stopping.ends
+	n.log.Info("stopped", "ms", time.Since(told).Milliseconds(), "answered", ends.answered.Load(), "refused", ends.refused.Load(),
+		"ended_by_stop", ends.stopped.Load(), "abandoned", ends.abandoned.Load(), "failed", ends.failed.Load())
+}
+
+// logPhase logs and records how long after told, when this VM was told to stop, a phase of its stop
+// begins.
+func (n *Node) logPhase(phase string, told time.Time) {
+	since, conns := time.Since(told), n.engine.callerConns.counts()
+	n.engine.stats.set.GetOrCreateGauge(fmt.Sprintf(`bramley_edge_stop_seconds{phase=%q}`, phase), nil).Set(since.Seconds())
+	n.log.Info("leaving", "phase", phase, "ms", since.Milliseconds(), "idle", conns.idle, "unused", conns.unused, "active", conns.active)
 }
 
 // finishRequests takes no more requests, and waits for those of callers and of other VMs until end at
-// the latest.
-func (n *Node) finishRequests(end time.Time) {
+// the latest. told is when this VM was told to stop.
+func (n *Node) finishRequests(told, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	n.logPhase("connections_closed", told)
 	peersDone := make(chan error, 1)
 	go func() { peersDone <- n.engine.peerWork.close(ctx) }()
 	// Shutdown looks ever more seldom whether connections are idle, so it is called again once the
 	// last requests have ended.
 	if n.callerServer.Shutdown(n.engine.stopping.over) != nil {
-		if err := n.callerServer.Shutdown(ctx); err != nil {
-			n.log.Warn("requests in flight were cut off", "error", err)
+		n.logPhase("requests_ended", told)
+		if n.callerServer.Shutdown(ctx) != nil {
+			n.logCutOff(time.Now())
 		}
 	}
 	if err := <-peersDone; err != nil {
-		n.log.Warn("work for other VMs was cut off", "error", err)
+		n.log.Warn("work for other VMs was cut off", "requests", n.engine.peerWork.number(), "error", err)
+	}
+}
+
+// logCutOff logs and counts the requests that the end of the process cuts off. Connections that carry
+// none are not among them.
+func (n *Node) logCutOff(now time.Time) {
+	open := n.engine.callerConns.requests()
+	if len(open) == 0 {
+		return
+	}
+	n.log.Warn("requests in flight were cut off", "requests", len(open))
+	for i, req := range open {
+		stage := requestStageNames[req.stage.Load()]
+		n.engine.stats.count(`bramley_edge_requests_cut_off_total{stage=%q}`, stage)
+		if i < maxNamedCutOff {
+			n.log.Warn("request cut off", "request", req.id, "stage", stage, "ms", now.Sub(req.since).Milliseconds())
+		}
 	}
 }
 
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -54,7 +54,7 @@
 	slow.joinZone(g, free, false)
 	free.joinZone(g, slow, true)
 	req, route := slow.request()
-	slow.stopping.set(time.Now().Add(10 * time.Second))
+	slow.stopping.set(time.Now(), time.Now().Add(10*time.Second))
 	slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
 	g.Expect(free.count(takenOver)).To(gomega.BeZero())
 
--- a/scatter/action.go
+++ b/scatter/action.go
@@ -100,6 +100,7 @@
 	RetryAfter  time.Duration // with NotRun: the delay after which the caller should retry
 	Refusal     *Refusal      // set if this VM's own forecast refused the request
 	Stopped     bool          // this VM stopped before the query was decided
+	AtWork      time.Duration // if Stopped: how long the oldest attempt in flight has taken; 0 for none
 	Quarantined bool          // a shard got no attempt since the request ends leafs, or may do so
 
 	Sent, Hedges, Retries int // numbers of attempts sent, and of hedges and retries among them
--- a/scatter/stopping.go
+++ b/scatter/stopping.go
@@ -51,11 +51,14 @@
 }
 
 // Stop ends the query since this VM stops, with the outcome that it would have at its deadline.
-func (q *Query) Stop() []Action {
+func (q *Query) Stop(now time.Time) []Action {
 	if q.done {
 		return nil
 	}
 	out := q.atDeadline()
 	out.Stopped = true
+	for _, a := range q.attempts {
+		out.AtWork = max(out.AtWork, now.Sub(a.sentAt))
+	}
 	return q.finish(out)
 }
--- a/scatter/stopping_test.go
+++ b/scatter/stopping_test.go
@@ -97,8 +97,10 @@
 	w.leaf("ledger", homeZone)
 	q := NewQuery(w.single("ledger", false), w.table)
 	w.Expect(sends(q.Start(w.now))).To(gomega.HaveLen(1))
-	out := outcome(q.Stop())
+	w.wait(300 * time.Millisecond)
+	out := outcome(q.Stop(w.now))
 	w.Expect(out.Verdict).To(gomega.Equal(TimedOut))
 	w.Expect(out.Stopped).To(gomega.BeTrue())
-	w.Expect(q.Stop()).To(gomega.BeEmpty())
+	w.Expect(out.AtWork).To(gomega.Equal(300 * time.Millisecond))
+	w.Expect(q.Stop(w.now)).To(gomega.BeEmpty())
 }
