A leaf that sends on after its whole answer is closed within a second

What was seen: a leaf that sends without end after each complete answer got 4,230 requests in 6 s and sent 7.8 GB; each connection was kept as an idle one whose buffers filled, until the next request to that leaf closed it or it expired after 20 s.

Cause: Pool.Do kept a connection whatever followed the answer.

One more system call a second for each idle connection; none for a request.

TestLeafThatSendsOnAfterItsAnswerIsStopped, both cases: an idle connection is left with the former pool.go.

--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -54,8 +54,8 @@
 func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
 
 // Stats returns how many connections were dialled (failed dials included), how many were
-// reused, and how many were discarded when they were about to be reused: they had
-// expired, had unexpected bytes to read, or had been closed by the leaf.
+// reused, and how many were discarded while they were idle: they had expired when they were about
+// to be reused, had unexpected bytes to read, or had been closed by the leaf.
 func (p *Pool) Stats() (dials, reuses, discarded uint64) {
 	return p.dials.Load(), p.reuses.Load(), p.discarded.Load()
 }
@@ -116,7 +116,7 @@
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
 	ans, idleTimeout, err := p.roundTrip(c, req, id, extra, read)
-	if !stop() || err != nil || idleTimeout <= 0 {
+	if !stop() || err != nil || idleTimeout <= 0 || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return ans, err
 	}
@@ -283,17 +283,22 @@
 	}
 }
 
-// CloseExpired closes connections that have been idle for longer than allowed.
+// CloseExpired closes connections that have been idle for longer than allowed, and those on which the
+// leaf has sent what no request waits for, or which it has closed. Such a leaf may go on sending until then.
 func (p *Pool) CloseExpired(now time.Time) {
-	var expired []*conn
+	var unusable []*conn
 	p.mu.Lock()
 	for key, list := range p.idle {
 		open := list[:0]
 		for _, c := range list {
-			if now.Before(c.reusableUntil) {
+			switch {
+			case !now.Before(c.reusableUntil):
+				unusable = append(unusable, c)
+			case !c.reusable():
+				p.discarded.Add(1)
+				unusable = append(unusable, c)
+			default:
 				open = append(open, c)
-			} else {
-				expired = append(expired, c)
 			}
 		}
 		if p.idle[key] = open; len(open) == 0 {
@@ -301,7 +306,7 @@
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range unusable {
 		_ = c.Close()
 	}
 }
--- a/leafhttp/pool_test.go
+++ b/leafhttp/pool_test.go
@@ -1,9 +1,12 @@
 package leafhttp_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,3 +161,48 @@
 	pool.CloseExpired(time.Now().Add(time.Second))
 	g.Expect(pool.Idle()).To(gomega.Equal(1))
 }
+
+// Guards against connections that stay open, and whose buffers stay full, while a leaf sends on after its whole
+// answer.
+func TestLeafThatSendsOnAfterItsAnswerIsStopped(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer listener.Close()
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				answer, rest := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", strings.Repeat("x", 4<<10)
+				if pause == 0 {
+					answer += rest
+				}
+				for _, err = c.Write([]byte(answer)); err == nil; _, err = c.Write([]byte(rest)) {
+					time.Sleep(pause)
+				}
+			}()
+			pool := leafhttp.NewPool()
+			endpoint := leafhttp.Endpoint{Key: "leaf-1", Address: listener.Addr().String()}
+			req := &leafhttp.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}}
+			ans, err := pool.Do(context.Background(), endpoint, req, "", nil, func(*leafhttp.Answer) leafhttp.Reading { return leafhttp.Reading{Last: true} })
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(string(ans.Body)).To(gomega.Equal("ok"))
+			if pause == 0 {
+				g.Expect(pool.Idle()).To(gomega.BeZero())
+			}
+			time.Sleep(2 * pause)
+			pool.CloseExpired(time.Now())
+			g.Expect(pool.Idle()).To(gomega.BeZero())
+			g.Eventually(stopped, "5s").Should(gomega.BeClosed())
+		})
+	}
+}
