--- a/soak/rolling_stop_test.go
+++ b/soak/rolling_stop_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,12 +15,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega/gexec"
 
+	"github.com/bramleybarrow/bramleybarrow/edge"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/edgesim"
 )
 
@@ -35,6 +38,21 @@
 	slow     edgesim.LeafFaults // of the service's leafs meanwhile
 
 	budgets []time.Duration // time budgets of requests; each one chooses among them
+
+	// The other fields are zero in the usual form.
+	change     func(*edge.Settings)   // of each VM
+	other      string                 // path of another daemon for half of the VMs
+	beside     func(*rollingRun, *vm) // runs from each SIGTERM on
+	gather     bool                   // some reads gather from all shards
+	records    int                    // number of records in an answer of the service's leafs
+	bodyPause  time.Duration          // before each part of a request after its head
+	chunked    bool                   // bodies are sent in chunks
+	readPause  time.Duration          // before each part of an answer
+	busy       int                    // number of busy loops beside
+	moreVMs    int                    // in addition to four
+	secondTerm time.Duration          // from the start after a stop until the next SIGTERM; none if 0
+	leafs      int                    // number of the service's leafs
+	objective  time.Duration          // latency objective of the routes
 }
 
 // usualRollingStop returns the form that CI runs.
@@ -47,6 +65,9 @@
 		slowFor:  2200 * time.Millisecond,
 		slow:     edgesim.LeafFaults{Delay: 1300 * time.Millisecond, TimesOut: true},
 		budgets:  []time.Duration{15 * time.Second, 15 * time.Second, 15 * time.Second, 1100 * time.Millisecond},
+
+		leafs:     4,
+		objective: 200 * time.Millisecond,
 	}
 }
 
@@ -58,7 +79,6 @@
 	rollingPatience  = 5 * time.Second // how long after a request's time budget its caller waits
 	maxThinkTime     = 600 * time.Millisecond
 	usualWork        = 60 * time.Millisecond // how long a leaf runs a request
-	journalLeafs     = 4                     // number of the service's leafs
 )
 
 // Bounds of the rule LOST for a request at a VM that stops.
@@ -90,8 +110,7 @@
 // rollingRun is a rolling stop that is played, and what was seen.
 type rollingRun struct {
 	rollingStop
-	d     *deployment
-	leafs []*edgesim.Leaf // of the service
+	d *deployment
 
 	mu       sync.Mutex // guards the fields below
 	work     time.Duration
@@ -114,7 +133,8 @@
 	method string
 	vm     *vm
 	budget time.Duration
-	sent   time.Time
+	began  time.Time
+	sent   time.Time // when its last byte was written; zero if it was not
 	ended  time.Time
 	status int   // 0 without a complete answer
 	err    error // nil with one
@@ -122,14 +142,25 @@
 
 // play starts a deployment of that binary and plays the rolling stop.
 func (form rollingStop) play(t *testing.T, binary string) *rollingRun {
-	d := newDeployment(t, binary, deploymentOptions{grace: rollingGrace, timeoutMS: rollingTimeoutMS, logLevel: "info"})
+	d := newDeployment(t, form.wrap(t, binary), deploymentOptions{grace: rollingGrace, timeoutMS: rollingTimeoutMS, logLevel: "info"})
 	run := &rollingRun{rollingStop: form, d: d, work: usualWork, workEnds: make(map[string]time.Time)}
+	for i := range form.moreVMs {
+		zone := zones[i%len(zones)]
+		d.addVM(fmt.Sprintf("vm-%s-%d", zone, vmsPerZone+i/len(zones)), zone)
+	}
 	run.addLeafs()
-	d.store.Put("config", "main", rollingManifest)
+	run.changeSettings()
+	d.store.Put("config", "main", run.manifest(2, "journal"))
 	run.waitReady(t)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	for range form.busy {
+		go func() {
+			for ctx.Err() == nil {
+			}
+		}()
+	}
 	var callers sync.WaitGroup
 	for number := range form.callers {
 		callers.Go(func() { run.call(ctx, number) })
@@ -142,6 +173,9 @@
 		}
 		stops.Go(func() { run.stopVM(v) })
 		stops.Go(run.slowDown)
+		if form.beside != nil {
+			stops.Go(func() { form.beside(run, v) })
+		}
 	}
 	stops.Wait()
 	stop()
@@ -149,20 +183,23 @@
 	return run
 }
 
-// rollingManifest has two routes to the service "journal" and one that gathers from all shards, and the
-// routes of other runs.
-var rollingManifest = fmt.Sprintf(`{"version":2,"routes":[
-	{"name":"read","host":"h.example","path-prefix":"/read/","kind":"idempotent","timeout-ms":%[1]d,"target-latency-ms":200,"priority":1,"service":"journal","max-attempts":2},
-	{"name":"report","host":"h.example","path-prefix":"/report/","kind":"non_idempotent","timeout-ms":%[1]d,"target-latency-ms":200,"priority":1,"service":"journal","max-attempts":2}],
-	"services":[{"name":"journal","max-connections":100}],"limits":{"max-body-bytes":262144}}`, rollingTimeoutMS)
+// manifest returns a manifest with three routes: "read" and "report" call a leaf of a service,
+// "search" gathers from all shards.
+func (form rollingStop) manifest(version int, service string) string {
+	return fmt.Sprintf(`{"version":%[1]d,"routes":[
+	{"name":"read","host":"h.example","path-prefix":"/read/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":%[5]d,"priority":1,"service":%[3]q,"max-attempts":2},
+	{"name":"search","host":"h.example","path-prefix":"/search/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":%[5]d,"priority":1,"gather":["%[4]s"],"max-attempts":2,"top-k":5,"min-share":0.5},
+	{"name":"report","host":"h.example","path-prefix":"/report/","kind":"non_idempotent","timeout-ms":%[2]d,"target-latency-ms":%[5]d,"priority":1,"service":"journal","max-attempts":2}],
+	"services":[{"name":"journal","max-connections":100},{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}}`,
+		version, rollingTimeoutMS, service, strings.Join(shards(), `","`), form.objective.Milliseconds())
+}
 
 // addLeafs starts the leafs of the service.
 func (run *rollingRun) addLeafs() {
-	for i := range journalLeafs {
+	for i := range run.leafs {
 		zone := zones[i%len(zones)]
-		l := &edgesim.Leaf{ID: fmt.Sprintf("journal-%s-%d", zone, i), Service: "journal", Zone: zone, Born: time.Now().UnixMilli(), Observe: run.observe}
-		run.leafs = append(run.leafs, l.Start())
-		run.d.leafs[l.ID] = l
+		l := &edgesim.Leaf{ID: fmt.Sprintf("journal-%s-%d", zone, i), Service: "journal", Zone: zone, Born: time.Now().UnixMilli(), Records: run.records, Observe: run.observe}
+		run.d.leafs[l.ID] = l.Start()
 		l.SetFaults(edgesim.LeafFaults{Delay: usualWork})
 		run.d.store.Put("servers", l.ID, l.RegistryEntry("ready"))
 	}
@@ -175,13 +212,46 @@
 	run.workEnds[header.Get("Bramleybarrow-Attempt-Id")] = time.Now().Add(run.work)
 }
 
+// wrap returns the path of a program that runs the daemon of that path, or another one for the VMs for which
+// the form names one.
+func (form rollingStop) wrap(t *testing.T, binary string) string {
+	if form.other == "" {
+		return binary
+	}
+	path := filepath.Join(t.TempDir(), "bramleyd")
+	script := fmt.Sprintf("#!/bin/sh\ncase \"$2\" in */vm-?-1.json) exec %q \"$@\";; esac\nexec %q \"$@\"\n", form.other, binary)
+	if err := os.WriteFile(path, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// changeSettings starts the VMs again with the settings of the form, if it has any.
+func (run *rollingRun) changeSettings() {
+	if run.change == nil {
+		return
+	}
+	for _, v := range run.d.vms {
+		run.change(v.set)
+		data, err := json.Marshal(v.set)
+		if err == nil {
+			err = os.WriteFile(v.settingsPath, data, 0o600)
+		}
+		if err != nil {
+			run.d.t.Fatal(err)
+		}
+		v.kill()
+		v.start(run.d)
+	}
+}
+
 // waitReady waits until each VM is ready and serves the route "read".
 func (run *rollingRun) waitReady(t *testing.T) {
-	c := newRollingCaller()
+	c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
 	defer c.close()
 	deadline := time.Now().Add(recoveryTimeout)
 	for _, v := range run.d.vms {
-		for n := 0; !v.ready() || c.exchange(v, fmt.Sprintf("ready-%s-%d", v.set.Name, n), http.MethodGet, time.Second).status != http.StatusOK; n++ {
+		for n := 0; !v.ready() || c.exchange(v, fmt.Sprintf("ready-%s-%d", v.set.Name, n), "/read/x", time.Second).status != http.StatusOK; n++ {
 			if time.Now().After(deadline) {
 				t.Fatalf("%s does not serve; end of its log:\n%s", v.set.Name, v.logTail())
 			}
@@ -201,6 +271,12 @@
 	run.stops = append(run.stops, stop)
 	run.mu.Unlock()
 	v.start(run.d)
+	if run.secondTerm > 0 {
+		time.Sleep(run.secondTerm)
+		v.signal(syscall.SIGTERM)
+		v.waitExit(rollingGrace)
+		v.start(run.d)
+	}
 }
 
 // slowDown makes the leafs of the service slow for the time after a SIGTERM that the form says.
@@ -211,7 +287,7 @@
 	run.setLeafs(edgesim.LeafFaults{Delay: usualWork})
 }
 
-// setLeafs sets the faults of the service's leafs.
+// setLeafs sets the faults of the service's leafs, or of all if the form has gathered reads.
 func (run *rollingRun) setLeafs(f edgesim.LeafFaults) {
 	run.mu.Lock()
 	run.work = f.Delay
@@ -219,20 +295,25 @@
 		run.work = time.Hour
 	}
 	run.mu.Unlock()
-	for _, l := range run.leafs {
-		l.SetFaults(f)
+	for _, l := range run.d.leafs {
+		if run.gather || l.Service == "journal" {
+			l.SetFaults(f)
+		}
 	}
 }
 
 // call sends requests to random VMs until ctx ends.
 func (run *rollingRun) call(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(run.seed, uint64(number)))
-	c := newRollingCaller()
+	c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
 		v := run.d.vms[rng.IntN(len(run.d.vms))]
-		method := [...]string{http.MethodGet, http.MethodPost}[rng.IntN(2)]
-		r := c.exchange(v, fmt.Sprintf("%03d-%012d", number, n), method, run.budgets[rng.IntN(len(run.budgets))])
+		path := [...]string{"/read/x", "/report/x"}[rng.IntN(2)]
+		if run.gather && rng.IntN(2) == 0 {
+			path = "/search/x"
+		}
+		r := c.exchange(v, fmt.Sprintf("%03d-%012d", number, n), path, run.budgets[rng.IntN(len(run.budgets))])
 		run.mu.Lock()
 		run.sent = append(run.sent, r)
 		run.mu.Unlock()
@@ -243,13 +324,10 @@
 // rollingCaller is a caller that keeps one connection to each VM. It uses no HTTP client, which would
 // repeat requests by itself.
 type rollingCaller struct {
+	form  rollingStop
 	conns map[*vm]net.Conn
 }
 
-func newRollingCaller() *rollingCaller {
-	return &rollingCaller{conns: make(map[*vm]net.Conn)}
-}
-
 func (c *rollingCaller) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close() // nothing is sent any more
@@ -257,19 +335,29 @@
 }
 
 // exchange sends a request on the kept connection to a VM, or on a new one, and waits for its answer.
-func (c *rollingCaller) exchange(v *vm, id, method string, budget time.Duration) rollingRequest {
-	r := rollingRequest{id: id, method: method, vm: v, budget: budget, sent: time.Now()}
+func (c *rollingCaller) exchange(v *vm, id, path string, budget time.Duration) rollingRequest {
+	r := rollingRequest{id: id, method: http.MethodGet, vm: v, budget: budget, began: time.Now()}
+	if path == "/report/x" {
+		r.method = http.MethodPost
+	}
 	conn := c.conns[v]
 	if conn == nil {
 		if conn, r.err = net.DialTimeout("tcp", v.set.Listen.Callers, time.Second); r.err != nil {
 			r.ended = time.Now()
 			return r
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && c.form.readPause > 0 {
+			_ = tcp.SetReadBuffer(partBytes)
+		}
 		c.conns[v] = conn
 	}
-	r.sent = time.Now()
-	var keep bool
-	r.status, keep, r.err = c.send(conn, r)
+	r.began = time.Now()
+	r.err = c.send(conn, path, r)
+	keep := false
+	if r.err == nil {
+		r.sent = time.Now()
+		r.status, keep, r.err = c.receive(conn, r.method)
+	}
 	r.ended = time.Now()
 	if !keep {
 		_ = conn.Close()
@@ -278,28 +366,50 @@
 	return r
 }
 
-// send sends a request and returns the status of its complete answer, and whether the connection may be
-// used again.
-func (c *rollingCaller) send(conn net.Conn, r rollingRequest) (status int, keep bool, err error) {
-	path, body := "/read/x", ""
-	if r.method == http.MethodPost {
-		path, body = "/report/x", "report"
-	}
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nBramleybarrow-Attempt-Id: %s\r\nBramleybarrow-Deadline-Ms: %d\r\n", r.method, path, r.id, r.budget.Milliseconds())
-	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	if err := conn.SetDeadline(time.Now().Add(r.budget + rollingPatience)); err != nil {
-		return 0, false, err
+// partBytes is the size of the parts in which slow callers receive answers.
+const partBytes = 16 << 10
+
+// send sends a whole request.
+func (c *rollingCaller) send(conn net.Conn, path string, r rollingRequest) error {
+	if err := conn.SetDeadline(r.began.Add(r.budget + rollingPatience)); err != nil {
+		return err
 	}
-	if _, err := conn.Write(b.Bytes()); err != nil {
-		return 0, false, err
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nBramleybarrow-Attempt-Id: %s\r\nBramleybarrow-Deadline-Ms: %d\r\n", r.method, path, r.id, r.budget.Milliseconds())
+	var parts []string
+	switch body := "report"; {
+	case r.method == http.MethodGet:
+		parts = []string{head + "\r\n"}
+	case c.form.chunked:
+		parts = []string{head + "Transfer-Encoding: chunked\r\n\r\n", "3\r\n" + body[:3] + "\r\n", "3\r\n" + body[3:] + "\r\n", "0\r\n\r\n"}
+	default:
+		parts = []string{head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body[:3], body[3:]}
+	}
+	if c.form.bodyPause == 0 {
+		parts = []string{strings.Join(parts, "")}
+	}
+	for i, part := range parts {
+		if i > 0 {
+			time.Sleep(c.form.bodyPause)
+		}
+		if _, err := io.WriteString(conn, part); err != nil {
+			return err
+		}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: r.method})
+	return nil
+}
+
+// receive returns the status of a complete answer, and whether the connection may be used again.
+func (c *rollingCaller) receive(conn net.Conn, method string) (status int, keep bool, err error) {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		return 0, false, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	for err == nil {
+		time.Sleep(c.form.readPause)
+		_, err = io.CopyN(io.Discard, resp.Body, partBytes)
+	}
+	if !errors.Is(err, io.EOF) {
 		return 0, false, err
 	}
 	return resp.StatusCode, !resp.Close, nil
@@ -321,6 +431,9 @@
 		}
 		switch {
 		case r.err == nil:
+			if r.status == http.StatusNotFound {
+				t.Logf("status 404: %s", run.describe(r, arrived))
+			}
 			statuses[r.method+" "+strconv.Itoa(r.status)]++
 			if arrived && r.method == http.MethodPost && r.status == http.StatusServiceUnavailable {
 				t.Errorf("%s: a leaf got a report that %s answered with status 503", r.id, r.vm.set.Name)
@@ -361,12 +474,11 @@
 
 // mayEnd reports whether the rule LOST allows that a request ended without an answer.
 func (run *rollingRun) mayEnd(r rollingRequest, arrived bool) bool {
-	age := r.ended.Sub(r.sent)
-	if age >= r.budget {
+	if r.ended.Sub(r.began) >= r.budget || r.sent.IsZero() && !arrived {
 		return true
 	}
 	if !arrived {
-		return age <= lossSlack
+		return r.ended.Sub(r.sent) <= lossSlack
 	}
 	stop := run.stopOf(r)
 	if stop == nil {
@@ -415,3 +527,117 @@
 	}
 	return fmt.Sprintf("%d attempts with status 504, and %q", timeouts, signs)
 }
+
+// rollingForms returns forms of a rolling stop beyond the usual one.
+func rollingForms() map[string]rollingStop {
+	forms := make(map[string]rollingStop)
+	add := func(name string, change func(*rollingStop)) {
+		form := usualRollingStop()
+		change(&form)
+		forms[name] = form
+	}
+	for _, from := range []time.Duration{2500, 3000, 3500, 4000} {
+		add(fmt.Sprintf("slow-from-%d", from), func(f *rollingStop) { f.slowFrom = from * time.Millisecond })
+		add(fmt.Sprintf("slower-from-%d", from), func(f *rollingStop) {
+			f.slowFrom, f.slow.Delay = from*time.Millisecond, 3*time.Second
+		})
+	}
+	add("times-out", func(f *rollingStop) { f.budgets = []time.Duration{1100 * time.Millisecond} })
+	add("silent", func(f *rollingStop) { f.slow = edgesim.LeafFaults{Silent: true} })
+	add("silent-early", func(f *rollingStop) { f.slow, f.slowFrom = edgesim.LeafFaults{Silent: true}, 500*time.Millisecond })
+	add("overlapping", func(f *rollingStop) { f.step = 1500 * time.Millisecond })
+	add("at-once", func(f *rollingStop) { f.step = 10 * time.Millisecond })
+	weak := func(f *rollingStop) {
+		f.gather = true
+		f.change = func(s *edge.Settings) {
+			s.Power, s.Room = 0.4, edge.RoomSettings{Measure: true, Spill: true, HandOver: true}
+		}
+	}
+	add("weak", weak)
+	add("weak-overlapping", func(f *rollingStop) { weak(f); f.step = 1500 * time.Millisecond; f.callers = 300 })
+	add("gathered", func(f *rollingStop) { f.gather = true })
+	add("mixed", func(f *rollingStop) { f.other = os.Getenv("SOAK_OTHER") })
+	add("mixed-weak", func(f *rollingStop) { weak(f); f.other = os.Getenv("SOAK_OTHER") })
+	add("eight", func(f *rollingStop) { f.moreVMs = 4 })
+	add("slow-bodies", func(f *rollingStop) { f.bodyPause = 150 * time.Millisecond })
+	add("slow-chunked", func(f *rollingStop) { f.bodyPause, f.chunked = 150*time.Millisecond, true })
+	add("slow-readers", func(f *rollingStop) { f.callers, f.records, f.readPause = 48, 64<<10, 5*time.Millisecond })
+	add("large", func(f *rollingStop) { f.callers, f.records = 48, 64<<10 })
+	add("busy", func(f *rollingStop) { f.busy = 2 })
+	add("second-term", func(f *rollingStop) { f.secondTerm = 60 * time.Millisecond })
+	add("second-term-late", func(f *rollingStop) { f.secondTerm = 400 * time.Millisecond })
+	add("hup", func(f *rollingStop) {
+		f.beside = func(_ *rollingRun, v *vm) {
+			for range 20 {
+				v.signal(syscall.SIGHUP)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+	})
+	add("manifests", func(f *rollingStop) {
+		var version atomic.Int64
+		version.Store(2)
+		f.beside = func(run *rollingRun, _ *vm) {
+			for i := range 20 {
+				run.d.store.Put("config", "main", run.manifest(int(version.Add(1)), [...]string{"ledger", "journal"}[i%2]))
+				time.Sleep(250 * time.Millisecond)
+			}
+		}
+	})
+	for name, faults := range map[string]edgesim.StoreFaults{"store-down": {Status: http.StatusServiceUnavailable}, "store-silent": {Silent: true}} {
+		add(name, func(f *rollingStop) {
+			f.beside = func(run *rollingRun, _ *vm) {
+				run.d.store.SetFaults(faults)
+				time.Sleep(3 * time.Second)
+				run.d.store.SetFaults(edgesim.StoreFaults{})
+			}
+		})
+	}
+	add("paused", func(f *rollingStop) {
+		f.beside = func(_ *rollingRun, v *vm) {
+			time.Sleep(2500 * time.Millisecond)
+			v.signal(syscall.SIGSTOP)
+			time.Sleep(time.Second)
+			v.signal(syscall.SIGCONT)
+		}
+	})
+	slots := func(f *rollingStop) {
+		f.leafs, f.objective = 2, 12*time.Second
+		f.change = func(s *edge.Settings) { s.Slots.Keep = true }
+	}
+	add("slots", slots)
+	add("slots-slower", func(f *rollingStop) { slots(f); f.slowFrom, f.slow.Delay = 2*time.Second, 2500*time.Millisecond })
+	add("slots-few", func(f *rollingStop) { slots(f); f.callers, f.slowFrom, f.slow.Delay = 16, 2*time.Second, 3*time.Second })
+	add("slow-readers-late", func(f *rollingStop) {
+		f.records, f.readPause, f.slowFrom, f.slow.Delay = 64<<10, 8*time.Millisecond, 3900*time.Millisecond, 1500*time.Millisecond
+	})
+	add("slow-readers-later", func(f *rollingStop) {
+		f.records, f.readPause, f.slowFrom, f.slow.Delay = 64<<10, 5*time.Millisecond, 3900*time.Millisecond, 1600*time.Millisecond
+	})
+	add("slow-readers-huge", func(f *rollingStop) {
+		f.callers, f.records, f.readPause, f.slowFrom, f.slow.Delay = 32, 240<<10, 3*time.Millisecond, 3900*time.Millisecond, 1300*time.Millisecond
+	})
+	add("leafs-pause", func(f *rollingStop) {
+		f.slow.Delay = 800 * time.Millisecond
+		f.slowFrom = 1700 * time.Millisecond
+		f.slowFor = 4 * time.Second
+	})
+	return forms
+}
+
+// TestRollingStopForms plays the forms of rollingForms. It runs if SOAK_SEEDS says how many seeds, from
+// SOAK_FIRST on. SOAK_OTHER is the path of another release for the form "mixed".
+func TestRollingStopForms(t *testing.T) {
+	if os.Getenv("SOAK_SEEDS") == "" {
+		t.Skip("only by hand")
+	}
+	binary := rollingBinary(t)
+	for name, form := range rollingForms() {
+		for _, seed := range seeds(t, nil) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				form.seed = seed
+				form.play(t, binary).check(t)
+			})
+		}
+	}
+}
