Test, known red: requests that wait for a slot end unanswered with their VM

Callers saw, in a run of our own with processes: reports that had been read, and waited for a slot of their service when their VM was told to stop, ended without an answer 5.88 s after SIGTERM, 2.0 s after they were sent, though no leaf had got them. Any other VM could have served them, and 503 would have said so.

The log of the VM has "requests in flight were cut off", and no line "request" for them.

Cause, from the code: a request may wait for 0.2 of its latency objective (scatter.Table.SlotRequest), and slotGrant.await is bounded by the caller's connection alone; the time at which the VM stops reaches only the query, which begins after the wait. For the same reason a request may wait beyond its own deadline. Ruled out: the leaf (it never got them), a slow end of the process (waiting requests are not ended at 0.95 of the grace time as others are), a keeper that stops (the keeper is another VM and goes on).

Not fixed here.

--- a/soak/rolling_stop_test.go
+++ b/soak/rolling_stop_test.go
@@ -23,6 +23,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"github.com/bramleybarrow/bramleybarrow/edge"
+	"github.com/bramleybarrow/bramleybarrow/internal/knownred"
 	"github.com/bramleybarrow/bramleybarrow/internal/lab/edgesim"
 )
 
@@ -142,6 +143,13 @@
 
 // play starts a deployment of that binary and plays the rolling stop.
 func (form rollingStop) play(t *testing.T, binary string) *rollingRun {
+	run := form.start(t, binary)
+	run.roll()
+	return run
+}
+
+// start starts a deployment of that binary.
+func (form rollingStop) start(t *testing.T, binary string) *rollingRun {
 	d := newDeployment(t, form.wrap(t, binary), deploymentOptions{grace: rollingGrace, timeoutMS: rollingTimeoutMS, logLevel: "info"})
 	run := &rollingRun{rollingStop: form, d: d, work: usualWork, workEnds: make(map[string]time.Time)}
 	for i := range form.moreVMs {
@@ -152,35 +160,38 @@
 	run.changeSettings()
 	d.store.Put("config", "main", run.manifest(2, "journal"))
 	run.waitReady(t)
+	return run
+}
 
+// roll sends requests and stops the VMs meanwhile.
+func (run *rollingRun) roll() {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	for range form.busy {
+	for range run.busy {
 		go func() {
 			for ctx.Err() == nil {
 			}
 		}()
 	}
 	var callers sync.WaitGroup
-	for number := range form.callers {
+	for number := range run.callers {
 		callers.Go(func() { run.call(ctx, number) })
 	}
 	time.Sleep(rollingWarmUp)
 	var stops sync.WaitGroup
-	for i, v := range d.vms {
+	for i, v := range run.d.vms {
 		if i > 0 {
-			time.Sleep(form.step)
+			time.Sleep(run.step)
 		}
 		stops.Go(func() { run.stopVM(v) })
 		stops.Go(run.slowDown)
-		if form.beside != nil {
-			stops.Go(func() { form.beside(run, v) })
+		if run.beside != nil {
+			stops.Go(func() { run.beside(run, v) })
 		}
 	}
 	stops.Wait()
 	stop()
 	callers.Wait()
-	return run
 }
 
 // manifest returns a manifest with three routes: "read" and "report" call a leaf of a service,
@@ -528,6 +539,43 @@
 	return fmt.Sprintf("%d attempts with status 504, and %q", timeouts, signs)
 }
 
+// Requests that wait for a leaf's slot when their VM is told to stop must get an answer before it ends.
+func TestStoppingVMAnswersRequestsThatWaitForASlot(t *testing.T) {
+	knownred.Skip(t)
+	form := usualRollingStop()
+	form.leafs, form.objective = 1, 12*time.Second
+	form.change = func(s *edge.Settings) { s.Slots.Keep = true }
+	run := form.start(t, rollingBinary(t))
+	v := run.d.vms[0]
+	ctx, stop := context.WithTimeout(context.Background(), 4*time.Second)
+	defer stop()
+	var callers sync.WaitGroup
+	for number := range 24 { // until the VMs know how long requests take, and who keeps account of the slots
+		callers.Go(func() { run.call(ctx, number) })
+	}
+	callers.Wait()
+	callers.Go(func() { run.stopVM(v) })
+	time.Sleep(run.slowFrom)
+	run.setLeafs(edgesim.LeafFaults{Silent: true})
+	ask := func(v *vm, id string, budget time.Duration) {
+		c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
+		defer c.close()
+		r := c.exchange(v, id, "/report/x", budget)
+		run.mu.Lock()
+		defer run.mu.Unlock()
+		run.sent = append(run.sent, r)
+	}
+	for number := range 2 { // they occupy the slots
+		callers.Go(func() { ask(run.d.vms[1], fmt.Sprintf("running-%d", number), 4*time.Second) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	for number := range 8 {
+		callers.Go(func() { ask(v, fmt.Sprintf("waiting-%d", number), 15*time.Second) })
+	}
+	callers.Wait()
+	run.check(t)
+}
+
 // rollingForms returns forms of a rolling stop beyond the usual one.
 func rollingForms() map[string]rollingStop {
 	forms := make(map[string]rollingStop)
@@ -602,7 +650,7 @@
 		}
 	})
 	slots := func(f *rollingStop) {
-		f.leafs, f.objective = 2, 12*time.Second
+		f.leafs, f.objective = 1, 12*time.Second
 		f.change = func(s *edge.Settings) { s.Slots.Keep = true }
 	}
 	add("slots", slots)
