--- a/soak/rolling_stop_test.go
+++ b/soak/rolling_stop_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,9 +31,10 @@
 // rollingStop is a run in which the VMs are stopped one after the other while the leafs of a service turn
 // slow.
 type rollingStop struct {
-	seed    uint64
-	step    time.Duration // between the SIGTERMs of two VMs
-	callers int
+	seed     uint64
+	step     time.Duration // between the SIGTERMs of two VMs
+	callers  int
+	maxThink time.Duration // longest time between an answer and the caller's next request
 
 	slowFrom time.Duration      // after each SIGTERM
 	slowFor  time.Duration      // until the leafs are quick again
@@ -62,6 +64,7 @@
 		seed:     1,
 		step:     3500 * time.Millisecond,
 		callers:  96,
+		maxThink: 600 * time.Millisecond,
 		slowFrom: 3800 * time.Millisecond,
 		slowFor:  2200 * time.Millisecond,
 		slow:     edgesim.LeafFaults{Delay: 1300 * time.Millisecond, TimesOut: true},
@@ -76,9 +79,8 @@
 const (
 	rollingGrace     = 6 * time.Second
 	rollingTimeoutMS = 15_000
-	rollingWarmUp    = 2 * time.Second // from the first request to the first SIGTERM
-	rollingPatience  = 5 * time.Second // how long after a request's time budget its caller waits
-	maxThinkTime     = 600 * time.Millisecond
+	rollingWarmUp    = 2 * time.Second       // from the first request to the first SIGTERM
+	rollingPatience  = 5 * time.Second       // how long after a request's time budget its caller waits
 	usualWork        = 60 * time.Millisecond // how long a leaf runs a request
 )
 
@@ -328,7 +330,7 @@
 		run.mu.Lock()
 		run.sent = append(run.sent, r)
 		run.mu.Unlock()
-		time.Sleep(time.Duration(rng.Int64N(int64(maxThinkTime))))
+		time.Sleep(time.Duration(rng.Int64N(int64(run.maxThink))))
 	}
 }
 
@@ -591,16 +593,31 @@
 		})
 	}
 	add("times-out", func(f *rollingStop) { f.budgets = []time.Duration{1100 * time.Millisecond} })
-	add("silent", func(f *rollingStop) { f.slow = edgesim.LeafFaults{Silent: true} })
-	add("silent-early", func(f *rollingStop) { f.slow, f.slowFrom = edgesim.LeafFaults{Silent: true}, 500*time.Millisecond })
-	add("overlapping", func(f *rollingStop) { f.step = 1500 * time.Millisecond })
-	add("at-once", func(f *rollingStop) { f.step = 10 * time.Millisecond })
+	add("times-out-dense", func(f *rollingStop) {
+		f.budgets = []time.Duration{1100 * time.Millisecond}
+		f.maxThink, f.slowFrom = 60*time.Millisecond, 4170*time.Millisecond
+	})
 	weak := func(f *rollingStop) {
 		f.gather = true
 		f.change = func(s *edge.Settings) {
 			s.Power, s.Room = 0.4, edge.RoomSettings{Measure: true, Spill: true, HandOver: true}
 		}
 	}
+	add("quick", func(f *rollingStop) { f.slow.Delay, f.maxThink = usualWork, 60*time.Millisecond })
+	add("weak-frozen-other", func(f *rollingStop) {
+		weak(f)
+		f.beside = func(run *rollingRun, v *vm) {
+			other := run.d.vms[(slices.Index(run.d.vms, v)+2)%len(run.d.vms)]
+			time.Sleep(3500 * time.Millisecond)
+			other.signal(syscall.SIGSTOP)
+			time.Sleep(2800 * time.Millisecond)
+			other.signal(syscall.SIGCONT)
+		}
+	})
+	add("silent", func(f *rollingStop) { f.slow = edgesim.LeafFaults{Silent: true} })
+	add("silent-early", func(f *rollingStop) { f.slow, f.slowFrom = edgesim.LeafFaults{Silent: true}, 500*time.Millisecond })
+	add("overlapping", func(f *rollingStop) { f.step = 1500 * time.Millisecond })
+	add("at-once", func(f *rollingStop) { f.step = 10 * time.Millisecond })
 	add("weak", weak)
 	add("weak-overlapping", func(f *rollingStop) { weak(f); f.step = 1500 * time.Millisecond; f.callers = 300 })
 	add("gathered", func(f *rollingStop) { f.gather = true })
