A stopping VM closes a connection or serves the request on it

What callers saw: a request whose header had begun to arrive on a kept connection when its VM closed its idle connections was cut off, and the first request of a connection opened just before could hold a VM without any request until the end of its time.

Cause: net/http's Shutdown calls a connection idle until the whole header of the next request has been read and parsed, and looks at that state and closes the connection without a lock in common with the goroutine that reads it. A request read in between runs, and its answer can't be sent. And it waits 5 s for the first request of a connection, which is most of a grace time; its error doesn't tell such a connection from a request.

The VM closes the connections itself, under the lock with which a request begins: it is closed, or carries a request. One on which bytes were read or wait in the kernel stays open for that request, and an unused one for half a second after it was accepted. The wait ends with the last connection, where Shutdown looked every 500 ms.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,8 @@
 }
 
 // callerConn is a caller's connection. net/http sets its read deadlines and reports its state
-// changes from the same goroutine, so the fields but for the atomic ones need no lock.
+// changes from the same goroutine, so the fields
+// need no lock, but for those below mu.
 type callerConn struct {
 	*net.TCPConn
 	limits     func() routing.Limits // limits of the manifest in force
@@ -76,6 +78,10 @@
 	idle bool
 	used bool // the connection has carried an earlier request
 
+	mu       sync.Mutex // guards the two fields below, and is held while request changes
+	arriving bool       // bytes were read that may be the begin of a request that is not served yet
+	closed   bool       // this VM has closed the connection, which carried no request
+
 	request atomic.Pointer[openRequest] // that is served on it; nil for none
 	end     atomic.Int32                // a connEnd
 }
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -29,7 +29,9 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.answerPanic(w, r)
 	arrived := time.Now()
-	beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived)
+	if !beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived) {
+		panic(http.ErrAbortHandler)
+	}
 	m := e.inForce.Get()
 	if m == nil {
 		e.replyUnavailable(w, r, "no_manifest", 0, retryAfterStart)
--- a/edge/node.go
+++ b/edge/node.go
@@ -39,6 +39,7 @@
 	transport   atomic.Pointer[peerTransport] // nil until this VM has joined the other VMs
 
 	callerServer *http.Server
+	callerSocket net.Listener       // of callerServer
 	auxServers   []*http.Server     // serve readiness checks of the load balancer and metrics for operators
 	stop         context.CancelFunc // ends the background loops
 }
@@ -121,7 +122,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	n.callerServer = n.newCallerServer()
+	n.callerServer, n.callerSocket = n.newCallerServer(), ln
 	n.serve(&callerListener{Listener: ln, limits: n.engine.callerLimits}, n.callerServer)
 	for address, server := range map[string]*http.Server{
 		n.settings.Listen.Ready:   n.newReadyServer(),
@@ -150,7 +151,7 @@
 // serve runs a server on a listener in the background.
 func (n *Node) serve(ln net.Listener, server *http.Server) {
 	n.tomb.Go(func() error {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error("serving a listener failed", "address", ln.Addr().String(), "error", err)
 		}
 		return nil
--- a/edge/open_requests.go
+++ b/edge/open_requests.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // requestStage says how far this VM has come with a caller's request.
@@ -41,13 +43,16 @@
 
 // callerConns are the open connections of callers. It is safe for concurrent use.
 type callerConns struct {
-	mu   sync.Mutex
-	open map[*callerConn]http.ConnState
+	mu      sync.Mutex // guards the fields below
+	open    map[*callerConn]http.ConnState
+	closing bool // connections that carry no request are closed
+
+	ended wakeup // after a connection has ended
 }
 
 // newCallerConns returns an empty set.
 func newCallerConns() *callerConns {
-	return &callerConns{open: make(map[*callerConn]http.ConnState)}
+	return &callerConns{open: make(map[*callerConn]http.ConnState), ended: newWakeup()}
 }
 
 // track records the state of a connection. It is the server's ConnState hook.
@@ -58,16 +63,55 @@
 		return
 	}
 	if state != http.StateActive {
-		cc.request.Store(nil)
+		cc.endRequest()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(s.open, cc)
+		s.ended.notify()
 	default:
 		s.open[cc] = state
 	}
+	if s.closing && state == http.StateIdle {
+		cc.closeUnlessBusy()
+	}
+}
+
+// awaitNone waits until no connection is open, or ctx ends, and reports whether none is.
+func (s *callerConns) awaitNone(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		none := len(s.open) == 0
+		s.mu.Unlock()
+		if none {
+			return true
+		}
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// firstRequestTime is how long after a connection was accepted its first request is expected.
+const firstRequestTime = 500 * time.Millisecond
+
+// closeIdle closes the connections that carry no request, and from now on each that has carried one. It
+// leaves open those on which a request has begun to arrive, and those whose first request is expected.
+func (s *callerConns) closeIdle(now time.Time) (closed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for c, state := range s.open {
+		expected := state == http.StateNew && now.Sub(c.acceptedAt) < firstRequestTime
+		if state != http.StateActive && !expected && c.closeUnlessBusy() {
+			closed++
+		}
+	}
+	return closed
 }
 
 // connCounts are numbers of connections by what they are used for.
@@ -107,11 +151,54 @@
 	return open
 }
 
-// begin records that a request on the connection of ctx is served from now on.
-func beginRequest(ctx context.Context, id string, now time.Time) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
-		c.request.Store(&openRequest{id: id, since: now})
+// beginRequest records that a request on the connection of ctx is served from now on. It returns false
+// if this VM has closed the connection: the request must not run, since its answer could not be sent.
+func beginRequest(ctx context.Context, id string, now time.Time) bool {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
 	}
+	c.arriving = false
+	c.request.Store(&openRequest{id: id, since: now})
+	return true
+}
+
+// endRequest records that no request is served on the connection any more.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request.Store(nil)
+}
+
+// closeUnlessBusy closes the connection unless it carries a request or one has begun to arrive, and
+// reports whether it did.
+func (c *callerConn) closeUnlessBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.arriving || c.request.Load() != nil || c.hasInput() {
+		return false
+	}
+	c.closed = true
+	_ = c.TCPConn.Close() // it is not used any more
+	return true
+}
+
+// hasInput reports whether the kernel holds bytes that were not read.
+func (c *callerConn) hasInput() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
 }
 
 // enterStage records how far the request on the connection of ctx has come. It does nothing for a
@@ -156,9 +243,14 @@
 	return connFailed
 }
 
-// Read implements net.Conn. It records what ended the reading.
+// Read implements net.Conn. It records that a request has begun to arrive, and what ended the reading.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.arriving = c.arriving || c.request.Load() == nil
+		c.mu.Unlock()
+	}
 	if end := connEndOf(err); end != connOpen {
 		c.end.CompareAndSwap(int32(connOpen), int32(end))
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -219,19 +219,25 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.logPhase("connections_closed", told)
+	if err := n.callerSocket.Close(); err != nil {
+		n.log.Warn("closing the listener for callers failed", "error", err)
+	}
 	peersDone := make(chan error, 1)
 	go func() { peersDone <- n.engine.peerWork.close(ctx) }()
-	// Shutdown looks ever more seldom whether connections are idle, so it is called again once the
-	// last requests have ended.
-	if n.callerServer.Shutdown(n.engine.stopping.over) != nil {
+	conns := n.engine.callerConns
+	closed := n.engine.stats.set.GetOrCreateCounter("bramley_edge_idle_connections_closed_total")
+	closed.Add(conns.closeIdle(time.Now()))
+	defer time.AfterFunc(firstRequestTime, func() { closed.Add(conns.closeIdle(time.Now())) }).Stop()
+	if !conns.awaitNone(n.engine.stopping.over) {
 		n.logPhase("requests_ended", told)
-		if n.callerServer.Shutdown(ctx) != nil {
+		if !conns.awaitNone(ctx) {
 			n.logCutOff(time.Now())
 		}
 	}
 	if err := <-peersDone; err != nil {
 		n.log.Warn("work for other VMs was cut off", "requests", n.engine.peerWork.number(), "error", err)
 	}
+	_ = n.callerServer.Close() // what is still open was logged
 }
 
 // logCutOff logs and counts the requests that the end of the process cuts off. Connections that carry
