A request that waits for a leaf when its VM is told to stop is refused in time

What callers saw: 504 with an unknown outcome at the end of a stopping VM, or 503 only then, where 503 could have been said at once.

Cause: the time at which a VM ends was an input of a query when it began. One that had begun before SIGTERM, and was waiting for a slot at a keeper or for a leaf with room, knew no such time: it was sent to a leaf with any time left. One that began after SIGTERM and then waited was compared with the time left only at its start.

The time is an event of each running query (StopsAt), and is compared again whenever a query that no leaf can have run looks for a leaf. A query with an attempt in flight only gets its times bounded. The end by that bound is told as the end by Stop is (stopped, leaf_ms), and its 503 states the short Retry-After of other refusals of a stopping VM.

Red with the comparison at Tick taken out (TestWaitingRequestIsRefusedByAStoppingVM), and with StopsAt without effect (both tests).

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -276,7 +276,6 @@
 		LatencyObjective: route.Aim,
 		AnswerBy:         req.AnswerBy,
 		Deadline:         req.Deadline,
-		StopAt:           e.stopping.time(),
 		MayDelegate:      route.Gathered() && len(req.HTTP.Body) <= maxDelegatedBody,
 		RequestID:        req.ID,
 		BudgetWeight:     1,
@@ -292,7 +291,7 @@
 	if res := slot.refusal(spec); res != nil {
 		return res
 	}
-	spec.Advised = slot.advised()
+	spec.Advised, spec.StopAt = slot.advised(), e.stopping.time()
 	enterStage(r.Context(), stageLeaf)
 	run := e.newRunner(req, spec)
 	run.slot = slot
--- a/edge/run.go
+++ b/edge/run.go
@@ -144,6 +144,10 @@
 	timer := time.NewTimer(time.Until(wake))
 	defer timer.Stop()
 	due := r.steppedAt
+	told := r.e.stopping.begun
+	if !r.spec.StopAt.IsZero() {
+		told = nil // the query knows
+	}
 	for {
 		if out, ended := r.execute(acts); ended {
 			r.dueAt = earlier(r.steppedAt, due)
@@ -160,6 +164,9 @@
 			acts, wake = r.handleEvents(ev)
 		case <-timer.C:
 			acts, wake = r.tick()
+		case <-told:
+			told = nil
+			acts, wake = r.step(func(now time.Time) []scatter.Action { return r.query.StopsAt(now, r.e.stopping.time()) })
 		case <-r.e.stopping.over.Done():
 			acts, wake = r.stop()
 		case <-ctx.Done():
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -29,11 +29,12 @@
 
 // stopClock says when this VM ends what it still serves. It is safe for concurrent use.
 type stopClock struct {
-	at   atomic.Pointer[time.Time] // nil while this VM was not told to stop
-	told atomic.Pointer[time.Time] // when this VM was told to stop; set before at
-	over context.Context           // ends at that time
-	end  context.CancelFunc
-	ends stopEnds
+	at    atomic.Pointer[time.Time] // nil while this VM was not told to stop
+	told  atomic.Pointer[time.Time] // when this VM was told to stop; set before at
+	begun chan struct{}             // closed when this VM is told to stop
+	over  context.Context           // ends when requests end
+	end   context.CancelFunc
+	ends  stopEnds
 }
 
 // stopEnds counts callers' requests that ended after this VM was told to stop.
@@ -63,15 +64,16 @@
 
 // newStopClock returns the clock of a VM that was not told to stop.
 func newStopClock() *stopClock {
-	c := new(stopClock)
+	c := &stopClock{begun: make(chan struct{})}
 	c.over, c.end = context.WithCancel(context.Background())
 	return c
 }
 
-// set records when this VM was told to stop, and when requests end.
+// set records when this VM was told to stop, and when requests end. It is called once.
 func (c *stopClock) set(told, at time.Time) {
 	c.told.Store(&told)
 	c.at.Store(&at)
+	close(c.begun)
 	time.AfterFunc(time.Until(at), c.end)
 }
 
--- a/scatter/conclude.go
+++ b/scatter/conclude.go
@@ -73,10 +73,8 @@
 	if q.failedAttempt != 0 && !q.spec.Gathered {
 		return Outcome{Verdict: LeafFailed, Attempt: q.failedAttempt}
 	}
-	for i := range q.shards {
-		if s := &q.shards[i]; s.possibleRuns > 0 || s.call != 0 || s.redelegated {
-			return Outcome{Verdict: verdictIfRun}
-		}
+	if q.mayHaveRun() {
+		return Outcome{Verdict: verdictIfRun}
 	}
 	return Outcome{Verdict: NotRun, RetryAfter: q.retryAfterOrDefault()}
 }
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -363,6 +363,9 @@
 		return nil
 	}
 	if !now.Before(q.spec.Deadline) {
+		if q.endsAtStop() {
+			return q.Stop(now)
+		}
 		return q.finish(q.atDeadline())
 	}
 	if out, decided := q.decide(now); decided {
@@ -370,6 +373,9 @@
 		// actions may have become overdue while this VM was paused, but are of no use.
 		return q.finish(out)
 	}
+	if acts := q.refuseAtStop(now); acts != nil {
+		return acts
+	}
 	acts := q.failOverOverdueCalls(now)
 	for i := range q.shards {
 		s := &q.shards[i]
--- a/scatter/stopping.go
+++ b/scatter/stopping.go
@@ -6,8 +6,9 @@
 //
 // Whatever a VM still serves when its process ends is cut off, and its caller can't know whether it
 // ran. The caller's connection ends with this VM, so no other VM could deliver the answer. A request
-// is therefore started only if it is expected to end before. Any other one is refused before anything
-// is sent: it has not run, and another VM can serve it at once. A request that takes longer than
+// is therefore sent to a leaf only if it is expected to end before, also if it was waiting for one when
+// the VM was told to stop. Any other one is refused before anything is sent: it has not run, and another
+// VM can serve it at once. A request that takes longer than
 // expected ends at StopAt as it would at its deadline.
 
 // stopQuantile is the quantile of the durations of recent requests, from 0 to 1, that has to fit into
@@ -21,14 +22,50 @@
 	if stop.IsZero() || !q.spec.Deadline.After(stop) {
 		return nil
 	}
-	if needed, left := q.expectedDuration(now), stop.Sub(now); needed > left {
-		q.refuse(now, Refusal{Wait: needed, Limit: left, Stopping: true})
-		q.retryAfter = minRetryAfter
-		return q.finish(q.failureOutcome(NotRun))
-	}
 	q.spec.Deadline = stop
 	q.spec.AnswerBy = earlier(q.spec.AnswerBy, stop)
-	return nil
+	return q.refuseAtStop(now)
+}
+
+// refuseAtStop refuses the request if this VM stops, the request is not expected to end before, and no
+// leaf can have run it. It returns nil if the request goes on.
+func (q *Query) refuseAtStop(now time.Time) []Action {
+	if !q.endsAtStop() || q.mayHaveRun() {
+		return nil
+	}
+	needed, left := q.expectedDuration(now), q.spec.StopAt.Sub(now)
+	if needed <= left {
+		return nil
+	}
+	q.refuse(now, Refusal{Wait: needed, Limit: left, Stopping: true})
+	q.retryAfter = minRetryAfter
+	return q.finish(q.failureOutcome(NotRun))
+}
+
+// endsAtStop reports whether the query ends, at the latest, since this VM does.
+func (q *Query) endsAtStop() bool {
+	return !q.spec.StopAt.IsZero() && !q.spec.Deadline.Before(q.spec.StopAt)
+}
+
+// mayHaveRun reports whether a leaf may have run a part of the request, or another VM may have sent it
+// to one.
+func (q *Query) mayHaveRun() bool {
+	for i := range q.shards {
+		if s := &q.shards[i]; s.possibleRuns > 0 || s.call != 0 || s.redelegated {
+			return true
+		}
+	}
+	return false
+}
+
+// StopsAt handles that this VM was told to stop since the query started, and ends what it serves at the
+// given time. A request that waits for a leaf is refused if it is not expected to end before.
+func (q *Query) StopsAt(now, stop time.Time) []Action {
+	if q.done {
+		return nil
+	}
+	q.spec.StopAt = stop
+	return q.boundByStop(now)
 }
 
 // expectedDuration returns how long the request takes with the leafs' present load, or as most recent
@@ -55,6 +92,7 @@
 	if q.done {
 		return nil
 	}
+	q.retryAfter = minRetryAfter
 	out := q.atDeadline()
 	out.Stopped = true
 	for _, a := range q.attempts {
--- a/scatter/stopping_test.go
+++ b/scatter/stopping_test.go
@@ -104,3 +104,57 @@
 	w.Expect(out.AtWork).To(gomega.Equal(300 * time.Millisecond))
 	w.Expect(q.Stop(w.now)).To(gomega.BeEmpty())
 }
+
+// Guards against a request that was waiting for a leaf when its VM was told to stop, and is sent to one
+// when too little time is left.
+func TestWaitingRequestIsRefusedByAStoppingVM(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		w := newWorld(t)
+		id := w.leaf("ledger", homeZone)
+		w.answerAfter("ledger", 50*time.Millisecond, 80)
+		spec := w.single("ledger", idempotent)
+		spec.Deadline = w.now.Add(time.Minute)
+		waiting, sent := NewQuery(spec, w.table), NewQuery(spec, w.table)
+		w.Expect(sends(sent.Start(w.now))).To(gomega.HaveLen(1))
+		first := sends(waiting.Start(w.now))
+		w.Expect(first).To(gomega.HaveLen(1))
+		w.table.AttemptEnded(w.now, id, first[0].SentAt, EndRefused)
+		w.Expect(waiting.Fail(w.now, first[0].Attempt, EndRefused)).To(gomega.BeEmpty(), "it waits for the leaf")
+
+		stop := w.now.Add(200 * time.Millisecond)
+		w.Expect(waiting.StopsAt(w.now, stop)).To(gomega.BeEmpty(), "there is time")
+		w.Expect(sent.StopsAt(w.now, stop)).To(gomega.BeEmpty())
+		w.wait(170 * time.Millisecond)
+		acts := waiting.Tick(w.now)
+		w.Expect(sends(acts)).To(gomega.BeEmpty())
+		out := outcome(acts)
+		w.Expect(out).NotTo(gomega.BeNil())
+		w.Expect(out.Verdict).To(gomega.Equal(NotRun))
+		w.Expect(out.RetryAfter).To(gomega.Equal(minRetryAfter))
+		w.Expect(out.Refusal.Stopping).To(gomega.BeTrue())
+		w.Expect(outcome(sent.Tick(w.now))).To(gomega.BeNil(), "a leaf is at work on it")
+		w.wait(30 * time.Millisecond)
+		out = outcome(sent.Tick(w.now))
+		w.Expect(out).NotTo(gomega.BeNil())
+		w.Expect(out.Verdict).To(gomega.Equal(TimedOut))
+		w.Expect(out.Stopped).To(gomega.BeTrue())
+		w.Expect(out.AtWork).To(gomega.Equal(200 * time.Millisecond))
+	}
+}
+
+// Guards against a request that waits for a leaf in vain until its VM ends: it was told to stop when too
+// little time was left.
+func TestRequestThatOutlastsTheVMIsRefusedWhenItIsToldToStop(t *testing.T) {
+	w := newWorld(t)
+	id := w.leaf("ledger", homeZone)
+	w.answerAfter("ledger", 50*time.Millisecond, 80)
+	spec := w.single("ledger", false)
+	spec.Deadline = w.now.Add(time.Minute)
+	q := NewQuery(spec, w.table)
+	first := sends(q.Start(w.now))
+	w.table.AttemptEnded(w.now, id, first[0].SentAt, EndRefused)
+	q.Fail(w.now, first[0].Attempt, EndRefused)
+	out := outcome(q.StopsAt(w.now, w.now.Add(40*time.Millisecond)))
+	w.Expect(out).NotTo(gomega.BeNil())
+	w.Expect(out.Verdict).To(gomega.Equal(NotRun))
+}
