A stopping VM answers a caller that has not sent its whole body

What callers saw: a connection closed without an answer, by a VM that ended while they sent the body of a request slowly, though nothing had run.

Cause: nothing bounds the reading of a body. After the header net/http sets no read deadline without a ReadTimeout, and neither the stop nor the caller's stated time ended the read.

At the time at which a stopping VM ends what it serves, the bodies that are still read end too, and their callers get 503 with a short Retry-After on a connection that closes.

TestRequestWithHalfABodyIsRefusedWhenTheVMEnds was red before (unexpected EOF).

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -98,6 +99,7 @@
 		known:            newKnownTimes(opt.Bounds),
 	}
 	e.currency.setBounds(opt.Bounds)
+	context.AfterFunc(e.stopping.over, e.callerConns.interruptBodies)
 	return e
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -90,11 +91,10 @@
 		e.reject(w, r, rejected, m.Version)
 		return
 	}
-	enterStage(r.Context(), stageBody)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
+	body, err := e.readBody(w, r, m)
 	if err != nil {
 		e.returnToken(time.Now(), who)
-		e.stats.tenants.count(time.Now(), who, tenantFailed)
+		e.stats.tenants.count(time.Now(), who, endOfBody(err))
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
@@ -149,9 +149,32 @@
 	return defaultBodyLimit
 }
 
+// readBody returns the body of a caller's request. The error is errStopping if the caller has not sent all
+// of it when this VM ends what it serves.
+func (e *Engine) readBody(w http.ResponseWriter, r *http.Request, m *routing.Manifest) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
+	enterStage(r.Context(), stageBody)
+	if e.stopping.over.Err() != nil {
+		return nil, errStopping // interruptBodies has run
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
+	enterStage(r.Context(), stageOffer) // interruptBodies leaves the connection alone from now on
+	if e.stopping.over.Err() != nil && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		return nil, errStopping
+	}
+	return body, err
+}
+
 // rejectBody answers a request whose body is longer than the limit, or could not be read
 // because of err. version is that of the manifest in force.
 func (e *Engine) rejectBody(w http.ResponseWriter, r *http.Request, err error, version int64) {
+	if errors.Is(err, errStopping) {
+		w.Header().Set("Connection", "close")
+		e.replyUnavailable(w, r, "stopping", version, retryAfterStopping)
+		return
+	}
 	status := http.StatusBadRequest
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
--- a/edge/open_requests.go
+++ b/edge/open_requests.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// interruptBodies ends the reading of the bodies of requests.
+func (s *callerConns) interruptBodies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if req := c.request.Load(); req != nil && requestStage(req.stage.Load()) == stageBody {
+			_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // an error means that the caller has disconnected
+		}
+	}
+}
+
 // firstRequestTime is how long after a connection was accepted its first request is expected.
 const firstRequestTime = 500 * time.Millisecond
 
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -24,6 +24,10 @@
 	exitGraceShare = 0.98
 )
 
+// retryAfterStopping is the Retry-After time of a request that was not sent anywhere since this VM ends.
+// Another VM can serve it at once.
+const retryAfterStopping = 10 * time.Millisecond
+
 // maxNamedCutOff bounds the requests that are named in the log when they are cut off.
 const maxNamedCutOff = 32
 
--- a/edge/tenant_stats.go
+++ b/edge/tenant_stats.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -42,6 +43,14 @@
 	return tenantLimitUnknown
 }
 
+// endOfBody returns the end of a request whose body was not read because of err.
+func endOfBody(err error) tenantEnd {
+	if errors.Is(err, errStopping) {
+		return tenantNoRoom
+	}
+	return tenantFailed
+}
+
 // endOfOutcome returns the end of a request that was given to leafs or other VMs.
 func endOfOutcome(verdict scatter.Verdict) tenantEnd {
 	switch verdict {
