Hand-overs of requests end with a VM that is told to stop meanwhile

What callers saw: no answer from a stopping VM, or 502 where 504 is meant.

Cause: whether a request may outlast the VM was asked once, before it was offered. An offer waited for 0.15 of the time until the request's deadline (9 s of a minute) whatever happened to this VM, and when it was accepted, the request was handed over even if the VM had been told to stop since. A request that another VM worked on when this one ended was told as that VM's fault: 502, unknown.

An offer ends with the VM; the question is asked again after it; and a request that the stop ends while another VM works on it is answered as at its deadline, and told so in the log.

Red before: TestOfferEndsWithTheVM (3.0 s), TestRequestIsNotHandedOverByAVMToldToStopMeanwhile (run at the other VM), TestRequestOfAnotherVMEndsWithThisOneAsAtItsDeadline (502).

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -155,7 +155,7 @@
 	}
 	enterStage(ctx, stageOffer)
 	sentAt := time.Now()
-	offerCtx, cancel := context.WithTimeout(ctx, time.Duration(offerTimeShare*float64(time.Until(req.Deadline))))
+	offerCtx, cancel := e.stopping.bound(ctx, sentAt.Add(time.Duration(offerTimeShare*float64(time.Until(req.Deadline)))))
 	offer, err := client.offerRequest(offerCtx, vm, &offerCall{Manifest: version})
 	cancel()
 	e.mu.Lock()
@@ -164,14 +164,20 @@
 	if ctx.Err() != nil {
 		return e.handOverAbandoned()
 	}
-	if err != nil || !offer.Accepted {
+	if err != nil || !offer.Accepted || e.mayOutlast(req) { // this VM may have been told to stop meanwhile
 		e.countHandOver("not_accepted")
 		return nil
 	}
 	runCtx, cancel := e.stopping.bound(ctx, req.Deadline)
 	defer cancel()
+	handedAt := time.Now()
 	ans, err := client.runRequest(runCtx, vm, newRunCall(req, who, version, offer.Offer))
-	return e.handedOver(ctx, req, vm, ans, err)
+	res := e.handedOver(ctx, req, vm, ans, err)
+	if res != nil && err != nil && res.Outcome.Verdict == scatter.Unknown && e.stopping.over.Err() != nil {
+		res.Status = http.StatusGatewayTimeout
+		res.Outcome = scatter.Outcome{Verdict: scatter.TimedOut, Stopped: true, AtWork: time.Since(handedAt)}
+	}
+	return res
 }
 
 // mayOutlast reports whether a request may still run when this VM ends. Another VM would not know by
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -62,3 +62,85 @@
 	slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
 	g.Expect(free.count(takenOver)).To(gomega.BeEquivalentTo(1))
 }
+
+// heldTaker is a client whose hand-overs end with their contexts, unless answers are set.
+type heldTaker struct {
+	requestTaker
+	offered *offerAnswer // nil: offers get no answer
+	onOffer func()
+	runs    int
+}
+
+// offerRequest implements requestTaker.
+func (c *heldTaker) offerRequest(ctx context.Context, _ scatter.VM, _ *offerCall) (*offerAnswer, error) {
+	c.onOffer()
+	if c.offered != nil {
+		return c.offered, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// runRequest implements requestTaker.
+func (c *heldTaker) runRequest(ctx context.Context, _ scatter.VM, _ *runCall) (*runAnswer, error) {
+	c.runs++
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// newVMThatHandsOver returns a VM without room that hands requests over to client.
+func newVMThatHandsOver(t *testing.T, g *gomega.WithT, client *heldTaker) *handOverVM {
+	v, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	v.joinZone(g, free, false)
+	client.requestTaker = v.peers
+	v.setPeerClient(client)
+	return v
+}
+
+// stopIn lets the VM end what it serves after d.
+func (v *handOverVM) stopIn(d time.Duration) {
+	v.stopping.set(time.Now(), time.Now().Add(d))
+}
+
+// Guards against a request without an answer when its VM ends: it was offered to another VM, which says
+// nothing.
+func TestOfferEndsWithTheVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{}
+	v := newVMThatHandsOver(t, g, client)
+	client.onOffer = func() { v.stopIn(50 * time.Millisecond) }
+	req, route := v.request()
+	start := time.Now()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+	g.Expect(res.Status).To(gomega.Equal(http.StatusServiceUnavailable))
+}
+
+// Guards against a request whose answer another VM can't deliver: this VM was told to stop while it
+// offered the request.
+func TestRequestIsNotHandedOverByAVMToldToStopMeanwhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{offered: &offerAnswer{Accepted: true, Offer: 1}}
+	v := newVMThatHandsOver(t, g, client)
+	client.onOffer = func() { v.stopIn(time.Second) }
+	req, route := v.request()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(client.runs).To(gomega.BeZero())
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+}
+
+// Guards against an end by the stop of a VM that is told as a fault of the other VM, which still works on
+// the request.
+func TestRequestOfAnotherVMEndsWithThisOneAsAtItsDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{offered: &offerAnswer{Accepted: true, Offer: 1}, onOffer: func() {}}
+	v := newVMThatHandsOver(t, g, client)
+	time.AfterFunc(50*time.Millisecond, func() { v.stopIn(50 * time.Millisecond) })
+	req, route := v.request()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(res.Status).To(gomega.Equal(http.StatusGatewayTimeout))
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.TimedOut))
+	g.Expect(res.Outcome.Stopped).To(gomega.BeTrue())
+	g.Expect(res.Outcome.AtWork).To(gomega.BeNumerically(">=", 50*time.Millisecond))
+}
