Waits for a slot and for a key end with a VM that stops

What callers saw: a connection closed without an answer by a VM that ended, though nothing had run.

Cause: the wait for a keeper's answer, up to 0.02 of the latency objective, for a slot that it has promised, up to 0.2 of it, and for a newer manifest that may hold an unknown key, up to a quarter of the objective or of the route's timeout, knew the caller and its time, not that of the VM. For long work these are seconds, and 0.05 of the grace time is left then.

All three end with the VM. A request that waited for a slot is refused, as any that outlasts the VM; one with an unknown key gets the 503 of a VM that may be behind.

Red before: TestWaitForASlotEndsWithTheVM (0.4 s where 0.05 s were left), TestWaitForAKeyEndsWithTheVM (15 s). The wait for a tenant's token is 100 ms at most and was left.

--- a/edge/authenticate.go
+++ b/edge/authenticate.go
@@ -93,7 +93,10 @@
 	if strings.ContainsAny(key, " \t,") {
 		return keyMalformed
 	}
-	waiting := e.refreshManifest(r.Context(), time.Duration(refreshShare*float64(cmp.Or(route.Aim, route.Timeout))))
+	wait := time.Duration(refreshShare * float64(cmp.Or(route.Aim, route.Timeout)))
+	ctx, cancel := e.stopping.bound(r.Context(), time.Now().Add(wait))
+	defer cancel()
+	waiting := e.refreshManifest(ctx, wait)
 	if waiting || e.currency.mayBeBehind(time.Now()) {
 		return keyBehind
 	}
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -254,21 +254,23 @@
 	return g
 }
 
-// ask asks the keeper, which may be this VM itself. It waits no longer than limit.
+// ask asks the keeper, which may be this VM itself. It waits no longer than limit, and no longer than
+// this VM serves.
 func (g *slotGrant) ask(ctx context.Context, now time.Time, req slotbook.Request, limit time.Duration) (slotAnswer, error) {
 	if g.keeper.Name == g.keeping.e.self.Name {
 		return g.keeping.name(now, g.service, req), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := g.keeping.e.stopping.bound(ctx, now.Add(limit))
 	defer cancel()
 	var ans slotAnswer
 	err := g.client.reserveSlot(ctx, g.keeper, newSlotCall(g.service, req), &ans)
 	return ans, err
 }
 
-// await waits until the keeper names a leaf. It waits no longer than limit.
+// await waits until the keeper names a leaf. It waits no longer than limit, and no longer than this VM
+// serves.
 func (g *slotGrant) await(ctx context.Context, id slotbook.ID, limit time.Duration) (ans slotAnswer, err error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := g.keeping.e.stopping.bound(ctx, time.Now().Add(limit))
 	defer cancel()
 	if g.keeper.Name == g.keeping.e.self.Name {
 		return g.keeping.awaitGrant(ctx, id)
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
@@ -144,3 +146,43 @@
 	g.Expect(res.Outcome.Stopped).To(gomega.BeTrue())
 	g.Expect(res.Outcome.AtWork).To(gomega.BeNumerically(">=", 50*time.Millisecond))
 }
+
+// Guards against a request without an answer when its VM ends: it waits for a slot that a keeper promised.
+func TestWaitForASlotEndsWithTheVM(t *testing.T) {
+	for _, waits := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		v := newSlotVM(t, g, "a", "127.0.0.1:1", 20*time.Second)
+		v.setPeerClient(&frozenKeeper{wait: waits})
+		v.setVMs([]scatter.VM{{Name: "b", Zone: "z", Power: 9}, {Name: "c", Zone: "z", Power: 9}})
+		v.slots.Load().refresh(time.Now())
+		time.AfterFunc(20*time.Millisecond, func() { v.stopIn(30 * time.Millisecond) })
+		start := time.Now()
+		res := v.ask(t.Context())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+		g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+		g.Expect(res.Outcome.Sent).To(gomega.BeZero())
+	}
+}
+
+// Guards against a request without an answer when its VM ends: it waits for a newer manifest that may hold
+// its key.
+func TestWaitForAKeyEndsWithTheVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := manifestOf(1, "s3cret")
+	m.Routes[0].Aim = time.Minute
+	vms, engines := newVMsInProcess(2, m)
+	vms.hold = make(chan struct{})
+	defer close(vms.hold)
+	e := engines[0]
+	e.headerCodec = plainCodec{}
+	e.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+		return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 1, Address: "127.0.0.1:1"})
+	})
+	e.currency.confirm(time.Now(), time.Now(), true)
+	time.AfterFunc(20*time.Millisecond, func() { e.stopping.set(time.Now(), time.Now().Add(30*time.Millisecond)) })
+	start := time.Now()
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, requestWith("/x", "Bearer other"))
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+}
