The answer to another VM is sent before a stopping VM ends

What callers saw: 502, outcome unknown, for a request that another VM had taken over and run.

Cause: a VM that stops waits for what it does for others, and work on a request that was handed over counted until its handler returned. wire sends the result after that. If it was the last work, the VM closed its connections to other VMs, and the process ended, in the same moment. Answers to gathered calls are sent by the handler and are not affected.

A result can be told when it was sent (wire.SentResult); the work counts until then.

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -80,6 +80,15 @@
 	Verdict      int         `json:"verdict"` // a scatter.Verdict
 	Missing      int         `json:"missing,omitempty"`
 	RetryAfterUS int64       `json:"retry_after_us,omitempty"`
+
+	onSent func() // nil, or called once the answer was sent
+}
+
+// Sent implements wire.SentResult.
+func (a *runAnswer) Sent() {
+	if a.onSent != nil {
+		a.onSent()
+	}
 }
 
 // check returns an error if the answer can't be passed on. A VM of a later release may send other
@@ -362,8 +371,8 @@
 }
 
 // runTaken runs the request of an accepted offer of the named VM, and returns its answer. It never
-// hands the request over again.
-func (e *Engine) runTaken(ctx context.Context, vm string, call *runCall) (*runAnswer, error) {
+// hands the request over again. It counts as work for that VM until the answer was sent.
+func (e *Engine) runTaken(ctx context.Context, vm string, call *runCall) (ans *runAnswer, err error) {
 	m := e.inForce.Get()
 	path, _, _ := strings.Cut(call.Target, "?")
 	var route *routing.Route
@@ -375,7 +384,12 @@
 	if err := e.peerWork.begin(len(call.Body)); err != nil {
 		return nil, result.Wrap(result.NotStarted, err, "request of another VM")
 	}
-	defer e.peerWork.end(len(call.Body))
+	end := func() { e.peerWork.end(len(call.Body)) }
+	defer func() {
+		if ans == nil {
+			end()
+		}
+	}()
 	now := time.Now()
 	if route == nil || !e.taken.begin(now, vm, call.Offer, cancel) {
 		return nil, result.Errorf(result.NotStarted, "offer %d is not valid any more", call.Offer)
@@ -395,5 +409,6 @@
 	return &runAnswer{
 		Status: res.Status, Header: res.Header, Body: res.Body,
 		Verdict: int(res.Outcome.Verdict), Missing: res.Outcome.Missing, RetryAfterUS: res.Outcome.RetryAfter.Microseconds(),
+		onSent: end,
 	}, nil
 }
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -186,3 +186,34 @@
 	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 300*time.Millisecond))
 	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
 }
+
+// Guards against the answer to a request of another VM that is lost since this VM ends in the moment after
+// it has run.
+func TestAnswerToAnotherVMIsSentBeforeThisOneEnds(t *testing.T) {
+	const rounds = 40
+	lost := 0
+	for range rounds {
+		g := gomega.NewWithT(t)
+		slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+		slow.joinZone(g, free, false)
+		free.joinZone(g, slow, true)
+		leaf := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+			w.Header().Set("Receipt", "r")
+		}))
+		free.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+			return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 1, Address: leaf.Listener.Addr().String()})
+		})
+		done := make(chan *Result)
+		req, route := slow.request()
+		go func() { done <- slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1) }()
+		g.Eventually(free.peerWork.number, "5s", "100us").Should(gomega.Equal(1))
+		g.Expect(free.peerWork.close(t.Context())).To(gomega.Succeed())
+		free.peers.close()
+		if (<-done).Outcome.Verdict != scatter.Answered {
+			lost++
+		}
+		leaf.Close()
+	}
+	gomega.NewWithT(t).Expect(lost).To(gomega.BeZero())
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -330,6 +330,11 @@
 	return !c.waitCalled
 }
 
+// SentResult is a result of Options.Handler that is told when it was sent, or could not be.
+type SentResult interface {
+	Sent()
+}
+
 // replyFunc handles a message with the given parameters and returns the result for the peer.
 type replyFunc func(params json.RawMessage) (any, error)
 
@@ -352,6 +357,9 @@
 	if !req.Notif {
 		err = c.rpc.Reply(ctx, req.ID, answer)
 	}
+	if sent, ok := answer.(SentResult); ok {
+		sent.Sent()
+	}
 	// The result was too big to be sent; the peer gets the error in its place.
 	if result.CodeOf(err) == result.MessageTooBig {
 		c.replyError(ctx, req, err)
