--- a/edge/handler.go
+++ b/edge/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,7 +30,9 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.answerPanic(w, r)
 	arrived := time.Now()
-	beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived)
+	if !beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived) {
+		panic(http.ErrAbortHandler)
+	}
 	m := e.inForce.Get()
 	if m == nil {
 		e.replyUnavailable(w, r, "no_manifest", 0, retryAfterStart)
@@ -88,11 +91,10 @@
 		e.reject(w, r, rejected, m.Version)
 		return
 	}
-	enterStage(r.Context(), stageBody)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
+	body, err := e.readBody(w, r, m)
 	if err != nil {
 		e.returnToken(time.Now(), who)
-		e.stats.tenants.count(time.Now(), who, tenantFailed)
+		e.stats.tenants.count(time.Now(), who, endOfBody(err))
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
@@ -147,9 +149,32 @@
 	return defaultBodyLimit
 }
 
+// readBody returns the body of a caller's request. The error is errStopping if the caller has not sent all
+// of it when this VM ends what it serves.
+func (e *Engine) readBody(w http.ResponseWriter, r *http.Request, m *routing.Manifest) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
+	enterStage(r.Context(), stageBody)
+	if e.stopping.over.Err() != nil {
+		return nil, errStopping // interruptBodies has run
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
+	enterStage(r.Context(), stageOffer) // interruptBodies leaves the connection alone from now on
+	if e.stopping.over.Err() != nil && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		return nil, errStopping
+	}
+	return body, err
+}
+
 // rejectBody answers a request whose body is longer than the limit, or could not be read
 // because of err. version is that of the manifest in force.
 func (e *Engine) rejectBody(w http.ResponseWriter, r *http.Request, err error, version int64) {
+	if errors.Is(err, errStopping) {
+		w.Header().Set("Connection", "close")
+		e.replyUnavailable(w, r, "stopping", version, retryAfterStopping)
+		return
+	}
 	status := http.StatusBadRequest
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
@@ -274,7 +299,6 @@
 		LatencyObjective: route.Aim,
 		AnswerBy:         req.AnswerBy,
 		Deadline:         req.Deadline,
-		StopAt:           e.stopping.time(),
 		MayDelegate:      route.Gathered() && len(req.HTTP.Body) <= maxDelegatedBody,
 		RequestID:        req.ID,
 		BudgetWeight:     1,
@@ -290,7 +314,7 @@
 	if res := slot.refusal(spec); res != nil {
 		return res
 	}
-	spec.Advised = slot.advised()
+	spec.Advised, spec.StopAt = slot.advised(), e.stopping.time()
 	enterStage(r.Context(), stageLeaf)
 	run := e.newRunner(req, spec)
 	run.slot = slot
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -24,16 +24,21 @@
 	exitGraceShare = 0.98
 )
 
+// retryAfterStopping is the Retry-After time of a request that was not sent anywhere since this VM ends.
+// Another VM can serve it at once.
+const retryAfterStopping = 10 * time.Millisecond
+
 // maxNamedCutOff bounds the requests that are named in the log when they are cut off.
 const maxNamedCutOff = 32
 
 // stopClock says when this VM ends what it still serves. It is safe for concurrent use.
 type stopClock struct {
-	at   atomic.Pointer[time.Time] // nil while this VM was not told to stop
-	told atomic.Pointer[time.Time] // when this VM was told to stop; set before at
-	over context.Context           // ends at that time
-	end  context.CancelFunc
-	ends stopEnds
+	at    atomic.Pointer[time.Time] // nil while this VM was not told to stop
+	told  atomic.Pointer[time.Time] // when this VM was told to stop; set before at
+	begun chan struct{}             // closed when this VM is told to stop
+	over  context.Context           // ends when requests end
+	end   context.CancelFunc
+	ends  stopEnds
 }
 
 // stopEnds counts callers' requests that ended after this VM was told to stop.
@@ -63,15 +68,16 @@
 
 // newStopClock returns the clock of a VM that was not told to stop.
 func newStopClock() *stopClock {
-	c := new(stopClock)
+	c := &stopClock{begun: make(chan struct{})}
 	c.over, c.end = context.WithCancel(context.Background())
 	return c
 }
 
-// set records when this VM was told to stop, and when requests end.
+// set records when this VM was told to stop, and when requests end. It is called once.
 func (c *stopClock) set(told, at time.Time) {
 	c.told.Store(&told)
 	c.at.Store(&at)
+	close(c.begun)
 	time.AfterFunc(time.Until(at), c.end)
 }
 
@@ -219,19 +225,25 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.logPhase("connections_closed", told)
+	if err := n.callerSocket.Close(); err != nil {
+		n.log.Warn("closing the listener for callers failed", "error", err)
+	}
 	peersDone := make(chan error, 1)
 	go func() { peersDone <- n.engine.peerWork.close(ctx) }()
-	// Shutdown looks ever more seldom whether connections are idle, so it is called again once the
-	// last requests have ended.
-	if n.callerServer.Shutdown(n.engine.stopping.over) != nil {
+	conns := n.engine.callerConns
+	closed := n.engine.stats.set.GetOrCreateCounter("bramley_edge_idle_connections_closed_total")
+	closed.Add(conns.closeIdle(time.Now()))
+	defer time.AfterFunc(firstRequestTime, func() { closed.Add(conns.closeIdle(time.Now())) }).Stop()
+	if !conns.awaitNone(n.engine.stopping.over) {
 		n.logPhase("requests_ended", told)
-		if n.callerServer.Shutdown(ctx) != nil {
+		if !conns.awaitNone(ctx) {
 			n.logCutOff(time.Now())
 		}
 	}
 	if err := <-peersDone; err != nil {
 		n.log.Warn("work for other VMs was cut off", "requests", n.engine.peerWork.number(), "error", err)
 	}
+	_ = n.callerServer.Close() // what is still open was logged
 }
 
 // logCutOff logs and counts the requests that the end of the process cuts off. Connections that carry
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/result"
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
@@ -62,3 +64,156 @@
 	slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
 	g.Expect(free.count(takenOver)).To(gomega.BeEquivalentTo(1))
 }
+
+// heldTaker is a client whose hand-overs end with their contexts, unless answers are set.
+type heldTaker struct {
+	requestTaker
+	offered *offerAnswer // nil: offers get no answer
+	onOffer func()
+	runs    int
+}
+
+// offerRequest implements requestTaker.
+func (c *heldTaker) offerRequest(ctx context.Context, _ scatter.VM, _ *offerCall) (*offerAnswer, error) {
+	c.onOffer()
+	if c.offered != nil {
+		return c.offered, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// runRequest implements requestTaker.
+func (c *heldTaker) runRequest(ctx context.Context, _ scatter.VM, _ *runCall) (*runAnswer, error) {
+	c.runs++
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// newVMThatHandsOver returns a VM without room that hands requests over to client.
+func newVMThatHandsOver(t *testing.T, g *gomega.WithT, client *heldTaker) *handOverVM {
+	v, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+	v.joinZone(g, free, false)
+	client.requestTaker = v.peers
+	v.setPeerClient(client)
+	return v
+}
+
+// stopIn lets the VM end what it serves after d.
+func (v *handOverVM) stopIn(d time.Duration) {
+	v.stopping.set(time.Now(), time.Now().Add(d))
+}
+
+// Guards against a request without an answer when its VM ends: it was offered to another VM, which says
+// nothing.
+func TestOfferEndsWithTheVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{}
+	v := newVMThatHandsOver(t, g, client)
+	client.onOffer = func() { v.stopIn(50 * time.Millisecond) }
+	req, route := v.request()
+	start := time.Now()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+	g.Expect(res.Status).To(gomega.Equal(http.StatusServiceUnavailable))
+}
+
+// Guards against a request whose answer another VM can't deliver: this VM was told to stop while it
+// offered the request.
+func TestRequestIsNotHandedOverByAVMToldToStopMeanwhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{offered: &offerAnswer{Accepted: true, Offer: 1}}
+	v := newVMThatHandsOver(t, g, client)
+	client.onOffer = func() { v.stopIn(time.Second) }
+	req, route := v.request()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(client.runs).To(gomega.BeZero())
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+}
+
+// Guards against an end by the stop of a VM that is told as a fault of the other VM, which still works on
+// the request.
+func TestRequestOfAnotherVMEndsWithThisOneAsAtItsDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := &heldTaker{offered: &offerAnswer{Accepted: true, Offer: 1}, onOffer: func() {}}
+	v := newVMThatHandsOver(t, g, client)
+	time.AfterFunc(50*time.Millisecond, func() { v.stopIn(50 * time.Millisecond) })
+	req, route := v.request()
+	res := v.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1)
+	g.Expect(res.Status).To(gomega.Equal(http.StatusGatewayTimeout))
+	g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.TimedOut))
+	g.Expect(res.Outcome.Stopped).To(gomega.BeTrue())
+	g.Expect(res.Outcome.AtWork).To(gomega.BeNumerically(">=", 50*time.Millisecond))
+}
+
+// Guards against a request without an answer when its VM ends: it waits for a slot that a keeper promised.
+func TestWaitForASlotEndsWithTheVM(t *testing.T) {
+	for _, waits := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		v := newSlotVM(t, g, "a", "127.0.0.1:1", 20*time.Second)
+		v.setPeerClient(&frozenKeeper{wait: waits})
+		v.setVMs([]scatter.VM{{Name: "b", Zone: "z", Power: 9}, {Name: "c", Zone: "z", Power: 9}})
+		v.slots.Load().refresh(time.Now())
+		time.AfterFunc(20*time.Millisecond, func() { v.stopIn(30 * time.Millisecond) })
+		start := time.Now()
+		res := v.ask(t.Context())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+		g.Expect(res.Outcome.Verdict).To(gomega.Equal(scatter.NotRun))
+		g.Expect(res.Outcome.Sent).To(gomega.BeZero())
+	}
+}
+
+// Guards against a request without an answer when its VM ends: it waits for a newer manifest that may hold
+// its key.
+func TestWaitForAKeyEndsWithTheVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := manifestOf(1, "s3cret")
+	m.Routes[0].Aim = time.Minute
+	vms, engines := newVMsInProcess(2, m)
+	vms.hold = make(chan struct{})
+	defer close(vms.hold)
+	e := engines[0]
+	e.headerCodec = plainCodec{}
+	e.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+		return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 1, Address: "127.0.0.1:1"})
+	})
+	e.currency.confirm(time.Now(), time.Now(), true)
+	time.AfterFunc(20*time.Millisecond, func() { e.stopping.set(time.Now(), time.Now().Add(30*time.Millisecond)) })
+	start := time.Now()
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, requestWith("/x", "Bearer other"))
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+}
+
+// Guards against the answer to a request of another VM that is lost since this VM ends in the moment after
+// it has run.
+func TestAnswerToAnotherVMIsSentBeforeThisOneEnds(t *testing.T) {
+	const rounds = 40
+	lost := 0
+	for range rounds {
+		g := gomega.NewWithT(t)
+		slow, free := newHandOverVM(t, g, "a", time.Second), newHandOverVM(t, g, "b", 0)
+		slow.joinZone(g, free, false)
+		free.joinZone(g, slow, true)
+		leaf := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+			w.Header().Set("Receipt", "r")
+		}))
+		free.applyLeafChanges(func(_ time.Time, r *registry.Registry) []registry.Change {
+			return r.Put(registry.Leaf{ID: "l", Born: 1, Service: "s", Zone: "z", Slots: 1, Address: leaf.Listener.Addr().String()})
+		})
+		done := make(chan *Result)
+		req, route := slow.request()
+		go func() { done <- slow.serveOrHandOver(newCallerRequest(t.Context()), req, route, origin{}, 1) }()
+		g.Eventually(free.peerWork.number, "5s", "100us").Should(gomega.Equal(1))
+		g.Expect(free.peerWork.close(t.Context())).To(gomega.Succeed())
+		free.peers.close()
+		if (<-done).Outcome.Verdict != scatter.Answered {
+			lost++
+		}
+		leaf.Close()
+	}
+	gomega.NewWithT(t).Expect(lost).To(gomega.BeZero())
+}
