A leaf that fails each request at once attracts no load

What callers saw: of four leafs of a service two send what is no HTTP, or a header without an end, and so fail each attempt within a millisecond.

Cause: the choice between leafs adds a share of the latency objective for failures, and the queue of this VM's own requests for load. A leaf that fails at once has no queue, so while the sound ones are busy it is the cheapest. Its cooldown, after two broken connections in a row, does not help: while the sound leafs are at this VM's limit, pickUnavailable takes a leaf in cooldown; each end of a cooldown lets all waiting requests in; and an answer that is a failure ends the series, so a leaf that answers 500 has no cooldown at all. Ruled out: the retry's choice alone (GETs failed since both attempts went to failing leafs), and the budget (it allowed the retries).

Change: after three failures in a row, of whatever kind, each sent after the one before had ended, a leaf is on trial while another leaf of the service is sound: it gets one request at a time, after pauses of 60 ms that double up to 1.5 s, and only one that can be sent to another leaf; any request after 4 s more. An answer ends the trial. Failures that come faster than answers are not judged while an older request is in flight and not stalled, so that a leaf that fails a part of its requests is not taken for one that fails all. While no leaf is sound nothing is restricted: a whole service may fail for what is asked. Requests for which the sound leafs have no room wait for these as usual, and are then refused as not run.

The first test is red without the call of restrictTrials, with 15 callers in all four variants.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -27,7 +27,8 @@
 	if q.holdsBack(now, s, reason) {
 		return nil
 	}
-	leafs := q.candidates(s)
+	last := reason != FirstAttempt || !q.spec.Idempotent || q.spec.MaxAttempts < 2
+	leafs := restrictTrials(now, q.candidates(s), last)
 	filter := leafFilter{exclude: s.tried, idleOnly: reason == Hedge}
 	late := false
 	if q.spec.Gathered {
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -39,6 +39,7 @@
 	cooldown  cooldown         // after failures or refusals, keeps requests away for a while
 	failures  failureRate      // share of this VM's requests to the leaf that fail
 	suspicion suspicion        // after silence, keeps requests away until a new connection can be made
+	trial     trial            // after consecutive failures, limits requests while other leafs are sound
 
 	othersReported float64       // requests of other VMs that ran or waited at the leaf, by its latest load report
 	reportedAt     time.Time     // when the latest load report was received
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -433,9 +433,11 @@
 	case EndAnswered:
 		l.recordAnswer(now, req)
 		l.failures.add(now, 0)
+		l.trial.recordAnswer()
 	case EndFailed:
 		l.recordAnswer(now, req)
 		l.failures.add(now, 1)
+		l.trial.recordFailure(sentAt, now)
 	case EndExpired:
 		l.halfOpen = true
 		if req.known {
@@ -452,9 +454,11 @@
 		l.cooldown.recordSilence(sentAt, now)
 		l.suspicion.raise(now)
 		l.failures.add(now, 1)
+		l.trial.recordFailure(sentAt, now)
 	case EndBroken:
 		l.cooldown.recordFailure(sentAt, now)
 		l.failures.add(now, 1)
+		l.trial.recordFailure(sentAt, now)
 	}
 }
 
