A stopping VM keeps time to write its last answers, whatever the grace time

What callers saw: closed connections in place of 504 from a VM that ended hundreds of open requests with little processor time.

Cause: the time for writing was a share of the grace time, 0.05, though what it takes depends on the number of answers and on the processor, and 0.02 of it was never used: the process ended by itself before SIGKILL. Of a long grace time much was left unused by leafs.

Requests end 0.3 s before SIGKILL, at most a fifth of the grace time before, and the process goes on to write until it is killed or done. At 6 s requests end as before. What is open is reported 0.1 s before the end, since SIGKILL counts from the sending of SIGTERM.

TestTimeToWriteAnswersDoesNotShrinkWithTheGraceTime holds the times.

--- a/edge/partition_handover.go
+++ b/edge/partition_handover.go
@@ -61,7 +61,7 @@
 	if len(candidates) == 0 {
 		return
 	}
-	limit := n.graceShare(handoverGraceShare)
+	limit := time.Duration(handoverGraceShare * float64(n.grace()))
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	try := time.Duration(handoverTryShare * float64(limit))
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -11,25 +11,51 @@
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
-// Shares of the time between SIGTERM and SIGKILL, all counted from SIGTERM.
+// Times of a stop, counted from SIGTERM.
 const (
-	// lameDuckGraceShare is the share after which this VM closes its listener and idle connections.
-	// The load balancer's list lags by some seconds, so until then this VM serves callers while it
-	// reports not ready.
+	// lameDuckGraceShare is the share of the time until SIGKILL after which this VM closes its
+	// listener and idle connections. The load balancer's list lags by some seconds, so until then this
+	// VM serves callers while it reports not ready.
 	lameDuckGraceShare = 0.7
-	// answerGraceShare is the share after which what this VM still serves is answered as at its
-	// deadline. The rest is for writing these answers on a slow VM.
-	answerGraceShare = 0.95
-	// exitGraceShare is the share after which the process ends at the latest.
-	exitGraceShare = 0.98
+	// answerWriteMargin is how long before SIGKILL this VM answers what it still serves as at its
+	// deadline: a slow VM has to be scheduled, and to write hundreds of answers.
+	answerWriteMargin = 300 * time.Millisecond
+	// maxWriteMarginShare bounds answerWriteMargin, as a share of the time until SIGKILL.
+	maxWriteMarginShare = 0.2
+	// reportMarginShare is how long before SIGKILL this VM reports what it has not answered, as a share
+	// of the margin for writing answers.
+	reportMarginShare = 1.0 / 3
 )
 
+// stopTimes are the times of a stop.
+type stopTimes struct {
+	told      time.Time // SIGTERM
+	lameDuck  time.Time // end of the time in which callers' new requests are expected
+	answer    time.Time // what is still served is answered
+	report    time.Time // what is not answered is reported
+	lastWrite time.Time // SIGKILL; the process ends at the latest
+}
+
+// stopTimesOf returns the times of a stop of a VM that was told to stop, and is killed after grace.
+func stopTimesOf(told time.Time, grace time.Duration) stopTimes {
+	share := func(s float64) time.Duration { return time.Duration(s * float64(grace)) }
+	margin := min(answerWriteMargin, share(maxWriteMarginShare))
+	end := told.Add(grace)
+	return stopTimes{
+		told:      told,
+		lameDuck:  told.Add(share(lameDuckGraceShare)),
+		answer:    end.Add(-margin),
+		report:    end.Add(-time.Duration(reportMarginShare * float64(margin))),
+		lastWrite: end,
+	}
+}
+
 // retryAfterStopping is the Retry-After time of a request that was not sent anywhere since this VM ends.
 // Another VM can serve it at once.
 const retryAfterStopping = 10 * time.Millisecond
 
-// maxNamedCutOff bounds the requests that are named in the log when they are cut off.
-const maxNamedCutOff = 32
+// maxNamedOpen bounds the requests that are named in the log when the process ends.
+const maxNamedOpen = 32
 
 // stopClock says when this VM ends what it still serves. It is safe for concurrent use.
 type stopClock struct {
@@ -184,11 +210,12 @@
 // stops. From now on only requests are started that are expected to end before this VM does.
 func (n *Node) Leave() {
 	told := time.Now()
-	n.engine.stopping.set(told, told.Add(n.graceShare(answerGraceShare)))
+	times := stopTimesOf(told, n.grace())
+	n.engine.stopping.set(told, times.answer)
 	n.leaving.Store(true)
 	n.engine.leaving.Store(true)
 	n.logPhase("told", told)
-	ctx, cancel := context.WithDeadline(context.Background(), told.Add(n.graceShare(lameDuckGraceShare)))
+	ctx, cancel := context.WithDeadline(context.Background(), times.lameDuck)
 	defer cancel()
 	n.handOver(ctx)
 	n.logPhase("handed_over", told)
@@ -197,7 +224,7 @@
 	}
 	n.logPhase("withdrawn", told)
 	<-ctx.Done()
-	n.finishRequests(told, told.Add(n.graceShare(exitGraceShare)))
+	open := n.finishRequests(times)
 	n.stop()
 	if p := n.transport.Load(); p != nil {
 		go p.close() // waits for calls in progress, which the process needn't do
@@ -207,7 +234,7 @@
 		_ = server.Close()
 	}
 	ends := &n.engine.stopping.ends
-	n.log.Info("stopped", "ms", time.Since(told).Milliseconds(), "answered", ends.answered.Load(), "refused", ends.refused.Load(),
+	n.log.Info("stopped", "open", open, "ms", time.Since(told).Milliseconds(), "answered", ends.answered.Load(), "refused", ends.refused.Load(),
 		"ended_by_stop", ends.stopped.Load(), "abandoned", ends.abandoned.Load(), "failed", ends.failed.Load())
 }
 
@@ -219,15 +246,15 @@
 	n.log.Info("leaving", "phase", phase, "ms", since.Milliseconds(), "idle", conns.idle, "unused", conns.unused, "active", conns.active)
 }
 
-// finishRequests takes no more requests, and waits for those of callers and of other VMs until end at
-// the latest. told is when this VM was told to stop.
-func (n *Node) finishRequests(told, end time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	n.logPhase("connections_closed", told)
+// finishRequests takes no more requests, and waits for those of callers and of other VMs. It returns how
+// many of callers are left open.
+func (n *Node) finishRequests(times stopTimes) (open int) {
+	n.logPhase("connections_closed", times.told)
 	if err := n.callerSocket.Close(); err != nil {
 		n.log.Warn("closing the listener for callers failed", "error", err)
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), times.lastWrite)
+	defer cancel()
 	peersDone := make(chan error, 1)
 	go func() { peersDone <- n.engine.peerWork.close(ctx) }()
 	conns := n.engine.callerConns
@@ -235,35 +262,37 @@
 	closed.Add(conns.closeIdle(time.Now()))
 	defer time.AfterFunc(firstRequestTime, func() { closed.Add(conns.closeIdle(time.Now())) }).Stop()
 	if !conns.awaitNone(n.engine.stopping.over) {
-		n.logPhase("requests_ended", told)
-		if !conns.awaitNone(ctx) {
-			n.logCutOff(time.Now())
-		}
+		n.logPhase("requests_ended", times.told)
+		// SIGKILL may come sooner than this VM believes, so what is open is reported before.
+		defer time.AfterFunc(time.Until(times.report), n.reportOpen).Stop()
+		conns.awaitNone(ctx)
 	}
 	if err := <-peersDone; err != nil {
 		n.log.Warn("work for other VMs was cut off", "requests", n.engine.peerWork.number(), "error", err)
 	}
-	_ = n.callerServer.Close() // what is still open was logged
+	open = len(conns.requests())
+	_ = n.callerServer.Close()
+	return open
 }
 
-// logCutOff logs and counts the requests that the end of the process cuts off. Connections that carry
+// reportOpen logs and counts the requests that the end of the process may cut off. Connections that carry
 // none are not among them.
-func (n *Node) logCutOff(now time.Time) {
+func (n *Node) reportOpen() {
 	open := n.engine.callerConns.requests()
 	if len(open) == 0 {
 		return
 	}
-	n.log.Warn("requests in flight were cut off", "requests", len(open))
+	n.log.Warn("requests are open at the end", "requests", len(open), "of_other_vms", n.engine.peerWork.number())
 	for i, req := range open {
 		stage := requestStageNames[req.stage.Load()]
-		n.engine.stats.count(`bramley_edge_requests_cut_off_total{stage=%q}`, stage)
-		if i < maxNamedCutOff {
-			n.log.Warn("request cut off", "request", req.id, "stage", stage, "ms", now.Sub(req.since).Milliseconds())
+		n.engine.stats.count(`bramley_edge_requests_open_at_end_total{stage=%q}`, stage)
+		if i < maxNamedOpen {
+			n.log.Warn("request is open at the end", "request", req.id, "stage", stage, "ms", time.Since(req.since).Milliseconds())
 		}
 	}
 }
 
-// graceShare returns a share of the time between SIGTERM and SIGKILL.
-func (n *Node) graceShare(share float64) time.Duration {
-	return time.Duration(share * n.settings.GraceS * float64(time.Second))
+// grace returns the time between SIGTERM and SIGKILL.
+func (n *Node) grace() time.Duration {
+	return time.Duration(n.settings.GraceS * float64(time.Second))
 }
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -65,6 +65,26 @@
 	g.Expect(free.count(takenOver)).To(gomega.BeEquivalentTo(1))
 }
 
+// Guards against a VM that is killed while it writes the answers of the requests that it ends: the time for
+// that was a share of a short grace time. A long grace time must not be left unused.
+func TestTimeToWriteAnswersDoesNotShrinkWithTheGraceTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	told := time.Unix(1_000_000, 0)
+	for grace, margin := range map[time.Duration]time.Duration{
+		time.Minute:     300 * time.Millisecond,
+		6 * time.Second: 300 * time.Millisecond,
+		2 * time.Second: 300 * time.Millisecond,
+		time.Second:     200 * time.Millisecond,
+	} {
+		times := stopTimesOf(told, grace)
+		g.Expect(times.lastWrite.Sub(times.answer)).To(gomega.Equal(margin), grace.String())
+		g.Expect(times.lastWrite).To(gomega.Equal(told.Add(grace)))
+		g.Expect(times.lameDuck).To(gomega.BeTemporally("<", times.answer))
+		g.Expect(times.report).To(gomega.BeTemporally(">", times.answer))
+		g.Expect(times.report).To(gomega.BeTemporally("<", times.lastWrite))
+	}
+}
+
 // heldTaker is a client whose hand-overs end with their contexts, unless answers are set.
 type heldTaker struct {
 	requestTaker
