Answers to requests that were in flight at SIGTERM close their connections

What callers saw: the connection of a request that arrived before its VM was told to stop stayed open after the answer, and was closed under them later.

Cause: Connection: close was set when a request began. It is set again with its answer.

TestAnswerOfAStoppingVMSaysThatTheConnectionEnds was red before.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -111,6 +111,9 @@
 		// empty 200 for a handler that returns.
 		panic(http.ErrAbortHandler)
 	}
+	if e.leaving.Load() { // since the request arrived
+		w.Header().Set("Connection", "close")
+	}
 	writeResult(w, res)
 	e.lateAnswers.add(time.Now(), res.dueAt)
 }
