--- a/edge/handler.go
+++ b/edge/handler.go
@@ -30,7 +30,9 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.answerPanic(w, r)
 	arrived := time.Now()
-	if !beginRequest(r.Context(), e.headerCodec.RequestID(r.Header), arrived) {
+	if id := e.headerCodec.RequestID(r.Header); !beginRequest(r.Context(), id, arrived) {
+		e.stats.count(`bramley_edge_requests_crossed_close_total`)
+		e.log.Info("request crossed the close of its connection", "request", id)
 		panic(http.ErrAbortHandler)
 	}
 	m := e.inForce.Get()
--- a/edge/open_requests_test.go
+++ b/edge/open_requests_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -61,6 +62,22 @@
 	}
 }
 
+// Guards against a request that runs on a connection which its VM has closed, and against one that is lost
+// without a trace.
+func TestRequestOnAClosedConnectionDoesNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, engines := newVMsInProcess(1, manifestOf(1, "s3cret"))
+	e := engines[0]
+	e.headerCodec = plainCodec{}
+	conn, _ := newConnOfCaller(t, g)
+	e.callerConns.track(conn, http.StateNew)
+	e.callerConns.track(conn, http.StateIdle)
+	g.Expect(e.callerConns.closeIdle(time.Now())).To(gomega.Equal(1))
+	r := requestWith("/x", "Bearer s3cret").WithContext(withCallerConn(t.Context(), conn))
+	g.Expect(func() { e.ServeHTTP(httptest.NewRecorder(), r) }).To(gomega.PanicWith(http.ErrAbortHandler))
+	g.Expect(e.stats.set.GetOrCreateCounter(`bramley_edge_requests_crossed_close_total`).Get()).To(gomega.BeEquivalentTo(1))
+}
+
 // Guards against a connection that a stopping VM leaves open for good: it became idle after the others
 // had been closed.
 func TestConnectionThatBecomesIdleLateIsClosed(t *testing.T) {
