Simulated leafs have a number of slots, and say until when they worked on a request

The soak needs both: leafs that take more than two requests at once, and the time of the last work on a request, on which the excuse of rule LOST depends. Leafs without a number have two slots, as before.

--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -42,6 +43,7 @@
 	ID, Service, Zone string
 	Born              int64 // start of this incarnation, in Unix milliseconds; changed by Restart
 	Records           int   // number of records in an answer; 0 means 4
+	Slots             int   // number of requests that the leaf runs at once, by its own account; 0 means 2
 	// Observe is called with the headers of each request that arrives and is not for another leaf, and
 	// whether it runs, by several goroutines at the same time. It may be nil.
 	Observe func(header http.Header, runs bool)
@@ -51,20 +53,23 @@
 	mu         sync.Mutex // guards the fields below, and Born after Start
 	server     *httptest.Server
 	faults     LeafFaults
-	arrivals   map[string]int // how often a request arrived, by its id
-	runs       map[string]int // how often a request ran, by its id
-	conns      int            // connections opened so far
-	lastHeader http.Header    // headers of the latest request
-	lastBody   []byte         // body of the latest request
-	lastURI    string         // path and query of the latest request
-	lastMethod string         // HTTP method of the latest request
-	inFlight   int            // requests that are running
-	ended      bool           // a request has ended the leaf
+	arrivals   map[string]int       // how often a request arrived, by its id
+	runs       map[string]int       // how often a request ran, by its id
+	conns      int                  // connections opened so far
+	lastHeader http.Header          // headers of the latest request
+	lastBody   []byte               // body of the latest request
+	lastURI    string               // path and query of the latest request
+	lastMethod string               // HTTP method of the latest request
+	inFlight   int                  // requests that are running
+	running    map[string]int       // how many runs of a request are in progress, by its id
+	workEnds   map[string]time.Time // when the last run of a request ended, by its id
+	ended      bool                 // a request has ended the leaf
 }
 
 // Start starts the leaf on a free port of the loopback and returns l.
 func (l *Leaf) Start() *Leaf {
 	l.arrivals, l.runs = make(map[string]int), make(map[string]int)
+	l.running, l.workEnds = make(map[string]int), make(map[string]time.Time)
 	l.server = l.newServer()
 	return l
 }
@@ -184,13 +189,40 @@
 	return l.inFlight
 }
 
-// addInFlight adds delta to the number of running requests.
-func (l *Leaf) addInFlight(delta int) {
+// WorkedUntil returns when the leaf ended its work on the request with that id: now while it runs, and the
+// zero time if it never ran.
+func (l *Leaf) WorkedUntil(id string) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inFlight += delta
+	if l.running[id] > 0 {
+		return time.Now()
+	}
+	return l.workEnds[id]
+}
+
+// beginWork counts a run of the request with that id as in progress.
+func (l *Leaf) beginWork(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+	l.running[id]++
+}
+
+// endWork ends what beginWork began.
+func (l *Leaf) endWork(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	l.running[id]--
+	l.workEnds[id] = time.Now()
 }
 
+// slots returns the number of requests that the leaf says it runs at once.
+func (l *Leaf) slots() int { return cmp.Or(l.Slots, defaultSlots) }
+
+// defaultSlots is the number of slots of a leaf that has no other.
+const defaultSlots = 2
+
 // RegistryEntry returns the JSON spec that the leaf writes about itself into the store when it is in
 // that state.
 func (l *Leaf) RegistryEntry(state string) string {
@@ -198,8 +230,8 @@
 	l.mu.Lock()
 	born := l.Born
 	l.mu.Unlock()
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":2,"state":%q,"cold-left-ms":0,"sequence":1,"born":%d}`,
-		l.Service, address, l.Zone, state, born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-left-ms":0,"sequence":1,"born":%d}`,
+		l.Service, address, l.Zone, l.slots(), state, born)
 }
 
 // Receipt returns the receipt of the leaf's answer to the request with that id: the proof that this
@@ -301,8 +333,9 @@
 // doWork blocks for as long as the faults require the request to run, or until its caller
 // disconnects. It reports whether the request's time budget ended before, with the fault TimesOut.
 func (l *Leaf) doWork(r *http.Request, f LeafFaults) (timedOut bool) {
-	l.addInFlight(1)
-	defer l.addInFlight(-1)
+	id := r.Header.Get("Bramleybarrow-Attempt-Id")
+	l.beginWork(id)
+	defer l.endWork(id)
 	if f.Silent {
 		<-r.Context().Done()
 		return false
@@ -344,7 +377,7 @@
 	w.Header().Set("Bramleybarrow-Attempt-Id", id)
 	// The numbers of running requests, of waiting requests and of slots, and the pace: how long
 	// work takes on the leaf's machine, in hundredths of the usual time.
-	w.Header().Set("Bramleybarrow-Server-Load", "1,0,2,100")
+	w.Header().Set("Bramleybarrow-Server-Load", fmt.Sprintf("1,0,%d,100", l.slots()))
 	if !f.NoReceipt {
 		w.Header().Set("Bramleybarrow-Response-Stamp", l.Receipt(id))
 	}
