Soak: VMs listen on a loopback IP of their test process

A VM that stops closes its listener up to 1.8 s before its process ends, and FreeAddress avoids only ports of its own process. Who held the port was not seen; another test process could. With an IP for each test process no other one can take it. No check changes.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -175,14 +176,23 @@
 	return names
 }
 
-// freeAddress returns a loopback address with a free port, or fails the test if it finds
-// none.
+// freeAddress returns an address with a free port on the loopback IP of this test process, or fails the test if
+// it finds none. Other test processes can't take the port while the VM's process is stopped.
 func (d *deployment) freeAddress() string {
 	address, err := edgesim.FreeAddress()
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	return address
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return net.JoinHostPort(loopbackIP(os.Getpid()).String(), port)
+}
+
+// loopbackIP returns a loopback IP for a process ID of at most 22 bits, which no other ID has.
+func loopbackIP(pid int) net.IP {
+	return net.IPv4(127, byte(64+pid>>16), byte(pid>>8), byte(pid))
 }
 
 // start starts a process of the VM, whose output is appended to the VM's log file.
