Soak: stops with the platform's grace while leafs turn slow

The soak could not see it: it plays a grace of 1 s, time budgets of 700 ms, and leafs that are slow one by one.

The kind stops-N plays the grace of 6 s, with SIGKILL counted from the sending of SIGTERM: stops in series, overlapping and at once, SIGHUP beside SIGTERM, freezes, new manifests, a route that moves, store outages, time budgets from 1.1 to 15 s, routes of several timeouts and objectives, and callers that pause, read slowly and keep their connections. All leafs of the ledger, of one shard or of all shards turn slow, silent or answer 504 from 1 s before SIGTERM to 5 s after it. A request that a leaf had, or older than 200 ms, needs a complete answer; excused are only an ended time budget or timeout, a leaf at work in the last sixth of the grace on a request of its first half, and a freeze of the VM. Processes must exit before SIGKILL unless they were frozen. The checks of the other kinds are unchanged.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,6 +7,8 @@
 //	go test ./soak                          # the fixed seeds, as CI does
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m ./soak   # the 50 seeds from 1000
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -run TestSoak/tenants ./soak   # with tenants only
+//	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -parallel 4 -run TestSoak/stops ./soak # stops, four seeds at once
+//	SOAK_BINARY=/path/of/bramleyd go test -run TestSoak ./soak  # another build of the daemon in place of the current one
 //
-// A seed that ever failed is added to fixedSeeds or fixedTenantSeeds, with a comment on the cause.
+// A seed that ever failed is added to the fixed seeds of its kind, with a comment on the cause.
 package soak
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -8,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,6 +39,8 @@
 	leafs   map[string]*edgesim.Leaf // by ID
 	vms     []*vm
 	tenants *tenants // nil if requests need no API key
+	ledgers []string // services of the ledger
+	ledger  string   // the one of them that routes name
 
 	mu      sync.Mutex // guards changed
 	changed []string   // requests that reached a leaf otherwise than they were sent
@@ -46,13 +50,20 @@
 type deploymentOptions struct {
 	grace     time.Duration // from SIGTERM to SIGKILL
 	timeoutMS int           // of each route
+	targetMS  int           // latency objective of each route
 	logLevel  string        // of the VMs
 	tenants   *tenants      // nil if requests need no API key
+
+	// Zero values of the fields below stand for the usual ones.
+	vmsPerZone  int      // number of VMs in each zone
+	ledgers     []string // services of the ledger, of which routes name one
+	leafSlots   int      // of each leaf
+	leafRecords int      // in each answer of a leaf of the ledger
 }
 
 // defaultOptions returns the options of most runs. tenants is nil if requests need no API key.
 func defaultOptions(tenants *tenants) deploymentOptions {
-	return deploymentOptions{grace: time.Second, timeoutMS: 800, logLevel: "warn", tenants: tenants}
+	return deploymentOptions{grace: time.Second, timeoutMS: 800, targetMS: 200, logLevel: "warn", tenants: tenants}
 }
 
 // vm is one VM. Its settings and its proxy to the store outlive its processes.
@@ -67,27 +78,37 @@
 	stoppedAt    time.Time     // when the current process was told to stop; zero if it was not, or has exited
 	faulty       bool          // a fault of the processes is being injected
 	faultEndedAt time.Time     // when the latest such fault ended
+	stops        []stop        // stops of its processes that have ended, in runs that count them
+
+	stopping sync.Mutex // held by whoever stops and starts the process, in these runs
 }
 
 // newDeployment starts the store, one leaf of each shard and of the ledger in each zone,
 // and the VMs. They are stopped when the test ends.
 func newDeployment(t *testing.T, binary string, options deploymentOptions) *deployment {
-	d := &deployment{t: t, binary: binary, dir: t.TempDir(), options: options, store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf), tenants: options.tenants}
+	d := &deployment{t: t, binary: binary, dir: t.ArtifactDir(), options: options, store: edgesim.NewStore(20), leafs: make(map[string]*edgesim.Leaf), tenants: options.tenants}
 	t.Cleanup(d.close)
+	d.ledgers = []string{"ledger"}
+	if len(options.ledgers) > 0 {
+		d.ledgers = options.ledgers
+	}
+	d.ledger = d.ledgers[0]
 	for _, name := range shards() {
 		for _, zone := range zones {
 			d.addLeaf(name+"-"+zone, name, zone)
 		}
 	}
-	for _, zone := range zones {
-		d.addLeaf("ledger-"+zone, "ledger", zone)
+	for _, name := range d.ledgers {
+		for _, zone := range zones {
+			d.addLeaf(name+"-"+zone, name, zone)
+		}
 	}
 	d.putManifest(1, "")
 	if d.tenants != nil {
 		d.changeTenants(0)
 	}
 	for _, zone := range zones {
-		for i := range vmsPerZone {
+		for i := range cmp.Or(options.vmsPerZone, vmsPerZone) {
 			d.addVM(fmt.Sprintf("vm-%s-%d", zone, i), zone)
 		}
 	}
@@ -107,7 +128,10 @@
 
 // addLeaf starts a leaf and registers it in the store as ready.
 func (d *deployment) addLeaf(id, service, zone string) {
-	l := &edgesim.Leaf{ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli()}
+	l := &edgesim.Leaf{ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli(), Slots: d.options.leafSlots}
+	if slices.Contains(d.ledgers, service) {
+		l.Records = d.options.leafRecords
+	}
 	if d.tenants != nil {
 		l.Observe = d.tenants.observe
 	}
@@ -137,11 +161,15 @@
 // and "once" call a leaf of the ledger. Requests of "once" must not run twice. more holds further
 // fields of the manifest, each preceded by a comma.
 func (d *deployment) putManifest(version int, more string) {
+	services := make([]string, len(d.ledgers))
+	for i, name := range d.ledgers {
+		services[i] = fmt.Sprintf(`{"name":%q,"max-connections":100}`, name)
+	}
 	d.store.Put("config", "main", fmt.Sprintf(`{"version":%[1]d,"routes":[
-	{"name":"all","host":"h.example","path-prefix":"/all/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"gather":["%[3]s"],"max-attempts":2,"top-k":5,"min-share":0.5},
-	{"name":"one","host":"h.example","path-prefix":"/one/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2},
-	{"name":"once","host":"h.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":%[2]d,"target-latency-ms":200,"priority":1,"service":"ledger","max-attempts":2}],
-	"services":[{"name":"ledger","max-connections":100}],"limits":{"max-body-bytes":262144}%[4]s}`, version, d.options.timeoutMS, strings.Join(shards(), `","`), more))
+	{"name":"all","host":"h.example","path-prefix":"/all/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":%[7]d,"priority":1,"gather":["%[3]s"],"max-attempts":2,"top-k":5,"min-share":0.5},
+	{"name":"one","host":"h.example","path-prefix":"/one/","kind":"idempotent","timeout-ms":%[2]d,"target-latency-ms":%[7]d,"priority":1,"service":%[5]q,"max-attempts":2},
+	{"name":"once","host":"h.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":%[2]d,"target-latency-ms":%[7]d,"priority":1,"service":%[5]q,"max-attempts":2}],
+	"services":[%[6]s],"limits":{"max-body-bytes":262144}%[4]s}`, version, d.options.timeoutMS, strings.Join(shards(), `","`), more, d.ledger, strings.Join(services, ","), d.options.targetMS))
 }
 
 // addVM writes the settings of a VM and starts it with a proxy to the store.
@@ -289,14 +317,20 @@
 	v.faultEndedAt = time.Now()
 }
 
-// logTail returns the last 2000 bytes that the VM's processes wrote.
-func (v *vm) logTail() string {
-	const size = 2000
+// log returns what the VM's processes wrote.
+func (v *vm) log() string {
 	data, err := os.ReadFile(v.settingsPath + ".log")
 	if err != nil {
 		return err.Error()
 	}
-	return string(data[max(len(data)-size, 0):])
+	return string(data)
+}
+
+// logTail returns the last 2000 bytes that the VM's processes wrote.
+func (v *vm) logTail() string {
+	const size = 2000
+	text := v.log()
+	return text[max(len(text)-size, 0):]
 }
 
 // ready reports whether the VM's readiness endpoint answers that it is ready for callers.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,11 +57,15 @@
 // run must not have run, and all VMs must serve again soon after the last fault. An
 // evacuation must then hold at all VMs within its bound.
 func TestSoak(t *testing.T) {
-	binary, err := gexec.Build("github.com/bramleybarrow/bramleybarrow/cmd/bramleyd")
-	if err != nil {
-		t.Fatal(err)
+	binary := os.Getenv("SOAK_BINARY")
+	if binary == "" {
+		var err error
+		binary, err = gexec.Build("github.com/bramleybarrow/bramleybarrow/cmd/bramleyd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(gexec.CleanupBuildArtifacts)
 	}
-	t.Cleanup(gexec.CleanupBuildArtifacts)
 	for _, seed := range seeds(t, fixedSeeds) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, binary, seed, nil) })
 	}
@@ -81,6 +85,15 @@
 			soak(t, binary, seed, newTenants(seed))
 		})
 	}
+	for _, seed := range seeds(t, fixedStopSeeds) {
+		t.Run("stops-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if os.Getenv("SOAK_SEEDS") == "" {
+				knownred.Skip(t)
+			}
+			t.Parallel() // most of the time of such a run is spent in waiting
+			soakStops(t, binary, seed)
+		})
+	}
 }
 
 // soak tests a new deployment, whose daemons run the program at the path binary, with the
