Quarantine: a content that is served is not blamed for the leafs that another one ends

Now a content that was served is explained by a quarantined one that was not. - The end of a trial's leaf was held against the content at once, even where its cause was known. Now such a trial shows nothing, and the verdict on a served content waits for 50 ms, in which nothing is sent. - A VM that has just started quarantined the content, and VMs that serve it did so too: what was served was looked up for own ends only. Now they reject a quarantine for lack of answers and tell that the content was served. - The quarantine of a VM that has started anew has an early epoch; the others ignored it, and it lasted. Now they answer it: one VM refused /all/x from its start on. - Notices held ends that their sender knew to be explained.

Ruled out: ends without a name beyond 16 (they occur, and explain none of the quarantines), cut connections.

A content that no leaf has answered is treated as before. TestServedContentNeedsMoreEnds expected the refusal in the same moment as the sixth end; nothing may be sent in the 50 ms now, and it is refused after them, which the test checks. TestNoticesStopGoingRound also plays served requests.

Measured: the new tests of this commit were red on the code before.

--- a/quarantine/cause.go
+++ b/quarantine/cause.go
@@ -17,14 +17,21 @@
 	return n
 }
 
-// explained reports whether a leaf that ended under e also ended under a quarantined content that has
-// ended others too. Requests that were at work on the leaf at that moment ended with it.
+// explained reports whether a leaf that ended under e also ended under a quarantined content that is rather
+// the cause: it has ended others too, or was not served before while e was. Requests that were at work on
+// the leaf at that moment ended with it.
 func (g *Guard) explained(e *entry, leaf string) bool {
 	return slices.ContainsFunc(g.causes[leaf], func(cause *entry) bool {
-		return cause != e && cause.quarantines > 0 && !isSubset(cause.ended, e.ended)
+		return cause != e && cause.quarantines > 0 && (e.served && !cause.served || !isSubset(cause.ended, e.ended))
 	})
 }
 
+// unexplained returns the leafs that ended under e, as far as they have a name, and for which no other content
+// is known as the cause.
+func (g *Guard) unexplained(e *entry) []string {
+	return slices.DeleteFunc(slices.Clone(e.ended), func(leaf string) bool { return g.explained(e, leaf) })
+}
+
 // addCauses adds a quarantined content to the causes of the ends of its leafs.
 func (g *Guard) addCauses(e *entry) {
 	for _, leaf := range e.ended {
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -27,6 +27,7 @@
 	toTell      bool      // it is among Guard.news
 	told        bool      // other VMs know of it
 	byTrial     bool      // a trial led to the latest quarantine; answers to sends before it don't end it
+	verdictAt   time.Time // when to decide on a quarantine, after a trial has ended its leaf; zero if there is nothing to decide
 }
 
 // trial is a send of a content that is sent to one leaf at a time.
@@ -114,10 +115,22 @@
 	case e.cleared:
 		*e = entry{epoch: e.epoch + 1, toTell: e.toTell}
 	}
-	if s := g.served[f.slot()]; len(e.ended) == 0 && s.content == f && now.Sub(s.at) < servedMemory {
+	g.recallServed(now, f, e)
+	return e
+}
+
+// recallServed records whether a request of a content was served shortly before the first leaf ended under it.
+func (g *Guard) recallServed(now time.Time, f Fingerprint, e *entry) {
+	if len(e.ended) == 0 && g.servedLately(now, f) {
 		e.served = true
+		e.liftWithoutTrial(now)
 	}
-	return e
+}
+
+// servedLately reports whether this VM has served a request of a content shortly before.
+func (g *Guard) servedLately(now time.Time, f Fingerprint) bool {
+	s := g.served[f.slot()]
+	return s.content == f && now.Sub(s.at) < servedMemory
 }
 
 // makeRoom makes room for one more content. It forgets expired ones, and then those that are least of use.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -28,7 +28,8 @@
 	// quarantineMemory is how long a content is remembered after its quarantine has ended.
 	quarantineMemory = 10 * time.Minute
 	// settleTime is how long after an end other queries wait for answers to attempts that were sent
-	// before it, which would show that the content does not end every leaf.
+	// before it, which would show that the content does not end every leaf. It is also the time in which
+	// other VMs tell of answers, and of contents that have ended the same leafs.
 	settleTime = 50 * time.Millisecond
 	// trialPatience is how long a trial in flight holds up others. A leaf that a request ends mostly
 	// ends as it begins; a longer trial has met a slow leaf.
@@ -136,11 +137,17 @@
 	}
 	g.liftExplained(e)
 	possible := g.unexplainedEnds(e)
+	if !e.verdictAt.IsZero() && !now.Before(e.verdictAt) {
+		e.verdictAt = time.Time{}
+		if possible >= e.limit() && !e.quarantined(now) {
+			g.quarantine(now, f, e, true)
+		}
+	}
 	suspect := e.quarantines > 0 || possible >= endsUntilTrials
 	switch {
 	case e.quarantined(now):
 		return Refuse, e.until.Sub(now)
-	case suspect && e.underTrial(now):
+	case !e.verdictAt.IsZero(), suspect && e.underTrial(now):
 		return Await, 0
 	case suspect && (e.answered || e.quarantines > 0):
 		return Trial, 0
@@ -209,8 +216,12 @@
 	if e.quarantines > 0 {
 		g.addCauses(e)
 	}
-	if wasTrial && g.unexplainedEnds(e) >= e.limit() && !e.quarantined(now) {
-		g.quarantine(now, f, e, true)
+	if wasTrial && !g.explained(e, leaf) && g.unexplainedEnds(e) >= e.limit() && !e.quarantined(now) {
+		if e.served {
+			e.verdictAt = now.Add(settleTime) // another content that has ended these leafs may become known
+		} else {
+			g.quarantine(now, f, e, true)
+		}
 	}
 	return true
 }
@@ -290,6 +301,11 @@
 // answer records that a leaf has answered, and reports whether that ends a quarantine.
 func (e *entry) answer(now time.Time) (ended bool) {
 	e.answered = true
+	return e.liftWithoutTrial(now)
+}
+
+// liftWithoutTrial ends a quarantine that rests on the lack of answers, and reports whether there was one.
+func (e *entry) liftWithoutTrial(now time.Time) (ended bool) {
 	if !e.quarantined(now) || e.byTrial {
 		return false
 	}
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -67,6 +67,13 @@
 	return len(other.TakeNews(other.now, maxContents))
 }
 
+// passNews tells another VM all news, which that VM has then still to tell others.
+func (v *vm) passNews(other *vm) {
+	for _, n := range v.TakeNews(v.now, maxContents) {
+		other.Merge(other.now, n)
+	}
+}
+
 // Guards against a request that ends one leaf after the other: the fourth leaf must not get it.
 func TestFourthLeafDoesNotGetADeadlyRequest(t *testing.T) {
 	v := newVM(*gomega.NewWithT(t))
@@ -351,13 +358,15 @@
 		for n := range rapid.IntRange(1, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond)
 			g, leaf := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")], fmt.Sprint("leaf-", n)
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0:
 				g.Answered(now, deadly, leaf, now.Add(-time.Minute))
 			case 1:
 				g.Lift(now, deadly)
 			case 2:
 				g.Decide(now, deadly, lostThree)
+			case 3:
+				g.Served(now, deadly)
 			default:
 				g.Sent(now, deadly, leaf, true)
 				g.Lost(now, deadly, leaf, now)
@@ -422,7 +431,6 @@
 func TestLeafsThatOthersEndedDoNotCount(t *testing.T) {
 	g := gomega.NewWithT(t)
 	v := newVM(*g)
-	innocent := FingerprintOf("", "GET", "h", "/innocent", nil)
 	loseBoth := func(leaf, killer string) {
 		f := FingerprintOf("", "GET", "h", killer, nil)
 		sentAt := v.now
@@ -482,5 +490,180 @@
 		leaf := fmt.Sprint("leaf-", i)
 		v.lose(leaf, v.send(leaf), true)
 	}
+	for range 10 {
+		v.Expect(v.allows(Evidence{Sent: true, Lost: 1})).To(gomega.BeElementOf(Await, Refuse))
+		v.wait(settleTime / 10)
+	}
 	v.Expect(v.allows(Evidence{Sent: true, Lost: 1})).To(gomega.Equal(Refuse))
 }
+
+// innocent is a content that ends no leaf.
+var innocent = FingerprintOf("", "GET", "h", "/innocent", nil)
+
+// endBoth ends leafs under the deadly content while they are at work on the innocent one, and quarantines the former.
+func (v *vm) endBoth(leafs ...string) {
+	for _, leaf := range leafs {
+		for _, f := range []Fingerprint{innocent, deadly} {
+			v.Lost(v.now, f, leaf, v.now)
+			v.Checked(v.now, f, leaf, true)
+		}
+	}
+	v.Expect(v.allows(Evidence{Sent: true, Lost: len(leafs)})).To(gomega.Equal(Refuse))
+}
+
+// allowsInnocent returns what is allowed for the innocent content.
+func (v *vm) allowsInnocent(known Evidence) Decision {
+	d, _ := v.Decide(v.now, innocent, known)
+	return d
+}
+
+// Guards against a served content being taken for the cause since it was at work on just the leafs that a deadly one
+// ended, and on one more as that ended.
+func TestServedContentIsNotBlamedForTheWaveOfAnother(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.Served(v.now, innocent)
+	wave := []string{"leaf-0", "leaf-1", "leaf-2", "leaf-3", "leaf-4", "leaf-5", "leaf-6", "leaf-7", "leaf-8", "leaf-9"}
+	v.endBoth(wave...)
+	v.Expect(v.allowsInnocent(Evidence{Sent: true, Lost: len(wave)})).To(gomega.Equal(Free))
+	v.Sent(v.now, innocent, "leaf-10", true)
+	v.Lost(v.now, innocent, "leaf-10", v.now)
+	v.Checked(v.now, innocent, "leaf-10", true) // this VM is told later that the deadly content has ended it
+	v.Expect(v.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+	v.Expect(v.allows(Evidence{})).To(gomega.Equal(Refuse))
+}
+
+// Guards against a VM that has just started, and knows of no answer, having other VMs refuse a content that they serve.
+func TestStartedVMDoesNotQuarantineWhatOthersServe(t *testing.T) {
+	g := gomega.NewWithT(t)
+	started, other := newVM(*g), newVM(*g)
+	other.Served(other.now, innocent)
+	started.endBoth("leaf-0", "leaf-1", "leaf-2", "leaf-3")
+	g.Expect(started.allowsInnocent(lostThree)).To(gomega.Equal(Refuse), "it can't tell the two contents apart")
+	started.passNews(other)
+	g.Expect(other.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+	g.Expect(other.allows(Evidence{})).To(gomega.Equal(Refuse))
+	other.passNews(started)
+	g.Expect(started.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+	g.Expect(started.allows(Evidence{})).To(gomega.Equal(Refuse))
+}
+
+// Guards against a VM that has just started refusing a content that others serve, which were suspicious of it and
+// have cleared it, or are again, while that VM was not there.
+func TestStartedVMHearsFromVMsThatHaveClearedTheContent(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		started, other := newVM(*g), newVM(*g)
+		for range 3 {
+			other.Served(other.now, innocent)
+			other.Lost(other.now, innocent, "leaf-x", other.now)
+			other.Checked(other.now, innocent, "leaf-x", true)
+			other.Lift(other.now, innocent)
+		}
+		if again {
+			other.Lost(other.now, innocent, "leaf-y", other.now)
+			other.Checked(other.now, innocent, "leaf-y", true)
+		}
+		other.TakeNews(other.now, maxContents)
+		started.endBoth("leaf-0", "leaf-1", "leaf-2", "leaf-3")
+		g.Expect(started.allowsInnocent(lostThree)).To(gomega.Equal(Refuse))
+		started.passNews(other)
+		other.passNews(started)
+		g.Expect(started.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+		g.Expect(other.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+	}
+}
+
+// Guards against a late notice from before a quarantine was lifted bringing it back.
+func TestLateNoticeBringsNoLiftedQuarantineBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newVM(*g), newVM(*g)
+	one.wave(4)
+	g.Expect(one.allows(lostThree)).To(gomega.Equal(Refuse))
+	late, _ := one.Notice(one.now, deadly)
+	two.Merge(two.now, late)
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Refuse))
+	two.Lift(two.now, deadly)
+	two.Merge(two.now, late)
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Free))
+	two.Served(two.now, deadly)
+	two.Merge(two.now, late)
+	two.wait(settleTime)
+	g.Expect(two.allows(Evidence{})).To(gomega.Equal(Trial))
+}
+
+// Guards against ends of which one VM knows the cause counting at another one that doesn't.
+func TestExplainedEndsAreNotTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newVM(*g), newVM(*g)
+	one.Served(one.now, innocent)
+	one.endBoth("leaf-0", "leaf-1", "leaf-2", "leaf-3", "leaf-4")
+	one.Lost(one.now, innocent, "leaf-x", one.now)
+	one.Checked(one.now, innocent, "leaf-x", true)
+	n, _ := one.Notice(one.now, innocent)
+	g.Expect(n.Ended).To(gomega.Equal([]string{"leaf-x"}))
+	two.Merge(two.now, n)
+	g.Expect(two.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+}
+
+// Guards against a trial whose leaf another content has ended counting as one that shows who is to blame.
+func TestTrialAtALeafThatAnotherContentEndedShowsNothing(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.wave(4)
+	v.Expect(v.allows(lostThree)).To(gomega.Equal(Refuse))
+	for i := range 3 {
+		leaf := fmt.Sprint("other-", i)
+		v.Lost(v.now, innocent, leaf, v.now)
+		v.Checked(v.now, innocent, leaf, true)
+	}
+	v.Answered(v.now, innocent, "other-9", v.now.Add(-time.Second))
+	v.Expect(v.allowsInnocent(Evidence{Answered: true})).To(gomega.Equal(Trial))
+	v.Sent(v.now, innocent, "shared", true)
+	for _, f := range []Fingerprint{deadly, innocent} {
+		v.Lost(v.now, f, "shared", v.now)
+		v.Checked(v.now, f, "shared", true)
+	}
+	v.Expect(v.allowsInnocent(Evidence{Answered: true})).To(gomega.Equal(Trial))
+	v.Sent(v.now, innocent, "other-4", true)
+	v.Lost(v.now, innocent, "other-4", v.now)
+	v.Checked(v.now, innocent, "other-4", true)
+	v.Expect(v.allowsInnocent(Evidence{Answered: true})).To(gomega.Equal(Refuse), "it has ended the leaf of a trial itself")
+}
+
+// Guards against a content that was served before leafs began to end under it going on to end leafs beside another one.
+func TestServedContentThatEndsLeafsItselfIsQuarantined(t *testing.T) {
+	v := newVM(*gomega.NewWithT(t))
+	v.Served(v.now, innocent)
+	v.endBoth("leaf-0", "leaf-1", "leaf-2")
+	for i := range endsUntilQuarantineServed {
+		v.Expect(v.allowsInnocent(Evidence{Sent: true, Lost: 1})).NotTo(gomega.BeElementOf(Await, Refuse), "after %d ends", i)
+		leaf := fmt.Sprint("own-", i)
+		v.Sent(v.now, innocent, leaf, true)
+		v.Lost(v.now, innocent, leaf, v.now)
+		v.Checked(v.now, innocent, leaf, true)
+	}
+	for range 10 {
+		v.Expect(v.allowsInnocent(Evidence{Sent: true, Lost: 1})).To(gomega.BeElementOf(Await, Refuse))
+		v.wait(settleTime / 10)
+	}
+	v.Expect(v.allowsInnocent(Evidence{Sent: true, Lost: 1})).To(gomega.Equal(Refuse))
+}
+
+// Guards against a served content being quarantined just before another VM tells of the content that has ended its leafs.
+func TestVerdictOnAServedContentWaitsForNews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newVM(*g), newVM(*g)
+	one.Served(one.now, innocent)
+	for i := range endsUntilQuarantineServed {
+		leaf := fmt.Sprint("leaf-", i)
+		one.Sent(one.now, innocent, leaf, true)
+		one.Lost(one.now, innocent, leaf, one.now)
+		one.Checked(one.now, innocent, leaf, true)
+	}
+	g.Expect(one.allowsInnocent(Evidence{Sent: true, Lost: 1})).To(gomega.Equal(Await))
+	two.wave(endsUntilQuarantineServed)
+	g.Expect(two.allows(lostThree)).To(gomega.Equal(Refuse))
+	two.passNews(one)
+	one.wait(settleTime)
+	g.Expect(one.allowsInnocent(Evidence{})).To(gomega.Equal(Free))
+	g.Expect(one.allows(Evidence{})).To(gomega.Equal(Refuse))
+}
--- a/quarantine/notice.go
+++ b/quarantine/notice.go
@@ -9,12 +9,12 @@
 // Notice is what one VM tells others of a content.
 type Notice struct {
 	Content     Fingerprint
-	Epoch       uint64 // see entry.epoch
-	Cleared     bool   // the content is not suspect any more
-	Answered    bool   // a leaf has answered it since it became suspect
-	Served      bool   // a request of the content was served shortly before
-	Ended       []string
-	Ends        int           // number of leafs that ended, at least those in Ended
+	Epoch       uint64        // see entry.epoch
+	Cleared     bool          // the content is not suspect any more
+	Answered    bool          // a leaf has answered it since it became suspect
+	Served      bool          // a request of the content was served shortly before
+	Ended       []string      // leafs that ended, without those for which another content is known as the cause
+	Ends        int           // number of leafs that ended, likewise, at least those in Ended
 	Quarantines int           // quarantines in a row
 	Remaining   time.Duration // time until the end of the quarantine; 0 if there is none
 	ByTrial     bool          // a trial led to the quarantine
@@ -46,7 +46,7 @@
 		g.news = g.news[1:]
 		if e := g.find(now, f); e != nil {
 			e.toTell, e.told = false, true
-			list = append(list, e.notice(now, f))
+			list = append(list, g.notice(now, f, e))
 		}
 	}
 	return list
@@ -58,7 +58,7 @@
 	if e == nil {
 		return Notice{}, false
 	}
-	return e.notice(now, f), true
+	return g.notice(now, f, e), true
 }
 
 // Quarantined returns notices of quarantined contents, at most limit.
@@ -66,16 +66,19 @@
 	var list []Notice
 	for f, e := range g.entries {
 		if len(list) < limit && e.quarantined(now) {
-			list = append(list, e.notice(now, f))
+			list = append(list, g.notice(now, f, e))
 		}
 	}
 	return list
 }
 
-// notice returns what other VMs are told of the content f, whose entry is e.
-func (e *entry) notice(now time.Time, f Fingerprint) Notice {
+// notice returns what other VMs are told of the content f, whose entry is e. They may not know of the other
+// contents that have ended its leafs.
+func (g *Guard) notice(now time.Time, f Fingerprint, e *entry) Notice {
+	ended := g.unexplained(e)
 	return Notice{
-		Content: f, Epoch: e.epoch, Cleared: e.cleared, Answered: e.answered, Served: e.served, Ended: slices.Clone(e.ended), Ends: e.ends,
+		Content: f, Epoch: e.epoch, Cleared: e.cleared, Answered: e.answered, Served: e.served,
+		Ended: ended, Ends: e.ends - len(e.ended) + len(ended),
 		Quarantines: e.quarantines, Remaining: max(e.until.Sub(now), 0), ByTrial: e.byTrial,
 	}
 }
@@ -88,9 +91,23 @@
 	}
 	e := g.find(now, n.Content)
 	known := e != nil
+	if known && (e.epoch > n.Epoch || e.cleared && e.epoch == n.Epoch) {
+		if n.Remaining <= 0 || n.ByTrial || n.Cleared {
+			return false
+		}
+		// A VM that has started anew counts epochs from the first on. It has to learn of answers to others.
+		if !e.cleared {
+			if e.answered || e.served {
+				g.tell(n.Content, e)
+			}
+			return false
+		}
+		if !g.servedLately(now, n.Content) {
+			return false
+		}
+		n.Epoch = e.epoch + 1
+	}
 	switch {
-	case known && (e.epoch > n.Epoch || e.cleared && e.epoch == n.Epoch):
-		return false
 	case !known:
 		g.makeRoom(now)
 		e = &entry{}
@@ -105,6 +122,7 @@
 		g.tell(n.Content, e)
 		return true
 	}
+	g.recallServed(now, n.Content, e)
 	news = !known
 	for _, leaf := range n.Ended {
 		// Names beyond maxLeafs are not news: two VMs that know different ones would tell each other
@@ -117,15 +135,18 @@
 		e.lostAt = now
 	}
 	e.ends = max(e.ends, n.Ends)
-	e.served = e.served || n.Served
+	if n.Served && !e.served {
+		e.served = true
+		news = e.liftWithoutTrial(now) || news
+	}
 	if n.Answered && !e.answered {
 		e.answer(now)
 		news = true
 	}
 	switch {
 	case n.Remaining <= 0 || n.Quarantines <= e.quarantines:
-	case e.answered && !n.ByTrial:
-		g.tell(n.Content, e) // the other VM does not know of the answer
+	case (e.answered || e.served) && !n.ByTrial:
+		g.tell(n.Content, e) // the other VM does not know of the answers
 	default:
 		// The time that the notice took must not lengthen a quarantine that this VM knows.
 		e.until, e.byTrial, e.quarantines, news = now.Add(min(n.Remaining, longestQuarantine)), n.ByTrial, n.Quarantines, true
