Allotments: a VM that keeps no limits yet is asked again soon

A group of tenants had two accountants for up to 30 s after a start, with 2 and 1 of 3 followers (TestVMsThatDoNotRunKeepNoShareOfALimit): each granted its share of the limit only, and tenants below their limit were refused.

Cause, by the members' state printed at the end of a red run: in each of 24 red runs the first VM had the best candidate in a cooldown of 30 s, as one that keeps no limits. It had called that VM in the milliseconds in which it already took calls, but had not begun to keep limits. A VM that keeps none was passed over for the longest cooldown at once. The two others followed the best candidate, and nothing led the first one back: it followed the second, not itself, so that it did not look elsewhere. The site of the test starts that way; a daemon begins to keep limits before it takes calls, so that there it takes a VM whose settings or release change.

Ruled out: late calls (suspected before). No red run has a cooldown after an unanswered call at one of the three VMs.

Change: the cooldown of a VM that keeps no limits begins as short as after an unanswered call, and doubles.

--- a/allotment/allotment_test.go
+++ b/allotment/allotment_test.go
@@ -526,6 +526,28 @@
 	g.Expect(v.member.Accountant(GroupOf(name))).To(gomega.Equal(v.name))
 }
 
+// Guards against two accountants for half a minute after a start: VMs call one that keeps no limits until a moment
+// later, and pass it over as if it never would.
+func TestVMThatBeginsToKeepLimitsIsFollowedSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(20) {
+		f := newFleet(3, seed)
+		order := f.vms[0].member.groups[0].order
+		best, second := f.vm(order[0]), f.vm(order[1])
+		best.ignores, second.frozen = true, true // the third VM calls the best one, and then follows the second
+		f.run(20*time.Millisecond, nil)
+		best.ignores, second.frozen = false, false
+		f.run(youngFor, nil)
+		for group := range Groups {
+			followed := map[string]int{}
+			for _, v := range f.vms {
+				followed[v.member.Accountant(group)]++
+			}
+			g.Expect(followed).To(gomega.HaveLen(1), "seed %d, group %d", seed, group)
+		}
+	}
+}
+
 // fixSeed fixes the seed of a property test, unless a flag states one.
 func fixSeed(t *testing.T) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
--- a/allotment/fleet_test.go
+++ b/allotment/fleet_test.go
@@ -41,6 +41,7 @@
 	accountants map[int]*Accountant
 	down        bool // killed
 	frozen      bool
+	ignores     bool          // keeps no limits yet, and says so to calls of other VMs
 	offset      time.Duration // of its clock
 	nextAt      time.Time
 }
@@ -100,11 +101,15 @@
 func (f *fleet) send(v *fleetVM, out *Outgoing) {
 	to, member, ended := f.vm(out.To), v.member, false
 	deliver := func() {
-		if !to.member.Settled() {
+		if ignored := to.ignores && v != to; ignored || !to.member.Settled() {
+			why := NoAnswer
+			if ignored {
+				why = Ignored
+			}
 			f.post(to, v, func() {
 				if !ended && v.member == member {
 					ended = true
-					f.finish(v, out, member.Failed(f.clock(v), out, NoAnswer))
+					f.finish(v, out, member.Failed(f.clock(v), out, why))
 					v.nextAt = time.Time{}
 				}
 			})
--- a/allotment/member.go
+++ b/allotment/member.go
@@ -414,9 +414,6 @@
 		first = youngCooldown // VMs that are starting too answer soon
 	}
 	next := min(maxCooldown, max(first, 2*f.cooldowns[name].length))
-	if ignores {
-		next = maxCooldown
-	}
 	f.cooldowns[name] = cooldown{until: now.Add(next), length: next, ignores: ignores}
 }
 
--- a/edge/allotments_test.go
+++ b/edge/allotments_test.go
@@ -13,7 +13,6 @@
 	"github.com/onsi/gomega"
 
 	"github.com/bramleybarrow/bramleybarrow/allotment"
-	"github.com/bramleybarrow/bramleybarrow/internal/knownred"
 	"github.com/bramleybarrow/bramleybarrow/logging"
 	"github.com/bramleybarrow/bramleybarrow/registry"
 	"github.com/bramleybarrow/bramleybarrow/routing"
@@ -181,7 +180,6 @@
 
 // Guards against limits that shrink while VMs are down: those that were killed remain listed.
 func TestVMsThatDoNotRunKeepNoShareOfALimit(t *testing.T) {
-	knownred.Skip(t)
 	g := gomega.NewWithT(t)
 	lost := scatter.VM{Name: "lost", Zone: "z", Power: 0.1, Address: "127.0.0.1:1"}
 	engines, _ := limitedSite(t, []scatter.VM{lost}, "a", "b", "c")
