Failures that come at once do not make a leaf look fast

What was seen: the choice between leafs takes the expected duration from the durations of answers, and an answer that is a failure counted like any other. A leaf that answers 500 within 1 ms where answers take 20 ms was expected to take 0.06 of the usual time after 20 of them, so that its queue cost nothing and further requests went there.

Cause: AttemptEnded passed the duration of EndFailed to the slowdown.

Change: it counts only if the failure took longer than an answer is expected to take.

TestFailuresDoNotMakeALeafLookFast is red with the former call: 0.062 where 0.985 is expected. Failures that take long still count.

--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// recordFailedAnswer records that the leaf answered the request req now with a failure. It may have failed before
+// it did the work, so the time that it took counts only if it is longer than an answer is expected to take.
+func (l *leaf) recordFailedAnswer(now time.Time, req pendingRequest) {
+	req.known = req.known && now.Sub(req.sentAt) > l.expected(now, req.typical)
+	l.recordAnswer(now, req)
+}
+
 // recordLoad records the load that the leaf reported with an answer. This VM's own requests in
 // flight are subtracted from it.
 func (l *leaf) recordLoad(now time.Time, load Load) {
--- a/scatter/speed_test.go
+++ b/scatter/speed_test.go
@@ -151,3 +151,25 @@
 	}
 	t.Fatal("the slow leaf is always used first")
 }
+
+// Guards against a leaf that looks faster, and gets more requests, since some of them fail in less time than an
+// answer takes.
+func TestFailuresDoNotMakeALeafLookFast(t *testing.T) {
+	w := newWorld(t)
+	leaf := w.leaf("ledger", homeZone)
+	fail := func(took time.Duration) {
+		q := NewQuery(w.single("ledger", true), w.table)
+		s := sends(q.Start(w.now))[0]
+		w.wait(took)
+		w.table.AttemptEnded(w.now, leaf, s.SentAt, EndFailed)
+		q.Reply(w.now, s.Attempt, true)
+	}
+	w.runAnswered(w.single("ledger", true), 100, 20*time.Millisecond)
+	usual := w.table.findLeaf(leaf).slowdown.factor(w.now)
+	for range 20 {
+		fail(time.Millisecond)
+	}
+	w.Expect(w.table.findLeaf(leaf).slowdown.factor(w.now)).To(gomega.BeNumerically(">=", usual-0.01))
+	fail(300 * time.Millisecond)
+	w.Expect(w.table.findLeaf(leaf).slowdown.factor(w.now)).To(gomega.BeNumerically(">", 1.2), "it takes long to fail")
+}
--- a/scatter/table.go
+++ b/scatter/table.go
@@ -435,7 +435,7 @@
 		l.failures.add(now, 0)
 		l.trial.recordAnswer()
 	case EndFailed:
-		l.recordAnswer(now, req)
+		l.recordFailedAnswer(now, req)
 		l.failures.add(now, 1)
 		l.trial.recordFailure(sentAt, now)
 	case EndExpired:
