A leaf that sends on after its answers gets less work

What was seen: of four leafs of a service two send bytes without end after each whole answer.

Cause: bytes that no request waits for were found when a connection was about to be reused, and told no one: for the choice between leafs such a leaf was as good as any.

Change: the pool tells of each connection that it closes for such bytes, and this counts as a failure of the leaf in the choice between leafs. The answers stay successes and end a trial, so the leaf is used for what the others have no room for. Counter bramley_edge_leaf_surplus_total. A leaf that sends an answer twice counts too.

edge/engine.go has the one line that connects the two.

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -96,6 +96,7 @@
 		known:            newKnownTimes(opt.Bounds),
 	}
 	e.currency.setBounds(opt.Bounds)
+	e.pool.OnSurplus(e.leafSentSurplus)
 	return e
 }
 
--- a/edge/leaf_check.go
+++ b/edge/leaf_check.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/leafhttp"
@@ -70,3 +72,16 @@
 		"result", found.String(),
 	)
 }
+
+// leafSentSurplus records that the leaf with that poolKey has sent bytes that no request waits for.
+func (e *Engine) leafSentSurplus(key string) {
+	e.stats.set.GetOrCreateCounter(`bramley_edge_leaf_surplus_total`).Inc()
+	slash := strings.LastIndexByte(key, '/')
+	born, err := strconv.ParseInt(key[slash+1:], 10, 64)
+	if err != nil {
+		return // not a key of poolKey
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.RecordSurplus(time.Now(), scatter.LeafID{ID: key[:slash], Born: born})
+}
--- a/leafhttp/conn.go
+++ b/leafhttp/conn.go
@@ -98,20 +98,39 @@
 	return err
 }
 
-// reusable reports whether the connection is open and has no unread bytes. Unread
-// bytes belong to no request: if a leaf sent a second answer, the next request would
-// read it as its own. A connection that the leaf has closed is detected here too,
-// before a request is sent on it and lost.
-func (c *conn) reusable() bool {
+// connState is the state of an idle connection.
+type connState int
+
+const (
+	connClean   connState = iota // open, without unread bytes
+	connSurplus                  // the leaf has sent bytes that no request waits for
+	connClosed                   // the leaf has closed it
+)
+
+// state returns the state of an idle connection. Unread bytes belong to no request: if a leaf sent a
+// second answer, the next request would read it as its own. A connection that the leaf has closed is
+// detected here too, before a request is sent on it and lost.
+func (c *conn) state() connState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return connSurplus
 	}
-	wouldBlock := false
+	state := connClosed
 	err := c.raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = peekErr == unix.EAGAIN
+		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case peekErr == unix.EAGAIN:
+			state = connClean
+		case peekErr == nil && n > 0:
+			state = connSurplus
+		}
 		return true
 	})
-	return err == nil && wouldBlock
+	if err != nil {
+		return connClosed
+	}
+	return state
 }
+
+// reusable reports whether the connection is open and has no unread bytes.
+func (c *conn) reusable() bool { return c.state() == connClean }
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -47,11 +47,16 @@
 	// again, and of answers to other requests that were dropped; see AnswerStats.
 	repeats, extraAnswers atomic.Uint64
 	longBodies            longBodies
+	onSurplus             func(key string)              // see OnSurplus
 	tooLong               [len(partNames)]atomic.Uint64 // by Part: numbers of answers that exceeded its bound; see TooLong
 }
 
 // NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn), onSurplus: func(string) {}} }
+
+// OnSurplus sets a function that is called with the Endpoint.Key of a leaf which has sent bytes that no
+// request waits for, once for each connection, which is closed. It must be set before the pool is used.
+func (p *Pool) OnSurplus(f func(key string)) { p.onSurplus = f }
 
 // Stats returns how many connections were dialled (failed dials included), how many were
 // reused, and how many were discarded while they were idle: they had expired when they were about
@@ -116,7 +121,11 @@
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
 	ans, idleTimeout, err := p.roundTrip(c, req, id, extra, read)
-	if !stop() || err != nil || idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	surplus := err == nil && idleTimeout > 0 && c.reader.Buffered() > 0
+	if surplus {
+		p.onSurplus(leaf.Key)
+	}
+	if !stop() || err != nil || idleTimeout <= 0 || surplus {
 		_ = c.Close()
 		return ans, err
 	}
@@ -213,7 +222,7 @@
 			_ = c.Close()
 			break
 		}
-		if time.Now().Before(c.reusableUntil) && c.reusable() {
+		if time.Now().Before(c.reusableUntil) && p.checkIdle(leaf.Key, c) {
 			p.reuses.Add(1)
 			return c, nil
 		}
@@ -224,6 +233,15 @@
 	return dial(ctx, leaf.Address)
 }
 
+// checkIdle reports whether an idle connection to the leaf with that key can be reused.
+func (p *Pool) checkIdle(key string, c *conn) bool {
+	state := c.state()
+	if state == connSurplus {
+		p.onSurplus(key)
+	}
+	return state == connClean
+}
+
 // pop removes and returns the idle connection that was used last, or nil. That one is
 // the least likely to have been closed by the leaf or dropped by the network meanwhile. Connections on
 // which an answer to the request with the given id may still come are passed over. If there are no
@@ -255,7 +273,7 @@
 // Warm makes sure that a leaf has an idle connection, and opens one if needed.
 func (p *Pool) Warm(ctx context.Context, leaf Endpoint) error {
 	if c, _ := p.pop(leaf, ""); c != nil {
-		if time.Now().Before(c.reusableUntil) && c.reusable() {
+		if time.Now().Before(c.reusableUntil) && p.checkIdle(leaf.Key, c) {
 			p.put(leaf, c, time.Until(c.reusableUntil))
 			return nil
 		}
@@ -287,19 +305,24 @@
 // leaf has sent what no request waits for, or which it has closed. Such a leaf may go on sending until then.
 func (p *Pool) CloseExpired(now time.Time) {
 	var unusable []*conn
+	var surplus []string // keys of leafs
 	p.mu.Lock()
 	for key, list := range p.idle {
 		open := list[:0]
 		for _, c := range list {
-			switch {
-			case !now.Before(c.reusableUntil):
-				unusable = append(unusable, c)
-			case !c.reusable():
-				p.discarded.Add(1)
+			if !now.Before(c.reusableUntil) {
 				unusable = append(unusable, c)
-			default:
+				continue
+			}
+			switch c.state() {
+			case connClean:
 				open = append(open, c)
+				continue
+			case connSurplus:
+				surplus = append(surplus, key)
 			}
+			p.discarded.Add(1)
+			unusable = append(unusable, c)
 		}
 		if p.idle[key] = open; len(open) == 0 {
 			delete(p.idle, key)
@@ -309,4 +332,7 @@
 	for _, c := range unusable {
 		_ = c.Close()
 	}
+	for _, key := range surplus {
+		p.onSurplus(key)
+	}
 }
--- a/leafhttp/pool_test.go
+++ b/leafhttp/pool_test.go
@@ -191,6 +191,8 @@
 				}
 			}()
 			pool := leafhttp.NewPool()
+			var surplus []string
+			pool.OnSurplus(func(key string) { surplus = append(surplus, key) })
 			endpoint := leafhttp.Endpoint{Key: "leaf-1", Address: listener.Addr().String()}
 			req := &leafhttp.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}}
 			ans, err := pool.Do(context.Background(), endpoint, req, "", nil, func(*leafhttp.Answer) leafhttp.Reading { return leafhttp.Reading{Last: true} })
@@ -203,6 +205,7 @@
 			pool.CloseExpired(time.Now())
 			g.Expect(pool.Idle()).To(gomega.BeZero())
 			g.Eventually(stopped, "5s").Should(gomega.BeClosed())
+			g.Expect(surplus).To(gomega.Equal([]string{"leaf-1"}))
 		})
 	}
 }
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -167,6 +167,15 @@
 	}
 }
 
+// RecordSurplus records that the leaf has sent bytes that no request waits for, so that a connection had to be
+// closed. Its answers stay valid, but the next request takes a new connection: it counts as a failure for the
+// choice between leafs.
+func (t *Table) RecordSurplus(now time.Time, id LeafID) {
+	if l := t.findLeaf(id); l != nil {
+		l.failures.add(now, 1)
+	}
+}
+
 // othersEstimate returns the estimated number of requests of other VMs at the leaf: those in
 // its last load report, with a weight that decreases with the report's age. The choice between
 // leafs uses it; forecasts use othersRemaining.
