--- a/edge/engine.go
+++ b/edge/engine.go
@@ -100,6 +100,7 @@
 	}
 	e.currency.setBounds(opt.Bounds)
 	context.AfterFunc(e.stopping.over, e.callerConns.interruptBodies)
+	e.pool.OnSurplus(e.leafSentSurplus)
 	return e
 }
 
--- a/scatter/leaf.go
+++ b/scatter/leaf.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// recordFailedAnswer records that the leaf answered the request req now with a failure. It may have failed before
+// it did the work, so the time that it took counts only if it is longer than an answer is expected to take.
+func (l *leaf) recordFailedAnswer(now time.Time, req pendingRequest) {
+	req.known = req.known && now.Sub(req.sentAt) > l.expected(now, req.typical)
+	l.recordAnswer(now, req)
+}
+
 // recordLoad records the load that the leaf reported with an answer. This VM's own requests in
 // flight are subtracted from it.
 func (l *leaf) recordLoad(now time.Time, load Load) {
@@ -160,6 +167,15 @@
 	}
 }
 
+// RecordSurplus records that the leaf has sent bytes that no request waits for, so that a connection had to be
+// closed. Its answers stay valid, but the next request takes a new connection: it counts as a failure for the
+// choice between leafs.
+func (t *Table) RecordSurplus(now time.Time, id LeafID) {
+	if l := t.findLeaf(id); l != nil {
+		l.failures.add(now, 1)
+	}
+}
+
 // othersEstimate returns the estimated number of requests of other VMs at the leaf: those in
 // its last load report, with a weight that decreases with the report's age. The choice between
 // leafs uses it; forecasts use othersRemaining.
