--- a/soak/rolling_stop_test.go
+++ b/soak/rolling_stop_test.go
@@ -260,7 +260,7 @@
 
 // waitReady waits until each VM is ready and serves the route "read".
 func (run *rollingRun) waitReady(t *testing.T) {
-	c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
+	c := run.newCaller()
 	defer c.close()
 	deadline := time.Now().Add(recoveryTimeout)
 	for _, v := range run.d.vms {
@@ -318,7 +318,7 @@
 // call sends requests to random VMs until ctx ends.
 func (run *rollingRun) call(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(run.seed, uint64(number)))
-	c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
+	c := run.newCaller()
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
 		v := run.d.vms[rng.IntN(len(run.d.vms))]
@@ -341,6 +341,12 @@
 	conns map[*vm]net.Conn
 }
 
+// newCaller returns a caller without connections.
+func (run *rollingRun) newCaller() *rollingCaller {
+	return &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
+}
+
+// close closes the connections.
 func (c *rollingCaller) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close() // nothing is sent any more
@@ -360,7 +366,7 @@
 			return r
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok && c.form.readPause > 0 {
-			_ = tcp.SetReadBuffer(partBytes)
+			_ = tcp.SetReadBuffer(partBytes) // a larger buffer only makes the caller less slow
 		}
 		c.conns[v] = conn
 	}
@@ -560,7 +566,7 @@
 	time.Sleep(run.slowFrom)
 	run.setLeafs(edgesim.LeafFaults{Silent: true})
 	ask := func(v *vm, id string, budget time.Duration) {
-		c := &rollingCaller{form: run.rollingStop, conns: make(map[*vm]net.Conn)}
+		c := run.newCaller()
 		defer c.close()
 		r := c.exchange(v, id, "/report/x", budget)
 		run.mu.Lock()
@@ -597,23 +603,24 @@
 		f.budgets = []time.Duration{1100 * time.Millisecond}
 		f.maxThink, f.slowFrom = 60*time.Millisecond, 4170*time.Millisecond
 	})
-	weak := func(f *rollingStop) {
+	withPower := func(f *rollingStop, power float64) {
 		f.gather = true
 		f.change = func(s *edge.Settings) {
-			s.Power, s.Room = 0.4, edge.RoomSettings{Measure: true, Spill: true, HandOver: true}
+			s.Power, s.Room = power, edge.RoomSettings{Measure: true, Spill: true, HandOver: true}
 		}
 	}
+	weak := func(f *rollingStop) { withPower(f, 0.4) }
 	add("quick", func(f *rollingStop) { f.slow.Delay, f.maxThink = usualWork, 60*time.Millisecond })
-	add("weak-frozen-other", func(f *rollingStop) {
-		weak(f)
-		f.beside = func(run *rollingRun, v *vm) {
-			other := run.d.vms[(slices.Index(run.d.vms, v)+2)%len(run.d.vms)]
-			time.Sleep(3500 * time.Millisecond)
-			other.signal(syscall.SIGSTOP)
-			time.Sleep(2800 * time.Millisecond)
-			other.signal(syscall.SIGCONT)
-		}
-	})
+	freezeOther := func(run *rollingRun, v *vm) {
+		other := run.d.vms[(slices.Index(run.d.vms, v)+1)%len(run.d.vms)]
+		time.Sleep(3500 * time.Millisecond)
+		other.signal(syscall.SIGSTOP)
+		time.Sleep(2800 * time.Millisecond)
+		other.signal(syscall.SIGCONT)
+	}
+	add("weak-frozen-other", func(f *rollingStop) { weak(f); f.beside = freezeOther })
+	add("weaker", func(f *rollingStop) { withPower(f, 0.05) })
+	add("weaker-frozen-other", func(f *rollingStop) { withPower(f, 0.05); f.beside = freezeOther; f.step = 8 * time.Second })
 	add("silent", func(f *rollingStop) { f.slow = edgesim.LeafFaults{Silent: true} })
 	add("silent-early", func(f *rollingStop) { f.slow, f.slowFrom = edgesim.LeafFaults{Silent: true}, 500*time.Millisecond })
 	add("overlapping", func(f *rollingStop) { f.step = 1500 * time.Millisecond })
