--- a/edge/open_requests_test.go
+++ b/edge/open_requests_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -97,3 +99,17 @@
 	conns.track(conn, http.StateClosed)
 	g.Expect(conns.awaitNone(t.Context())).To(gomega.BeTrue())
 }
+
+// Guards against work for other VMs that the end of a process cuts off without a line in the log: SIGKILL
+// comes before the wait for it ends.
+func TestOpenWorkForOtherVMsIsReportedBeforeTheEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var lines bytes.Buffer
+	_, engines := newVMsInProcess(1, manifestOf(1))
+	n := &Node{engine: engines[0], log: slog.New(slog.NewTextHandler(&lines, nil))}
+	n.reportOpen()
+	g.Expect(lines.String()).To(gomega.BeEmpty())
+	g.Expect(n.engine.peerWork.begin(0)).To(gomega.Succeed())
+	n.reportOpen()
+	g.Expect(lines.String()).To(gomega.ContainSubstring("of_other_vms=1"))
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -261,10 +261,10 @@
 	closed := n.engine.stats.set.GetOrCreateCounter("bramley_edge_idle_connections_closed_total")
 	closed.Add(conns.closeIdle(time.Now()))
 	defer time.AfterFunc(firstRequestTime, func() { closed.Add(conns.closeIdle(time.Now())) }).Stop()
+	// SIGKILL may come sooner than this VM believes, so what is open is reported before.
+	defer time.AfterFunc(time.Until(times.report), n.reportOpen).Stop()
 	if !conns.awaitNone(n.engine.stopping.over) {
 		n.logPhase("requests_ended", times.told)
-		// SIGKILL may come sooner than this VM believes, so what is open is reported before.
-		defer time.AfterFunc(time.Until(times.report), n.reportOpen).Stop()
 		conns.awaitNone(ctx)
 	}
 	if err := <-peersDone; err != nil {
@@ -278,11 +278,11 @@
 // reportOpen logs and counts the requests that the end of the process may cut off. Connections that carry
 // none are not among them.
 func (n *Node) reportOpen() {
-	open := n.engine.callerConns.requests()
-	if len(open) == 0 {
+	open, ofOtherVMs := n.engine.callerConns.requests(), n.engine.peerWork.number()
+	if len(open)+ofOtherVMs == 0 {
 		return
 	}
-	n.log.Warn("requests are open at the end", "requests", len(open), "of_other_vms", n.engine.peerWork.number())
+	n.log.Warn("requests are open at the end", "requests", len(open), "of_other_vms", ofOtherVMs)
 	for i, req := range open {
 		stage := requestStageNames[req.stage.Load()]
 		n.engine.stats.count(`bramley_edge_requests_open_at_end_total{stage=%q}`, stage)
