Soak: some stops have VMs that hand requests over; red exits print their threads

The summary says how long the processes ran after SIGTERM.

For the next such case the test prints what the kernel says of the threads.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -59,6 +59,7 @@
 	ledgers     []string // services of the ledger, of which routes name one
 	leafSlots   int      // of each leaf
 	leafRecords int      // in each answer of a leaf of the ledger
+	scarcePower float64  // power of every second VM, in cores, if VMs measure their room and hand requests over
 }
 
 // defaultOptions returns the options of most runs. tenants is nil if requests need no API key.
@@ -181,6 +182,12 @@
 		Bounds: edge.BoundSettings{ManifestMS: 3000, DrainMS: 3000, EvacuateMS: float64(evacuationBound.Milliseconds())},
 		Budget: edge.BudgetSettings{Ratio: 0.2, Floor: 200, WindowS: 10},
 	}}
+	if power := d.options.scarcePower; power > 0 {
+		v.set.Room = edge.RoomSettings{Measure: true, Spill: true, HandOver: true}
+		if len(d.vms)%2 == 0 {
+			v.set.Power = power
+		}
+	}
 	if d.tenants != nil {
 		d.tenants.configure(v.set)
 	}
--- a/soak/stop_callers_test.go
+++ b/soak/stop_callers_test.go
@@ -199,7 +199,7 @@
 	for _, v := range c.deployment.vms {
 		for _, s := range v.stops {
 			if s.killed && s.frozenAt.IsZero() {
-				c.addViolation("%s did not exit within %v of SIGTERM; end of its log:\n%s", v.set.Name, platformGrace, v.logTail())
+				c.addViolation("%s did not exit within %v of SIGTERM; its threads: %s; end of its log:\n%s", v.set.Name, platformGrace, s.state, v.logTail())
 			}
 		}
 	}
@@ -280,10 +280,13 @@
 // summary says how the requests ended, and how many stops there were.
 func (c *stopCallers) summary() string {
 	stops, frozen, killed := 0, 0, 0
+	var longest time.Duration // of a stop without a freeze
 	for _, v := range c.deployment.vms {
 		for _, s := range v.stops {
 			stops++
-			if !s.frozenAt.IsZero() {
+			if s.frozenAt.IsZero() {
+				longest = max(longest, s.exited.Sub(s.told))
+			} else {
 				frozen++
 			}
 			if s.killed {
@@ -292,6 +295,6 @@
 		}
 	}
 	o := c.deployment.options
-	return fmt.Sprintf("timeout %d ms, objective %d ms, %d VMs, %d stops, %d with a freeze, %d killed; answers by status %v; %d requests broken off, %d of them after a leaf had them, as allowed",
-		o.timeoutMS, o.targetMS, len(c.deployment.vms), stops, frozen, killed, c.statuses, len(c.brokenOff), c.excused)
+	return fmt.Sprintf("timeout %d ms, objective %d ms, %d VMs, %d stops, %d with a freeze, %d killed, the others within %v; answers by status %v; %d requests broken off, %d of them after a leaf had them, as allowed",
+		o.timeoutMS, o.targetMS, len(c.deployment.vms), stops, frozen, killed, longest.Round(time.Millisecond), c.statuses, len(c.brokenOff), c.excused)
 }
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,6 +25,8 @@
 	platformGrace    = 6 * time.Second  // from SIGTERM to SIGKILL
 	stopsDuration    = 14 * time.Second // time within which stops begin
 	largeRunEvery    = 4                // one of so many seeds has twice the VMs and callers
+	roomEvery        = 3                // in one of so many seeds VMs hand requests over
+	scarcePower      = 0.01             // of every second VM in these, in cores, less than it uses
 	maxUsualWork     = 60 * time.Millisecond
 	stableWindow     = 4 * time.Second // time after a freeze within which the VM's requests aren't judged
 	ledgerRecords    = 1024            // in an answer of the ledger, so that it is read in several parts
@@ -40,7 +45,8 @@
 	told, exited time.Time
 	frozenAt     time.Time
 	thawedAt     time.Time
-	killed       bool // the process had not exited at the end of its grace
+	killed       bool   // the process had not exited at the end of its grace
+	state        string // of its threads then, as the kernel says
 }
 
 // stopRun is a run with stops.
@@ -67,6 +73,9 @@
 	if seed%largeRunEvery == 0 {
 		options.vmsPerZone, callers = 2*vmsPerZone, 2*usualStopCallers
 	}
+	if seed%roomEvery == 0 {
+		options.scarcePower = scarcePower
+	}
 	run := &stopRun{
 		deployment: newDeployment(t, binary, options), slow: make(map[string]*sync.Mutex),
 		usual: edgesim.LeafFaults{Delay: time.Duration(rng.Int64N(int64(maxUsualWork)))},
@@ -189,6 +198,7 @@
 		step.do()
 	}
 	if v.runsAt(end) {
+		s.state = v.threadStates()
 		s.killed = true
 		v.signal(syscall.SIGKILL)
 	}
@@ -221,6 +231,27 @@
 	}
 }
 
+// threadStates returns the states of the threads of the VM's process and what they wait for, with the name and
+// the run-queue times of each.
+func (v *vm) threadStates() string {
+	v.mu.Lock()
+	tasks := fmt.Sprintf("/proc/%d/task/*/", v.process.Process.Pid)
+	v.mu.Unlock()
+	var states []string
+	for _, file := range []string{"stat", "wchan", "schedstat"} {
+		paths, err := filepath.Glob(tasks + file)
+		if err != nil {
+			return err.Error()
+		}
+		for _, path := range paths {
+			// An unreadable file means that the thread has ended.
+			text, _ := os.ReadFile(path)
+			states = append(states, file+" "+string(text[:min(len(text), 40)]))
+		}
+	}
+	return strings.Join(states, "; ")
+}
+
 // Groups of leafs that turn slow together. The name of a single shard is that of its service.
 const (
 	ledgerGroup = "ledgers"
