Edge: a VM that the store turns away asks the VMs that are connected to it, too

A VM whose source fails asks its neighbours for the manifest, which come from that list: it asked nobody, and learned of eight versions from the store only. Two VMs were connected to it meanwhile, one of them in touch; their calls as followers of an accountant tell no version.

Ruled out: a reader's watch and the wait of its follower, as both VMs of a zone of two read the store; frozen neighbours, as none was asked; lateness, as another VM that was cut off learned of versions within 1.1 s.

Change: if no neighbour is in touch, up to three VMs are asked that have connected to this one and are not in its list.

--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/routing"
@@ -171,16 +173,45 @@
 }
 
 // askNeighbours asks the next polledNeighbours neighbours for the manifest, one after the other until
-// one is in touch. It reports whether one was.
+// one is in touch. If none is, it asks VMs that have connected to this one and are not in its list: a VM
+// that the store turns away soon after its start may know of no other. It reports whether one was in touch.
 func (e *Engine) askNeighbours(ctx context.Context) bool {
 	for _, vm := range e.currency.nextNeighbours(polledNeighbours) {
 		if e.askVM(ctx, vm) {
 			return true
 		}
 	}
+	unlisted := e.currency.unlisted(e.currentPeerClient().callers())
+	rand.Shuffle(len(unlisted), func(i, j int) { unlisted[i], unlisted[j] = unlisted[j], unlisted[i] })
+	for _, name := range unlisted[:min(len(unlisted), polledNeighbours)] {
+		if e.askVM(ctx, scatter.VM{Name: name}) {
+			return true
+		}
+	}
 	return false
 }
 
+// unlisted returns those of the named VMs that are not in the list of VMs.
+func (c *currency) unlisted(names []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(names, func(name string) bool {
+		return slices.ContainsFunc(c.others, func(vm scatter.VM) bool { return vm.Name == name })
+	})
+}
+
+// callers implements peerClient.
+func (p *peerTransport) callers() []string {
+	names := make(map[string]bool)
+	for _, conn := range p.server.Conns() {
+		names[conn.Peer().VM] = true
+	}
+	return slices.Collect(maps.Keys(names))
+}
+
+// callers implements peerClient. There are none.
+func (noPeerClient) callers() []string { return nil }
+
 // refreshManifest asks for the newest manifest because of an unknown key, once for all requests that
 // wait, and waits for the answer for up to the time wait. It reports whether the answer is still
 // missing then. It returns false at once if the manifest was asked for recently.
--- a/edge/manifest_exchange_test.go
+++ b/edge/manifest_exchange_test.go
@@ -188,6 +188,24 @@
 	g.Eventually(a.manifestVersion, "10s").Should(gomega.BeEquivalentTo(2))
 }
 
+// Guards against a key that is served long after it was taken away by a VM that the store turns away before it has read
+// of any other VM, while others are connected to it.
+func TestVMThatKnowsNoOthersAsksThoseThatCallIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, vmA := joinVM(t, "a", manifestOf(1, "old"))
+	b, _ := joinVM(t, "b", manifestOf(2, "new"))
+	now := time.Now()
+	b.currency.setBounds(BoundSettings{ManifestMS: 3000})
+	a.currency.setBounds(BoundSettings{ManifestMS: 3000})
+	b.currency.confirm(now, now, true)
+	g.Expect(b.currentPeerClient().follow(t.Context(), vmA, methodNewerManifest, &followCall{Position: 2}, new(manifestAnswer))).To(gomega.Succeed())
+	a.currency.setSource(false)
+	g.Expect(a.currency.pollDue(now, true, false)).To(gomega.BeTrue())
+	g.Expect(a.askNeighbours(t.Context())).To(gomega.BeTrue(), "the other VM is in touch")
+	g.Expect(a.manifestVersion()).To(gomega.BeEquivalentTo(2))
+	g.Expect(a.inForce.Get().Tenant("old")).To(gomega.BeNil())
+}
+
 // joinVM returns a VM with manifest m in force that other VMs can call, and its entry in their lists.
 func joinVM(t *testing.T, name string, m *routing.Manifest) (*Engine, scatter.VM) {
 	e := NewEngine(EngineOptions{Self: name, Zone: name, Power: 1, Log: logging.Discard(), Budget: scatter.BudgetConfig{Window: time.Second}})
