A stopping VM accepts the connections that wait before it closes its listener

What callers saw: a connection reset by a VM that stops, for a request on a new connection that it had not accepted when it closed its listener at 0.7 of the grace time; nothing had run. A VM short of processor time has more of them.

Cause: closing a listening socket resets what waits in the kernel's queue, and the timer of the stop may run before the goroutine that accepts.

Change: the close waits, 0.1 s at most, until the queue is empty. Connections that were accepted late stay open for their first request, as others do.

TestWaitingConnectionsAreAcceptedBeforeTheListenerCloses was red without the wait (0 of 3 accepted).

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
@@ -246,11 +250,42 @@
 	n.log.Info("leaving", "phase", phase, "ms", since.Milliseconds(), "idle", conns.idle, "unused", conns.unused, "active", conns.active)
 }
 
+// acceptTime bounds the time in which the connections are accepted that wait when this VM closes its
+// listener.
+const acceptTime = 100 * time.Millisecond
+
+// closeAccepted closes a listener once the connections that wait in the kernel's queue are accepted, or
+// after acceptTime. The close resets those that still wait, with the requests that were sent on them.
+func closeAccepted(ln net.Listener) error {
+	for end := time.Now().Add(acceptTime); hasPending(ln) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return ln.Close()
+}
+
+// hasPending reports whether a connection waits in the kernel's queue of a listener.
+func hasPending(ln net.Listener) bool {
+	socket, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	poll := []unix.PollFd{{Events: unix.POLLIN}}
+	err = raw.Control(func(fd uintptr) {
+		poll[0].Fd = int32(fd)
+		_, _ = unix.Poll(poll, 0) // an error leaves Revents empty
+	})
+	return err == nil && poll[0].Revents&unix.POLLIN != 0
+}
+
 // finishRequests takes no more requests, and waits for those of callers and of other VMs. It returns how
 // many of callers are left open.
 func (n *Node) finishRequests(times stopTimes) (open int) {
 	n.logPhase("connections_closed", times.told)
-	if err := n.callerSocket.Close(); err != nil {
+	if err := closeAccepted(n.callerSocket); err != nil {
 		n.log.Warn("closing the listener for callers failed", "error", err)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), times.lastWrite)
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -237,3 +238,45 @@
 	}
 	gomega.NewWithT(t).Expect(lost).To(gomega.BeZero())
 }
+
+// Guards against resets of connections that a VM short of processor time has not accepted when it closes
+// its listener.
+func TestWaitingConnectionsAreAcceptedBeforeTheListenerCloses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	const waiting = 3
+	for range waiting {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer c.Close()
+	}
+	accepted := make(chan net.Conn, waiting)
+	go func() {
+		time.Sleep(acceptTime / 5)
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			accepted <- c
+		}
+		close(accepted)
+	}()
+	g.Expect(closeAccepted(ln)).To(gomega.Succeed())
+	n := 0
+	for c := range accepted {
+		n++
+		_ = c.Close()
+	}
+	g.Expect(n).To(gomega.Equal(waiting))
+}
+
+// Guards against a stop that waits for connections which nothing accepts.
+func TestListenerClosesAlsoIfNothingAccepts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	c, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer c.Close()
+	g.Expect(closeAccepted(ln)).To(gomega.Succeed())
+	_, err = ln.Accept()
+	g.Expect(err).To(gomega.MatchError(net.ErrClosed))
+}
