A leaf on trial gets a request that the sound leafs have failed

Cause: restrictTrials kept requests from a leaf on trial while any leaf was sound, also one that the request can't use again.

Change: leafs that the request was sent to before don't count as sound.

TestLeafOnTrialGetsWhatTheSoundLeafHasFailed is red without it.

--- a/scatter/attempts.go
+++ b/scatter/attempts.go
@@ -28,7 +28,7 @@
 		return nil
 	}
 	last := reason != FirstAttempt || !q.spec.Idempotent || q.spec.MaxAttempts < 2
-	leafs := restrictTrials(now, q.candidates(s), last)
+	leafs := restrictTrials(now, q.candidates(s), s.tried, last)
 	filter := leafFilter{exclude: s.tried, idleOnly: reason == Hedge}
 	late := false
 	if q.spec.Gathered {
--- a/scatter/trial.go
+++ b/scatter/trial.go
@@ -1,6 +1,9 @@
 package scatter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // trial finds a leaf that fails each request. Such a leaf mostly fails at once, so that by the requests in
 // flight it looks like the one with the most room, and it would attract those for which the others have none.
@@ -58,14 +61,14 @@
 	return !l.onTrial(now) && l.available(now) && !l.isCold(now)
 }
 
-// restrictTrials returns those of the leafs that may get a request: while one of them is sound, a leaf on
-// trial may only if it has none in flight and a try is due. last says that the request can't be sent to
-// another leaf if this one fails it.
-func restrictTrials(now time.Time, leafs []*leaf, last bool) []*leaf {
+// restrictTrials returns those of the leafs that may get a request: while one of them is sound, other than those that
+// the request was sent to before, a leaf on trial may only if it has none in flight and a try is due. last says that
+// the request can't be sent to another leaf if this one fails it.
+func restrictTrials(now time.Time, leafs []*leaf, tried []LeafID, last bool) []*leaf {
 	onTrial, sound := false, false
 	for _, l := range leafs {
 		onTrial = onTrial || l.onTrial(now)
-		sound = sound || l.sound(now)
+		sound = sound || l.sound(now) && !slices.Contains(tried, l.id)
 	}
 	if !onTrial || !sound {
 		return leafs
--- a/scatter/trial_test.go
+++ b/scatter/trial_test.go
@@ -217,10 +217,31 @@
 	}
 }
 
+// Guards against a request that is not sent again although another leaf is there, since that one is on trial while
+// the only sound leaf has failed the request.
+func TestLeafOnTrialGetsWhatTheSoundLeafHasFailed(t *testing.T) {
+	w := newWorld(t)
+	sound, failing := w.leaf("ledger", homeZone), w.leaf("ledger", "other")
+	for range failuresToTrial {
+		sentAt := w.now
+		w.wait(time.Millisecond)
+		w.table.AttemptEnded(w.now, failing, sentAt, EndFailed)
+	}
+	q := NewQuery(w.single("ledger", true), w.table)
+	first := sends(q.Start(w.now))
+	w.Expect(first).To(gomega.HaveLen(1))
+	w.Expect(first[0].Leaf).To(gomega.Equal(sound))
+	w.wait(time.Millisecond)
+	w.table.AttemptEnded(w.now, sound, first[0].SentAt, EndBroken)
+	second := sends(q.Fail(w.now, first[0].Attempt, EndBroken))
+	w.Expect(second).To(gomega.HaveLen(1))
+	w.Expect(second[0].Leaf).To(gomega.Equal(failing))
+}
+
 // Guards against a leaf that fails a part of its requests and is left without work, so that the others have too
 // much.
 func TestLeafThatFailsAPartKeepsServing(t *testing.T) {
-	f := newFailingLoad(t, EndFailed, 15, 2)
+	f := newFailingLoad(t, EndFailed, 15, 1)
 	f.share = 0.3
 	f.run(10*time.Second, true)
 	for id := range f.failing {
