One silence puts a leaf on trial

What was seen: a leaf that sends a byte each 5 ms keeps each request until its deadline. Each probe of it succeeds, as it accepts connections, so that after each cooldown all waiting requests go there; three failures in a row, each sent after the one before had ended, take three deadlines.

Change: an attempt without an answer in its time counts as failuresToTrial failures, as it does for the cooldown.

An attempt whose caller has left for 300 ms ends as silent too; that a leaf is then tried by one request at a time until it answers was not played with callers that leave.

--- a/scatter/table.go
+++ b/scatter/table.go
@@ -454,7 +454,7 @@
 		l.cooldown.recordSilence(sentAt, now)
 		l.suspicion.raise(now)
 		l.failures.add(now, 1)
-		l.trial.recordFailure(sentAt, now)
+		l.trial.recordSilence(sentAt, now)
 	case EndBroken:
 		l.cooldown.recordFailure(sentAt, now)
 		l.failures.add(now, 1)
--- a/scatter/trial.go
+++ b/scatter/trial.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// recordSilence records that a request that was sent at sentAt got no answer in the time allowed for it. That
+// time is many times longer than any pause of a leaf, and each further request would lose it too: the trial
+// begins at once.
+func (t *trial) recordSilence(sentAt, now time.Time) {
+	t.recordFailure(sentAt, now)
+	t.failures = max(t.failures, failuresToTrial)
+}
+
 // recordAnswer ends the trial, since the leaf answered a request.
 func (t *trial) recordAnswer() { *t = trial{} }
 
--- a/scatter/trial_test.go
+++ b/scatter/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,9 @@
 
 	answers map[LeafID]int // answered attempts, by leaf
 	share   float64        // of the attempts at a failing leaf that fail, from 0 to 1
+	takes   time.Duration  // time until an attempt at a failing leaf has failed
+
+	lingering []failingAttempt // attempts whose query has ended
 
 	failed  int // requests that failed, other than those that were refused
 	refused int
@@ -50,7 +54,7 @@
 // newFailingLoad returns such a load, whose attempts at failing leafs end as given. failing is the number of such
 // leafs of the four.
 func newFailingLoad(t *testing.T, end End, callers, failing int) *failingLoad {
-	f := &failingLoad{world: newWorld(t), end: end, share: 1, failing: make(map[LeafID]int), answers: make(map[LeafID]int), slotsFree: make(map[LeafID][]time.Time)}
+	f := &failingLoad{world: newWorld(t), end: end, share: 1, takes: failingTime, failing: make(map[LeafID]int), answers: make(map[LeafID]int), slotsFree: make(map[LeafID][]time.Time)}
 	f.table.SetServiceConfig(f.now, "ledger", ServiceConfig{MaxConnections: 100})
 	for i := range 4 {
 		id := LeafID{ID: fmt.Sprint("leaf-", i), Born: 1}
@@ -72,6 +76,17 @@
 		for _, c := range f.callers {
 			f.step(c, idempotent)
 		}
+		f.lingering = slices.DeleteFunc(f.lingering, func(a failingAttempt) bool {
+			ended := !f.now.Before(a.endsAt)
+			if ended {
+				f.table.AttemptEnded(f.now, a.Leaf, a.SentAt, a.end)
+			}
+			return ended
+		})
+		suspects, _ := f.table.SuspectLeafs(f.now)
+		for _, l := range suspects {
+			f.table.RecordLeafProbe(f.now, LeafID{ID: l.ID, Born: l.Born}, true)
+		}
 	}
 }
 
@@ -120,9 +135,7 @@
 	default:
 		f.failed++
 	}
-	for _, a := range c.sent {
-		f.table.AttemptEnded(f.now, a.Leaf, a.SentAt, EndAnswered) // an attempt beside a hedge
-	}
+	f.lingering = append(f.lingering, c.sent...)
 	c.query = nil
 }
 
@@ -130,7 +143,7 @@
 func (f *failingLoad) attempt(s Send) failingAttempt {
 	if _, fails := f.failing[s.Leaf]; fails && (f.recoverAt.IsZero() || f.now.Before(f.recoverAt)) && f.table.rng.Float64() < f.share {
 		f.failing[s.Leaf]++
-		return failingAttempt{Send: s, endsAt: f.now.Add(failingTime), end: f.end}
+		return failingAttempt{Send: s, endsAt: f.now.Add(f.takes), end: f.end}
 	}
 	f.answers[s.Leaf]++
 	slots := f.slotsFree[s.Leaf]
@@ -184,6 +197,29 @@
 	}
 }
 
+// Guards against requests that wait in vain for leafs which accept connections and answer nothing in time: each
+// probe of them succeeds.
+func TestLeafThatAnswersNothingInTimeIsTriedByFewRequests(t *testing.T) {
+	for _, callers := range []int{4, 15} {
+		t.Run(fmt.Sprint(callers), func(t *testing.T) {
+			f := newFailingLoad(t, EndSilent, callers, 2)
+			f.takes = 1560 * time.Millisecond
+			f.run(2*time.Second, true)
+			found, failed := f.attempts(), f.failed
+			f.run(12*time.Second, true)
+			t.Logf("first two seconds: %d attempts, %d failed; then %d and %d, %d served, %d refused", found, failed, f.attempts()-found, f.failed-failed, f.served, f.refused)
+			// Each of the two leafs is tried by one request at a time.
+			tries := 2 * int(12*time.Second/f.takes+1)
+			f.Expect(f.attempts() - found).To(gomega.BeNumerically("<=", tries))
+			allowed := 0
+			if callers > 8 { // the sound leafs have no room for a hedge
+				allowed = tries
+			}
+			f.Expect(f.failed - failed).To(gomega.BeNumerically("<=", allowed))
+		})
+	}
+}
+
 // Guards against a leaf that stays without work after it has recovered, also where no request may be sent to
 // another leaf if it fails.
 func TestLeafOnTrialGetsWorkSoonAfterItRecovers(t *testing.T) {
