Sound long answers don't fail beside endless ones

What was seen: TestManyEndlessAnswersAreBoundedTogether was red once, under the race detector beside other work: 34,996,224 bytes reserved where 33,554,432 are allowed.

Cause: longBodies.reserve added first, and took back what was too much. No memory was allocated beyond the bound, but until then the failed reservation counted, and others failed though there was enough: a sound answer above 64 KiB beside endless ones ended as broken.

Change: the sum is changed only if there is enough.

TestReservationsThatFailCountNothing is red with the former code: 88,113 of 100,000 reservations of a byte fail while half is free.

--- a/leafhttp/bounds_test.go
+++ b/leafhttp/bounds_test.go
@@ -160,3 +160,35 @@
 		}
 	})
 }
+
+// Guards against bodies that get no memory although there is enough, since others count for a moment that get none.
+func TestReservationsThatFailCountNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	long := new(longBodies)
+	g.Expect(long.reserve(maxLongBodies / 2)).To(gomega.BeTrue())
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					long.reserve(maxLongBodies)
+				}
+			}
+		})
+	}
+	failed := 0
+	for range 100_000 {
+		if long.reserve(1) {
+			long.release(1)
+		} else {
+			failed++
+		}
+	}
+	close(done)
+	wg.Wait()
+	g.Expect(failed).To(gomega.BeZero())
+}
--- a/leafhttp/read.go
+++ b/leafhttp/read.go
@@ -79,11 +79,15 @@
 
 // reserve reserves memory for a body of so many bytes, and reports whether there is enough.
 func (l *longBodies) reserve(bytes int) bool {
-	if l.held.Add(int64(bytes)) <= maxLongBodies {
-		return true
+	for {
+		held := l.held.Load()
+		if held+int64(bytes) > maxLongBodies {
+			return false
+		}
+		if l.held.CompareAndSwap(held, held+int64(bytes)) {
+			return true
+		}
 	}
-	l.held.Add(-int64(bytes))
-	return false
 }
 
 // release gives memory back.
