No request is lost on a connection of a leaf that sends on

Cause: unread bytes are looked for before a connection is used again. They may come just after.

Change: for a second after such bytes no connection that has carried an answer is kept. Each request to such a leaf took a new connection before too.

TestNoRequestIsSentOnConnectionsOfALeafThatSendsOn is red with the former pool.go.

--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -39,8 +39,10 @@
 // the number of concurrent requests to a leaf, and thereby the number of its connections:
 // the code that calls Do must limit them.
 type Pool struct {
-	mu   sync.Mutex         // guards idle
+	mu   sync.Mutex         // guards idle and surplusAt
 	idle map[string][]*conn // by Endpoint.Key; the most recently used one is last
+	// surplusAt is when a leaf last sent bytes that no request waits for, by Endpoint.Key, if it did.
+	surplusAt map[string]time.Time
 
 	dials, reuses, discarded atomic.Uint64 // numbers of connections dialled, reused, and discarded before reuse; see Stats
 	// repeats and extraAnswers are the numbers of connections that were replaced for a request sent
@@ -52,7 +54,9 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn), onSurplus: func(string) {}} }
+func NewPool() *Pool {
+	return &Pool{idle: make(map[string][]*conn), surplusAt: make(map[string]time.Time), onSurplus: func(string) {}}
+}
 
 // OnSurplus sets a function that is called with the Endpoint.Key of a leaf which has sent bytes that no
 // request waits for, once for each connection, which is closed. It must be set before the pool is used.
@@ -123,14 +127,12 @@
 	ans, idleTimeout, err := p.roundTrip(c, req, id, extra, read)
 	surplus := err == nil && idleTimeout > 0 && c.reader.Buffered() > 0
 	if surplus {
-		p.onSurplus(leaf.Key)
+		p.recordSurplus(leaf.Key)
 	}
-	if !stop() || err != nil || idleTimeout <= 0 || surplus {
+	if !stop() || err != nil || idleTimeout <= 0 || surplus || !p.putAfterAnswer(leaf, c, leaf.limitIdle(idleTimeout)) {
 		_ = c.Close()
-		return ans, err
 	}
-	p.put(leaf, c, leaf.limitIdle(idleTimeout))
-	return ans, nil
+	return ans, err
 }
 
 // concurrentWriteSize is the body size, in bytes, from which a request is written while
@@ -233,11 +235,23 @@
 	return dial(ctx, leaf.Address)
 }
 
+// surplusMemory is how long no connection to a leaf is kept for another request after the leaf has sent bytes that
+// no request waits for. More of them may come just after the next request was sent, which would be lost.
+const surplusMemory = time.Second
+
+// recordSurplus records that a leaf has sent bytes that no request waits for.
+func (p *Pool) recordSurplus(key string) {
+	p.mu.Lock()
+	p.surplusAt[key] = time.Now()
+	p.mu.Unlock()
+	p.onSurplus(key)
+}
+
 // checkIdle reports whether an idle connection to the leaf with that key can be reused.
 func (p *Pool) checkIdle(key string, c *conn) bool {
 	state := c.state()
 	if state == connSurplus {
-		p.onSurplus(key)
+		p.recordSurplus(key)
 	}
 	return state == connClean
 }
@@ -270,6 +284,20 @@
 	p.idle[leaf.Key] = append(p.idle[leaf.Key], c)
 }
 
+// putAfterAnswer is put for a connection that has carried an answer. It keeps none, and returns false, if the leaf
+// has lately sent bytes that no request waits for.
+func (p *Pool) putAfterAnswer(leaf Endpoint, c *conn, idleTimeout time.Duration) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, known := p.surplusAt[leaf.Key]; known && now.Sub(at) < surplusMemory {
+		return false
+	}
+	c.reusableUntil = now.Add(idleTimeout)
+	p.idle[leaf.Key] = append(p.idle[leaf.Key], c)
+	return true
+}
+
 // Warm makes sure that a leaf has an idle connection, and opens one if needed.
 func (p *Pool) Warm(ctx context.Context, leaf Endpoint) error {
 	if c, _ := p.pop(leaf, ""); c != nil {
@@ -328,11 +356,16 @@
 			delete(p.idle, key)
 		}
 	}
+	for key, at := range p.surplusAt {
+		if now.Sub(at) >= surplusMemory {
+			delete(p.surplusAt, key)
+		}
+	}
 	p.mu.Unlock()
 	for _, c := range unusable {
 		_ = c.Close()
 	}
 	for _, key := range surplus {
-		p.onSurplus(key)
+		p.recordSurplus(key)
 	}
 }
--- a/leafhttp/pool_test.go
+++ b/leafhttp/pool_test.go
@@ -209,3 +209,44 @@
 		})
 	}
 }
+
+// Guards against requests that are lost on connections to a leaf which sends on, a moment after each whole answer.
+func TestNoRequestIsSentOnConnectionsOfALeafThatSendsOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+				for ; err == nil; _, err = c.Write([]byte("xxxx\r\n\r\n")) {
+					time.Sleep(2 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	pool := leafhttp.NewPool()
+	endpoint := leafhttp.Endpoint{Key: "leaf-1", Address: listener.Addr().String()}
+	req := &leafhttp.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}}
+	send := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := pool.Do(ctx, endpoint, req, "", nil, func(*leafhttp.Answer) leafhttp.Reading { return leafhttp.Reading{Last: true} })
+		return err
+	}
+	g.Expect(send()).To(gomega.Succeed())
+	time.Sleep(20 * time.Millisecond)
+	pool.CloseExpired(time.Now()) // finds the surplus
+	for range 30 {
+		g.Expect(send()).To(gomega.Succeed())
+	}
+}
