--- a/soak/stop_callers_test.go
+++ b/soak/stop_callers_test.go
@@ -45,6 +45,7 @@
 	budget  time.Duration
 	written time.Time // when its last byte was sent
 	ended   time.Time
+	conn    httptrace.GotConnInfo // of the connection on which it was sent
 	err     error
 }
 
@@ -110,14 +111,19 @@
 // parts with pauses if slowly is set. An end of ctx means that the caller leaves.
 func (c *stopCallers) send(ctx context.Context, client *http.Client, v *vm, id string, kind int, budget time.Duration, slowly bool) {
 	sent := requestOf(kind)
-	var mu sync.Mutex     // guards written
+	var mu sync.Mutex     // guards the variables below
 	var written time.Time // zero if the request was not sent whole
+	var conn httptrace.GotConnInfo
 	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		mu.Lock()
 		defer mu.Unlock()
 		if info.Err == nil {
 			written = time.Now()
 		}
+	}, GotConn: func(info httptrace.GotConnInfo) {
+		mu.Lock()
+		defer mu.Unlock()
+		conn = info
 	}}
 	reqCtx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), budget+patience)
 	defer cancel()
@@ -137,7 +143,7 @@
 	status, header, body, err := do(client, req)
 	ended := time.Now()
 	mu.Lock()
-	lastByte := written
+	lastByte, usedConn := written, conn
 	mu.Unlock()
 	sentWhole := !lastByte.IsZero()
 	if !sentWhole {
@@ -150,7 +156,7 @@
 	if err == nil {
 		c.statuses[status]++
 	} else if reqCtx.Err() == nil && (sentWhole || c.deployment.arrived(id)) {
-		c.brokenOff = append(c.brokenOff, endedRequest{id, v, kind, budget, lastByte, ended, err})
+		c.brokenOff = append(c.brokenOff, endedRequest{id, v, kind, budget, lastByte, ended, usedConn, err})
 	}
 	if status == http.StatusOK {
 		c.served++
@@ -198,8 +204,8 @@
 func (c *stopCallers) checkStops() {
 	for _, v := range c.deployment.vms {
 		for _, s := range v.stops {
-			if s.killed && s.frozenAt.IsZero() {
-				c.addViolation("%s did not exit within %v of SIGTERM; its threads: %s; end of its log:\n%s", v.set.Name, platformGrace, s.state, v.logTail())
+			if s.frozenAt.IsZero() && s.status != exitedByItself {
+				c.addViolation("%s did not exit by itself within %v of SIGTERM, but with %q; its threads: %s; end of its log:\n%s", v.set.Name, platformGrace, s.status, s.threads, v.logTail())
 			}
 		}
 	}
@@ -216,8 +222,8 @@
 			lines = "\n" + c.deployment.linesOn(r.id, maxLogLines)
 		}
 		details++
-		c.addViolation("%s: %s broke off a request of kind %d with a time budget of %v, %v after it was sent%s; leafs worked on it: %v: %v%s",
-			r.id, r.vm.set.Name, r.kind, r.budget, r.ended.Sub(r.written), r.around(), c.deployment.runsOf(r), r.err, lines)
+		c.addViolation("%s: %s broke off a request of kind %d with a time budget of %v, %v after it was sent%s on a connection that was idle for %v before (new: %v); leafs worked on it: %v: %v%s",
+			r.id, r.vm.set.Name, r.kind, r.budget, r.ended.Sub(r.written), r.around(), r.conn.IdleTime, !r.conn.Reused, c.deployment.runsOf(r), r.err, lines)
 	}
 }
 
@@ -289,7 +295,7 @@
 			} else {
 				frozen++
 			}
-			if s.killed {
+			if s.status != exitedByItself {
 				killed++
 			}
 		}
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -45,10 +45,14 @@
 	told, exited time.Time
 	frozenAt     time.Time
 	thawedAt     time.Time
-	killed       bool   // the process had not exited at the end of its grace
-	state        string // of its threads then, as the kernel says
+	status       string // how the process ended: exitedByItself, or by a signal
+	threads      string // states of its threads at the end of its grace if it still ran
 }
 
+// exitedByItself is the status of a process that has ended without an error. One whose threads still end when
+// SIGKILL comes has it, too.
+const exitedByItself = "exit status 0"
+
 // stopRun is a run with stops.
 type stopRun struct {
 	*deployment
@@ -198,8 +202,7 @@
 		step.do()
 	}
 	if v.runsAt(end) {
-		s.state = v.threadStates()
-		s.killed = true
+		s.threads = v.threadStates()
 		v.signal(syscall.SIGKILL)
 	}
 	v.waitExit(time.Second)
@@ -208,6 +211,7 @@
 		s.thawedAt = s.exited
 	}
 	v.mu.Lock()
+	s.status = v.process.ProcessState.String()
 	v.stops = append(v.stops, s)
 	v.mu.Unlock()
 	v.setStoppedAt(time.Time{})
