A gathered request that outlasts a stopping VM is refused at once

What callers saw: 503 only at the end of the VM's time, or 504 without a shard, where 503 could have been said at once. Found by a review.

Cause: the time until AnswerBy bounds what a gathered request is expected to take, and AnswerBy had been bounded by the VM's end before it was asked for: nothing was ever expected to take longer.

Change: the forecast knows AnswerBy as it was without the stop.

TestGatheredRequestThatOutlastsAStoppingVMIsRefusedAtOnce was red without the change.

--- a/scatter/query.go
+++ b/scatter/query.go
@@ -84,6 +84,7 @@
 	lastAttempt   AttemptID              // the newest attempt; 0 for none
 	failedAttempt AttemptID              // the latest attempt that a leaf answered with a failure; 0 for none
 	dueSince      time.Time              // when the query first found AnswerBy reached; zero before
+	answerBy      time.Time              // AnswerBy without the bound by StopAt; zero if there is none
 	hedgeRetryAt  time.Time              // no hedge is sent before this time, since one found no idle leaf or no budget
 
 	reportedScarce bool          // a calling VM has told that every shard decides
--- a/scatter/stopping.go
+++ b/scatter/stopping.go
@@ -22,6 +22,7 @@
 	if stop.IsZero() || !q.spec.Deadline.After(stop) {
 		return nil
 	}
+	q.answerBy = q.spec.AnswerBy
 	q.spec.Deadline = stop
 	q.spec.AnswerBy = earlier(q.spec.AnswerBy, stop)
 	return q.refuseAtStop(now)
@@ -77,8 +78,8 @@
 		expected = q.spec.LatencyObjective
 	}
 	if q.spec.Gathered {
-		// It is answered at AnswerBy with the parts received so far.
-		return min(expected, max(q.spec.AnswerBy.Sub(now), 0))
+		// It would be answered at this time with the parts received so far.
+		return min(expected, max(q.answerBy.Sub(now), 0))
 	}
 	typical, _ := q.table.typicalDuration(now, q.durationKey())
 	if eta := q.eta(now, &q.shards[0], typical, typical); eta < never {
--- a/scatter/stopping_test.go
+++ b/scatter/stopping_test.go
@@ -158,3 +158,16 @@
 	w.Expect(out).NotTo(gomega.BeNil())
 	w.Expect(out.Verdict).To(gomega.Equal(NotRun))
 }
+
+// Guards against a gathered request that waits until its VM ends, though its shards take longer than that.
+func TestGatheredRequestThatOutlastsAStoppingVMIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	spec := w.gathered(w.shards(10, homeZone))
+	spec.LatencyObjective, spec.AnswerBy = 800*time.Millisecond, w.now.Add(800*time.Millisecond)
+	acts := NewQuery(w.stoppingIn(400*time.Millisecond, spec), w.table).Start(w.now)
+	w.Expect(sends(acts)).To(gomega.BeEmpty())
+	out := outcome(acts)
+	w.Expect(out).NotTo(gomega.BeNil())
+	w.Expect(out.Verdict).To(gomega.Equal(NotRun))
+	w.Expect(out.Refusal.Stopping).To(gomega.BeTrue())
+}
