A request that a stopping VM gives back is served by the VM that handed it over

What callers saw: 503 with a Retry-After of 10 ms from a VM that goes on and has a leaf for the request.

Cause: a VM that has taken a request over and is told to stop refuses it as not run, and its answer was passed on to the caller.

Change: it says that nothing was started, on which VMs of any release decide by themselves, as they do when an offer is refused.

--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -406,6 +406,10 @@
 	}
 	res := e.serve(new(http.Request).WithContext(ctx), req, route, who)
 	e.stats.count(`bramley_edge_requests_taken_over_total{verdict=%q}`, res.Outcome.Verdict)
+	if res.Outcome.Verdict == scatter.NotRun && !e.stopping.time().IsZero() {
+		// This VM may have refused it for its own stop, so the other one decides by itself.
+		return nil, result.Wrap(result.NotStarted, errStopping, "request of another VM")
+	}
 	return &runAnswer{
 		Status: res.Status, Header: res.Header, Body: res.Body,
 		Verdict: int(res.Outcome.Verdict), Missing: res.Outcome.Missing, RetryAfterUS: res.Outcome.RetryAfter.Microseconds(),
