OPTIONS * is a request like any other

What was seen: a VM that stops waited until the end of its grace time for a connection that had once carried OPTIONS *.

Cause: net/http answers it without the handler, so that the VM takes it for a request that still arrives.

Change: the handler gets it, and answers 404, as it names no route.

--- a/edge/node.go
+++ b/edge/node.go
@@ -169,6 +169,9 @@
 			}
 			n.engine.ServeHTTP(w, r)
 		}),
+		// net/http would answer OPTIONS * by itself, a request that this VM doesn't know of.
+		DisableGeneralOptionsHandler: true,
+
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
