Answers of a stopping VM reach callers that have sent more, or less, than a request

Found by a review of the stop; each test was red 3 of 3 and is green. - An answer was cut off (36,588 of 320,000 bytes) where its caller had sent bytes behind its request: the connection closes behind the answer, and a close with unread bytes resets it. It is closed for writing first, and read until the caller closes it, 5 s at most (TestAnswerToACallerThatHasSentMoreIsWholeAtAStoppingVM). New for requests in flight since their answers close the connection. - A request that is refused by its head, with half a body sent, got no answer: net/http reads the body before it writes the answer. All bodies that are due when the VM ends are interrupted, not only those that the handler reads (TestRefusedRequestWithHalfABodyIsAnsweredByAStoppingVM). - Refusals of requests that were in flight at SIGTERM left the connection open (TestRefusalByAStoppingVMSaysThatTheConnectionEnds). - An answered request was reported as open at the end while net/http waits before it closes the connection (TestRequestWithALongUnsentBodyIsNotToldAsOpen). - An empty line after a request held up the end of the VM: it is no begin of a request (TestEmptyLineDoesNotHoldUpTheEndOfAVM).

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -84,6 +84,7 @@
 
 	request atomic.Pointer[openRequest] // that is served on it; nil for none
 	end     atomic.Int32                // a connEnd
+	abrupt  atomic.Bool                 // Close waits for nothing
 }
 
 // callerConnKey is the key of a request's *callerConn in its context.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -30,7 +30,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.answerPanic(w, r)
 	arrived := time.Now()
-	if id := e.headerCodec.RequestID(r.Header); !beginRequest(r.Context(), id, arrived) {
+	if id := e.headerCodec.RequestID(r.Header); !beginRequest(r.Context(), id, arrived, r.Body != http.NoBody) {
 		e.stats.count(`bramley_edge_requests_crossed_close_total`)
 		e.log.Info("request crossed the close of its connection", "request", id)
 		panic(http.ErrAbortHandler)
@@ -69,6 +69,7 @@
 	route := m.Match(r.Host, path)
 	if route == nil {
 		e.logRefusal(r, http.StatusNotFound, "no_route", m.Version)
+		e.setClose(w, r)
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -120,6 +121,14 @@
 	e.lateAnswers.add(time.Now(), res.dueAt)
 }
 
+// setClose closes the connection after a refusal if this VM was told to stop, maybe while the request waited.
+func (e *Engine) setClose(w http.ResponseWriter, r *http.Request) {
+	enterStage(r.Context(), stageAnswer)
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // rejection is the answer to a request that is not run: its key is not valid, or its tenant has used
 // up its limit.
 type rejection struct {
@@ -136,6 +145,7 @@
 	for name, values := range rejected.header {
 		w.Header()[name] = values
 	}
+	e.setClose(w, r)
 	if rejected.retryAfter > 0 {
 		w.Header().Set("Retry-After", formatSeconds(rejected.retryAfter))
 	}
@@ -165,7 +175,10 @@
 		return nil, errStopping // interruptBodies has run
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(m)))
-	enterStage(r.Context(), stageOffer) // interruptBodies leaves the connection alone from now on
+	if err == nil {
+		bodyRead(r.Context())
+	}
+	enterStage(r.Context(), stageOffer)
 	if e.stopping.over.Err() != nil && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
 		return nil, errStopping
 	}
@@ -366,6 +379,7 @@
 // that of the manifest in force, 0 if there is none.
 func (e *Engine) replyUnavailable(w http.ResponseWriter, r *http.Request, why string, version int64, retryAfter time.Duration) {
 	e.logRefusal(r, http.StatusServiceUnavailable, why, version)
+	e.setClose(w, r)
 	w.Header().Set("Retry-After", formatSeconds(retryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/edge/open_requests.go
+++ b/edge/open_requests.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -39,6 +40,8 @@
 	id    string
 	since time.Time    // when its header was read
 	stage atomic.Int32 // a requestStage
+	// bodyDue is set while the body, or its end, has not been read.
+	bodyDue atomic.Bool
 }
 
 // callerConns are the open connections of callers. It is safe for concurrent use.
@@ -101,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if req := c.request.Load(); req != nil && requestStage(req.stage.Load()) == stageBody {
+		if req := c.request.Load(); req != nil && req.bodyDue.Load() {
 			_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // an error means that the caller has disconnected
 		}
 	}
@@ -164,7 +167,7 @@
 
 // beginRequest records that a request on the connection of ctx is served from now on. It returns false
 // if this VM has closed the connection: the request must not run, since its answer could not be sent.
-func beginRequest(ctx context.Context, id string, now time.Time) bool {
+func beginRequest(ctx context.Context, id string, now time.Time, hasBody bool) bool {
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
 		return true
@@ -175,10 +178,21 @@
 		return false
 	}
 	c.arriving = false
-	c.request.Store(&openRequest{id: id, since: now})
+	req := &openRequest{id: id, since: now}
+	req.bodyDue.Store(hasBody)
+	c.request.Store(req)
 	return true
 }
 
+// bodyRead records that the body of the request on the connection of ctx was read whole.
+func bodyRead(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		if req := c.request.Load(); req != nil {
+			req.bodyDue.Store(false)
+		}
+	}
+}
+
 // endRequest records that no request is served on the connection any more.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
@@ -259,7 +273,9 @@
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
-		c.arriving = c.arriving || c.request.Load() == nil
+		// net/http passes over empty lines before a request.
+		begins := len(bytes.Trim(p[:n], "\r\n")) > 0
+		c.arriving = c.arriving || begins && c.request.Load() == nil
 		c.mu.Unlock()
 	}
 	if end := connEndOf(err); end != connOpen {
@@ -275,3 +291,30 @@
 	}
 	return connOpen
 }
+
+// drainTime bounds how long a connection with unread bytes is kept after its last answer.
+const drainTime = 5 * time.Second
+
+// CloseWrite implements the part of net.TCPConn that net/http calls once the last answer is written.
+func (c *callerConn) CloseWrite() error {
+	c.endRequest()
+	return c.TCPConn.CloseWrite()
+}
+
+// Close implements net.Conn. The close of a connection with unread bytes resets it, and drops what the caller
+// has not received of its answer. So it is closed for writing first, and read until the caller closes it.
+func (c *callerConn) Close() error {
+	if c.hasInput() && !c.abrupt.Load() && c.TCPConn.CloseWrite() == nil && c.TCPConn.SetReadDeadline(time.Now().Add(drainTime)) == nil {
+		_, _ = io.Copy(io.Discard, c.TCPConn) // the bytes belong to no request
+	}
+	return c.TCPConn.Close()
+}
+
+// endAbruptly has the connections that are still open closed at once.
+func (s *callerConns) endAbruptly() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.abrupt.Store(true)
+	}
+}
--- a/edge/open_requests_test.go
+++ b/edge/open_requests_test.go
@@ -50,7 +50,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 		}, false},
 		{"served", func(c *callerConn, _ net.Conn) {
-			g.Expect(beginRequest(withCallerConn(t.Context(), c), "q", now)).To(gomega.BeTrue())
+			g.Expect(beginRequest(withCallerConn(t.Context(), c), "q", now, false)).To(gomega.BeTrue())
 		}, false},
 	} {
 		conn, caller := newConnOfCaller(t, g)
@@ -60,7 +60,7 @@
 		c.prepare(conn, caller)
 		closed := conns.closeIdle(now)
 		g.Expect(closed == 1).To(gomega.Equal(c.closable), c.name)
-		g.Expect(beginRequest(withCallerConn(t.Context(), conn), "q", now)).To(gomega.Equal(!c.closable), c.name)
+		g.Expect(beginRequest(withCallerConn(t.Context(), conn), "q", now, false)).To(gomega.Equal(!c.closable), c.name)
 	}
 }
 
@@ -87,7 +87,7 @@
 	conn, _ := newConnOfCaller(t, g)
 	conns := newCallerConns()
 	conns.track(conn, http.StateNew)
-	g.Expect(beginRequest(withCallerConn(t.Context(), conn), "q", time.Now())).To(gomega.BeTrue())
+	g.Expect(beginRequest(withCallerConn(t.Context(), conn), "q", time.Now(), false)).To(gomega.BeTrue())
 	conns.track(conn, http.StateActive)
 	conns.closeIdle(time.Now())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -306,6 +306,7 @@
 		n.log.Warn("work for other VMs was cut off", "requests", n.engine.peerWork.number(), "error", err)
 	}
 	open = len(conns.requests())
+	conns.endAbruptly()
 	_ = n.callerServer.Close()
 	return open
 }
