--- a/edge/callers.go
+++ b/edge/callers.go
@@ -1,11 +1,15 @@
 package edge
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -66,8 +70,7 @@
 }
 
 // callerConn is a caller's connection. net/http sets its read deadlines and reports its state
-// changes from the same goroutine, so the fields
-// need no lock, but for those below mu.
+// changes from the same goroutine, so only the fields from mu on are shared.
 type callerConn struct {
 	*net.TCPConn
 	limits     func() routing.Limits // limits of the manifest in force
@@ -157,3 +160,106 @@
 	}
 	return m.Limits
 }
+
+// closeUnlessBusy closes the connection unless it carries a request or one has begun to arrive, and
+// reports whether it did.
+func (c *callerConn) closeUnlessBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.arriving || c.request.Load() != nil || c.hasInput() {
+		return false
+	}
+	c.closed = true
+	_ = c.TCPConn.Close() // it is not used any more
+	return true
+}
+
+// hasInput reports whether the kernel holds bytes that were not read.
+func (c *callerConn) hasInput() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// connEnd says what ended the reading from a caller's connection.
+type connEnd int32
+
+// The ends of a connection.
+const (
+	connOpen   connEnd = iota
+	connClosed         // the caller has closed it, or its sending side
+	connReset          // the caller or the network has reset it
+	connOwn            // this VM has closed it
+	connFailed         // any other error
+	connEnds
+)
+
+// connEndNames are the values of the label and key by of abandoned requests.
+var connEndNames = [connEnds]string{"unknown", "closed", "reset", "this_vm", "failed"}
+
+// connEndOf classifies an error of a read. A deadline that has passed ends only the read.
+func connEndOf(err error) connEnd {
+	var timeout net.Error
+	switch {
+	case err == nil, errors.As(err, &timeout) && timeout.Timeout():
+		return connOpen
+	case errors.Is(err, io.EOF):
+		return connClosed
+	case errors.Is(err, syscall.ECONNRESET):
+		return connReset
+	case errors.Is(err, net.ErrClosed):
+		return connOwn
+	}
+	return connFailed
+}
+
+// Read implements net.Conn. It records that a request has begun to arrive, and what ended the reading.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		// net/http passes over empty lines before a request.
+		begins := len(bytes.Trim(p[:n], "\r\n")) > 0
+		c.arriving = c.arriving || begins && c.request.Load() == nil
+		c.mu.Unlock()
+	}
+	if end := connEndOf(err); end != connOpen {
+		c.end.CompareAndSwap(int32(connOpen), int32(end))
+	}
+	return n, err
+}
+
+// connEndOfRequest returns what ended the connection of the request with ctx.
+func connEndOfRequest(ctx context.Context) connEnd {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		return connEnd(c.end.Load())
+	}
+	return connOpen
+}
+
+// Bounds of what is read of a connection after its last answer.
+const (
+	drainTime  = 5 * time.Second
+	drainBytes = 256 << 10
+)
+
+// CloseWrite implements the part of net.TCPConn that net/http calls once the last answer is written.
+func (c *callerConn) CloseWrite() error {
+	c.endRequest()
+	return c.TCPConn.CloseWrite()
+}
+
+// Close implements net.Conn. The close of a connection with unread bytes resets it, and drops what the caller
+// has not received of its answer. So it is closed for writing first, and read until the caller closes it, within drainTime and drainBytes.
+func (c *callerConn) Close() error {
+	if c.hasInput() && !c.abrupt.Load() && c.TCPConn.CloseWrite() == nil && c.TCPConn.SetReadDeadline(time.Now().Add(drainTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, drainBytes) // the bytes belong to no request
+	}
+	return c.TCPConn.Close()
+}
