SIGHUP does not end a stopping VM before its log is written

Cause: Run stopped catching signals as it returned, so that SIGHUP had its default effect while the log was flushed, for up to 0.2 s. The last lines of a stop, which say what became of requests, could be lost. Ruled out: a start (the VM was ready).

Change: the signals stay caught until the process has ended.

TestHangUpsDoNotEndAStoppingVM: red 3 of 4 on the code before, green 6 of 6.

--- a/edge/node.go
+++ b/edge/node.go
@@ -95,9 +95,9 @@
 
 // Run serves until SIGTERM or SIGINT, then calls Leave.
 func (n *Node) Run() error {
+	// The signals stay caught after Run returns: SIGHUP would end the process before its log is written.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	if err := n.Start(); err != nil {
 		return errors.Trace(err)
 	}
