--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -38,8 +38,8 @@
 	// tellQuarantine tells other VMs of contents that end leafs. all are the other VMs; if they are few,
 	// connections are opened to those that have none.
 	tellQuarantine(ctx context.Context, all []scatter.VM, notices []quarantineNotice)
-	// callers returns the names of the VMs that have opened connections to this one.
-	callers() []string
+	// connectedVMs returns the names of the VMs that have opened connections to this one.
+	connectedVMs() []string
 	// notifyNear tells the VMs that follow this one as accountant which tenants are near their limit.
 	notifyNear(notice *allotmentNotice)
 	// reserveSlot asks a VM to which there is a connection, and which keeps account of slots, for a
--- a/edge/manifest_exchange.go
+++ b/edge/manifest_exchange.go
@@ -181,7 +181,7 @@
 			return true
 		}
 	}
-	unlisted := e.currency.unlisted(e.currentPeerClient().callers())
+	unlisted := e.currency.unlisted(e.currentPeerClient().connectedVMs())
 	rand.Shuffle(len(unlisted), func(i, j int) { unlisted[i], unlisted[j] = unlisted[j], unlisted[i] })
 	for _, name := range unlisted[:min(len(unlisted), polledNeighbours)] {
 		if e.askVM(ctx, scatter.VM{Name: name}) {
@@ -200,8 +200,8 @@
 	})
 }
 
-// callers implements peerClient.
-func (p *peerTransport) callers() []string {
+// connectedVMs implements peerClient.
+func (p *peerTransport) connectedVMs() []string {
 	names := make(map[string]bool)
 	for _, conn := range p.server.Conns() {
 		names[conn.Peer().VM] = true
@@ -209,8 +209,8 @@
 	return slices.Collect(maps.Keys(names))
 }
 
-// callers implements peerClient. There are none.
-func (noPeerClient) callers() []string { return nil }
+// connectedVMs implements peerClient. There are none.
+func (noPeerClient) connectedVMs() []string { return nil }
 
 // refreshManifest asks for the newest manifest because of an unknown key, once for all requests that
 // wait, and waits for the answer for up to the time wait. It reports whether the answer is still
