SIGHUP does not end a daemon that has just started

Cause: until the daemon catches SIGHUP, it has its default effect.

Change: main ignores SIGHUP first; edge catches it afterwards as before. bramleyd run ignores it throughout, as its settings are fixed. A signal before main still ends the process.

--- a/cmd/bramleyd/main.go
+++ b/cmd/bramleyd/main.go
@@ -18,6 +18,8 @@
 )
 
 func main() {
+	// SIGHUP would end a process that does not catch it yet. Settings are fixed while it runs.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
