Logs tell ends, silences, cuts and copies of a content apart

Lines of attempts that failed named no content, so that the silences of a content could not be counted over leafs and VMs, nor told from copies of it that were in flight together. 'attempt failed' now has content, copies (open requests of the content at this VM) and known_ended (ended leafs that this VM knew of).

--- a/edge/engine.go
+++ b/edge/engine.go
@@ -31,6 +31,7 @@
 	allotments       atomic.Pointer[allotments] // limits of tenants; nil if the settings have none
 	livenessCheckDue wakeup                     // wakes checkVMs after a failed call to another VM
 	suspectVMs       wakeup                     // wakes probeVMs after a failed call to another VM or a failed liveness check
+	copies           copies                     // guarded by mu
 	quarantineNews   wakeup                     // wakes tellQuarantineNews after the guard has learned what other VMs should know
 	suspectLeafs     wakeup                     // wakes probeLeafs after a leaf did not answer or could not be reached
 	leaving          atomic.Bool                // this VM was told to stop, and stands in for no other one
@@ -88,6 +89,7 @@
 		livenessCheckDue: newWakeup(),
 		suspectVMs:       newWakeup(),
 		suspectLeafs:     newWakeup(),
+		copies:           make(copies),
 		quarantineNews:   newWakeup(),
 		peerClient:       noPeerClient{},
 		table:            table,
--- a/edge/log.go
+++ b/edge/log.go
@@ -143,7 +143,7 @@
 	if ev.reply != nil {
 		status = ev.reply.Status
 	}
-	r.e.log.Info("attempt failed",
+	r.e.log.Info("attempt failed", append(r.e.contentFields(r.spec.Content),
 		"request", r.req.ID,
 		"service", r.spec.Services[s.Shard],
 		"leaf", s.Leaf.ID,
@@ -152,5 +152,5 @@
 		"status", status,
 		"ms", time.Since(s.SentAt).Milliseconds(),
 		"error", err,
-	)
+	)...)
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -109,7 +109,9 @@
 
 // run executes the query and returns its outcome. ctx ends when the caller disconnects.
 func (r *runner) run(ctx context.Context) scatter.Outcome {
+	r.e.beginContent(r.spec.Content)
 	out := r.loop(ctx)
+	r.e.endContent(r.spec.Content)
 	close(r.done)
 	if out.Verdict != scatter.Answered && !r.spec.Delegated && r.e.knowsContent(r.spec.Content) {
 		r.e.tellQuarantine(ctx, quarantineAckTime) // before the caller, whose next attempt comes through another VM
