--- a/internal/lab/edgesim/leaf.go
+++ b/internal/lab/edgesim/leaf.go
@@ -35,6 +35,15 @@
 	// EndOn reports whether a request ends the leaf when it begins to run, as a crash of its process
 	// does: all connections are closed, and new ones are refused. Nil means that none does.
 	EndOn func(uri string) bool
+	// SilenceOn reports whether a request hangs the leaf's process when it begins to run: connections stay
+	// open and new ones are accepted, but nothing is answered any more. Nil means that none does.
+	SilenceOn func(uri string) bool
+	// CutOn reports whether a request closes all connections of the leaf when it begins to run. New ones are
+	// accepted at once. Nil means that none does.
+	CutOn func(uri string) bool
+	// Arrived is called with the path and query of each request that arrives and is for this leaf, also while
+	// the leaf is silent. It may be nil.
+	Arrived func(uri string)
 }
 
 // Leaf simulates one incarnation of a leaf. Set the exported fields before Start. Its methods are
@@ -64,6 +73,7 @@
 	running    map[string]int       // how many runs of a request are in progress, by its id
 	workEnds   map[string]time.Time // when the last run of a request ended, by its id
 	ended      bool                 // a request has ended the leaf
+	hung       chan struct{}        // closed when a silent leaf is stopped or started again; nil if it answers
 }
 
 // Start starts the leaf on a free port of the loopback and returns l.
@@ -90,6 +100,7 @@
 
 // Restart starts an ended leaf again, at another address. Its counts continue.
 func (l *Leaf) Restart() {
+	l.wake()
 	l.currentServer().Close()
 	server := l.newServer()
 	l.mu.Lock()
@@ -106,6 +117,7 @@
 
 // Stop closes all connections and stops the leaf. Its address refuses connections from then on.
 func (l *Leaf) Stop() {
+	l.wake()
 	server := l.currentServer()
 	server.CloseClientConnections()
 	server.Close()
@@ -123,6 +135,48 @@
 	go server.CloseClientConnections() // it waits for the connection of the request that ends the leaf
 }
 
+// hang makes the leaf silent, if it is not.
+func (l *Leaf) hang() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hung == nil {
+		l.hung = make(chan struct{})
+	}
+}
+
+// wake ends the silence of a leaf. The requests of the meantime get no answer.
+func (l *Leaf) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hung != nil {
+		close(l.hung)
+		l.hung = nil
+	}
+}
+
+// Silent reports whether a request has made the leaf silent.
+func (l *Leaf) Silent() bool { return l.silence() != nil }
+
+// silence returns a channel that is closed when the leaf's silence ends, nil if the leaf is not silent.
+func (l *Leaf) silence() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hung
+}
+
+// awaitSilence blocks while the leaf is silent, or until the caller disconnects, and drops the request then.
+func (l *Leaf) awaitSilence(r *http.Request) {
+	hung := l.silence()
+	if hung == nil {
+		return
+	}
+	select {
+	case <-hung:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Ended reports whether a request has ended the leaf.
 func (l *Leaf) Ended() bool {
 	l.mu.Lock()
@@ -273,6 +327,10 @@
 	}
 	l.lastHeader, l.lastBody, l.lastURI, l.lastMethod = r.Header.Clone(), body, r.RequestURI, r.Method
 	l.mu.Unlock()
+	if f.Arrived != nil {
+		f.Arrived(r.RequestURI)
+	}
+	l.awaitSilence(r)
 	if l.Inspect != nil {
 		l.Inspect(r, body)
 	}
@@ -299,6 +357,14 @@
 		l.end()
 		panic(http.ErrAbortHandler)
 	}
+	if f.SilenceOn != nil && f.SilenceOn(r.RequestURI) {
+		l.hang()
+	}
+	l.awaitSilence(r) // another request may have hung the process meanwhile
+	if f.CutOn != nil && f.CutOn(r.RequestURI) {
+		go l.DropConnections() // it waits for the connection of this request
+		panic(http.ErrAbortHandler)
+	}
 	l.writeAnswer(w, id, f)
 }
 
