A content whose leafs were silent for another reason is served again within seconds

Now a quarantine that rests on silences lasts 2 s, its trial goes to a silent leaf, a request for which no canary is left may go to one that has been silent for 0.5 s, and a silence is settled after 2 s. None of these sends can lose a further leaf. A trial whose leaf stays silent begins the next quarantine, twice as long.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -17,6 +17,9 @@
 	// its leaf again, lasts twice as long, up to longestQuarantine.
 	firstQuarantine   = 30 * time.Second
 	longestQuarantine = 10 * time.Minute
+	// silenceQuarantine is firstQuarantine where leafs count that are only silent. They get the trial after it, so
+	// that no further leaf may be lost.
+	silenceQuarantine = 2 * time.Second
 	// servedMemory is how long it counts that a request of a content was served.
 	servedMemory = time.Minute
 	// servedSlots bounds the contents of which that is remembered.
@@ -191,9 +194,9 @@
 func (g *Guard) decideLost(now time.Time, f Fingerprint, e *entry, known Evidence) (Decision, time.Duration) {
 	settled := e.lostAt.Add(settleTime)
 	switch {
-	case known.InFlight || known.Pending || known.Sent && !e.resolved():
+	case known.InFlight || known.Pending || known.Sent && !e.resolved(now):
 		return Await, 0
-	case !e.resolved():
+	case !e.resolved(now):
 		return Refuse, unresolvedRetry
 	case !known.Sent && now.Before(settled):
 		return Await, 0
@@ -321,9 +324,13 @@
 
 // quarantine begins a quarantine.
 func (g *Guard) quarantine(now time.Time, f Fingerprint, e *entry, byTrial bool) {
+	first := firstQuarantine
+	if g.unexplainedEnds(e) < endsUntilQuarantine {
+		first = silenceQuarantine
+	}
 	length := longestQuarantine
 	if e.quarantines < maxDoublings {
-		length = min(firstQuarantine<<e.quarantines, longestQuarantine)
+		length = min(first<<e.quarantines, longestQuarantine)
 	}
 	e.quarantines++
 	e.until, e.byTrial, e.touched = now.Add(length), byTrial, now
--- a/quarantine/silence.go
+++ b/quarantine/silence.go
@@ -15,6 +15,9 @@
 	// recentAnswer is how young a request has to be whose answer shows that a leaf is alive, when another request to it
 	// is given up.
 	recentAnswer = 250 * time.Millisecond
+	// silenceRetry is how long a leaf has to be silent under a content before it may get it again, where no other leaf
+	// may.
+	silenceRetry = 500 * time.Millisecond
 	// lastAnswer is the same for one that only takes long.
 	lastAnswer = 20 * time.Millisecond
 	// disruptionMemory is how long a silent leaf counts for a disruption of its zone.
@@ -57,7 +60,12 @@
 		return false
 	}
 	e := g.suspect(now, f)
-	return !e.answered && g.addSilence(now, e, s)
+	if e.answered {
+		return false
+	}
+	news = g.addSilence(now, e, s)
+	g.trialSilent(now, f, e, s.Leaf)
+	return news
 }
 
 // GivenUp records that a send of a content was given up without any sign of its leaf. answered says that leafs have
@@ -226,7 +234,49 @@
 	return false
 }
 
-// resolved reports whether it is known what became of each leaf that the content may have lost.
-func (e *entry) resolved() bool {
-	return len(e.checking) == 0 && !slices.ContainsFunc(e.silent, func(s Silence) bool { return !s.Expired })
+// resolved reports whether it is known what became of each leaf that the content may have lost. One that has been silent
+// for long is no longer taken for slow.
+func (e *entry) resolved(now time.Time) bool {
+	return len(e.checking) == 0 && !slices.ContainsFunc(e.silent, func(s Silence) bool {
+		return !s.Expired && now.Sub(s.Since) < silenceQuarantine
+	})
+}
+
+// TrialDue reports whether a content gets a trial, since its quarantine is over. silent are the leafs that are silent under
+// it, one of which is to get it.
+func (g *Guard) TrialDue(now time.Time, f Fingerprint) (due bool, silent []string) {
+	e := g.find(now, f)
+	if e == nil || e.cleared || e.quarantines == 0 || e.quarantined(now) {
+		return false, nil
+	}
+	for _, s := range e.silent {
+		silent = append(silent, s.Leaf)
+	}
+	return true, silent
+}
+
+// LongSilent returns the leafs that have been silent under a content for so long that it may be sent to them again: no
+// further leaf can be lost by that.
+func (g *Guard) LongSilent(now time.Time, f Fingerprint) []string {
+	e := g.find(now, f)
+	if e == nil || e.cleared {
+		return nil
+	}
+	var list []string
+	for _, s := range e.silent {
+		if now.Sub(s.Since) >= silenceRetry {
+			list = append(list, s.Leaf)
+		}
+	}
+	return list
+}
+
+// trialSilent begins another quarantine of a content if the leaf of its trial is silent.
+func (g *Guard) trialSilent(now time.Time, f Fingerprint, e *entry, leaf string) {
+	isTrial := func(t trial) bool { return t.leaf == leaf }
+	if e.quarantines == 0 || e.quarantined(now) || e.answered || !slices.ContainsFunc(e.trials, isTrial) {
+		return
+	}
+	e.trials = slices.DeleteFunc(e.trials, isTrial)
+	g.quarantine(now, f, e, true)
 }
--- a/scatter/canary.go
+++ b/scatter/canary.go
@@ -96,10 +96,43 @@
 // canaries returns the canaries that the request was not sent to and that no other request of its content has lost. They
 // are of different shards and zones where there are enough.
 func (q *Query) canaries(now time.Time) []canary {
+	if due, silent := q.table.guard.TrialDue(now, q.spec.Content); due {
+		return q.trialLeafs(silent, false)
+	}
 	if list := q.canariesAmong(now, true); len(list) > 0 {
 		return list
 	}
-	return q.canariesAmong(now, false)
+	if list := q.canariesAmong(now, false); len(list) > 0 {
+		return list
+	}
+	if silent := q.table.guard.LongSilent(now, q.spec.Content); len(silent) > 0 {
+		return q.trialLeafs(silent, true)
+	}
+	return nil
+}
+
+// trialLeafs returns the leafs that may get the trial of a content whose quarantine is over: those that are silent under
+// it, if there are any. only says that no others may.
+func (q *Query) trialLeafs(silent []string, only bool) []canary {
+	seed := binary.BigEndian.Uint64(q.spec.Content[:])
+	var list, silentOnes []canary
+	for i := range q.shards {
+		s := &q.shards[i]
+		for _, l := range q.candidates(s) {
+			if s.declined || slices.Contains(s.tried, l.id) {
+				continue
+			}
+			c := canary{shard: i, leaf: l, rank: rendezvousRank(seed, l.hash)}
+			list = append(list, c)
+			if slices.Contains(silent, leafName(l.id)) {
+				silentOnes = append(silentOnes, c)
+			}
+		}
+	}
+	if only || len(silentOnes) > 0 {
+		list = silentOnes
+	}
+	return chooseCanaries(list, false)
 }
 
 // canariesAmong is canaries, with or without suspect and slow leafs.
