A trial at a leaf that was silent before makes the quarantine no longer

TestSoak/stops-13 was still red: services that are silent for seconds doubled the quarantine of /all/x with each trial, beyond the 20 s in which it has to be served again. A trial at a leaf that is silent under the content already loses no further one, so the next follows after 2 s; only a further leaf that falls silent doubles the time. Not measured yet beyond the tests of quarantine.

--- a/quarantine/silence.go
+++ b/quarantine/silence.go
@@ -64,7 +64,7 @@
 		return false
 	}
 	news = g.addSilence(now, e, s)
-	g.trialSilent(now, f, e, s.Leaf)
+	g.trialSilent(now, f, e, s.Leaf, news)
 	return news
 }
 
@@ -271,12 +271,17 @@
 	return list
 }
 
-// trialSilent begins another quarantine of a content if the leaf of its trial is silent.
-func (g *Guard) trialSilent(now time.Time, f Fingerprint, e *entry, leaf string) {
+// trialSilent begins another quarantine of a content if the leaf of its trial is silent. further says that the leaf was not
+// silent under the content before; the quarantine gets longer only then.
+func (g *Guard) trialSilent(now time.Time, f Fingerprint, e *entry, leaf string, further bool) {
 	isTrial := func(t trial) bool { return t.leaf == leaf }
 	if e.quarantines == 0 || e.quarantined(now) || e.answered || !slices.ContainsFunc(e.trials, isTrial) {
 		return
 	}
 	e.trials = slices.DeleteFunc(e.trials, isTrial)
-	g.quarantine(now, f, e, true)
+	if further {
+		g.quarantine(now, f, e, true)
+		return
+	}
+	e.until, e.byTrial, e.touched = now.Add(silenceQuarantine), true, now
 }
