A content whose leafs are all silent gets one of them again every two seconds

Another VM that served the content lifted the quarantine, and this one began it again at once, as the silences were still there, so that the trial after it never came. Where fewer than three leafs have ended, and the last was lost 2 s ago, the decision is now a trial, which goes to a silent leaf; such a send counts as a trial (Sent looked at ends alone), and the next follows after 2 s.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -198,6 +198,8 @@
 		return Await, 0
 	case !e.resolved(now):
 		return Refuse, unresolvedRetry
+	case g.unexplainedEnds(e) < endsUntilQuarantine && now.Sub(e.lostAt) >= silenceQuarantine:
+		return Trial, 0 // at a silent leaf
 	case !known.Sent && now.Before(settled):
 		return Await, 0
 	case e.served && now.Before(settled):
@@ -214,9 +216,12 @@
 	if e == nil || e.cleared || len(e.trials) >= maxTrials {
 		return
 	}
-	if possible := g.unexplainedEnds(e); e.quarantines > 0 || possible >= endsUntilTrials || possible > 0 && repeat {
+	if g.isSuspect(now, e) || g.unexplainedEnds(e) > 0 && repeat {
 		g.counts.Trials++
 		e.trials = append(e.trials, trial{leaf: leaf, sentAt: now})
+		if e.isSilent(leaf) {
+			e.lostAt = now
+		}
 	}
 }
 
