--- a/review/stand2/site/clients.go
+++ b/review/stand2/site/clients.go
@@ -15,6 +15,8 @@
 	Next      func(client, n int) (method, target string, body []byte)
 	ThinkTime time.Duration
 	Wait      time.Duration // the client's time budget
+	// Fixed has the balancer give each client the same machine every time, as by a hash of the client.
+	Fixed bool
 
 	mu   sync.Mutex
 	ends []Answer
@@ -47,7 +49,11 @@
 				_ = conn.Close()
 			}
 			conn = nil
-			c, err := Dial(l.Site.Pick(number + n/attemptsPerConn))
+			turn := n / attemptsPerConn
+			if l.Fixed {
+				turn = 0
+			}
+			c, err := Dial(l.Site.Pick(number + turn))
 			if err != nil {
 				continue
 			}
