--- a/review/stand2/cmd/bornback/main.go
+++ b/review/stand2/cmd/bornback/main.go
@@ -48,7 +48,7 @@
 		machine.ahead.Store(jump.Milliseconds())
 	}
 	newLeaf := func() *site.Leaf {
-		return &site.Leaf{ID: "i-0", Service: "viewer", Zone: zones[0], Slots: 6, Queue: 8, Work: work, Ledger: s.Ledger}
+		return &site.Leaf{ID: "i-0", Service: "viewer", Zone: zones[0], Slots: 6, Queue: 8, Work: work, Ledger: s.Ledger, Born: machine.unixMilli()}
 	}
 	for n, zone := range zones {
 		if err := s.AddVM(fmt.Sprintf("edge-%d", n), zone, nil); err != nil {
@@ -70,12 +70,12 @@
 		return 0, err
 	}
 	address := first.Address()
-	write := func(l *site.Leaf, state string, born int64, sequence int) {
-		entry := l.Entry(state, born, sequence)
+	write := func(l *site.Leaf, state string, sequence int) {
+		entry := l.Entry(state, sequence)
 		s.Store.Put("servers", l.ID, entry)
 		s.Printf("leaf %s: %s", l.ID, entry)
 	}
-	write(first, "ready", machine.unixMilli(), 1)
+	write(first, "ready", 1)
 	time.Sleep(300 * time.Millisecond)
 	if trouble {
 		s.Printf("the clock of the machine of %s jumps back by %s", first.ID, jump)
@@ -89,15 +89,14 @@
 		return 0, err
 	}
 	s.Leafs = append(s.Leafs, second)
-	born := machine.unixMilli()
 	s.Printf("leaf %s starts again at %s", second.ID, address)
 	sequence := 1
 	for range 6 {
-		write(second, "ready", born, sequence)
+		write(second, "ready", sequence)
 		sequence++
 		time.Sleep(heartbeat)
 	}
-	write(second, "draining", born, sequence)
+	write(second, "draining", sequence)
 	acked := time.Now()
 	s.Printf("the store has acknowledged that %s is draining", second.ID)
 	time.Sleep(drain + longer)
--- a/review/stand2/cmd/foreignentry/main.go
+++ b/review/stand2/cmd/foreignentry/main.go
@@ -36,7 +36,6 @@
 	zones := []string{"zagreb-a", "split-a", "osijek-a"}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	born := make(map[*site.Leaf]int64)
 	for _, service := range []string{"viewer", "catalogue"} {
 		for n, zone := range zones {
 			l := &site.Leaf{ID: fmt.Sprintf("i-%s-%d", service, n), Service: service, Zone: zone, Slots: 6, Queue: 8,
@@ -44,8 +43,7 @@
 			if err := s.AddLeaf(l); err != nil {
 				return 0, err
 			}
-			born[l] = time.Now().UnixMilli()
-			go beat(ctx, s, l, born[l])
+			go beat(ctx, s, l)
 		}
 	}
 	for n, zone := range zones {
@@ -66,7 +64,7 @@
 	for n := range writes {
 		time.Sleep(pause)
 		l := s.Leafs[len(zones)+n] // of catalogue
-		entry := fmt.Sprintf(`{"service":"viewer","address":%q,"zone":%q,"slots":6,"state":"ready","cold-left-ms":0,"sequence":1,"born":%d}`, l.Address(), l.Zone, born[l])
+		entry := fmt.Sprintf(`{"service":"viewer","address":%q,"zone":%q,"slots":6,"state":"ready","cold-left-ms":0,"sequence":1,"born":%d}`, l.Address(), l.Zone, l.Born)
 		if trouble {
 			s.Store.Put("servers", l.ID, entry)
 			s.Printf("another writer: servers/%s %s", l.ID, entry)
@@ -81,9 +79,9 @@
 var sequence atomic.Int64
 
 // beat writes a leaf's own entry each heartbeat.
-func beat(ctx context.Context, s *site.Site, l *site.Leaf, born int64) {
+func beat(ctx context.Context, s *site.Site, l *site.Leaf) {
 	for ctx.Err() == nil {
-		s.Store.Put("servers", l.ID, l.Entry("ready", born, int(sequence.Add(1))))
+		s.Store.Put("servers", l.ID, l.Entry("ready", int(sequence.Add(1))))
 		time.Sleep(heartbeat)
 	}
 }
--- a/review/stand2/cmd/frozenreader/main.go
+++ b/review/stand2/cmd/frozenreader/main.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	heartbeat   = 1200 * time.Millisecond // heartbeat-interval-ms
-	drain       = 3 * time.Second         // drain-ms
-	longer      = 3 * time.Second         // how much longer a leaf serves
+	drain       = 3 * time.Second // drain-ms
+	longer      = 3 * time.Second // how much longer a leaf serves
 	rounds      = 4
 	cutAfter    = 150 * time.Millisecond  // from a change that the daemons learn to the cut
 	leaveAfter  = 50 * time.Millisecond   // from the cut to the leave of a leaf
@@ -40,7 +39,6 @@
 	*site.Leaf
 	mu       sync.Mutex
 	state    string
-	born     int64
 	sequence int
 	gone     bool
 }
@@ -50,7 +48,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.gone {
-		s.Store.Put("servers", b.ID, b.Entry(b.state, b.born, b.sequence))
+		s.Store.Put("servers", b.ID, b.Entry(b.state, b.sequence))
 	}
 }
 
@@ -85,7 +83,7 @@
 	add := func() (*beating, error) {
 		number++
 		l := &site.Leaf{ID: fmt.Sprintf("i-%d", number), Service: "ledger", Zone: zone, Slots: 3, Queue: 8, Work: func() time.Duration { return 20 * time.Millisecond }}
-		b := &beating{Leaf: l, state: "ready", born: time.Now().UnixMilli(), sequence: 1}
+		b := &beating{Leaf: l, state: "ready", sequence: 1}
 		return b, s.AddLeaf(l)
 	}
 	var leafs []*beating
--- a/review/stand2/cmd/unreadable/main.go
+++ b/review/stand2/cmd/unreadable/main.go
@@ -38,10 +38,9 @@
 			return 0, err
 		}
 		go func() {
-			born := time.Now().UnixMilli()
 			for sequence := 2; ctx.Err() == nil; sequence++ {
 				time.Sleep(heartbeat)
-				s.Store.Put("servers", l.ID, l.Entry("ready", born, sequence))
+				s.Store.Put("servers", l.ID, l.Entry("ready", sequence))
 			}
 		}()
 	}
--- a/review/stand2/site/leaf.go
+++ b/review/stand2/site/leaf.go
@@ -65,6 +65,7 @@
 	ID, Service, Zone string
 	Slots, Queue      int
 	Work              func() time.Duration // how long a request takes
+	Born              int64                // when the leaf started, by the clock of its machine, in Unix milliseconds
 	Ledger            *Ledger
 	// Spoil may take over the connection after a request has run, nil for never. It reports whether the connection
 	// has to be closed.
@@ -115,9 +116,9 @@
 }
 
 // Entry returns the leaf's entry in the store.
-func (l *Leaf) Entry(state string, born int64, sequence int) string {
+func (l *Leaf) Entry(state string, sequence int) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-left-ms":0,"sequence":%d,"born":%d}`,
-		l.Service, l.Address(), l.Zone, l.Slots, state, sequence, born)
+		l.Service, l.Address(), l.Zone, l.Slots, state, sequence, l.Born)
 }
 
 // serve answers the requests on a connection.
--- a/review/stand2/site/site.go
+++ b/review/stand2/site/site.go
@@ -96,14 +96,14 @@
 	s.Record.Close()
 }
 
-// AddLeaf starts a leaf and writes its entry.
+// AddLeaf starts a leaf that is born now and writes its entry.
 func (s *Site) AddLeaf(l *Leaf) error {
-	l.Ledger = s.Ledger
+	l.Ledger, l.Born = s.Ledger, time.Now().UnixMilli()
 	if err := l.Start(); err != nil {
 		return err
 	}
 	s.Leafs = append(s.Leafs, l)
-	s.Store.Put("servers", l.ID, l.Entry("ready", time.Now().UnixMilli(), 1))
+	s.Store.Put("servers", l.ID, l.Entry("ready", 1))
 	return nil
 }
 
--- a/review/stand2/site/vm.go
+++ b/review/stand2/site/vm.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,17 +19,14 @@
 
 // VM is a machine that runs the daemon.
 type VM struct {
-	Name, Zone           string
-	Callers, Ready       string // addresses
-	Peers, Metrics       string
-	settings, logPath    string
-	mu                   sync.Mutex
-	process              *exec.Cmd
-	exited               chan struct{}
-	starts               int
-	termAt, startAt      time.Time
-	killedAt             time.Time
-	readyMisses, readyOK int
+	Name, Zone        string
+	Callers, Ready    string // addresses
+	Peers, Metrics    string // addresses
+	settings, logPath string
+
+	mu      sync.Mutex // guards the fields below
+	process *exec.Cmd
+	exited  chan struct{} // closed when the process has ended
 }
 
 // NewVM writes the settings of a VM, as deploy/settings.json.tmpl makes them of a small site's figures. more may change them.
@@ -75,8 +71,7 @@
 	}
 	exited := make(chan struct{})
 	v.mu.Lock()
-	v.process, v.exited, v.startAt, v.termAt, v.killedAt = cmd, exited, time.Now(), time.Time{}, time.Time{}
-	v.starts++
+	v.process, v.exited = cmd, exited
 	v.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
@@ -89,12 +84,6 @@
 func (v *VM) Signal(sig syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	switch sig {
-	case syscall.SIGTERM:
-		v.termAt = time.Now()
-	case syscall.SIGKILL:
-		v.killedAt = time.Now()
-	}
 	_ = v.process.Process.Signal(sig)
 }
 
@@ -139,18 +128,3 @@
 	}
 	return fmt.Errorf("%s is not ready after %s", v.Name, limit)
 }
-
-// LogHas reports whether the log holds a text since an offset, see LogSize.
-func (v *VM) LogHas(since int64, text string) bool {
-	data, err := os.ReadFile(v.logPath)
-	return err == nil && int64(len(data)) >= since && strings.Contains(string(data[since:]), text)
-}
-
-// LogSize returns the size of the log.
-func (v *VM) LogSize() int64 {
-	info, err := os.Stat(v.logPath)
-	if err != nil {
-		return 0
-	}
-	return info.Size()
-}
