--- a/review/stand2/cmd/unreadable/main.go
+++ b/review/stand2/cmd/unreadable/main.go
@@ -20,7 +20,7 @@
 	clients      = 20
 	thinkTime    = 100 * time.Millisecond
 	timeBudget   = 2 * time.Second
-	manifest     = `{"version":3,"routes":[{"name":"fetch","host":"h.example","path-prefix":"/fetch/","kind":"idempotent","timeout-ms":2000,"target-latency-ms":400,"priority":2,"service":"viewer","max-attempts":2}],
+	manifest     = `{"version":%d,"routes":[{"name":"fetch","host":"h.example","path-prefix":"/fetch/","kind":"idempotent","timeout-ms":2000,"target-latency-ms":400,"priority":2,"service":"viewer","max-attempts":2}],
 "services":[{"name":"viewer","health-path":"/health","max-connections":48,"protocol":"h1","tls":false}],
 "limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
 )
@@ -28,7 +28,7 @@
 func main() { os.Exit(site.Main(play)) }
 
 func play(s *site.Site, trouble bool) (int, error) {
-	s.Store.Put("config", "main", manifest)
+	s.Store.Put("config", "main", fmt.Sprintf(manifest, 3))
 	zones := []string{"zagreb-a", "split-a", "osijek-a"}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -64,6 +64,8 @@
 		s.Printf("another writer: servers/x-1, %d arrays, one in the other", depth)
 	}
 	time.Sleep(5 * time.Second)
+	s.Store.Put("config", "main", fmt.Sprintf(manifest, 5))
+	s.Printf("the store has acknowledged manifest 5")
 	fault := time.Now()
 	s.Printf("all processes are killed")
 	for _, v := range s.VMs {
