A stop that arrives while a daemon starts is kept

Cause: main registered SIGTERM for its context, which the subcommand edge dropped, and edge.Node.Run registered a channel of its own. A signal between the two ended the context alone. Ruled out: the own interface, which uses the context (its case with complete settings was green before).

Change: only main catches signals, once. edge.Node.Run takes the context, counts the grace time from its end, and starts nothing if it has ended. A read of the settings that blocks doesn't hold up the end. SIGHUP is ignored throughout; it shared a channel of four places with SIGTERM.

--- a/cmd/bramleyd/edge.go
+++ b/cmd/bramleyd/edge.go
@@ -35,9 +35,9 @@
 }
 
 // runEdge is the action of the subcommand edge, which runs the daemon on the users'
-// platform. It ignores the command's context: edge.Node.Run handles signals itself.
-func runEdge(_ context.Context, cmd *cli.Command) error {
-	cfg, err := loadEdgeSettings(cmd)
+// platform. It returns when the daemon has shut down after ctx ended.
+func runEdge(ctx context.Context, cmd *cli.Command) error {
+	cfg, err := loadUnlessStopped(ctx, func() (*edge.Settings, error) { return loadEdgeSettings(cmd) })
 	if err != nil {
 		return err
 	}
@@ -53,5 +53,5 @@
 		HeaderCodec: platform.HeaderCodec{},
 		ReadyPath:   platform.ReadyPath,
 		Log:         log,
-	}).Run()
+	}).Run(ctx)
 }
--- a/cmd/bramleyd/main.go
+++ b/cmd/bramleyd/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -18,8 +19,9 @@
 )
 
 func main() {
-	// SIGHUP would end a process that does not catch it yet. Settings are fixed while it runs.
+	// Settings are fixed while the process runs.
 	signal.Ignore(syscall.SIGHUP)
+	// No other code catches signals: a second registration would hide a signal from the first.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
@@ -32,7 +34,12 @@
 			{Name: "check", Usage: "only check a settings file", ArgsUsage: "SETTINGS", Action: check},
 		},
 	}
-	if err := app.Run(ctx, os.Args); err != nil {
+	err := app.Run(ctx, os.Args)
+	if errors.Is(err, errStopped) {
+		fmt.Fprintln(os.Stderr, "bramleyd:", err)
+		return
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bramleyd:", err)
 		os.Exit(int(result.CodeOf(err).Class()))
 	}
@@ -56,6 +63,30 @@
 	return cmd.Args().First(), nil
 }
 
+// errStopped means that the process was told to stop before it had read its settings.
+var errStopped = errors.New("stopped while the settings were read")
+
+// loadUnlessStopped returns what load returns, or errStopped if ctx ends first. load may then still
+// block, as the read of a named pipe does.
+func loadUnlessStopped[S any](ctx context.Context, load func() (S, error)) (S, error) {
+	type loaded struct {
+		settings S
+		err      error
+	}
+	done := make(chan loaded, 1)
+	go func() {
+		s, err := load()
+		done <- loaded{s, err}
+	}()
+	select {
+	case l := <-done:
+		return l.settings, l.err
+	case <-ctx.Done():
+		var none S
+		return none, errStopped
+	}
+}
+
 // check is the action of the subcommand check.
 func check(_ context.Context, cmd *cli.Command) error {
 	if _, err := loadSettings(cmd); err != nil {
@@ -68,7 +99,7 @@
 // run is the action of the subcommand run. It returns when the daemon has shut down after
 // ctx ended.
 func run(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := loadSettings(cmd)
+	cfg, err := loadUnlessStopped(ctx, func() (*settings.Settings, error) { return loadSettings(cmd) })
 	if err != nil {
 		return err
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -5,12 +5,9 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -93,25 +90,22 @@
 	return n
 }
 
-// Run serves until SIGTERM or SIGINT, then calls Leave.
-func (n *Node) Run() error {
-	// The signals stay caught after Run returns: SIGHUP would end the process before its log is written.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// Run serves until ctx ends, then leaves as Leave does. The grace time counts from the end of ctx. Run
+// returns at once if ctx has ended already. It catches no signals: ctx has to end at the process's first
+// SIGTERM or SIGINT.
+func (n *Node) Run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		n.log.Info("stopped before the start", "cause", context.Cause(ctx).Error())
+		return nil
+	}
+	told := make(chan time.Time, 1) // receives the time at which ctx ended
+	defer context.AfterFunc(ctx, func() { told <- time.Now() })()
 	if err := n.Start(); err != nil {
 		return errors.Trace(err)
 	}
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			// A daemon's settings are fixed while it runs; everything else comes from the
-			// store. Without this case the signal would end the process.
-			n.log.Info("settings changed; nothing to reload")
-			continue
-		}
-		n.log.Info("stopping", "signal", sig.String())
-		break
-	}
-	n.Leave()
+	at := <-told
+	n.log.Info("stopping", "cause", context.Cause(ctx).Error())
+	n.leave(at)
 	return nil
 }
 
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -212,8 +212,10 @@
 // Leave marks this VM as not ready, hands its leaf partitions over if it is needed for them, continues
 // to serve while the load balancer moves callers to other VMs, waits for requests in flight, and
 // stops. From now on only requests are started that are expected to end before this VM does.
-func (n *Node) Leave() {
-	told := time.Now()
+func (n *Node) Leave() { n.leave(time.Now()) }
+
+// leave is Leave for a VM that was told to stop at the time told.
+func (n *Node) leave(told time.Time) {
 	times := stopTimesOf(told, n.grace())
 	n.engine.stopping.set(told, times.answer)
 	n.leaving.Store(true)
