A VM leaves a silent reader before its own knowledge is too old

Cause: the follower's call ended 0.5 s after its wait, however old its own knowledge was when the wait began. Only the reader looked at the age of its answer, and a frozen one does nothing.

Change: a follower limits by its own clock how old its knowledge gets at each source. It asks a reader to wait only for what is left of 0.75 of the bound, less the time for the answer, and leaves it then. Readers pass knowledge on up to 0.75 of the bound (0.8 before), for each resource by its own bound.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -13,13 +13,6 @@
 	"github.com/bramleybarrow/bramleybarrow/scatter"
 )
 
-// watchWaitShare is how long a watch of the store waits for a change, as a share of the time
-// within which a change must be known. Store calls are billed, so a watch should wait long. But
-// a watch may never report a change that has occurred: the store may have dropped the watch, or
-// the connection may have failed without an error. The remaining time is for detecting this and
-// for reading the list again.
-const watchWaitShare = 0.6
-
 // Timeouts and pauses for following the store: reading it and then watching it for changes.
 const (
 	// vmsWatchTimeout is how long a watch of the list of VMs waits for a change.
@@ -91,12 +84,6 @@
 	}
 }
 
-// watchTimeout returns how long a watch waits for a change, if this VM must know each change
-// within boundMS milliseconds.
-func (f *follower) watchTimeout(boundMS float64) time.Duration {
-	return time.Duration(watchWaitShare * boundMS * float64(time.Millisecond))
-}
-
 // resource is something in the store that is followed: it is read as a whole, and then
 // watched for changes.
 type resource struct {
@@ -146,11 +133,20 @@
 			// The revision that was read may be older than the history that the store keeps.
 			// Without a pause, reading and watching could alternate endlessly, a hundred
 			// times a second.
-			sleep(ctx, res.pause)
+			sleep(ctx, f.pauseBeforeRead(res))
 		}
 	}
 }
 
+// pauseBeforeRead returns the pause between a watch that ended at once and the next read of a resource.
+// The pause ends before this VM's knowledge is too old to wait.
+func (f *follower) pauseBeforeRead(res resource) time.Duration {
+	if r, ok := f.store.(*relay); ok {
+		return min(res.pause, r.timeLeft(res.name))
+	}
+	return res.pause
+}
+
 // watch watches a resource from a revision until a call fails. It pauses after a call that
 // returned changes. It also pauses after a call that ended early without changes, because a
 // store that is failing may end every watch at once. A watch after a pause waits for less, so that the
@@ -168,7 +164,7 @@
 		wait = res.wait
 		if pause := f.pauseAfter(res); changed || time.Since(began) < pause {
 			sleep(ctx, pause)
-			wait = max(wait-pause, wait/2)
+			wait = waitAfterPause(wait, pause)
 		}
 	}
 	return ctx.Err()
@@ -224,7 +220,7 @@
 			}
 			return revision, err
 		},
-		wait: f.watchTimeout(f.settings.Bounds.manifestWatchMS()),
+		wait: f.settings.Bounds.of(followedManifest).wait,
 		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
 			m, revision, err := f.store.WatchManifest(ctx, since, wait)
 			changed := m != nil || routing.AsInvalid(err) != nil
@@ -263,7 +259,7 @@
 			}
 			return list.Revision, nil
 		},
-		wait: f.watchTimeout(f.settings.Bounds.DrainMS),
+		wait: f.settings.Bounds.of(followedLeafs).wait,
 		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
 			c, err := f.store.WatchLeafs(ctx, since, wait)
 			if err != nil {
--- a/edge/known.go
+++ b/edge/known.go
@@ -22,9 +22,9 @@
 // newKnownTimes returns the times of a VM that knows nothing yet.
 func newKnownTimes(b BoundSettings) *knownTimes {
 	bounds := make(map[string]time.Duration)
-	for resource, ms := range map[string]float64{followedLeafs: b.DrainMS, followedManifest: b.manifestBoundMS(), followedEvacuations: b.EvacuateMS} {
-		if ms > 0 {
-			bounds[resource] = time.Duration(ms * float64(time.Millisecond))
+	for _, f := range b.followBounds() {
+		if f.bound > 0 {
+			bounds[f.resource] = f.bound
 		}
 	}
 	return &knownTimes{bounds: bounds, at: make(map[string]time.Time), late: make(map[string]int)}
@@ -43,6 +43,13 @@
 	}
 }
 
+// time returns the time of which this VM knows a resource, zero if it doesn't know it yet.
+func (k *knownTimes) time(resource string) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.at[resource]
+}
+
 // writeMetrics writes the age of each resource and how often it exceeded its bound.
 func (k *knownTimes) writeMetrics(w io.Writer, now time.Time) {
 	k.mu.Lock()
--- a/edge/manifest_exchange_test.go
+++ b/edge/manifest_exchange_test.go
@@ -273,7 +273,7 @@
 	_, engines := newVMsInProcess(1, manifestOf(1, "key"))
 	e := engines[0]
 	store := &manifestStore{err: &routing.InvalidManifestError{Version: 2, Revision: 5, Cause: errors.New("no name")}}
-	r := newRelay(store, e, time.Minute)
+	r := newRelay(store, e, BoundSettings{ManifestMS: 60_000, DrainMS: 60_000, EvacuateMS: 60_000})
 	f := &follower{e: e, store: r, settings: &Settings{Bounds: BoundSettings{ManifestMS: 5000}}, log: logging.Discard()}
 	res := f.manifests()
 	bad := e.stats.set.GetOrCreateCounter(`bramley_edge_bad_manifests_total`)
@@ -315,7 +315,7 @@
 	e.setPeerClient(v)
 	e.setVMs([]scatter.VM{engines[1].self})
 	store := &manifestStore{err: &routing.InvalidManifestError{Version: 2, Revision: 5, Cause: errors.New("no name")}}
-	f := &follower{e: e, store: newRelay(store, e, time.Minute), settings: &Settings{}, log: logging.Discard()}
+	f := &follower{e: e, store: newRelay(store, e, BoundSettings{ManifestMS: 60_000, DrainMS: 60_000, EvacuateMS: 60_000}), settings: &Settings{}, log: logging.Discard()}
 	g.Expect(e.currency.pollDue(now, false, true)).To(gomega.BeFalse(), "nothing is known of a bad manifest")
 	_, err := f.manifests().read(t.Context())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/edge/node.go
+++ b/edge/node.go
@@ -212,7 +212,7 @@
 // maintaining connections, and probing.
 func (n *Node) startLoops(ctx context.Context) {
 	n.startAllotments(ctx)
-	r := newRelay(n.store, n.engine, n.maxStaleness())
+	r := newRelay(n.store, n.engine, n.settings.Bounds)
 	n.engine.manifestSource = n.store
 	f := &follower{
 		e:           n.engine,
@@ -254,20 +254,6 @@
 	n.tomb.Go(func() error { n.engine.tellQuarantineNews(ctx); return nil })
 }
 
-// maxStaleShare bounds the age of the latest answer from the store at a VM that others follow,
-// as a share of the time within which a change must be known.
-const maxStaleShare = 0.8
-
-// maxStaleness returns how old the latest answer from the store may be at a VM that reads the
-// store for others. If it is older, this VM no longer follows the reader.
-func (n *Node) maxStaleness() time.Duration {
-	bound := min(n.settings.Bounds.manifestBoundMS(), n.settings.Bounds.DrainMS)
-	if evacuate := n.settings.Bounds.EvacuateMS; evacuate > 0 {
-		bound = min(bound, evacuate)
-	}
-	return time.Duration(maxStaleShare * bound * float64(time.Millisecond))
-}
-
 // followStore follows the list of VMs. This list determines which VMs read the store for
 // others. So the other resources are followed only once the list has been read, or
 // listening for other VMs has failed.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -21,9 +21,10 @@
 // them, else from the embedded Store. The two methods about each resource, such as Leafs and
 // WatchLeafs, must be called from a single goroutine.
 type relay struct {
-	Store        // the platform's store; also serves the calls about VMs
-	e            *Engine
-	maxStaleness time.Duration // how old the followed VM's latest answer from the store may be
+	Store     // the platform's store; also serves the calls about VMs
+	e         *Engine
+	budgets   map[string]stalenessBudget // by followed resource
+	readPause time.Duration              // longest time for which a read of the store is delayed (see delayRead)
 
 	// Sources of the latest full read of each resource.
 	leafsUpstream, manifestUpstream, evacuationsUpstream upstream
@@ -38,6 +39,7 @@
 	avoidUntil  map[string]time.Time // by name of a VM that failed: until when it is not followed
 	failing     map[string]bool      // by name of a VM: whether the latest call to it failed
 	nextRead    time.Time            // the store is not read before this time, unless this VM reads it for others
+	reading     chan struct{}        // closed when the latest read of the store that needed a turn ends; nil before the first
 	storeFailed bool                 // a read of the store failed since leafs were last listed
 }
 
@@ -48,24 +50,16 @@
 	endsWaits bool
 }
 
-// wait returns how long a watch at the VM may wait for a change, if one of at most d is wanted. A VM of
-// an earlier release looks at the age of its answer only when a wait begins.
-func (u upstream) wait(d, maxStaleness time.Duration) time.Duration {
-	if u.endsWaits {
-		return d
-	}
-	return min(d, time.Duration(earlierReleaseWaitShare*float64(maxStaleness)))
-}
-
-// earlierReleaseWaitShare bounds a wait at a VM of an earlier release, as a share of relay.maxStaleness.
-// What it tells at the end may be older than maxStaleness by as much.
+// earlierReleaseWaitShare bounds a wait at a VM of an earlier release, which looks at the age of its
+// answer only when the wait begins, as a share of stalenessBudget.giveUp. What it tells at the end may be
+// older than giveUp by as much.
 const earlierReleaseWaitShare = 0.125
 
 // avoidPeriod is how long this VM does not follow a VM after a call to it failed.
 const avoidPeriod = 5 * time.Second
 
-// readerAnswerTimeout bounds the wait for the answer of a VM that reads the store for others.
-// If the call lets that VM wait for a change, that time is added.
+// readerAnswerTimeout bounds the wait for the answer of a VM that reads the store for others, while this
+// VM's knowledge is young. If the call lets that VM wait for a change, that time is added.
 const readerAnswerTimeout = 500 * time.Millisecond
 
 // A VM that normally follows others reads the store only rarely while they fail. Mostly the
@@ -73,36 +67,41 @@
 // lasted 4.5 s, 77 VMs made 1,043 such calls, all of which failed. After the outage each of
 // them could follow its readers again.
 const (
-	// startDelayShare is how long a VM that has just started waits for the VMs that read the
-	// store for others, before it reads the store itself, as a share of relay.maxStaleness.
-	// maxStaleness is the time for which a VM may serve others without a new answer from the
-	// store.
-	startDelayShare = 1.0 / 2
-	// retryDelayShare is the longest pause between a failed read of the store and the next
-	// read, as a share of relay.maxStaleness.
-	retryDelayShare = 1.0 / 2
+	// readPauseShare is the longest pause between a failed read of the store and the next read, as a
+	// share of the shortest bound. A VM that has just started waits as long for the VMs that read the
+	// store for others, before it reads the store itself.
+	readPauseShare = 0.4
 )
 
 // errReadDeferred means that the store is not read now, because other VMs read it.
 var errReadDeferred = errors.New("edge: read of the store deferred to other VMs")
 
-// newRelay returns a relay that reads from store while it follows no VM. maxStaleness is how old
-// the latest answer from the store may be at a VM that it follows.
-func newRelay(store Store, e *Engine, maxStaleness time.Duration) *relay {
-	return &relay{
-		Store:        store,
-		e:            e,
-		maxStaleness: maxStaleness,
-		avoidUntil:   make(map[string]time.Time),
-		failing:      make(map[string]bool),
+// newRelay returns a relay that reads from store while it follows no VM. bounds are the times within
+// which changes must be known.
+func newRelay(store Store, e *Engine, bounds BoundSettings) *relay {
+	r := &relay{
+		Store:      store,
+		e:          e,
+		budgets:    make(map[string]stalenessBudget),
+		avoidUntil: make(map[string]time.Time),
+		failing:    make(map[string]bool),
+	}
+	var shortest time.Duration
+	for _, f := range bounds.followBounds() {
+		r.budgets[f.resource] = newStalenessBudget(f.bound)
+		if f.bound > 0 && (shortest == 0 || f.bound < shortest) {
+			shortest = f.bound
+		}
 	}
+	r.readPause = shareOf(readPauseShare, shortest)
+	return r
 }
 
 // delayFirstRead is called before the followed resources are first read. It delays this
 // VM's first read of the store, unless it reads the store for others. This gives the VMs that
 // do so time to become available.
 func (r *relay) delayFirstRead() {
-	r.delayRead(time.Duration(startDelayShare * float64(r.maxStaleness)))
+	r.delayRead(r.readPause)
 }
 
 // delayRead keeps this VM from reading the store until d has passed. The delay does not apply
@@ -135,24 +134,90 @@
 	return scatter.VM{}, false
 }
 
-// mayReadStore reports whether this VM may read the store now. A VM that normally follows others
-// may read it from nextRead on, and mayReadStore then moves nextRead later by retryDelayShare of
-// maxStaleness. Before nextRead, mayReadStore allows calls to the VMs that read the store for
-// others although they failed before, because they may have reached the store again.
-func (r *relay) mayReadStore() bool {
+// awaitStoreTurn reports whether this VM may read the store now. If so, the read's end must be reported
+// by the returned function. A VM that normally follows others may read the store from nextRead on. One of
+// its reads at a time checks whether the store is available, and the others wait for the result, at most
+// for limit. While the store may not be read, awaitStoreTurn allows calls to the VMs that read the store
+// for others although they failed before, because they may have reached the store again.
+func (r *relay) awaitStoreTurn(ctx context.Context, limit time.Duration) (end func(), ok bool) {
 	if r.storeReaders().Self {
-		return true
+		return func() {}, true
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		reading, ok := r.takeStoreTurn()
+		switch {
+		case ok:
+			return func() { close(reading) }, true
+		case reading == nil:
+			return nil, false
+		}
+		select {
+		case <-reading:
+		case <-timer.C:
+			r.followAgain()
+			return nil, false
+		case <-ctx.Done():
+			return nil, false
+		}
 	}
+}
+
+// takeStoreTurn returns true and a channel to close after the read if this VM may read the store now.
+// Otherwise it returns a channel that is closed when the read in progress ends, or nil if there is none.
+func (r *relay) takeStoreTurn() (chan struct{}, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if now.Before(r.nextRead) {
-		clear(r.avoidUntil)
-		return false
+	if !now.Before(r.nextRead) {
+		r.nextRead = now.Add(r.readPause)
+		r.reading = make(chan struct{})
+		return r.reading, true
+	}
+	if r.reading != nil {
+		select {
+		case <-r.reading:
+		default:
+			return r.reading, false
+		}
+	}
+	clear(r.avoidUntil)
+	return nil, false
+}
+
+// followAgain allows calls to the VMs that read the store for others although they failed before.
+func (r *relay) followAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.avoidUntil)
+}
+
+// timeLeft returns how long this VM may still wait for the VM that it follows, at least 0.
+func (r *relay) timeLeft(resource string) time.Duration {
+	return max(0, time.Until(r.e.known.time(resource).Add(r.budgets[resource].giveUp)))
+}
+
+// watchTimes returns for how long the followed VM is asked to wait for a change, at most for the time
+// want, and after which time the call ends. The call ends once this VM's knowledge is older than giveUp,
+// also if the followed VM is frozen.
+func (r *relay) watchTimes(resource string, up upstream, want time.Duration) (wait, timeout time.Duration) {
+	b := r.budgets[resource]
+	if !up.endsWaits {
+		wait = min(want, shareOf(earlierReleaseWaitShare, b.giveUp))
+		return wait, wait + b.answer
+	}
+	left := r.timeLeft(resource)
+	wait = min(want, max(0, left-b.answer))
+	return wait, min(left, wait+readerAnswerTimeout)
+}
+
+// readTimeout returns the time within which a VM must answer with a whole resource.
+func (r *relay) readTimeout(resource string) time.Duration {
+	if r.e.known.time(resource).IsZero() {
+		return readerAnswerTimeout
 	}
-	// One read at a time checks whether the store is available.
-	r.nextRead = now.Add(time.Duration(retryDelayShare * float64(r.maxStaleness)))
-	return true
+	return min(readerAnswerTimeout, r.timeLeft(resource)+r.budgets[resource].answer)
 }
 
 // sameUpstream returns the VM to follow, empty if there is none. It also reports whether up, the
@@ -183,18 +248,21 @@
 // read reads a resource as a whole from the VM to follow by fromVM. If there is none or that fails,
 // it reads from the store by fromStore, or returns errReadDeferred if this VM may not read the
 // store now. It records in up which of the two it was.
-func (r *relay) read(resource string, up *upstream, fromVM func(scatter.VM) (*storeAge, error), fromStore func() error) error {
+func (r *relay) read(ctx context.Context, resource string, up *upstream, fromVM func(scatter.VM) (*storeAge, error), fromStore func() error) error {
 	began := time.Now()
 	if vm, ok := r.currentReader(); ok {
 		if age, err := fromVM(vm); err == nil {
 			*up = upstream{vm: vm.Name, endsWaits: age.StoreAgeMS != nil}
-			r.recordKnown(resource, began.Add(-age.of(r.maxStaleness)))
+			r.recordKnown(resource, began.Add(-age.of(r.budgets[resource].giveUp)))
 			return nil
 		}
 	}
-	if !r.mayReadStore() {
+	end, ok := r.awaitStoreTurn(ctx, r.budgets[resource].storeTurn)
+	if !ok {
 		return errReadDeferred
 	}
+	defer end()
+	began = time.Now()
 	err := fromStore()
 	failure := storeFailure(err)
 	r.recordListing(resource, failure)
@@ -214,9 +282,9 @@
 // if no VM can be followed. It returns errReadDeferred if this VM may not read the store now.
 func (r *relay) Leafs(ctx context.Context) (LeafList, error) {
 	var list LeafList
-	err := r.read(followedLeafs, &r.leafsUpstream, func(vm scatter.VM) (*storeAge, error) {
+	err := r.read(ctx, followedLeafs, &r.leafsUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans leafsAnswer
-		if err := r.callReader(ctx, vm, methodFollowLeafs, &followCall{List: true}, &ans); err != nil {
+		if err := r.callReader(ctx, vm, followedLeafs, &followCall{List: true}, r.readTimeout(followedLeafs), &ans); err != nil {
 			return nil, err
 		}
 		r.incarnation = ans.Incarnation
@@ -248,13 +316,16 @@
 		r.recordWatch(followedLeafs, answeredAt(began, wait), err)
 		return c, err
 	}
-	wait = r.leafsUpstream.wait(wait, r.maxStaleness)
+	wait, timeout := r.watchTimes(followedLeafs, r.leafsUpstream, wait)
+	if timeout == 0 {
+		return LeafChanges{}, ErrHistoryCompacted
+	}
 	var ans leafsAnswer
 	call := &followCall{Incarnation: r.incarnation, Position: int64(since), WaitMS: wait.Milliseconds()}
-	if err := r.callReader(ctx, vm, methodFollowLeafs, call, &ans); err != nil {
+	if err := r.callReader(ctx, vm, followedLeafs, call, timeout, &ans); err != nil {
 		return LeafChanges{}, err
 	}
-	r.recordKnown(followedLeafs, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
+	r.recordKnown(followedLeafs, answeredAt(began, wait).Add(-ans.of(r.budgets[followedLeafs].giveUp)))
 	return LeafChanges{Changes: ans.Changes, Revision: Revision(ans.Position)}, nil
 }
 
@@ -265,9 +336,9 @@
 	began := time.Now()
 	var m *routing.Manifest
 	var revision Revision
-	err := r.read(followedManifest, &r.manifestUpstream, func(vm scatter.VM) (*storeAge, error) {
+	err := r.read(ctx, followedManifest, &r.manifestUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans manifestAnswer
-		if err := r.callReader(ctx, vm, methodFollowManifest, &followCall{List: true}, &ans); err != nil {
+		if err := r.callReader(ctx, vm, followedManifest, &followCall{List: true}, r.readTimeout(followedManifest), &ans); err != nil {
 			return nil, err
 		}
 		newer, err := ans.manifest()
@@ -298,17 +369,20 @@
 		r.confirmedAt = answeredAt(began, wait)
 		return m, revision, err
 	}
-	wait = r.manifestUpstream.wait(wait, r.maxStaleness)
+	wait, timeout := r.watchTimes(followedManifest, r.manifestUpstream, wait)
+	if timeout == 0 {
+		return nil, 0, ErrHistoryCompacted
+	}
 	call := &followCall{WaitMS: wait.Milliseconds()}
 	if m := r.e.inForce.Get(); m != nil {
 		call.Position = m.Version
 	}
 	var ans manifestAnswer
-	if err := r.callReader(ctx, vm, methodFollowManifest, call, &ans); err != nil {
+	if err := r.callReader(ctx, vm, followedManifest, call, timeout, &ans); err != nil {
 		return nil, 0, err
 	}
 	r.confirmedAt = answeredAt(began, wait).Add(-r.ageOf(&ans))
-	r.recordKnown(followedManifest, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
+	r.recordKnown(followedManifest, answeredAt(began, wait).Add(-ans.of(r.budgets[followedManifest].giveUp)))
 	m, err := ans.manifest()
 	return m, 0, err
 }
@@ -327,7 +401,7 @@
 // ageOf returns how long ago the manifest was confirmed by which a VM has answered.
 func (r *relay) ageOf(ans *manifestAnswer) time.Duration {
 	if ans.AgeMS == nil {
-		return r.maxStaleness // a VM whose latest answer from the store is older does not answer
+		return r.budgets[followedManifest].giveUp // a VM whose latest answer from the store is older does not answer
 	}
 	return time.Duration(*ans.AgeMS) * time.Millisecond
 }
@@ -337,9 +411,9 @@
 // store now.
 func (r *relay) Evacuations(ctx context.Context) (Evacuations, error) {
 	var set Evacuations
-	err := r.read(followedEvacuations, &r.evacuationsUpstream, func(vm scatter.VM) (*storeAge, error) {
+	err := r.read(ctx, followedEvacuations, &r.evacuationsUpstream, func(vm scatter.VM) (*storeAge, error) {
 		var ans evacuationsAnswer
-		if err := r.callReader(ctx, vm, methodFollowEvacuations, &followCall{List: true}, &ans); err != nil {
+		if err := r.callReader(ctx, vm, followedEvacuations, &followCall{List: true}, r.readTimeout(followedEvacuations), &ans); err != nil {
 			return nil, err
 		}
 		set = ans.set()
@@ -366,13 +440,16 @@
 		r.recordWatch(followedEvacuations, answeredAt(began, wait), err)
 		return set, revision, err
 	}
-	wait = r.evacuationsUpstream.wait(wait, r.maxStaleness)
+	wait, timeout := r.watchTimes(followedEvacuations, r.evacuationsUpstream, wait)
+	if timeout == 0 {
+		return nil, 0, ErrHistoryCompacted
+	}
 	call := &followCall{Position: int64(r.e.evacuationRevision()), WaitMS: wait.Milliseconds()}
 	var ans evacuationsAnswer
-	if err := r.callReader(ctx, vm, methodFollowEvacuations, call, &ans); err != nil {
+	if err := r.callReader(ctx, vm, followedEvacuations, call, timeout, &ans); err != nil {
 		return nil, 0, err
 	}
-	r.recordKnown(followedEvacuations, answeredAt(began, wait).Add(-ans.of(r.maxStaleness)))
+	r.recordKnown(followedEvacuations, answeredAt(began, wait).Add(-ans.of(r.budgets[followedEvacuations].giveUp)))
 	if ans.Revision == 0 {
 		return nil, 0, nil
 	}
@@ -389,8 +466,7 @@
 		return
 	}
 	r.e.feed.recordFailure(resource)
-	pause := time.Duration(retryDelayShare * float64(r.maxStaleness))
-	r.delayRead(pause/2 + rand.N(pause/2))
+	r.delayRead(r.readPause/2 + rand.N(r.readPause/2))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.storeFailed = true
@@ -439,11 +515,19 @@
 	return routing.NewManifest(doc), nil
 }
 
-// callReader makes one call to a VM that reads the store for others, and stores the decoded
-// answer in into. If the call fails, the VM is not followed for avoidPeriod.
-func (r *relay) callReader(ctx context.Context, vm scatter.VM, method string, call *followCall, into any) error {
-	call.MaxStalenessMS = r.maxStaleness.Milliseconds()
-	timeout := time.Duration(call.WaitMS)*time.Millisecond + readerAnswerTimeout
+// followMethods are the methods by which resources are followed.
+var followMethods = map[string]string{
+	followedLeafs:       methodFollowLeafs,
+	followedManifest:    methodFollowManifest,
+	followedEvacuations: methodFollowEvacuations,
+}
+
+// callReader makes one call about a resource to a VM that reads the store for others, and stores the
+// decoded answer in into. If the call fails or takes longer than timeout, the VM is not followed for
+// avoidPeriod.
+func (r *relay) callReader(ctx context.Context, vm scatter.VM, resource string, call *followCall, timeout time.Duration, into any) error {
+	method := followMethods[resource]
+	call.MaxStalenessMS = r.budgets[resource].giveUp.Milliseconds()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := r.e.currentPeerClient().follow(ctx, vm, method, call, into)
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -50,7 +50,7 @@
 			break
 		}
 	}
-	return newRelay(store, e, time.Millisecond)
+	return newRelay(store, e, BoundSettings{ManifestMS: 2, DrainMS: 2, EvacuateMS: 2})
 }
 
 // Guards against treating the failure of a VM that reads the store for others as an outage of
@@ -143,7 +143,7 @@
 	store := &answeringStore{}
 	e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), known: newKnownTimes(BoundSettings{}), peerClient: noPeerClient{}}
 	e.table = scatter.NewTable(scatter.VM{Name: "vm-1", Zone: "a"}, scatter.BudgetConfig{}, time.Now(), rand.New(rand.NewPCG(1, 2)))
-	r := newRelay(store, e, time.Minute)
+	r := newRelay(store, e, BoundSettings{ManifestMS: 60_000, DrainMS: 60_000, EvacuateMS: 60_000})
 	f := &follower{e: e, store: r, log: logging.Discard()}
 	for _, c := range []struct {
 		name, method string
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -168,6 +168,11 @@
 			add(path, value, "a number above 0")
 		}
 	}
+	for _, f := range s.Bounds.followBounds() {
+		if f.bound > 0 && !f.suffices() {
+			add(f.field, f.bound.Milliseconds(), "a longer time, in which a VM can leave a silent VM, ask another one and read the store")
+		}
+	}
 	for path, value := range map[string]bool{"$.room.hand_over": s.Room.HandOver, "$.room.spill": s.Room.Spill} {
 		if value && !s.Room.Measure {
 			add(path, value, "true only with room.measure")
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -36,13 +36,13 @@
   "name": "", "zone": "a",
   "listen": {"callers": "nowhere", "ready": "127.0.0.1:2", "vms": "127.0.0.1:3", "metrics": "127.0.0.1:4"},
   "store": "127.0.0.1:5", "first_start": true, "grace_s": 0,
-  "bounds": {"manifest_ms": 3000, "drain_ms": 3000},
+  "bounds": {"manifest_ms": 3000, "drain_ms": 1000},
   "budget": {"ratio": -1, "floor": 54, "window_s": 10},
   "room": {"hand_over": true, "spill": true},
   "power": 0.4, "memory_mb": 284, "log_level": "loud"
 }`))
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.BadSettings))
-	for _, path := range []string{"$.name", "$.listen.callers", "$.grace_s", "$.budget.ratio", "$.room.hand_over", "$.room.spill", "$.log_level"} {
+	for _, path := range []string{"$.name", "$.listen.callers", "$.grace_s", "$.bounds.drain_ms", "$.budget.ratio", "$.room.hand_over", "$.room.spill", "$.log_level"} {
 		g.Expect(err.Error()).To(gomega.ContainSubstring(path))
 	}
 }
