A VM that wakes from a freeze passes old answers of the store on with their age

TestAnswerFromBeforeAFreezeIsPassedOnWithItsAge is red before: age 0 of a list that was 3 s old, and likewise for a watch.

The feed records the same times as the VM's own knowledge. An answer that is given in the middle of a wait, while the VM is frozen, and handled before the wait's end still counts as young: its time isn't known.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -112,11 +112,11 @@
 	f.changed = make(chan struct{})
 }
 
-// recordSuccess records that the store answered about a followed resource.
-func (f *feed) recordSuccess(resource string) {
+// recordSuccess records that the store answered about a followed resource at a time.
+func (f *feed) recordSuccess(resource string, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastSuccess[resource] = time.Now()
+	f.lastSuccess[resource] = at
 }
 
 // recordFailure records that a store call about a followed resource failed. Calls of VMs that
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -477,7 +477,7 @@
 // earlier, a VM that has just started would tell them that there are no leafs and no evacuated zones.
 func (r *relay) recordApplied(resource string) {
 	if !r.followsVM(resource) {
-		r.e.feed.recordSuccess(resource)
+		r.e.feed.recordSuccess(resource, r.e.known.time(resource))
 	}
 }
 
@@ -498,7 +498,7 @@
 // themselves whenever the store ends its watches. This would take as many calls as without a relay.
 func (r *relay) recordWatch(resource string, answeredAt time.Time, err error) {
 	if err == nil {
-		r.e.feed.recordSuccess(resource)
+		r.e.feed.recordSuccess(resource, answeredAt)
 		r.recordKnown(resource, answeredAt)
 	}
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -207,3 +208,49 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(r.confirmedAt).NotTo(gomega.BeTemporally("<", store.answeredAt), "answered before its time")
 }
+
+// sleepingStore is a Store whose calls about leafs return after the time d, as they do at a VM that is
+// frozen meanwhile.
+type sleepingStore struct {
+	Store
+	d time.Duration
+}
+
+// Leafs returns no leafs.
+func (s *sleepingStore) Leafs(context.Context) (LeafList, error) {
+	time.Sleep(s.d)
+	return LeafList{Revision: 1}, nil
+}
+
+// WatchLeafs returns no changes.
+func (s *sleepingStore) WatchLeafs(context.Context, Revision, time.Duration) (LeafChanges, error) {
+	time.Sleep(s.d)
+	return LeafChanges{Revision: 1}, nil
+}
+
+// Guards against a VM that was frozen, takes an old answer of the store for a young one when it wakes, and
+// passes it on as such.
+func TestAnswerFromBeforeAFreezeIsPassedOnWithItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const wait, frozen = 1800 * time.Millisecond, 3 * time.Second
+		store := &sleepingStore{}
+		e := &Engine{log: logging.Discard(), stats: newStats(), feed: newFeed(), known: newKnownTimes(BoundSettings{}), peerClient: noPeerClient{}}
+		e.table = scatter.NewTable(scatter.VM{Name: "vm-1", Zone: "a"}, scatter.BudgetConfig{}, time.Now(), rand.New(rand.NewPCG(1, 2)))
+		r := newRelay(store, e, BoundSettings{DrainMS: 60_000})
+		age := func() time.Duration { ans := e.feed.storeAge(followedLeafs); return ans.of(0) }
+		read := func(d time.Duration) {
+			store.d = d
+			_, err := r.Leafs(t.Context())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.recordApplied(followedLeafs)
+		}
+		read(frozen)
+		g.Expect(age()).To(gomega.Equal(frozen), "a list may be as old as the call")
+		read(0)
+		store.d = wait + frozen
+		_, err := r.WatchLeafs(t.Context(), 1, wait)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(age()).To(gomega.Equal(frozen), "the watch was answered at the end of its wait")
+	})
+}
