A missing leaf is held from the time of the store's answer on

After a read of the list that was put off, a leaf that is missing is kept in use until 0.85 of the bound has passed since the list was known to be up to date. A VM that follows another one took for that time the moment at which it was told, not the one at which the store had answered its reader, up to 0.75 of the bound before: a leaf that left just after that answer could get requests for longer than the bound. TestHoldOfAMissingLeafCountsFromTheStoresAnswer is red before: the leaf is still used 3 s after it left, with drain_ms 3,000.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -250,6 +250,7 @@
 				}
 				return r.Replace(now, list.Leafs)
 			}), list.Revision)
+			age.freshAt = f.knownAt(followedLeafs)
 			if list.Invalid > 0 {
 				f.log.Warn("invalid leaf entries ignored", "count", list.Invalid, "revision", list.Revision)
 			}
@@ -265,7 +266,7 @@
 			if err != nil {
 				return 0, false, err
 			}
-			age.freshAt = time.Now()
+			age.freshAt = f.knownAt(followedLeafs)
 			f.logLeafChanges(f.e.applyLeafChanges(func(now time.Time, r *registry.Registry) []registry.Change {
 				var out []registry.Change
 				for _, change := range c.Changes {
@@ -283,11 +284,19 @@
 	}
 }
 
+// knownAt returns the time of which this VM knows a resource that it has just read, or has been told of.
+func (f *follower) knownAt(resource string) time.Time {
+	if _, ok := f.store.(*relay); ok {
+		return f.e.known.time(resource)
+	}
+	return time.Now()
+}
+
 // listAge records how old this VM's list of leafs is. The age determines how long leafs that
 // are missing from the next list are held after a failed read, that is, kept in use.
 type listAge struct {
 	failed  bool      // a read of the list failed since freshAt
-	freshAt time.Time // when the list was last known to be up to date; zero if never
+	freshAt time.Time // the latest time of which the list is known to be up to date; zero if never
 }
 
 // maxHoldShare bounds how long a leaf that is missing from the list of leafs is held, that is,
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -254,3 +255,75 @@
 		g.Expect(age()).To(gomega.Equal(frozen), "the watch was answered at the end of its wait")
 	})
 }
+
+// stubReader is a client of VMs that all return the same answer about leafs, or fail with err.
+type stubReader struct {
+	noPeerClient
+	answer leafsAnswer
+	err    error
+}
+
+// follow returns c.answer and c.err.
+func (c *stubReader) follow(_ context.Context, _ scatter.VM, _ string, _ *followCall, into any) error {
+	*into.(*leafsAnswer) = c.answer
+	return c.err
+}
+
+// newFollowingEngine returns the engine of a VM that follows others instead of reading the store.
+func newFollowingEngine(client peerClient, bounds BoundSettings) *Engine {
+	for i := 0; ; i++ {
+		// The hash of a VM's name determines whether it reads the store.
+		e := NewEngine(EngineOptions{
+			Self: fmt.Sprint("follower-", i), Zone: "a", Power: 1, Log: logging.Discard(), Bounds: bounds, Budget: scatter.BudgetConfig{Window: time.Second},
+		})
+		e.setPeerClient(client)
+		e.setVMs([]scatter.VM{{Name: "vm-1", Zone: "a"}, {Name: "vm-2", Zone: "a"}})
+		if !e.table.StoreReaders(time.Now()).Self {
+			return e
+		}
+	}
+}
+
+// emptyStore is a Store without leafs.
+type emptyStore struct{ Store }
+
+// Leafs returns no leafs.
+func (emptyStore) Leafs(context.Context) (LeafList, error) { return LeafList{Revision: 1}, nil }
+
+// Guards against holding a leaf, that is, keeping it in use, for too long after it left: it left just after
+// the store's latest answer to the reader, and that answer was old when the reader passed it on.
+func TestHoldOfAMissingLeafCountsFromTheStoresAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const bound, readerAge = 3 * time.Second, 1700 * time.Millisecond
+		bounds := BoundSettings{DrainMS: float64(bound.Milliseconds())}
+		leafs, err := pack([]registry.Leaf{{ID: "leaf-1", Born: 1, Service: "s", Zone: "a", Slots: 1, Address: "127.0.0.1:1"}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		client := &stubReader{}
+		e := newFollowingEngine(client, bounds)
+		r := newRelay(emptyStore{}, e, bounds)
+		f := &follower{e: e, store: r, settings: &Settings{Bounds: bounds}, log: logging.Discard(), leafsListed: make(chan struct{}, 1)}
+		res := f.leafs()
+		age := func(d time.Duration) storeAge { ms := d.Milliseconds(); return storeAge{StoreAgeMS: &ms} }
+
+		client.answer = leafsAnswer{storeAge: age(0), Leafs: leafs}
+		_, err = res.read(t.Context())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(readerAge + 100*time.Millisecond)
+		client.answer = leafsAnswer{storeAge: age(readerAge)}
+		_, _, err = res.watch(t.Context(), 1, res.wait)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		answeredAt := time.Now().Add(-readerAge)
+
+		client.err = errStoreStale
+		r.delayRead(400 * time.Millisecond)
+		_, err = res.read(t.Context())
+		g.Expect(err).To(gomega.MatchError(errReadDeferred))
+		time.Sleep(500 * time.Millisecond)
+		_, err = res.read(t.Context())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(e.Leafs()).To(gomega.Equal(1), "the leaf is held")
+		time.Sleep(time.Until(answeredAt.Add(bound)))
+		g.Expect(e.Leafs()).To(gomega.BeZero())
+	})
+}
