A VM that is told to stop while it announces itself leaves no entry

Withdraw went to the store beside an announcement in progress, which could be carried out after it: the entry of a VM that has ended stayed in the list of VMs, and others called it.

The announcer withdraws the entry itself: it waits for a write in progress, ends it with the time for the withdrawal, and writes no more afterwards.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -20,12 +21,26 @@
 	log       *slog.Logger
 	announced chan struct{} // closed when this VM has written its entry for the first time
 
-	mu      sync.Mutex // held during a write; guards the fields below
-	self    scatter.VM // this VM's entry; Key is empty until ensureKey
-	listed  bool       // the store's list of VMs is known to hold exactly the entry self
-	written time.Time  // time of this VM's latest write of its entry
+	writing    context.Context    // writes of the entry end with it
+	stopWrites context.CancelFunc // ends writing
+
+	mu        sync.Mutex // held during a write; guards the fields below
+	self      scatter.VM // this VM's entry; Key is empty until ensureKey
+	listed    bool       // the store's list of VMs is known to hold exactly the entry self
+	withdrawn bool       // the entry was withdrawn, and is not written again
+	written   time.Time  // time of this VM's latest write of its entry
+}
+
+// newAnnouncer returns the announcer of the VM self, which has no key yet.
+func newAnnouncer(store Store, self scatter.VM, log *slog.Logger) *announcer {
+	a := &announcer{store: store, self: self, log: log, announced: make(chan struct{})}
+	a.writing, a.stopWrites = context.WithCancel(context.Background())
+	return a
 }
 
+// errWithdrawn means that this VM is about to stop and writes its entry no more.
+var errWithdrawn = errors.New("edge: this VM's entry was withdrawn")
+
 // maxListAge is how old a list of VMs may be when it is read. If this VM wrote its entry
 // within this time, a list without the entry may be older than the write, and doesn't show
 // that the entry is missing.
@@ -76,16 +91,21 @@
 }
 
 // ensureListed writes this VM's entry unless the list already has it. It returns errNotJoined
-// before ensureKey has set a key.
+// before ensureKey has set a key, and errWithdrawn after withdraw.
 func (a *announcer) ensureListed(ctx context.Context) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.listed {
+	switch {
+	case a.withdrawn:
+		return errWithdrawn
+	case a.listed:
 		return nil
-	}
-	if a.self.Key == "" {
+	case a.self.Key == "":
 		return errNotJoined
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(a.writing, cancel)()
 	if err := a.store.Announce(ctx, a.self); err != nil {
 		return err
 	}
@@ -96,3 +116,13 @@
 	a.log.Info("announced to the other VMs", "address", a.self.Address)
 	return nil
 }
+
+// withdraw removes this VM's entry, and lets no more be written. It waits for a write in progress, which
+// would otherwise be carried out after the removal, and ends it with ctx.
+func (a *announcer) withdraw(ctx context.Context) error {
+	defer context.AfterFunc(ctx, a.stopWrites)()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdrawn = true
+	return a.store.Withdraw(ctx, a.self.Name)
+}
--- a/edge/follow_vms_test.go
+++ b/edge/follow_vms_test.go
@@ -38,7 +38,7 @@
 	e.allotments.Load().setSettled(false)
 	return &follower{
 		e: e, store: store, self: self, log: logging.Discard(), settled: make(chan struct{}),
-		announcer: &announcer{store: store, self: self, log: logging.Discard(), announced: make(chan struct{})},
+		announcer: newAnnouncer(store, self, logging.Discard()),
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -29,6 +29,7 @@
 	log         *slog.Logger
 	engine      *Engine
 	self        scatter.VM                    // this VM, without a key
+	announcer   *announcer                    // writes and removes this VM's entry in the list of VMs
 	tomb        tomb.Tomb                     // runs the servers and the background loops
 	leaving     atomic.Bool                   // Leave was called
 	leafsListed atomic.Bool                   // the leafs have been listed at least once
@@ -84,6 +85,7 @@
 			Log:         opt.Log,
 		}),
 	}
+	n.announcer = newAnnouncer(n.store, n.self, n.log)
 	if opt.Settings.AnswerEarly {
 		n.engine.lateAnswers = new(lateAnswers)
 	}
@@ -223,7 +225,7 @@
 		leafsListed: make(chan struct{}, 1),
 		ready:       func() bool { return n.isReady() && n.warmed.Load() },
 		settled:     make(chan struct{}),
-		announcer:   &announcer{store: n.store, self: n.self, log: n.log, announced: make(chan struct{})},
+		announcer:   n.announcer,
 	}
 	n.tomb.Go(func() error {
 		n.followStore(ctx, f, r)
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -225,7 +225,7 @@
 	defer cancel()
 	n.handOver(ctx)
 	n.logPhase("handed_over", told)
-	if err := n.store.Withdraw(ctx, n.self.Name); err != nil {
+	if err := n.announcer.withdraw(ctx); err != nil {
 		n.log.Warn("removing this VM from the list of VMs failed", "error", err)
 	}
 	n.logPhase("withdrawn", told)
