--- a/internal/lab/edgesim/store_proxy.go
+++ b/internal/lab/edgesim/store_proxy.go
@@ -1,6 +1,7 @@
 package edgesim
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -18,8 +19,9 @@
 	watches atomic.Int64 // watches of leafs (kind "servers") in progress
 	reads   atomic.Int64 // calls so far for leafs or the manifest (kind "config"), rejected ones included
 
-	mu           sync.Mutex // guards rejectStatus
-	rejectStatus int        // HTTP status of the response to every call; 0 while calls are forwarded
+	mu           sync.Mutex    // guards the fields below
+	rejectStatus int           // HTTP status of the response to every call; 0 while calls are forwarded
+	silence      chan struct{} // closed when calls and responses pass again; nil while they pass
 }
 
 // NewStoreProxy starts a proxy to the store at that IP and port.
@@ -47,6 +49,34 @@
 	p.server.CloseClientConnections()
 }
 
+// SetSilent makes the proxy hold all calls and responses, those of calls in progress too, or lets them pass
+// again.
+func (p *StoreProxy) SetSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case silent && p.silence == nil:
+		p.silence = make(chan struct{})
+	case !silent && p.silence != nil:
+		close(p.silence)
+		p.silence = nil
+	}
+}
+
+// awaitSound waits until calls pass, or ctx ends.
+func (p *StoreProxy) awaitSound(ctx context.Context) {
+	p.mu.Lock()
+	silence := p.silence
+	p.mu.Unlock()
+	if silence == nil {
+		return
+	}
+	select {
+	case <-silence:
+	case <-ctx.Done():
+	}
+}
+
 // DropConnections aborts the calls in progress.
 func (p *StoreProxy) DropConnections() { p.server.CloseClientConnections() }
 
@@ -70,6 +100,7 @@
 // serve counts a call and rejects it or forwards it to the store. It forwards neither the headers of
 // the call nor those of the response.
 func (p *StoreProxy) serve(w http.ResponseWriter, r *http.Request) {
+	p.awaitSound(r.Context())
 	if strings.HasSuffix(r.URL.Path, "/servers") || strings.HasSuffix(r.URL.Path, "/config") {
 		p.reads.Add(1)
 	}
@@ -91,6 +122,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer resp.Body.Close()
+	p.awaitSound(r.Context())
 	w.WriteHeader(resp.StatusCode)
 	// The VM has disconnected if this fails.
 	_, _ = io.Copy(w, resp.Body)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -119,6 +119,7 @@
 func (d *deployment) close() {
 	for _, v := range d.vms {
 		v.kill()
+		v.proxy.SetSilent(false)
 		v.proxy.Close()
 	}
 	for _, l := range d.leafs {
