--- a/edge/follow_site_test.go
+++ b/edge/follow_site_test.go
@@ -211,6 +211,9 @@
 	}
 }
 
+// storeLatency is how long the store takes for a call that is not a watch.
+const storeLatency = 20 * time.Millisecond
+
 // readStore makes a call to the store that is not a watch.
 func (vm *followVM) readStore(ctx context.Context, call func() error) error {
 	defer vm.awaitThaw(vm.life)
@@ -221,6 +224,7 @@
 		sleep(ctx, lostReadTimeout)
 		return errNoAnswer
 	}
+	sleep(ctx, storeLatency)
 	return call()
 }
 
