--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -115,7 +115,7 @@
 			apply(&set)
 			return set.Revision, nil
 		},
-		wait: f.settings.Bounds.of(followedEvacuations).wait,
+		wait: f.settings.Bounds.followBound(followedEvacuations).wait,
 		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
 			set, revision, err := f.store.WatchEvacuations(ctx, since, wait)
 			if err != nil {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -220,7 +220,7 @@
 			}
 			return revision, err
 		},
-		wait: f.settings.Bounds.of(followedManifest).wait,
+		wait: f.settings.Bounds.followBound(followedManifest).wait,
 		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
 			m, revision, err := f.store.WatchManifest(ctx, since, wait)
 			changed := m != nil || routing.AsInvalid(err) != nil
@@ -260,7 +260,7 @@
 			}
 			return list.Revision, nil
 		},
-		wait: f.settings.Bounds.of(followedLeafs).wait,
+		wait: f.settings.Bounds.followBound(followedLeafs).wait,
 		watch: func(ctx context.Context, since Revision, wait time.Duration) (Revision, bool, error) {
 			c, err := f.store.WatchLeafs(ctx, since, wait)
 			if err != nil {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -62,16 +62,11 @@
 // VM's knowledge is young. If the call lets that VM wait for a change, that time is added.
 const readerAnswerTimeout = 500 * time.Millisecond
 
-// A VM that normally follows others reads the store only rarely while they fail. Mostly the
-// store is then unavailable to all VMs, and failed calls are billed too. In an outage that
-// lasted 4.5 s, 77 VMs made 1,043 such calls, all of which failed. After the outage each of
-// them could follow its readers again.
-const (
-	// readPauseShare is the longest pause between a failed read of the store and the next read, as a
-	// share of the shortest bound. A VM that has just started waits as long for the VMs that read the
-	// store for others, before it reads the store itself.
-	readPauseShare = 0.4
-)
+// readPauseShare is the longest pause between a failed read of the store and the next read at a VM that
+// normally follows others, as a share of the shortest bound. Mostly the store is then unavailable to all VMs,
+// and failed calls are billed too. A VM that has just started waits as long for the VMs that read the store
+// for others, before it reads the store itself.
+const readPauseShare = 0.4
 
 // errReadDeferred means that the store is not read now, because other VMs read it.
 var errReadDeferred = errors.New("edge: read of the store deferred to other VMs")
--- a/edge/staleness.go
+++ b/edge/staleness.go
@@ -11,8 +11,8 @@
 // and it doesn't leave VMs that work, which would cost calls to the store, because
 //
 //	longest time between two answers of the store at such a VM + answer <= giveUp
-
-// The settings are checked by both sums (see followBound.suffices).
+//
+// Settings for which one of the sums does not hold are rejected (see followBound.suffices).
 
 // The terms of the sums, as shares of the bound.
 const (
@@ -35,7 +35,7 @@
 	giveUp    time.Duration // age of this VM's knowledge at which it leaves the VM that it follows; also the age up to which a VM passes knowledge on
 	answer    time.Duration // time for a VM's answer, beyond the time for which it is asked to wait
 	storeTurn time.Duration // time for reads of other resources by this VM that are in progress
-	storeRead time.Duration // time for the store's answer
+	storeRead time.Duration // time in which the store is expected to answer a VM in touch; no call is ended by it
 }
 
 // newStalenessBudget returns the budget for a bound.
@@ -84,8 +84,8 @@
 	}
 }
 
-// of returns the bound of a resource.
-func (b BoundSettings) of(resource string) followBound {
+// followBound returns the bound of a resource.
+func (b BoundSettings) followBound(resource string) followBound {
 	for _, f := range b.followBounds() {
 		if f.resource == resource {
 			return f
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -21,7 +21,7 @@
 	} {
 		g := gomega.NewWithT(t)
 		for resource, suffices := range c.suffices {
-			g.Expect(c.bounds.of(resource).suffices()).To(gomega.Equal(suffices), "%+v: %s", c.bounds, resource)
+			g.Expect(c.bounds.followBound(resource).suffices()).To(gomega.Equal(suffices), "%+v: %s", c.bounds, resource)
 		}
 	}
 }
