--- a/edge/follow_bound_test.go
+++ b/edge/follow_bound_test.go
@@ -122,6 +122,35 @@
 	}
 }
 
+// Guards against VMs that leave a sound reader, and against knowledge older than the bound, on days without a
+// fault: each call to the store is billed, also while the store is slow.
+func TestSoundReadersAreFollowed(t *testing.T) {
+	for _, latency := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFollowSite(3000)
+			defer s.stop()
+			s.latency = latency
+			time.Sleep(10 * time.Second)
+			calls := make(map[string]int64)
+			for _, vm := range s.vms {
+				calls[vm.name] = vm.storeCalls.Load()
+			}
+			for range 40 {
+				s.apply(followEvent{kind: toggleZone, zone: "a"})
+				time.Sleep(1700 * time.Millisecond)
+			}
+			for _, vm := range s.vms {
+				if n := vm.storeCalls.Load() - calls[vm.name]; n > 0 && !vm.readsStore() {
+					t.Errorf("latency %v: %s made %d calls to the store", latency, vm.name, n)
+				}
+				for resource, n := range vm.engine.known.late {
+					t.Errorf("latency %v: %s knew %s too late %d times", latency, vm.name, resource, n)
+				}
+			}
+		})
+	}
+}
+
 // playFollowing plays a day and returns what was wrong, empty if nothing was.
 func playFollowing(day []followEvent) string {
 	const step = 100 * time.Millisecond
--- a/edge/follow_site_test.go
+++ b/edge/follow_site_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleybarrow/bramleybarrow/logging"
@@ -155,6 +156,7 @@
 	cutOff     bool      // nothing passes between it and the store
 	cutAt      time.Time // when that last began or ended
 	cutBegins  chan struct{}
+	storeCalls atomic.Int64
 	frozen     bool
 	frozenAt   time.Time     // when that last began or ended
 	thawed     chan struct{} // closed when it is frozen no more
@@ -211,12 +213,10 @@
 	}
 }
 
-// storeLatency is how long the store takes for a call that is not a watch.
-const storeLatency = 20 * time.Millisecond
-
 // readStore makes a call to the store that is not a watch.
 func (vm *followVM) readStore(ctx context.Context, call func() error) error {
 	defer vm.awaitThaw(vm.life)
+	vm.storeCalls.Add(1)
 	if vm.isRejected() {
 		return errRejected
 	}
@@ -224,13 +224,14 @@
 		sleep(ctx, lostReadTimeout)
 		return errNoAnswer
 	}
-	sleep(ctx, storeLatency)
+	sleep(ctx, vm.site.latency)
 	return call()
 }
 
 // watchStore makes a call to the store that waits for a change.
 func (vm *followVM) watchStore(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	defer vm.awaitThaw(vm.life)
+	vm.storeCalls.Add(1)
 	if vm.isRejected() {
 		return errRejected
 	}
@@ -249,6 +250,7 @@
 			}
 		}()
 		err := call(watchCtx)
+		sleep(watchCtx, vm.site.latency)
 		if !isClosed(lost) {
 			return err
 		}
@@ -355,6 +357,7 @@
 	vms     []*followVM
 	zones   map[string]*followedZone // by name; the zones that were ever closed
 	boundMS float64                  // time within which each change must be known
+	latency time.Duration            // how long the store takes for an answer
 	mu      sync.Mutex               // guards the fields of each VM
 }
 
@@ -363,7 +366,7 @@
 
 // newFollowSite starts the VMs of a site with the given bound, in milliseconds.
 func newFollowSite(boundMS float64) *followSite {
-	s := &followSite{store: newFollowStore(), zones: map[string]*followedZone{}, boundMS: boundMS}
+	s := &followSite{store: newFollowStore(), zones: map[string]*followedZone{}, boundMS: boundMS, latency: 20 * time.Millisecond}
 	for i := range followVMs {
 		s.vms = append(s.vms, &followVM{followStore: s.store, site: s, name: fmt.Sprint("vm-", i), cutBegins: make(chan struct{})})
 	}
