A signal ends every command of bramleyd while it reads its settings

check and check-edge still waited for the end of a read that blocked. The names of a test and of its claim say what it does: it sends no signal.

--- a/cmd/bramleyd/edge.go
+++ b/cmd/bramleyd/edge.go
@@ -13,18 +13,14 @@
 )
 
 // loadEdgeSettings loads and checks the settings file of a daemon on the users' platform.
-func loadEdgeSettings(cmd *cli.Command) (*edge.Settings, error) {
-	path, err := settingsPath(cmd)
-	if err != nil {
-		return nil, err
-	}
-	return edge.LoadSettings(path)
+func loadEdgeSettings(ctx context.Context, cmd *cli.Command) (*edge.Settings, error) {
+	return loadUnlessStopped(ctx, cmd, edge.LoadSettings)
 }
 
 // checkEdge is the action of the subcommand check-edge. It prints what the settings of a
 // daemon on the users' platform mean.
-func checkEdge(_ context.Context, cmd *cli.Command) error {
-	cfg, err := loadEdgeSettings(cmd)
+func checkEdge(ctx context.Context, cmd *cli.Command) error {
+	cfg, err := loadEdgeSettings(ctx, cmd)
 	if err != nil {
 		return err
 	}
@@ -37,7 +33,7 @@
 // runEdge is the action of the subcommand edge, which runs the daemon on the users'
 // platform. It returns when the daemon has shut down after ctx ended.
 func runEdge(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := loadUnlessStopped(ctx, func() (*edge.Settings, error) { return loadEdgeSettings(cmd) })
+	cfg, err := loadEdgeSettings(ctx, cmd)
 	if err != nil {
 		return err
 	}
--- a/cmd/bramleyd/main.go
+++ b/cmd/bramleyd/main.go
@@ -47,12 +47,8 @@
 
 // loadSettings loads and checks the settings file of a daemon that is not on the users'
 // platform.
-func loadSettings(cmd *cli.Command) (*settings.Settings, error) {
-	path, err := settingsPath(cmd)
-	if err != nil {
-		return nil, err
-	}
-	return settings.Load(path)
+func loadSettings(ctx context.Context, cmd *cli.Command) (*settings.Settings, error) {
+	return loadUnlessStopped(ctx, cmd, settings.Load)
 }
 
 // settingsPath returns the command's only argument, the settings file.
@@ -66,30 +62,33 @@
 // errStopped means that the process was told to stop before it had read its settings.
 var errStopped = errors.New("stopped while the settings were read")
 
-// loadUnlessStopped returns what load returns, or errStopped if ctx ends first. load may then still
-// block, as the read of a named pipe does.
-func loadUnlessStopped[S any](ctx context.Context, load func() (S, error)) (S, error) {
+// loadUnlessStopped loads the command's settings file. It returns errStopped if ctx ends first; load may
+// then still block, as the read of a named pipe does.
+func loadUnlessStopped[S any](ctx context.Context, cmd *cli.Command, load func(path string) (*S, error)) (*S, error) {
+	path, err := settingsPath(cmd)
+	if err != nil {
+		return nil, err
+	}
 	type loaded struct {
-		settings S
+		settings *S
 		err      error
 	}
 	done := make(chan loaded, 1)
 	go func() {
-		s, err := load()
+		s, err := load(path)
 		done <- loaded{s, err}
 	}()
 	select {
 	case l := <-done:
 		return l.settings, l.err
 	case <-ctx.Done():
-		var none S
-		return none, errStopped
+		return nil, errStopped
 	}
 }
 
 // check is the action of the subcommand check.
-func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := loadSettings(cmd); err != nil {
+func check(ctx context.Context, cmd *cli.Command) error {
+	if _, err := loadSettings(ctx, cmd); err != nil {
 		return err
 	}
 	fmt.Println("settings are valid")
@@ -99,7 +98,7 @@
 // run is the action of the subcommand run. It returns when the daemon has shut down after
 // ctx ended.
 func run(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := loadUnlessStopped(ctx, func() (*settings.Settings, error) { return loadSettings(cmd) })
+	cfg, err := loadSettings(ctx, cmd)
 	if err != nil {
 		return err
 	}
--- a/cmd/bramleyd/stop_test.go
+++ b/cmd/bramleyd/stop_test.go
@@ -83,6 +83,8 @@
 		{"edge", edgeSettings, syscall.SIGTERM, true},
 		{"edge", edgeSettings, syscall.SIGTERM, false},
 		{"edge", edgeSettings, syscall.SIGINT, true},
+		{"check-edge", edgeSettings, syscall.SIGINT, false},
+		{"check", ownSettings, syscall.SIGINT, false},
 		{"run", ownSettings, syscall.SIGTERM, true},
 		{"run", ownSettings, syscall.SIGTERM, false},
 	} {
@@ -128,8 +130,8 @@
 	}
 }
 
-// Guards against a failure to start that a stop hides.
-func TestStartThatFailsBesideAStopIsReported(t *testing.T) {
+// Guards against a daemon that fails to start and says nothing, or exits as if it had been told to stop.
+func TestStartThatFailsIsReported(t *testing.T) {
 	g := gomega.NewWithT(t)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
