--- a/edge/relay.go
+++ b/edge/relay.go
@@ -130,9 +130,8 @@
 }
 
 // awaitStoreTurn reports whether this VM may read the store now. If so, the read's end must be reported
-// by the returned function. A VM that normally follows others may read the store from nextRead on. One of
-// its reads at a time checks whether the store is available, and the others wait for the result, at most
-// for limit. While the store may not be read, awaitStoreTurn allows calls to the VMs that read the store
+// by calling end. A VM that normally follows others may read the store from nextRead on. One of its reads at
+// a time checks whether the store is available, and the others wait for the result, at most for limit. While the store may not be read, awaitStoreTurn allows calls to the VMs that read the store
 // for others although they failed before, because they may have reached the store again.
 func (r *relay) awaitStoreTurn(ctx context.Context, limit time.Duration) (end func(), ok bool) {
 	if r.storeReaders().Self {
@@ -195,7 +194,8 @@
 
 // watchTimes returns for how long the followed VM is asked to wait for a change, at most for the time
 // want, and after which time the call ends. The call ends once this VM's knowledge is older than giveUp,
-// also if the followed VM is frozen.
+// also if the followed VM is frozen. If it is older already, timeout is 0, and the resource must be read as a
+// whole.
 func (r *relay) watchTimes(resource string, up upstream, want time.Duration) (wait, timeout time.Duration) {
 	b := r.budgets[resource]
 	if !up.endsWaits {
