The list of VMs is read with pauses again; a race in the follow tests

The pause between a watch that ends at once and the next read is cut to what is left of the age at which a VM leaves the one that it follows; the list of VMs is not followed and has no such age, so the pause was 0 while the store's history was lost.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -139,9 +139,9 @@
 }
 
 // pauseBeforeRead returns the pause between a watch that ended at once and the next read of a resource.
-// The pause ends before this VM's knowledge is too old to wait.
+// If the resource is read from another VM, the pause ends before this VM's knowledge is too old to wait.
 func (f *follower) pauseBeforeRead(res resource) time.Duration {
-	if r, ok := f.store.(*relay); ok {
+	if r, ok := f.store.(*relay); ok && r.followsVM(res.name) {
 		return min(res.pause, r.timeLeft(res.name))
 	}
 	return res.pause
--- a/edge/follow_site_test.go
+++ b/edge/follow_site_test.go
@@ -196,6 +196,13 @@
 	return vm.rejected
 }
 
+// lifetime returns the context that ends with the VM's current process.
+func (vm *followVM) lifetime() context.Context {
+	vm.site.mu.Lock()
+	defer vm.site.mu.Unlock()
+	return vm.life
+}
+
 // awaitThaw waits until the VM is not frozen, or until ctx ends.
 func (vm *followVM) awaitThaw(ctx context.Context) {
 	for {
@@ -215,7 +222,7 @@
 
 // readStore makes a call to the store that is not a watch.
 func (vm *followVM) readStore(ctx context.Context, call func() error) error {
-	defer vm.awaitThaw(vm.life)
+	defer vm.awaitThaw(vm.lifetime())
 	vm.storeCalls.Add(1)
 	if vm.isRejected() {
 		return errRejected
@@ -230,7 +237,7 @@
 
 // watchStore makes a call to the store that waits for a change.
 func (vm *followVM) watchStore(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
-	defer vm.awaitThaw(vm.life)
+	defer vm.awaitThaw(vm.lifetime())
 	vm.storeCalls.Add(1)
 	if vm.isRejected() {
 		return errRejected
@@ -300,7 +307,7 @@
 
 // follow implements peerClient: it calls the other VM's engine directly.
 func (vm *followVM) follow(ctx context.Context, to scatter.VM, method string, call *followCall, into any) error {
-	defer vm.awaitThaw(vm.life)
+	defer vm.awaitThaw(vm.lifetime())
 	other := vm.site.vm(to.Name)
 	if other == nil {
 		return errNotJoined // the VM has not started yet
