Copies of requests for other VMs count towards the memory of both

What callers saw: nothing yet; found by reading. A crowd that ends one VM could end those that it calls: the body of a gathered request is encoded once for each VM that is called, that of a handed over one in JSON, and the called VM decodes a message whatever it holds already (16 MiB of bodies on any machine, counted after they were decoded).

Change: the account of what callers hold counts the copy for each call until it was written, a hand-over until its answer, and on the called VM the message and what is decoded from it until the call has ended. Without memory a VM is not called, and the shards are asked from here, or the request is served here; a called VM refuses without decoding, and stopped bodies give way to the call first. Messages up to 4 KiB are not counted.

Evidence: TestCallWithoutMemoryForItsBodyIsRefused and TestVMsAreNotCalledWithoutMemoryForCopies, both red without the change (the call is served, the VM is called).

Left: a frame is allocated before it is read, 2 MiB at most for each connection of an authenticated VM.

--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -112,7 +112,16 @@
 	defer r.req.held.release()
 	ctx, cancel := context.WithDeadline(r.attemptCtx, call.AnswerBy.Add(peerCallLinger))
 	defer cancel()
-	onSent := func() { r.post(event{call: call.Call, sent: true}) }
+	free, ok := r.e.intake.reserve(demandCopy, int64(len(r.req.HTTP.Body)))
+	if !ok {
+		r.notCalled(call, "memory")
+		return
+	}
+	defer free()
+	onSent := func() {
+		free() // the message was written
+		r.post(event{call: call.Call, sent: true})
+	}
 	err := r.e.currentPeerClient().gather(ctx, call.VM, r.newGatherCall(call), onSent, func(ans *gatherAnswer) {
 		r.e.hearVersion(call.VM.Name, ans.ManifestVersion)
 		r.e.hearQuarantine(call.VM.Name, ans.Quarantine)
@@ -125,9 +134,7 @@
 	})
 	end := scatter.EndAnswered
 	if errors.Is(err, errEarlierRelease) {
-		r.e.stats.count(`bramley_edge_calls_not_made_total{why="release"}`)
-		r.e.log.Info("VM of an earlier release is not called for a request with a body", "request", r.req.ID, "vm", call.VM.Name)
-		r.post(event{call: call.Call, end: end, neverSent: true})
+		r.notCalled(call, "release")
 	} else if err != nil {
 		end = endOfCall(ctx)
 		r.e.log.Warn("call to a VM failed", "request", r.req.ID, "vm", call.VM.Name, "zone", call.VM.Zone, "shards", len(call.Shards), "error", err)
@@ -144,6 +151,14 @@
 	r.e.stats.call(end)
 }
 
+// notCalled reports that a VM is not called for a request with a body, and counts and logs why: it has an earlier
+// release, or this VM has no memory for the copy.
+func (r *runner) notCalled(call scatter.CallVM, why string) {
+	r.e.stats.count(`bramley_edge_calls_not_made_total{why=%q}`, why)
+	r.e.log.Info("VM is not called for a request with a body", "request", r.req.ID, "vm", call.VM.Name, "why", why)
+	r.post(event{call: call.Call, end: scatter.EndAnswered, neverSent: true})
+}
+
 // newGatherCall returns the message for a call that delegates some shards to another VM. Its
 // times, except for the latency objective, count from now.
 func (r *runner) newGatherCall(call scatter.CallVM) *gatherCall {
--- a/edge/intake.go
+++ b/edge/intake.go
@@ -70,6 +70,8 @@
 	demandConn   = "connection" // a caller's connection
 	demandHeader = "header"     // the header of a request
 	demandBody   = "body"       // the body of a request
+	demandCopy   = "copy"       // a copy of a request for another VM
+	demandVM     = "vm"         // a call of another VM
 )
 
 // newCallerIntake returns an intake without connections.
@@ -129,6 +131,19 @@
 	return ok
 }
 
+// reserve counts so many bytes of copies of a request, and reports whether there is room. If so, the function
+// that it returns has to be called when they are not used any more.
+func (i *callerIntake) reserve(kind string, size int64) (free func(), ok bool) {
+	if size == 0 {
+		return func() {}, true
+	}
+	ok = i.decide(kind, func(now time.Time, a *intake.Account) (bool, []intake.Eviction) { return a.Reserve(now, size) })
+	if !ok {
+		return nil, false
+	}
+	return sync.OnceFunc(func() { i.update(func(_ time.Time, a *intake.Account) { a.Free(size) }) }), true
+}
+
 // writeMetrics writes what callers hold, its limits, and what gave way, in the Prometheus text format.
 func (i *callerIntake) writeMetrics(w io.Writer) {
 	i.mu.Lock()
@@ -142,7 +157,7 @@
 	for _, phase := range intake.Evictable() {
 		fmt.Fprintf(w, "bramley_edge_callers_evicted_total{phase=%q} %d\n", phase, i.gaveWay[phase])
 	}
-	for _, kind := range []string{demandConn, demandHeader, demandBody} {
+	for _, kind := range []string{demandConn, demandHeader, demandBody, demandCopy, demandVM} {
 		fmt.Fprintf(w, "bramley_edge_intake_refusals_total{demand=%q} %d\n", kind, i.refused[kind])
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -88,6 +88,11 @@
 func (p *peerTransport) handle(ctx context.Context, e *Engine, conn *wire.Conn, method string, params []byte) (any, error) {
 	switch method {
 	case methodGather:
+		free, ok := e.reserveMessage(params)
+		if !ok {
+			return nil, p.refuseGather(conn, params)
+		}
+		defer free()
 		var call gatherCall
 		if err := decodeBody(params, &call); err != nil {
 			return nil, err
@@ -129,13 +134,49 @@
 		return e.serveAllotment(conn.Peer().VM, method, params)
 	case methodReserveSlot, methodAwaitSlot, methodEndSlot:
 		return e.slots.Load().serve(ctx, conn.Peer().VM, method, params)
-	case methodOfferRequest, methodRunRequest, methodDropRequest:
+	case methodRunRequest:
+		free, ok := e.reserveMessage(params)
+		if !ok {
+			return nil, result.Wrap(result.NotStarted, errNoMemory, "request of another VM")
+		}
+		defer free()
+		return e.serveRequestOffer(ctx, conn, method, params)
+	case methodOfferRequest, methodDropRequest:
 		return e.serveRequestOffer(ctx, conn, method, params)
 	default:
 		return nil, result.Errorf(result.UnknownMethod, "%q", method)
 	}
 }
 
+const (
+	// messageCopies is the memory for a message that holds a request, as a multiple of its bytes: the message, and
+	// the request that is decoded from it.
+	messageCopies = 2
+	// smallMessage is the size of messages, in bytes, up to which they are not counted. peerMaxCalls bounds them.
+	smallMessage = 4 << 10
+)
+
+// reserveMessage counts a message that holds a caller's request, and reports whether there is room. If so, the
+// function that it returns has to be called when the request has ended.
+func (e *Engine) reserveMessage(message []byte) (free func(), ok bool) {
+	if len(message) <= smallMessage {
+		return func() {}, true
+	}
+	return e.intake.reserve(demandVM, messageCopies*int64(len(message)))
+}
+
+// refuseGather refuses a call to query shards without decoding the request in it.
+func (p *peerTransport) refuseGather(conn *wire.Conn, params []byte) error {
+	var call struct {
+		Key uint64 `cbor:"1,keyasint"`
+	}
+	if err := decodeBody(params, &call); err != nil {
+		return err
+	}
+	p.sendAnswer(conn, &gatherAnswer{Key: call.Key, Last: true, Refused: true, Cause: scatter.RefusedForSelf})
+	return nil
+}
+
 // follow implements peerClient. It sends a call to a VM that reads the store for others, and
 // stores the decoded answer in into. It closes a connection on which the call was not answered. A VM
 // whose address is not known is called on a connection that it has opened.
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -42,6 +42,9 @@
 	// maxTakenRequests bounds the requests that one VM has accepted from others and not
 	// finished.
 	maxTakenRequests = 8
+	// handedCopies is the memory for the message that hands a request over, as a multiple of its body: the
+	// body in JSON, and the frame that holds it.
+	handedCopies = 3
 	// maxHandedBody is the longest body of a request that is handed over, in bytes. In JSON it
 	// still fits a message between VMs.
 	maxHandedBody = 1 << 20
@@ -177,6 +180,12 @@
 		e.countHandOver("not_accepted")
 		return nil
 	}
+	free, ok := e.intake.reserve(demandCopy, handedCopies*int64(len(req.HTTP.Body)))
+	if !ok {
+		e.countHandOver("no_memory")
+		return nil
+	}
+	defer free()
 	runCtx, cancel := e.stopping.bound(ctx, req.Deadline)
 	defer cancel()
 	handedAt := time.Now()
