Long answers of leafs take an eighth of a VM's memory at most

Cause, by reading: the bound of the long bodies that are read at the same time is 32 MiB on any machine, a quarter of the smallest one's memory, and half of that of the VMs in the tests of crowds. Callers that ask for long answers fill it.

Change: the bound is an eighth of the VM's memory, between two of the longest answers (8 MiB) and the 32 MiB of before.

Evidence: TestLongBodiesAreBoundedByTheMachine (the function is new, so it was not seen red on the code before).

--- a/edge/intake.go
+++ b/edge/intake.go
@@ -18,6 +18,7 @@
 	intakeShare      = 0.35        // memory for what callers make this VM hold, as a share of its own
 	largeBodyShare   = 0.75        // part of that for large bodies
 	receiveShare     = 0.25        // memory for bytes that the kernel has received from callers, as a share of this VM's
+	longAnswerShare  = 0.125       // memory for long answers of leafs while they are read, as a share of this VM's
 	callerFDShare    = 0.7         // descriptors for callers' connections; the rest is for leafs, other VMs, the store and readiness
 	receiveBuffer    = 64 << 10    // receive buffer of a caller's connection, in bytes
 	minReceiveBuffer = 16 << 10    // the same while many are open
--- a/edge/node.go
+++ b/edge/node.go
@@ -86,6 +86,7 @@
 			Log:         opt.Log,
 		}),
 	}
+	n.engine.pool.LimitLongBodies(int64(longAnswerShare * opt.Settings.MemoryMB * (1 << 20)))
 	n.announcer = newAnnouncer(n.store, n.self, n.log)
 	if opt.Settings.AnswerEarly {
 		n.engine.lateAnswers = new(lateAnswers)
--- a/leafhttp/bounds_test.go
+++ b/leafhttp/bounds_test.go
@@ -192,3 +192,15 @@
 	wg.Wait()
 	g.Expect(failed).To(gomega.BeZero())
 }
+
+// Guards against long answers that take as much memory on a small machine as on a large one, and against a bound
+// that refuses the longest sound answer.
+func TestLongBodiesAreBoundedByTheMachine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for bytes, want := range map[int64]int{0: 2 * maxAnswerBytes, 17 << 20: 17 << 20, 1 << 30: maxLongBodies} {
+		p := NewPool()
+		p.LimitLongBodies(bytes)
+		g.Expect(p.longBodies.reserve(want)).To(gomega.BeTrue())
+		g.Expect(p.longBodies.reserve(1)).To(gomega.BeFalse())
+	}
+}
--- a/leafhttp/pool.go
+++ b/leafhttp/pool.go
@@ -62,6 +62,12 @@
 // request waits for, once for each connection, which is closed. It must be set before the pool is used.
 func (p *Pool) OnSurplus(f func(key string)) { p.onSurplus = f }
 
+// LimitLongBodies lowers the bound of the long bodies of all answers that are read at the same time to so many
+// bytes, but not below the longest body. It must be called before the pool is used.
+func (p *Pool) LimitLongBodies(bytes int64) {
+	p.longBodies.limit = min(max(bytes, 2*maxAnswerBytes), maxLongBodies)
+}
+
 // Stats returns how many connections were dialled (failed dials included), how many were
 // reused, and how many were discarded while they were idle: they had expired when they were about
 // to be reused, had unexpected bytes to read, or had been closed by the leaf.
--- a/leafhttp/read.go
+++ b/leafhttp/read.go
@@ -75,13 +75,20 @@
 }
 
 // longBodies bounds the memory for long bodies. It is safe for concurrent use.
-type longBodies struct{ held atomic.Int64 }
+type longBodies struct {
+	held  atomic.Int64
+	limit int64 // in bytes; 0 means maxLongBodies; set before the first use
+}
 
 // reserve reserves memory for a body of so many bytes, and reports whether there is enough.
 func (l *longBodies) reserve(bytes int) bool {
+	limit := int64(maxLongBodies)
+	if l.limit > 0 {
+		limit = l.limit
+	}
 	for {
 		held := l.held.Load()
-		if held+int64(bytes) > maxLongBodies {
+		if held+int64(bytes) > limit {
 			return false
 		}
 		if l.held.CompareAndSwap(held, held+int64(bytes)) {
