--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,6 +10,8 @@
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -parallel 4 -run TestSoak/stops ./soak # stops, four seeds at once
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -run TestSoak/starts ./soak # stops of processes that start
 //	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -parallel 3 -run TestSoak/cuts ./soak # VMs cut off and frozen, three seeds at once
+//	SOAK_SEEDS=50 SOAK_FIRST=1000 go test -timeout 60m -run TestSoak/crowds ./soak # clients that hold memory and connections
+//	go test -run TestCrowd ./soak           # crowds of such clients alone, with nothing beside them
 //	SOAK_BINARY=/path/of/bramleyd go test -run TestSoak ./soak  # another build of the daemon in place of the current one
 //
 // A seed that ever failed is added to the fixed seeds of its kind, with a comment on the cause.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,6 +91,14 @@
 			soak(t, binary, seed, newTenants(seed))
 		})
 	}
+	for _, seed := range seeds(t, fixedCrowdSeeds) {
+		t.Run("crowds-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if os.Getenv("SOAK_SEEDS") == "" {
+				knownred.Skip(t)
+			}
+			soakCrowds(t, binary, seed)
+		})
+	}
 	for _, seed := range seeds(t, fixedStartSeeds) {
 		t.Run("starts-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 			if os.Getenv("SOAK_SEEDS") == "" {
