--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -251,8 +251,9 @@
 func (c *crowd) stay(conn net.Conn, number int, begin []byte) {
 	for c.form.returns && c.ctx.Err() == nil {
 		if conn != nil {
-			stop := context.AfterFunc(c.ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
-			_, _ = io.Copy(io.Discard, conn) // until the VM closes it
+			open := conn
+			stop := context.AfterFunc(c.ctx, func() { _ = open.SetReadDeadline(time.Unix(1, 0)) })
+			_, _ = io.Copy(io.Discard, open) // until the VM closes it
 			stop()
 			_ = conn.Close()
 		}
