Intake: only large bodies are ordered where only their memory is short; tests of bodies

Decisions are the same: where the memory in all suffices, connections without a large body were passed over before, after they had been ordered.

--- a/edge/caller_body.go
+++ b/edge/caller_body.go
@@ -258,7 +258,7 @@
 	if c == nil || c.held == nil {
 		return
 	}
-	c.intake.decide(demandConn, func(now time.Time, a *intake.Account) (bool, []intake.Eviction) {
+	c.intake.decide(demandAnswer, func(now time.Time, a *intake.Account) (bool, []intake.Eviction) {
 		return true, a.Answer(now, c.held, int64(size))
 	})
 }
--- a/edge/intake.go
+++ b/edge/intake.go
@@ -73,6 +73,7 @@
 	demandBody   = "body"       // the body of a request
 	demandCopy   = "copy"       // a copy of a request for another VM
 	demandVM     = "vm"         // a call of another VM
+	demandAnswer = "answer"     // an answer that is sent; always granted
 )
 
 // newCallerIntake returns an intake without connections.
--- a/intake/account.go
+++ b/intake/account.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -310,22 +311,7 @@
 	if a.fits(more, false) {
 		return true, nil
 	}
-	var candidates []*Conn
-	for _, c := range a.conns {
-		if c.mayGiveWay() {
-			candidates = append(candidates, c)
-		}
-	}
-	slices.SortStableFunc(candidates, func(x, y *Conn) int {
-		if x, y := x.cost(now), y.cost(now); x != y {
-			if x > y {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
-	for _, c := range candidates {
+	for _, c := range a.byCost(now, a.fitsBytes(more, true)) {
 		fitsBytes, fitsLarge := a.fitsBytes(more, true), a.fitsLarge(more, true)
 		if fitsBytes && fitsLarge {
 			break
@@ -344,6 +330,19 @@
 	return a.fits(more, false), evicted
 }
 
+// byCost returns the connections that may give way, those first that have cost most. If largeOnly is set, they are
+// those with large bodies.
+func (a *Account) byCost(now time.Time, largeOnly bool) []*Conn {
+	var list []*Conn
+	for _, c := range a.conns {
+		if c.mayGiveWay() && (!largeOnly || largePart(c.body) > 0) {
+			list = append(list, c)
+		}
+	}
+	slices.SortStableFunc(list, func(x, y *Conn) int { return cmp.Compare(y.cost(now), x.cost(now)) })
+	return list
+}
+
 // evict lets a connection give way. If a descriptor is needed, it is closed at once.
 func (a *Account) evict(now time.Time, c *Conn, closeIt bool) Eviction {
 	ev := Eviction{Conn: c, Phase: c.phase, Close: closeIt || c.phase != Arriving}
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// Guards against callers that don't read their answers until other answers or requests have no memory.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := NewAccount(Limits{Bytes: 1 << 20})
+	unread := open(g, a, start)
+	a.Run(start, unread)
+	g.Expect(a.Answer(start, unread, 700<<10)).To(gomega.BeEmpty())
+	c := open(g, a, after(time.Second))
+	a.Run(after(time.Second), c)
+	evicted := a.Answer(after(time.Second), c, 700<<10)
+	g.Expect(evicted).To(gomega.Equal([]Eviction{{Conn: unread, Phase: Answering, Close: true}}))
+	a.Wait(after(time.Second), c)
+	held, _ := a.Held()
+	g.Expect(held).To(gomega.BeEquivalentTo(ConnBytes))
+}
+
 // Guards against descriptors that are exceeded while connections that have given way are still open.
 func TestConnectionsThatGiveWayCountUntilTheyAreClosed(t *testing.T) {
 	g := gomega.NewWithT(t)
