Held requests are released on every way out, also at called VMs

By reading the change: a panic while a request was served left its body counted for good, and at a called VM a message stopped counting when its query ended, while attempts could still use its body for up to 0.3 s.

The handler now releases in any case, and the message at a called VM is retained by attempts as a caller's body is.

--- a/edge/caller_body.go
+++ b/edge/caller_body.go
@@ -44,7 +44,12 @@
 )
 
 // interruptionErrors are the errors of bodies that were not read whole.
-var interruptionErrors = map[interruption]error{interruptedByStop: errStopping, interruptedLate: errBodyLate, interruptedForMemory: errNoMemory}
+var interruptionErrors = map[interruption]error{
+	interruptedByStop:    errStopping,
+	interruptedLate:      errBodyLate,
+	interruptedForMemory: errNoMemory,
+	interruptedAsRefused: errBodyLate,
+}
 
 // arrivingBody holds the part of a body that was read. It is safe for concurrent use by the reader and drop.
 type arrivingBody struct {
--- a/edge/delegate.go
+++ b/edge/delegate.go
@@ -276,6 +276,7 @@
 		Deadline: fromNow(call.DeadlineUS),
 		Top:      call.Top,
 		HTTP:     call.leafRequest(),
+		held:     call.held,
 	}
 	spec := scatter.Spec{
 		Services:         call.Services,
--- a/edge/gather_codec.go
+++ b/edge/gather_codec.go
@@ -23,6 +23,8 @@
 // is given by the service that answers for it. Fields that end in US are in microseconds; all
 // but LatencyObjectiveUS count from the sending of the call.
 type gatherCall struct {
+	held *heldBody // the message, at the called VM; retained by attempts
+
 	Key                uint64   `cbor:"1,keyasint"` // identifies the call; chosen by the calling VM
 	ID                 string   `cbor:"2,keyasint"` // id of the caller's request
 	peerRequest                 // fields 3 to 6, 27 and 28
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -105,10 +105,10 @@
 		e.rejectBody(w, r, err, m.Version)
 		return
 	}
+	defer held.release()
 	req := e.newRequest(r, target, body, arrived, caller, route, e.withheldHeaders(m))
 	req.held = held
 	res := e.serveOrHandOver(r, req, route, who, m.Version)
-	held.release()
 	if res.Outcome.Verdict == scatter.NotRun {
 		e.returnToken(time.Now(), who)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -88,12 +88,12 @@
 func (p *peerTransport) handle(ctx context.Context, e *Engine, conn *wire.Conn, method string, params []byte) (any, error) {
 	switch method {
 	case methodGather:
-		free, ok := e.reserveMessage(params)
+		held, ok := e.holdMessage(params)
 		if !ok {
 			return nil, p.refuseGather(conn, params)
 		}
-		defer free()
-		var call gatherCall
+		defer held.release()
+		call := gatherCall{held: held}
 		if err := decodeBody(params, &call); err != nil {
 			return nil, err
 		}
@@ -135,12 +135,12 @@
 	case methodReserveSlot, methodAwaitSlot, methodEndSlot:
 		return e.slots.Load().serve(ctx, conn.Peer().VM, method, params)
 	case methodRunRequest:
-		free, ok := e.reserveMessage(params)
+		held, ok := e.holdMessage(params)
 		if !ok {
 			return nil, result.Wrap(result.NotStarted, errNoMemory, "request of another VM")
 		}
-		defer free()
-		return e.serveRequestOffer(ctx, conn, method, params)
+		defer held.release()
+		return e.serveRun(ctx, conn, params, held)
 	case methodOfferRequest, methodDropRequest:
 		return e.serveRequestOffer(ctx, conn, method, params)
 	default:
@@ -156,13 +156,17 @@
 	smallMessage = 4 << 10
 )
 
-// reserveMessage counts a message that holds a caller's request, and reports whether there is room. If so, the
-// function that it returns has to be called when the request has ended.
-func (e *Engine) reserveMessage(message []byte) (free func(), ok bool) {
+// holdMessage counts a message that holds a caller's request, and reports whether there is room. If so, the message
+// has to be released when the request has ended.
+func (e *Engine) holdMessage(message []byte) (held *heldBody, ok bool) {
 	if len(message) <= smallMessage {
-		return func() {}, true
+		return nil, true
+	}
+	free, ok := e.intake.reserve(demandVM, messageCopies*int64(len(message)))
+	if !ok {
+		return nil, false
 	}
-	return e.intake.reserve(demandVM, messageCopies*int64(len(message)))
+	return newHeldBody(free), true
 }
 
 // refuseGather refuses a call to query shards without decoding the request in it.
--- a/edge/request_handover.go
+++ b/edge/request_handover.go
@@ -64,6 +64,8 @@
 // runCall are the parameters of methodRunRequest. Fields that end in US are in microseconds from
 // the sending of the call.
 type runCall struct {
+	held *heldBody // the message, at the called VM; retained by attempts
+
 	Offer    uint64 `json:"offer"`
 	Manifest int64  `json:"manifest"`
 	ID       string `json:"id"`
@@ -334,7 +336,16 @@
 	delete(t.offers, offer)
 }
 
-// serveRequestOffer serves a message by which another VM hands a request over.
+// serveRun serves the message by which another VM hands a request over after an offer. held is the message.
+func (e *Engine) serveRun(ctx context.Context, conn *wire.Conn, params []byte, held *heldBody) (any, error) {
+	call := runCall{held: held}
+	if err := decodeParams(params, &call); err != nil {
+		return nil, err
+	}
+	return e.runTaken(ctx, conn.Peer().VM, &call)
+}
+
+// serveRequestOffer serves the messages before and after the one by which another VM hands a request over.
 func (e *Engine) serveRequestOffer(ctx context.Context, conn *wire.Conn, method string, params []byte) (any, error) {
 	vm := conn.Peer().VM
 	switch method {
@@ -344,12 +355,6 @@
 			return nil, err
 		}
 		return e.considerOffer(time.Now(), vm, &call), nil
-	case methodRunRequest:
-		var call runCall
-		if err := decodeParams(params, &call); err != nil {
-			return nil, err
-		}
-		return e.runTaken(ctx, vm, &call)
 	default:
 		var call dropCall
 		if err := decodeParams(params, &call); err != nil {
@@ -407,7 +412,7 @@
 	fromNow := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	req := &Request{
 		ID: call.ID, AnswerBy: fromNow(call.AnswerByUS), DueAt: fromNow(call.DueUS), Deadline: fromNow(call.DeadlineUS), Top: route.Top,
-		HTTP: call.leafRequest(),
+		HTTP: call.leafRequest(), held: call.held,
 	}
 	who := origin{rank: call.Rank}
 	if call.Tenant != "" {
